--- /dev/null
+++ b/src/bin/cedargauge-admin/main.rs
@@ -0,0 +1,3 @@
+//! `cedargauge-admin`: see the README.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/cedargauge-demo/main.rs
@@ -0,0 +1,3 @@
+//! `cedargauge-demo`: see the README.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/cedargauge-entry/main.rs
@@ -0,0 +1,3 @@
+//! `cedargauge-entry`: see the README.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/cedargauge-replay/main.rs
@@ -0,0 +1,3 @@
+//! `cedargauge-replay`: see the README.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/cedargauge-standin/main.rs
@@ -0,0 +1,3 @@
+//! `cedargauge-standin`: see the README.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/cedargauge-timeline/main.rs
@@ -0,0 +1,3 @@
+//! `cedargauge-timeline`: see the README.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/cedargauge/main.rs
@@ -0,0 +1,3 @@
+//! `cedargauge`: see the README.
+
+fn main() {}
--- /dev/null
+++ b/src/clock.rs
@@ -0,0 +1,99 @@
+//! Time as the decision code sees it: a monotonic reading that is always passed in.
+//!
+//! No decision reads a clock. The actors that own a decision read [`SystemClock`] and pass the
+//! reading along, so that scenarios and replay can run the same code in virtual time.
+
+use std::ops::Add;
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A monotonic reading in microseconds since an origin that the process chose.
+///
+/// Two readings compare only if they come from the same process.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Time(u64);
+
+impl Time {
+    /// The origin.
+    pub const ZERO: Time = Time(0);
+
+    /// A reading `us` microseconds after the origin.
+    pub const fn from_us(us: u64) -> Self {
+        Time(us)
+    }
+
+    /// A reading `ms` milliseconds after the origin.
+    pub const fn from_ms(ms: u64) -> Self {
+        Time(ms * 1_000)
+    }
+
+    /// Microseconds since the origin.
+    pub const fn as_us(self) -> u64 {
+        self.0
+    }
+
+    /// Whole milliseconds since the origin.
+    pub const fn as_ms(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// Time since `earlier`, or zero if `earlier` is later.
+    pub const fn since(self, earlier: Time) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Time;
+
+    fn add(self, rhs: Duration) -> Time {
+        let us = u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX);
+        Time(self.0.saturating_add(us))
+    }
+}
+
+/// The operating system's clocks, read at the edge of a process.
+#[derive(Debug, Clone, Copy)]
+pub struct SystemClock {
+    origin: std::time::Instant,
+}
+
+impl SystemClock {
+    /// A clock whose origin is now.
+    pub fn new() -> Self {
+        SystemClock {
+            origin: std::time::Instant::now(),
+        }
+    }
+
+    /// The monotonic time since the origin.
+    pub fn now(&self) -> Time {
+        Time::ZERO + self.origin.elapsed()
+    }
+
+    /// Wall-clock milliseconds since the Unix epoch.
+    pub fn wall_ms(&self) -> u64 {
+        wall_ms()
+    }
+}
+
+impl Default for SystemClock {
+    fn default() -> Self {
+        SystemClock::new()
+    }
+}
+
+/// Wall-clock milliseconds since the Unix epoch.
+pub fn wall_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| {
+            u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+        })
+}
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,38 @@
+//! The library's one error type. What callers are told is a [`crate::refusal::Refusal`], not this.
+
+/// What can go wrong at the edges of a process.
+#[derive(Debug, thiserror::Error)]
+#[non_exhaustive]
+pub enum Error {
+    /// A file could not be read or written.
+    #[error("{path}: {source}")]
+    File {
+        /// The path as given.
+        path: String,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// Settings or a table row hold bad values: one line a fault.
+    #[error("{}", faults.join("\n"))]
+    Invalid {
+        /// Each fault with its field's path, the value and what is allowed.
+        faults: Vec<String>,
+    },
+    /// A message could not be encoded or decoded.
+    #[error("bad message: {0}")]
+    Message(#[from] serde_json::Error),
+    /// Another process did not answer, or not as its protocol says.
+    #[error("{peer}: {reason}")]
+    Remote {
+        /// Address of the other process.
+        peer: String,
+        /// What happened.
+        reason: String,
+    },
+    /// A socket could not be opened.
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+}
+
+/// Result with the library's error.
+pub type Result<T> = std::result::Result<T, Error>;
--- /dev/null
+++ b/src/event.rs
@@ -0,0 +1,102 @@
+//! Numbered events: what every process logs and keeps in a bounded ring for the time line.
+//!
+//! `docs/EVENTS.md` is the catalogue; a test holds it and [`EventCode`] together.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::AttemptId;
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::id::Offset;
+use crate::id::RequestId;
+use crate::id::UpstreamId;
+
+/// Declares the catalogue: number, name and meaning of every event.
+macro_rules! event_codes {
+    ($($number:literal $name:ident $meaning:literal,)*) => {
+        /// An event's code. Numbers are never reused.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+        pub enum EventCode {
+            $(#[doc = $meaning] $name,)*
+        }
+
+        impl EventCode {
+            /// Every code, in the order of its number.
+            pub const ALL: &'static [EventCode] = &[$(EventCode::$name,)*];
+
+            /// The event's number.
+            pub const fn number(self) -> u16 {
+                match self { $(EventCode::$name => $number,)* }
+            }
+
+            /// The event's name.
+            pub const fn name(self) -> &'static str {
+                match self { $(EventCode::$name => stringify!($name),)* }
+            }
+
+            /// What the event means.
+            pub const fn meaning(self) -> &'static str {
+                match self { $(EventCode::$name => $meaning,)* }
+            }
+        }
+    };
+}
+
+// 1xx process, 2xx request path, 3xx upstreams, 4xx configuration, 5xx claims, 6xx peers and
+// ownership, 7xx limits, 8xx orders. Each area keeps its hundred.
+event_codes! {
+    100 ProcessStarted "The process listens and serves.",
+    101 ShutdownBegan "SIGTERM arrived: no new work, what is in flight goes on.",
+    102 ShutdownComplete "Everything in flight ended; the process exits.",
+    103 ShutdownForced "A second signal: the streams named were cut.",
+    200 RequestReceived "A caller's request was parsed and its customer identified.",
+    201 RequestRefused "A request was refused; it did not run.",
+    202 RequestQueued "A request waits at its schedulers.",
+    203 RequestGranted "A scheduler granted an upstream.",
+    204 RequestDispatched "An attempt was written to an upstream.",
+    205 FirstToken "The first token reached the caller.",
+    206 StreamResumed "A gap or a stalled link: the same generation was resumed.",
+    207 RequestRestarted "A repeatable request was started again before its first token.",
+    208 RequestComplete "The whole answer reached the caller.",
+    209 RequestFailed "The request ended with an explicit failure.",
+    210 CallerLeft "The caller left; the generation was cancelled.",
+    211 TokenDropped "A duplicated, late or crossed token was dropped.",
+    300 UpstreamReported "An upstream's load report changed its state.",
+    301 UpstreamEjected "Consecutive failures: no new work for a while.",
+    302 UpstreamProbed "A half-open probe was sent to an ejected upstream.",
+    303 UpstreamLeaving "An upstream is leaving: no new work.",
+    304 UpstreamLost "An upstream was lost with what it ran.",
+}
+
+/// One event of one process.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Event {
+    /// What happened.
+    pub code: EventCode,
+    /// The process's host.
+    pub host: HostId,
+    /// The process's incarnation.
+    pub incarnation: Incarnation,
+    /// Position in the process's own sequence.
+    pub sequence: u64,
+    /// Monotonic time since the process started, in microseconds.
+    pub monotonic_us: u64,
+    /// Wall-clock time in milliseconds since the Unix epoch.
+    pub wall_ms: u64,
+    /// The request it belongs to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub request: Option<RequestId>,
+    /// The attempt it belongs to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub attempt: Option<AttemptId>,
+    /// The upstream it concerns.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub upstream: Option<UpstreamId>,
+    /// The log offset it concerns.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub offset: Option<Offset>,
+    /// Figures and words for a person.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub detail: String,
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,137 @@
+//! What entry hosts tell one another, in batches over JSON-RPC: `deliver(Envelope) -> Receipt`.
+//!
+//! Every message is one way and may be lost, repeated or late; no promise rests on one.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::CustomerId;
+use crate::id::DataCentre;
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::id::Offset;
+use crate::id::RequestId;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+use crate::schedule::Action;
+use crate::schedule::Ending;
+use crate::schedule::Ticket;
+
+/// A batch of messages from one host to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Envelope {
+    /// The sender.
+    pub from: HostId,
+    /// The sender's incarnation.
+    pub incarnation: Incarnation,
+    /// The sender's data centre.
+    pub data_centre: DataCentre,
+    /// The sender's peer address.
+    pub address: String,
+    /// The messages, in order.
+    pub messages: Vec<PeerMessage>,
+}
+
+/// The answer to an [`Envelope`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Receipt {
+    /// The receiver's incarnation.
+    pub incarnation: Incarnation,
+}
+
+/// One message between entry hosts.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "type", rename_all = "snake_case")]
+pub enum PeerMessage {
+    /// The sender is alive.
+    Heartbeat {
+        /// It is leaving; sticky for its incarnation.
+        leaving: bool,
+        /// The configuration offset it has in force.
+        config_offset: Offset,
+        /// Upstreams it knows to be leaving.
+        leaving_upstreams: Vec<UpstreamId>,
+    },
+    /// A request waits at the receiver, an owner of upstreams of its service.
+    Submit(Ticket),
+    /// The request no longer waits there.
+    Withdraw(RequestId),
+    /// An owner's decision on a request of the receiver.
+    Decision(Action),
+    /// Progress of a request that the receiver granted.
+    Progress {
+        /// The service.
+        service: ServiceId,
+        /// The request.
+        request: RequestId,
+        /// Tokens generated so far.
+        output_tokens: u32,
+    },
+    /// End of a request that the receiver granted.
+    Finished {
+        /// The service.
+        service: ServiceId,
+        /// The request.
+        request: RequestId,
+        /// Tokens generated in all.
+        output_tokens: u32,
+        /// How it ended.
+        ending: Ending,
+        /// Prompt tokens that the engine's cache held.
+        cached_prompt_tokens: u32,
+    },
+    /// A running request for an owner that didn't grant it.
+    Adopt {
+        /// The request.
+        ticket: Ticket,
+        /// Where it runs.
+        upstream: UpstreamId,
+        /// Tokens generated so far.
+        output_tokens: u32,
+    },
+    /// Demand for a customer's allowance, to the customer's owner.
+    Demand(Demand),
+    /// An allowance lent by the customer's owner.
+    Allowance(Allowance),
+}
+
+/// What a host used and wants of a customer's limits.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// The customer.
+    pub customer: CustomerId,
+    /// Requests a second that arrived.
+    pub requests_per_s: f64,
+    /// Tokens a second that were generated.
+    pub tokens_per_s: f64,
+    /// Generations running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+}
+
+/// A share of a customer's limits, lent for a short time.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Allowance {
+    /// The customer.
+    pub customer: CustomerId,
+    /// Requests a second.
+    pub requests_per_s: f64,
+    /// Tokens a second.
+    pub tokens_per_s: f64,
+    /// Generations at once.
+    pub concurrent_generations: f64,
+    /// Requests waiting at once.
+    pub queue_length: f64,
+    /// Valid for this long, in milliseconds.
+    pub valid_ms: u64,
+}
+
+/// Answer to `config_tail`: the part of the configuration stream that the asker lacks.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ConfigTail {
+    /// A snapshot to start from, if the records don't follow on.
+    pub snapshot: Option<String>,
+    /// Records that follow the snapshot or the asked offset, without a gap.
+    pub records: Vec<crate::platform::Record>,
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,61 @@
+//! Settings of the programs: JSON, every field documented, unknown fields refused.
+//!
+//! Each module that decides something declares its own options, with their defaults; the settings
+//! of a program put them together.
+
+use std::fs;
+use std::path::Path;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::id::DataCentre;
+use crate::id::HostId;
+
+/// Settings of `cedargauge-entry`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// This host's name, unique in the deployment.
+    pub host: HostId,
+    /// The data centre it stands in.
+    pub data_centre: DataCentre,
+    /// Address and port for callers; port 0 takes a free one.
+    pub caller_address: String,
+    /// Address and port for the other entry hosts; port 0 takes a free one.
+    pub peer_address: String,
+    /// Address and port of the platform.
+    pub platform_address: String,
+    /// Peer addresses of other entry hosts to ask while the platform is down.
+    #[serde(default)]
+    pub peers: Vec<String>,
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// [`Error::File`] if it cannot be read, [`Error::Invalid`] with the field's path if its content
+/// is refused.
+pub fn read<S: DeserializeOwned>(path: &Path) -> Result<S> {
+    let text = fs::read_to_string(path).map_err(|source| Error::File {
+        path: path.display().to_string(),
+        source,
+    })?;
+    parse(&text)
+}
+
+/// Parses settings from JSON text.
+///
+/// # Errors
+///
+/// [`Error::Invalid`] with the path of the field that is refused.
+pub fn parse<S: DeserializeOwned>(text: &str) -> Result<S> {
+    let deserializer = &mut serde_json::Deserializer::from_str(text);
+    serde_path_to_error::deserialize(deserializer).map_err(|error| Error::Invalid {
+        faults: vec![format!("{}: {}", error.path(), error.inner())],
+    })
+}
