Add the scheduler with its queue, ledger and grants

Cause: nothing decided yet which waiting request goes to which upstream. Change: Scheduler implements Policy: a queue by class and customer in virtual time, grants where a constant predicted length fits below the high-water mark, refusal when the wait limit passes, a ledger of running requests, and grants that expire when they are not started.

--- /dev/null
+++ b/src/fairqueue.rs
@@ -0,0 +1,276 @@
+//! The queue of waiting requests: classes share by weight, and customers share within a class.
+//!
+//! Both shares are kept by virtual time: tokens charged over weight. The backlogged class, and in
+//! it the backlogged customer, with the lowest virtual time goes next. One that was idle starts
+//! from the virtual time of those that were not, so idle time earns no credit. A bounded share of
+//! the grants goes to the request that has waited longest, so that no class starves.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use crate::clock::Time;
+use crate::id::ClassId;
+use crate::id::CustomerId;
+use crate::id::RequestId;
+use crate::schedule::ClassWeight;
+use crate::schedule::Ticket;
+use crate::schedule::Weights;
+
+/// Virtual time units for one token at weight 1.
+const SCALE: u64 = 1_024;
+
+/// Virtual time: tokens times [`SCALE`] over weight.
+type VirtualTime = u64;
+
+/// A request in the queue.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Waiting {
+    /// The request.
+    pub(crate) ticket: Ticket,
+    /// When it arrived.
+    pub(crate) since: Time,
+    /// When it is refused.
+    pub(crate) deadline: Time,
+}
+
+/// One customer's queue within a class.
+#[derive(Debug, Default)]
+struct Share {
+    virtual_time: VirtualTime,
+    running: u32,
+    queue: VecDeque<Waiting>,
+}
+
+/// One priority class.
+#[derive(Debug)]
+struct Class {
+    weight: u32,
+    engine_priority: u8,
+    max_wait_ms: u64,
+    virtual_time: VirtualTime,
+    floor: VirtualTime,
+    running: u32,
+    waiting: usize,
+    shares: BTreeMap<CustomerId, Share>,
+    backlog: BTreeSet<(VirtualTime, CustomerId)>,
+}
+
+impl Class {
+    fn new(row: &ClassWeight) -> Self {
+        Class {
+            weight: row.weight.max(1),
+            engine_priority: row.engine_priority,
+            max_wait_ms: row.max_wait_ms,
+            virtual_time: 0,
+            floor: 0,
+            running: 0,
+            waiting: 0,
+            shares: BTreeMap::new(),
+            backlog: BTreeSet::new(),
+        }
+    }
+
+    fn idle(&self) -> bool {
+        self.waiting == 0 && self.running == 0
+    }
+}
+
+/// The queue.
+#[derive(Debug, Default)]
+pub(crate) struct FairQueue {
+    classes: BTreeMap<ClassId, Class>,
+    customers: BTreeMap<CustomerId, u32>,
+    places: HashMap<RequestId, (ClassId, CustomerId)>,
+    arrivals: BTreeSet<(Time, RequestId)>,
+    floor: VirtualTime,
+}
+
+impl FairQueue {
+    /// Takes new weights; what waits keeps its place.
+    pub(crate) fn set_weights(&mut self, weights: &Weights) {
+        for row in &weights.classes {
+            let class = self.class_entry(&row.class);
+            class.weight = row.weight.max(1);
+            class.engine_priority = row.engine_priority;
+            class.max_wait_ms = row.max_wait_ms;
+        }
+        self.customers = weights
+            .customers
+            .iter()
+            .map(|row| (row.customer.clone(), row.weight.max(1)))
+            .collect();
+    }
+
+    /// Number of waiting requests.
+    pub(crate) fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// The engine priority of a class.
+    pub(crate) fn engine_priority(&self, class: &ClassId) -> u8 {
+        self.classes.get(class).map_or(0, |c| c.engine_priority)
+    }
+
+    /// The longest wait of a class, in milliseconds, if the table bounds it.
+    pub(crate) fn max_wait_ms(&self, class: &ClassId) -> Option<u64> {
+        self.classes
+            .get(class)
+            .map(|c| c.max_wait_ms)
+            .filter(|ms| *ms > 0)
+    }
+
+    /// Adds a request. One that waits already is left as it is.
+    pub(crate) fn push(&mut self, waiting: Waiting) {
+        let request = waiting.ticket.request;
+        if self.places.contains_key(&request) {
+            return;
+        }
+        let class_id = waiting.ticket.class.clone();
+        let customer_id = waiting.ticket.customer.clone();
+        self.activate(&class_id, &customer_id);
+        self.arrivals.insert((waiting.since, request));
+        self.places
+            .insert(request, (class_id.clone(), customer_id.clone()));
+        let class = self.class_entry(&class_id);
+        class.waiting += 1;
+        let share = class.shares.entry(customer_id.clone()).or_default();
+        share.queue.push_back(waiting);
+        class.backlog.insert((share.virtual_time, customer_id));
+    }
+
+    /// Takes a request out.
+    pub(crate) fn remove(&mut self, request: RequestId) -> Option<Waiting> {
+        let (class_id, customer_id) = self.places.remove(&request)?;
+        let class = self.classes.get_mut(&class_id)?;
+        let share = class.shares.get_mut(&customer_id)?;
+        let index = share
+            .queue
+            .iter()
+            .position(|waiting| waiting.ticket.request == request)?;
+        let waiting = share.queue.remove(index)?;
+        if share.queue.is_empty() {
+            class.backlog.remove(&(share.virtual_time, customer_id));
+        }
+        class.waiting -= 1;
+        self.arrivals.remove(&(waiting.since, request));
+        Some(waiting)
+    }
+
+    /// The request that goes next by shares.
+    pub(crate) fn peek(&self) -> Option<&Waiting> {
+        let class = self
+            .classes
+            .values()
+            .filter(|class| class.waiting > 0)
+            .min_by_key(|class| class.virtual_time)?;
+        let (_, customer) = class.backlog.first()?;
+        class.shares.get(customer)?.queue.front()
+    }
+
+    /// The request that has waited longest.
+    pub(crate) fn oldest(&self) -> Option<&Waiting> {
+        let (_, request) = self.arrivals.first()?;
+        let (class, customer) = self.places.get(request)?;
+        let share = self.classes.get(class)?.shares.get(customer)?;
+        share.queue.iter().find(|w| w.ticket.request == *request)
+    }
+
+    /// A request of the customer started to run.
+    pub(crate) fn start(&mut self, class_id: &ClassId, customer_id: &CustomerId) {
+        self.activate(class_id, customer_id);
+        let class = self.class_entry(class_id);
+        class.running += 1;
+        class.shares.entry(customer_id.clone()).or_default().running += 1;
+    }
+
+    /// A request of the customer ended.
+    pub(crate) fn end(&mut self, class_id: &ClassId, customer_id: &CustomerId) {
+        let Some(class) = self.classes.get_mut(class_id) else {
+            return;
+        };
+        class.running = class.running.saturating_sub(1);
+        let Some(share) = class.shares.get_mut(customer_id) else {
+            return;
+        };
+        share.running = share.running.saturating_sub(1);
+        let forgotten =
+            share.running == 0 && share.queue.is_empty() && share.virtual_time <= class.floor;
+        if forgotten {
+            class.shares.remove(customer_id);
+        }
+    }
+
+    /// Charges tokens to the customer and its class; a negative count gives back.
+    pub(crate) fn charge(&mut self, class_id: &ClassId, customer_id: &CustomerId, tokens: i64) {
+        let weight = self.customers.get(customer_id).copied().unwrap_or(1);
+        let Some(class) = self.classes.get_mut(class_id) else {
+            return;
+        };
+        class.virtual_time = shifted(class.virtual_time, tokens, class.weight);
+        let Some(share) = class.shares.get_mut(customer_id) else {
+            return;
+        };
+        let before = share.virtual_time;
+        share.virtual_time = shifted(before, tokens, weight);
+        let after = share.virtual_time;
+        if class.backlog.remove(&(before, customer_id.clone())) {
+            class.backlog.insert((after, customer_id.clone()));
+        }
+    }
+
+    /// Brings an idle class and customer up to those that were busy.
+    fn activate(&mut self, class_id: &ClassId, customer_id: &CustomerId) {
+        self.raise_floors(class_id);
+        let floor = self.floor;
+        let class = self.class_entry(class_id);
+        if class.idle() {
+            class.virtual_time = class.virtual_time.max(floor);
+        }
+        let share_floor = class.floor;
+        let share = class.shares.entry(customer_id.clone()).or_default();
+        if share.queue.is_empty() && share.running == 0 {
+            share.virtual_time = share.virtual_time.max(share_floor);
+        }
+    }
+
+    /// Floors follow the lowest virtual time of what waits; they never fall.
+    fn raise_floors(&mut self, class_id: &ClassId) {
+        let lowest = self
+            .classes
+            .values()
+            .filter(|class| class.waiting > 0)
+            .map(|class| class.virtual_time)
+            .min();
+        self.floor = self.floor.max(lowest.unwrap_or(0));
+        if let Some(class) = self.classes.get_mut(class_id) {
+            let lowest = class.backlog.first().map_or(0, |(time, _)| *time);
+            class.floor = class.floor.max(lowest);
+        }
+    }
+
+    fn class_entry(&mut self, class_id: &ClassId) -> &mut Class {
+        self.classes.entry(class_id.clone()).or_insert_with(|| {
+            Class::new(&ClassWeight {
+                class: class_id.clone(),
+                weight: 1,
+                engine_priority: 0,
+                max_wait_ms: 0,
+            })
+        })
+    }
+}
+
+/// A virtual time after `tokens` more were charged at `weight`.
+fn shifted(time: VirtualTime, tokens: i64, weight: u32) -> VirtualTime {
+    let units = tokens.unsigned_abs() * SCALE / u64::from(weight.max(1));
+    if tokens < 0 {
+        time.saturating_sub(units)
+    } else {
+        time.saturating_add(units)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod clock;
 pub mod error;
 pub mod event;
+mod fairqueue;
 pub mod id;
 pub mod journal;
 pub mod peer;
@@ -10,6 +11,7 @@
 pub mod refusal;
 pub mod row;
 pub mod schedule;
+pub mod scheduler;
 pub mod settings;
 pub mod table;
 pub mod wire;
