--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,17 +1,20 @@
 //! Cedargauge serves model generations of unknown length on crowded engines.
 
+mod blocks;
 pub mod clock;
 pub mod error;
 pub mod event;
 mod fairqueue;
 pub mod id;
 pub mod journal;
+pub mod model;
 pub mod peer;
 pub mod platform;
 pub mod refusal;
 pub mod row;
 pub mod schedule;
 pub mod scheduler;
+mod sequence;
 pub mod settings;
 pub mod table;
 pub mod wire;
