--- a/src/blocks/tests.rs
+++ b/src/blocks/tests.rs
@@ -1,4 +1,4 @@
-use super::*;
+use super::BlockMemory;
 
 #[test]
 fn released_prefix_is_reused_until_evicted_from_its_tail() {
--- a/src/model/tests.rs
+++ b/src/model/tests.rs
@@ -1,6 +1,16 @@
 use std::collections::HashMap;
 
-use super::*;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::EngineModel;
+use super::ModelEvent;
+use super::ModelOptionsBuilder;
+use super::ModelRequest;
+use crate::clock::Time;
+use crate::id::AttemptId;
+use crate::wire::EngineRefusalReason;
 
 fn small_engine(memory_tokens: u64) -> EngineModel {
     let options = ModelOptionsBuilder::default()
