Hold customers to their limits on one host

Cause: nothing kept a customer within the limits of its row.

Change: limits.rs decides (token buckets for requests and tokens a second, with debt for tokens that are known only afterwards, slots for concurrent generations and a bounded wait for one); limiter.rs is the handle for the request path, with an admission that gives its place back when dropped. A refusal says that the request did not run and when asking again can succeed: the bucket's own arithmetic, or for a slot the mean time that a generation held one.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,12 +1,15 @@
 //! Cedargauge serves model generations of unknown length on crowded engines.
 
 mod blocks;
+pub(crate) mod bucket;
 pub mod clock;
 pub mod error;
 pub mod event;
 mod fairqueue;
 pub mod id;
 pub mod journal;
+pub mod limiter;
+pub mod limits;
 pub mod model;
 pub mod peer;
 pub mod platform;
@@ -16,5 +19,6 @@
 pub mod scheduler;
 mod sequence;
 pub mod settings;
+pub mod share;
 pub mod table;
 pub mod wire;
--- /dev/null
+++ b/src/limiter.rs
@@ -0,0 +1,154 @@
+//! The request path's handle on the customers' limits.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use tokio::sync::oneshot;
+
+use crate::clock::SystemClock;
+use crate::id::CustomerId;
+use crate::limits::AdmissionId;
+use crate::limits::LimitOptions;
+use crate::limits::Limits;
+use crate::limits::Standing;
+use crate::refusal::Refusal;
+use crate::row::CustomerRow;
+use crate::share::Share;
+
+/// A handle on the host's enforcement of limits; clones share it.
+#[derive(Debug, Clone)]
+pub struct LimitHandle {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    clock: SystemClock,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    limits: Limits,
+    waiters: HashMap<AdmissionId, oneshot::Sender<()>>,
+}
+
+impl LimitHandle {
+    /// A handle for a host that stands alone: it may use the customers' limits whole.
+    pub fn new(options: LimitOptions, clock: SystemClock) -> Self {
+        LimitHandle {
+            inner: Arc::new(Inner {
+                clock,
+                state: Mutex::new(State {
+                    limits: Limits::new(options),
+                    waiters: HashMap::new(),
+                }),
+            }),
+        }
+    }
+
+    /// Admits a request of the row's customer. Dropping the [`Admission`] gives its place back.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::refusal::Code::LimitReached`] if a limit of the customer is reached.
+    pub fn admit(&self, row: &CustomerRow) -> Result<Admission, Refusal> {
+        let now = self.inner.clock.now();
+        let share = Share::whole(row);
+        let mut state = self.state();
+        let (id, standing) = state.limits.admit(now, row, &share)?;
+        let start = match standing {
+            Standing::Running => None,
+            Standing::Waiting => Some(state.wait(id)),
+        };
+        state.wake();
+        Ok(Admission {
+            handle: self.clone(),
+            customer: row.customer.clone(),
+            id,
+            start,
+        })
+    }
+
+    /// Charges tokens that were generated for a customer.
+    pub fn account_tokens(&self, customer: &CustomerId, tokens: u32) {
+        let now = self.inner.clock.now();
+        self.state().limits.charge_tokens(now, customer, tokens);
+    }
+
+    /// Forgets customers that are idle; to be called every few seconds.
+    pub fn forget_idle(&self) {
+        let now = self.inner.clock.now();
+        self.state().limits.forget_idle(now);
+    }
+
+    fn release(&self, customer: &CustomerId, id: AdmissionId) {
+        let now = self.inner.clock.now();
+        let mut state = self.state();
+        state.waiters.remove(&id);
+        state.limits.release(now, customer, id);
+        state.wake();
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.inner
+            .state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn wait(&mut self, id: AdmissionId) -> oneshot::Receiver<()> {
+        let (sender, receiver) = oneshot::channel();
+        self.waiters.insert(id, sender);
+        receiver
+    }
+
+    /// Tells the admissions that may run now. One that was just dropped releases itself.
+    fn wake(&mut self) {
+        for id in self.limits.take_promoted() {
+            if let Some(waiter) = self.waiters.remove(&id) {
+                let _ = waiter.send(());
+            }
+        }
+    }
+}
+
+/// An admitted request. Dropping it ends the admission.
+#[derive(Debug)]
+pub struct Admission {
+    handle: LimitHandle,
+    customer: CustomerId,
+    id: AdmissionId,
+    start: Option<oneshot::Receiver<()>>,
+}
+
+impl Admission {
+    /// Waits until the request holds one of the customer's concurrent generations. To be awaited
+    /// before the request is given to a scheduler, under the request's deadline.
+    pub async fn started(&mut self) {
+        if let Some(start) = &mut self.start {
+            // The sender lives until it has sent or this admission is dropped.
+            let _ = start.await;
+            self.start = None;
+        }
+    }
+
+    /// Charges tokens that were generated for the request.
+    pub fn account_tokens(&self, tokens: u32) {
+        self.handle.account_tokens(&self.customer, tokens);
+    }
+}
+
+impl Drop for Admission {
+    fn drop(&mut self) {
+        self.handle.release(&self.customer, self.id);
+    }
+}
+
+#[cfg(test)]
+mod tests;
