--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,7 @@
 //! Cedargauge serves model generations of unknown length on crowded engines.
 
 mod blocks;
-pub(crate) mod bucket;
+mod bucket;
 pub mod clock;
 pub mod error;
 pub mod event;
