--- a/src/peer.rs
+++ b/src/peer.rs
@@ -33,24 +33,61 @@
 }
 
 /// The answer to an [`Envelope`].
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Receipt {
+    /// The receiver.
+    pub host: HostId,
     /// The receiver's incarnation.
     pub incarnation: Incarnation,
 }
 
+/// News of a host of the sender's data centre.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rumour {
+    /// The host.
+    pub host: HostId,
+    /// Its peer address.
+    pub address: String,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Counts its refutations within the incarnation; a higher one overrules the state.
+    pub sequence: u32,
+    /// What is said of it.
+    pub state: RumourState,
+    /// Whether it is leaving; sticky for the incarnation.
+    pub leaving: bool,
+}
+
+/// What a [`Rumour`] says. At equal sequence the later variant wins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RumourState {
+    /// It is alive.
+    Alive,
+    /// Somebody could not reach it.
+    Suspect,
+    /// Nobody refuted the suspicion.
+    Dead,
+}
+
 /// One message between entry hosts.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "type", rename_all = "snake_case")]
 pub enum PeerMessage {
     /// The sender is alive.
     Heartbeat {
+        /// Counts the sender's refutations within its incarnation.
+        #[serde(default)]
+        sequence: u32,
         /// It is leaving; sticky for its incarnation.
         leaving: bool,
         /// The configuration offset it has in force.
         config_offset: Offset,
         /// Upstreams it knows to be leaving.
         leaving_upstreams: Vec<UpstreamId>,
+        /// News of members.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        rumours: Vec<Rumour>,
     },
     /// A request waits at the receiver, an owner of upstreams of its service.
     Submit(Ticket),
