Add metrics, the form of a host's status and the catalogues

Cause: hosts had no measures to serve, and nothing held docs and event codes together.

Refusal codes have a name for labels.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,5 +24,7 @@
 mod sequence;
 pub mod settings;
 pub mod share;
+pub mod status;
 pub mod table;
+pub mod telemetry;
 pub mod wire;
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -58,6 +58,29 @@
 }
 
 impl Code {
+    /// The code as callers see it.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Code::InvalidRequest => "invalid_request",
+            Code::TooLarge => "too_large",
+            Code::Unauthorized => "unauthorized",
+            Code::ClassNotAllowed => "class_not_allowed",
+            Code::UnknownService => "unknown_service",
+            Code::LimitReached => "limit_reached",
+            Code::Overloaded => "overloaded",
+            Code::NoUpstream => "no_upstream",
+            Code::DeadlineExceeded => "deadline_exceeded",
+            Code::UpstreamFailed => "upstream_failed",
+            Code::LogUnavailable => "log_unavailable",
+            Code::KeyExpired => "key_expired",
+            Code::AlreadyClaimed => "already_claimed",
+            Code::NotReady => "not_ready",
+            Code::SlowCaller => "slow_caller",
+            Code::Stopped => "stopped",
+            Code::Internal => "internal",
+        }
+    }
+
     /// The HTTP status that goes with the code.
     pub const fn http_status(self) -> u16 {
         match self {
--- /dev/null
+++ b/src/telemetry.rs
@@ -0,0 +1,292 @@
+//! Metrics in Prometheus' format.
+//!
+//! Labels are services and priority classes of the table and closed sets of the code, so the number
+//! of series is bounded. No metric carries a customer, a request or an upstream; `GET /status`
+//! names those that matter. `docs/METRICS.md` is the catalogue.
+
+use std::sync::OnceLock;
+
+use metrics::Counter;
+use metrics::Gauge;
+use metrics::Histogram;
+use metrics::Unit;
+use metrics_exporter_prometheus::BuildError;
+use metrics_exporter_prometheus::Matcher;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+use metrics_exporter_prometheus::PrometheusRecorder;
+
+use crate::clock::Time;
+use crate::id::ClassId;
+use crate::id::ServiceId;
+use crate::refusal::Code;
+
+/// A gap between two tokens of a stream is a stall as far as it exceeds this, in milliseconds.
+pub const STALL_GAP_MS: f64 = 250.0;
+
+/// How often [`Telemetry::upkeep`] is to be called at least, in milliseconds.
+pub const UPKEEP_INTERVAL_MS: u64 = 5_000;
+
+/// Upper bounds of the histograms' buckets, in milliseconds.
+const BUCKETS_MS: [f64; 16] = [
+    1.0, 2.0, 5.0, 10.0, 20.0, 35.0, 50.0, 69.0, 100.0, 200.0, 510.0, 1_000.0, 2_500.0, 10_000.0,
+    30_000.0, 120_000.0,
+];
+
+/// What a metric is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Only rises.
+    Counter,
+    /// Rises and falls.
+    Gauge,
+    /// A distribution in buckets.
+    Histogram,
+}
+
+impl Kind {
+    /// The kind's name in Prometheus' format.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Kind::Counter => "counter",
+            Kind::Gauge => "gauge",
+            Kind::Histogram => "histogram",
+        }
+    }
+}
+
+/// Declares the catalogue of metrics: variant, kind, name, labels and meaning.
+macro_rules! metric_catalogue {
+    ($($variant:ident $kind:ident $name:literal $labels:literal $meaning:literal,)*) => {
+        /// A metric of the catalogue.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum Metric {
+            $(#[doc = $meaning] $variant,)*
+        }
+
+        impl Metric {
+            /// Every metric, in the order of the catalogue.
+            pub const ALL: &'static [Metric] = &[$(Metric::$variant,)*];
+
+            /// Its kind.
+            pub const fn kind(self) -> Kind {
+                match self { $(Metric::$variant => Kind::$kind,)* }
+            }
+
+            /// Its name, with the unit as a suffix.
+            pub const fn name(self) -> &'static str {
+                match self { $(Metric::$variant => $name,)* }
+            }
+
+            /// Its labels, separated by commas.
+            pub const fn labels(self) -> &'static str {
+                match self { $(Metric::$variant => $labels,)* }
+            }
+
+            /// What it means.
+            pub const fn meaning(self) -> &'static str {
+                match self { $(Metric::$variant => $meaning,)* }
+            }
+        }
+    };
+}
+
+metric_catalogue! {
+    StallMs Histogram "cedargauge_stall_ms" "service, class"
+        "Time that a stream stood still: the sum of its gaps between tokens as far as each exceeds 250 ms.",
+    PreemptionsTotal Counter "cedargauge_preemptions_total" "service"
+        "Preemptions that engines reported, told by the owner of the engine.",
+    TokenGapMs Histogram "cedargauge_token_gap_ms" "service, class"
+        "Time between two tokens of a stream as relayed to its caller.",
+    FirstTokenMs Histogram "cedargauge_first_token_ms" "service, class"
+        "Time from a request's arrival to its first token.",
+    QueueWaitMs Histogram "cedargauge_queue_wait_ms" "service, class"
+        "Time from a request's arrival to the grant of an upstream.",
+    TokensTotal Counter "cedargauge_tokens_total" "service, class"
+        "Tokens relayed to callers.",
+    StreamsOpen Gauge "cedargauge_streams_open" "service, class"
+        "Requests that are being answered.",
+    RequestsTotal Counter "cedargauge_requests_total" "service, class"
+        "Requests whose service and customer were identified.",
+    RefusalsTotal Counter "cedargauge_refusals_total" "service, code"
+        "Refusals and failures told to callers, by their code.",
+    ConfigOffset Gauge "cedargauge_config_offset" ""
+        "Offset of the configuration that is in force.",
+    ConfigAgeMs Gauge "cedargauge_config_age_ms" ""
+        "Time since the platform last confirmed that the configuration is the newest.",
+    ClaimsWaiting Gauge "cedargauge_claims_waiting" ""
+        "Claims whose outcome isn't read from the log yet.",
+    CustomersActive Gauge "cedargauge_customers_active" ""
+        "Customers whose use of their limits this host keeps.",
+    AllowancesLapsed Gauge "cedargauge_allowances_lapsed" ""
+        "Active customers whose allowance lapsed: this host moves to an equal split.",
+}
+
+impl Metric {
+    fn unit(self) -> Unit {
+        match self.name().ends_with("_ms") {
+            true => Unit::Milliseconds,
+            false => Unit::Count,
+        }
+    }
+
+    fn describe(self) {
+        match self.kind() {
+            Kind::Counter => metrics::describe_counter!(self.name(), self.unit(), self.meaning()),
+            Kind::Gauge => metrics::describe_gauge!(self.name(), self.unit(), self.meaning()),
+            Kind::Histogram => {
+                metrics::describe_histogram!(self.name(), self.unit(), self.meaning());
+            }
+        }
+    }
+}
+
+/// A handle on the process's metrics; clones share it.
+#[derive(Debug, Clone)]
+pub struct Telemetry {
+    handle: PrometheusHandle,
+}
+
+impl Telemetry {
+    /// Installs the process's recorder at the first call; later calls give the same handle.
+    ///
+    /// # Panics
+    ///
+    /// If another recorder was installed before: a broken invariant of the program.
+    pub fn install() -> Self {
+        static INSTALLED: OnceLock<PrometheusHandle> = OnceLock::new();
+        let handle = INSTALLED.get_or_init(|| {
+            let recorder = recorder().expect("the buckets are a constant list");
+            let handle = recorder.handle();
+            metrics::set_global_recorder(recorder).expect("only Telemetry installs a recorder");
+            describe_all();
+            handle
+        });
+        Telemetry {
+            handle: handle.clone(),
+        }
+    }
+
+    /// The metrics in Prometheus' text format, as `GET /metrics` serves them.
+    pub fn render(&self) -> String {
+        self.handle.render()
+    }
+
+    /// Moves recorded samples into their buckets, which bounds memory. To be called every
+    /// [`UPKEEP_INTERVAL_MS`].
+    pub fn upkeep(&self) {
+        self.handle.run_upkeep();
+    }
+}
+
+fn recorder() -> Result<PrometheusRecorder, BuildError> {
+    let histograms = Matcher::Suffix("_ms".to_owned());
+    let builder = PrometheusBuilder::new().set_buckets_for_metric(histograms, &BUCKETS_MS)?;
+    Ok(builder.build_recorder())
+}
+
+fn describe_all() {
+    for metric in Metric::ALL {
+        metric.describe();
+    }
+}
+
+/// Measures one request from its arrival to its end. Dropping it closes the stream's measures.
+#[derive(Debug)]
+pub struct StreamMeter {
+    arrived: Time,
+    last_token: Option<Time>,
+    stall_ms: f64,
+    stalls: Histogram,
+    gaps: Histogram,
+    first_token: Histogram,
+    queue_wait: Histogram,
+    tokens: Counter,
+    open: Gauge,
+}
+
+impl StreamMeter {
+    /// Starts to measure a request that arrived at `now`.
+    pub fn start(now: Time, service: &ServiceId, class: &ClassId) -> Self {
+        let labels = [
+            ("service", service.as_str().to_owned()),
+            ("class", class.as_str().to_owned()),
+        ];
+        metrics::counter!(Metric::RequestsTotal.name(), &labels).increment(1);
+        let open = metrics::gauge!(Metric::StreamsOpen.name(), &labels);
+        open.increment(1.0);
+        StreamMeter {
+            arrived: now,
+            last_token: None,
+            stall_ms: 0.0,
+            stalls: metrics::histogram!(Metric::StallMs.name(), &labels),
+            gaps: metrics::histogram!(Metric::TokenGapMs.name(), &labels),
+            first_token: metrics::histogram!(Metric::FirstTokenMs.name(), &labels),
+            queue_wait: metrics::histogram!(Metric::QueueWaitMs.name(), &labels),
+            tokens: metrics::counter!(Metric::TokensTotal.name(), &labels),
+            open,
+        }
+    }
+
+    /// The request was granted an upstream.
+    pub fn granted(&self, now: Time) {
+        self.queue_wait.record(elapsed_ms(self.arrived, now));
+    }
+
+    /// A token was passed to the caller.
+    pub fn token(&mut self, now: Time) {
+        self.tokens.increment(1);
+        match self.last_token.replace(now) {
+            None => self.first_token.record(elapsed_ms(self.arrived, now)),
+            Some(last) => self.gap(elapsed_ms(last, now)),
+        }
+    }
+
+    /// Time that the stream has stood still so far, in milliseconds.
+    pub fn stall_ms(&self) -> f64 {
+        self.stall_ms
+    }
+
+    fn gap(&mut self, gap_ms: f64) {
+        self.gaps.record(gap_ms);
+        self.stall_ms += (gap_ms - STALL_GAP_MS).max(0.0);
+    }
+}
+
+impl Drop for StreamMeter {
+    fn drop(&mut self) {
+        self.open.decrement(1.0);
+        if self.last_token.is_some() {
+            self.stalls.record(self.stall_ms);
+        }
+    }
+}
+
+/// Counts a refusal or failure that a caller was told. `service` is a row's name, or none where no
+/// service was identified.
+pub fn count_refusal(service: Option<&ServiceId>, code: Code) {
+    let labels = [
+        ("service", service.map_or("", ServiceId::as_str).to_owned()),
+        ("code", code.name().to_owned()),
+    ];
+    metrics::counter!(Metric::RefusalsTotal.name(), &labels).increment(1);
+}
+
+/// Counts preemptions that an engine of the service reported.
+pub fn count_preemptions(service: &ServiceId, preemptions: u64) {
+    let labels = [("service", service.as_str().to_owned())];
+    metrics::counter!(Metric::PreemptionsTotal.name(), &labels).increment(preemptions);
+}
+
+/// Sets a gauge of the catalogue that has no labels.
+pub fn set_gauge(metric: Metric, value: f64) {
+    debug_assert!(metric.kind() == Kind::Gauge && metric.labels().is_empty());
+    metrics::gauge!(metric.name()).set(value);
+}
+
+fn elapsed_ms(from: Time, to: Time) -> f64 {
+    to.since(from).as_secs_f64() * 1_000.0
+}
+
+#[cfg(test)]
+mod tests;
