--- a/src/peer.rs
+++ b/src/peer.rs
@@ -16,6 +16,7 @@
 use crate::schedule::Action;
 use crate::schedule::Ending;
 use crate::schedule::Ticket;
+use crate::table::Digest;
 
 /// A batch of messages from one host to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -165,8 +166,14 @@
 }
 
 /// Answer to `config_tail`: the part of the configuration stream that the asker lacks.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct ConfigTail {
+    /// The offset that the answering host has in force: its next record's. 0 if it has none.
+    #[serde(default)]
+    pub next: Offset,
+    /// Hashes of the answering host's table at the asked offset, if the records follow on it.
+    #[serde(default)]
+    pub base: Option<Digest>,
     /// A snapshot to start from, if the records don't follow on.
     pub snapshot: Option<String>,
     /// Records that follow the snapshot or the asked offset, without a gap.
