Append to and follow the platform's log

Cause: claims and configuration need records whose place in the log is known whatever answers are lost.

Change: the appender (at most one append in flight a stream, group commit, a lost answer settled by reading, expiry only of what was never written), the follower (gaps, outages, another history) and the budget shared by all streams are pure; one actor does their HTTP.

Conclusion: an append ends as settled, certainly not appended, or, after retention, unsettled.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 //! Cedargauge serves model generations of unknown length on crowded engines.
 
+pub mod appender;
 mod blocks;
 mod bucket;
 pub mod clock;
@@ -8,16 +9,19 @@
 pub mod event;
 mod fairqueue;
 pub mod fold;
+pub mod follower;
 pub mod id;
 pub mod journal;
 pub mod limiter;
 pub mod limits;
+pub mod logstream;
 pub mod member;
 pub mod membership;
 pub mod model;
 pub mod ownership;
 pub mod peer;
 pub mod platform;
+pub mod quota;
 pub mod record;
 pub mod refusal;
 pub mod row;
