Join entry hosts over JSON-RPC

Cause: membership and ownership were decisions without messages. Change: peers.rs is an actor that owns Membership, one persistent WebSocket link a host (link.rs: bounded queue, batches, time limit a call, jittered back-off) and the server (peerserver.rs, peerapi.rs). Subscribers hear of owners, messages and hosts that cannot be reached; configuration is fetched from a peer that is ahead. PeerMessage is tagged externally: serde cannot write a newtype variant of a UUID with an internal tag, and a test that sent one failed for it. Conclusion: dispatch can be built on it.

--- a/src/event.rs
+++ b/src/event.rs
@@ -67,6 +67,14 @@
     302 UpstreamProbed "A half-open probe was sent to an ejected upstream.",
     303 UpstreamLeaving "An upstream is leaving: no new work.",
     304 UpstreamLost "An upstream was lost with what it ran.",
+    600 PeerJoined "Another entry host joined or came back.",
+    601 PeerSuspected "Another entry host could not be reached; it still counts.",
+    602 PeerRefuted "A suspicion was refuted.",
+    603 PeerDied "Nobody refuted the suspicion: the host owns nothing any more.",
+    604 PeerLeaving "Another entry host is leaving and owns nothing any more.",
+    605 HostAlone "This host hears from nobody; it keeps the owners it knew and decides alone.",
+    606 HostRejoined "This host hears from others again.",
+    607 OwnersChanged "The hosts that may own upstreams and limits changed.",
 }
 
 /// One event of one process.
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -73,7 +73,7 @@
 
 /// One message between entry hosts.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "type", rename_all = "snake_case")]
+#[serde(rename_all = "snake_case")]
 pub enum PeerMessage {
     /// The sender is alive.
     Heartbeat {
--- /dev/null
+++ b/src/peers.rs
@@ -0,0 +1,595 @@
+//! The entry host among its peers: an actor that owns [`Membership`], the links to the other hosts
+//! and the server that they call.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::time::Duration;
+
+use actix::Actor;
+use actix::Addr;
+use actix::AsyncContext;
+use actix::Context;
+use actix::Handler;
+use actix::Recipient;
+use actix::WrapFuture;
+use derive_builder::Builder;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::SystemClock;
+use crate::event::EventCode;
+use crate::id::DataCentre;
+use crate::id::HostId;
+use crate::id::Offset;
+use crate::id::UpstreamId;
+use crate::journal::Journal;
+use crate::journal::Subject;
+use crate::link::Link;
+use crate::link::LinkNews;
+use crate::link::LinkOptions;
+use crate::link::Urgency;
+use crate::link::fetch_config;
+use crate::member::Member;
+use crate::membership::Change;
+use crate::membership::Heard;
+use crate::membership::Identity;
+use crate::membership::Membership;
+use crate::membership::MembershipAction;
+use crate::membership::MembershipInput;
+use crate::membership::MembershipOptions;
+use crate::ownership::Ownership;
+use crate::peer::ConfigTail;
+use crate::peer::Envelope;
+use crate::peer::PeerMessage;
+use crate::peer::Receipt;
+use crate::peer::Rumour;
+use crate::platform::HostList;
+
+/// Options of the peers.
+#[derive(Debug, Clone, PartialEq, Builder, Serialize, Deserialize)]
+#[builder(default)]
+#[serde(default, deny_unknown_fields)]
+pub struct PeersOptions {
+    /// Membership's own options.
+    pub membership: MembershipOptions,
+    /// Time between two looks at the clock, in milliseconds. Default 100.
+    pub tick_ms: u64,
+    /// A call to another host that takes longer has failed, in milliseconds. Default 300.
+    pub call_timeout_ms: u64,
+    /// How long a message that is not urgent waits for others, in milliseconds. Default 100.
+    pub flush_ms: u64,
+    /// Messages that wait for one host at most; more are dropped. Default 4096.
+    pub queue_length: usize,
+    /// Least time between two requests for configuration, in milliseconds. Default 500.
+    pub config_ask_ms: u64,
+}
+
+impl Default for PeersOptions {
+    fn default() -> Self {
+        PeersOptions {
+            membership: MembershipOptions::default(),
+            tick_ms: 100,
+            call_timeout_ms: 300,
+            flush_ms: 100,
+            queue_length: 4_096,
+            config_ask_ms: 500,
+        }
+    }
+}
+
+/// How the peers reach the configuration that this host has in force.
+pub trait ConfigSource: Send + Sync {
+    /// The offset after the last record in force.
+    fn next(&self) -> Offset;
+
+    /// What a host that has everything before `next` lacks.
+    fn tail(&self, next: Offset) -> ConfigTail;
+
+    /// Takes what another host sent.
+    fn offer(&self, tail: ConfigTail);
+}
+
+/// A configuration that is never there: for hosts without one and for tests.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct NoConfig;
+
+impl ConfigSource for NoConfig {
+    fn next(&self) -> Offset {
+        Offset::default()
+    }
+
+    fn tail(&self, _next: Offset) -> ConfigTail {
+        ConfigTail {
+            snapshot: None,
+            records: Vec::new(),
+        }
+    }
+
+    fn offer(&self, _tail: ConfigTail) {}
+}
+
+/// What the peers tell those who subscribed.
+#[derive(Debug, Clone, actix::Message)]
+#[rtype(result = "()")]
+pub enum PeerNews {
+    /// The hosts that may own something changed.
+    Owners(Arc<Ownership>),
+    /// A message of another host.
+    Message {
+        /// The sender.
+        from: HostId,
+        /// Its message.
+        message: Box<PeerMessage>,
+    },
+    /// A host cannot be reached from here at present; it may be alive.
+    Unreachable(HostId),
+    /// A host that could not be reached answers again.
+    Reachable(HostId),
+    /// Another host of the data centre says that an upstream is leaving.
+    UpstreamLeaving(UpstreamId),
+}
+
+/// What the peers know, to be read at any time.
+#[derive(Debug, Clone, Default)]
+pub struct PeersView {
+    /// The hosts that may own something.
+    pub ownership: Arc<Ownership>,
+    /// The other hosts of the data centre.
+    pub members: Vec<Member>,
+    /// Whether this host hears from nobody though it knows of others.
+    pub alone: bool,
+    /// Hosts of other data centres that spoke to this one.
+    pub remote: Vec<RemoteHost>,
+}
+
+/// A host of another data centre.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RemoteHost {
+    /// The host.
+    pub host: HostId,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Its peer address.
+    pub address: String,
+}
+
+/// A handle on the peers; clones share them.
+#[derive(Clone)]
+pub struct PeersHandle {
+    identity: Identity,
+    addr: Addr<Peers>,
+    view: Arc<RwLock<PeersView>>,
+}
+
+impl PeersHandle {
+    /// Who this host is.
+    pub fn identity(&self) -> &Identity {
+        &self.identity
+    }
+
+    /// What is known of the others now.
+    pub fn view(&self) -> PeersView {
+        let view = self.view.read().unwrap_or_else(PoisonError::into_inner);
+        view.clone()
+    }
+
+    /// The hosts that may own something.
+    pub fn ownership(&self) -> Arc<Ownership> {
+        let view = self.view.read().unwrap_or_else(PoisonError::into_inner);
+        view.ownership.clone()
+    }
+
+    /// Whether this host hears from nobody though it knows of others.
+    pub fn is_alone(&self) -> bool {
+        let view = self.view.read().unwrap_or_else(PoisonError::into_inner);
+        view.alone
+    }
+
+    /// Sends a message to another host; it may be lost.
+    pub fn send(&self, to: &HostId, urgency: Urgency, message: PeerMessage) {
+        self.addr.do_send(Outgoing {
+            to: Target::Host(to.clone()),
+            urgency,
+            message,
+        });
+    }
+
+    /// Sends a message to the host at an address; it may be lost.
+    pub fn send_to_address(&self, address: &str, urgency: Urgency, message: PeerMessage) {
+        self.addr.do_send(Outgoing {
+            to: Target::Address(address.to_owned()),
+            urgency,
+            message,
+        });
+    }
+
+    /// Sends `news` to `subscriber` from now on, the present owners first.
+    pub fn subscribe(&self, subscriber: Recipient<PeerNews>) {
+        self.addr.do_send(Subscribe(subscriber));
+    }
+
+    /// Tells membership of the platform's list.
+    pub fn listed(&self, list: HostList) {
+        self.addr.do_send(Feed(MembershipInput::Listed(list)));
+    }
+
+    /// Says to the others that this host is leaving.
+    pub fn leave(&self) {
+        self.addr.do_send(Feed(MembershipInput::Leave));
+    }
+
+    /// Upstreams that this host itself saw leaving, to be told with its heartbeats.
+    pub fn announce_leaving(&self, upstreams: Vec<UpstreamId>) {
+        self.addr.do_send(AnnounceLeaving(upstreams));
+    }
+
+    pub(crate) async fn deliver(&self, envelope: Envelope) -> Option<Receipt> {
+        let receipt = Receipt {
+            host: self.identity.host.clone(),
+            incarnation: self.identity.incarnation,
+        };
+        self.addr.send(Deliver(envelope)).await.ok()?;
+        Some(receipt)
+    }
+}
+
+/// The actor. Start it with [`crate::peerserver::start`].
+pub(crate) struct Peers {
+    options: PeersOptions,
+    clock: SystemClock,
+    journal: Journal,
+    membership: Membership,
+    links: BTreeMap<String, Link>,
+    remote: BTreeMap<HostId, RemoteHost>,
+    /// Addresses whose last call failed.
+    failed: BTreeMap<String, Option<HostId>>,
+    subscribers: Vec<Recipient<PeerNews>>,
+    leaving_upstreams: Vec<UpstreamId>,
+    config: Arc<dyn ConfigSource>,
+    config_asked_ms: u64,
+    view: Arc<RwLock<PeersView>>,
+}
+
+/// What [`Peers`] starts from.
+pub(crate) struct PeersSetup {
+    pub(crate) options: PeersOptions,
+    pub(crate) identity: Identity,
+    pub(crate) known: Vec<String>,
+    pub(crate) clock: SystemClock,
+    pub(crate) journal: Journal,
+    pub(crate) config: Arc<dyn ConfigSource>,
+}
+
+impl Peers {
+    /// Starts the actor.
+    pub(crate) fn launch(setup: PeersSetup) -> PeersHandle {
+        let identity = setup.identity;
+        let seed = identity.incarnation.0;
+        let now = setup.clock.now();
+        let mut membership = Membership::new(
+            setup.options.membership.clone(),
+            identity.clone(),
+            now,
+            seed,
+        );
+        membership.step(now, MembershipInput::Known(setup.known));
+        let view = Arc::new(RwLock::new(PeersView {
+            ownership: Arc::new(Ownership::new(membership.owners().iter().cloned())),
+            ..PeersView::default()
+        }));
+        let peers = Peers {
+            options: setup.options,
+            clock: setup.clock,
+            journal: setup.journal,
+            membership,
+            links: BTreeMap::new(),
+            remote: BTreeMap::new(),
+            failed: BTreeMap::new(),
+            subscribers: Vec::new(),
+            leaving_upstreams: Vec::new(),
+            config: setup.config,
+            config_asked_ms: 0,
+            view: view.clone(),
+        };
+        PeersHandle {
+            identity,
+            addr: peers.start(),
+            view,
+        }
+    }
+
+    fn feed(&mut self, input: MembershipInput, context: &mut Context<Self>) {
+        let now = self.clock.now();
+        for action in self.membership.step(now, input) {
+            match action {
+                MembershipAction::Probe { address, rumours } => {
+                    let heartbeat = self.heartbeat(rumours);
+                    self.link(&address, context).send(Urgency::Now, heartbeat);
+                }
+                MembershipAction::OwnersChanged => self.publish_owners(),
+                MembershipAction::Noted { change, host } => self.note(change, &host),
+            }
+        }
+    }
+
+    fn heartbeat(&self, rumours: Vec<Rumour>) -> PeerMessage {
+        PeerMessage::Heartbeat {
+            sequence: self.membership.sequence(),
+            leaving: self.membership.is_leaving(),
+            config_offset: self.config.next(),
+            leaving_upstreams: self.leaving_upstreams.clone(),
+            rumours,
+        }
+    }
+
+    fn link(&mut self, address: &str, context: &mut Context<Self>) -> &Link {
+        let options = LinkOptions {
+            call_timeout: Duration::from_millis(self.options.call_timeout_ms),
+            flush: Duration::from_millis(self.options.flush_ms),
+            queue: self.options.queue_length,
+        };
+        let identity = self.membership.identity().clone();
+        self.links.entry(address.to_owned()).or_insert_with(|| {
+            let news = context.address().recipient();
+            Link::open(identity, address.to_owned(), options, news)
+        })
+    }
+
+    fn publish_owners(&mut self) {
+        let owners = self.membership.owners().iter().cloned();
+        let ownership = Arc::new(Ownership::new(owners));
+        self.update_view(|view| view.ownership = ownership.clone());
+        self.journal.record(
+            EventCode::OwnersChanged,
+            Subject::none().detail(format!("hosts={}", ownership.len())),
+        );
+        self.tell(&PeerNews::Owners(ownership));
+    }
+
+    fn note(&mut self, change: Change, host: &HostId) {
+        let code = match change {
+            Change::Joined => EventCode::PeerJoined,
+            Change::Suspected => EventCode::PeerSuspected,
+            Change::Refuted => EventCode::PeerRefuted,
+            Change::Died => EventCode::PeerDied,
+            Change::Left => EventCode::PeerLeaving,
+            Change::Alone => EventCode::HostAlone,
+            Change::Rejoined => EventCode::HostRejoined,
+        };
+        self.journal
+            .record(code, Subject::none().detail(format!("peer={host}")));
+    }
+
+    fn update_view(&self, update: impl FnOnce(&mut PeersView)) {
+        let mut view = self.view.write().unwrap_or_else(PoisonError::into_inner);
+        update(&mut view);
+    }
+
+    fn refresh_view(&self) {
+        let members = self.membership.members().cloned().collect();
+        let alone = self.membership.is_alone();
+        let remote = self.remote.values().cloned().collect();
+        self.update_view(|view| {
+            view.members = members;
+            view.alone = alone;
+            view.remote = remote;
+        });
+    }
+
+    fn tell(&mut self, news: &PeerNews) {
+        self.subscribers.retain(Recipient::connected);
+        for subscriber in &self.subscribers {
+            subscriber.do_send(news.clone());
+        }
+    }
+
+    /// The peer address of a host, here or in another data centre.
+    fn address_of(&self, host: &HostId) -> Option<String> {
+        let member = self.membership.member(host).map(|member| &member.address);
+        let remote = self.remote.get(host).map(|remote| &remote.address);
+        member.or(remote).cloned()
+    }
+
+    fn host_at(&self, address: &str) -> Option<HostId> {
+        let members = self.membership.members();
+        let mut here = members.filter(|member| member.address == address);
+        let mut remote = self
+            .remote
+            .values()
+            .filter(|remote| remote.address == address);
+        here.next()
+            .map(|member| member.host.clone())
+            .or_else(|| remote.next().map(|remote| remote.host.clone()))
+    }
+
+    fn receive(&mut self, envelope: Envelope, context: &mut Context<Self>) {
+        let here = envelope.data_centre == self.membership.identity().data_centre;
+        if !here {
+            let remote = RemoteHost {
+                host: envelope.from.clone(),
+                data_centre: envelope.data_centre.clone(),
+                address: envelope.address.clone(),
+            };
+            self.remote.insert(envelope.from.clone(), remote);
+        }
+        for message in envelope.messages {
+            match message {
+                PeerMessage::Heartbeat {
+                    sequence,
+                    leaving,
+                    config_offset,
+                    leaving_upstreams,
+                    rumours,
+                } if here => {
+                    let heard = Heard {
+                        host: envelope.from.clone(),
+                        incarnation: envelope.incarnation,
+                        address: envelope.address.clone(),
+                        sequence,
+                        leaving,
+                        config_offset,
+                        rumours,
+                    };
+                    self.feed(MembershipInput::Heard(heard), context);
+                    self.hear_leaving(leaving_upstreams);
+                    self.catch_up(config_offset, &envelope.address, context);
+                }
+                PeerMessage::Heartbeat { config_offset, .. } => {
+                    self.catch_up(config_offset, &envelope.address, context);
+                }
+                message => self.tell(&PeerNews::Message {
+                    from: envelope.from.clone(),
+                    message: Box::new(message),
+                }),
+            }
+        }
+    }
+
+    fn hear_leaving(&mut self, upstreams: Vec<UpstreamId>) {
+        for upstream in upstreams {
+            self.tell(&PeerNews::UpstreamLeaving(upstream));
+        }
+    }
+
+    /// Asks a host that is ahead for the configuration that this one lacks.
+    fn catch_up(&mut self, theirs: Offset, address: &str, context: &mut Context<Self>) {
+        let ours = self.config.next();
+        let now_ms = self.clock.now().as_ms();
+        let asked =
+            self.config_asked_ms != 0 && now_ms < self.config_asked_ms + self.options.config_ask_ms;
+        if theirs <= ours || asked {
+            return;
+        }
+        self.config_asked_ms = now_ms;
+        let address = address.to_owned();
+        let config = self.config.clone();
+        let call_timeout = Duration::from_millis(self.options.call_timeout_ms);
+        let fetch = async move {
+            match fetch_config(&address, ours, call_timeout).await {
+                Ok(tail) => config.offer(tail),
+                Err(error) => log::debug!("configuration from {address}: {error}"),
+            }
+        };
+        context.spawn(fetch.into_actor(self));
+    }
+}
+
+impl Actor for Peers {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Self::Context) {
+        let every = Duration::from_millis(self.options.tick_ms);
+        context.run_interval(every, |peers, context| {
+            peers.feed(MembershipInput::Tick, context);
+            peers.refresh_view();
+        });
+    }
+}
+
+enum Target {
+    Host(HostId),
+    Address(String),
+}
+
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+struct Outgoing {
+    to: Target,
+    urgency: Urgency,
+    message: PeerMessage,
+}
+
+impl Handler<Outgoing> for Peers {
+    type Result = ();
+
+    fn handle(&mut self, send: Outgoing, context: &mut Self::Context) {
+        let address = match send.to {
+            Target::Address(address) => Some(address),
+            Target::Host(host) => self.address_of(&host),
+        };
+        if let Some(address) = address {
+            self.link(&address, context)
+                .send(send.urgency, send.message);
+        }
+    }
+}
+
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+struct Subscribe(Recipient<PeerNews>);
+
+impl Handler<Subscribe> for Peers {
+    type Result = ();
+
+    fn handle(&mut self, Subscribe(subscriber): Subscribe, _context: &mut Self::Context) {
+        let owners = self.membership.owners().iter().cloned();
+        subscriber.do_send(PeerNews::Owners(Arc::new(Ownership::new(owners))));
+        self.subscribers.push(subscriber);
+    }
+}
+
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+struct Feed(MembershipInput);
+
+impl Handler<Feed> for Peers {
+    type Result = ();
+
+    fn handle(&mut self, Feed(input): Feed, context: &mut Self::Context) {
+        self.feed(input, context);
+    }
+}
+
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+struct AnnounceLeaving(Vec<UpstreamId>);
+
+impl Handler<AnnounceLeaving> for Peers {
+    type Result = ();
+
+    fn handle(&mut self, AnnounceLeaving(upstreams): AnnounceLeaving, _: &mut Self::Context) {
+        self.leaving_upstreams = upstreams;
+    }
+}
+
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+struct Deliver(Envelope);
+
+impl Handler<Deliver> for Peers {
+    type Result = ();
+
+    fn handle(&mut self, Deliver(envelope): Deliver, context: &mut Self::Context) {
+        self.receive(envelope, context);
+    }
+}
+
+impl Handler<LinkNews> for Peers {
+    type Result = ();
+
+    fn handle(&mut self, news: LinkNews, context: &mut Self::Context) {
+        match news {
+            LinkNews::Answered { address, receipt } => {
+                if self.failed.remove(&address).is_some() {
+                    self.tell(&PeerNews::Reachable(receipt.host.clone()));
+                }
+                let answered = MembershipInput::Answered {
+                    address,
+                    host: receipt.host,
+                    incarnation: receipt.incarnation,
+                };
+                self.feed(answered, context);
+            }
+            LinkNews::Failed { address } => {
+                let host = self.host_at(&address);
+                if let Some(host) = &host {
+                    self.tell(&PeerNews::Unreachable(host.clone()));
+                }
+                self.failed.insert(address.clone(), host);
+                self.feed(MembershipInput::Unanswered { address }, context);
+            }
+        }
+    }
+}
