--- a/src/link.rs
+++ b/src/link.rs
@@ -21,6 +21,7 @@
 use crate::peer::PeerMessage;
 use crate::peer::Receipt;
 use crate::peerapi::PeerApiClient;
+use crate::telemetry::Metric;
 
 /// Messages that one envelope carries at most.
 const BATCH: usize = 256;
@@ -93,7 +94,7 @@
     /// Queues a message, or drops it if the queue is full.
     pub(crate) fn send(&self, urgency: Urgency, message: PeerMessage) {
         if self.queue.try_send((urgency, message)).is_err() {
-            metrics::counter!("cedargauge_peer_messages_dropped_total").increment(1);
+            metrics::counter!(Metric::PeerMessagesDroppedTotal.name()).increment(1);
         }
     }
 }
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -101,10 +101,7 @@
     }
 
     fn tail(&self, _next: Offset) -> ConfigTail {
-        ConfigTail {
-            snapshot: None,
-            records: Vec::new(),
-        }
+        ConfigTail::default()
     }
 
     fn offer(&self, _tail: ConfigTail) {}
--- a/src/peerserver/tests.rs
+++ b/src/peerserver/tests.rs
@@ -80,8 +80,8 @@
 
     fn tail(&self, _next: Offset) -> ConfigTail {
         ConfigTail {
-            snapshot: None,
             records: self.0.lock().unwrap().clone(),
+            ..ConfigTail::default()
         }
     }
 
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -120,6 +120,8 @@
         "Customers whose use of their limits this host keeps.",
     AllowancesLapsed Gauge "cedargauge_allowances_lapsed" ""
         "Active customers whose allowance lapsed: this host moves to an equal split.",
+    PeerMessagesDroppedTotal Counter "cedargauge_peer_messages_dropped_total" ""
+        "Messages to other entry hosts that were dropped because the host's queue was full.",
 }
 
 impl Metric {
