--- /dev/null
+++ b/src/standin_platform.rs
@@ -0,0 +1,453 @@
+//! A stand-in for the platform: log streams, host list and weight store, with their faults.
+
+use std::fs;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use actix_web::App;
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::HttpServer;
+use actix_web::rt::time::sleep;
+use actix_web::rt::time::timeout;
+use actix_web::web;
+use derive_builder::Builder;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::watch;
+
+use crate::clock::SystemClock;
+use crate::clock::wall_ms;
+use crate::error::Error;
+use crate::error::Result;
+use crate::id::DataCentre;
+use crate::id::EditId;
+use crate::id::Offset;
+use crate::platform::AppendAnswer;
+use crate::platform::AppendRequest;
+use crate::platform::CONFIG_STREAM;
+use crate::platform::HostList;
+use crate::row::Row;
+use crate::standin::DATA_CENTRE_HEADER;
+use crate::standin::RETRY_AFTER_MS_HEADER;
+use crate::standin::Served;
+use crate::standin::cut;
+use crate::standin::keep_socket;
+use crate::standin::listen;
+use crate::standin::lock;
+use crate::standin_log::Log;
+use crate::standin_log::LogCounters;
+use crate::standin_log::Pace;
+
+/// Largest batch that is appended, in bytes.
+const APPEND_BYTES_MAX: usize = 16 << 20;
+
+/// Longest time that a long poll may wait, in milliseconds.
+const WAIT_MS_MAX: u64 = 60_000;
+
+/// Records in one answer where the reader gives no limit.
+const READ_LIMIT: usize = 1_000;
+
+/// Options of the platform.
+#[derive(Debug, Clone, Builder)]
+#[builder(default)]
+pub struct PlatformOptions {
+    /// Address and port; port 0 takes a free one.
+    #[builder(setter(into))]
+    pub listen: String,
+    /// File with the first table, a JSON array of rows; none appends nothing.
+    pub table: Option<String>,
+    /// Appends that are accepted a second.
+    pub appends_per_s: f64,
+    /// Permits to load weights that are given a minute.
+    pub weight_permits_per_min: f64,
+    /// Records older than this are dropped, in milliseconds.
+    pub retention_ms: Option<u64>,
+    /// Records beyond this count of a stream are dropped.
+    pub retention_records: Option<usize>,
+    /// The host list shows a change this much later, in milliseconds.
+    pub list_lag_ms: u64,
+}
+
+impl Default for PlatformOptions {
+    fn default() -> Self {
+        PlatformOptions {
+            listen: "127.0.0.1:0".to_owned(),
+            table: None,
+            appends_per_s: 500.0,
+            weight_permits_per_min: 600.0,
+            retention_ms: None,
+            retention_records: None,
+            list_lag_ms: 0,
+        }
+    }
+}
+
+/// A fault for `POST /admin/faults`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
+pub enum PlatformFault {
+    /// The whole platform is down, in the way that is given.
+    Down {
+        /// How callers see it.
+        outage: Outage,
+    },
+    /// Every call takes this much longer.
+    Slow {
+        /// Added time in milliseconds; 0 ends the fault.
+        ms: u64,
+    },
+    /// Answers to the next appends are lost after the records are in the log.
+    LoseAppendAnswers {
+        /// How many answers; 0 ends the fault.
+        count: u32,
+        /// Of every hundred appends, this many are hit until the count is used up.
+        #[serde(default = "all_percent")]
+        percent: u32,
+    },
+    /// Records are kept for a shorter time or in a smaller number.
+    Retention {
+        /// Longest age in milliseconds.
+        age_ms: Option<u64>,
+        /// Largest number of records of a stream.
+        records: Option<usize>,
+    },
+    /// Appends are refused beyond this rate.
+    AppendRate {
+        /// Appends a second.
+        per_s: f64,
+    },
+    /// Permits to load weights are refused beyond this rate.
+    WeightRate {
+        /// Permits a minute.
+        per_min: f64,
+    },
+    /// The host list shows changes late.
+    ListLag {
+        /// By how much, in milliseconds.
+        ms: u64,
+    },
+    /// Calls from these data centres get no answer and have no effect; none ends the fault.
+    Partition {
+        /// Data centres that are cut off.
+        data_centres: Vec<DataCentre>,
+    },
+    /// Ends outage, slowness, lost answers and partition.
+    Clear,
+}
+
+/// How callers see an outage.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Outage {
+    /// No outage.
+    #[default]
+    None,
+    /// Calls are answered with status 503.
+    Refuse,
+    /// Connections are cut without an answer.
+    Reset,
+    /// Calls hang until the outage ends and take effect then, unless the caller has gone.
+    Hang,
+}
+
+fn all_percent() -> u32 {
+    100
+}
+
+#[derive(Default)]
+struct Faults {
+    outage: Outage,
+    slow: Duration,
+    lost_answers: u32,
+    lost_percent: u32,
+    appends_seen: u32,
+    cut_off: Vec<DataCentre>,
+}
+
+struct Platform {
+    clock: SystemClock,
+    log: Mutex<Log>,
+    faults: Mutex<Faults>,
+    lists: Mutex<Lists>,
+    weights: Mutex<Pace>,
+    /// Bumped by every append and fault; wakes those who wait.
+    changed: watch::Sender<u64>,
+}
+
+struct Lists {
+    lag: Duration,
+    /// Lists with the time they were set, oldest first.
+    versions: Vec<(crate::clock::Time, HostList)>,
+}
+
+/// Listens and serves.
+///
+/// # Errors
+///
+/// The socket could not be opened, or the table's file is missing or no array of rows.
+pub fn serve(options: PlatformOptions) -> Result<Served> {
+    let (listener, address) = listen(&options.listen)?;
+    let platform = web::Data::new(Platform::new(&options)?);
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(platform.clone())
+            .app_data(web::JsonConfig::default().limit(APPEND_BYTES_MAX))
+            .route("/v1/streams/{stream}/records", web::post().to(append))
+            .route("/v1/streams/{stream}/records", web::get().to(read))
+            .route("/v1/hosts", web::get().to(hosts))
+            .route("/v1/weights/{model:.*}", web::post().to(weights))
+            .route("/admin/hosts", web::post().to(set_hosts))
+            .route("/admin/faults", web::post().to(set_fault))
+            .route("/admin/counters", web::get().to(counters))
+    })
+    .workers(1)
+    .shutdown_timeout(0)
+    .disable_signals()
+    .on_connect(keep_socket)
+    .listen(listener)?
+    .run();
+    Ok(Served { address, server })
+}
+
+impl Platform {
+    fn new(options: &PlatformOptions) -> Result<Self> {
+        let clock = SystemClock::new();
+        let mut log = Log::new(options.appends_per_s);
+        log.retain(options.retention_ms, options.retention_records);
+        if let Some(path) = &options.table {
+            log.append(CONFIG_STREAM, vec![first_edit(path)?], wall_ms());
+        }
+        Ok(Platform {
+            clock,
+            log: Mutex::new(log),
+            faults: Mutex::default(),
+            lists: Mutex::new(Lists {
+                lag: Duration::from_millis(options.list_lag_ms),
+                versions: Vec::new(),
+            }),
+            weights: Mutex::new(Pace::new(options.weight_permits_per_min / 60.0)),
+            changed: watch::Sender::new(0),
+        })
+    }
+
+    fn wake(&self) {
+        self.changed.send_modify(|version| *version += 1);
+    }
+
+    /// Lets a call pass, or holds or cuts it as the faults say.
+    async fn admit(&self, request: &HttpRequest) -> std::result::Result<(), HttpResponse> {
+        let slow = lock(&self.faults).slow;
+        if !slow.is_zero() {
+            sleep(slow).await;
+        }
+        let mut changed = self.changed.subscribe();
+        loop {
+            changed.borrow_and_update();
+            let (outage, cut_off) = {
+                let faults = lock(&self.faults);
+                (faults.outage, faults.cuts_off(request))
+            };
+            match outage {
+                Outage::None if !cut_off => return Ok(()),
+                Outage::Refuse if !cut_off => {
+                    return Err(HttpResponse::ServiceUnavailable().finish());
+                }
+                Outage::Reset => return Err(cut(request)),
+                _ => {}
+            }
+            // Held: the caller hears nothing until the fault ends.
+            if changed.changed().await.is_err() {
+                return Err(cut(request));
+            }
+            if cut_off && !lock(&self.faults).cuts_off(request) {
+                return Err(cut(request));
+            }
+        }
+    }
+}
+
+impl Faults {
+    fn cuts_off(&self, request: &HttpRequest) -> bool {
+        let name = request.headers().get(DATA_CENTRE_HEADER);
+        let name = name.and_then(|value| value.to_str().ok());
+        name.is_some_and(|name| self.cut_off.iter().any(|cut| cut.as_str() == name))
+    }
+
+    /// Whether the answer to the append at hand is lost.
+    fn loses_answer(&mut self) -> bool {
+        if self.lost_answers == 0 {
+            return false;
+        }
+        self.appends_seen += 1;
+        let percent = self.lost_percent;
+        let hit = self.appends_seen * percent / 100 > (self.appends_seen - 1) * percent / 100;
+        if hit {
+            self.lost_answers -= 1;
+        }
+        hit
+    }
+}
+
+/// The first edit of the table: the record that holds the rows of a file.
+fn first_edit(path: &str) -> Result<String> {
+    #[derive(Serialize)]
+    struct FirstEdit {
+        r#type: &'static str,
+        edit_id: EditId,
+        rows: Vec<Row>,
+    }
+
+    let text = fs::read_to_string(path).map_err(|source| Error::File {
+        path: path.to_owned(),
+        source,
+    })?;
+    let edit = FirstEdit {
+        r#type: "edit",
+        edit_id: EditId::generate(),
+        rows: crate::settings::parse(&text)?,
+    };
+    Ok(serde_json::to_string(&edit)?)
+}
+
+#[derive(Deserialize)]
+struct ReadQuery {
+    #[serde(default)]
+    from: u64,
+    limit: Option<usize>,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+async fn append(
+    request: HttpRequest,
+    stream: web::Path<String>,
+    batch: web::Json<AppendRequest>,
+    platform: web::Data<Platform>,
+) -> HttpResponse {
+    if let Err(answer) = platform.admit(&request).await {
+        return answer;
+    }
+    let outcome = {
+        let mut log = lock(&platform.log);
+        match log.pace(platform.clock.now()) {
+            Ok(()) => Ok(log.append(&stream, batch.into_inner().records, wall_ms())),
+            Err(wait) => Err(wait),
+        }
+    };
+    let first_offset = match outcome {
+        Ok(first_offset) => first_offset,
+        Err(wait) => return too_many(wait),
+    };
+    platform.wake();
+    if lock(&platform.faults).loses_answer() {
+        return cut(&request);
+    }
+    HttpResponse::Ok().json(AppendAnswer { first_offset })
+}
+
+async fn read(
+    request: HttpRequest,
+    stream: web::Path<String>,
+    query: web::Query<ReadQuery>,
+    platform: web::Data<Platform>,
+) -> HttpResponse {
+    let wait = Duration::from_millis(query.wait_ms.min(WAIT_MS_MAX));
+    let from = Offset(query.from);
+    let mut changed = platform.changed.subscribe();
+    let arrival = async {
+        loop {
+            changed.borrow_and_update();
+            if lock(&platform.log).head(&stream) > from {
+                return;
+            }
+            if changed.changed().await.is_err() {
+                return;
+            }
+        }
+    };
+    if let Err(answer) = platform.admit(&request).await {
+        return answer;
+    }
+    // Without an arrival the answer is empty.
+    let _ = timeout(wait, arrival).await;
+    if let Err(answer) = platform.admit(&request).await {
+        return answer;
+    }
+    let limit = query.limit.unwrap_or(READ_LIMIT);
+    HttpResponse::Ok().json(lock(&platform.log).read(&stream, from, limit, wall_ms()))
+}
+
+async fn hosts(request: HttpRequest, platform: web::Data<Platform>) -> HttpResponse {
+    if let Err(answer) = platform.admit(&request).await {
+        return answer;
+    }
+    let now = platform.clock.now();
+    let lists = lock(&platform.lists);
+    let visible = lists
+        .versions
+        .iter()
+        .rev()
+        .find(|(set_at, _)| now.since(*set_at) >= lists.lag)
+        .map(|(_, list)| list.clone());
+    HttpResponse::Ok().json(visible.unwrap_or_default())
+}
+
+async fn weights(
+    request: HttpRequest,
+    _model: web::Path<String>,
+    platform: web::Data<Platform>,
+) -> HttpResponse {
+    if let Err(answer) = platform.admit(&request).await {
+        return answer;
+    }
+    match lock(&platform.weights).take(platform.clock.now()) {
+        Ok(()) => HttpResponse::Ok().finish(),
+        Err(wait) => too_many(wait),
+    }
+}
+
+fn too_many(wait: Duration) -> HttpResponse {
+    HttpResponse::TooManyRequests()
+        .insert_header((RETRY_AFTER_MS_HEADER, wait.as_millis().to_string()))
+        .finish()
+}
+
+async fn set_hosts(list: web::Json<HostList>, platform: web::Data<Platform>) -> HttpResponse {
+    let now = platform.clock.now();
+    lock(&platform.lists)
+        .versions
+        .push((now, list.into_inner()));
+    HttpResponse::NoContent().finish()
+}
+
+async fn set_fault(fault: web::Json<PlatformFault>, platform: web::Data<Platform>) -> HttpResponse {
+    match fault.into_inner() {
+        PlatformFault::Down { outage } => lock(&platform.faults).outage = outage,
+        PlatformFault::Slow { ms } => lock(&platform.faults).slow = Duration::from_millis(ms),
+        PlatformFault::LoseAppendAnswers { count, percent } => {
+            let mut faults = lock(&platform.faults);
+            faults.lost_answers = count;
+            faults.lost_percent = percent.min(100);
+            faults.appends_seen = 0;
+        }
+        PlatformFault::Retention { age_ms, records } => {
+            lock(&platform.log).retain(age_ms, records);
+        }
+        PlatformFault::AppendRate { per_s } => lock(&platform.log).set_pace(per_s),
+        PlatformFault::WeightRate { per_min } => {
+            *lock(&platform.weights) = Pace::new(per_min / 60.0);
+        }
+        PlatformFault::ListLag { ms } => lock(&platform.lists).lag = Duration::from_millis(ms),
+        PlatformFault::Partition { data_centres } => {
+            lock(&platform.faults).cut_off = data_centres;
+        }
+        PlatformFault::Clear => *lock(&platform.faults) = Faults::default(),
+    }
+    platform.wake();
+    HttpResponse::NoContent().finish()
+}
+
+async fn counters(platform: web::Data<Platform>) -> web::Json<LogCounters> {
+    web::Json(lock(&platform.log).counters().clone())
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -7,7 +7,8 @@
 //! | `DELETE /v1/generations/{attempt}` | cancel |
 //! | `GET /v1/load` | the last [`LoadReport`], which lags |
 //! | `GET /v1/cache-events?from=SEQ` | [`CacheEvents`], late and with gaps |
-//! | `POST /v1/orders` [`Order`] | change model, version or role |
+//! | `POST /v1/orders` [`Order`] | change model, version or role; answers [`OrderState`], or 409 [`OrderRefused`] |
+//! | `GET /v1/orders` | the [`OrderState`] in effect |
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -166,6 +167,30 @@
     Leave,
 }
 
+/// An engine's answer to an order that it accepts and to `GET /v1/orders`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderState {
+    /// Highest fencing number seen.
+    pub fence: u64,
+    /// The model that is loaded, as `name@version`.
+    pub model: String,
+    /// The adapters that are loaded.
+    pub adapters: Vec<String>,
+    /// The engine's role.
+    pub role: Role,
+    /// An order was accepted and is not in effect yet.
+    pub loading: bool,
+    /// Orders accepted since the engine started.
+    pub orders_total: u64,
+}
+
+/// Body of the 409 that answers an order with an old fencing number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderRefused {
+    /// Highest fencing number seen.
+    pub fence: u64,
+}
+
 /// An upstream's address with the report that came from it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct UpstreamReport {
