--- a/src/fairqueue.rs
+++ b/src/fairqueue.rs
@@ -21,6 +21,9 @@
 /// Virtual time units for one token at weight 1.
 const SCALE: u64 = 1_024;
 
+/// Customers of a class whose last request is checked at a time.
+const CHECKED_MAX: usize = 32;
+
 /// Virtual time: tokens times [`SCALE`] over weight.
 type VirtualTime = u64;
 
@@ -53,6 +56,7 @@
     floor: VirtualTime,
     running: u32,
     waiting: usize,
+    backlog_weight: u64,
     shares: BTreeMap<CustomerId, Share>,
     backlog: BTreeSet<(VirtualTime, CustomerId)>,
 }
@@ -67,6 +71,7 @@
             floor: 0,
             running: 0,
             waiting: 0,
+            backlog_weight: 0,
             shares: BTreeMap::new(),
             backlog: BTreeSet::new(),
         }
@@ -101,6 +106,12 @@
             .iter()
             .map(|row| (row.customer.clone(), row.weight.max(1)))
             .collect();
+        for class in self.classes.values_mut() {
+            let backlog = class.backlog.iter();
+            class.backlog_weight = backlog
+                .map(|(_, customer)| weight_of(&self.customers, customer))
+                .sum();
+        }
     }
 
     /// Number of waiting requests.
@@ -123,12 +134,22 @@
 
     /// Adds a request. One that waits already is left as it is.
     pub(crate) fn push(&mut self, waiting: Waiting) {
+        self.add(waiting, VecDeque::push_back);
+    }
+
+    /// Adds a request before all others of its customer.
+    pub(crate) fn push_front(&mut self, waiting: Waiting) {
+        self.add(waiting, VecDeque::push_front);
+    }
+
+    fn add(&mut self, waiting: Waiting, insert: impl FnOnce(&mut VecDeque<Waiting>, Waiting)) {
         let request = waiting.ticket.request;
         if self.places.contains_key(&request) {
             return;
         }
         let class_id = waiting.ticket.class.clone();
         let customer_id = waiting.ticket.customer.clone();
+        let weight = weight_of(&self.customers, &customer_id);
         self.activate(&class_id, &customer_id);
         self.arrivals.insert((waiting.since, request));
         self.places
@@ -136,8 +157,10 @@
         let class = self.class_entry(&class_id);
         class.waiting += 1;
         let share = class.shares.entry(customer_id.clone()).or_default();
-        share.queue.push_back(waiting);
-        class.backlog.insert((share.virtual_time, customer_id));
+        insert(&mut share.queue, waiting);
+        if class.backlog.insert((share.virtual_time, customer_id)) {
+            class.backlog_weight += weight;
+        }
     }
 
     /// Takes a request out.
@@ -151,6 +174,7 @@
             .position(|waiting| waiting.ticket.request == request)?;
         let waiting = share.queue.remove(index)?;
         if share.queue.is_empty() {
+            class.backlog_weight -= weight_of(&self.customers, &customer_id);
             class.backlog.remove(&(share.virtual_time, customer_id));
         }
         class.waiting -= 1;
@@ -177,6 +201,64 @@
         share.queue.iter().find(|w| w.ticket.request == *request)
     }
 
+    /// Grants until one more request of the customer would be granted, by its shares.
+    pub(crate) fn position(&self, class_id: &ClassId, customer: &CustomerId) -> f64 {
+        let queued = self
+            .classes
+            .get(class_id)
+            .and_then(|class| class.shares.get(customer))
+            .map_or(0, |share| share.queue.len());
+        self.grants_before(class_id, customer, queued + 1)
+    }
+
+    /// Customers' last requests that will miss their deadline, the most over-share customers
+    /// first; at most one a customer. `wait_ms` tells how long a number of grants takes.
+    pub(crate) fn hopeless(
+        &self,
+        now: Time,
+        wait_ms: impl Fn(f64) -> Option<f64>,
+    ) -> Vec<RequestId> {
+        let mut found = Vec::new();
+        for (class_id, class) in &self.classes {
+            for (_, customer) in class.backlog.iter().rev().take(CHECKED_MAX) {
+                let queue = &class.shares[customer].queue;
+                let Some(last) = queue.back() else {
+                    continue;
+                };
+                let position = self.grants_before(class_id, customer, queue.len());
+                let left_ms = last.deadline.since(now).as_secs_f64() * 1_000.0;
+                if wait_ms(position).is_some_and(|wait_ms| wait_ms > left_ms) {
+                    found.push(last.ticket.request);
+                }
+            }
+        }
+        found
+    }
+
+    /// Grants until `count` requests of the customer are granted.
+    fn grants_before(&self, class_id: &ClassId, customer: &CustomerId, count: usize) -> f64 {
+        let everyone = (self.len() + 1).max(count) as f64;
+        let Some(class) = self.classes.get(class_id) else {
+            return everyone;
+        };
+        let others = self
+            .classes
+            .values()
+            .filter(|other| other.waiting > 0)
+            .map(|other| u64::from(other.weight))
+            .sum::<u64>();
+        let class_weight = u64::from(class.weight);
+        let class_total = others + if class.waiting == 0 { class_weight } else { 0 };
+        let weight = weight_of(&self.customers, customer);
+        let waits = class
+            .shares
+            .get(customer)
+            .is_some_and(|share| !share.queue.is_empty());
+        let total = class.backlog_weight + if waits { 0 } else { weight };
+        let share = class_weight as f64 / class_total as f64 * weight as f64 / total as f64;
+        (count as f64 / share).min(everyone)
+    }
+
     /// A request of the customer started to run.
     pub(crate) fn start(&mut self, class_id: &ClassId, customer_id: &CustomerId) {
         self.activate(class_id, customer_id);
@@ -204,11 +286,11 @@
 
     /// Charges tokens to the customer and its class; a negative count gives back.
     pub(crate) fn charge(&mut self, class_id: &ClassId, customer_id: &CustomerId, tokens: i64) {
-        let weight = self.customers.get(customer_id).copied().unwrap_or(1);
+        let weight = weight_of(&self.customers, customer_id);
         let Some(class) = self.classes.get_mut(class_id) else {
             return;
         };
-        class.virtual_time = shifted(class.virtual_time, tokens, class.weight);
+        class.virtual_time = shifted(class.virtual_time, tokens, u64::from(class.weight));
         let Some(share) = class.shares.get_mut(customer_id) else {
             return;
         };
@@ -262,9 +344,14 @@
     }
 }
 
+/// A customer's weight, 1 unless the table gives it another.
+fn weight_of(customers: &BTreeMap<CustomerId, u32>, customer: &CustomerId) -> u64 {
+    customers.get(customer).copied().map_or(1, u64::from)
+}
+
 /// A virtual time after `tokens` more were charged at `weight`.
-fn shifted(time: VirtualTime, tokens: i64, weight: u32) -> VirtualTime {
-    let units = tokens.unsigned_abs() * SCALE / u64::from(weight.max(1));
+fn shifted(time: VirtualTime, tokens: i64, weight: u64) -> VirtualTime {
+    let units = tokens.unsigned_abs() * SCALE / weight.max(1);
     if tokens < 0 {
         time.saturating_sub(units)
     } else {
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -1,3 +1,5 @@
+mod properties;
+
 use super::Scheduler;
 use super::SchedulerOptions;
 use crate::clock::Time;
@@ -84,6 +86,15 @@
     }
 }
 
+impl Scheduler {
+    /// Whether no upstream is predicted to hold anything.
+    fn idle_forecasts(&self) -> bool {
+        (0..self.placement.len())
+            .filter_map(|slot| self.placement.get(slot))
+            .all(|upstream| upstream.forecast.sequences() == 0 && upstream.prefill_tokens == 0)
+    }
+}
+
 #[test]
 fn a_request_is_granted_at_once_where_there_is_room() {
     let mut scheduler = scheduler(&[10_000]);
