Write the stand-in platform's first edit in the form that the fold reads

Cause: the form was provisional until the fold landed. Change: the record comes from record::first_edit. Conclusion: a host that folds the stream accepts it.

--- a/src/standin_platform.rs
+++ b/src/standin_platform.rs
@@ -1,6 +1,6 @@
 //! A stand-in for the platform: log streams, host list and weight store, with their faults.
 
-use std::fs;
+use std::path::Path;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -18,16 +18,15 @@
 
 use crate::clock::SystemClock;
 use crate::clock::wall_ms;
-use crate::error::Error;
 use crate::error::Result;
 use crate::id::DataCentre;
-use crate::id::EditId;
 use crate::id::Offset;
 use crate::platform::AppendAnswer;
 use crate::platform::AppendRequest;
 use crate::platform::CONFIG_STREAM;
 use crate::platform::HostList;
-use crate::row::Row;
+use crate::record::first_edit;
+use crate::settings;
 use crate::standin::DATA_CENTRE_HEADER;
 use crate::standin::RETRY_AFTER_MS_HEADER;
 use crate::standin::Served;
@@ -216,7 +215,7 @@
         let mut log = Log::new(options.appends_per_s);
         log.retain(options.retention_ms, options.retention_records);
         if let Some(path) = &options.table {
-            log.append(CONFIG_STREAM, vec![first_edit(path)?], wall_ms());
+            log.append(CONFIG_STREAM, vec![first_record(path)?], wall_ms());
         }
         Ok(Platform {
             clock,
@@ -289,25 +288,9 @@
     }
 }
 
-/// The first edit of the table: the record that holds the rows of a file.
-fn first_edit(path: &str) -> Result<String> {
-    #[derive(Serialize)]
-    struct FirstEdit {
-        r#type: &'static str,
-        edit_id: EditId,
-        rows: Vec<Row>,
-    }
-
-    let text = fs::read_to_string(path).map_err(|source| Error::File {
-        path: path.to_owned(),
-        source,
-    })?;
-    let edit = FirstEdit {
-        r#type: "edit",
-        edit_id: EditId::generate(),
-        rows: crate::settings::parse(&text)?,
-    };
-    Ok(serde_json::to_string(&edit)?)
+/// The record that adds the rows of a file.
+fn first_record(path: &str) -> Result<String> {
+    first_edit(settings::read(Path::new(path))?)
 }
 
 #[derive(Deserialize)]
