Prove that the small table folds; let extra rows replace its rows

Cause: Deployment's extra rows named like a row of the small table would be added twice, and the fold refuses such an edit whole. Change: a row of the same name replaces; a test folds the small table. Conclusion: fixtures may change one row of the table.

--- a/src/standin_table.rs
+++ b/src/standin_table.rs
@@ -89,3 +89,6 @@
         deadline_ms: 600_000,
     })
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/tester/deployment.rs
+++ b/tests/tester/deployment.rs
@@ -15,6 +15,7 @@
 use cedargauge::platform::HostList;
 use cedargauge::platform::HostState;
 use cedargauge::platform::ListedHost;
+use cedargauge::record::RowKey;
 use cedargauge::row::Row;
 use cedargauge::row::UpstreamRow;
 use cedargauge::standin_table::small_table;
@@ -95,7 +96,10 @@
             upstreams(engines.iter().map(|e| e.address.as_str()), options),
             upstreams(services.iter().map(|s| s.address.as_str()), options),
         );
-        rows.extend(options.extra_rows.iter().cloned());
+        for row in &options.extra_rows {
+            rows.retain(|other| RowKey::of(other) != RowKey::of(row));
+            rows.push(row.clone());
+        }
         let table = directory.path().join("table.json");
         fs::write(&table, serde_json::to_string(&rows).unwrap()).unwrap();
         let mut platform_flags = as_strs(&options.platform_flags);
