--- a/src/event.rs
+++ b/src/event.rs
@@ -30,6 +30,11 @@
                 match self { $(EventCode::$name => $number,)* }
             }
 
+            /// The event's area: the hundred of its number.
+            pub const fn area(self) -> u16 {
+                self.number() / 100
+            }
+
             /// The event's name.
             pub const fn name(self) -> &'static str {
                 match self { $(EventCode::$name => stringify!($name),)* }
