--- a/src/config.rs
+++ b/src/config.rs
@@ -58,7 +58,7 @@
         beyond.map_or_else(|_| self.table(), |state| Arc::clone(&state.table))
     }
 
-    fn starting_with(state: ConfigState) -> Self {
+    pub(crate) fn starting_with(state: ConfigState) -> Self {
         let (sender, receiver) = watch::channel(state);
         ConfigHandle {
             state: receiver,
--- /dev/null
+++ b/src/session.rs
@@ -0,0 +1,461 @@
+//! One generation on its way from an upstream to a caller: the I/O around a [`Relay`].
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use backon::BackoffBuilder;
+use backon::ExponentialBackoff;
+use backon::ExponentialBuilder;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio::time::Interval;
+use tokio::time::MissedTickBehavior;
+
+use crate::clock::SystemClock;
+use crate::dispatch::Dispatcher;
+use crate::dispatch::Grant;
+use crate::engine::EngineClient;
+use crate::engine::EngineStream;
+use crate::engine::EventView;
+use crate::engine::OpenOutcome;
+use crate::event::EventCode;
+use crate::id::AttemptId;
+use crate::id::RequestId;
+use crate::id::UpstreamId;
+use crate::journal::Journal;
+use crate::journal::Subject;
+use crate::refusal::Code;
+use crate::refusal::Refusal;
+use crate::relay::Action;
+use crate::relay::Completion;
+use crate::relay::DropReason;
+use crate::relay::Input;
+use crate::relay::Relay;
+use crate::relay::RelayOptions;
+use crate::relay::RelayTerms;
+use crate::schedule::Ending;
+use crate::schedule::Ticket;
+use crate::wire::GenerateRequest;
+
+/// Period of the relay's ticks, in milliseconds.
+const TICK_MS: u64 = 100;
+
+/// The scheduler hears of progress every so many tokens.
+const PROGRESS_TOKENS: u32 = 16;
+
+/// Bounds of the delay before a resumption.
+const RESUME_DELAY_MIN: Duration = Duration::from_millis(20);
+const RESUME_DELAY_MAX: Duration = Duration::from_millis(1_000);
+
+/// What a session needs from its host.
+#[derive(Clone)]
+pub struct SessionContext {
+    /// Chooses upstreams.
+    pub dispatcher: Dispatcher,
+    /// Talks to them.
+    pub engine: EngineClient,
+    /// Hears what happens.
+    pub journal: Journal,
+    /// The host's clock.
+    pub clock: SystemClock,
+    /// How patient the relay is.
+    pub relay: RelayOptions,
+}
+
+/// What a session is to do.
+#[derive(Debug, Clone)]
+pub struct SessionRequest {
+    /// The ticket for the scheduler.
+    pub ticket: Ticket,
+    /// The model.
+    pub model: String,
+    /// The prompt.
+    pub prompt: String,
+    /// What the request allows.
+    pub terms: RelayTerms,
+    /// Deadline for the whole answer, in milliseconds from now.
+    pub deadline_ms: u64,
+}
+
+/// What a session yields.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Output {
+    /// The next token.
+    Token(String),
+    /// Forget the tokens so far; only where the caller has received none.
+    Discard,
+    /// The answer is whole.
+    Complete(Completion),
+    /// The request failed.
+    Failed(Refusal),
+}
+
+/// One generation under way. Dropping it cancels what runs.
+pub struct Session {
+    context: SessionContext,
+    request: SessionRequest,
+    relay: Relay,
+    phase: Phase,
+    grant: Option<Grant>,
+    relocate: Option<oneshot::Receiver<()>>,
+    link: Option<EngineStream>,
+    backoff: ExponentialBackoff,
+    resumed: bool,
+    ticks: Interval,
+    deadline: Instant,
+    actions: Vec<Action>,
+    outputs: VecDeque<Output>,
+    output_tokens: u32,
+}
+
+/// What the session does next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    /// Wait for an upstream.
+    Acquire,
+    /// Write an attempt to it.
+    Start,
+    /// Resume the attempt.
+    Resume { from: u32 },
+    /// Read its stream.
+    Read,
+    /// Nothing more.
+    Ended,
+}
+
+impl Session {
+    /// A session that has done nothing yet.
+    pub fn new(context: SessionContext, request: SessionRequest) -> Self {
+        let relay = Relay::new(context.relay.clone(), request.terms);
+        let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        Session {
+            deadline: Instant::now() + Duration::from_millis(request.deadline_ms),
+            context,
+            request,
+            relay,
+            phase: Phase::Acquire,
+            grant: None,
+            relocate: None,
+            link: None,
+            backoff: resume_backoff(),
+            resumed: false,
+            ticks,
+            actions: Vec::new(),
+            outputs: VecDeque::new(),
+            output_tokens: 0,
+        }
+    }
+
+    /// The request.
+    pub fn request_id(&self) -> RequestId {
+        self.request.ticket.request
+    }
+
+    /// The next output; `None` after [`Output::Complete`] or [`Output::Failed`].
+    pub async fn next(&mut self) -> Option<Output> {
+        loop {
+            if let Some(output) = self.outputs.pop_front() {
+                return Some(output);
+            }
+            match self.phase {
+                Phase::Acquire => self.acquire().await,
+                Phase::Start => self.start().await,
+                Phase::Resume { from } => self.resume(from).await,
+                Phase::Read => self.read().await,
+                Phase::Ended => return None,
+            }
+        }
+    }
+
+    async fn acquire(&mut self) {
+        self.record(EventCode::RequestQueued, "");
+        let waiting = self.context.dispatcher.acquire(self.request.ticket.clone());
+        match tokio::time::timeout_at(self.deadline, waiting).await {
+            Ok(Ok(mut grant)) => {
+                let (_, never) = oneshot::channel();
+                let relocate = std::mem::replace(&mut grant.relocate, never);
+                self.relocate = Some(relocate);
+                self.grant = Some(grant);
+                self.record(EventCode::RequestGranted, "");
+                self.phase = Phase::Start;
+            }
+            Ok(Err(refusal)) => self.refuse(refusal),
+            Err(_) => self.refuse(deadline_passed()),
+        }
+    }
+
+    async fn start(&mut self) {
+        let Some(grant) = &self.grant else {
+            self.phase = Phase::Acquire;
+            return;
+        };
+        let attempt = AttemptId::generate();
+        let upstream = grant.upstream.clone();
+        let generate = self.generate_request(attempt, grant.engine_priority);
+        self.relay.begin(self.context.clock.now(), attempt);
+        self.context.dispatcher.started(self.request_id(), attempt);
+        self.record(EventCode::RequestDispatched, "");
+        self.phase = Phase::Read;
+        let opening = self.context.engine.start(&upstream, &generate);
+        match tokio::time::timeout_at(self.deadline, opening).await {
+            Ok(outcome) => self.opened(outcome),
+            Err(_) => self.step(Input::DeadlinePassed),
+        }
+    }
+
+    async fn resume(&mut self, from: u32) {
+        let (Some(grant), Some(attempt)) = (&self.grant, self.relay.attempt()) else {
+            self.phase = Phase::Acquire;
+            return;
+        };
+        let upstream = grant.upstream.clone();
+        let delay = self.backoff.next().unwrap_or(RESUME_DELAY_MAX);
+        self.resumed = true;
+        self.record(EventCode::StreamResumed, &format!("from={from}"));
+        self.phase = Phase::Read;
+        let opening = async {
+            tokio::time::sleep(delay).await;
+            self.context.engine.resume(&upstream, attempt, from).await
+        };
+        match tokio::time::timeout_at(self.deadline, opening).await {
+            Ok(OpenOutcome::NotWritten(reason)) => self.step(Input::Lost(&reason)),
+            Ok(outcome) => self.opened(outcome),
+            Err(_) => self.step(Input::DeadlinePassed),
+        }
+    }
+
+    fn opened(&mut self, outcome: OpenOutcome) {
+        match outcome {
+            OpenOutcome::Streaming(stream) => {
+                self.link = Some(stream);
+                self.step(Input::Opened);
+            }
+            OpenOutcome::NotWritten(reason) => self.step(Input::NotWritten(&reason)),
+            OpenOutcome::Refused(reason) => self.step(Input::Refused(reason)),
+            OpenOutcome::Forgotten => self.step(Input::Forgotten),
+            OpenOutcome::Lost(reason) => self.step(Input::Lost(&reason)),
+        }
+    }
+
+    async fn read(&mut self) {
+        let Some(link) = &mut self.link else {
+            self.step(Input::Lost("no link"));
+            return;
+        };
+        if let Some(data) = link.next_data() {
+            self.take_event(&data);
+            return;
+        }
+        let may_move = self.output_tokens == 0 && self.relocate.is_some();
+        let wake = tokio::select! {
+            biased;
+            filled = link.fill() => Wake::Filled(filled),
+            _ = self.ticks.tick() => Wake::Tick,
+            moved = fired(&mut self.relocate), if may_move => Wake::Relocate(moved),
+        };
+        match wake {
+            Wake::Filled(Ok(())) => {}
+            Wake::Filled(Err(reason)) => self.step(Input::Lost(&reason)),
+            Wake::Tick => self.tick(),
+            Wake::Relocate(true) => self.step(Input::Relocate),
+            Wake::Relocate(false) => {}
+        }
+    }
+
+    fn tick(&mut self) {
+        if Instant::now() >= self.deadline {
+            self.step(Input::DeadlinePassed);
+        } else {
+            self.step(Input::Tick);
+        }
+    }
+
+    fn take_event(&mut self, data: &[u8]) {
+        match EventView::parse(data) {
+            Ok(view) => {
+                if let Some(input) = view.as_input() {
+                    self.step(input);
+                }
+            }
+            Err(error) => self.step(Input::Lost(&format!("unreadable event: {error}"))),
+        }
+    }
+
+    fn step(&mut self, input: Input<'_>) {
+        let now = self.context.clock.now();
+        let mut actions = std::mem::take(&mut self.actions);
+        self.relay.step(now, input, &mut actions);
+        for action in actions.drain(..) {
+            self.act(action);
+        }
+        self.actions = actions;
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Deliver(text) => self.deliver(text),
+            Action::Discard => self.outputs.push_back(Output::Discard),
+            Action::Resume { from } => {
+                self.link = None;
+                self.phase = Phase::Resume { from };
+            }
+            Action::Cancel(attempt) => self.cancel(attempt),
+            Action::Restart => self.restart(),
+            Action::Complete(completion) => self.complete(completion),
+            Action::Fail(refusal) => self.fail(refusal),
+            Action::Dropped(reason) => self.record(EventCode::TokenDropped, describe(reason)),
+        }
+    }
+
+    fn deliver(&mut self, text: String) {
+        if self.output_tokens == 0 {
+            self.record(EventCode::FirstToken, "");
+        }
+        self.output_tokens = self.relay.output_tokens();
+        if std::mem::take(&mut self.resumed) {
+            self.backoff = resume_backoff();
+        }
+        if self.output_tokens.is_multiple_of(PROGRESS_TOKENS) {
+            let request = self.request_id();
+            self.context
+                .dispatcher
+                .progress(request, self.output_tokens);
+        }
+        self.outputs.push_back(Output::Token(text));
+    }
+
+    fn complete(&mut self, completion: Completion) {
+        self.link = None;
+        self.phase = Phase::Ended;
+        self.finish(Ending::Complete, completion.cached_prompt_tokens);
+        let detail = format!("tokens={}", completion.output_tokens);
+        self.record(EventCode::RequestComplete, &detail);
+        self.outputs.push_back(Output::Complete(completion));
+    }
+
+    fn fail(&mut self, refusal: Refusal) {
+        self.link = None;
+        self.phase = Phase::Ended;
+        self.record(EventCode::RequestFailed, &refusal.message);
+        self.finish(Ending::UpstreamFailed, 0);
+        let refusal = refusal.for_request(self.request_id());
+        self.outputs.push_back(Output::Failed(refusal));
+    }
+
+    fn refuse(&mut self, refusal: Refusal) {
+        let refusal = self.relay.end(refusal);
+        self.fail(refusal);
+    }
+
+    fn restart(&mut self) {
+        self.link = None;
+        self.phase = Phase::Acquire;
+        self.output_tokens = 0;
+        self.record(EventCode::RequestRestarted, "");
+        self.finish(Ending::UpstreamFailed, 0);
+        if let Some(grant) = self.grant.take() {
+            self.request.ticket.avoid.push(grant.upstream);
+        }
+    }
+
+    fn cancel(&self, attempt: AttemptId) {
+        let Some(upstream) = self.upstream() else {
+            return;
+        };
+        let engine = self.context.engine.clone();
+        actix_rt::spawn(async move { engine.cancel(upstream, attempt).await });
+    }
+
+    /// Tells the scheduler that the grant is used up.
+    fn finish(&self, ending: Ending, cached_prompt_tokens: u32) {
+        if self.grant.is_some() {
+            self.context.dispatcher.finished(
+                self.request_id(),
+                self.output_tokens,
+                ending,
+                cached_prompt_tokens,
+            );
+        }
+    }
+
+    fn upstream(&self) -> Option<UpstreamId> {
+        self.grant.as_ref().map(|grant| grant.upstream.clone())
+    }
+
+    fn generate_request(&self, attempt: AttemptId, engine_priority: u8) -> GenerateRequest {
+        GenerateRequest {
+            attempt,
+            model: self.request.model.clone(),
+            prompt: self.request.prompt.clone(),
+            prompt_tokens: self.request.ticket.prompt_tokens,
+            max_output_tokens: self.request.ticket.max_output_tokens,
+            engine_priority,
+            prefix_hashes: self.request.ticket.prefix_hashes.clone(),
+        }
+    }
+
+    fn record(&self, code: EventCode, detail: &str) {
+        let mut subject = Subject::request(self.request_id()).detail(detail);
+        if let Some(upstream) = self.upstream() {
+            subject = subject.upstream(&upstream);
+        }
+        if let Some(attempt) = self.relay.attempt() {
+            subject = subject.attempt(attempt);
+        }
+        self.context.journal.record(code, subject);
+    }
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        if self.phase == Phase::Ended {
+            return;
+        }
+        self.record(EventCode::CallerLeft, "");
+        if let Some(attempt) = self.relay.attempt() {
+            self.cancel(attempt);
+        }
+        self.finish(Ending::Cancelled, 0);
+    }
+}
+
+enum Wake {
+    Filled(Result<(), String>),
+    Tick,
+    Relocate(bool),
+}
+
+/// Waits for the order to move; `false` if it can no longer come.
+async fn fired(relocate: &mut Option<oneshot::Receiver<()>>) -> bool {
+    let Some(receiver) = relocate else {
+        return false;
+    };
+    let ordered = receiver.await.is_ok();
+    *relocate = None;
+    ordered
+}
+
+fn resume_backoff() -> ExponentialBackoff {
+    ExponentialBuilder::default()
+        .with_jitter()
+        .with_min_delay(RESUME_DELAY_MIN)
+        .with_max_delay(RESUME_DELAY_MAX)
+        .without_max_times()
+        .build()
+}
+
+fn deadline_passed() -> Refusal {
+    Refusal::not_run(
+        Code::DeadlineExceeded,
+        "the deadline passed before it started",
+    )
+}
+
+fn describe(reason: DropReason) -> &'static str {
+    match reason {
+        DropReason::Duplicate => "duplicate",
+        DropReason::Crossed => "of another attempt",
+        DropReason::Late => "after the end",
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,10 +10,14 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::engine::EngineOptions;
 use crate::error::Error;
 use crate::error::Result;
 use crate::id::DataCentre;
 use crate::id::HostId;
+use crate::relay::RelayOptions;
+use crate::server::ServerOptions;
+use crate::shutdown::ShutdownOptions;
 
 /// Settings of `cedargauge-entry`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -32,6 +36,18 @@
     /// Peer addresses of other entry hosts to ask while the platform is down.
     #[serde(default)]
     pub peers: Vec<String>,
+    /// Bounds of what callers may send.
+    #[serde(default)]
+    pub server: ServerOptions,
+    /// Timeouts towards upstreams.
+    #[serde(default)]
+    pub engine: EngineOptions,
+    /// How patient the relay is.
+    #[serde(default)]
+    pub relay: RelayOptions,
+    /// How the host stops.
+    #[serde(default)]
+    pub shutdown: ShutdownOptions,
 }
 
 /// Reads and checks a settings file.
--- /dev/null
+++ b/src/shutdown.rs
@@ -0,0 +1,106 @@
+//! How an entry host stops: not ready at once, everything in flight finishes, then it exits.
+
+use std::time::Duration;
+
+use actix_web::dev::ServerHandle;
+use derive_builder::Builder;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::error::Result;
+use crate::event::EventCode;
+use crate::journal::Journal;
+use crate::journal::Subject;
+use crate::server::Gate;
+
+/// How the host stops.
+#[derive(Debug, Clone, PartialEq, Eq, Builder, Serialize, Deserialize)]
+#[builder(default)]
+#[serde(default, deny_unknown_fields)]
+pub struct ShutdownOptions {
+    /// New requests are still accepted for this long after the signal, until the balancer has
+    /// noticed, in milliseconds. Default 5,000.
+    pub drain_accept_ms: u64,
+}
+
+impl Default for ShutdownOptions {
+    fn default() -> Self {
+        ShutdownOptions {
+            drain_accept_ms: 5_000,
+        }
+    }
+}
+
+/// How the host stopped.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stopped {
+    /// Everything in flight ended.
+    Drained,
+    /// A second signal cut what was in flight.
+    Forced,
+}
+
+/// SIGTERM and SIGINT.
+#[derive(Debug)]
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    /// Listens from now on.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::error::Error::Io`] if the system refuses.
+    pub fn listen() -> Result<Self> {
+        Ok(Signals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for the next of either.
+    pub async fn next(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+/// Waits for a signal, then for everything in flight or a second signal.
+pub async fn wait(
+    mut signals: Signals,
+    options: &ShutdownOptions,
+    gate: &Gate,
+    server: &ServerHandle,
+    journal: &Journal,
+) -> Stopped {
+    signals.next().await;
+    gate.shut();
+    journal.record(EventCode::ShutdownBegan, in_flight(gate));
+    tokio::select! {
+        () = drain(options, server) => {
+            journal.record(EventCode::ShutdownComplete, Subject::none());
+            Stopped::Drained
+        }
+        () = signals.next() => {
+            journal.record(EventCode::ShutdownForced, in_flight(gate));
+            Stopped::Forced
+        }
+    }
+}
+
+/// The server's own timeout is so long that it cuts no stream.
+async fn drain(options: &ShutdownOptions, server: &ServerHandle) {
+    tokio::time::sleep(Duration::from_millis(options.drain_accept_ms)).await;
+    server.stop(true).await;
+}
+
+fn in_flight(gate: &Gate) -> Subject {
+    Subject::none().detail(format!("in_flight={}", gate.in_flight()))
+}
