Keep a replica of the table on every host

Cause: hosts start, lose the log or are cut off at any time, and what is in force must never go back or differ between hosts at the same offset.

Conclusion: equal offsets mean equal tables, whatever way a host came there.

--- a/src/bin/cedargauge-standin/main.rs
+++ b/src/bin/cedargauge-standin/main.rs
@@ -4,7 +4,6 @@
 
 use anyhow::Context;
 use argh::FromArgs;
-
 use cedargauge::model::ModelOptions;
 use cedargauge::standin::Served;
 use cedargauge::standin_engine;
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,11 +1,59 @@
 //! The configuration in force, as the rest of the process sees it.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
+use actix::Actor;
+use actix::Addr;
+use derive_builder::Builder;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::sync::watch;
 
+use crate::clock::wall_ms;
+use crate::fold::Outcome;
+use crate::id::HostId;
 use crate::id::Offset;
+use crate::journal::Journal;
+use crate::logstream::LogHandle;
+use crate::peer::ConfigTail;
+use crate::peers::ConfigSource;
+use crate::replica::Input;
+use crate::replica::Replica;
+use crate::snapshot::SnapshotOptions;
+use crate::status::ConfigStatus;
+use crate::subscription::AskHistory;
+use crate::subscription::AskOutcome;
+use crate::subscription::LiveHosts;
+use crate::subscription::Step;
+use crate::subscription::Subscription;
+use crate::subscription::SubscriptionParts;
 use crate::table::Table;
+use crate::tail::Tail;
+
+/// How a process keeps the configuration.
+#[derive(Debug, Clone, PartialEq, Builder, Serialize, Deserialize)]
+#[builder(default)]
+#[serde(default, deny_unknown_fields)]
+pub struct ConfigOptions {
+    /// Outcomes of records kept for the history; 1,000 by default.
+    pub history_records: usize,
+    /// Whether this process appends snapshots; true by default.
+    pub appends_snapshots: bool,
+    /// When snapshots are appended.
+    pub snapshot: SnapshotOptions,
+}
+
+impl Default for ConfigOptions {
+    fn default() -> Self {
+        ConfigOptions {
+            history_records: 1_000,
+            appends_snapshots: true,
+            snapshot: SnapshotOptions::default(),
+        }
+    }
+}
 
 /// What is in force, and why nothing is if nothing is.
 #[derive(Debug, Clone, PartialEq)]
@@ -16,6 +64,31 @@
     pub is_ready: bool,
     /// Why the host may not serve, or what is wrong although it does; empty if all is well.
     pub reason: String,
+    /// The last records, for peers.
+    pub(crate) tail: Tail,
+}
+
+impl ConfigState {
+    fn not_ready() -> Self {
+        ConfigState {
+            table: Arc::default(),
+            is_ready: false,
+            reason: Replica::new(SnapshotOptions::default()).reason(),
+            tail: Tail::default(),
+        }
+    }
+}
+
+/// What came of a record of the configuration stream.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HistoryEntry {
+    /// The record's offset.
+    pub offset: Offset,
+    /// When it was appended, in milliseconds since the Unix epoch.
+    pub appended_at_ms: u64,
+    /// What came of it.
+    #[serde(flatten)]
+    pub outcome: Outcome,
 }
 
 /// A handle on the configuration in force; clones share it.
@@ -23,15 +96,36 @@
 pub struct ConfigHandle {
     state: watch::Receiver<ConfigState>,
     sender: Arc<watch::Sender<ConfigState>>,
+    confirmed_at_ms: Arc<AtomicU64>,
+    actor: Option<Addr<Subscription>>,
 }
 
 impl ConfigHandle {
+    /// Starts to follow the configuration stream in the current arbiter.
+    ///
+    /// `host` is this host's name among those told by [`ConfigHandle::set_live_hosts`]; `seed`
+    /// drives the jitter of snapshots.
+    pub fn start(
+        log: LogHandle,
+        journal: Journal,
+        host: HostId,
+        options: ConfigOptions,
+        seed: u64,
+    ) -> Self {
+        let mut handle = ConfigHandle::starting_with(ConfigState::not_ready());
+        let parts = SubscriptionParts { log, journal, host };
+        let actor = Subscription::new(parts, handle.clone(), options, seed);
+        handle.actor = Some(actor.start());
+        handle
+    }
+
     /// A handle on a table that never changes, for tests and demos.
     pub fn fixed(table: Table) -> Self {
         ConfigHandle::starting_with(ConfigState {
             table: Arc::new(table),
             is_ready: true,
             reason: String::new(),
+            tail: Tail::default(),
         })
     }
 
@@ -50,6 +144,21 @@
         self.state.borrow().clone()
     }
 
+    /// The offset in force, as heartbeats tell it: the next record's. 0 if there is none.
+    pub fn offset(&self) -> Offset {
+        self.state.borrow().table.next
+    }
+
+    /// The offset in force and how long ago the platform confirmed that it is the newest.
+    pub fn status(&self) -> ConfigStatus {
+        let confirmed_at_ms = self.confirmed_at_ms.load(Ordering::Relaxed);
+        let age_ms = wall_ms().saturating_sub(confirmed_at_ms);
+        ConfigStatus {
+            offset: self.is_ready().then(|| self.offset()),
+            age_ms: (confirmed_at_ms > 0).then_some(age_ms),
+        }
+    }
+
     /// Waits until a table beyond `seen`, an earlier table's `next`, is in force.
     pub async fn changed(&self, seen: Offset) -> Arc<Table> {
         let mut state = self.state.clone();
@@ -58,16 +167,75 @@
         beyond.map_or_else(|_| self.table(), |state| Arc::clone(&state.table))
     }
 
-    pub(crate) fn starting_with(state: ConfigState) -> Self {
+    /// Tells that a peer has `offset` in force: this host isn't ready before it has reached it.
+    pub fn told(&self, offset: Offset) {
+        self.tell(Input::Told(offset));
+    }
+
+    /// Tells which hosts are live, this one among them; they share the duty of snapshots.
+    pub fn set_live_hosts(&self, hosts: Vec<HostId>) {
+        if let Some(actor) = &self.actor {
+            actor.do_send(LiveHosts(hosts));
+        }
+    }
+
+    /// The last outcomes, oldest first.
+    pub async fn history(&self) -> Vec<HistoryEntry> {
+        match &self.actor {
+            Some(actor) => actor.send(AskHistory).await.unwrap_or_default(),
+            None => Vec::new(),
+        }
+    }
+
+    /// Waits until the record at `offset` is folded and tells what came of it; none if this
+    /// process started from a table that already held it.
+    pub async fn outcome_at(&self, offset: Offset) -> Option<HistoryEntry> {
+        let actor = self.actor.as_ref()?;
+        actor.send(AskOutcome(offset)).await.ok().flatten()
+    }
+
+    fn starting_with(state: ConfigState) -> Self {
         let (sender, receiver) = watch::channel(state);
         ConfigHandle {
             state: receiver,
             sender: Arc::new(sender),
+            confirmed_at_ms: Arc::default(),
+            actor: None,
         }
     }
 
     /// Puts a state in force.
-    pub fn publish(&self, state: ConfigState) {
+    pub(crate) fn publish(&self, state: ConfigState) {
         self.sender.send_replace(state);
     }
+
+    /// The platform has just confirmed that what is in force is the newest.
+    pub(crate) fn confirm(&self) {
+        self.confirmed_at_ms.store(wall_ms(), Ordering::Relaxed);
+    }
+
+    fn tell(&self, input: Input) {
+        if let Some(actor) = &self.actor {
+            actor.do_send(Step(input));
+        }
+    }
+}
+
+impl ConfigSource for ConfigHandle {
+    fn next(&self) -> Offset {
+        self.offset()
+    }
+
+    fn tail(&self, next: Offset) -> ConfigTail {
+        let state = self.state();
+        if state.is_ready {
+            state.tail.answer(&state.table, next)
+        } else {
+            ConfigTail::default()
+        }
+    }
+
+    fn offer(&self, tail: ConfigTail) {
+        self.tell(Input::Offer(tail));
+    }
 }
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -17,11 +17,11 @@
 use crate::engine::EngineClient;
 use crate::error::Result;
 use crate::event::EventCode;
-use crate::follow;
 use crate::id::Incarnation;
 use crate::journal::DEFAULT_CAPACITY;
 use crate::journal::Journal;
 use crate::journal::Subject;
+use crate::logstream::LogHandle;
 use crate::server;
 use crate::server::Gate;
 use crate::server::ServerState;
@@ -52,8 +52,23 @@
     ///
     /// [`crate::error::Error::Io`] if a socket can't be opened.
     pub async fn start(settings: EntrySettings) -> Result<Self> {
-        let config = follow::follow(settings.platform_address.clone());
-        EntryHost::start_with(settings, config).await
+        let seed = wall_ms();
+        let clock = SystemClock::new();
+        let journal = journal_of(&settings, clock);
+        let log = LogHandle::start(
+            &settings.platform_address,
+            &settings.data_centre,
+            settings.log.clone(),
+            seed,
+        );
+        let config = ConfigHandle::start(
+            log,
+            journal.clone(),
+            settings.host.clone(),
+            settings.config.clone(),
+            seed,
+        );
+        EntryHost::open(settings, config, journal, clock)
     }
 
     /// The same with a configuration that is followed elsewhere.
@@ -63,8 +78,16 @@
     /// [`crate::error::Error::Io`] if a socket can't be opened.
     pub async fn start_with(settings: EntrySettings, config: ConfigHandle) -> Result<Self> {
         let clock = SystemClock::new();
-        let incarnation = Incarnation(wall_ms());
-        let journal = Journal::new(settings.host.clone(), incarnation, clock, DEFAULT_CAPACITY);
+        let journal = journal_of(&settings, clock);
+        EntryHost::open(settings, config, journal, clock)
+    }
+
+    fn open(
+        settings: EntrySettings,
+        config: ConfigHandle,
+        journal: Journal,
+        clock: SystemClock,
+    ) -> Result<Self> {
         let gate = Gate::new();
         let caller_listener = TcpListener::bind(&settings.caller_address)?;
         let peer_listener = TcpListener::bind(&settings.peer_address)?;
@@ -153,6 +176,11 @@
     }
 }
 
+fn journal_of(settings: &EntrySettings, clock: SystemClock) -> Journal {
+    let incarnation = Incarnation(wall_ms());
+    Journal::new(settings.host.clone(), incarnation, clock, DEFAULT_CAPACITY)
+}
+
 fn dispatcher(config: &ConfigHandle) -> Dispatcher {
     let config = config.clone();
     Dispatcher::new(Arc::new(move || config.table()))
--- a/src/event.rs
+++ b/src/event.rs
@@ -2,8 +2,6 @@
 //!
 //! `docs/EVENTS.md` is the catalogue; a test holds it and [`EventCode`] together.
 
-use std::fmt;
-
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -51,7 +49,7 @@
 }
 
 // 1xx process, 2xx request path, 3xx upstreams, 4xx configuration, 5xx claims, 6xx peers and
-// ownership, 7xx limits, 8xx orders, 9xx stand-ins. Each area keeps its hundred.
+// ownership, 7xx limits, 8xx orders. Each area keeps its hundred.
 event_codes! {
     100 ProcessStarted "The process listens and serves.",
     101 ShutdownBegan "SIGTERM arrived: no new work, what is in flight goes on.",
@@ -74,6 +72,17 @@
     302 UpstreamProbed "A half-open probe was sent to an ejected upstream.",
     303 UpstreamLeaving "An upstream is leaving: no new work.",
     304 UpstreamLost "An upstream was lost with what it ran.",
+    400 ConfigReady "The host has a configuration and serves by it.",
+    401 EditApplied "An edit of the table is in force on this host.",
+    402 EditRejected "An edit of the table was rejected: conflicts or bad values.",
+    403 RecordSkipped "A record of the configuration stream has no known form and was skipped.",
+    404 SnapshotAppended "A snapshot of the table was appended to the log.",
+    405 SnapshotDisagrees "A snapshot differs from the table as of its offset and was ignored.",
+    406 ConfigGap "Retention passed over configuration records that this host had not read.",
+    407 ConfigForeign "A log or a peer has another configuration history: nothing of it was taken.",
+    408 ConfigFromPeer "Configuration was taken from a peer.",
+    409 ConfigLogUnreachable "The configuration stream cannot be read; the host goes on with what it has.",
+    410 ConfigLogReachable "The configuration stream can be read.",
     600 PeerJoined "Another entry host joined or came back.",
     601 PeerSuspected "Another entry host could not be reached; it still counts.",
     602 PeerRefuted "A suspicion was refuted.",
@@ -82,9 +91,6 @@
     605 HostAlone "This host hears from nobody; it keeps the owners it knew and decides alone.",
     606 HostRejoined "This host hears from others again.",
     607 OwnersChanged "The hosts that may own upstreams and limits changed.",
-    900 GenerationStarted "A stand-in engine started an attempt.",
-    901 GenerationEnded "A stand-in engine completed or cancelled an attempt.",
-    902 FaultArmed "A stand-in was told to misbehave.",
 }
 
 /// One event of one process.
@@ -118,26 +124,3 @@
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub detail: String,
 }
-
-/// One line: `E204 RequestDispatched request=… upstream=… detail`.
-impl fmt::Display for Event {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "E{:03} {}", self.code.number(), self.code.name())?;
-        if let Some(request) = &self.request {
-            write!(f, " request={request}")?;
-        }
-        if let Some(attempt) = &self.attempt {
-            write!(f, " attempt={attempt}")?;
-        }
-        if let Some(upstream) = &self.upstream {
-            write!(f, " upstream={upstream}")?;
-        }
-        if let Some(offset) = &self.offset {
-            write!(f, " offset={offset}")?;
-        }
-        if !self.detail.is_empty() {
-            write!(f, " {}", self.detail)?;
-        }
-        Ok(())
-    }
-}
--- a/src/fold.rs
+++ b/src/fold.rs
@@ -22,7 +22,8 @@
 use crate::table::Table;
 
 /// What the fold did with a record.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "outcome", rename_all = "snake_case")]
 pub enum Outcome {
     /// The edit is in force.
     Applied(EditSummary),
--- a/src/record.rs
+++ b/src/record.rs
@@ -74,7 +74,7 @@
 }
 
 /// A snapshot without its table.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SnapshotHeader {
     /// Every record before this offset is folded into the table.
     pub as_of: Offset,
--- a/src/server.rs
+++ b/src/server.rs
@@ -432,9 +432,10 @@
     if state.config.is_ready() {
         return Ok(());
     }
+    let reason = state.config.state().reason;
     Err(Refusal::not_run(
         Code::NotReady,
-        "the host has no configuration yet",
+        format!("the host has no configuration yet: {reason}"),
     ))
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,11 +10,13 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::config::ConfigOptions;
 use crate::engine::EngineOptions;
 use crate::error::Error;
 use crate::error::Result;
 use crate::id::DataCentre;
 use crate::id::HostId;
+use crate::logstream::LogOptions;
 use crate::relay::RelayOptions;
 use crate::server::ServerOptions;
 use crate::shutdown::ShutdownOptions;
@@ -36,6 +38,12 @@
     /// Peer addresses of other entry hosts to ask while the platform is down.
     #[serde(default)]
     pub peers: Vec<String>,
+    /// How the platform's log is used.
+    #[serde(default)]
+    pub log: LogOptions,
+    /// How the configuration is kept.
+    #[serde(default)]
+    pub config: ConfigOptions,
     /// Bounds of what callers may send.
     #[serde(default)]
     pub server: ServerOptions,
--- a/src/table.rs
+++ b/src/table.rs
@@ -202,8 +202,7 @@
     /// Moves past `record`: the chain of hashes and the next offset.
     pub(crate) fn pass(&mut self, record: &Record) {
         if self.next == Offset(0) {
-            // Zero stands for "no record yet".
-            self.origin = xxh3_64(record.data.as_bytes()).max(1);
+            self.origin = origin_of(record);
         }
         self.history = xxh3_64_with_seed(record.data.as_bytes(), self.history ^ record.offset.0);
         self.next = record.offset.next();
@@ -315,6 +314,11 @@
     hex::encode(Sha256::digest(key.as_bytes()))
 }
 
+/// The hash of a stream's first record; never 0, which stands for "no record yet".
+pub(crate) fn origin_of(first: &Record) -> u64 {
+    xxh3_64(first.data.as_bytes()).max(1)
+}
+
 fn decode_hash(text: &str) -> Option<KeyHash> {
     let mut hash = KeyHash::default();
     hex::decode_to_slice(text, &mut hash).ok()?;
