--- a/src/bin/cedargauge-standin/main.rs
+++ b/src/bin/cedargauge-standin/main.rs
@@ -4,6 +4,7 @@
 
 use anyhow::Context;
 use argh::FromArgs;
+
 use cedargauge::model::ModelOptions;
 use cedargauge::standin::Served;
 use cedargauge::standin_engine;
--- a/src/event.rs
+++ b/src/event.rs
@@ -2,6 +2,8 @@
 //!
 //! `docs/EVENTS.md` is the catalogue; a test holds it and [`EventCode`] together.
 
+use std::fmt;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -49,7 +51,7 @@
 }
 
 // 1xx process, 2xx request path, 3xx upstreams, 4xx configuration, 5xx claims, 6xx peers and
-// ownership, 7xx limits, 8xx orders. Each area keeps its hundred.
+// ownership, 7xx limits, 8xx orders, 9xx stand-ins. Each area keeps its hundred.
 event_codes! {
     100 ProcessStarted "The process listens and serves.",
     101 ShutdownBegan "SIGTERM arrived: no new work, what is in flight goes on.",
@@ -91,6 +93,9 @@
     605 HostAlone "This host hears from nobody; it keeps the owners it knew and decides alone.",
     606 HostRejoined "This host hears from others again.",
     607 OwnersChanged "The hosts that may own upstreams and limits changed.",
+    900 GenerationStarted "A stand-in engine started an attempt.",
+    901 GenerationEnded "A stand-in engine completed or cancelled an attempt.",
+    902 FaultArmed "A stand-in was told to misbehave.",
 }
 
 /// One event of one process.
@@ -124,3 +129,26 @@
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub detail: String,
 }
+
+/// One line: `E204 RequestDispatched request=… upstream=… detail`.
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "E{:03} {}", self.code.number(), self.code.name())?;
+        if let Some(request) = &self.request {
+            write!(f, " request={request}")?;
+        }
+        if let Some(attempt) = &self.attempt {
+            write!(f, " attempt={attempt}")?;
+        }
+        if let Some(upstream) = &self.upstream {
+            write!(f, " upstream={upstream}")?;
+        }
+        if let Some(offset) = &self.offset {
+            write!(f, " offset={offset}")?;
+        }
+        if !self.detail.is_empty() {
+            write!(f, " {}", self.detail)?;
+        }
+        Ok(())
+    }
+}
--- a/src/journal.rs
+++ b/src/journal.rs
@@ -124,7 +124,7 @@
             offset: subject.offset,
             detail: subject.detail,
         };
-        log::info!("{}", render(&event));
+        log::info!("{event}");
         ring.next_sequence += 1;
         if ring.events.len() == self.inner.capacity {
             ring.events.pop_front();
@@ -149,25 +149,3 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// One event as a line of log: `E204 RequestDispatched request=… upstream=… detail`.
-fn render(event: &Event) -> String {
-    let mut line = format!("E{:03} {}", event.code.number(), event.code.name());
-    if let Some(request) = &event.request {
-        line.push_str(&format!(" request={request}"));
-    }
-    if let Some(attempt) = &event.attempt {
-        line.push_str(&format!(" attempt={attempt}"));
-    }
-    if let Some(upstream) = &event.upstream {
-        line.push_str(&format!(" upstream={upstream}"));
-    }
-    if let Some(offset) = &event.offset {
-        line.push_str(&format!(" offset={offset}"));
-    }
-    if !event.detail.is_empty() {
-        line.push(' ');
-        line.push_str(&event.detail);
-    }
-    line
-}
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -18,9 +18,21 @@
 use actix_web::HttpResponse;
 use actix_web::dev::Extensions;
 use actix_web::dev::Server;
+use actix_web::web;
+use serde::Deserialize;
+use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::clock::SystemClock;
+use crate::clock::wall_ms;
 use crate::error::Result;
+use crate::event::Event;
+use crate::event::EventCode;
+use crate::id::HostId;
+use crate::id::Incarnation;
+use crate::journal::DEFAULT_CAPACITY;
+use crate::journal::Journal;
+use crate::journal::Subject;
 
 /// Exit status of a stand-in that a fault told to die.
 pub const DIED_STATUS: i32 = 70;
@@ -37,6 +49,38 @@
 /// Number of different outputs lengths that prompts without `#tokens=` get.
 const OUTPUT_TOKENS_SPREAD: u64 = 180;
 
+/// The journal of the stand-in `kind` that listens at `address`.
+pub(crate) fn journal(kind: &str, address: SocketAddr) -> Journal {
+    let journal = Journal::new(
+        HostId::new(format!("{kind}-{address}")),
+        Incarnation(wall_ms()),
+        SystemClock::new(),
+        DEFAULT_CAPACITY,
+    );
+    journal.record(EventCode::ProcessStarted, Subject::none());
+    journal
+}
+
+#[derive(Deserialize)]
+pub(crate) struct EventsQuery {
+    #[serde(default)]
+    from: u64,
+}
+
+/// `GET /events?from=SEQUENCE`: the events that the journal keeps.
+pub(crate) async fn events(
+    query: web::Query<EventsQuery>,
+    journal: web::Data<Journal>,
+) -> web::Json<Vec<Event>> {
+    web::Json(journal.events_from(query.from))
+}
+
+/// Records a fault as it was told, in JSON.
+pub(crate) fn record_fault(journal: &Journal, fault: &impl Serialize) {
+    let told = serde_json::to_string(fault).unwrap_or_default();
+    journal.record(EventCode::FaultArmed, Subject::none().detail(told));
+}
+
 /// A stand-in that listens. Spawn or await `server` to serve.
 pub struct Served {
     /// Where it listens.
--- a/src/standin_engine.rs
+++ b/src/standin_engine.rs
@@ -16,12 +16,16 @@
 
 use crate::error::Result;
 use crate::id::AttemptId;
+use crate::journal::Journal;
 use crate::model::ModelOptions;
 use crate::standin::DIED_STATUS;
 use crate::standin::Served;
 use crate::standin::cut;
+use crate::standin::events;
+use crate::standin::journal;
 use crate::standin::keep_socket;
 use crate::standin::listen;
+use crate::standin::record_fault;
 use crate::standin_faults::EngineFault;
 use crate::standin_generation::Engine;
 use crate::standin_generation::EngineCounters;
@@ -89,12 +93,15 @@
 /// The socket could not be opened.
 pub fn serve(options: EngineOptions) -> Result<Served> {
     let (listener, address) = listen(&options.listen)?;
-    let engine = Arc::new(Engine::new(&options));
+    let journal = journal("engine", address);
+    let engine = Arc::new(Engine::new(&options, journal.clone()));
     rt::spawn(generate_steps(Arc::clone(&engine)));
     rt::spawn(collect(Arc::clone(&engine)));
     let data = web::Data::from(engine);
+    let journal = web::Data::new(journal);
     let server = HttpServer::new(move || {
         App::new()
+            .app_data(journal.clone())
             .app_data(data.clone())
             .app_data(web::JsonConfig::default().limit(REQUEST_BYTES_MAX))
             .route("/v1/generations", web::post().to(start))
@@ -104,6 +111,7 @@
             .route("/v1/cache-events", web::get().to(cache_events))
             .route("/v1/orders", web::post().to(order))
             .route("/v1/orders", web::get().to(order_state))
+            .route("/events", web::get().to(events))
             .route("/admin/faults", web::post().to(set_fault))
             .route("/admin/counters", web::get().to(counters))
     })
@@ -225,7 +233,12 @@
     HttpResponse::Ok().json(engine.order_state())
 }
 
-async fn set_fault(fault: web::Json<EngineFault>, engine: web::Data<Engine>) -> HttpResponse {
+async fn set_fault(
+    fault: web::Json<EngineFault>,
+    engine: web::Data<Engine>,
+    journal: web::Data<Journal>,
+) -> HttpResponse {
+    record_fault(&journal, &fault.0);
     match fault.into_inner() {
         EngineFault::Reclaim { notice_ms } => {
             engine.leave();
--- a/src/standin_generation.rs
+++ b/src/standin_generation.rs
@@ -16,7 +16,10 @@
 use crate::clock::SystemClock;
 use crate::clock::Time;
 use crate::clock::wall_ms;
+use crate::event::EventCode;
 use crate::id::AttemptId;
+use crate::journal::Journal;
+use crate::journal::Subject;
 use crate::model::EngineModel;
 use crate::model::ModelEvent;
 use crate::model::ModelRequest;
@@ -121,6 +124,7 @@
 }
 
 struct State {
+    journal: Journal,
     model: EngineModel,
     orders: Orders,
     rng: ChaCha8Rng,
@@ -132,7 +136,7 @@
 }
 
 impl Engine {
-    pub(crate) fn new(options: &EngineOptions) -> Self {
+    pub(crate) fn new(options: &EngineOptions, journal: Journal) -> Self {
         let load_time = Duration::from_millis(options.order_load_ms);
         let clock = SystemClock::new();
         Engine {
@@ -144,6 +148,7 @@
             incarnation: wall_ms(),
             submitted: Notify::new(),
             state: Mutex::new(State {
+                journal,
                 model: EngineModel::new(options.model.clone(), options.seed),
                 orders: Orders::new(&options.model.model, options.checks_fence, load_time),
                 rng: ChaCha8Rng::seed_from_u64(options.seed),
@@ -346,6 +351,7 @@
             },
         )?;
         let key = count_key(&request.prompt);
+        self.record(EventCode::GenerationStarted, request.attempt, &key);
         self.counters.started += 1;
         self.count(&key).started += 1;
         let generation = Generation {
@@ -357,6 +363,11 @@
         Ok(())
     }
 
+    fn record(&self, code: EventCode, attempt: AttemptId, detail: &str) {
+        let subject = Subject::none().attempt(attempt).detail(detail);
+        self.journal.record(code, subject);
+    }
+
     fn count(&mut self, key: &str) -> &mut KeyCounters {
         self.counters.keys.entry(key.to_owned()).or_default()
     }
@@ -409,6 +420,8 @@
                 self.count(&key).cancelled += 1;
             }
         }
+        let detail = format!("{key} {ending:?}");
+        self.record(EventCode::GenerationEnded, attempt, &detail);
         self.ended.push_back(attempt);
         if self.ended.len() > ENDED_MAX
             && let Some(oldest) = self.ended.pop_front()
--- a/src/standin_platform.rs
+++ b/src/standin_platform.rs
@@ -21,6 +21,7 @@
 use crate::error::Result;
 use crate::id::DataCentre;
 use crate::id::Offset;
+use crate::journal::Journal;
 use crate::platform::AppendAnswer;
 use crate::platform::AppendRequest;
 use crate::platform::CONFIG_STREAM;
@@ -31,9 +32,12 @@
 use crate::standin::RETRY_AFTER_MS_HEADER;
 use crate::standin::Served;
 use crate::standin::cut;
+use crate::standin::events;
+use crate::standin::journal;
 use crate::standin::keep_socket;
 use crate::standin::listen;
 use crate::standin::lock;
+use crate::standin::record_fault;
 use crate::standin_log::Log;
 use crate::standin_log::LogCounters;
 use crate::standin_log::Pace;
@@ -188,8 +192,10 @@
 pub fn serve(options: PlatformOptions) -> Result<Served> {
     let (listener, address) = listen(&options.listen)?;
     let platform = web::Data::new(Platform::new(&options)?);
+    let journal = web::Data::new(journal("platform", address));
     let server = HttpServer::new(move || {
         App::new()
+            .app_data(journal.clone())
             .app_data(platform.clone())
             .app_data(web::JsonConfig::default().limit(APPEND_BYTES_MAX))
             .route("/v1/streams/{stream}/records", web::post().to(append))
@@ -197,6 +203,7 @@
             .route("/v1/hosts", web::get().to(hosts))
             .route("/v1/weights/{model:.*}", web::post().to(weights))
             .route("/admin/hosts", web::post().to(set_hosts))
+            .route("/events", web::get().to(events))
             .route("/admin/faults", web::post().to(set_fault))
             .route("/admin/counters", web::get().to(counters))
     })
@@ -404,7 +411,12 @@
     HttpResponse::NoContent().finish()
 }
 
-async fn set_fault(fault: web::Json<PlatformFault>, platform: web::Data<Platform>) -> HttpResponse {
+async fn set_fault(
+    fault: web::Json<PlatformFault>,
+    platform: web::Data<Platform>,
+    journal: web::Data<Journal>,
+) -> HttpResponse {
+    record_fault(&journal, &fault.0);
     match fault.into_inner() {
         PlatformFault::Down { outage } => lock(&platform.faults).outage = outage,
         PlatformFault::Slow { ms } => lock(&platform.faults).slow = Duration::from_millis(ms),
--- a/src/standin_service.rs
+++ b/src/standin_service.rs
@@ -15,13 +15,17 @@
 use serde::Serialize;
 
 use crate::error::Result;
+use crate::journal::Journal;
 use crate::standin::DIED_STATUS;
 use crate::standin::Served;
 use crate::standin::count_key;
 use crate::standin::cut;
+use crate::standin::events;
+use crate::standin::journal;
 use crate::standin::keep_socket;
 use crate::standin::listen;
 use crate::standin::lock;
+use crate::standin::record_fault;
 
 /// Largest body that is echoed, in bytes.
 const BODY_BYTES_MAX: usize = 64 << 20;
@@ -99,10 +103,13 @@
 pub fn serve(address: &str) -> Result<Served> {
     let (listener, address) = listen(address)?;
     let state = web::Data::new(Mutex::new(State::default()));
+    let journal = web::Data::new(journal("service", address));
     let server = HttpServer::new(move || {
         App::new()
+            .app_data(journal.clone())
             .app_data(state.clone())
             .app_data(web::PayloadConfig::new(BODY_BYTES_MAX))
+            .route("/events", web::get().to(events))
             .route("/admin/faults", web::post().to(set_fault))
             .route("/admin/counters", web::get().to(counters))
             .route("/healthz", web::get().to(HttpResponse::Ok))
@@ -146,7 +153,12 @@
     HttpResponse::Ok().json(echo)
 }
 
-async fn set_fault(fault: web::Json<ServiceFault>, state: web::Data<Mutex<State>>) -> HttpResponse {
+async fn set_fault(
+    fault: web::Json<ServiceFault>,
+    state: web::Data<Mutex<State>>,
+    journal: web::Data<Journal>,
+) -> HttpResponse {
+    record_fault(&journal, &fault.0);
     let mut state = lock(&state);
     match fault.into_inner() {
         ServiceFault::Slow { ms } => state.slow = Duration::from_millis(ms),
--- a/tests/tester/mod.rs
+++ b/tests/tester/mod.rs
@@ -3,10 +3,13 @@
 #![allow(dead_code, unused_imports, reason = "each test program uses a part")]
 #![allow(clippy::unwrap_used, reason = "fixtures of tests")]
 
+mod caller;
 mod deployment;
 mod program;
 mod standins;
 
+pub use caller::Ask;
+pub use caller::OpenAnswer;
 pub use deployment::Deployment;
 pub use deployment::DeploymentOptions;
 pub use deployment::DeploymentOptionsBuilder;
