--- a/src/bin/cedargauge-standin/main.rs
+++ b/src/bin/cedargauge-standin/main.rs
@@ -1,11 +1,13 @@
 //! `cedargauge-standin`: the fakes of platform, engine and plain service, each as a process.
 
 use std::io::Write;
+use std::path::PathBuf;
 
 use anyhow::Context;
 use argh::FromArgs;
 
 use cedargauge::model::ModelOptions;
+use cedargauge::settings;
 use cedargauge::standin::Served;
 use cedargauge::standin_engine;
 use cedargauge::standin_engine::EngineOptions;
@@ -38,7 +40,7 @@
     listen: String,
     /// file with the first table, a JSON array of rows
     #[argh(option)]
-    table: Option<String>,
+    table: Option<PathBuf>,
     /// appends accepted a second; 500 by default
     #[argh(option, default = "500.0")]
     appends_per_s: f64,
@@ -105,17 +107,23 @@
     "127.0.0.1:0".to_owned()
 }
 
-impl From<PlatformArguments> for PlatformOptions {
-    fn from(arguments: PlatformArguments) -> Self {
-        PlatformOptions {
+impl TryFrom<PlatformArguments> for PlatformOptions {
+    type Error = cedargauge::error::Error;
+
+    fn try_from(arguments: PlatformArguments) -> cedargauge::error::Result<Self> {
+        let rows = match &arguments.table {
+            Some(path) => settings::read(path)?,
+            None => Vec::new(),
+        };
+        Ok(PlatformOptions {
             listen: arguments.listen,
-            table: arguments.table,
+            rows,
             appends_per_s: arguments.appends_per_s,
             weight_permits_per_min: arguments.weight_permits_per_min,
             retention_ms: arguments.retention_ms,
             retention_records: arguments.retention_records,
             list_lag_ms: arguments.list_lag_ms,
-        }
+        })
     }
 }
 
@@ -151,7 +159,7 @@
 
 fn serve(standin: Standin) -> cedargauge::error::Result<Served> {
     match standin {
-        Standin::Platform(arguments) => standin_platform::serve(arguments.into()),
+        Standin::Platform(arguments) => standin_platform::serve(arguments.try_into()?),
         Standin::Engine(arguments) => standin_engine::serve(arguments.into()),
         Standin::Service(arguments) => standin_service::serve(&arguments.listen),
     }
--- a/src/standin_platform.rs
+++ b/src/standin_platform.rs
@@ -1,6 +1,5 @@
 //! A stand-in for the platform: log streams, host list and weight store, with their faults.
 
-use std::path::Path;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -13,13 +12,11 @@
 use actix_web::web;
 use derive_builder::Builder;
 use serde::Deserialize;
-use serde::Serialize;
 use tokio::sync::watch;
 
 use crate::clock::SystemClock;
 use crate::clock::wall_ms;
 use crate::error::Result;
-use crate::id::DataCentre;
 use crate::id::Offset;
 use crate::journal::Journal;
 use crate::platform::AppendAnswer;
@@ -27,8 +24,7 @@
 use crate::platform::CONFIG_STREAM;
 use crate::platform::HostList;
 use crate::record::first_edit;
-use crate::settings;
-use crate::standin::DATA_CENTRE_HEADER;
+use crate::row::Row;
 use crate::standin::RETRY_AFTER_MS_HEADER;
 use crate::standin::Served;
 use crate::standin::cut;
@@ -41,6 +37,9 @@
 use crate::standin_log::Log;
 use crate::standin_log::LogCounters;
 use crate::standin_log::Pace;
+use crate::standin_outage::Faults;
+use crate::standin_outage::Outage;
+use crate::standin_outage::PlatformFault;
 
 /// Largest batch that is appended, in bytes.
 const APPEND_BYTES_MAX: usize = 16 << 20;
@@ -58,8 +57,8 @@
     /// Address and port; port 0 takes a free one.
     #[builder(setter(into))]
     pub listen: String,
-    /// File with the first table, a JSON array of rows; none appends nothing.
-    pub table: Option<String>,
+    /// Rows of the first table, appended as one edit; none appends nothing.
+    pub rows: Vec<Row>,
     /// Appends that are accepted a second.
     pub appends_per_s: f64,
     /// Permits to load weights that are given a minute.
@@ -76,7 +75,7 @@
     fn default() -> Self {
         PlatformOptions {
             listen: "127.0.0.1:0".to_owned(),
-            table: None,
+            rows: Vec::new(),
             appends_per_s: 500.0,
             weight_permits_per_min: 600.0,
             retention_ms: None,
@@ -86,88 +85,6 @@
     }
 }
 
-/// A fault for `POST /admin/faults`.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
-pub enum PlatformFault {
-    /// The whole platform is down, in the way that is given.
-    Down {
-        /// How callers see it.
-        outage: Outage,
-    },
-    /// Every call takes this much longer.
-    Slow {
-        /// Added time in milliseconds; 0 ends the fault.
-        ms: u64,
-    },
-    /// Answers to the next appends are lost after the records are in the log.
-    LoseAppendAnswers {
-        /// How many answers; 0 ends the fault.
-        count: u32,
-        /// Of every hundred appends, this many are hit until the count is used up.
-        #[serde(default = "all_percent")]
-        percent: u32,
-    },
-    /// Records are kept for a shorter time or in a smaller number.
-    Retention {
-        /// Longest age in milliseconds.
-        age_ms: Option<u64>,
-        /// Largest number of records of a stream.
-        records: Option<usize>,
-    },
-    /// Appends are refused beyond this rate.
-    AppendRate {
-        /// Appends a second.
-        per_s: f64,
-    },
-    /// Permits to load weights are refused beyond this rate.
-    WeightRate {
-        /// Permits a minute.
-        per_min: f64,
-    },
-    /// The host list shows changes late.
-    ListLag {
-        /// By how much, in milliseconds.
-        ms: u64,
-    },
-    /// Calls from these data centres get no answer and have no effect; none ends the fault.
-    Partition {
-        /// Data centres that are cut off.
-        data_centres: Vec<DataCentre>,
-    },
-    /// Ends outage, slowness, lost answers and partition.
-    Clear,
-}
-
-/// How callers see an outage.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Outage {
-    /// No outage.
-    #[default]
-    None,
-    /// Calls are answered with status 503.
-    Refuse,
-    /// Connections are cut without an answer.
-    Reset,
-    /// Calls hang until the outage ends and take effect then, unless the caller has gone.
-    Hang,
-}
-
-fn all_percent() -> u32 {
-    100
-}
-
-#[derive(Default)]
-struct Faults {
-    outage: Outage,
-    slow: Duration,
-    lost_answers: u32,
-    lost_percent: u32,
-    appends_seen: u32,
-    cut_off: Vec<DataCentre>,
-}
-
 struct Platform {
     clock: SystemClock,
     log: Mutex<Log>,
@@ -188,7 +105,7 @@
 ///
 /// # Errors
 ///
-/// The socket could not be opened, or the table's file is missing or no array of rows.
+/// The socket could not be opened.
 pub fn serve(options: PlatformOptions) -> Result<Served> {
     let (listener, address) = listen(&options.listen)?;
     let platform = web::Data::new(Platform::new(&options)?);
@@ -221,8 +138,9 @@
         let clock = SystemClock::new();
         let mut log = Log::new(options.appends_per_s);
         log.retain(options.retention_ms, options.retention_records);
-        if let Some(path) = &options.table {
-            log.append(CONFIG_STREAM, vec![first_record(path)?], wall_ms());
+        if !options.rows.is_empty() {
+            let record = first_edit(options.rows.clone())?;
+            log.append(CONFIG_STREAM, vec![record], wall_ms());
         }
         Ok(Platform {
             clock,
@@ -273,33 +191,6 @@
     }
 }
 
-impl Faults {
-    fn cuts_off(&self, request: &HttpRequest) -> bool {
-        let name = request.headers().get(DATA_CENTRE_HEADER);
-        let name = name.and_then(|value| value.to_str().ok());
-        name.is_some_and(|name| self.cut_off.iter().any(|cut| cut.as_str() == name))
-    }
-
-    /// Whether the answer to the append at hand is lost.
-    fn loses_answer(&mut self) -> bool {
-        if self.lost_answers == 0 {
-            return false;
-        }
-        self.appends_seen += 1;
-        let percent = self.lost_percent;
-        let hit = self.appends_seen * percent / 100 > (self.appends_seen - 1) * percent / 100;
-        if hit {
-            self.lost_answers -= 1;
-        }
-        hit
-    }
-}
-
-/// The record that adds the rows of a file.
-fn first_record(path: &str) -> Result<String> {
-    first_edit(settings::read(Path::new(path))?)
-}
-
 #[derive(Deserialize)]
 struct ReadQuery {
     #[serde(default)]
@@ -418,14 +309,6 @@
 ) -> HttpResponse {
     record_fault(&journal, &fault.0);
     match fault.into_inner() {
-        PlatformFault::Down { outage } => lock(&platform.faults).outage = outage,
-        PlatformFault::Slow { ms } => lock(&platform.faults).slow = Duration::from_millis(ms),
-        PlatformFault::LoseAppendAnswers { count, percent } => {
-            let mut faults = lock(&platform.faults);
-            faults.lost_answers = count;
-            faults.lost_percent = percent.min(100);
-            faults.appends_seen = 0;
-        }
         PlatformFault::Retention { age_ms, records } => {
             lock(&platform.log).retain(age_ms, records);
         }
@@ -434,10 +317,7 @@
             *lock(&platform.weights) = Pace::new(per_min / 60.0);
         }
         PlatformFault::ListLag { ms } => lock(&platform.lists).lag = Duration::from_millis(ms),
-        PlatformFault::Partition { data_centres } => {
-            lock(&platform.faults).cut_off = data_centres;
-        }
-        PlatformFault::Clear => *lock(&platform.faults) = Faults::default(),
+        of_calls => lock(&platform.faults).arm(of_calls),
     }
     platform.wake();
     HttpResponse::NoContent().finish()
--- a/tests/standin_platform.rs
+++ b/tests/standin_platform.rs
@@ -16,8 +16,8 @@
 use cedargauge::platform::HostState;
 use cedargauge::platform::ListedHost;
 use cedargauge::platform::ReadAnswer;
-use cedargauge::standin_platform::Outage;
-use cedargauge::standin_platform::PlatformFault;
+use cedargauge::standin_outage::Outage;
+use cedargauge::standin_outage::PlatformFault;
 
 fn append_fails(platform: &Platform, record: &str) -> bool {
     let url = format!("http://{}/v1/streams/s/records", platform.address);
--- a/tests/tester/standins.rs
+++ b/tests/tester/standins.rs
@@ -14,7 +14,7 @@
 use cedargauge::standin_faults::EngineFault;
 use cedargauge::standin_generation::EngineCounters;
 use cedargauge::standin_log::LogCounters;
-use cedargauge::standin_platform::PlatformFault;
+use cedargauge::standin_outage::PlatformFault;
 use cedargauge::standin_service::ServiceCounters;
 use cedargauge::standin_service::ServiceFault;
 
