--- /dev/null
+++ b/src/bin/cedargauge-replay/synth.rs
@@ -0,0 +1,61 @@
+//! `cedargauge-replay synth`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use anyhow::Result;
+use anyhow::ensure;
+use argh::FromArgs;
+
+use cedargauge::preset::Preset;
+use cedargauge::synth::synthesise;
+
+/// Write a synthetic trace.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "synth")]
+pub(crate) struct Arguments {
+    /// workload: hoher-grat or joint-venture
+    #[argh(option)]
+    preset: Preset,
+    /// seed of the trace and of its engines; 1 by default
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// share of the engines' memory-time that the requests need; 0.95 by default
+    #[argh(option, default = "0.95")]
+    load: f64,
+    /// requests arrive for this long, in minutes; 20 by default
+    #[argh(option, default = "20.0")]
+    minutes: f64,
+    /// file to write
+    #[argh(option)]
+    out: PathBuf,
+}
+
+pub(crate) fn run(arguments: &Arguments) -> Result<ExitCode> {
+    ensure!(
+        arguments.load > 0.0 && arguments.load <= 10.0,
+        "--load {}: allowed is more than 0 and at most 10",
+        arguments.load
+    );
+    ensure!(
+        arguments.minutes > 0.0 && arguments.minutes <= 1_440.0,
+        "--minutes {}: allowed is more than 0 and at most 1,440",
+        arguments.minutes
+    );
+    let duration_ms = (arguments.minutes * 60_000.0) as u64;
+    let trace = synthesise(
+        &arguments.preset,
+        arguments.seed,
+        arguments.load,
+        duration_ms,
+    );
+    trace.write(&arguments.out)?;
+    println!(
+        "{}: {} requests in {} s at load {}",
+        arguments.out.display(),
+        trace.requests.len(),
+        duration_ms / 1_000,
+        arguments.load
+    );
+    Ok(ExitCode::SUCCESS)
+}
