--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 mod offer;
 mod outbox;
 pub mod observe;
+mod offer;
 mod oracle;
 pub mod outcome;
 pub mod output;
