--- a/src/follower.rs
+++ b/src/follower.rs
@@ -72,6 +72,7 @@
     next: Offset,
     last: Option<Last>,
     trust: Trust,
+    checks_always: bool,
     is_failing: bool,
     backoff: ExponentialBackoff,
 }
@@ -103,10 +104,18 @@
             next,
             last: None,
             trust: Trust::Unchecked,
+            checks_always: false,
             is_failing: false,
         }
     }
 
+    /// Reads the last record again before anything that follows it is delivered, also without an
+    /// outage: costs a second read each time that records arrive.
+    pub fn checking_always(mut self) -> Self {
+        self.checks_always = true;
+        self
+    }
+
     /// The next offset to be delivered.
     pub fn next_offset(&self) -> Offset {
         self.next
@@ -151,6 +160,11 @@
         if answer.head < self.next || self.differs(&answer) {
             return self.foreign(now, answer.head);
         }
+        let is_checked = self.trust != Trust::Known || self.last.is_none();
+        if self.checks_always && !is_checked && !answer.records.is_empty() {
+            self.trust = Trust::Unchecked;
+            return vec![self.read_on()];
+        }
         let mut actions = Vec::new();
         if answer.first_retained > self.next {
             actions.push(Action::Tell(StreamEvent::Gap {
--- a/src/follower/tests.rs
+++ b/src/follower/tests.rs
@@ -75,6 +75,21 @@
     );
 }
 
+#[test]
+fn a_log_wiped_and_grown_between_two_reads_is_found_by_checking_always() {
+    let mut follower = follower(0).checking_always();
+    follower.step(Time::ZERO, Input::Read(answer(0, 2, &[(0, "a"), (1, "b")])));
+
+    let unchecked = follower.step(Time::ZERO, Input::Read(answer(0, 3, &[(2, "z")])));
+    let checked = follower.step(Time::ZERO, Input::Read(answer(0, 3, &[(1, "y"), (2, "z")])));
+
+    assert_eq!(unchecked, [reading(1, false)]);
+    assert_eq!(
+        checked[0],
+        Action::Tell(StreamEvent::Foreign { head: Offset(3) })
+    );
+}
+
 #[test]
 fn records_with_a_hole_are_not_delivered() {
     let mut follower = follower(0);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod limiter;
 pub mod limits;
 mod link;
+mod loghttp;
 pub mod logstream;
 pub mod member;
 pub mod membership;
--- a/src/logstream.rs
+++ b/src/logstream.rs
@@ -17,12 +17,9 @@
 use actix::Message;
 use actix::ResponseFuture;
 use actix::WrapFuture;
-use awc::Client;
-use awc::http::StatusCode;
 use derive_builder::Builder;
 use serde::Deserialize;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use uuid::Uuid;
@@ -38,17 +35,12 @@
 use crate::follower::StreamEvent;
 use crate::id::DataCentre;
 use crate::id::Offset;
-use crate::platform::AppendAnswer;
-use crate::platform::AppendRequest;
-use crate::platform::ReadAnswer;
+use crate::loghttp::LogHttp;
 use crate::quota::Quota;
 
 /// Header that tells the platform the caller's data centre.
 pub const DATA_CENTRE_HEADER: &str = "x-data-centre";
 
-/// Largest answer that is read, in bytes: a snapshot of a full-size table fits.
-const ANSWER_BYTES_MAX: usize = 64 * 1024 * 1024;
-
 /// Events of a followed stream that may wait for who follows it.
 const EVENTS_WAITING: usize = 16;
 
@@ -147,10 +139,26 @@
 
     /// Follows a stream from `from` on until the receiver is dropped.
     pub fn follow(&self, stream: &str, from: Offset) -> mpsc::Receiver<StreamEvent> {
+        self.start_following(stream, from, false)
+    }
+
+    /// The same, and records are delivered only after the one before them was read again: for
+    /// streams whose history must never change unnoticed.
+    pub fn follow_checked(&self, stream: &str, from: Offset) -> mpsc::Receiver<StreamEvent> {
+        self.start_following(stream, from, true)
+    }
+
+    fn start_following(
+        &self,
+        stream: &str,
+        from: Offset,
+        checks_always: bool,
+    ) -> mpsc::Receiver<StreamEvent> {
         let (sender, receiver) = mpsc::channel(EVENTS_WAITING);
         self.actor.do_send(Follow {
             stream: stream.to_owned(),
             from,
+            checks_always,
             sender,
         });
         receiver
@@ -171,6 +179,7 @@
 struct Follow {
     stream: String,
     from: Offset,
+    checks_always: bool,
     sender: mpsc::Sender<StreamEvent>,
 }
 
@@ -339,7 +348,10 @@
     fn handle(&mut self, follow: Follow, context: &mut Context<Self>) {
         let seed = self.next_seed();
         let options = self.http.options.appender.clone();
-        let follower = Follower::new(options, follow.from, seed);
+        let mut follower = Follower::new(options, follow.from, seed);
+        if follow.checks_always {
+            follower = follower.checking_always();
+        }
         let following = run_follower(follower, Rc::clone(&self.http), self.clock, follow);
         context.spawn(following.into_actor(self));
     }
@@ -377,73 +389,3 @@
         }
     }
 }
-
-/// The platform's log over HTTP.
-struct LogHttp {
-    client: Client,
-    address: String,
-    options: LogOptions,
-}
-
-impl LogHttp {
-    fn new(address: &str, data_centre: &DataCentre, options: LogOptions) -> Self {
-        let client = Client::builder()
-            .add_default_header((DATA_CENTRE_HEADER, data_centre.as_str()))
-            .disable_redirects()
-            .disable_timeout()
-            .finish();
-        LogHttp {
-            client,
-            address: address.to_owned(),
-            options,
-        }
-    }
-
-    async fn append(&self, stream: &str, records: Vec<String>) -> appender::Input {
-        let url = self.url(stream);
-        let timeout = Duration::from_millis(self.options.append_timeout_ms);
-        let sending = self
-            .client
-            .post(url)
-            .timeout(timeout)
-            .send_json(&AppendRequest { records });
-        match sending.await {
-            Ok(mut response) => match response.status() {
-                StatusCode::OK => match response.json::<AppendAnswer>().await {
-                    Ok(answer) => appender::Input::Appended(answer),
-                    Err(_) => appender::Input::Lost,
-                },
-                StatusCode::TOO_MANY_REQUESTS => appender::Input::Refused,
-                status if status.is_client_error() => appender::Input::Rejected,
-                _ => appender::Input::Lost,
-            },
-            // Without a connection nothing was written.
-            Err(awc::error::SendRequestError::Connect(_)) => appender::Input::Refused,
-            Err(_) => appender::Input::Lost,
-        }
-    }
-
-    /// Reads a page; none if that failed.
-    async fn read(&self, stream: &str, from: Offset, wait: bool) -> Option<ReadAnswer> {
-        let wait_ms = if wait { self.options.poll_wait_ms } else { 0 };
-        let limit = self.options.read_records;
-        let url = format!(
-            "{}?from={from}&limit={limit}&wait_ms={wait_ms}",
-            self.url(stream)
-        );
-        let timeout = Duration::from_millis(wait_ms + self.options.read_timeout_ms);
-        self.get(&url, timeout).await
-    }
-
-    async fn get<T: DeserializeOwned>(&self, url: &str, timeout: Duration) -> Option<T> {
-        let mut response = self.client.get(url).timeout(timeout).send().await.ok()?;
-        if response.status() != StatusCode::OK {
-            return None;
-        }
-        response.json().limit(ANSWER_BYTES_MAX).await.ok()
-    }
-
-    fn url(&self, stream: &str) -> String {
-        format!("http://{}/v1/streams/{stream}/records", self.address)
-    }
-}
--- a/src/subscription.rs
+++ b/src/subscription.rs
@@ -138,7 +138,7 @@
         let log = self.log.clone();
         let following = async move {
             actix_rt::time::sleep(pause).await;
-            let mut events = log.follow(CONFIG_STREAM, from);
+            let mut events = log.follow_checked(CONFIG_STREAM, from);
             while let Some(event) = events.recv().await {
                 let news = News { generation, event };
                 if actor.send(news).await != Ok(true) {
