Pass plain calls through, and hold the request path to limits and budgets

Cause: plain services, customers' limits, retry budgets, metrics and slow callers were not served. Change: /v1/services/{service}/{path}; admission, retry budget and meters in the session; /status, /metrics and /drain; a watch that gives up callers who don't read. An attempt that was never written costs no retry budget.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -4,12 +4,16 @@
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_web::App;
 use actix_web::HttpServer;
 use actix_web::dev::ServerHandle;
 use actix_web::web;
+use socket2::SockRef;
+use tokio::sync::Notify;
 
+use crate::board::StatusBoard;
 use crate::clock::SystemClock;
 use crate::clock::wall_ms;
 use crate::config::ConfigHandle;
@@ -17,19 +21,28 @@
 use crate::engine::EngineClient;
 use crate::error::Result;
 use crate::event::EventCode;
+use crate::gate::Gate;
 use crate::id::Incarnation;
+use crate::inspect;
+use crate::inspect::Inspection;
 use crate::journal::DEFAULT_CAPACITY;
 use crate::journal::Journal;
 use crate::journal::Subject;
+use crate::limits::LimitHandle;
+use crate::limits::LimitOptions;
 use crate::logstream::LogHandle;
+use crate::plain::PlainClient;
+use crate::retries::RetryBudgets;
 use crate::server;
-use crate::server::Gate;
 use crate::server::ServerState;
 use crate::session::SessionContext;
 use crate::settings::EntrySettings;
 use crate::shutdown;
 use crate::shutdown::Signals;
 use crate::shutdown::Stopped;
+use crate::telemetry::Telemetry;
+use crate::telemetry::UPKEEP_INTERVAL_MS;
+use crate::watch::SlowCallers;
 
 /// The HTTP library's shutdown timeout, in seconds: a year, so that it cuts no stream.
 const SERVER_SHUTDOWN_TIMEOUT_S: u64 = 365 * 24 * 3_600;
@@ -42,6 +55,7 @@
     peer_listener: TcpListener,
     journal: Journal,
     gate: Arc<Gate>,
+    drain: Arc<Notify>,
     server: ServerHandle,
 }
 
@@ -52,9 +66,10 @@
     ///
     /// [`crate::error::Error::Io`] if a socket can't be opened.
     pub async fn start(settings: EntrySettings) -> Result<Self> {
-        let seed = wall_ms();
+        let incarnation = Incarnation(wall_ms());
+        let seed = incarnation.0;
         let clock = SystemClock::new();
-        let journal = journal_of(&settings, clock);
+        let journal = journal_of(&settings, incarnation, clock);
         let log = LogHandle::start(
             &settings.platform_address,
             &settings.data_centre,
@@ -68,7 +83,7 @@
             settings.config.clone(),
             seed,
         );
-        EntryHost::open(settings, config, journal, clock)
+        EntryHost::open(settings, incarnation, config, journal, clock)
     }
 
     /// The same with a configuration that is followed elsewhere.
@@ -77,29 +92,38 @@
     ///
     /// [`crate::error::Error::Io`] if a socket can't be opened.
     pub async fn start_with(settings: EntrySettings, config: ConfigHandle) -> Result<Self> {
+        let incarnation = Incarnation(wall_ms());
         let clock = SystemClock::new();
-        let journal = journal_of(&settings, clock);
-        EntryHost::open(settings, config, journal, clock)
+        let journal = journal_of(&settings, incarnation, clock);
+        EntryHost::open(settings, incarnation, config, journal, clock)
     }
 
     fn open(
         settings: EntrySettings,
+        incarnation: Incarnation,
         config: ConfigHandle,
         journal: Journal,
         clock: SystemClock,
     ) -> Result<Self> {
         let gate = Gate::new();
-        let caller_listener = TcpListener::bind(&settings.caller_address)?;
+        let drain = Arc::new(Notify::new());
+        let caller_listener = listen(&settings)?;
         let peer_listener = TcpListener::bind(&settings.peer_address)?;
         let caller_address = caller_listener.local_addr()?;
         let parts = Parts {
             dispatcher: dispatcher(&config),
             settings: settings.clone(),
-            config,
+            config: config.clone(),
             journal: journal.clone(),
             clock,
             gate: gate.clone(),
+            limits: LimitHandle::new(LimitOptions::default(), clock),
+            retries: RetryBudgets::default(),
+            board: board(&settings, incarnation, &config, &gate),
+            telemetry: Telemetry::install(),
+            drain: drain.clone(),
         };
+        actix_rt::spawn(keep_up(parts.telemetry.clone(), parts.limits.clone()));
         let server = serve(parts, caller_listener)?;
         let detail = format!("caller={caller_address}");
         journal.record(EventCode::ProcessStarted, Subject::none().detail(detail));
@@ -109,6 +133,7 @@
             peer_listener,
             journal,
             gate,
+            drain,
             server,
         })
     }
@@ -131,6 +156,7 @@
     pub async fn run(self, signals: Signals) -> Stopped {
         shutdown::wait(
             signals,
+            &self.drain,
             &self.settings.shutdown,
             &self.gate,
             &self.server,
@@ -155,11 +181,29 @@
     clock: SystemClock,
     gate: Arc<Gate>,
     dispatcher: Dispatcher,
+    limits: LimitHandle,
+    retries: RetryBudgets,
+    board: StatusBoard,
+    telemetry: Telemetry,
+    drain: Arc<Notify>,
 }
 
 impl Parts {
+    /// The operators' calls of one worker thread.
+    fn inspection(&self) -> Inspection {
+        let drain = self.drain.clone();
+        Inspection {
+            board: self.board.clone(),
+            telemetry: self.telemetry.clone(),
+            operator_token_sha256: self.settings.operator_token_sha256.clone(),
+            drain: Rc::new(move || drain.notify_one()),
+        }
+    }
+
     /// The state of one worker thread.
     fn worker_state(&self) -> ServerState {
+        let options = &self.settings.server;
+        let slow_caller_timeout = Duration::from_millis(options.slow_caller_timeout_ms);
         ServerState {
             host: self.settings.host.clone(),
             config: self.config.clone(),
@@ -169,18 +213,67 @@
                 journal: self.journal.clone(),
                 clock: self.clock,
                 relay: self.settings.relay.clone(),
+                retries: self.retries.clone(),
             },
-            options: self.settings.server.clone(),
+            plain: PlainClient::new(&self.settings.engine, options.plain_answer_bytes_max),
+            limits: self.limits.clone(),
+            slow_callers: SlowCallers::start(slow_caller_timeout),
+            options: options.clone(),
             gate: self.gate.clone(),
         }
     }
 }
 
-fn journal_of(settings: &EntrySettings, clock: SystemClock) -> Journal {
-    let incarnation = Incarnation(wall_ms());
+fn journal_of(settings: &EntrySettings, incarnation: Incarnation, clock: SystemClock) -> Journal {
     Journal::new(settings.host.clone(), incarnation, clock, DEFAULT_CAPACITY)
 }
 
+/// The parts of the status that the controller itself knows.
+fn board(
+    settings: &EntrySettings,
+    incarnation: Incarnation,
+    config: &ConfigHandle,
+    gate: &Arc<Gate>,
+) -> StatusBoard {
+    let data_centre = settings.data_centre.clone();
+    let board = StatusBoard::new(settings.host.clone(), data_centre, incarnation);
+    let config = config.clone();
+    let gate = gate.clone();
+    board.add(move |status| {
+        let state = config.state();
+        status.streams_open = gate.in_flight() as u64;
+        if gate.is_shutting_down() {
+            status
+                .not_ready
+                .push("the host is shutting down".to_owned());
+        }
+        status.config = config.status();
+        if !state.is_ready {
+            status.not_ready.push(state.reason);
+        }
+    });
+    board
+}
+
+/// Keeps the memory of metrics and limits bounded.
+async fn keep_up(telemetry: Telemetry, limits: LimitHandle) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(UPKEEP_INTERVAL_MS)).await;
+        telemetry.upkeep();
+        limits.forget_idle();
+    }
+}
+
+/// Connections inherit the listener's send buffer, which bounds what waits for a slow caller.
+fn listen(settings: &EntrySettings) -> Result<TcpListener> {
+    let listener = TcpListener::bind(&settings.caller_address)?;
+    let send_buffer_bytes = settings.server.send_buffer_bytes;
+    if send_buffer_bytes > 0 {
+        SockRef::from(&listener).set_send_buffer_size(send_buffer_bytes)?;
+    }
+    Ok(listener)
+}
+
 fn dispatcher(config: &ConfigHandle) -> Dispatcher {
     let config = config.clone();
     Dispatcher::new(Arc::new(move || config.table()))
@@ -194,10 +287,12 @@
         let state = Rc::new(parts.worker_state());
         App::new()
             .app_data(web::Data::new(state))
+            .configure(|config| inspect::routes(config, parts.inspection()))
             .configure(server::routes)
     };
     let mut server = HttpServer::new(factory)
         .disable_signals()
+        .tcp_nodelay(true)
         .h1_allow_half_closed(false)
         .shutdown_timeout(SERVER_SHUTDOWN_TIMEOUT_S);
     if workers > 0 {
--- a/src/identify.rs
+++ b/src/identify.rs
@@ -62,6 +62,14 @@
 }
 
 impl Identified {
+    /// The names for a journal's line.
+    pub fn describe(&self) -> String {
+        format!(
+            "customer={} service={} class={}",
+            self.customer.customer, self.service.service, self.class.class
+        )
+    }
+
     /// The model and the longest output, if the service runs generations.
     ///
     /// # Errors
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -120,7 +120,7 @@
     /// Cancel the attempt at its upstream.
     Cancel(AttemptId),
     /// Ask for another upstream and start anew.
-    Restart,
+    Restart(RestartCause),
     /// The answer is whole.
     Complete(Completion),
     /// The request failed.
@@ -129,6 +129,17 @@
     Dropped(DropReason),
 }
 
+/// Why a request starts again elsewhere.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RestartCause {
+    /// The scheduler moves it.
+    Moved,
+    /// The attempt was never written, which costs no upstream anything; the words tell why.
+    NotWritten(String),
+    /// The attempt failed; the words tell how.
+    Failed(String),
+}
+
 /// What is known of a whole answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Completion {
@@ -383,19 +394,19 @@
 
     fn not_written(&mut self, reason: &str, actions: &mut Vec<Action>) {
         self.attempt = None;
+        let message = format!("no upstream can be reached: {reason}");
         if self.attempts < self.options.attempts_max {
-            return actions.push(Action::Restart);
+            return actions.push(Action::Restart(RestartCause::NotWritten(message)));
         }
-        let message = format!("no upstream can be reached: {reason}");
         self.fail(Code::NoUpstream, &message, actions);
     }
 
     fn refused(&mut self, reason: EngineRefusalReason, actions: &mut Vec<Action>) {
         self.attempt = None;
+        let message = format!("the upstream refused the request: {}", describe(reason));
         if self.terms.repeatable && self.attempts < self.options.attempts_max {
-            return actions.push(Action::Restart);
+            return actions.push(Action::Restart(RestartCause::Failed(message)));
         }
-        let message = format!("the upstream refused the request: {}", describe(reason));
         self.fail(Code::Overloaded, &message, actions);
     }
 
@@ -442,7 +453,7 @@
 
     fn relocate(&mut self, actions: &mut Vec<Action>) {
         if self.may_restart() && self.output_tokens() == 0 {
-            self.restart(actions);
+            self.restart(RestartCause::Moved, actions);
         }
     }
 
@@ -454,13 +465,13 @@
 
     fn give_up(&mut self, reason: &str, actions: &mut Vec<Action>) {
         if self.may_restart() {
-            self.restart(actions);
+            self.restart(RestartCause::Failed(reason.to_owned()), actions);
         } else {
             self.fail(Code::UpstreamFailed, reason, actions);
         }
     }
 
-    fn restart(&mut self, actions: &mut Vec<Action>) {
+    fn restart(&mut self, cause: RestartCause, actions: &mut Vec<Action>) {
         let Some(attempt) = self.attempt.take() else {
             return;
         };
@@ -469,7 +480,7 @@
         if attempt.next_index > 0 {
             actions.push(Action::Discard);
         }
-        actions.push(Action::Restart);
+        actions.push(Action::Restart(cause));
     }
 
     fn fail(&mut self, code: Code, message: &str, actions: &mut Vec<Action>) {
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -5,6 +5,7 @@
 use super::Relay;
 use super::RelayOptions;
 use super::RelayTerms;
+use super::RestartCause;
 use crate::clock::Time;
 use crate::id::AttemptId;
 use crate::refusal::Code;
@@ -82,6 +83,10 @@
     Action::Deliver(text(index))
 }
 
+fn failed(reason: &str) -> Action {
+    Action::Restart(RestartCause::Failed(reason.to_owned()))
+}
+
 fn complete(output_tokens: u32) -> Action {
     Action::Complete(Completion {
         output_tokens,
@@ -226,7 +231,8 @@
     let new = bench.token_of(OTHER, 0);
 
     assert_eq!(resumed, [Action::Resume { from: 0 }]);
-    assert_eq!(restarted, [Action::Cancel(FIRST), Action::Restart]);
+    let lost = failed("the upstream was lost: refused");
+    assert_eq!(restarted, [Action::Cancel(FIRST), lost]);
     assert_eq!(between, [Action::Dropped(DropReason::Late)]);
     assert_eq!(old, [Action::Dropped(DropReason::Crossed)]);
     assert_eq!(new, [deliver(0)]);
@@ -253,7 +259,8 @@
 
     let actions = bench.feed(Input::Forgotten);
 
-    let expected = [Action::Cancel(FIRST), Action::Discard, Action::Restart];
+    let lost = failed("the upstream lost the generation");
+    let expected = [Action::Cancel(FIRST), Action::Discard, lost];
     assert_eq!(actions, expected);
 }
 
@@ -269,7 +276,11 @@
         }
 
         assert_eq!(failure(&actions).ran, Ran::Unknown);
-        assert!(!actions.contains(&Action::Restart));
+        assert_eq!(
+            actions.len(),
+            2,
+            "a cancellation and the failure: {actions:?}"
+        );
     }
 }
 
@@ -279,7 +290,7 @@
 
     let mut actions = bench.feed(Input::NotWritten("refused"));
     let mut attempts = 1;
-    while actions == [Action::Restart] {
+    while matches!(actions[..], [Action::Restart(RestartCause::NotWritten(_))]) {
         attempts += 1;
         bench.relay.begin(bench.now, AttemptId::from_u128(attempts));
         actions = bench.feed(Input::NotWritten("refused"));
@@ -319,7 +330,8 @@
     let moved = early.feed(Input::Relocate);
     let stayed = [late.feed(Input::Relocate), once.feed(Input::Relocate)].concat();
 
-    assert_eq!(moved, [Action::Cancel(FIRST), Action::Restart]);
+    let restart = Action::Restart(RestartCause::Moved);
+    assert_eq!(moved, [Action::Cancel(FIRST), restart]);
     assert_eq!(stayed, []);
 }
 
--- a/src/session.rs
+++ b/src/session.rs
@@ -11,7 +11,9 @@
 use tokio::time::Interval;
 use tokio::time::MissedTickBehavior;
 
+use crate::account::Account;
 use crate::clock::SystemClock;
+use crate::clock::Time;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::Grant;
 use crate::engine::EngineClient;
@@ -33,8 +35,11 @@
 use crate::relay::Relay;
 use crate::relay::RelayOptions;
 use crate::relay::RelayTerms;
+use crate::relay::RestartCause;
+use crate::retries::RetryBudgets;
 use crate::schedule::Ending;
 use crate::schedule::Ticket;
+use crate::telemetry;
 use crate::wire::GenerateRequest;
 
 /// Period of the relay's ticks, in milliseconds.
@@ -60,6 +65,8 @@
     pub clock: SystemClock,
     /// How patient the relay is.
     pub relay: RelayOptions,
+    /// What retries are left.
+    pub retries: RetryBudgets,
 }
 
 /// What a session is to do.
@@ -75,6 +82,8 @@
     pub terms: RelayTerms,
     /// Deadline for the whole answer, in milliseconds from now.
     pub deadline_ms: u64,
+    /// Retries of the service allowed as a share of its successes, in percent.
+    pub retry_budget_percent: u32,
 }
 
 /// What a session yields.
@@ -94,6 +103,7 @@
 pub struct Session {
     context: SessionContext,
     request: SessionRequest,
+    account: Account,
     relay: Relay,
     phase: Phase,
     grant: Option<Grant>,
@@ -125,7 +135,7 @@
 
 impl Session {
     /// A session that has done nothing yet.
-    pub fn new(context: SessionContext, request: SessionRequest) -> Self {
+    pub fn new(context: SessionContext, request: SessionRequest, account: Account) -> Self {
         let relay = Relay::new(context.relay.clone(), request.terms);
         let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -133,6 +143,7 @@
             deadline: Instant::now() + Duration::from_millis(request.deadline_ms),
             context,
             request,
+            account,
             relay,
             phase: Phase::Acquire,
             grant: None,
@@ -168,15 +179,27 @@
         }
     }
 
+    /// Ends the session because the caller doesn't read; the failure to tell, if it had not ended.
+    pub(crate) fn give_up_slow_caller(&mut self) -> Option<Output> {
+        self.outputs.clear();
+        self.step(Input::SlowCaller);
+        self.outputs.pop_back()
+    }
+
     async fn acquire(&mut self) {
         self.record(EventCode::RequestQueued, "");
-        let waiting = self.context.dispatcher.acquire(self.request.ticket.clone());
+        let waiting = async {
+            self.account.started().await;
+            let ticket = self.request.ticket.clone();
+            self.context.dispatcher.acquire(ticket).await
+        };
         match tokio::time::timeout_at(self.deadline, waiting).await {
             Ok(Ok(mut grant)) => {
                 let (_, never) = oneshot::channel();
                 let relocate = std::mem::replace(&mut grant.relocate, never);
                 self.relocate = Some(relocate);
                 self.grant = Some(grant);
+                self.account.granted(self.context.clock.now());
                 self.record(EventCode::RequestGranted, "");
                 self.phase = Phase::Start;
             }
@@ -287,28 +310,29 @@
         let mut actions = std::mem::take(&mut self.actions);
         self.relay.step(now, input, &mut actions);
         for action in actions.drain(..) {
-            self.act(action);
+            self.act(now, action);
         }
         self.actions = actions;
     }
 
-    fn act(&mut self, action: Action) {
+    fn act(&mut self, now: Time, action: Action) {
         match action {
-            Action::Deliver(text) => self.deliver(text),
+            Action::Deliver(text) => self.deliver(now, text),
             Action::Discard => self.outputs.push_back(Output::Discard),
             Action::Resume { from } => {
                 self.link = None;
                 self.phase = Phase::Resume { from };
             }
             Action::Cancel(attempt) => self.cancel(attempt),
-            Action::Restart => self.restart(),
+            Action::Restart(cause) => self.restart(cause),
             Action::Complete(completion) => self.complete(completion),
             Action::Fail(refusal) => self.fail(refusal),
             Action::Dropped(reason) => self.record(EventCode::TokenDropped, describe(reason)),
         }
     }
 
-    fn deliver(&mut self, text: String) {
+    fn deliver(&mut self, now: Time, text: String) {
+        self.account.token(now);
         if self.output_tokens == 0 {
             self.record(EventCode::FirstToken, "");
         }
@@ -329,6 +353,9 @@
         self.link = None;
         self.phase = Phase::Ended;
         self.finish(Ending::Complete, completion.cached_prompt_tokens);
+        let service = &self.request.ticket.service;
+        let percent = self.request.retry_budget_percent;
+        self.context.retries.succeeded(service, percent);
         let detail = format!("tokens={}", completion.output_tokens);
         self.record(EventCode::RequestComplete, &detail);
         self.outputs.push_back(Output::Complete(completion));
@@ -340,6 +367,7 @@
         self.record(EventCode::RequestFailed, &refusal.message);
         self.finish(Ending::UpstreamFailed, 0);
         let refusal = refusal.for_request(self.request_id());
+        telemetry::count_refusal(Some(&self.request.ticket.service), refusal.code);
         self.outputs.push_back(Output::Failed(refusal));
     }
 
@@ -348,15 +376,34 @@
         self.fail(refusal);
     }
 
-    fn restart(&mut self) {
+    fn restart(&mut self, cause: RestartCause) {
         self.link = None;
-        self.phase = Phase::Acquire;
         self.output_tokens = 0;
-        self.record(EventCode::RequestRestarted, "");
         self.finish(Ending::UpstreamFailed, 0);
         if let Some(grant) = self.grant.take() {
             self.request.ticket.avoid.push(grant.upstream);
         }
+        match cause {
+            RestartCause::Failed(reason) if !self.may_retry() => {
+                let refusal = Refusal::not_run(Code::UpstreamFailed, reason);
+                self.refuse(refusal.retry_after_ms(self.context.relay.retry_after_ms));
+            }
+            RestartCause::Failed(reason) | RestartCause::NotWritten(reason) => {
+                self.begin_again(&reason);
+            }
+            RestartCause::Moved => self.begin_again("moved by the scheduler"),
+        }
+    }
+
+    fn begin_again(&mut self, reason: &str) {
+        self.phase = Phase::Acquire;
+        self.record(EventCode::RequestRestarted, reason);
+    }
+
+    fn may_retry(&self) -> bool {
+        let service = &self.request.ticket.service;
+        let percent = self.request.retry_budget_percent;
+        self.context.retries.try_retry(service, percent)
     }
 
     fn cancel(&self, attempt: AttemptId) {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -44,6 +44,9 @@
     /// How the configuration is kept.
     #[serde(default)]
     pub config: ConfigOptions,
+    /// SHA-256 of the operators' token in hexadecimal; without it `POST /drain` is refused.
+    #[serde(default)]
+    pub operator_token_sha256: Option<String>,
     /// Bounds of what callers may send.
     #[serde(default)]
     pub server: ServerOptions,
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -9,12 +9,13 @@
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::Notify;
 
 use crate::error::Result;
 use crate::event::EventCode;
+use crate::gate::Gate;
 use crate::journal::Journal;
 use crate::journal::Subject;
-use crate::server::Gate;
 
 /// How the host stops.
 #[derive(Debug, Clone, PartialEq, Eq, Builder, Serialize, Deserialize)]
@@ -72,15 +73,19 @@
     }
 }
 
-/// Waits for a signal, then for everything in flight or a second signal.
+/// Waits for a signal or an operator's order, then for everything in flight or a second signal.
 pub async fn wait(
     mut signals: Signals,
+    ordered: &Notify,
     options: &ShutdownOptions,
     gate: &Gate,
     server: &ServerHandle,
     journal: &Journal,
 ) -> Stopped {
-    signals.next().await;
+    tokio::select! {
+        () = signals.next() => {}
+        () = ordered.notified() => {}
+    }
     gate.shut();
     journal.record(EventCode::ShutdownBegan, in_flight(gate));
     tokio::select! {
--- a/tests/entry_path.rs
+++ b/tests/entry_path.rs
@@ -2,11 +2,19 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
 use actix_web::App;
 use actix_web::HttpResponse;
 use actix_web::HttpServer;
 use actix_web::web;
 use awc::Client;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::StreamExt;
 use serde_json::Value;
 use serde_json::json;
 
@@ -56,9 +64,9 @@
     body.push_str(&format!("data: {data}\n\n"));
 }
 
-/// Starts a fake engine and returns its address.
-fn start_engine() -> String {
-    let server = HttpServer::new(|| App::new().route("/v1/generations", web::post().to(generate)))
+/// Starts a server with these routes and returns its address.
+fn start_fake(routes: impl Fn(&mut web::ServiceConfig) + Clone + Send + 'static) -> String {
+    let server = HttpServer::new(move || App::new().configure(routes.clone()))
         .workers(1)
         .disable_signals()
         .bind("127.0.0.1:0")
@@ -68,6 +76,13 @@
     address
 }
 
+/// Starts an engine that answers at once and returns its address.
+fn start_engine() -> String {
+    start_fake(|config| {
+        config.route("/v1/generations", web::post().to(generate));
+    })
+}
+
 fn table(engine: &str) -> Table {
     let rows: Vec<Row> = serde_json::from_value(json!([
         {"kind": "customer", "customer": "forest-office", "key_sha256": [key_sha256("key-1")],
@@ -89,13 +104,18 @@
 
 /// Starts an entry host before one fake engine and returns its URL.
 async fn start_entry() -> (EntryHost, String) {
-    let settings = settings::parse(
-        r#"{"host": "entry-1", "data_centre": "a", "caller_address": "127.0.0.1:0",
+    let bounds = r#"{"body_bytes_max": 4096, "header_bytes_max": 2048}"#;
+    start_entry_before(&start_engine(), bounds).await
+}
+
+async fn start_entry_before(engine: &str, bounds: &str) -> (EntryHost, String) {
+    let settings = settings::parse(&format!(
+        r#"{{"host": "entry-1", "data_centre": "a", "caller_address": "127.0.0.1:0",
             "peer_address": "127.0.0.1:0", "platform_address": "127.0.0.1:1",
-            "server": {"workers": 1, "body_bytes_max": 4096, "header_bytes_max": 2048}}"#,
-    )
+            "server": {bounds}}}"#,
+    ))
     .unwrap();
-    let config = ConfigHandle::fixed(table(&start_engine()));
+    let config = ConfigHandle::fixed(table(engine));
     let host = EntryHost::start_with(settings, config).await.unwrap();
     let url = format!("http://{}/v1/completions", host.caller_address());
     (host, url)
@@ -217,3 +237,72 @@
     }
     host.stop().await;
 }
+
+/// A server whose generations never end and come as fast as they are read.
+async fn generate_for_ever(request: web::Json<GenerateRequest>) -> HttpResponse {
+    let attempt = request.attempt;
+    let tokens = futures_util::stream::iter(0..).map(move |index| {
+        let mut event = String::new();
+        let text = "x".repeat(1_000);
+        push_event(
+            &mut event,
+            &EngineEvent::Token {
+                attempt,
+                index,
+                text,
+            },
+        );
+        Ok::<_, actix_web::Error>(Bytes::from(event))
+    });
+    HttpResponse::Ok()
+        .content_type("text/event-stream")
+        .streaming(tokens)
+}
+
+#[actix_rt::test]
+async fn a_caller_who_does_not_read_is_given_up_with_an_explicit_failure() {
+    let cancelled = Arc::new(AtomicUsize::new(0));
+    let count = cancelled.clone();
+    let engine = start_fake(move |config| {
+        let count = count.clone();
+        config.route("/v1/generations", web::post().to(generate_for_ever));
+        config.route(
+            "/v1/generations/{attempt}",
+            web::delete().to(move || {
+                count.fetch_add(1, Ordering::SeqCst);
+                async { HttpResponse::NoContent().finish() }
+            }),
+        );
+    });
+    let (host, url) = start_entry_before(&engine, r#"{"slow_caller_timeout_ms": 300}"#).await;
+    let body = json!({"model": "inspection", "prompt": "p", "stream": true});
+    let mut answer = Client::default()
+        .post(&url)
+        .bearer_auth("key-1")
+        .send_body(body.to_string())
+        .await
+        .unwrap();
+
+    let is_cancelled = poll_until(|| cancelled.load(Ordering::SeqCst) == 1).await;
+    let mut rest = BytesMut::new();
+    while let Some(chunk) = answer.next().await {
+        rest.extend_from_slice(&chunk.unwrap());
+    }
+
+    let rest = String::from_utf8(rest.to_vec()).unwrap();
+    assert!(is_cancelled);
+    assert!(rest.contains("\"code\":\"slow_caller\""));
+    assert!(rest.ends_with("data: [DONE]\n\n"));
+    host.stop().await;
+}
+
+/// Polls a condition for a bounded time.
+async fn poll_until(condition: impl Fn() -> bool) -> bool {
+    for _ in 0..500 {
+        if condition() {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    false
+}
