--- a/src/bin/cedargauge-timeline/main.rs
+++ b/src/bin/cedargauge-timeline/main.rs
@@ -186,6 +186,6 @@
     format!(
         "{} {:<24} {event}",
         lanes::clock_text(moment.at_ms),
-        event.host
+        event.host.as_str()
     )
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -102,6 +102,7 @@
 mod standin_orders;
 pub mod standin_outage;
 pub mod standin_platform;
+mod standin_reports;
 pub mod standin_service;
 pub mod standin_table;
 pub mod status;
--- a/src/standin_generation.rs
+++ b/src/standin_generation.rs
@@ -5,9 +5,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use rand::RngExt;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::Notify;
@@ -29,7 +26,7 @@
 use crate::standin_engine::EngineOptions;
 use crate::standin_faults::EngineFaults;
 use crate::standin_orders::Orders;
-use crate::wire::CacheEvent;
+use crate::standin_reports::Reports;
 use crate::wire::CacheEvents;
 use crate::wire::EngineRefusalReason;
 use crate::wire::GenerateRequest;
@@ -39,15 +36,6 @@
 use crate::wire::OrderState;
 use crate::wire::Role;
 
-/// Load reports that are kept to answer with the lag.
-const REPORTS_MAX: usize = 1_024;
-
-/// Cache events that are kept for readers.
-const CACHE_EVENTS_MAX: usize = 65_536;
-
-/// Cache events in one answer.
-const CACHE_EVENTS_PER_ANSWER: usize = 4_096;
-
 /// Ended generations that are kept, to be resumed by a late reader.
 const ENDED_MAX: usize = 4_096;
 
@@ -114,9 +102,6 @@
 pub(crate) struct Engine {
     clock: SystemClock,
     speed: f64,
-    report_lag: Duration,
-    cache_delay: Duration,
-    cache_loss_percent: u32,
     incarnation: u64,
     submitted: Notify,
     state: Mutex<State>,
@@ -127,11 +112,9 @@
     journal: Journal,
     model: EngineModel,
     orders: Orders,
-    rng: ChaCha8Rng,
+    reports: Reports,
     generations: BTreeMap<AttemptId, Generation>,
     ended: VecDeque<AttemptId>,
-    reports: VecDeque<(Time, LoadReport)>,
-    cache_events: VecDeque<(Time, CacheEvent)>,
     counters: EngineCounters,
 }
 
@@ -142,20 +125,15 @@
         Engine {
             clock,
             speed: options.speed,
-            report_lag: Duration::from_millis(options.report_lag_ms),
-            cache_delay: Duration::from_millis(options.cache_event_delay_ms),
-            cache_loss_percent: options.cache_event_loss_percent,
             incarnation: wall_ms(),
             submitted: Notify::new(),
             state: Mutex::new(State {
                 journal,
                 model: EngineModel::new(options.model.clone(), options.seed),
                 orders: Orders::new(&options.model.model, options.checks_fence, load_time),
-                rng: ChaCha8Rng::seed_from_u64(options.seed),
+                reports: Reports::new(options),
                 generations: BTreeMap::new(),
                 ended: VecDeque::new(),
-                reports: VecDeque::new(),
-                cache_events: VecDeque::new(),
                 counters: EngineCounters::default(),
             }),
             faults: EngineFaults::new(clock),
@@ -240,41 +218,16 @@
 
     /// Samples the load and takes the model's cache events.
     pub(crate) fn collect(&self) {
-        let now = self.clock.now();
         let report = self.exact_report();
         let mut state = lock(&self.state);
-        state.reports.push_back((now, report));
-        if state.reports.len() > REPORTS_MAX {
-            state.reports.pop_front();
-        }
-        for event in state.model.take_cache_events() {
-            let lost = state.rng.random_range(0..100) < self.cache_loss_percent;
-            if !lost {
-                state.cache_events.push_back((now, event));
-            }
-        }
-        while state.cache_events.len() > CACHE_EVENTS_MAX {
-            state.cache_events.pop_front();
-        }
+        let events = state.model.take_cache_events();
+        state.reports.push(self.clock.now(), report, events);
     }
 
-    /// The newest report that is as old as the lag.
+    /// The load as readers see it.
     pub(crate) fn lagging_report(&self) -> LoadReport {
-        if self.report_lag.is_zero() {
-            return self.exact_report();
-        }
-        let now = self.clock.now();
-        let state = lock(&self.state);
-        let sample = state
-            .reports
-            .iter()
-            .rev()
-            .find(|(at, _)| now.since(*at) >= self.report_lag)
-            .or(state.reports.front());
-        sample.map_or_else(LoadReport::default, |(at, report)| LoadReport {
-            age_ms: u64::try_from(now.since(*at).as_millis()).unwrap_or(u64::MAX),
-            ..report.clone()
-        })
+        let lagging = lock(&self.state).reports.report(self.clock.now());
+        lagging.unwrap_or_else(|| self.exact_report())
     }
 
     fn exact_report(&self) -> LoadReport {
@@ -288,22 +241,10 @@
         report
     }
 
-    /// Cache events from `sequence` on that are old enough to be seen.
+    /// Cache events from `sequence` on, as readers see them.
     pub(crate) fn cache_events(&self, sequence: u64) -> CacheEvents {
         let now = self.clock.now();
-        let state = lock(&self.state);
-        let events: Vec<CacheEvent> = state
-            .cache_events
-            .iter()
-            .filter(|(at, _)| now.since(*at) >= self.cache_delay)
-            .map(|(_, event)| *event)
-            .filter(|event| event.sequence >= sequence)
-            .take(CACHE_EVENTS_PER_ANSWER)
-            .collect();
-        CacheEvents {
-            next_sequence: events.last().map_or(sequence, |last| last.sequence + 1),
-            events,
-        }
+        lock(&self.state).reports.cache_events(now, sequence)
     }
 
     pub(crate) fn order(&self, order: Order) -> Result<OrderState, OrderRefused> {
@@ -420,7 +361,11 @@
                 self.count(&key).cancelled += 1;
             }
         }
-        let detail = format!("{key} {ending:?}");
+        let how = match ending {
+            Ending::Done { .. } => "completed",
+            Ending::Cancelled => "cancelled",
+        };
+        let detail = format!("{key} {how}");
         self.record(EventCode::GenerationEnded, attempt, &detail);
         self.ended.push_back(attempt);
         if self.ended.len() > ENDED_MAX
