--- a/benches/slopes/configuration.rs
+++ b/benches/slopes/configuration.rs
@@ -1,5 +1,8 @@
 //! The configuration reader: the table by number of customers.
 
+use crate::fit::Series;
+use crate::fit::bytes_held;
+use crate::fit::nanos_each;
 use cedargauge::id::ClassId;
 use cedargauge::id::CustomerId;
 use cedargauge::id::Offset;
@@ -12,10 +15,6 @@
 use cedargauge::table::Table;
 use cedargauge::table::key_sha256;
 
-use crate::fit::Series;
-use crate::fit::bytes_held;
-use crate::fit::nanos_each;
-
 const CUSTOMERS: [usize; 4] = [1_000, 4_000, 12_000, 36_000];
 const LOOKUPS: usize = 2_000;
 const EDITS: usize = 50;
--- a/benches/slopes/limit.rs
+++ b/benches/slopes/limit.rs
@@ -1,14 +1,13 @@
 //! The enforcement of limits on one host: by number of active customers.
 
-use cedargauge::clock::Time;
-use cedargauge::limits::LimitOptions;
-use cedargauge::limits::Limits;
-use cedargauge::share::Share;
-
 use crate::configuration::customer;
 use crate::fit::Series;
 use crate::fit::bytes_held;
 use crate::fit::nanos_each;
+use cedargauge::clock::Time;
+use cedargauge::limits::LimitOptions;
+use cedargauge::limits::Limits;
+use cedargauge::share::Share;
 
 const ACTIVE: [usize; 4] = [100, 400, 1_200, 3_600];
 const REQUESTS: usize = 5_000;
--- a/benches/slopes/membership.rs
+++ b/benches/slopes/membership.rs
@@ -1,5 +1,8 @@
 //! Membership of a data centre: by number of its hosts.
 
+use crate::fit::Series;
+use crate::fit::bytes_held;
+use crate::fit::nanos_each;
 use cedargauge::clock::Time;
 use cedargauge::id::DataCentre;
 use cedargauge::id::HostId;
@@ -11,10 +14,6 @@
 use cedargauge::membership::MembershipInput;
 use cedargauge::membership::MembershipOptions;
 
-use crate::fit::Series;
-use crate::fit::bytes_held;
-use crate::fit::nanos_each;
-
 const HOSTS: [usize; 4] = [8, 24, 73, 146];
 const HEARTBEATS: usize = 2_000;
 const TICKS: usize = 500;
--- a/benches/slopes/scheduling.rs
+++ b/benches/slopes/scheduling.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use crate::fit::Series;
+use crate::fit::bytes_held;
+use crate::fit::nanos_each;
 use cedargauge::clock::Time;
 use cedargauge::id::AttemptId;
 use cedargauge::id::ClassId;
@@ -21,10 +24,6 @@
 use cedargauge::scheduler::Scheduler;
 use cedargauge::scheduler::SchedulerOptions;
 
-use crate::fit::Series;
-use crate::fit::bytes_held;
-use crate::fit::nanos_each;
-
 const RUNNING: [usize; 4] = [100, 300, 900, 2_700];
 const WAITING: [usize; 4] = [50, 200, 800, 3_200];
 const LIVES: usize = 500;
