Claim idempotency keys before anything is sent

Cause: the claims had no way into the request path, and their own group commit did the work of the log's client a second time.

Change: the claimant hands its records to the log's client, which batches them and settles lost answers; its own outbox and the proof of an unused key by a later read are gone, so a refusal says "did not run" only of a key made within half a second. An actor runs the claimants and gives the request path a claim that says how the request ended, also when it is dropped. Completions and plain calls that are not repeatable claim their key before they queue. A graceful stop waits up to 2 s for the ends to reach the log.

Load is not measured yet.

--- a/src/callers.rs
+++ b/src/callers.rs
@@ -1,11 +1,9 @@
 //! Callers who asked for a claim and have no answer yet.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use crate::claimstep::Ask;
 use crate::clock::Time;
-use crate::holdings::Holdings;
 use crate::id::ClaimId;
 use crate::refusal::Ran;
 
@@ -19,20 +17,18 @@
     pub(crate) ask: Ask,
     /// When it is refused at the latest.
     pub(crate) give_up_at: Time,
-    /// Its claim was given to the outbox.
+    /// Its claim was given to the log's client.
     pub(crate) appended: bool,
-    asked_at: Time,
     /// No earlier call can hold the key, as far as this host can know.
     unused: bool,
 }
 
 impl Waiting {
-    /// A caller who asks at `now` and waits no longer than `wait`.
-    pub(crate) fn new(ask: Ask, now: Time, wall_ms: u64, wait: Duration) -> Self {
+    /// A caller who asks.
+    pub(crate) fn new(ask: Ask, give_up_at: Time, wall_ms: u64) -> Self {
         let age_ms = wall_ms.abs_diff(ask.key.key.created_ms());
         Waiting {
-            asked_at: now,
-            give_up_at: ask.deadline.min(now + wait),
+            give_up_at,
             appended: false,
             unused: age_ms <= FRESH_KEY_MS,
             ask,
@@ -65,11 +61,6 @@
         self.waiting.insert(waiting.ask.claim, waiting);
     }
 
-    /// The caller of a claim.
-    pub(crate) fn get(&self, claim: ClaimId) -> Option<&Waiting> {
-        self.waiting.get(&claim)
-    }
-
     /// Takes the caller of a claim out.
     pub(crate) fn remove(&mut self, claim: ClaimId) -> Option<Waiting> {
         self.waiting.remove(&claim)
@@ -83,23 +74,6 @@
         taken.collect()
     }
 
-    /// When the first has to be refused.
-    pub(crate) fn first_give_up_at(&self) -> Option<Time> {
-        let times = self.waiting.values().map(|waiting| waiting.give_up_at);
-        times.min()
-    }
-
-    /// A read that began at `began` reached the head: keys not held there were not used before.
-    pub(crate) fn prove_unused(&mut self, began: Time, holdings: &Holdings) {
-        for waiting in self.waiting.values_mut() {
-            let key = &waiting.ask.key;
-            let is_known = waiting.asked_at < began && holdings.covers(key.key);
-            if is_known && holdings.holding(key).is_none() {
-                waiting.unused = true;
-            }
-        }
-    }
-
     /// Records were missed: nothing is known of any key.
     pub(crate) fn forget_proofs(&mut self) {
         for waiting in self.waiting.values_mut() {
--- a/src/claim.rs
+++ b/src/claim.rs
@@ -4,6 +4,8 @@
 //! [`ClaimRecord::Claim`] to the key's stream. The first claim by offset holds the key for ever,
 //! unless its holder appends that it was released, which says that nothing was sent.
 
+use std::fmt;
+
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::Xxh3;
@@ -70,7 +72,12 @@
         end: ClaimEnd,
     },
     /// Nothing but a time of the platform's clock, for hosts that start on an idle stream.
-    Mark,
+    Mark {
+        /// Who appended it.
+        host: HostId,
+        /// When, by the host's clock, in milliseconds since the Unix epoch.
+        at_ms: u64,
+    },
 }
 
 impl ClaimRecord {
@@ -99,10 +106,20 @@
     pub status: u16,
     /// Tokens generated; 0 for plain services.
     pub output_tokens: u32,
-    /// Length of the answer's body in bytes.
+    /// Length of a plain service's answer in bytes; 0 for generations.
     pub body_bytes: u64,
 }
 
+impl fmt::Display for Summary {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "status {}", self.status)?;
+        match self.output_tokens {
+            0 => write!(f, ", {} bytes", self.body_bytes),
+            tokens => write!(f, ", {tokens} tokens"),
+        }
+    }
+}
+
 /// What is known of a key that somebody else holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Holding {
@@ -130,10 +147,7 @@
                 ran: Ran::Yes,
                 ..Refusal::unknown(
                     Code::AlreadyClaimed,
-                    format!(
-                        "a request with this key ran: status {}, {} tokens, {} bytes",
-                        summary.status, summary.output_tokens, summary.body_bytes
-                    ),
+                    format!("a request with this key ran: {summary}"),
                 )
             },
         }
--- a/src/claimstep.rs
+++ b/src/claimstep.rs
@@ -14,7 +14,6 @@
 use crate::id::ClaimId;
 use crate::id::Offset;
 use crate::id::RequestId;
-use crate::outbox::Pace;
 use crate::platform::ReadAnswer;
 use crate::refusal::Refusal;
 
@@ -26,15 +25,10 @@
     /// Age at which a key expires, in milliseconds; 15 minutes. The log must keep records longer
     /// than this by twice `mark_interval_ms` and twice the clock skew.
     pub window_ms: u64,
-    /// Longest wait for the log, in milliseconds; 2 s.
+    /// Longest wait until a claim is written to the log, in milliseconds; 2 s.
     pub wait_ms: u64,
-    /// Least time between two appends to a claim stream, in milliseconds; 100 ms. Eight hosts
-    /// then append at most 80 times a second.
-    pub append_interval_ms: u64,
-    /// Longest pause after a failed append, in milliseconds; 500 ms.
-    pub retry_max_ms: u64,
-    /// Most records in one append; 512.
-    pub batch_records_max: usize,
+    /// Longest wait after that until the claim is read back, in milliseconds; 1 s.
+    pub settle_ms: u64,
     /// A stream that was idle for this long gets a time mark, in milliseconds; 3 minutes.
     pub mark_interval_ms: u64,
     /// Streams that claims are spread over, by key; 1. The same on every host.
@@ -46,25 +40,13 @@
         ClaimOptions {
             window_ms: 900_000,
             wait_ms: 2_000,
-            append_interval_ms: 100,
-            retry_max_ms: 500,
-            batch_records_max: 512,
+            settle_ms: 1_000,
             mark_interval_ms: 180_000,
             partitions: 1,
         }
     }
 }
 
-impl ClaimOptions {
-    pub(crate) fn pace(&self) -> Pace {
-        Pace {
-            interval: Duration::from_millis(self.append_interval_ms),
-            retry_max: Duration::from_millis(self.retry_max_ms),
-            batch_records_max: self.batch_records_max.max(1),
-        }
-    }
-}
-
 /// A caller's request for the right to run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ask {
@@ -85,39 +67,19 @@
     Ask(Ask),
     /// A request that won its claim ended so.
     Conclude(ClaimId, ClaimEnd),
-    /// The batch is in the log.
-    AppendSettled(u64),
-    /// The batch is certainly not in the log and never will be.
-    AppendRefused(u64),
-    /// Nobody knows whether the batch is in the log.
-    AppendLost(u64),
-    /// Records were read.
-    RecordsRead(ReadDone),
+    /// The claim's record was not written to the log and never will be.
+    NotAppended(ClaimId),
+    /// The stream was read; the answer follows on what was read before, or leaves a gap.
+    Read(ReadAnswer),
     /// Time passed.
     Tick,
 }
 
-/// A read of the stream.
-#[derive(Debug, Clone, PartialEq)]
-pub struct ReadDone {
-    /// When the read was sent.
-    pub began: Time,
-    /// The offset asked for.
-    pub from: Offset,
-    /// The answer.
-    pub answer: ReadAnswer,
-}
-
 /// What the claimant wants done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
-    /// Append these records in one append and report its fate under the batch's number.
-    Append {
-        /// The batch's number.
-        batch: u64,
-        /// The records.
-        records: Vec<String>,
-    },
+    /// Append a record.
+    Append(Appending),
     /// Answer the caller who asked.
     Answer {
         /// The claim that was to be made.
@@ -136,6 +98,17 @@
     },
 }
 
+/// A record to append.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Appending {
+    /// The claim to report as [`Input::NotAppended`], if the record makes one.
+    pub claim: Option<ClaimId>,
+    /// The record's text, unlike any other's.
+    pub data: String,
+    /// It need not be written any more after this time; `None` waits as long as the log is away.
+    pub wait_limit: Option<Duration>,
+}
+
 /// The answer to an [`Ask`].
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ClaimAnswer {
--- a/src/completions.rs
+++ b/src/completions.rs
@@ -9,6 +9,7 @@
 use crate::account::Account;
 use crate::answer::Answer;
 use crate::answer::refuse;
+use crate::claims::HeldClaim;
 use crate::clock;
 use crate::completion::CompletionWriter;
 use crate::event::EventCode;
@@ -54,6 +55,7 @@
     request: CompletionRequest,
     session: SessionRequest,
     account: Account,
+    claim: Option<HeldClaim>,
 }
 
 async fn prepare(
@@ -73,6 +75,7 @@
         request.priority_class.as_ref(),
     )?;
     let session = session_request(state, &request, &identified, request_id)?;
+    let key = intake::idempotency_key(http, session.ticket.repeatable)?;
     let admission = state.limits.admit(&identified.customer)?;
     let account = Account::open(state.context.clock.now(), admission, &session.ticket);
     let subject = Subject::request(request_id).detail(identified.describe());
@@ -80,10 +83,15 @@
         .context
         .journal
         .record(EventCode::RequestReceived, subject);
+    let claiming = state
+        .claims
+        .claim_for(&session.ticket, key, session.deadline_ms);
+    let claim = claiming.await?;
     Ok(Prepared {
         request,
         session,
         account,
+        claim,
     })
 }
 
@@ -135,6 +143,7 @@
             delivered: 0,
         };
         let session = Session::new(state.context.clone(), self.session, self.account);
+        let session = session.with_claim(self.claim);
         if self.request.stream {
             answer.stream(session, pass, &state.slow_callers).await
         } else {
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -14,6 +14,8 @@
 use tokio::sync::Notify;
 
 use crate::board::StatusBoard;
+use crate::claims::ClaimHandle;
+use crate::claims::ClaimParts;
 use crate::clock::SystemClock;
 use crate::clock::wall_ms;
 use crate::config::ConfigHandle;
@@ -47,6 +49,9 @@
 /// The HTTP library's shutdown timeout, in seconds: a year, so that it cuts no stream.
 const SERVER_SHUTDOWN_TIMEOUT_S: u64 = 365 * 24 * 3_600;
 
+/// Longest wait for the ends of claims to reach the log, once all requests have ended.
+const CLAIM_FLUSH_LIMIT: Duration = Duration::from_secs(2);
+
 /// An entry host that serves.
 #[derive(Debug)]
 pub struct EntryHost {
@@ -54,6 +59,7 @@
     caller_address: SocketAddr,
     peer_listener: TcpListener,
     journal: Journal,
+    claims: ClaimHandle,
     gate: Arc<Gate>,
     drain: Arc<Notify>,
     server: ServerHandle,
@@ -70,20 +76,15 @@
         let seed = incarnation.0;
         let clock = SystemClock::new();
         let journal = journal_of(&settings, incarnation, clock);
-        let log = LogHandle::start(
-            &settings.platform_address,
-            &settings.data_centre,
-            settings.log.clone(),
-            seed,
-        );
+        let log = log_of(&settings, incarnation);
         let config = ConfigHandle::start(
-            log,
+            log.clone(),
             journal.clone(),
             settings.host.clone(),
             settings.config.clone(),
             seed,
         );
-        EntryHost::open(settings, incarnation, config, journal, clock)
+        EntryHost::open(settings, incarnation, log, config, journal, clock)
     }
 
     /// The same with a configuration that is followed elsewhere.
@@ -95,12 +96,14 @@
         let incarnation = Incarnation(wall_ms());
         let clock = SystemClock::new();
         let journal = journal_of(&settings, incarnation, clock);
-        EntryHost::open(settings, incarnation, config, journal, clock)
+        let log = log_of(&settings, incarnation);
+        EntryHost::open(settings, incarnation, log, config, journal, clock)
     }
 
     fn open(
         settings: EntrySettings,
         incarnation: Incarnation,
+        log: LogHandle,
         config: ConfigHandle,
         journal: Journal,
         clock: SystemClock,
@@ -110,7 +113,18 @@
         let caller_listener = listen(&settings)?;
         let peer_listener = TcpListener::bind(&settings.peer_address)?;
         let caller_address = caller_listener.local_addr()?;
+        let claims = ClaimHandle::start(
+            ClaimParts {
+                log,
+                journal: journal.clone(),
+                clock,
+                host: settings.host.clone(),
+                incarnation,
+            },
+            settings.claims.clone(),
+        );
         let parts = Parts {
+            claims: claims.clone(),
             dispatcher: dispatcher(&config),
             settings: settings.clone(),
             config: config.clone(),
@@ -132,6 +146,7 @@
             caller_address,
             peer_listener,
             journal,
+            claims,
             gate,
             drain,
             server,
@@ -154,7 +169,7 @@
 
     /// Waits for a signal and shuts down.
     pub async fn run(self, signals: Signals) -> Stopped {
-        shutdown::wait(
+        let stopped = shutdown::wait(
             signals,
             &self.drain,
             &self.settings.shutdown,
@@ -162,13 +177,18 @@
             &self.server,
             &self.journal,
         )
-        .await
+        .await;
+        if stopped == Stopped::Drained {
+            self.claims.flush(CLAIM_FLUSH_LIMIT).await;
+        }
+        stopped
     }
 
     /// Stops after everything in flight has ended.
     pub async fn stop(self) {
         self.gate.shut();
         self.server.stop(true).await;
+        self.claims.flush(CLAIM_FLUSH_LIMIT).await;
     }
 }
 
@@ -177,6 +197,7 @@
 struct Parts {
     settings: EntrySettings,
     config: ConfigHandle,
+    claims: ClaimHandle,
     journal: Journal,
     clock: SystemClock,
     gate: Arc<Gate>,
@@ -216,6 +237,7 @@
                 retries: self.retries.clone(),
             },
             plain: PlainClient::new(&self.settings.engine, options.plain_answer_bytes_max),
+            claims: self.claims.clone(),
             limits: self.limits.clone(),
             slow_callers: SlowCallers::start(slow_caller_timeout),
             options: options.clone(),
@@ -224,6 +246,15 @@
     }
 }
 
+fn log_of(settings: &EntrySettings, incarnation: Incarnation) -> LogHandle {
+    LogHandle::start(
+        &settings.platform_address,
+        &settings.data_centre,
+        settings.log.clone(),
+        incarnation.0,
+    )
+}
+
 fn journal_of(settings: &EntrySettings, incarnation: Incarnation, clock: SystemClock) -> Journal {
     Journal::new(settings.host.clone(), incarnation, clock, DEFAULT_CAPACITY)
 }
--- a/src/event.rs
+++ b/src/event.rs
@@ -89,7 +89,6 @@
     501 ClaimLost "Another request holds the idempotency key.",
     502 ClaimRefused "The claim was not made: key expired or from the future, or no log.",
     503 ClaimEnded "The end of a request that held its key was recorded: done, failed or released.",
-    504 ClaimSettled "An append's answer was lost; the record was found by reading back.",
     505 ClaimGap "Records were lost to retention before they were read; the fold starts anew.",
     600 PeerJoined "Another entry host joined or came back.",
     601 PeerSuspected "Another entry host could not be reached; it still counts.",
--- a/src/holdings.rs
+++ b/src/holdings.rs
@@ -161,7 +161,7 @@
         let change = match serde_json::from_str(&record.data) {
             Ok(ClaimRecord::Claim { key, claim, .. }) => self.entry(&key).claim(claim),
             Ok(ClaimRecord::Outcome { key, claim, end }) => self.entry(&key).end(claim, end),
-            Ok(ClaimRecord::Mark) => Change::Nothing,
+            Ok(ClaimRecord::Mark { .. }) => Change::Nothing,
             Err(_) => {
                 self.malformed += 1;
                 Change::Nothing
--- a/src/holdings/tests.rs
+++ b/src/holdings/tests.rs
@@ -41,6 +41,13 @@
     }
 }
 
+fn mark() -> ClaimRecord {
+    ClaimRecord::Mark {
+        host: HostId::from("a"),
+        at_ms: START_MS,
+    }
+}
+
 fn holdings() -> Holdings {
     let mut holdings = Holdings::new(WINDOW_MS);
     holdings.restart(Offset(0), Coverage::Everything);
@@ -115,9 +122,9 @@
     let key = key("canton", 1);
     apply(&mut holdings, &claim(1, &key));
 
-    apply_at(&mut holdings, START_MS + WINDOW_MS, &ClaimRecord::Mark);
+    apply_at(&mut holdings, START_MS + WINDOW_MS, &mark());
     let kept = holdings.len();
-    apply_at(&mut holdings, START_MS + 2 * WINDOW_MS, &ClaimRecord::Mark);
+    apply_at(&mut holdings, START_MS + 2 * WINDOW_MS, &mark());
 
     assert_eq!(kept, 1);
     assert!(holdings.is_empty());
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -8,10 +8,14 @@
 use actix_web::web;
 use bytes::Bytes;
 
+use crate::key::IdempotencyKey;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::server::ServerOptions;
 
+/// The header with the caller's idempotency key.
+const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+
 /// Refuses headers that are too large together.
 pub(crate) fn check_headers(options: &ServerOptions, http: &HttpRequest) -> Result<(), Refusal> {
     let bytes: usize = http
@@ -65,6 +69,19 @@
         .strip_prefix("Bearer ")
 }
 
+/// The caller's idempotency key, if the request must not run twice and has one.
+pub(crate) fn idempotency_key(
+    http: &HttpRequest,
+    repeatable: bool,
+) -> Result<Option<IdempotencyKey>, Refusal> {
+    match http.headers().get(IDEMPOTENCY_KEY_HEADER) {
+        Some(value) if !repeatable => {
+            IdempotencyKey::parse(value.to_str().unwrap_or_default()).map(Some)
+        }
+        _ => Ok(None),
+    }
+}
+
 /// Parses a header that may be missing.
 pub(crate) fn parsed_header<T: FromStr>(
     http: &HttpRequest,
--- a/src/passthrough.rs
+++ b/src/passthrough.rs
@@ -16,6 +16,8 @@
 use tokio::time::Instant;
 
 use crate::answer::refuse;
+use crate::claim::Summary;
+use crate::claims::HeldClaim;
 use crate::dispatch::Grant;
 use crate::event::EventCode;
 use crate::headers;
@@ -91,6 +93,7 @@
     plain: PlainCall,
     ticket: Ticket,
     admission: Admission,
+    claim: Option<HeldClaim>,
     retry_budget_percent: u32,
     deadline: Instant,
 }
@@ -118,12 +121,16 @@
     let deadline_ms = state.deadline_ms(asked, service.deadline_ms);
     let repeatable = intake::parsed_header(http, REPEATABLE_HEADER, "true or false")?
         .unwrap_or(service.repeatable);
+    let key = intake::idempotency_key(http, repeatable)?;
     let admission = state.limits.admit(&identified.customer)?;
     let subject = Subject::request(request_id).detail(identified.describe());
     state
         .context
         .journal
         .record(EventCode::RequestReceived, subject);
+    let deadline = Instant::now() + Duration::from_millis(deadline_ms);
+    let ticket = ticket(state, &identified, request_id, repeatable, deadline_ms);
+    let claim = state.claims.claim_for(&ticket, key, deadline_ms).await?;
     Ok(Call {
         plain: PlainCall {
             path: path_and_query(&names.path, http),
@@ -131,10 +138,11 @@
             body,
             repeatable,
         },
-        ticket: ticket(state, &identified, request_id, repeatable, deadline_ms),
+        ticket,
         admission,
+        claim,
         retry_budget_percent: service.retry_budget_percent,
-        deadline: Instant::now() + Duration::from_millis(deadline_ms),
+        deadline,
     })
 }
 
@@ -186,13 +194,17 @@
         let mut progress = Progress::NotWritten;
         let deadline = self.deadline;
         let running = self.attempt_until_answered(state, &mut progress);
-        match tokio::time::timeout_at(deadline, running).await {
+        let outcome = match tokio::time::timeout_at(deadline, running).await {
             Ok(outcome) => outcome.map_err(|refusal| progress.qualify(refusal)),
             Err(_) => {
                 let refusal = Refusal::not_run(Code::DeadlineExceeded, "the deadline passed");
                 Err(progress.qualify(refusal))
             }
+        };
+        if let Some(claim) = self.claim {
+            conclude(claim, &outcome);
         }
+        outcome
     }
 
     async fn attempt_until_answered(
@@ -209,6 +221,9 @@
                 .acquire(self.ticket.clone())
                 .await?;
             let upstream = grant.upstream.clone();
+            if let Some(claim) = &mut self.claim {
+                claim.sending();
+            }
             let failure = match self.attempt(state, grant, progress).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
@@ -307,6 +322,17 @@
     }
 }
 
+fn conclude(claim: HeldClaim, outcome: &Result<PlainAnswer, Refusal>) {
+    match outcome {
+        Ok(answer) => claim.done(Summary {
+            status: answer.status.as_u16(),
+            output_tokens: 0,
+            body_bytes: answer.body.len() as u64,
+        }),
+        Err(refusal) => claim.failed(refusal),
+    }
+}
+
 /// What is known of the call so far.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Progress {
--- a/src/server.rs
+++ b/src/server.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::answer::refuse;
+use crate::claims::ClaimHandle;
 use crate::completions;
 use crate::config::ConfigHandle;
 use crate::gate::Gate;
@@ -75,6 +76,8 @@
     pub context: SessionContext,
     /// Talks to plain services.
     pub plain: PlainClient,
+    /// Makes claims on idempotency keys.
+    pub claims: ClaimHandle,
     /// Holds customers to their limits.
     pub limits: LimitHandle,
     /// Gives up callers that don't read.
--- a/src/session.rs
+++ b/src/session.rs
@@ -12,6 +12,8 @@
 use tokio::time::MissedTickBehavior;
 
 use crate::account::Account;
+use crate::claim::Summary;
+use crate::claims::HeldClaim;
 use crate::clock::SystemClock;
 use crate::clock::Time;
 use crate::dispatch::Dispatcher;
@@ -104,6 +106,7 @@
     context: SessionContext,
     request: SessionRequest,
     account: Account,
+    claim: Option<HeldClaim>,
     relay: Relay,
     phase: Phase,
     grant: Option<Grant>,
@@ -144,6 +147,7 @@
             context,
             request,
             account,
+            claim: None,
             relay,
             phase: Phase::Acquire,
             grant: None,
@@ -158,6 +162,12 @@
         }
     }
 
+    /// The session of a request that holds its idempotency key.
+    pub fn with_claim(mut self, claim: Option<HeldClaim>) -> Self {
+        self.claim = claim;
+        self
+    }
+
     /// The request.
     pub fn request_id(&self) -> RequestId {
         self.request.ticket.request
@@ -220,6 +230,9 @@
         self.context.dispatcher.started(self.request_id(), attempt);
         self.record(EventCode::RequestDispatched, "");
         self.phase = Phase::Read;
+        if let Some(claim) = &mut self.claim {
+            claim.sending();
+        }
         let opening = self.context.engine.start(&upstream, &generate);
         match tokio::time::timeout_at(self.deadline, opening).await {
             Ok(outcome) => self.opened(outcome),
@@ -356,6 +369,13 @@
         let service = &self.request.ticket.service;
         let percent = self.request.retry_budget_percent;
         self.context.retries.succeeded(service, percent);
+        if let Some(claim) = self.claim.take() {
+            claim.done(Summary {
+                status: 200,
+                output_tokens: completion.output_tokens,
+                body_bytes: 0,
+            });
+        }
         let detail = format!("tokens={}", completion.output_tokens);
         self.record(EventCode::RequestComplete, &detail);
         self.outputs.push_back(Output::Complete(completion));
@@ -365,6 +385,9 @@
         self.link = None;
         self.phase = Phase::Ended;
         self.record(EventCode::RequestFailed, &refusal.message);
+        if let Some(claim) = self.claim.take() {
+            claim.failed(&refusal);
+        }
         self.finish(Ending::UpstreamFailed, 0);
         let refusal = refusal.for_request(self.request_id());
         telemetry::count_refusal(Some(&self.request.ticket.service), refusal.code);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,6 +10,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::claimstep::ClaimOptions;
 use crate::config::ConfigOptions;
 use crate::engine::EngineOptions;
 use crate::error::Error;
@@ -56,6 +57,9 @@
     /// How patient the relay is.
     #[serde(default)]
     pub relay: RelayOptions,
+    /// How claims on idempotency keys are made.
+    #[serde(default)]
+    pub claims: ClaimOptions,
     /// How the host stops.
     #[serde(default)]
     pub shutdown: ShutdownOptions,
