Drive live entry hosts and check every promise a caller can see

Cause: the proof of many hosts needs a caller that holds each answer against its request and what it was told against what really ran. Change: `cedargauge-replay drive` replays a trace over HTTP at real time or faster, retries at the next host where a caller may, checks tokens, wholeness, terminal events and failure counts, and at the end holds refusals and at-most-once against the counters of engines and services; exits 1 with each broken promise named. The class background is called batch, as in the small table.

--- a/src/bin/cedargauge-replay/main.rs
+++ b/src/bin/cedargauge-replay/main.rs
@@ -2,6 +2,7 @@
 //! and checks stated outcomes.
 
 mod compare;
+mod drive;
 mod synth;
 
 use std::process::ExitCode;
@@ -26,6 +27,7 @@
 enum Command {
     Synth(synth::Arguments),
     Compare(compare::Arguments),
+    Drive(drive::Arguments),
 }
 
 fn main() -> ExitCode {
@@ -33,6 +35,7 @@
     let result = match arguments.command {
         Command::Synth(arguments) => synth::run(&arguments),
         Command::Compare(arguments) => compare::run(&arguments),
+        Command::Drive(arguments) => drive::run(&arguments),
     };
     result.unwrap_or_else(|error| {
         eprintln!("cedargauge-replay: {error:#}");
--- a/src/bin/cedargauge-replay/synth.rs
+++ b/src/bin/cedargauge-replay/synth.rs
@@ -8,13 +8,15 @@
 use argh::FromArgs;
 
 use cedargauge::preset::Preset;
+use cedargauge::synth::Amount;
 use cedargauge::synth::synthesise;
 
 /// Write a synthetic trace.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "synth")]
 pub(crate) struct Arguments {
-    /// workload: hoher-grat or joint-venture
+    /// workload: hoher-grat, joint-venture, or many-hosts (short answers, some of them not
+    /// repeatable, for drive)
     #[argh(option)]
     preset: Preset,
     /// seed of the trace and of its engines; 1 by default
@@ -23,6 +25,9 @@
     /// share of the engines' memory-time that the requests need; 0.95 by default
     #[argh(option, default = "0.95")]
     load: f64,
+    /// number of requests, in place of a load
+    #[argh(option)]
+    requests: Option<u64>,
     /// requests arrive for this long, in minutes; 20 by default
     #[argh(option, default = "20.0")]
     minutes: f64,
@@ -43,19 +48,17 @@
         arguments.minutes
     );
     let duration_ms = (arguments.minutes * 60_000.0) as u64;
-    let trace = synthesise(
-        &arguments.preset,
-        arguments.seed,
-        arguments.load,
-        duration_ms,
-    );
+    let amount = arguments
+        .requests
+        .map_or(Amount::Load(arguments.load), Amount::Requests);
+    let trace = synthesise(&arguments.preset, arguments.seed, amount, duration_ms);
     trace.write(&arguments.out)?;
     println!(
-        "{}: {} requests in {} s at load {}",
+        "{}: {} requests in {} s at load {:.3}",
         arguments.out.display(),
         trace.requests.len(),
         duration_ms / 1_000,
-        arguments.load
+        trace.header.load
     );
     Ok(ExitCode::SUCCESS)
 }
--- a/src/faultscript/tests.rs
+++ b/src/faultscript/tests.rs
@@ -4,6 +4,7 @@
 use crate::faultscript::Faults;
 use crate::faultscript::shifted;
 use crate::preset::Preset;
+use crate::synth::Amount;
 use crate::synth::synthesise;
 use crate::trace::Trace;
 use crate::trace::TraceRequest;
@@ -22,7 +23,7 @@
 
 #[test]
 fn shift_lengthens_outputs_and_keeps_the_load() {
-    let trace = synthesise(&Preset::hoher_grat(), 4, 0.9, 600_000);
+    let trace = synthesise(&Preset::hoher_grat(), 4, Amount::Load(0.9), 600_000);
     let event = FaultEvent {
         at_ms: SHIFT_AT_MS,
         fault: Fault::LengthShift {
--- a/src/oracle/tests.rs
+++ b/src/oracle/tests.rs
@@ -3,11 +3,12 @@
 use crate::faultscript::Faults;
 use crate::preset::Preset;
 use crate::scheduler::SchedulerOptions;
+use crate::synth::Amount;
 use crate::synth::synthesise;
 
 #[test]
 fn known_lengths_leave_next_to_no_preemptions() {
-    let trace = synthesise(&Preset::hoher_grat(), 5, 1.0, 120_000);
+    let trace = synthesise(&Preset::hoher_grat(), 5, Amount::Load(1.0), 120_000);
     let policies = [PolicyName::Oracle, PolicyName::LeastRequests];
     let options = SchedulerOptions::default();
 
--- a/src/outcome/tests.rs
+++ b/src/outcome/tests.rs
@@ -4,6 +4,7 @@
 use crate::outcome::StatedOutcome;
 use crate::preset::Preset;
 use crate::scheduler::SchedulerOptions;
+use crate::synth::Amount;
 use crate::synth::synthesise;
 
 fn outcome(metric: &str, relative_to: Option<&str>, at_most: f64) -> StatedOutcome {
@@ -18,7 +19,7 @@
 
 #[test]
 fn outcomes_are_held_against_values_and_ratios() {
-    let mut trace = synthesise(&Preset::hoher_grat(), 1, 0.5, 10_000);
+    let mut trace = synthesise(&Preset::hoher_grat(), 1, Amount::Load(0.5), 10_000);
     trace.outcomes = vec![
         outcome("completed", None, 1e6),
         outcome("completed", None, 1.0),
--- a/src/preset.rs
+++ b/src/preset.rs
@@ -106,7 +106,7 @@
         max_wait_ms: 20_000,
     },
     ClassPlan {
-        name: "background",
+        name: "batch",
         share: 0.25,
         weight: 1,
         engine_priority: 1,
@@ -195,6 +195,36 @@
         Preset::new("joint-venture", vec![report, records_app], customers)
     }
 
+    /// Short answers, a third of them not repeatable, at a plain service and at engines: for
+    /// driving many entry hosts with stand-ins behind them.
+    pub fn many_hosts() -> Self {
+        let inspection = ServicePlan {
+            service: "inspection",
+            engines: 12,
+            engine: engine("inspection@1", 65_536),
+            output_tokens_max: 1_024,
+            prompt_tokens_max: 256,
+            kinds: vec![
+                kind(0.70, (20.0, 0.5), (15.0, 0.5), 128, 0.5),
+                kind(0.25, (40.0, 0.5), (60.0, 0.5), 512, 0.9),
+                kind(0.05, (60.0, 0.5), (250.0, 0.5), 1_024, 0.9),
+            ],
+        };
+        let crew_app = ServicePlan {
+            service: "crew-app",
+            engines: 4,
+            engine: engine("crew-app@1", 65_536),
+            output_tokens_max: 64,
+            prompt_tokens_max: 64,
+            kinds: vec![kind(1.0, (20.0, 0.5), (5.0, 0.5), 64, 0.5)],
+        };
+        let customers = vec![
+            customer("demo", 0.8, 4, true),
+            customer("village", 0.2, 1, false),
+        ];
+        Preset::new("many-hosts", vec![inspection, crew_app], customers)
+    }
+
     fn new(name: &str, services: Vec<ServicePlan>, customers: Vec<CustomerPlan>) -> Self {
         let weights = Weights {
             classes: CLASSES.iter().map(class_weight).collect(),
@@ -217,9 +247,10 @@
         match text {
             "hoher-grat" => Ok(Preset::hoher_grat()),
             "joint-venture" => Ok(Preset::joint_venture()),
+            "many-hosts" => Ok(Preset::many_hosts()),
             _ => Err(Error::Invalid {
                 faults: vec![format!(
-                    "preset {text}: known are hoher-grat, joint-venture"
+                    "preset {text}: known are hoher-grat, joint-venture, many-hosts"
                 )],
             }),
         }
--- a/src/summary/tests.rs
+++ b/src/summary/tests.rs
@@ -1,12 +1,15 @@
 use crate::clock::Time;
 use crate::observe::Recorder;
+use crate::preset::Preset;
 use crate::summary::Summary;
 use crate::summary::percentile_ms;
+use crate::synth::Amount;
+use crate::synth::synthesise;
 
 #[test]
 fn percentile_takes_the_value_at_the_rank() {
     let mut recorder = Recorder::new(Time::from_ms(1));
-    let request = crate::synth::synthesise(&crate::preset::Preset::hoher_grat(), 1, 0.1, 5_000);
+    let request = synthesise(&Preset::hoher_grat(), 1, Amount::Load(0.1), 5_000);
     for _ in 0..100 {
         recorder.add(&request.requests[0]);
     }
--- a/src/synth.rs
+++ b/src/synth.rs
@@ -50,12 +50,24 @@
 /// Largest number of requests in a batch.
 const BATCH_MAX: usize = 20;
 
-/// A trace of `preset` that needs the share `load` of its engines' memory-time.
-pub fn synthesise(preset: &Preset, seed: u64, load: f64, duration_ms: u64) -> Trace {
+/// How many requests a trace has.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Amount {
+    /// As many as need this share of the engines' memory-time.
+    Load(f64),
+    /// This many over all services, by their numbers of engines.
+    Requests(u64),
+}
+
+/// A trace of `preset` with `amount` requests, which arrive within `duration_ms`.
+pub fn synthesise(preset: &Preset, seed: u64, amount: Amount, duration_ms: u64) -> Trace {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut requests = Vec::new();
+    let mut load: f64 = 0.0;
     for plan in &preset.services {
-        requests.extend(service_requests(preset, plan, load, duration_ms, &mut rng));
+        let (drawn, needed) = draw_all(preset, plan, amount, duration_ms, &mut rng);
+        requests.extend(arranged(preset, drawn, duration_ms, &mut rng));
+        load = load.max(needed);
     }
     requests.sort_by_key(|request| request.at_ms);
     Trace {
@@ -81,20 +93,41 @@
     }
 }
 
-fn service_requests(
+/// Requests of one service, and the share of its engines' memory-time that they need.
+fn draw_all(
     preset: &Preset,
     plan: &ServicePlan,
-    load: f64,
+    amount: Amount,
     duration_ms: u64,
     rng: &mut ChaCha8Rng,
-) -> Vec<TraceRequest> {
+) -> (Vec<TraceRequest>, f64) {
+    let engines: u32 = preset.services.iter().map(|plan| plan.engines).sum();
     let mut demand = Demand::default();
     let mut requests = Vec::new();
-    while demand.load(&plan.engine, plan.engines, duration_ms) < load {
+    loop {
+        let load = demand.load(&plan.engine, plan.engines, duration_ms);
+        let enough = match amount {
+            Amount::Load(wanted) => load >= wanted,
+            Amount::Requests(count) => {
+                requests.len() as u64 >= count * u64::from(plan.engines) / u64::from(engines)
+            }
+        };
+        if enough {
+            return (requests, load);
+        }
         let request = draw(preset, plan, rng);
         demand.add(&request, plan.engine.block_tokens);
         requests.push(request);
     }
+}
+
+/// The requests with their times of arrival.
+fn arranged(
+    preset: &Preset,
+    mut requests: Vec<TraceRequest>,
+    duration_ms: u64,
+    rng: &mut ChaCha8Rng,
+) -> Vec<TraceRequest> {
     let bursts = bursts(duration_ms, rng);
     for request in &mut requests {
         request.at_ms = arrival_ms(&bursts, duration_ms, rng);
--- a/src/synth/tests.rs
+++ b/src/synth/tests.rs
@@ -1,11 +1,12 @@
 use crate::capacity::Demand;
 use crate::preset::Preset;
+use crate::synth::Amount;
 use crate::synth::synthesise;
 
 #[test]
 fn trace_needs_the_asked_share_of_every_service() {
     for preset in [Preset::hoher_grat(), Preset::joint_venture()] {
-        let trace = synthesise(&preset, 7, 0.8, 300_000);
+        let trace = synthesise(&preset, 7, Amount::Load(0.8), 300_000);
 
         for service in &trace.header.services {
             let mut demand = Demand::default();
@@ -22,9 +23,9 @@
 fn seed_decides_the_trace() {
     let preset = Preset::joint_venture();
 
-    let first = synthesise(&preset, 7, 0.5, 60_000);
-    let same = synthesise(&preset, 7, 0.5, 60_000);
-    let other = synthesise(&preset, 8, 0.5, 60_000);
+    let first = synthesise(&preset, 7, Amount::Load(0.5), 60_000);
+    let same = synthesise(&preset, 7, Amount::Load(0.5), 60_000);
+    let other = synthesise(&preset, 8, Amount::Load(0.5), 60_000);
 
     assert_eq!(first, same);
     assert_ne!(first.requests, other.requests);
@@ -32,7 +33,7 @@
 
 #[test]
 fn lengths_have_a_long_tail_and_arrivals_are_in_order() {
-    let trace = synthesise(&Preset::joint_venture(), 7, 0.9, 600_000);
+    let trace = synthesise(&Preset::joint_venture(), 7, Amount::Load(0.9), 600_000);
 
     let service = &trace.header.services[0].service;
     let mut outputs: Vec<u32> = trace
--- a/src/trace/tests.rs
+++ b/src/trace/tests.rs
@@ -1,10 +1,11 @@
 use crate::preset::Preset;
+use crate::synth::Amount;
 use crate::synth::synthesise;
 use crate::trace::Trace;
 
 #[test]
 fn written_trace_reads_back_equal() {
-    let trace = synthesise(&Preset::hoher_grat(), 3, 0.5, 20_000);
+    let trace = synthesise(&Preset::hoher_grat(), 3, Amount::Load(0.5), 20_000);
     let directory = tempfile::tempdir().unwrap();
     let path = directory.path().join("trace.jsonl");
 
@@ -31,7 +32,7 @@
 
 #[test]
 fn prompts_share_hashes_exactly_as_far_as_their_parts() {
-    let trace = synthesise(&Preset::hoher_grat(), 3, 0.5, 20_000);
+    let trace = synthesise(&Preset::hoher_grat(), 3, Amount::Load(0.5), 20_000);
     let mut same_kind = trace
         .requests
         .iter()
--- a/src/virtualtime/tests.rs
+++ b/src/virtualtime/tests.rs
@@ -8,11 +8,12 @@
 use crate::observe::Recorder;
 use crate::preset::Preset;
 use crate::scheduler::SchedulerOptions;
+use crate::synth::Amount;
 use crate::synth::synthesise;
 use crate::trace::Trace;
 
 fn small_trace() -> Trace {
-    synthesise(&Preset::hoher_grat(), 2, 0.9, 30_000)
+    synthesise(&Preset::hoher_grat(), 2, Amount::Load(0.9), 30_000)
 }
 
 fn replay(trace: &Trace, policy: PolicyName, faults: &Faults) -> Recorder {
