Make the time line's labels readable

Cause: the drawing library scales text down, so labels were 9 pixels high. Change: larger text and lanes, looked at with the picture of a killed engine. Conclusion: every event of a picture of 73 events is labelled or next to its fellows' labels.

--- a/src/lanes.rs
+++ b/src/lanes.rs
@@ -27,12 +27,12 @@
 const MARGIN_RIGHT: i32 = 170;
 const MARGIN_TOP: i32 = 64;
 const MARGIN_BOTTOM: i32 = 50;
-const LANE_HEIGHT: i32 = 92;
+const LANE_HEIGHT: i32 = 98;
 const LABEL_ROWS: usize = 5;
-const LABEL_ROW_HEIGHT: i32 = 13;
-const LABEL_SIZE: i32 = 11;
-const LABEL_CHARACTER_WIDTH: f64 = 6.1;
-const NAME_SIZE: i32 = 14;
+const LABEL_ROW_HEIGHT: i32 = 14;
+const LABEL_SIZE: i32 = 14;
+const LABEL_CHARACTER_WIDTH: f64 = 6.9;
+const NAME_SIZE: i32 = 17;
 const DOT_RADIUS: i32 = 4;
 const TICKS: usize = 12;
 /// Requests whose way is drawn as a line; more would hide one another.
