--- a/src/standin.rs
+++ b/src/standin.rs
@@ -37,9 +37,6 @@
 /// Exit status of a stand-in that a fault told to die.
 pub const DIED_STATUS: i32 = 70;
 
-/// Header by which a caller of the platform names its data centre.
-pub const DATA_CENTRE_HEADER: &str = "x-data-centre";
-
 /// Header of a 429 that tells when to ask again, in milliseconds.
 pub const RETRY_AFTER_MS_HEADER: &str = "retry-after-ms";
 
--- a/src/standin_outage.rs
+++ b/src/standin_outage.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use crate::id::DataCentre;
-use crate::standin::DATA_CENTRE_HEADER;
+use crate::logstream::DATA_CENTRE_HEADER;
 
 /// A fault for `POST /admin/faults`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/src/timeline.rs
+++ b/src/timeline.rs
@@ -260,8 +260,8 @@
 }
 
 /// Whether the event's process appended the record at the event's offset.
-fn appends(code: EventCode) -> bool {
-    matches!(code.name(), "ClaimWon" | "SnapshotAppended")
+const fn appends(code: EventCode) -> bool {
+    matches!(code, EventCode::ClaimWon | EventCode::SnapshotAppended)
 }
 
 #[cfg(test)]
--- a/tests/demo.rs
+++ b/tests/demo.rs
@@ -12,6 +12,8 @@
 use crate::tester::completion_request;
 use crate::tester::http_agent;
 use cedargauge::standin::output_text;
+use cedargauge::standin_service::Echo;
+use cedargauge::standin_table::CREW_APP;
 use cedargauge::standin_table::DEMO_KEY;
 use cedargauge::standin_table::INSPECTION;
 
@@ -131,6 +133,25 @@
     assert_eq!(streamed_text(&body), output_text("net 7 #tokens=3", 3));
 }
 
+#[test]
+fn the_plain_service_is_called_through_the_demo() {
+    let demo = demo();
+
+    let mut answer = http_agent()
+        .post(format!(
+            "http://{}/v1/services/{CREW_APP}/shifts/7",
+            demo.caller
+        ))
+        .header("authorization", format!("Bearer {DEMO_KEY}"))
+        .send("spare parts")
+        .unwrap();
+
+    let echo: Echo = answer.body_mut().read_json().unwrap();
+    assert_eq!(answer.status(), 200);
+    assert_eq!(echo.path, "/shifts/7");
+    assert_eq!(echo.body, "spare parts");
+}
+
 #[test]
 fn a_signal_ends_the_demo_cleanly() {
     let mut demo = demo();
--- a/tests/tester/deployment.rs
+++ b/tests/tester/deployment.rs
@@ -1,14 +1,18 @@
 //! A whole deployment as processes: platform, engines, services and entry hosts.
 
 use std::fs;
+use std::time::Duration;
 
 use derive_builder::Builder;
+use serde_json::Value;
 use tempfile::TempDir;
 
 use super::Engine;
 use super::Platform;
 use super::Program;
 use super::Service;
+use super::http_agent;
+use super::wait_until;
 use cedargauge::id::DataCentre;
 use cedargauge::id::UpstreamId;
 use cedargauge::platform::HostKind;
@@ -20,6 +24,11 @@
 use cedargauge::row::UpstreamRow;
 use cedargauge::standin_table::small_table;
 
+/// Longest time that an entry host may take to be ready.
+const READY_WITHIN: Duration = Duration::from_secs(30);
+
+const ANY_PORT: &str = "127.0.0.1:0";
+
 /// What a deployment consists of. Everything is spread evenly over the data centres.
 #[derive(Debug, Clone, Builder)]
 #[builder(default)]
@@ -38,6 +47,8 @@
     pub platform_flags: Vec<String>,
     /// Rows that are added to the small table; a row of the same name replaces.
     pub extra_rows: Vec<Row>,
+    /// Settings of the entry hosts beside names and addresses, as a JSON object.
+    pub entry_settings: Value,
 }
 
 impl Default for DeploymentOptions {
@@ -50,6 +61,7 @@
             engine_flags: Vec::new(),
             platform_flags: Vec::new(),
             extra_rows: Vec::new(),
+            entry_settings: serde_json::json!({ "shutdown": { "drain_accept_ms": 100 } }),
         }
     }
 }
@@ -79,6 +91,7 @@
     /// The entry hosts.
     pub hosts: Vec<EntryHost>,
     data_centres: usize,
+    entry_settings: Value,
     directory: TempDir,
     hosts_started: usize,
 }
@@ -110,6 +123,7 @@
             services,
             hosts: Vec::new(),
             data_centres: options.data_centres,
+            entry_settings: options.entry_settings.clone(),
             directory,
             hosts_started: 0,
         };
@@ -135,6 +149,24 @@
         self.hosts.len() - 1
     }
 
+    /// Waits until every entry host is ready.
+    pub fn wait_ready(&self) {
+        for host in &self.hosts {
+            let url = format!("http://{}/readyz", host.caller);
+            let is_ready = || {
+                http_agent()
+                    .get(&url)
+                    .call()
+                    .is_ok_and(|a| a.status() == 200)
+            };
+            assert!(
+                wait_until(READY_WITHIN, is_ready),
+                "{} is not ready",
+                host.host
+            );
+        }
+    }
+
     /// Ends an entry host's process and takes the host off the list.
     pub fn remove_host(&mut self, index: usize) {
         let mut host = self.hosts.remove(index);
@@ -170,14 +202,23 @@
             .sum()
     }
 
+    /// Peer addresses of the running entry hosts of a data centre.
+    fn peers_in(&self, data_centre: &DataCentre) -> Value {
+        self.hosts
+            .iter()
+            .filter(|host| host.data_centre == *data_centre)
+            .map(|host| host.peer.as_str())
+            .collect()
+    }
+
     fn start_entry(&self, host: &str, data_centre: &DataCentre) -> Program {
-        let settings = serde_json::json!({
-            "host": host,
-            "data_centre": data_centre,
-            "caller_address": "127.0.0.1:0",
-            "peer_address": "127.0.0.1:0",
-            "platform_address": self.platform.address,
-        });
+        let mut settings = self.entry_settings.clone();
+        settings["host"] = host.into();
+        settings["data_centre"] = data_centre.as_str().into();
+        settings["caller_address"] = ANY_PORT.into();
+        settings["peer_address"] = ANY_PORT.into();
+        settings["platform_address"] = self.platform.address.as_str().into();
+        settings["peers"] = self.peers_in(data_centre);
         let path = self.directory.path().join(format!("{host}.json"));
         fs::write(&path, settings.to_string()).unwrap();
         Program::start(
