Place requests through owners of upstreams

Cause: each host decided alone by its own requests; nothing saw what the other hosts run on the same engines. The controller starts peers and dispatch; SIGTERM tells the peers.

--- a/src/bin/cedargauge-entry/main.rs
+++ b/src/bin/cedargauge-entry/main.rs
@@ -46,7 +46,7 @@
     println!(
         "ready caller={} peer={}",
         host.caller_address(),
-        host.peer_address()?
+        host.peer_address()
     );
     match host.run(signals).await {
         Stopped::Drained => Ok(ExitCode::SUCCESS),
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -24,6 +24,7 @@
 use crate::error::Result;
 use crate::event::EventCode;
 use crate::gate::Gate;
+use crate::hostlist;
 use crate::id::Incarnation;
 use crate::inspect;
 use crate::inspect::Inspection;
@@ -33,6 +34,10 @@
 use crate::limits::LimitHandle;
 use crate::limits::LimitOptions;
 use crate::logstream::LogHandle;
+use crate::peers::PeersHandle;
+use crate::peerserver;
+use crate::peerserver::PeersStart;
+use crate::peerserver::RunningPeers;
 use crate::plain::PlainClient;
 use crate::retries::RetryBudgets;
 use crate::server;
@@ -57,7 +62,7 @@
 pub struct EntryHost {
     settings: EntrySettings,
     caller_address: SocketAddr,
-    peer_listener: TcpListener,
+    peers: RunningPeers,
     journal: Journal,
     claims: ClaimHandle,
     gate: Arc<Gate>,
@@ -123,9 +128,35 @@
             },
             settings.claims.clone(),
         );
+        let peers = peerserver::start(PeersStart {
+            options: settings.peering.clone(),
+            host: settings.host.clone(),
+            incarnation,
+            data_centre: settings.data_centre.clone(),
+            listener: peer_listener,
+            known: settings.peers.clone(),
+            clock,
+            journal: journal.clone(),
+            config: Arc::new(config.clone()),
+        })?;
+        let dispatcher = Dispatcher::start(
+            settings.dispatch.clone(),
+            config.clone(),
+            peers.handle.clone(),
+            journal.clone(),
+            clock,
+        );
+        actix_rt::spawn(hostlist::follow(
+            settings.host_list,
+            settings.platform_address.clone(),
+            peers.handle.clone(),
+            dispatcher.clone(),
+        ));
+        let board = board(&settings, incarnation, &config, &gate);
+        report_peers(&board, &peers.handle, &dispatcher, clock);
         let parts = Parts {
             claims: claims.clone(),
-            dispatcher: dispatcher(&config),
+            dispatcher,
             settings: settings.clone(),
             config: config.clone(),
             journal: journal.clone(),
@@ -133,7 +164,7 @@
             gate: gate.clone(),
             limits: LimitHandle::new(LimitOptions::default(), clock),
             retries: RetryBudgets::default(),
-            board: board(&settings, incarnation, &config, &gate),
+            board,
             telemetry: Telemetry::install(),
             drain: drain.clone(),
         };
@@ -144,7 +175,7 @@
         Ok(EntryHost {
             settings,
             caller_address,
-            peer_listener,
+            peers,
             journal,
             claims,
             gate,
@@ -159,12 +190,8 @@
     }
 
     /// Where the other entry hosts connect.
-    ///
-    /// # Errors
-    ///
-    /// [`crate::error::Error::Io`] if the system doesn't tell.
-    pub fn peer_address(&self) -> Result<SocketAddr> {
-        Ok(self.peer_listener.local_addr()?)
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peers.address
     }
 
     /// Waits for a signal and shuts down.
@@ -176,6 +203,7 @@
             &self.gate,
             &self.server,
             &self.journal,
+            || self.peers.handle.leave(),
         )
         .await;
         if stopped == Stopped::Drained {
@@ -286,6 +314,23 @@
     board
 }
 
+/// The parts of the status that peers and dispatch know.
+fn report_peers(
+    board: &StatusBoard,
+    peers: &PeersHandle,
+    dispatcher: &Dispatcher,
+    clock: SystemClock,
+) {
+    let peers = peers.clone();
+    let dispatcher = dispatcher.clone();
+    board.add(move |status| {
+        let view = dispatcher.view();
+        status.requests_waiting = view.waiting as u64;
+        status.upstreams = view.upstreams;
+        status.peers = peers.status(clock.now());
+    });
+}
+
 /// Keeps the memory of metrics and limits bounded.
 async fn keep_up(telemetry: Telemetry, limits: LimitHandle) {
     loop {
@@ -305,11 +350,6 @@
     Ok(listener)
 }
 
-fn dispatcher(config: &ConfigHandle) -> Dispatcher {
-    let config = config.clone();
-    Dispatcher::new(Arc::new(move || config.table()))
-}
-
 /// Half-closed connections are not allowed: a caller who closes has left, and its generation is
 /// cancelled.
 fn serve(parts: Parts, listener: TcpListener) -> Result<ServerHandle> {
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -58,7 +58,7 @@
         let settings = entry_settings(caller_address, platform)?;
         let host = EntryHost::start(settings).await?;
         let upstreams = engines.iter().chain(&services).copied();
-        register(platform, host_list(upstreams, host.peer_address()?)).await?;
+        register(platform, host_list(upstreams, host.peer_address())).await?;
         let demo = Demo { host };
         demo.wait_ready().await?;
         Ok(demo)
--- a/src/link.rs
+++ b/src/link.rs
@@ -65,7 +65,7 @@
 /// The sending end of a link; its task ends when this is dropped.
 #[derive(Debug)]
 pub(crate) struct Link {
-    queue: mpsc::Sender<(Urgency, PeerMessage)>,
+    queue: mpsc::Sender<(Urgency, Option<PeerMessage>)>,
 }
 
 impl Link {
@@ -93,10 +93,18 @@
 
     /// Queues a message, or drops it if the queue is full.
     pub(crate) fn send(&self, urgency: Urgency, message: PeerMessage) {
-        if self.queue.try_send((urgency, message)).is_err() {
+        if self.queue.try_send((urgency, Some(message))).is_err() {
             metrics::counter!(Metric::PeerMessagesDroppedTotal.name()).increment(1);
         }
     }
+
+    /// Makes sure that the host answers a call soon; messages that wait already do.
+    pub(crate) fn ping(&self) {
+        if self.queue.capacity() == self.queue.max_capacity() {
+            // It fails only while the process ends.
+            let _ = self.queue.try_send((Urgency::Now, None));
+        }
+    }
 }
 
 struct LinkTask {
@@ -104,7 +112,7 @@
     address: String,
     options: LinkOptions,
     news: Recipient<LinkNews>,
-    inbox: mpsc::Receiver<(Urgency, PeerMessage)>,
+    inbox: mpsc::Receiver<(Urgency, Option<PeerMessage>)>,
     client: Option<WsClient>,
     backoff: ExponentialBackoff,
     retry_at: Instant,
@@ -134,9 +142,9 @@
         Some(self.gather(first).await)
     }
 
-    async fn gather(&mut self, first: (Urgency, PeerMessage)) -> Vec<PeerMessage> {
+    async fn gather(&mut self, first: (Urgency, Option<PeerMessage>)) -> Vec<PeerMessage> {
         let (mut urgency, message) = first;
-        let mut messages = vec![message];
+        let mut messages: Vec<PeerMessage> = message.into_iter().collect();
         let flush_at = Instant::now() + self.options.flush;
         while messages.len() < BATCH {
             let next = match urgency {
@@ -146,7 +154,7 @@
             let Some((next_urgency, message)) = next else {
                 break;
             };
-            messages.push(message);
+            messages.extend(message);
             if next_urgency == Urgency::Now {
                 urgency = Urgency::Now;
             }
--- a/src/member.rs
+++ b/src/member.rs
@@ -1,11 +1,14 @@
 //! What one host knows of another host of its data centre.
 
 use crate::clock::Time;
+use crate::id::DataCentre;
 use crate::id::HostId;
 use crate::id::Incarnation;
 use crate::id::Offset;
 use crate::peer::Rumour;
 use crate::peer::RumourState;
+use crate::status::PeerState;
+use crate::status::PeerStatus;
 
 /// What a host knows of another one in its data centre.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -26,6 +29,8 @@
     pub config_offset: Offset,
     /// When a message of its own last arrived.
     pub heard_at: Time,
+    /// Since when this incarnation is known here.
+    pub known_since: Time,
     pub(crate) refuted_at: Option<Time>,
 }
 
@@ -57,6 +62,7 @@
             leaving: rumour.leaving,
             config_offset: Offset::default(),
             heard_at: now,
+            known_since: now,
             refuted_at: None,
         };
         member.apply(now, rumour);
@@ -73,6 +79,23 @@
         !matches!(self.state, MemberState::Dead { .. })
     }
 
+    /// The member as the status tells of it.
+    pub(crate) fn status(&self, now: Time, data_centre: &DataCentre) -> PeerStatus {
+        let silent = now.since(self.heard_at).as_millis();
+        PeerStatus {
+            host: self.host.clone(),
+            data_centre: data_centre.clone(),
+            state: match self.state {
+                MemberState::Dead { .. } => PeerState::Dead,
+                _ if self.leaving => PeerState::Leaving,
+                MemberState::Suspect { .. } => PeerState::Suspected,
+                MemberState::Alive => PeerState::Live,
+            },
+            silent_ms: u64::try_from(silent).unwrap_or(u64::MAX),
+            config_offset: self.config_offset,
+        }
+    }
+
     pub(crate) fn rumour(&self) -> Rumour {
         Rumour {
             host: self.host.clone(),
@@ -101,6 +124,7 @@
     pub(crate) fn apply(&mut self, now: Time, rumour: &Rumour) {
         if rumour.incarnation > self.incarnation {
             self.incarnation = rumour.incarnation;
+            self.known_since = now;
             self.sequence = 0;
             self.leaving = false;
             self.state = MemberState::Alive;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -51,6 +51,9 @@
     pub alone_hold_ms: u64,
     /// Dead hosts are remembered for so long, in milliseconds. Default 60000.
     pub forget_ms: u64,
+    /// The platform's list may be so old: it does not call a host leaving whose incarnation became
+    /// known here less than this before, in milliseconds. Default 30000.
+    pub list_lag_ms: u64,
 }
 
 impl Default for MembershipOptions {
@@ -63,6 +66,7 @@
             alone_after_ms: 3_000,
             alone_hold_ms: 10_000,
             forget_ms: 60_000,
+            list_lag_ms: 30_000,
         }
     }
 }
@@ -178,8 +182,8 @@
     members: BTreeMap<HostId, Member>,
     /// Addresses to probe that belong to no known member.
     unknown: Vec<String>,
-    /// Addresses that the list calls leaving; the mark holds for the incarnation it first met.
-    listed_leaving: Vec<String>,
+    /// Addresses whose leaving mark was taken in; it holds for the incarnation that it met.
+    marked: Vec<String>,
     rumours: Rumours,
     rotation: Vec<String>,
     next_round: Time,
@@ -200,7 +204,7 @@
             leaving: false,
             members: BTreeMap::new(),
             unknown: Vec::new(),
-            listed_leaving: Vec::new(),
+            marked: Vec::new(),
             rumours: Rumours::default(),
             rotation: Vec::new(),
             next_round: now,
@@ -259,7 +263,7 @@
             MembershipInput::Unanswered { address } => {
                 self.unanswered(now, &address, &mut actions);
             }
-            MembershipInput::Listed(list) => self.listed(list, &mut actions),
+            MembershipInput::Listed(list) => self.listed(now, list, &mut actions),
             MembershipInput::Known(addresses) => self.learn_addresses(addresses),
             MembershipInput::Leave => self.leave(),
             MembershipInput::Tick => self.tick(now, &mut actions),
@@ -416,7 +420,7 @@
         }
     }
 
-    fn listed(&mut self, list: HostList, actions: &mut Vec<MembershipAction>) {
+    fn listed(&mut self, now: Time, list: HostList, actions: &mut Vec<MembershipAction>) {
         let here = list.hosts.into_iter().filter(|listed| {
             listed.kind == HostKind::Entry && listed.data_centre == self.identity.data_centre
         });
@@ -428,22 +432,29 @@
             }
             addresses.push(listed.address);
         }
-        for address in &leaving {
-            if !self.listed_leaving.contains(address) {
-                self.mark_leaving(address, actions);
+        self.marked.retain(|address| leaving.contains(address));
+        for address in leaving {
+            if !self.marked.contains(&address) {
+                self.mark_leaving(now, address, actions);
             }
         }
-        self.listed_leaving = leaving;
         self.learn_addresses(addresses);
     }
 
-    fn mark_leaving(&mut self, address: &str, actions: &mut Vec<MembershipAction>) {
-        for member in self.members.values_mut() {
-            if member.address == address && !member.leaving {
-                member.leaving = true;
-                actions.push(noted(Change::Left, &member.host));
-                self.rumours.spread(member.rumour());
-            }
+    fn mark_leaving(&mut self, now: Time, address: String, actions: &mut Vec<MembershipAction>) {
+        let lag = Duration::from_millis(self.options.list_lag_ms);
+        let mut members = self.members.values_mut();
+        let Some(member) = members.find(|member| member.address == address) else {
+            return;
+        };
+        if now.since(member.known_since) < lag {
+            return;
+        }
+        self.marked.push(address);
+        if !member.leaving {
+            member.leaving = true;
+            actions.push(noted(Change::Left, &member.host));
+            self.rumours.spread(member.rumour());
         }
     }
 
--- a/src/membership/tests.rs
+++ b/src/membership/tests.rs
@@ -39,7 +39,7 @@
         for n in 0..count {
             net.start(n, 1);
         }
-        net.run(3_000);
+        net.run(31_000);
         net.noted.clear();
         net
     }
@@ -260,6 +260,21 @@
     assert_eq!(net.owners(0), all(3));
 }
 
+#[test]
+fn a_host_that_reads_a_stale_list_first_does_not_mark_a_new_incarnation() {
+    let mut net = Net::new(3);
+    net.start(2, 2);
+    net.run(2_000);
+
+    net.feed(
+        &address(0),
+        MembershipInput::Listed(listed(2, HostState::Leaving)),
+    );
+    net.run(1_000);
+
+    assert_eq!(net.owners(0), all(3));
+}
+
 #[test]
 fn a_host_that_hears_from_nobody_is_alone_and_buries_nobody_yet() {
     let mut net = Net::new(4);
--- a/src/ownership.rs
+++ b/src/ownership.rs
@@ -14,6 +14,12 @@
 /// Hosts that a request registers with, where that many own upstreams of its service.
 pub const CANDIDATES: usize = 3;
 
+/// The same in a data centre of more hosts than [`SMALL`], where messages must be few.
+pub const CANDIDATES_OF_MANY: usize = 2;
+
+/// Up to this many hosts, a data centre is small.
+pub const SMALL: usize = 8;
+
 /// Keeps the spaces of keys apart, so that one name may be both a customer and an upstream.
 const UPSTREAM_SEED: u64 = 1;
 const LIMITS_SEED: u64 = 2;
@@ -77,7 +83,7 @@
         ranked.into_iter().map(|host| &host.host).collect()
     }
 
-    /// The owners that a request registers with: at most [`CANDIDATES`] different ones.
+    /// The owners that a request registers with: two or three different ones.
     ///
     /// The first follows the prompt's shortest prefix, so that requests that share it meet at the
     /// engine whose cache holds it; the others follow the request's own id and spread the load by
@@ -90,6 +96,10 @@
     ) -> Vec<HostId> {
         let request_key = xxh3_64_with_seed(request.0.as_bytes(), REQUEST_SEED);
         let affine = prefix_hash.and_then(|prefix| self.first_owner(prefix, upstreams));
+        let count = match self.len() <= SMALL {
+            true => CANDIDATES,
+            false => CANDIDATES_OF_MANY,
+        };
         let mut chosen: Vec<HostId> = affine.into_iter().cloned().collect();
         for upstream in ranked_upstreams(request_key, upstreams) {
             let Some(owner) = self.upstream_owner(upstream) else {
@@ -98,7 +108,7 @@
             if !chosen.contains(owner) {
                 chosen.push(owner.clone());
             }
-            if chosen.len() >= CANDIDATES {
+            if chosen.len() >= count {
                 break;
             }
         }
--- a/src/ownership/tests.rs
+++ b/src/ownership/tests.rs
@@ -121,3 +121,20 @@
     assert_eq!(ownership.upstream_owner(&UpstreamId::new("a:1")), None);
     assert!(candidates.is_empty());
 }
+
+#[test]
+fn every_host_owns_about_its_share() {
+    for seed in 0..SEEDS {
+        let ownership = Ownership::new(hosts(8, seed));
+
+        let mut owned = std::collections::BTreeMap::new();
+        for upstream in upstreams(8_000) {
+            let owner = ownership.upstream_owner(&upstream).unwrap().clone();
+            *owned.entry(owner).or_insert(0_u32) += 1;
+        }
+
+        assert_eq!(owned.len(), 8);
+        let fair = |count: &u32| (850..1_150).contains(count);
+        assert!(owned.values().all(fair), "seed {seed}: {owned:?}");
+    }
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -5,17 +5,18 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::id::AttemptId;
 use crate::id::CustomerId;
 use crate::id::DataCentre;
 use crate::id::HostId;
 use crate::id::Incarnation;
 use crate::id::Offset;
 use crate::id::RequestId;
-use crate::id::ServiceId;
 use crate::id::UpstreamId;
 use crate::schedule::Action;
 use crate::schedule::Ending;
 use crate::schedule::Ticket;
+use crate::spill::Room;
 use crate::table::Digest;
 
 /// A batch of messages from one host to another.
@@ -95,11 +96,18 @@
     /// The request no longer waits there.
     Withdraw(RequestId),
     /// An owner's decision on a request of the receiver.
-    Decision(Action),
+    Decision(Decision),
+    /// A request of another data centre asks the receiver, an owner there; it is never passed on.
+    Spill(Ticket),
+    /// A request that the receiver granted was dispatched.
+    Started {
+        /// The request.
+        request: RequestId,
+        /// Its attempt.
+        attempt: AttemptId,
+    },
     /// Progress of a request that the receiver granted.
     Progress {
-        /// The service.
-        service: ServiceId,
         /// The request.
         request: RequestId,
         /// Tokens generated so far.
@@ -107,8 +115,6 @@
     },
     /// End of a request that the receiver granted.
     Finished {
-        /// The service.
-        service: ServiceId,
         /// The request.
         request: RequestId,
         /// Tokens generated in all.
@@ -126,13 +132,28 @@
         upstream: UpstreamId,
         /// Tokens generated so far.
         output_tokens: u32,
+        /// Its attempt, once dispatched.
+        attempt: Option<AttemptId>,
     },
+    /// The sender saw that an upstream which the receiver owns is leaving.
+    UpstreamLeaving(UpstreamId),
+    /// Room that the sender, an owner in another data centre, offers.
+    Offer(Vec<Room>),
     /// Demand for a customer's allowance, to the customer's owner.
     Demand(Demand),
     /// An allowance lent by the customer's owner.
     Allowance(Allowance),
 }
 
+/// An owner's decision on a request.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Decision {
+    /// What is decided.
+    pub action: Action,
+    /// Requests that the granted upstream holds, for each million tokens of its memory.
+    pub load: f64,
+}
+
 /// What a host used and wants of a customer's limits.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -19,6 +19,7 @@
 use serde::Serialize;
 
 use crate::clock::SystemClock;
+use crate::clock::Time;
 use crate::event::EventCode;
 use crate::id::DataCentre;
 use crate::id::HostId;
@@ -45,7 +46,10 @@
 use crate::peer::PeerMessage;
 use crate::peer::Receipt;
 use crate::peer::Rumour;
+use crate::platform::HostKind;
 use crate::platform::HostList;
+use crate::platform::HostState;
+use crate::status::PeerStatus;
 
 /// Options of the peers.
 #[derive(Debug, Clone, PartialEq, Builder, Serialize, Deserialize)]
@@ -124,6 +128,10 @@
     Unreachable(HostId),
     /// A host that could not be reached answers again.
     Reachable(HostId),
+    /// A host died: what it held is forgotten.
+    Died(HostId),
+    /// This host hears from nobody, or hears from others again.
+    Alone(bool),
     /// Another host of the data centre says that an upstream is leaving.
     UpstreamLeaving(UpstreamId),
 }
@@ -139,6 +147,8 @@
     pub alone: bool,
     /// Hosts of other data centres that spoke to this one.
     pub remote: Vec<RemoteHost>,
+    /// Peer addresses of hosts in other data centres.
+    pub remote_addresses: Vec<String>,
 }
 
 /// A host of another data centre.
@@ -153,7 +163,7 @@
 }
 
 /// A handle on the peers; clones share them.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 pub struct PeersHandle {
     identity: Identity,
     addr: Addr<Peers>,
@@ -184,6 +194,16 @@
         view.alone
     }
 
+    /// The other hosts of the data centre, for a person.
+    pub fn status(&self, now: Time) -> Vec<PeerStatus> {
+        let data_centre = &self.identity.data_centre;
+        let members = self.view().members;
+        members
+            .iter()
+            .map(|member| member.status(now, data_centre))
+            .collect()
+    }
+
     /// Sends a message to another host; it may be lost.
     pub fn send(&self, to: &HostId, urgency: Urgency, message: PeerMessage) {
         self.addr.do_send(Outgoing {
@@ -202,6 +222,17 @@
         });
     }
 
+    /// Asks a host for a sign of life; [`PeerNews::Unreachable`] tells if none comes.
+    pub fn ping(&self, host: &HostId) {
+        self.addr.do_send(Ping(host.clone()));
+    }
+
+    /// Peer addresses of hosts in other data centres, in a fixed order.
+    pub fn remote_addresses(&self) -> Vec<String> {
+        let view = self.view.read().unwrap_or_else(PoisonError::into_inner);
+        view.remote_addresses.clone()
+    }
+
     /// Sends `news` to `subscriber` from now on, the present owners first.
     pub fn subscribe(&self, subscriber: Recipient<PeerNews>) {
         self.addr.do_send(Subscribe(subscriber));
@@ -240,6 +271,8 @@
     membership: Membership,
     links: BTreeMap<String, Link>,
     remote: BTreeMap<HostId, RemoteHost>,
+    /// Peer addresses in other data centres, by the platform's list.
+    listed_remote: Vec<String>,
     /// Addresses whose last call failed.
     failed: BTreeMap<String, Option<HostId>>,
     subscribers: Vec<Recipient<PeerNews>>,
@@ -283,6 +316,7 @@
             membership,
             links: BTreeMap::new(),
             remote: BTreeMap::new(),
+            listed_remote: Vec::new(),
             failed: BTreeMap::new(),
             subscribers: Vec::new(),
             leaving_upstreams: Vec::new(),
@@ -357,6 +391,13 @@
         };
         self.journal
             .record(code, Subject::none().detail(format!("peer={host}")));
+        match change {
+            Change::Died => self.tell(&PeerNews::Died(host.clone())),
+            Change::Alone => self.tell(&PeerNews::Alone(true)),
+            Change::Rejoined => self.tell(&PeerNews::Alone(false)),
+            Change::Joined | Change::Refuted => self.tell(&PeerNews::Reachable(host.clone())),
+            Change::Suspected | Change::Left => {}
+        }
     }
 
     fn update_view(&self, update: impl FnOnce(&mut PeersView)) {
@@ -367,8 +408,13 @@
     fn refresh_view(&self) {
         let members = self.membership.members().cloned().collect();
         let alone = self.membership.is_alone();
-        let remote = self.remote.values().cloned().collect();
+        let remote: Vec<RemoteHost> = self.remote.values().cloned().collect();
+        let mut remote_addresses: Vec<String> = self.listed_remote.clone();
+        remote_addresses.extend(remote.iter().map(|remote| remote.address.clone()));
+        remote_addresses.sort();
+        remote_addresses.dedup();
         self.update_view(|view| {
+            view.remote_addresses = remote_addresses;
             view.members = members;
             view.alone = alone;
             view.remote = remote;
@@ -444,6 +490,17 @@
         }
     }
 
+    /// Learns the peer addresses of other data centres from the platform's list.
+    fn learn_remote(&mut self, list: &HostList) {
+        let here = &self.membership.identity().data_centre;
+        let elsewhere = list.hosts.iter().filter(|listed| {
+            listed.kind == HostKind::Entry
+                && listed.data_centre != *here
+                && listed.state == HostState::Live
+        });
+        self.listed_remote = elsewhere.map(|listed| listed.address.clone()).collect();
+    }
+
     fn hear_leaving(&mut self, upstreams: Vec<UpstreamId>) {
         for upstream in upstreams {
             self.tell(&PeerNews::UpstreamLeaving(upstream));
@@ -513,6 +570,20 @@
     }
 }
 
+#[derive(actix::Message)]
+#[rtype(result = "()")]
+struct Ping(HostId);
+
+impl Handler<Ping> for Peers {
+    type Result = ();
+
+    fn handle(&mut self, Ping(host): Ping, context: &mut Self::Context) {
+        if let Some(address) = self.address_of(&host) {
+            self.link(&address, context).ping();
+        }
+    }
+}
+
 #[derive(actix::Message)]
 #[rtype(result = "()")]
 struct Subscribe(Recipient<PeerNews>);
@@ -535,6 +606,9 @@
     type Result = ();
 
     fn handle(&mut self, Feed(input): Feed, context: &mut Self::Context) {
+        if let MembershipInput::Listed(list) = &input {
+            self.learn_remote(list);
+        }
         self.feed(input, context);
     }
 }
--- a/src/peerserver.rs
+++ b/src/peerserver.rs
@@ -1,6 +1,7 @@
 //! The server that the other entry hosts call.
 
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
 
 use async_trait::async_trait;
@@ -11,7 +12,6 @@
 use jsonrpsee::types::ErrorCode;
 
 use crate::clock::SystemClock;
-use crate::error::Error;
 use crate::error::Result;
 use crate::id::DataCentre;
 use crate::id::HostId;
@@ -43,8 +43,8 @@
     pub incarnation: Incarnation,
     /// Its data centre.
     pub data_centre: DataCentre,
-    /// Address and port to listen on; port 0 takes a free one.
-    pub address: String,
+    /// Where the other hosts connect.
+    pub listener: TcpListener,
     /// Peer addresses of other hosts.
     pub known: Vec<String>,
     /// The process's clock.
@@ -56,6 +56,7 @@
 }
 
 /// The peers and their server, which stops when this is dropped.
+#[derive(Debug)]
 pub struct RunningPeers {
     /// The handle.
     pub handle: PeersHandle,
@@ -77,8 +78,8 @@
 ///
 /// # Errors
 ///
-/// [`Error::Io`] if the address cannot be listened on.
-pub async fn start(start: PeersStart) -> Result<RunningPeers> {
+/// [`crate::error::Error::Io`] if the listener cannot be used.
+pub fn start(start: PeersStart) -> Result<RunningPeers> {
     let config = ServerConfig::builder()
         .ws_only()
         .max_connections(CONNECTIONS_MAX)
@@ -86,11 +87,10 @@
         .max_response_body_size(MESSAGE_BYTES_MAX)
         .set_tcp_no_delay(true)
         .build();
+    start.listener.set_nonblocking(true)?;
     let server = Server::builder()
         .set_config(config)
-        .build(&start.address)
-        .await
-        .map_err(Error::Io)?;
+        .build_from_tcp(start.listener)?;
     let address = server.local_addr()?;
     let identity = Identity {
         host: start.host,
--- a/src/peerserver/tests.rs
+++ b/src/peerserver/tests.rs
@@ -1,3 +1,4 @@
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
@@ -28,7 +29,7 @@
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
-async fn host(name: &str, known: Vec<String>, config: Arc<dyn ConfigSource>) -> RunningPeers {
+fn host(name: &str, known: Vec<String>, config: Arc<dyn ConfigSource>) -> RunningPeers {
     let clock = SystemClock::new();
     let journal = Journal::new(HostId::new(name), Incarnation(1), clock, 100);
     start(PeersStart {
@@ -36,13 +37,12 @@
         host: HostId::new(name),
         incarnation: Incarnation(1),
         data_centre: DataCentre::new("dc-a"),
-        address: "127.0.0.1:0".to_owned(),
+        listener: TcpListener::bind("127.0.0.1:0").unwrap(),
         known,
         clock,
         journal,
         config,
     })
-    .await
     .unwrap()
 }
 
@@ -92,9 +92,9 @@
 
 #[actix::test]
 async fn hosts_find_one_another_and_notice_a_death() {
-    let first = host("a", Vec::new(), Arc::new(NoConfig)).await;
-    let second = host("b", vec![first.address.to_string()], Arc::new(NoConfig)).await;
-    let third = host("c", vec![first.address.to_string()], Arc::new(NoConfig)).await;
+    let first = host("a", Vec::new(), Arc::new(NoConfig));
+    let second = host("b", vec![first.address.to_string()], Arc::new(NoConfig));
+    let third = host("c", vec![first.address.to_string()], Arc::new(NoConfig));
     until(|| first.handle.ownership().len() == 3).await;
     until(|| second.handle.ownership().len() == 3).await;
     until(|| third.handle.ownership().len() == 3).await;
@@ -107,8 +107,8 @@
 
 #[actix::test]
 async fn a_message_reaches_the_subscribers_of_the_other_host() {
-    let first = host("a", Vec::new(), Arc::new(NoConfig)).await;
-    let second = host("b", vec![first.address.to_string()], Arc::new(NoConfig)).await;
+    let first = host("a", Vec::new(), Arc::new(NoConfig));
+    let second = host("b", vec![first.address.to_string()], Arc::new(NoConfig));
     until(|| second.handle.ownership().len() == 2).await;
     let heard = Arc::default();
     let listener = Listener(Arc::clone(&heard)).start();
@@ -137,9 +137,9 @@
     };
     let full = Arc::new(FakeConfig(Mutex::new(vec![record])));
     let empty = Arc::new(FakeConfig::default());
-    let first = host("a", Vec::new(), full).await;
+    let first = host("a", Vec::new(), full);
 
-    let _second = host("b", vec![first.address.to_string()], empty.clone()).await;
+    let _second = host("b", vec![first.address.to_string()], empty.clone());
 
     until(|| empty.next() == Offset(1)).await;
 }
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -127,6 +127,11 @@
         self.ledger.len()
     }
 
+    /// Whether a request holds a grant or runs.
+    pub fn holds(&self, request: RequestId) -> bool {
+        self.ledger.get(request).is_some()
+    }
+
     fn take(&mut self, now: Time, input: Input) -> Vec<Action> {
         match input {
             Input::Weights(weights) => self.queue.set_weights(&weights),
--- a/src/session.rs
+++ b/src/session.rs
@@ -42,6 +42,7 @@
 use crate::schedule::Ending;
 use crate::schedule::Ticket;
 use crate::telemetry;
+use crate::wire::EngineRefusalReason;
 use crate::wire::GenerateRequest;
 
 /// Period of the relay's ticks, in milliseconds.
@@ -268,12 +269,25 @@
                 self.step(Input::Opened);
             }
             OpenOutcome::NotWritten(reason) => self.step(Input::NotWritten(&reason)),
-            OpenOutcome::Refused(reason) => self.step(Input::Refused(reason)),
+            OpenOutcome::Refused(reason) => {
+                self.tell_if_leaving(reason);
+                self.step(Input::Refused(reason));
+            }
             OpenOutcome::Forgotten => self.step(Input::Forgotten),
             OpenOutcome::Lost(reason) => self.step(Input::Lost(&reason)),
         }
     }
 
+    /// An engine's own refusal may be the first sign that it leaves.
+    fn tell_if_leaving(&self, reason: EngineRefusalReason) {
+        if reason != EngineRefusalReason::Leaving {
+            return;
+        }
+        if let Some(upstream) = self.upstream() {
+            self.context.dispatcher.upstream_leaving(&upstream);
+        }
+    }
+
     async fn read(&mut self) {
         let Some(link) = &mut self.link else {
             self.step(Input::Lost("no link"));
@@ -402,7 +416,11 @@
     fn restart(&mut self, cause: RestartCause) {
         self.link = None;
         self.output_tokens = 0;
-        self.finish(Ending::UpstreamFailed, 0);
+        let ending = match &cause {
+            RestartCause::Moved => Ending::Cancelled,
+            RestartCause::Failed(_) | RestartCause::NotWritten(_) => Ending::UpstreamFailed,
+        };
+        self.finish(ending, 0);
         if let Some(grant) = self.grant.take() {
             self.request.ticket.avoid.push(grant.upstream);
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -12,12 +12,15 @@
 
 use crate::claimstep::ClaimOptions;
 use crate::config::ConfigOptions;
+use crate::dispatch::DispatchOptions;
 use crate::engine::EngineOptions;
 use crate::error::Error;
 use crate::error::Result;
+use crate::hostlist::HostListOptions;
 use crate::id::DataCentre;
 use crate::id::HostId;
 use crate::logstream::LogOptions;
+use crate::peers::PeersOptions;
 use crate::relay::RelayOptions;
 use crate::server::ServerOptions;
 use crate::shutdown::ShutdownOptions;
@@ -63,6 +66,15 @@
     /// How the host stops.
     #[serde(default)]
     pub shutdown: ShutdownOptions,
+    /// Heartbeats and links to the other entry hosts.
+    #[serde(default)]
+    pub peering: PeersOptions,
+    /// Queues, grants and spill.
+    #[serde(default)]
+    pub dispatch: DispatchOptions,
+    /// Look-ups of the platform's host list.
+    #[serde(default)]
+    pub host_list: HostListOptions,
 }
 
 /// Reads and checks a settings file.
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -73,7 +73,8 @@
     }
 }
 
-/// Waits for a signal or an operator's order, then for everything in flight or a second signal.
+/// Waits for a signal or an operator's order, then for everything in flight or a second signal. The
+/// first calls `tell_peers` at once.
 pub async fn wait(
     mut signals: Signals,
     ordered: &Notify,
@@ -81,12 +82,14 @@
     gate: &Gate,
     server: &ServerHandle,
     journal: &Journal,
+    tell_peers: impl FnOnce(),
 ) -> Stopped {
     tokio::select! {
         () = signals.next() => {}
         () = ordered.notified() => {}
     }
     gate.shut();
+    tell_peers();
     journal.record(EventCode::ShutdownBegan, in_flight(gate));
     tokio::select! {
         () = drain(options, server) => {
