--- a/examples/claim_load.rs
+++ b/examples/claim_load.rs
@@ -110,7 +110,10 @@
     println!("requests {total}, refused {refused}, {elapsed_s:.1} s");
     println!("appends/s {:.1}", counters.appends as f64 / elapsed_s);
     println!("records/s {:.0}", counters.records as f64 / elapsed_s);
-    println!("bytes/record {:.0}", counters.appended_bytes as f64 / counters.records as f64);
+    println!(
+        "bytes/record {:.0}",
+        counters.appended_bytes as f64 / counters.records as f64
+    );
     println!(
         "claim latency ms: p50 {:.0}, p99 {:.0}, max {:.0}",
         latency_us.value_at_quantile(0.5) as f64 / 1e3,
@@ -140,7 +143,10 @@
     let began = Instant::now();
     let key = claim_key(wall_ms(), number);
     let deadline = Duration::from_secs(10);
-    let claim = host.claim(RequestId::generate(), key, deadline).await.ok()?;
+    let claim = host
+        .claim(RequestId::generate(), key, deadline)
+        .await
+        .ok()?;
     let latency = began.elapsed();
     claim.conclude(ClaimEnd::Done(summary()));
     Some(latency)
@@ -187,7 +193,10 @@
     let elapsed = began.elapsed();
     let bytes = resident_bytes()?.saturating_sub(before);
     println!("keys folded {}", holdings.len());
-    println!("memory bytes/key {:.0}", bytes as f64 / FOLDED_CLAIMS as f64);
+    println!(
+        "memory bytes/key {:.0}",
+        bytes as f64 / FOLDED_CLAIMS as f64
+    );
     println!(
         "encode and fold us/key {:.2}",
         elapsed.as_secs_f64() * 1e6 / FOLDED_CLAIMS as f64
