Let smaller requests pass, soften the margin, and predict waits by class

Change: a request that fits nowhere lets smaller ones pass for 1 s; the margin starts at 1%, grows by 1.3 and falls by 0.2% a second (2%, 1.5 and 0.1% before); waits are predicted from the measured rate at which each class is granted while it waits; ejected upstreams leave the placement order.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -122,13 +122,13 @@
 }
 
 /// Margin after the first preemption.
-const MARGIN_FIRST: f64 = 0.02;
+const MARGIN_FIRST: f64 = 0.01;
 /// Factor at each report that tells of preemptions.
-const MARGIN_FACTOR: f64 = 1.5;
+const MARGIN_FACTOR: f64 = 1.3;
 /// Largest margin.
-const MARGIN_MAX: f64 = 0.4;
+const MARGIN_MAX: f64 = 0.3;
 /// Fall a second.
-const MARGIN_FALL_PER_S: f64 = 0.001;
+const MARGIN_FALL_PER_S: f64 = 0.002;
 
 impl Margin {
     /// No margin.
--- a/src/ejection.rs
+++ b/src/ejection.rs
@@ -81,6 +81,15 @@
         }
     }
 
+    /// The upstreams that may be given a probe.
+    pub(crate) fn half_open(&self, now: Time) -> Vec<UpstreamId> {
+        self.records
+            .keys()
+            .filter(|upstream| self.health(now, upstream) == Health::HalfOpen)
+            .cloned()
+            .collect()
+    }
+
     /// A request goes to the upstream; if it is half-open, this is the probe.
     pub(crate) fn sent(&mut self, upstream: &UpstreamId) {
         if let Some(record) = self.records.get_mut(upstream) {
--- a/src/fairqueue.rs
+++ b/src/fairqueue.rs
@@ -14,6 +14,7 @@
 use crate::id::ClassId;
 use crate::id::CustomerId;
 use crate::id::RequestId;
+use crate::overload::DrainRate;
 use crate::schedule::ClassWeight;
 use crate::schedule::Ticket;
 use crate::schedule::Weights;
@@ -24,6 +25,9 @@
 /// Customers of a class whose last request is checked at a time.
 const CHECKED_MAX: usize = 32;
 
+/// Customers of a class whose first request may go before one that fits nowhere.
+const HEADS_PER_CLASS: usize = 2;
+
 /// Virtual time: tokens times [`SCALE`] over weight.
 type VirtualTime = u64;
 
@@ -57,6 +61,7 @@
     running: u32,
     waiting: usize,
     backlog_weight: u64,
+    drain: DrainRate,
     shares: BTreeMap<CustomerId, Share>,
     backlog: BTreeSet<(VirtualTime, CustomerId)>,
 }
@@ -72,6 +77,7 @@
             running: 0,
             waiting: 0,
             backlog_weight: 0,
+            drain: DrainRate::default(),
             shares: BTreeMap::new(),
             backlog: BTreeSet::new(),
         }
@@ -201,33 +207,58 @@
         share.queue.iter().find(|w| w.ticket.request == *request)
     }
 
-    /// Grants until one more request of the customer would be granted, by its shares.
-    pub(crate) fn position(&self, class_id: &ClassId, customer: &CustomerId) -> f64 {
-        let queued = self
+    /// The requests that go next by shares: for each class those of its first customers.
+    pub(crate) fn heads(&self) -> impl Iterator<Item = &Waiting> {
+        let mut classes: Vec<&Class> = self
             .classes
-            .get(class_id)
-            .and_then(|class| class.shares.get(customer))
-            .map_or(0, |share| share.queue.len());
-        self.grants_before(class_id, customer, queued + 1)
+            .values()
+            .filter(|class| class.waiting > 0)
+            .collect();
+        classes.sort_by_key(|class| class.virtual_time);
+        classes.into_iter().flat_map(|class| {
+            class
+                .backlog
+                .iter()
+                .take(HEADS_PER_CLASS)
+                .filter_map(|(_, customer)| class.shares.get(customer)?.queue.front())
+        })
+    }
+
+    /// Accounts the time since the last call to the rate at which each class is granted.
+    pub(crate) fn record_time(&mut self, now: Time) {
+        for class in self.classes.values_mut() {
+            class.drain.record_time(now, class.waiting > 0);
+        }
+    }
+
+    /// Accounts a grant to its class's rate.
+    pub(crate) fn record_grant(&mut self, class_id: &ClassId) {
+        if let Some(class) = self.classes.get_mut(class_id) {
+            class.drain.record_grant();
+        }
+    }
+
+    /// How long one more request of the customer would wait, in milliseconds, if it can be told.
+    pub(crate) fn wait_ms(&self, class_id: &ClassId, customer: &CustomerId) -> Option<f64> {
+        let class = self.classes.get(class_id)?;
+        let share = class.shares.get(customer);
+        let queued = share.map_or(0, |share| share.queue.len());
+        self.drain_ms(class, customer, queued + 1)
     }
 
     /// Customers' last requests that will miss their deadline, the most over-share customers
-    /// first; at most one a customer. `wait_ms` tells how long a number of grants takes.
-    pub(crate) fn hopeless(
-        &self,
-        now: Time,
-        wait_ms: impl Fn(f64) -> Option<f64>,
-    ) -> Vec<RequestId> {
+    /// first; at most one a customer.
+    pub(crate) fn hopeless(&self, now: Time) -> Vec<RequestId> {
         let mut found = Vec::new();
-        for (class_id, class) in &self.classes {
+        for class in self.classes.values() {
             for (_, customer) in class.backlog.iter().rev().take(CHECKED_MAX) {
                 let queue = &class.shares[customer].queue;
                 let Some(last) = queue.back() else {
                     continue;
                 };
-                let position = self.grants_before(class_id, customer, queue.len());
+                let wait_ms = self.drain_ms(class, customer, queue.len());
                 let left_ms = last.deadline.since(now).as_secs_f64() * 1_000.0;
-                if wait_ms(position).is_some_and(|wait_ms| wait_ms > left_ms) {
+                if wait_ms.is_some_and(|wait_ms| wait_ms > left_ms) {
                     found.push(last.ticket.request);
                 }
             }
@@ -235,28 +266,17 @@
         found
     }
 
-    /// Grants until `count` requests of the customer are granted.
-    fn grants_before(&self, class_id: &ClassId, customer: &CustomerId, count: usize) -> f64 {
-        let everyone = (self.len() + 1).max(count) as f64;
-        let Some(class) = self.classes.get(class_id) else {
-            return everyone;
-        };
-        let others = self
-            .classes
-            .values()
-            .filter(|other| other.waiting > 0)
-            .map(|other| u64::from(other.weight))
-            .sum::<u64>();
-        let class_weight = u64::from(class.weight);
-        let class_total = others + if class.waiting == 0 { class_weight } else { 0 };
+    /// How long until `count` requests of the customer are granted, in milliseconds.
+    fn drain_ms(&self, class: &Class, customer: &CustomerId, count: usize) -> Option<f64> {
         let weight = weight_of(&self.customers, customer);
         let waits = class
             .shares
             .get(customer)
             .is_some_and(|share| !share.queue.is_empty());
         let total = class.backlog_weight + if waits { 0 } else { weight };
-        let share = class_weight as f64 / class_total as f64 * weight as f64 / total as f64;
-        (count as f64 / share).min(everyone)
+        let by_share = count as f64 * total as f64 / weight as f64;
+        let everyone = (class.waiting + 1) as f64;
+        class.drain.wait_ms(by_share.min(everyone))
     }
 
     /// A request of the customer started to run.
--- a/src/overload.rs
+++ b/src/overload.rs
@@ -13,22 +13,30 @@
     weight_s: f64,
     grants: f64,
     since: Option<Time>,
+    crowded: bool,
 }
 
 impl DrainRate {
-    /// Accounts the time since the last call, in which requests waited or not, and the grants at
-    /// its end.
-    pub(crate) fn record(&mut self, now: Time, crowded: bool, grants: usize) {
+    /// Accounts the time since the last call, in which requests waited or not.
+    pub(crate) fn record_time(&mut self, now: Time, crowded: bool) {
         let elapsed_s = self
             .since
             .replace(now)
             .map_or(0.0, |since| now.since(since).as_secs_f64());
+        self.crowded = crowded;
         if !crowded {
             return;
         }
         let kept = (-elapsed_s / WINDOW_S).exp();
         self.weight_s = self.weight_s * kept + elapsed_s;
-        self.grants = self.grants * kept + grants as f64;
+        self.grants *= kept;
+    }
+
+    /// Accounts a grant. One that nothing waited before tells nothing of the rate.
+    pub(crate) fn record_grant(&mut self) {
+        if self.crowded {
+            self.grants += 1.0;
+        }
     }
 
     /// Grants a second, once enough crowding was seen.
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -50,6 +50,8 @@
     pub(crate) spec: UpstreamSpec,
     /// It gets no new work.
     pub(crate) leaving: bool,
+    /// It was ejected and its time is not over.
+    pub(crate) shelved: bool,
     /// Requests granted to it.
     pub(crate) running: BTreeSet<RequestId>,
     /// Predicted memory of all it runs.
@@ -74,6 +76,7 @@
         Upstream {
             spec,
             leaving: false,
+            shelved: false,
             running: BTreeSet::new(),
             forecast: Forecast::default(),
             foreign: Vec::new(),
@@ -210,7 +213,10 @@
         };
         change(upstream);
         let headroom = upstream.headroom_share(now, &Trajectory::default(), self.caution);
-        let order_key = (headroom * ORDER_STEPS) as i64;
+        let order_key = match upstream.leaving || upstream.shelved {
+            true => i64::MIN,
+            false => (headroom * ORDER_STEPS) as i64,
+        };
         if order_key == upstream.order_key {
             return;
         }
@@ -219,6 +225,20 @@
         self.order.insert((order_key, slot));
     }
 
+    /// Notes that an upstream was ejected.
+    pub(crate) fn shelve(&mut self, now: Time, slot: Slot) {
+        self.update(now, slot, |upstream| upstream.shelved = true);
+    }
+
+    /// Puts upstreams whose ejection is over back into the order.
+    pub(crate) fn unshelve(&mut self, now: Time) {
+        for id in self.ejector.half_open(now) {
+            if let Some(slot) = self.slot(&id) {
+                self.update(now, slot, |upstream| upstream.shelved = false);
+            }
+        }
+    }
+
     /// The best upstream that has room for a request, if one has.
     pub(crate) fn choose(
         &self,
@@ -235,6 +255,11 @@
             .map(|(_, choice)| choice)
     }
 
+    /// Whether no upstream has any headroom.
+    pub(crate) fn is_full(&self) -> bool {
+        self.order.last().is_none_or(|(key, _)| *key <= 0)
+    }
+
     /// Whether the prompt alone is too large for every upstream.
     pub(crate) fn never_fits(&self, prompt_tokens: u32) -> bool {
         let mut upstreams = self.slots.iter().flatten().peekable();
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -20,7 +20,6 @@
 use crate::id::RequestId;
 use crate::id::UpstreamId;
 use crate::ledger::Ledger;
-use crate::overload::DrainRate;
 use crate::placement::Caution;
 use crate::placement::Choice;
 use crate::placement::Placement;
@@ -57,6 +56,9 @@
     pub advance_tokens_max: u32,
     /// One grant in this many goes to the request that has waited longest. Default 20.
     pub ageing_grants: u32,
+    /// Smaller requests may go before the first in order while it fits nowhere, for this long, in
+    /// milliseconds. Default 1,000.
+    pub bypass_ms: u64,
     /// Longest time between two ticks while anything waits or runs, in milliseconds. Default 100.
     pub tick_ms: u64,
     /// Ejection of failing upstreams.
@@ -74,6 +76,7 @@
             caution_deviations: 1.0,
             advance_tokens_max: 1_024,
             ageing_grants: 20,
+            bypass_ms: 1_000,
             tick_ms: 100,
             ejection: EjectionOptions::default(),
             ejected_percent_max: 50,
@@ -90,7 +93,7 @@
     ledger: Ledger,
     placement: Placement,
     estimator: Estimator,
-    drain: DrainRate,
+    blocked: HashMap<RequestId, Time>,
     moves: HashMap<RequestId, u8>,
     grants: u32,
     next_check: Time,
@@ -109,7 +112,7 @@
             ledger: Ledger::default(),
             placement: Placement::new(caution, options.ejection.clone()),
             estimator: Estimator::new(options.prior_output_tokens),
-            drain: DrainRate::default(),
+            blocked: HashMap::new(),
             moves: HashMap::new(),
             grants: 0,
             next_check: Time::ZERO,
@@ -216,9 +219,7 @@
     }
 
     fn withdraw(&mut self, now: Time, request: RequestId) {
-        if let Some(waiting) = self.queue.remove(request) {
-            self.deadlines.remove(&(waiting.deadline, request));
-        }
+        self.dequeue(request);
         self.moves.remove(&request);
         let unused = self
             .ledger
@@ -278,26 +279,42 @@
 
     fn grant(&mut self, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
-        while let Some(choice) = self.choose(now) {
-            actions.extend(self.grant_next(now, choice));
+        while let Some((request, choice)) = self.choose(now) {
+            actions.extend(self.grant_one(now, request, choice));
         }
         actions
     }
 
-    /// Where the next request in order fits, if anywhere.
-    fn choose(&mut self, now: Time) -> Option<Choice> {
-        let waiting = next_waiting(&self.queue, &self.options, self.grants)?;
-        let ticket = &waiting.ticket;
-        let curve = self.estimator.curve(now, &ticket.class, &ticket.customer);
-        let newcomer = Trajectory::new(curve, ticket.prompt_tokens, 0, ticket.max_output_tokens);
-        self.placement.choose(now, ticket, &newcomer)
+    /// The next request that fits somewhere, and where.
+    ///
+    /// Where the first in order fits nowhere, a smaller one may go before it, for a while.
+    fn choose(&mut self, now: Time) -> Option<(RequestId, Choice)> {
+        if self.placement.is_full() {
+            return None;
+        }
+        let first = next_waiting(&self.queue, &self.options, self.grants)?;
+        let request = first.ticket.request;
+        if let Some(choice) = fit(&mut self.estimator, &self.placement, now, &first.ticket) {
+            return Some((request, choice));
+        }
+        let since = *self.blocked.entry(request).or_insert(now);
+        if now.since(since) >= Duration::from_millis(self.options.bypass_ms) {
+            return None;
+        }
+        self.queue
+            .heads()
+            .filter(|waiting| waiting.ticket.request != request)
+            .find_map(|waiting| {
+                let ticket = &waiting.ticket;
+                let choice = fit(&mut self.estimator, &self.placement, now, ticket)?;
+                Some((ticket.request, choice))
+            })
     }
 
-    fn grant_next(&mut self, now: Time, choice: Choice) -> Option<Action> {
-        let waiting = next_waiting(&self.queue, &self.options, self.grants)?;
-        let request = waiting.ticket.request;
-        let waiting = self.queue.remove(request)?;
-        self.deadlines.remove(&(waiting.deadline, request));
+    fn grant_one(&mut self, now: Time, request: RequestId, choice: Choice) -> Option<Action> {
+        let waiting = self.dequeue(request)?;
+        let class = &waiting.ticket.class;
+        self.queue.record_grant(class);
         self.grants = self.grants.wrapping_add(1);
         let upstream = self.placement.get(choice.slot)?.spec.upstream.clone();
         self.placement.ejector.sent(&upstream);
@@ -306,14 +323,35 @@
         }
         let valid_ms = self.options.grant_valid_ms;
         let expires = now + Duration::from_millis(valid_ms);
+        let engine_priority = self.queue.engine_priority(class);
         self.run(now, &waiting.ticket, choice, 0, Some(expires));
         Some(Action::Grant {
             request,
             upstream,
-            engine_priority: self.queue.engine_priority(&waiting.ticket.class),
+            engine_priority,
             valid_ms,
         })
     }
+
+    /// Takes a request out of the queue and all that belongs to its waiting.
+    fn dequeue(&mut self, request: RequestId) -> Option<Waiting> {
+        let waiting = self.queue.remove(request)?;
+        self.deadlines.remove(&(waiting.deadline, request));
+        self.blocked.remove(&request);
+        Some(waiting)
+    }
+}
+
+/// Where a request fits, if anywhere.
+fn fit(
+    estimator: &mut Estimator,
+    placement: &Placement,
+    now: Time,
+    ticket: &Ticket,
+) -> Option<Choice> {
+    let curve = estimator.curve(now, &ticket.class, &ticket.customer);
+    let newcomer = Trajectory::new(curve, ticket.prompt_tokens, 0, ticket.max_output_tokens);
+    placement.choose(now, ticket, &newcomer)
 }
 
 /// The request to grant next: by shares, but now and then the one that has waited longest.
@@ -331,13 +369,11 @@
 
 impl Policy for Scheduler {
     fn step(&mut self, now: Time, input: Input) -> Vec<Action> {
-        let crowded = self.queue.len() > 0;
+        self.queue.record_time(now);
         let mut actions = self.take(now, input);
         self.expire_grants(now);
         actions.extend(self.refuse_late(now));
-        let granted = self.grant(now);
-        self.drain.record(now, crowded, granted.len());
-        actions.extend(granted);
+        actions.extend(self.grant(now));
         actions
     }
 
--- a/src/scheduler/lifecycle.rs
+++ b/src/scheduler/lifecycle.rs
@@ -104,7 +104,9 @@
             Ending::Complete => ejector.succeeded(&id),
             Ending::Cancelled => ejector.abandoned(&id),
             Ending::UpstreamFailed | Ending::UpstreamRefused => {
-                ejector.failed(now, &id, ejected_max);
+                if ejector.failed(now, &id, ejected_max) {
+                    self.placement.shelve(now, slot);
+                }
             }
         }
     }
--- a/src/scheduler/refusals.rs
+++ b/src/scheduler/refusals.rs
@@ -16,20 +16,20 @@
 const RETRY_AFTER_MS_MAX: f64 = 60_000.0;
 
 impl Scheduler {
-    pub(super) fn predicted_wait_ms(&self, ticket: &Ticket) -> Option<f64> {
-        let position = self.queue.position(&ticket.class, &ticket.customer);
-        self.drain.wait_ms(position)
-    }
-
+    /// Whether a request would miss its deadline, as far as can be told.
     pub(super) fn hopeless(&self, ticket: &Ticket, limit_ms: u64) -> bool {
         self.queue.len() > 0
             && self
-                .predicted_wait_ms(ticket)
+                .queue
+                .wait_ms(&ticket.class, &ticket.customer)
                 .is_some_and(|wait_ms| wait_ms > limit_ms as f64)
     }
 
     pub(super) fn refuse(&self, ticket: &Ticket, left_ms: u64) -> Action {
-        let wait_ms = self.predicted_wait_ms(ticket).unwrap_or(0.0);
+        let wait_ms = self
+            .queue
+            .wait_ms(&ticket.class, &ticket.customer)
+            .unwrap_or(0.0);
         let excess_ms = (wait_ms - left_ms as f64).clamp(RETRY_AFTER_MS_MIN, RETRY_AFTER_MS_MAX);
         let refusal = Refusal::not_run(Code::Overloaded, "no upstream has room in time")
             .retry_after_ms(excess_ms as u64)
@@ -52,8 +52,8 @@
         }
         if self.next_check <= now {
             self.next_check = now + Duration::from_millis(self.options.tick_ms);
-            let drain = &self.drain;
-            given_up.extend(self.queue.hopeless(now, |grants| drain.wait_ms(grants)));
+            self.placement.unshelve(now);
+            given_up.extend(self.queue.hopeless(now));
         }
         given_up
             .into_iter()
@@ -62,8 +62,7 @@
     }
 
     pub(super) fn give_up(&mut self, now: Time, request: RequestId) -> Option<Action> {
-        let waiting = self.queue.remove(request)?;
-        self.deadlines.remove(&(waiting.deadline, request));
+        let waiting = self.dequeue(request)?;
         self.moves.remove(&request);
         let left = waiting.deadline.since(now);
         let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
--- a/src/scheduler/tests.rs
+++ b/src/scheduler/tests.rs
@@ -154,3 +154,57 @@
     assert!(matches!(moved.as_slice(), [Action::Relocate { .. }]));
     assert_eq!(granted(&later), []);
 }
+
+#[test]
+fn a_smaller_request_passes_one_that_fits_nowhere_but_not_for_long() {
+    let mut scheduler = scheduler(&[4_000]);
+    scheduler.step(Time::ZERO, Input::Submit(ticket(1)));
+    scheduler.step(Time::ZERO, started(1));
+    let mut large = ticket(2);
+    large.prompt_tokens = 3_500;
+    let small = |number| Ticket {
+        customer: format!("crew-{number}").as_str().into(),
+        prompt_tokens: 10,
+        max_output_tokens: 10,
+        ..ticket(number)
+    };
+    scheduler.step(Time::ZERO, Input::Submit(large));
+
+    let early = scheduler.step(Time::from_ms(500), Input::Submit(small(3)));
+    let late = scheduler.step(Time::from_ms(1_500), Input::Submit(small(4)));
+    let freed = scheduler.step(Time::from_ms(1_500), finished(1, 50));
+
+    assert_eq!(granted(&early)[0].0, RequestId::from_u128(3));
+    assert_eq!(granted(&late), []);
+    assert_eq!(scheduler.waiting(), 2 - granted(&freed).len());
+}
+
+#[test]
+fn a_failing_upstream_is_left_alone_until_a_probe_succeeds() {
+    let mut scheduler = scheduler(&[10_000, 10_000]);
+    let failing: UpstreamId = "10.0.0.0:1".into();
+    for number in 1..=20 {
+        let now = Time::from_ms(number as u64);
+        let actions = scheduler.step(now, Input::Submit(ticket(number)));
+        let upstream = granted(&actions)[0].1.clone();
+        let ending = if upstream == failing {
+            Ending::UpstreamFailed
+        } else {
+            Ending::Complete
+        };
+        let end = Input::Finished {
+            request: RequestId::from_u128(number),
+            output_tokens: 0,
+            ending,
+            cached_prompt_tokens: 0,
+        };
+        scheduler.step(now, end);
+    }
+
+    let ejected = scheduler.step(Time::from_ms(100), Input::Submit(ticket(21)));
+    scheduler.step(Time::from_ms(100), started(21));
+    let probe = scheduler.step(Time::from_ms(3_000), Input::Submit(ticket(22)));
+
+    assert_ne!(granted(&ejected)[0].1, failing);
+    assert_eq!(granted(&probe)[0].1, failing);
+}
