--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -62,6 +62,7 @@
 use crate::spill::SpillOptions;
 use crate::status::UpstreamState;
 use crate::status::UpstreamStatus;
+use crate::table::Table;
 use crate::wire::CacheEvents;
 use crate::wire::LoadReport;
 
@@ -152,6 +153,7 @@
             poller: Poller::new(Duration::from_millis(options.poll_timeout_ms)),
             polling: BTreeMap::new(),
             cache_next: BTreeMap::new(),
+            table: None,
             pools: Vec::new(),
             grants: HashMap::new(),
             relocations: HashMap::new(),
@@ -270,6 +272,7 @@
     /// Upstreams with a poll on its way.
     polling: BTreeMap<UpstreamId, ()>,
     cache_next: BTreeMap<UpstreamId, u64>,
+    table: Option<Arc<Table>>,
     pools: Vec<ServicePool>,
     grants: HashMap<RequestId, oneshot::Sender<std::result::Result<Grant, Refusal>>>,
     relocations: HashMap<RequestId, oneshot::Sender<()>>,
@@ -498,9 +501,17 @@
         }
     }
 
-    /// Takes in the table in force.
+    /// Takes in the table in force, if it is another one than before.
     fn configure(&mut self) {
         let table = self.config.table();
+        if self
+            .table
+            .as_ref()
+            .is_some_and(|known| Arc::ptr_eq(known, &table))
+        {
+            return;
+        }
+        self.table = Some(Arc::clone(&table));
         let pools = service_pools(&table, &self.peers.identity().data_centre);
         let weights = weights(&table);
         let classes = weights.classes.iter();
@@ -516,6 +527,7 @@
             pools,
             engine_priorities,
         }));
+        self.refresh_view();
     }
 
     /// Takes in each table that comes into force from `seen` on.
@@ -749,6 +761,7 @@
     type Result = ();
 
     fn handle(&mut self, acquire: Acquire, context: &mut Self::Context) {
+        self.configure();
         self.grants.insert(acquire.ticket.request, acquire.reply);
         self.drive(Work::Registry(RegistryInput::Submit(acquire.ticket)));
         self.schedule_settling(context);
