Lend customers' limits to the hosts that use them

Cause: each host enforced a customer's limits whole, so eight hosts allowed eight times as much.

Ruled out: replacing shares at once on each change, which overshoots by what is under way. limits.rs is split into limits.rs and usage.rs.

--- a/src/bucket.rs
+++ b/src/bucket.rs
@@ -50,6 +50,15 @@
         Duration::try_from_secs_f64(missing / self.rate_per_s).ok()
     }
 
+    /// What is missing from the bucket, as a rate over the time in which it fills.
+    pub(crate) fn used(&mut self, now: Time) -> f64 {
+        self.fill(now);
+        if self.capacity <= 0.0 {
+            return 0.0;
+        }
+        (self.capacity - self.level) / self.capacity * self.rate_per_s
+    }
+
     /// Whether nothing is missing from the bucket.
     pub(crate) fn is_full(&mut self, now: Time) -> bool {
         self.fill(now);
--- /dev/null
+++ b/src/enforcer.rs
@@ -0,0 +1,151 @@
+//! Holds the customers of one host to its share of their limits, as lent by their owners.
+
+use std::collections::HashMap;
+
+use crate::clock::Time;
+use crate::id::CustomerId;
+use crate::id::HostId;
+use crate::lending::LendingOptions;
+use crate::limits::AdmissionId;
+use crate::limits::LimitOptions;
+use crate::limits::Limits;
+use crate::limits::Standing;
+use crate::limits::Wanted;
+use crate::loan::Loans;
+use crate::peer::Allowance;
+use crate::peer::Demand;
+use crate::refusal::Refusal;
+use crate::row::CustomerRow;
+use crate::share::Share;
+use crate::status::LimitStatus;
+
+/// Limits and loans of one host: pure, time is passed in.
+#[derive(Debug)]
+pub struct Enforcer {
+    limits: Limits,
+    loans: Loans,
+    wholes: HashMap<CustomerId, Share>,
+    hosts: usize,
+}
+
+impl Enforcer {
+    /// A host that stands alone: it may use the customers' limits whole.
+    pub fn new(options: LimitOptions, lending: LendingOptions) -> Self {
+        Enforcer {
+            limits: Limits::new(options),
+            loans: Loans::new(lending),
+            wholes: HashMap::new(),
+            hosts: 1,
+        }
+    }
+
+    /// Shares limits with this many hosts, this one included.
+    pub fn set_hosts(&mut self, hosts: usize) {
+        self.hosts = hosts.max(1);
+    }
+
+    /// One of equal parts of a customer's limits.
+    pub fn equal(&self, whole: &Share) -> Share {
+        whole.split(self.hosts)
+    }
+
+    /// Admits a request of the row's customer, or refuses it.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::refusal::Code::LimitReached`] with the time after which asking again can succeed.
+    pub fn admit(
+        &mut self,
+        now: Time,
+        row: &CustomerRow,
+    ) -> Result<(AdmissionId, Standing), Refusal> {
+        let share = self.share(now, &row.customer, Share::whole(row));
+        self.limits.admit(now, row, &share)
+    }
+
+    /// Whether the customer is active here.
+    pub fn is_active(&self, customer: &CustomerId) -> bool {
+        self.wholes.contains_key(customer)
+    }
+
+    /// Charges tokens that were generated for a customer.
+    pub fn charge_tokens(&mut self, now: Time, customer: &CustomerId, tokens: u32) {
+        self.limits.charge_tokens(now, customer, tokens);
+    }
+
+    /// Ends an admission, running or waiting.
+    pub fn release(&mut self, now: Time, customer: &CustomerId, id: AdmissionId) {
+        self.limits.release(now, customer, id);
+    }
+
+    /// Admissions that waited and may run since this was last asked.
+    pub fn take_promoted(&mut self) -> Vec<AdmissionId> {
+        self.limits.take_promoted()
+    }
+
+    /// Takes an allowance that the customer's owner lent.
+    pub fn receive(&mut self, now: Time, owner: &HostId, allowance: &Allowance) {
+        let is_active = self.is_active(&allowance.customer);
+        if is_active && self.loans.receive(now, owner, allowance) {
+            self.refresh(now, &allowance.customer);
+        }
+    }
+
+    /// What to tell the owners of the active customers, once a period. Customers that turned idle
+    /// are forgotten and their shares given back.
+    pub fn demands(&mut self, now: Time) -> Vec<Demand> {
+        let mut demands = self.give_back(now);
+        for wanted in self.limits.wanted(now) {
+            self.refresh(now, &wanted.customer);
+            demands.push(self.demand(now, wanted));
+        }
+        demands
+    }
+
+    /// Limits whose use is at least `percent` of this host's share, the fullest first.
+    pub fn near(&mut self, now: Time, percent: f64, count: usize) -> Vec<LimitStatus> {
+        self.limits.near(now, percent, count)
+    }
+
+    /// Customers whose use is kept.
+    pub fn active(&self) -> usize {
+        self.limits.active()
+    }
+
+    /// Loans that were not renewed in time.
+    pub fn lapsed(&self, now: Time) -> usize {
+        self.loans.lapsed(now)
+    }
+
+    fn share(&mut self, now: Time, customer: &CustomerId, whole: Share) -> Share {
+        self.wholes.insert(customer.clone(), whole);
+        self.loans.share(now, customer, &self.equal(&whole))
+    }
+
+    fn refresh(&mut self, now: Time, customer: &CustomerId) {
+        if let Some(whole) = self.wholes.get(customer).copied() {
+            let share = self.share(now, customer, whole);
+            self.limits.set_share(now, customer, &share);
+        }
+    }
+
+    fn demand(&self, now: Time, wanted: Wanted) -> Demand {
+        let whole = self.wholes.get(&wanted.customer).copied();
+        let equal = self.equal(&whole.unwrap_or_default());
+        Demand {
+            held: self.loans.held(now, &wanted.customer, &equal),
+            customer: wanted.customer,
+            wanted: wanted.share,
+            running: wanted.running,
+        }
+    }
+
+    fn give_back(&mut self, now: Time) -> Vec<Demand> {
+        let forgotten = self.limits.forget_idle(now);
+        for customer in &forgotten {
+            self.loans.forget(customer);
+            self.wholes.remove(customer);
+        }
+        forgotten.into_iter().map(Demand::nothing).collect()
+    }
+}
--- a/src/limiter.rs
+++ b/src/limiter.rs
@@ -9,14 +9,23 @@
 use tokio::sync::oneshot;
 
 use crate::clock::SystemClock;
+use crate::enforcer::Enforcer;
 use crate::id::CustomerId;
+use crate::id::HostId;
+use crate::lending::LendingOptions;
 use crate::limits::AdmissionId;
 use crate::limits::LimitOptions;
-use crate::limits::Limits;
 use crate::limits::Standing;
+use crate::peer::Allowance;
+use crate::peer::Demand;
 use crate::refusal::Refusal;
 use crate::row::CustomerRow;
 use crate::share::Share;
+use crate::status::HostStatus;
+use crate::status::LIMIT_NEAR_PERCENT;
+use crate::status::LIMITS_TOLD_MAX;
+use crate::telemetry;
+use crate::telemetry::Metric;
 
 /// A handle on the host's enforcement of limits; clones share it.
 #[derive(Debug, Clone)]
@@ -32,18 +41,18 @@
 
 #[derive(Debug)]
 struct State {
-    limits: Limits,
+    enforcer: Enforcer,
     waiters: HashMap<AdmissionId, oneshot::Sender<()>>,
 }
 
 impl LimitHandle {
     /// A handle for a host that stands alone: it may use the customers' limits whole.
-    pub fn new(options: LimitOptions, clock: SystemClock) -> Self {
+    pub fn new(options: LimitOptions, lending: LendingOptions, clock: SystemClock) -> Self {
         LimitHandle {
             inner: Arc::new(Inner {
                 clock,
                 state: Mutex::new(State {
-                    limits: Limits::new(options),
+                    enforcer: Enforcer::new(options, lending),
                     waiters: HashMap::new(),
                 }),
             }),
@@ -57,9 +66,8 @@
     /// [`crate::refusal::Code::LimitReached`] if a limit of the customer is reached.
     pub fn admit(&self, row: &CustomerRow) -> Result<Admission, Refusal> {
         let now = self.inner.clock.now();
-        let share = Share::whole(row);
         let mut state = self.state();
-        let (id, standing) = state.limits.admit(now, row, &share)?;
+        let (id, standing) = state.enforcer.admit(now, row)?;
         let start = match standing {
             Standing::Running => None,
             Standing::Waiting => Some(state.wait(id)),
@@ -76,20 +84,53 @@
     /// Charges tokens that were generated for a customer.
     pub fn account_tokens(&self, customer: &CustomerId, tokens: u32) {
         let now = self.inner.clock.now();
-        self.state().limits.charge_tokens(now, customer, tokens);
+        self.state().enforcer.charge_tokens(now, customer, tokens);
     }
 
-    /// Forgets customers that are idle; to be called every few seconds.
-    pub fn forget_idle(&self) {
+    /// Shares limits with this many hosts, this one included.
+    pub fn set_hosts(&self, hosts: usize) {
+        self.state().enforcer.set_hosts(hosts);
+    }
+
+    /// Takes an allowance that the customer's owner lent.
+    pub fn receive(&self, owner: &HostId, allowance: &Allowance) {
+        let now = self.inner.clock.now();
+        let mut state = self.state();
+        state.enforcer.receive(now, owner, allowance);
+        state.wake();
+    }
+
+    /// What to tell the owners of the active customers, once a period. Customers that turned idle
+    /// are forgotten and their shares given back.
+    pub fn demands(&self) -> Vec<Demand> {
         let now = self.inner.clock.now();
-        self.state().limits.forget_idle(now);
+        let mut state = self.state();
+        let demands = state.enforcer.demands(now);
+        state.wake();
+        demands
+    }
+
+    /// A customer's limits, whole and as one of equal parts.
+    pub fn limits_of(&self, row: &CustomerRow) -> (Share, Share) {
+        let whole = Share::whole(row);
+        (whole, self.state().enforcer.equal(&whole))
+    }
+
+    /// Fills in what operators see: limits near their bound.
+    pub fn fill_status(&self, status: &mut HostStatus) {
+        let now = self.inner.clock.now();
+        let mut state = self.state();
+        let enforcer = &mut state.enforcer;
+        status.limits = enforcer.near(now, LIMIT_NEAR_PERCENT, LIMITS_TOLD_MAX);
+        telemetry::set_gauge(Metric::CustomersActive, enforcer.active() as f64);
+        telemetry::set_gauge(Metric::AllowancesLapsed, enforcer.lapsed(now) as f64);
     }
 
     fn release(&self, customer: &CustomerId, id: AdmissionId) {
         let now = self.inner.clock.now();
         let mut state = self.state();
         state.waiters.remove(&id);
-        state.limits.release(now, customer, id);
+        state.enforcer.release(now, customer, id);
         state.wake();
     }
 
@@ -110,7 +151,7 @@
 
     /// Tells the admissions that may run now. One that was just dropped releases itself.
     fn wake(&mut self) {
-        for id in self.limits.take_promoted() {
+        for id in self.enforcer.take_promoted() {
             if let Some(waiter) = self.waiters.remove(&id) {
                 let _ = waiter.send(());
             }
--- a/src/limits.rs
+++ b/src/limits.rs
@@ -5,28 +5,21 @@
 //! generated, into debt: while a customer is in debt its new requests are refused.
 
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::time::Duration;
 
 use derive_builder::Builder;
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::bucket::Bucket;
 use crate::clock::Time;
 use crate::id::CustomerId;
 pub use crate::limiter::Admission;
 pub use crate::limiter::LimitHandle;
-use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::row::CustomerRow;
 use crate::share::Share;
-
-/// Longest time that a refusal asks a caller to stay away, in milliseconds.
-const RETRY_AFTER_MAX_MS: u64 = 60_000;
-
-/// Weight of the newest sample in the mean time that a generation holds its slot.
-const HOLD_SMOOTHING: f64 = 0.1;
+use crate::status::LimitStatus;
+use crate::usage::Usage;
 
 /// How limits are enforced on one host.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, Builder)]
@@ -78,16 +71,15 @@
     promoted: Vec<AdmissionId>,
 }
 
-/// What a customer uses on this host. Only active customers have one.
-#[derive(Debug)]
-struct Usage {
-    share: Share,
-    requests: Bucket,
-    tokens: Bucket,
-    running: HashMap<AdmissionId, Time>,
-    waiting: VecDeque<AdmissionId>,
-    hold_ms: f64,
-    last_request: Time,
+/// What an active customer could use on this host.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Wanted {
+    /// The customer.
+    pub customer: CustomerId,
+    /// What it could use.
+    pub share: Share,
+    /// Generations running.
+    pub running: u32,
 }
 
 impl Limits {
@@ -118,8 +110,10 @@
         self.set_share(now, &row.customer, share);
         let usage = self.usage(now, &row.customer, share);
         usage.last_request = now;
+        usage.gauge.arrived();
         usage.check(now, row)?;
         usage.requests.charge(now, 1.0);
+        usage.gauge.admitted();
         let standing = usage.enter(now, id);
         self.next_id += 1;
         Ok((id, standing))
@@ -129,9 +123,23 @@
     pub fn charge_tokens(&mut self, now: Time, customer: &CustomerId, tokens: u32) {
         if let Some(usage) = self.customers.get_mut(customer) {
             usage.tokens.charge(now, f64::from(tokens));
+            usage.gauge.generated(tokens);
         }
     }
 
+    /// What each active customer could use, measured since this was last asked.
+    pub fn wanted(&mut self, now: Time) -> Vec<Wanted> {
+        let customers = self.customers.iter_mut();
+        customers
+            .map(|(customer, usage)| usage.wanted(now, customer))
+            .collect()
+    }
+
+    /// The active customers.
+    pub fn customers(&self) -> Vec<CustomerId> {
+        self.customers.keys().cloned().collect()
+    }
+
     /// Ends an admission, running or waiting.
     pub fn release(&mut self, now: Time, customer: &CustomerId, id: AdmissionId) {
         if let Some(usage) = self.customers.get_mut(customer) {
@@ -154,11 +162,31 @@
         std::mem::take(&mut self.promoted)
     }
 
-    /// Forgets customers that have nothing admitted, owe nothing and asked for nothing lately.
-    pub fn forget_idle(&mut self, now: Time) {
+    /// Forgets customers that have nothing admitted, owe nothing and asked for nothing lately, and
+    /// names them.
+    pub fn forget_idle(&mut self, now: Time) -> Vec<CustomerId> {
         let idle = Duration::from_millis(self.options.idle_ms);
-        self.customers
-            .retain(|_, usage| now.since(usage.last_request) < idle || !usage.is_at_rest(now));
+        let mut forgotten = Vec::new();
+        self.customers.retain(|customer, usage| {
+            let is_kept = now.since(usage.last_request) < idle || !usage.is_at_rest(now);
+            if !is_kept {
+                forgotten.push(customer.clone());
+            }
+            is_kept
+        });
+        forgotten
+    }
+
+    /// Limits whose use is at least `percent` of this host's share, the fullest first.
+    pub fn near(&mut self, now: Time, percent: f64, count: usize) -> Vec<LimitStatus> {
+        let mut near: Vec<LimitStatus> = Vec::new();
+        for (customer, usage) in &mut self.customers {
+            let told = usage.told(now, customer).into_iter();
+            near.extend(told.filter(|limit| limit.used > 0.0 && limit.used_percent() >= percent));
+        }
+        near.sort_by(|a, b| b.used_percent().total_cmp(&a.used_percent()));
+        near.truncate(count);
+        near
     }
 
     /// Customers that are kept.
@@ -188,119 +216,5 @@
     }
 }
 
-impl Usage {
-    fn new(now: Time, share: &Share, options: &LimitOptions) -> Self {
-        let burst = Duration::from_millis(options.burst_ms);
-        Usage {
-            share: *share,
-            requests: Bucket::full(now, share.requests_per_s, burst),
-            tokens: Bucket::full(now, share.tokens_per_s, burst),
-            running: HashMap::new(),
-            waiting: VecDeque::new(),
-            hold_ms: options.assumed_hold_ms as f64,
-            last_request: now,
-        }
-    }
-
-    fn set_share(&mut self, now: Time, share: &Share, burst: Duration) {
-        if self.share == *share {
-            return;
-        }
-        self.share = *share;
-        self.requests.set_rate(now, share.requests_per_s, burst);
-        self.tokens.set_rate(now, share.tokens_per_s, burst);
-    }
-
-    fn check(&mut self, now: Time, row: &CustomerRow) -> Result<(), Refusal> {
-        let requests_in = self.requests.ready_in(now, 1.0);
-        if requests_in != Some(Duration::ZERO) {
-            return Err(refusal("requests_per_s", row.requests_per_s, requests_in));
-        }
-        let tokens_in = self.tokens.ready_in(now, 1.0);
-        if tokens_in != Some(Duration::ZERO) {
-            return Err(refusal("tokens_per_s", row.tokens_per_s, tokens_in));
-        }
-        if row.concurrent_generations == 0 {
-            return Err(refusal("concurrent_generations", 0, None));
-        }
-        if !self.has_slot() && self.waiting.len() >= self.queue_length() {
-            let slot_in = self.slot_in();
-            return Err(refusal("queue_length", row.queue_length, Some(slot_in)));
-        }
-        Ok(())
-    }
-
-    fn enter(&mut self, now: Time, id: AdmissionId) -> Standing {
-        if self.has_slot() && self.waiting.is_empty() {
-            self.running.insert(id, now);
-            return Standing::Running;
-        }
-        self.waiting.push_back(id);
-        Standing::Waiting
-    }
-
-    fn leave(&mut self, now: Time, id: AdmissionId) {
-        if let Some(started) = self.running.remove(&id) {
-            let held_ms = now.since(started).as_secs_f64() * 1_000.0;
-            self.hold_ms += (held_ms - self.hold_ms) * HOLD_SMOOTHING;
-            return;
-        }
-        self.waiting.retain(|waiting| *waiting != id);
-    }
-
-    fn promote(&mut self, now: Time, promoted: &mut Vec<AdmissionId>) {
-        while self.has_slot() {
-            let Some(id) = self.waiting.pop_front() else {
-                break;
-            };
-            self.running.insert(id, now);
-            promoted.push(id);
-        }
-    }
-
-    fn has_slot(&self) -> bool {
-        self.running.len() < whole_slots(self.share.concurrent_generations)
-    }
-
-    /// A host that runs nothing of the customer may always hold one request, to ask for a slot.
-    fn queue_length(&self) -> usize {
-        let least = usize::from(self.running.is_empty());
-        (self.share.queue_length.ceil() as usize).max(least)
-    }
-
-    /// Expected time until one of the running generations ends.
-    fn slot_in(&self) -> Duration {
-        let running = self.running.len().max(1) as f64;
-        Duration::from_secs_f64(self.hold_ms / 1_000.0 / running)
-    }
-
-    fn is_at_rest(&mut self, now: Time) -> bool {
-        self.running.is_empty()
-            && self.waiting.is_empty()
-            && self.requests.is_full(now)
-            && self.tokens.is_full(now)
-    }
-}
-
-/// Whole generations in a share; a rounding error doesn't cost one.
-fn whole_slots(share: f64) -> usize {
-    const ROUNDING: f64 = 1e-6;
-    (share + ROUNDING) as usize
-}
-
-fn refusal(limit: &str, value: u32, ready_in: Option<Duration>) -> Refusal {
-    let message = format!("the customer's {limit} is reached ({value} over all hosts)");
-    let refusal = Refusal::not_run(Code::LimitReached, message);
-    match ready_in {
-        Some(ready_in) => refusal.retry_after_ms(retry_after_ms(ready_in)),
-        None => refusal,
-    }
-}
-
-fn retry_after_ms(ready_in: Duration) -> u64 {
-    let ms = u64::try_from(ready_in.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX);
-    ms.clamp(1, RETRY_AFTER_MAX_MS)
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -16,6 +16,7 @@
 use crate::schedule::Action;
 use crate::schedule::Ending;
 use crate::schedule::Ticket;
+use crate::share::Share;
 use crate::spill::Room;
 use crate::table::Digest;
 
@@ -154,19 +155,38 @@
     pub load: f64,
 }
 
-/// What a host used and wants of a customer's limits.
+/// What a host wants of a customer's limits and holds of them.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
     /// The customer.
     pub customer: CustomerId,
-    /// Requests a second that arrived.
-    pub requests_per_s: f64,
-    /// Tokens a second that were generated.
-    pub tokens_per_s: f64,
-    /// Generations running.
+    /// What it could use; zero throughout if it gives its share back.
+    pub wanted: Share,
+    /// Generations running, which may be more than it still holds.
     pub running: u32,
-    /// Requests waiting.
-    pub waiting: u32,
+    /// The share it holds, if it was lent one.
+    pub held: Option<HeldShare>,
+}
+
+impl Demand {
+    /// The sender gives its share of the customer's limits back.
+    pub fn nothing(customer: CustomerId) -> Self {
+        Demand {
+            customer,
+            wanted: Share::default(),
+            running: 0,
+            held: None,
+        }
+    }
+}
+
+/// A share that a host holds.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct HeldShare {
+    /// The loan's number.
+    pub round: u64,
+    /// The share.
+    pub share: Share,
 }
 
 /// A share of a customer's limits, lent for a short time.
@@ -174,14 +194,10 @@
 pub struct Allowance {
     /// The customer.
     pub customer: CustomerId,
-    /// Requests a second.
-    pub requests_per_s: f64,
-    /// Tokens a second.
-    pub tokens_per_s: f64,
-    /// Generations at once.
-    pub concurrent_generations: f64,
-    /// Requests waiting at once.
-    pub queue_length: f64,
+    /// The loan's number; a later one of the same owner is higher.
+    pub round: u64,
+    /// The share.
+    pub share: Share,
     /// Valid for this long, in milliseconds.
     pub valid_ms: u64,
 }
