--- a/src/engine.rs
+++ b/src/engine.rs
@@ -232,13 +232,13 @@
 
 /// Splits a stream of bytes into the data of server-sent events.
 #[derive(Debug, Default)]
-pub(crate) struct EventBuffer {
+pub struct EventBuffer {
     bytes: BytesMut,
 }
 
 impl EventBuffer {
     /// Takes a chunk.
-    pub(crate) fn push(&mut self, chunk: &[u8]) -> Result<(), String> {
+    pub fn push(&mut self, chunk: &[u8]) -> Result<(), String> {
         if self.bytes.len() + chunk.len() > EVENT_BYTES_MAX {
             return Err(format!("an event is longer than {EVENT_BYTES_MAX} bytes"));
         }
@@ -247,7 +247,7 @@
     }
 
     /// The data of the next whole line that holds any.
-    pub(crate) fn next_data(&mut self) -> Option<Bytes> {
+    pub fn next_data(&mut self) -> Option<Bytes> {
         loop {
             let end = self.bytes.iter().position(|byte| *byte == b'\n')?;
             let line = self.bytes.split_to(end + 1).freeze();
@@ -261,7 +261,7 @@
 /// An engine's event as it stands in the buffer, without copies. One flat shape for all kinds
 /// parses several times faster than the tagged [`crate::wire::EngineEvent`].
 #[derive(Debug, Deserialize)]
-pub(crate) struct EventView<'a> {
+pub struct EventView<'a> {
     #[serde(borrow)]
     event: Cow<'a, str>,
     attempt: AttemptId,
@@ -279,12 +279,12 @@
 
 impl<'a> EventView<'a> {
     /// Parses an event's data.
-    pub(crate) fn parse(data: &'a [u8]) -> Result<Self, serde_json::Error> {
+    pub fn parse(data: &'a [u8]) -> Result<Self, serde_json::Error> {
         serde_json::from_slice(data)
     }
 
     /// The event as the relay takes it, or `None` if its kind is unknown.
-    pub(crate) fn as_input(&self) -> Option<Input<'_>> {
+    pub fn as_input(&self) -> Option<Input<'_>> {
         match self.event.as_ref() {
             "token" => Some(Input::Token {
                 attempt: self.attempt,
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -255,6 +255,15 @@
         self.ended
     }
 
+    /// When [`Input::Tick`] is needed at the latest, if nothing else comes.
+    pub fn next_tick(&self) -> Option<Time> {
+        let attempt = self.attempt.as_ref()?;
+        let stalled = attempt.last_heard + Duration::from_millis(attempt.stall_timeout_ms);
+        let gap_timeout = Duration::from_millis(self.options.gap_timeout_ms);
+        let gap = attempt.gap_since.map(|since| since + gap_timeout);
+        Some(gap.map_or(stalled, |gap| gap.min(stalled)))
+    }
+
     /// Takes one input and appends what is to be done to `actions`.
     pub fn step(&mut self, now: Time, input: Input<'_>, actions: &mut Vec<Action>) {
         if self.ended || self.attempt.is_none() {
--- a/src/relay/tests.rs
+++ b/src/relay/tests.rs
@@ -335,6 +335,21 @@
     assert_eq!(stayed, []);
 }
 
+#[test]
+fn a_tick_is_asked_for_when_the_gap_or_the_stall_is_due() {
+    let mut bench = Bench::opened(true, true);
+
+    let stall = bench.relay.next_tick();
+    bench.token(1);
+    let gap = bench.relay.next_tick();
+    bench.token(0);
+    let closed = bench.relay.next_tick();
+
+    assert_eq!(stall, Some(Time::from_ms(1_000)));
+    assert_eq!(gap, Some(Time::from_ms(100)));
+    assert_eq!(closed, Some(Time::from_ms(1_000)));
+}
+
 #[test]
 fn the_deadline_cancels_and_says_what_is_known() {
     let mut bench = Bench::opened(true, true);
--- a/src/session.rs
+++ b/src/session.rs
@@ -1,6 +1,7 @@
 //! One generation on its way from an upstream to a caller: the I/O around a [`Relay`].
 
 use std::collections::VecDeque;
+use std::pin::Pin;
 use std::time::Duration;
 
 use backon::BackoffBuilder;
@@ -8,8 +9,7 @@
 use backon::ExponentialBuilder;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
-use tokio::time::Interval;
-use tokio::time::MissedTickBehavior;
+use tokio::time::Sleep;
 
 use crate::account::Account;
 use crate::claim::Summary;
@@ -45,9 +45,6 @@
 use crate::wire::EngineRefusalReason;
 use crate::wire::GenerateRequest;
 
-/// Period of the relay's ticks, in milliseconds.
-const TICK_MS: u64 = 100;
-
 /// The scheduler hears of progress every so many tokens.
 const PROGRESS_TOKENS: u32 = 16;
 
@@ -115,7 +112,7 @@
     link: Option<EngineStream>,
     backoff: ExponentialBackoff,
     resumed: bool,
-    ticks: Interval,
+    alarm: Pin<Box<Sleep>>,
     deadline: Instant,
     actions: Vec<Action>,
     outputs: VecDeque<Output>,
@@ -141,10 +138,10 @@
     /// A session that has done nothing yet.
     pub fn new(context: SessionContext, request: SessionRequest, account: Account) -> Self {
         let relay = Relay::new(context.relay.clone(), request.terms);
-        let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let deadline = Instant::now() + Duration::from_millis(request.deadline_ms);
         Session {
-            deadline: Instant::now() + Duration::from_millis(request.deadline_ms),
+            alarm: Box::pin(tokio::time::sleep_until(deadline)),
+            deadline,
             context,
             request,
             account,
@@ -156,7 +153,6 @@
             link: None,
             backoff: resume_backoff(),
             resumed: false,
-            ticks,
             actions: Vec::new(),
             outputs: VecDeque::new(),
             output_tokens: 0,
@@ -297,11 +293,18 @@
             self.take_event(&data);
             return;
         }
+        let due = self.relay.next_tick().map_or(self.deadline, |tick| {
+            let wait = tick.since(self.context.clock.now());
+            self.deadline.min(Instant::now() + wait)
+        });
+        if due < self.alarm.deadline() || self.alarm.is_elapsed() {
+            self.alarm.as_mut().reset(due);
+        }
         let may_move = self.output_tokens == 0 && self.relocate.is_some();
         let wake = tokio::select! {
             biased;
             filled = link.fill() => Wake::Filled(filled),
-            _ = self.ticks.tick() => Wake::Tick,
+            () = &mut self.alarm => Wake::Tick,
             moved = fired(&mut self.relocate), if may_move => Wake::Relocate(moved),
         };
         match wake {
--- a/tests/relay_faults.rs
+++ b/tests/relay_faults.rs
@@ -321,6 +321,7 @@
 fn a_host_that_shuts_down_says_so_and_still_takes_requests_for_a_while() {
     let mut deployment = Deployment::start(&DeploymentOptions {
         hosts: 1,
+        entry_settings: serde_json::json!({"shutdown": {"drain_accept_ms": 5_000}}),
         ..options().build().expect("options")
     });
     wait_ready(&deployment);
