Administer the table over an API and from the command line

Cause: operators race each other, lose answers and need to see what became of an edit.

Change: cedargauge-admin (read, edit with versions, dry run, look up by edit id, history, how many hosts have an offset in force; bearer tokens with roles) answers accepted only after it has read its own edit back and folded it; cedargauge table get, set, edit, history and in-force use it. The tests run platform, entry hosts, API and command line as processes. One found that an append whose answer was cut off was taken for one that was never sent, and was appended twice without a search: the HTTP library tells that as a connection error. It is now a lost answer.

Conclusion: a lost answer leaves one copy of the edit in the log, and it is accepted.

--- a/src/bin/cedargauge/main.rs
+++ b/src/bin/cedargauge/main.rs
@@ -9,6 +9,7 @@
 mod entries;
 mod explain;
 mod status;
+mod table;
 mod upstreams;
 
 use std::env;
@@ -58,6 +59,7 @@
     Explain(explain::Explain),
     Drain(drain::Drain),
     Check(check::Check),
+    Table(table::Table),
 }
 
 fn main() -> ExitCode {
@@ -79,6 +81,7 @@
         Command::Explain(command) => command.run().await,
         Command::Drain(command) => command.run().await,
         Command::Check(command) => command.run(),
+        Command::Table(command) => command.run().await,
     }
 }
 
--- a/src/fold.rs
+++ b/src/fold.rs
@@ -74,6 +74,16 @@
     pub found: Option<Offset>,
 }
 
+impl Outcome {
+    /// The edit concerned, if the record is one.
+    pub fn edit_id(&self) -> Option<EditId> {
+        match self {
+            Outcome::Applied(edit) | Outcome::Rejected { edit, .. } => Some(edit.edit_id),
+            Outcome::Snapshot(_) | Outcome::Skipped { .. } => None,
+        }
+    }
+}
+
 impl Rejection {
     fn is_empty(&self) -> bool {
         self.conflicts.is_empty() && self.faults.is_empty()
--- a/src/loghttp.rs
+++ b/src/loghttp.rs
@@ -7,12 +7,14 @@
 use serde::de::DeserializeOwned;
 
 use crate::appender::Input;
+use crate::engine::certainly_not_written;
 use crate::id::DataCentre;
 use crate::id::Offset;
 use crate::logstream::DATA_CENTRE_HEADER;
 use crate::logstream::LogOptions;
 use crate::platform::AppendAnswer;
 use crate::platform::AppendRequest;
+use crate::platform::HostList;
 use crate::platform::ReadAnswer;
 
 /// Largest answer that is read, in bytes: a snapshot of a full-size table fits.
@@ -58,8 +60,7 @@
                 status if status.is_client_error() => Input::Rejected,
                 _ => Input::Lost,
             },
-            // Without a connection nothing was written.
-            Err(awc::error::SendRequestError::Connect(_)) => Input::Refused,
+            Err(error) if certainly_not_written(&error) => Input::Refused,
             Err(_) => Input::Lost,
         }
     }
@@ -76,6 +77,13 @@
         self.get(&url, timeout).await
     }
 
+    /// Reads the list of hosts; none if that failed.
+    pub(crate) async fn hosts(&self) -> Option<HostList> {
+        let timeout = Duration::from_millis(self.options.read_timeout_ms);
+        let url = format!("http://{}/v1/hosts", self.address);
+        self.get(&url, timeout).await
+    }
+
     async fn get<T: DeserializeOwned>(&self, url: &str, timeout: Duration) -> Option<T> {
         let mut response = self.client.get(url).timeout(timeout).send().await.ok()?;
         if response.status() != StatusCode::OK {
--- a/src/logstream.rs
+++ b/src/logstream.rs
@@ -30,12 +30,13 @@
 use crate::appender::Entry;
 use crate::clock::SystemClock;
 use crate::clock::Time;
-use crate::follower;
 use crate::follower::Follower;
 use crate::follower::StreamEvent;
+use crate::following::run_follower;
 use crate::id::DataCentre;
 use crate::id::Offset;
 use crate::loghttp::LogHttp;
+use crate::platform::HostList;
 use crate::quota::Quota;
 
 /// Header that tells the platform the caller's data centre.
@@ -148,6 +149,11 @@
         self.start_following(stream, from, true)
     }
 
+    /// The platform's list of hosts; none if it could not be read.
+    pub async fn hosts(&self) -> Option<HostList> {
+        self.actor.send(AskHosts).await.ok().flatten()
+    }
+
     fn start_following(
         &self,
         stream: &str,
@@ -183,6 +189,10 @@
     sender: mpsc::Sender<StreamEvent>,
 }
 
+#[derive(Debug, Message)]
+#[rtype(result = "Option<HostList>")]
+struct AskHosts;
+
 /// The actor that owns the appenders.
 struct LogClient {
     http: Rc<LogHttp>,
@@ -352,40 +362,17 @@
         if follow.checks_always {
             follower = follower.checking_always();
         }
-        let following = run_follower(follower, Rc::clone(&self.http), self.clock, follow);
+        let http = Rc::clone(&self.http);
+        let following = run_follower(follower, http, self.clock, follow.stream, follow.sender);
         context.spawn(following.into_actor(self));
     }
 }
 
-/// Runs a follower until nobody listens.
-async fn run_follower(
-    mut follower: Follower,
-    http: Rc<LogHttp>,
-    clock: SystemClock,
-    follow: Follow,
-) {
-    let mut input = follower::Input::Wake;
-    loop {
-        let actions = follower.step(clock.now(), input);
-        input = follower::Input::Wake;
-        for action in actions {
-            match action {
-                follower::Action::Tell(event) => {
-                    if follow.sender.send(event).await.is_err() {
-                        return;
-                    }
-                }
-                follower::Action::Wake(at) => {
-                    actix_rt::time::sleep(at.since(clock.now())).await;
-                }
-                follower::Action::Read { from, wait } => {
-                    let answer = http.read(&follow.stream, from, wait).await;
-                    input = answer.map_or(follower::Input::Failed, follower::Input::Read);
-                }
-            }
-        }
-        if follow.sender.is_closed() {
-            return;
-        }
+impl Handler<AskHosts> for LogClient {
+    type Result = ResponseFuture<Option<HostList>>;
+
+    fn handle(&mut self, _: AskHosts, _: &mut Context<Self>) -> Self::Result {
+        let http = Rc::clone(&self.http);
+        Box::pin(async move { http.hosts().await })
     }
 }
