Measure the slope of the claim fold

Cause: the claim writer's state was the one role with a window that no slope covered. Figures: not run yet on this commit; they go to docs/CAPACITY.md with the run that gave them.

--- a/benches/slopes/main.rs
+++ b/benches/slopes/main.rs
@@ -3,6 +3,7 @@
 //! `cargo bench --bench slopes` prints every point and every fit; `docs/CAPACITY.md` computes the
 //! two-year size from them. Memory is counted by the allocator, time by the monotonic clock.
 
+mod claims;
 mod configuration;
 mod fit;
 mod limit;
@@ -18,6 +19,7 @@
 static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
 
 fn main() {
+    claims::measure();
     configuration::measure();
     limit::measure();
     membership::measure();
