--- a/tests/tester/deployment.rs
+++ b/tests/tester/deployment.rs
@@ -27,6 +27,9 @@
 /// Longest time that an entry host may take to be ready.
 const READY_WITHIN: Duration = Duration::from_secs(30);
 
+/// Longest time that a graceful shutdown may take under the load of a bench.
+const SHUTDOWN_WITHIN: Duration = Duration::from_secs(120);
+
 const ANY_PORT: &str = "127.0.0.1:0";
 
 /// What a deployment consists of. Everything is spread evenly over the data centres.
@@ -137,18 +140,39 @@
     pub fn add_host(&mut self, data_centre: DataCentre) -> usize {
         let host = format!("entry-{}", self.hosts_started);
         self.hosts_started += 1;
-        let program = self.start_entry(&host, &data_centre);
-        self.hosts.push(EntryHost {
-            caller: program.ready_value("caller").to_owned(),
-            peer: program.ready_value("peer").to_owned(),
-            program,
-            host,
-            data_centre,
-        });
+        let host = self.start_entry(host, data_centre, ANY_PORT);
+        self.hosts.push(host);
         self.register_hosts();
         self.hosts.len() - 1
     }
 
+    /// Kills an entry host and starts another, with a name of its own, at the same caller address.
+    pub fn replace_host(&mut self, index: usize) {
+        self.hosts[index].program.kill();
+        self.succeed(index);
+    }
+
+    /// The same after the host has shut down gracefully, which must end with exit code 0.
+    pub fn replace_host_gracefully(&mut self, index: usize) {
+        let program = &mut self.hosts[index].program;
+        program.terminate();
+        let status = program.wait_exit(SHUTDOWN_WITHIN);
+        assert!(
+            status.is_some_and(|status| status.success()),
+            "shutdown ended with {status:?}"
+        );
+        self.succeed(index);
+    }
+
+    fn succeed(&mut self, index: usize) {
+        let name = format!("entry-{}", self.hosts_started);
+        self.hosts_started += 1;
+        let data_centre = self.hosts[index].data_centre.clone();
+        let caller = self.hosts[index].caller.clone();
+        self.hosts[index] = self.start_entry(name, data_centre, &caller);
+        self.register_hosts();
+    }
+
     /// Waits until every entry host is ready.
     pub fn wait_ready(&self) {
         for host in &self.hosts {
@@ -211,20 +235,27 @@
             .collect()
     }
 
-    fn start_entry(&self, host: &str, data_centre: &DataCentre) -> Program {
+    fn start_entry(&self, host: String, data_centre: DataCentre, caller: &str) -> EntryHost {
         let mut settings = self.entry_settings.clone();
-        settings["host"] = host.into();
+        settings["host"] = host.as_str().into();
         settings["data_centre"] = data_centre.as_str().into();
-        settings["caller_address"] = ANY_PORT.into();
+        settings["caller_address"] = caller.into();
         settings["peer_address"] = ANY_PORT.into();
         settings["platform_address"] = self.platform.address.as_str().into();
-        settings["peers"] = self.peers_in(data_centre);
+        settings["peers"] = self.peers_in(&data_centre);
         let path = self.directory.path().join(format!("{host}.json"));
         fs::write(&path, settings.to_string()).unwrap();
-        Program::start(
+        let program = Program::start(
             "cedargauge-entry",
             ["--settings".as_ref(), path.as_os_str()],
-        )
+        );
+        EntryHost {
+            caller: program.ready_value("caller").to_owned(),
+            peer: program.ready_value("peer").to_owned(),
+            program,
+            host,
+            data_centre,
+        }
     }
 }
 
