--- a/src/controller.rs
+++ b/src/controller.rs
@@ -13,6 +13,8 @@
 use socket2::SockRef;
 use tokio::sync::Notify;
 
+use crate::allowances::AllowanceParts;
+use crate::allowances::Allowances;
 use crate::board::StatusBoard;
 use crate::claims::ClaimHandle;
 use crate::claims::ClaimParts;
@@ -32,7 +34,6 @@
 use crate::journal::Journal;
 use crate::journal::Subject;
 use crate::limits::LimitHandle;
-use crate::limits::LimitOptions;
 use crate::logstream::LogHandle;
 use crate::peers::PeersHandle;
 use crate::peerserver;
@@ -154,6 +155,18 @@
         ));
         let board = board(&settings, incarnation, &config, &gate);
         report_peers(&board, &peers.handle, &dispatcher, clock);
+        let limits = LimitHandle::new(settings.limits.clone(), clock);
+        report_limits(&board, &limits);
+        Allowances::launch(
+            AllowanceParts {
+                limits: limits.clone(),
+                peers: peers.handle.clone(),
+                config: config.clone(),
+                clock,
+                journal: journal.clone(),
+            },
+            settings.limits.lending.clone(),
+        );
         let parts = Parts {
             claims: claims.clone(),
             dispatcher,
@@ -162,13 +175,13 @@
             journal: journal.clone(),
             clock,
             gate: gate.clone(),
-            limits: LimitHandle::new(LimitOptions::default(), clock),
+            limits,
             retries: RetryBudgets::default(),
             board,
             telemetry: Telemetry::install(),
             drain: drain.clone(),
         };
-        actix_rt::spawn(keep_up(parts.telemetry.clone(), parts.limits.clone()));
+        actix_rt::spawn(keep_up(parts.telemetry.clone()));
         let server = serve(parts, caller_listener)?;
         let detail = format!("caller={caller_address}");
         journal.record(EventCode::ProcessStarted, Subject::none().detail(detail));
@@ -331,12 +344,17 @@
     });
 }
 
-/// Keeps the memory of metrics and limits bounded.
-async fn keep_up(telemetry: Telemetry, limits: LimitHandle) {
+/// Limits near their bound.
+fn report_limits(board: &StatusBoard, limits: &LimitHandle) {
+    let limits = limits.clone();
+    board.add(move |status| limits.fill_status(status));
+}
+
+/// Keeps the memory of metrics bounded.
+async fn keep_up(telemetry: Telemetry) {
     loop {
         tokio::time::sleep(Duration::from_millis(UPKEEP_INTERVAL_MS)).await;
         telemetry.upkeep();
-        limits.forget_idle();
     }
 }
 
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -41,6 +41,7 @@
 use crate::owner::OwnerAction;
 use crate::owner::OwnerInput;
 use crate::owner::OwnerOptions;
+use crate::peer::Decision;
 use crate::peer::PeerMessage;
 use crate::peers::PeerNews;
 use crate::peers::PeersHandle;
@@ -52,6 +53,7 @@
 use crate::registry::RegistryAction;
 use crate::registry::RegistryInput;
 use crate::registry::RegistryOptions;
+use crate::schedule::Action;
 use crate::schedule::Ending;
 use crate::schedule::Ticket;
 use crate::servicepool::ServicePool;
@@ -413,6 +415,7 @@
     fn act_as_owner(&mut self, action: OwnerAction) {
         match action {
             OwnerAction::Decision { to, decision } => {
+                self.note_decision(&to, &decision);
                 self.send(to, Urgency::Now, PeerMessage::Decision(decision));
             }
             OwnerAction::UpstreamLeft(upstream) => {
@@ -431,6 +434,43 @@
         }
     }
 
+    /// Records a decision of this owner with the figures it was made from.
+    fn note_decision(&self, to: &HostId, decision: &Decision) {
+        let subject = match &decision.action {
+            Action::Grant {
+                request, upstream, ..
+            } => {
+                let figures = self.figures(upstream);
+                let detail = format!("granted to={to} load={:.1} {figures}", decision.load);
+                Subject::request(*request).upstream(upstream).detail(detail)
+            }
+            Action::Refuse { request, refusal } => {
+                let detail = format!("refused to={to} {}", refusal.message);
+                Subject::request(*request).detail(detail)
+            }
+            Action::Relocate { request, upstream } => {
+                let detail = format!("to be moved, to={to} {}", self.figures(upstream));
+                Subject::request(*request).upstream(upstream).detail(detail)
+            }
+        };
+        self.journal.record(EventCode::OwnerDecided, subject);
+    }
+
+    fn figures(&self, upstream: &UpstreamId) -> String {
+        let waiting = self.owner.waiting();
+        let Some(report) = self.owner.report(upstream) else {
+            return format!("waiting={waiting}, no report");
+        };
+        format!(
+            "waiting={waiting} running={} engine_queue={} used_tokens={} of {} report_age_ms={}",
+            report.running.len(),
+            report.waiting,
+            report.used_tokens,
+            report.memory_tokens,
+            report.age_ms
+        )
+    }
+
     fn note_upstream(&self, code: EventCode, upstream: &UpstreamId) {
         self.journal
             .record(code, Subject::none().upstream(upstream));
--- a/src/enforcer.rs
+++ b/src/enforcer.rs
@@ -23,8 +23,9 @@
 pub struct Enforcer {
     limits: Limits,
     loans: Loans,
-    wholes: HashMap<CustomerId, Share>,
+    parts: HashMap<CustomerId, Share>,
     newly_active: Vec<CustomerId>,
+    data_centres: usize,
     hosts: usize,
 }
 
@@ -34,20 +35,34 @@
         Enforcer {
             loans: Loans::new(options.lending.clone()),
             limits: Limits::new(options),
-            wholes: HashMap::new(),
+            parts: HashMap::new(),
             newly_active: Vec::new(),
+            data_centres: 1,
             hosts: 1,
         }
     }
 
-    /// Shares limits with this many hosts, this one included.
-    pub fn set_hosts(&mut self, hosts: usize) {
+    /// Shares limits with so many data centres, and with so many hosts of this one, each counted
+    /// with this one.
+    pub fn set_sharing(&mut self, data_centres: usize, hosts: usize) {
+        self.data_centres = data_centres.max(1);
         self.hosts = hosts.max(1);
     }
 
-    /// One of equal parts of a customer's limits.
-    pub fn equal(&self, whole: &Share) -> Share {
-        whole.split(self.hosts)
+    /// This data centre's part of a customer's limits. Generations and queue lengths are rounded
+    /// up, so that a small limit leaves no data centre without.
+    pub fn part(&self, row: &CustomerRow) -> Share {
+        let part = Share::whole(row).split(self.data_centres);
+        Share {
+            concurrent_generations: part.concurrent_generations.ceil(),
+            queue_length: part.queue_length.ceil(),
+            ..part
+        }
+    }
+
+    /// One of equal parts of what the data centre has of a customer's limits.
+    pub fn equal(&self, part: &Share) -> Share {
+        part.split(self.hosts)
     }
 
     /// Admits a request of the row's customer, or refuses it.
@@ -63,13 +78,14 @@
         if !self.is_active(&row.customer) {
             self.newly_active.push(row.customer.clone());
         }
-        let share = self.share(now, &row.customer, Share::whole(row));
+        let part = self.part(row);
+        let share = self.share(now, &row.customer, part);
         self.limits.admit(now, row, &share)
     }
 
     /// Whether the customer is active here.
     pub fn is_active(&self, customer: &CustomerId) -> bool {
-        self.wholes.contains_key(customer)
+        self.parts.contains_key(customer)
     }
 
     /// Charges tokens that were generated for a customer.
@@ -138,21 +154,21 @@
         self.loans.lapsed(now)
     }
 
-    fn share(&mut self, now: Time, customer: &CustomerId, whole: Share) -> Share {
-        self.wholes.insert(customer.clone(), whole);
-        self.loans.share(now, customer, &self.equal(&whole))
+    fn share(&mut self, now: Time, customer: &CustomerId, part: Share) -> Share {
+        self.parts.insert(customer.clone(), part);
+        self.loans.share(now, customer, &self.equal(&part))
     }
 
     fn refresh(&mut self, now: Time, customer: &CustomerId) {
-        if let Some(whole) = self.wholes.get(customer).copied() {
-            let share = self.share(now, customer, whole);
+        if let Some(part) = self.parts.get(customer).copied() {
+            let share = self.share(now, customer, part);
             self.limits.set_share(now, customer, &share);
         }
     }
 
     fn demand(&self, now: Time, wanted: Wanted) -> Demand {
-        let whole = self.wholes.get(&wanted.customer).copied();
-        let equal = self.equal(&whole.unwrap_or_default());
+        let part = self.parts.get(&wanted.customer).copied();
+        let equal = self.equal(&part.unwrap_or_default());
         Demand {
             held: self.loans.held(now, &wanted.customer, &equal),
             customer: wanted.customer,
@@ -165,7 +181,7 @@
         let forgotten = self.limits.forget_idle(now);
         for customer in &forgotten {
             self.loans.forget(customer);
-            self.wholes.remove(customer);
+            self.parts.remove(customer);
         }
         forgotten.into_iter().map(Demand::nothing).collect()
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod adminclient;
 mod admission;
 mod affinity;
+pub mod allowances;
 mod answer;
 mod answercheck;
 pub mod appender;
--- a/src/limiter.rs
+++ b/src/limiter.rs
@@ -86,9 +86,10 @@
         self.state().enforcer.charge_tokens(now, customer, tokens);
     }
 
-    /// Shares limits with this many hosts, this one included.
-    pub fn set_hosts(&self, hosts: usize) {
-        self.state().enforcer.set_hosts(hosts);
+    /// Shares limits with so many data centres, and with so many hosts of this one, each counted
+    /// with this one.
+    pub fn set_sharing(&self, data_centres: usize, hosts: usize) {
+        self.state().enforcer.set_sharing(data_centres, hosts);
     }
 
     /// Takes an allowance that the customer's owner lent.
@@ -109,21 +110,23 @@
         demands
     }
 
-    /// Forgets customers that turned idle; for a host that tells its demands to nobody.
-    pub fn forget_idle(&self) {
-        self.demands();
-    }
-
     /// What to tell the owners of the customers that turned active, at once.
     pub fn new_demands(&self) -> Vec<Demand> {
         let now = self.inner.clock.now();
         self.state().enforcer.new_demands(now)
     }
 
-    /// A customer's limits, whole and as one of equal parts.
+    /// What the data centre has of a customer's limits, and one of equal parts of it.
     pub fn limits_of(&self, row: &CustomerRow) -> (Share, Share) {
-        let whole = Share::whole(row);
-        (whole, self.state().enforcer.equal(&whole))
+        let state = self.state();
+        let part = state.enforcer.part(row);
+        (part, state.enforcer.equal(&part))
+    }
+
+    /// Loans that were not renewed in time.
+    pub fn lapsed(&self) -> usize {
+        let now = self.inner.clock.now();
+        self.state().enforcer.lapsed(now)
     }
 
     /// Fills in what operators see: limits near their bound.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -19,6 +19,7 @@
 use crate::hostlist::HostListOptions;
 use crate::id::DataCentre;
 use crate::id::HostId;
+use crate::limits::LimitOptions;
 use crate::logstream::LogOptions;
 use crate::peers::PeersOptions;
 use crate::relay::RelayOptions;
@@ -57,6 +58,9 @@
     /// Timeouts towards upstreams.
     #[serde(default)]
     pub engine: EngineOptions,
+    /// How customers' limits are enforced and shared.
+    #[serde(default)]
+    pub limits: LimitOptions,
     /// How patient the relay is.
     #[serde(default)]
     pub relay: RelayOptions,
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -23,7 +23,6 @@
 use cedargauge::peer::Allowance;
 use cedargauge::peer::Demand;
 use cedargauge::row::CustomerRow;
-use cedargauge::share::Share;
 
 /// Virtual time goes on in steps of this length.
 const STEP: Duration = Duration::from_millis(10);
@@ -374,7 +373,7 @@
         let lending = LendingOptions::default();
         let period = Duration::from_millis(lending.period_ms);
         let mut enforcer = Enforcer::new(LimitOptions::default());
-        enforcer.set_hosts(hosts);
+        enforcer.set_sharing(1, hosts);
         Host {
             enforcer,
             lender: Lender::new(lending, 1_000_000 * (index as u64 + 1)),
@@ -392,7 +391,7 @@
         }
         let is_first = self.view.is_empty();
         self.view = view.clone();
-        self.enforcer.set_hosts(view.len());
+        self.enforcer.set_sharing(1, view.len());
         if !is_first {
             self.lender.owners_changed(now);
         }
@@ -406,9 +405,9 @@
         demand: &Demand,
         row: &CustomerRow,
     ) -> Option<Allowance> {
-        let whole = Share::whole(row);
-        let equal = self.enforcer.equal(&whole);
-        self.lender.lend(now, from, demand, &whole, &equal)
+        let part = self.enforcer.part(row);
+        let equal = self.enforcer.equal(&part);
+        self.lender.lend(now, from, demand, &part, &equal)
     }
 
     fn offer(&mut self, now: Time, load: &Load) -> bool {
