Prove the time line of a killed owner

Cause: the picture of an owner's death was shown by hand only. Change: a test kills one of three entry hosts under load and reads the story off the survivors' time line, as text and as a picture. Conclusion: suspicion, death, new owners and the completed requests are all on it.

--- a/tests/timeline.rs
+++ b/tests/timeline.rs
@@ -5,13 +5,27 @@
 use std::fs;
 use std::path::Path;
 use std::process::Output;
+use std::thread;
+use std::time::Duration;
 
 use assert_cmd::Command;
 
+use crate::tester::Deployment;
+use crate::tester::DeploymentOptions;
 use crate::tester::Service;
+use crate::tester::completion_request;
+use crate::tester::get_json;
+use crate::tester::http_agent;
+use crate::tester::wait_until;
+use cedargauge::event::Event;
+use cedargauge::event::EventCode;
 use cedargauge::standin_service::ServiceFault;
+use cedargauge::standin_table::DEMO_KEY;
+use cedargauge::standin_table::INSPECTION;
 use cedargauge::timeline::Moment;
 
+const BOUND: Duration = Duration::from_secs(30);
+
 fn timeline(arguments: &[&str]) -> Output {
     Command::cargo_bin("cedargauge-timeline")
         .expect("the program")
@@ -84,3 +98,74 @@
     assert!(complaint.contains(&gone.address));
     assert!(stdout(&output).contains("E100 ProcessStarted"));
 }
+
+/// Three hosts with streams under way, of which the first is killed; ready when a survivor has
+/// seen it die.
+fn deployment_with_a_killed_owner() -> Deployment {
+    let mut deployment = Deployment::start(&DeploymentOptions {
+        engines: 3,
+        hosts: 3,
+        ..DeploymentOptions::default()
+    });
+    deployment.wait_ready();
+    let callers: Vec<_> = (0..6)
+        .map(|number| {
+            let caller = deployment.hosts[1 + number % 2].caller.clone();
+            thread::spawn(move || complete(&caller, &format!("net {number} #tokens=150")))
+        })
+        .collect();
+    assert!(wait_until(BOUND, || running(&deployment) > 0));
+    deployment.hosts[0].program.kill();
+    let survivor = deployment.hosts[1].caller.clone();
+    assert!(wait_until(BOUND, || saw(&survivor, EventCode::PeerDied)));
+    for caller in callers {
+        assert_eq!(caller.join().expect("an answer"), 200);
+    }
+    deployment
+}
+
+fn complete(caller: &str, prompt: &str) -> u16 {
+    http_agent()
+        .post(format!("http://{caller}/v1/completions"))
+        .header("authorization", format!("Bearer {DEMO_KEY}"))
+        .send_json(completion_request(INSPECTION, prompt, false))
+        .expect("an answer")
+        .status()
+        .as_u16()
+}
+
+fn running(deployment: &Deployment) -> u64 {
+    let engines = deployment.engines.iter();
+    engines.map(|engine| engine.counters().running).sum()
+}
+
+fn saw(address: &str, code: EventCode) -> bool {
+    let events: Vec<Event> = get_json(address, "/events");
+    events.iter().any(|event| event.code == code)
+}
+
+#[test]
+fn the_survivors_tell_the_story_of_a_killed_owner() {
+    let deployment = deployment_with_a_killed_owner();
+    let mut addresses: Vec<&str> = vec![&deployment.hosts[1].caller, &deployment.hosts[2].caller];
+    addresses.extend(
+        deployment
+            .engines
+            .iter()
+            .map(|engine| engine.address.as_str()),
+    );
+
+    let text = timeline(&addresses);
+    let picture = timeline(&[&addresses[..], &["--format", "svg"]].concat());
+
+    for expected in [
+        "PeerSuspected",
+        "PeerDied",
+        "OwnersChanged",
+        "RequestComplete",
+    ] {
+        assert!(stdout(&text).contains(expected), "{expected}");
+        assert!(stdout(&picture).contains(expected), "{expected}");
+    }
+    assert!(stdout(&picture).contains("entry-1"));
+}
