--- a/src/completions.rs
+++ b/src/completions.rs
@@ -35,7 +35,7 @@
     payload: web::Payload,
 ) -> HttpResponse {
     let request_id = RequestId::generate();
-    let pass = state.gate.enter();
+    let pass = state.gate.enter(request_id);
     match prepare(&state, &http, payload, request_id).await {
         Ok(prepared) => prepared.answer(&state, pass).await,
         Err(refusal) => {
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -276,6 +276,7 @@
                 clock: self.clock,
                 relay: self.settings.relay.clone(),
                 retries: self.retries.clone(),
+                gate: self.gate.clone(),
             },
             plain: PlainClient::new(&self.settings.engine, options.plain_answer_bytes_max),
             claims: self.claims.clone(),
--- a/src/engine.rs
+++ b/src/engine.rs
@@ -60,6 +60,7 @@
 #[derive(Clone)]
 pub struct EngineClient {
     client: Client,
+    fresh: Client,
     options: EngineOptions,
 }
 
@@ -80,22 +81,28 @@
 impl EngineClient {
     /// A client with these timeouts.
     pub fn new(options: EngineOptions) -> Self {
-        let connector = Connector::new()
-            .timeout(Duration::from_millis(options.connect_timeout_ms))
-            .conn_keep_alive(Duration::from_millis(options.keep_alive_ms))
-            .limit(0);
-        let client = Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .finish();
-        EngineClient { client, options }
+        EngineClient {
+            client: client(&options, Duration::from_millis(options.keep_alive_ms)),
+            fresh: client(&options, Duration::ZERO),
+            options,
+        }
     }
 
-    /// Starts a generation.
-    pub async fn start(&self, upstream: &UpstreamId, request: &GenerateRequest) -> OpenOutcome {
+    /// Starts a generation. One that is not repeatable gets a connection of its own, so that no
+    /// idle one can break under it.
+    pub async fn start(
+        &self,
+        upstream: &UpstreamId,
+        request: &GenerateRequest,
+        repeatable: bool,
+    ) -> OpenOutcome {
+        let client = if repeatable {
+            &self.client
+        } else {
+            &self.fresh
+        };
         let url = format!("http://{upstream}/v1/generations");
-        let sending = self.client.post(url).send_json(request);
+        let sending = client.post(url).send_json(request);
         self.open(sending).await
     }
 
@@ -164,6 +171,19 @@
     }
 }
 
+/// A client that keeps idle connections for `keep_alive`.
+fn client(options: &EngineOptions, keep_alive: Duration) -> Client {
+    let connector = Connector::new()
+        .timeout(Duration::from_millis(options.connect_timeout_ms))
+        .conn_keep_alive(keep_alive)
+        .limit(0);
+    Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .finish()
+}
+
 /// Tells whether a request that could not be sent may have been written.
 ///
 /// The client reports a connection that closed before the answer's head as
--- a/src/gate.rs
+++ b/src/gate.rs
@@ -1,15 +1,21 @@
 //! Readiness of the host and its requests in flight.
 
+use std::collections::HashSet;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
+use crate::id::RequestId;
+
 /// What all workers share.
 #[derive(Debug)]
 pub struct Gate {
     shutting_down: AtomicBool,
-    in_flight: AtomicUsize,
+    forced: AtomicBool,
+    in_flight: Mutex<HashSet<RequestId>>,
 }
 
 impl Gate {
@@ -17,13 +23,29 @@
     pub fn new() -> Arc<Self> {
         Arc::new(Gate {
             shutting_down: AtomicBool::new(false),
-            in_flight: AtomicUsize::new(0),
+            forced: AtomicBool::new(false),
+            in_flight: Mutex::default(),
         })
     }
 
-    /// Requests that have not ended.
+    /// How many requests have not ended.
     pub fn in_flight(&self) -> usize {
-        self.in_flight.load(Ordering::SeqCst)
+        self.requests().len()
+    }
+
+    /// The requests that have not ended.
+    pub fn in_flight_ids(&self) -> Vec<RequestId> {
+        self.requests().iter().copied().collect()
+    }
+
+    /// From now on every stream ends with an explicit failure.
+    pub fn force(&self) {
+        self.forced.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether the host is forced to stop.
+    pub fn is_forced(&self) -> bool {
+        self.forced.load(Ordering::Relaxed)
     }
 
     /// From now on the host is not ready.
@@ -37,18 +59,30 @@
     }
 
     /// Counts a request until the pass is dropped.
-    pub fn enter(self: &Arc<Self>) -> Pass {
-        self.in_flight.fetch_add(1, Ordering::SeqCst);
-        Pass(self.clone())
+    pub fn enter(self: &Arc<Self>, request: RequestId) -> Pass {
+        self.requests().insert(request);
+        Pass {
+            gate: self.clone(),
+            request,
+        }
+    }
+
+    fn requests(&self) -> MutexGuard<'_, HashSet<RequestId>> {
+        self.in_flight
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
 /// A request in flight.
 #[derive(Debug)]
-pub struct Pass(Arc<Gate>);
+pub struct Pass {
+    gate: Arc<Gate>,
+    request: RequestId,
+}
 
 impl Drop for Pass {
     fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
+        self.gate.requests().remove(&self.request);
     }
 }
--- a/src/passthrough.rs
+++ b/src/passthrough.rs
@@ -15,6 +15,9 @@
 use serde::Deserialize;
 use tokio::time::Instant;
 
+use self::progress::Failure;
+use self::progress::FailureKind;
+use self::progress::Progress;
 use crate::answer::refuse;
 use crate::claim::Summary;
 use crate::claims::HeldClaim;
@@ -33,7 +36,6 @@
 use crate::plain::PlainCall;
 use crate::plain::PlainOutcome;
 use crate::refusal::Code;
-use crate::refusal::Ran;
 use crate::refusal::Refusal;
 use crate::row::Backing;
 use crate::schedule::Ending;
@@ -41,6 +43,8 @@
 use crate::server::ServerState;
 use crate::telemetry;
 
+mod progress;
+
 /// The header that says whether a call may run more than once.
 const REPEATABLE_HEADER: &str = "repeatable";
 
@@ -69,7 +73,7 @@
     payload: web::Payload,
 ) -> HttpResponse {
     let request_id = RequestId::generate();
-    let _pass = state.gate.enter();
+    let _pass = state.gate.enter(request_id);
     let outcome = match prepare(&state, &names, &http, payload, request_id).await {
         Ok(call) => call.run(&state).await,
         Err(refusal) => Err(refusal),
@@ -333,52 +337,6 @@
     }
 }
 
-/// What is known of the call so far.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Progress {
-    NotWritten,
-    MayHaveRun,
-    HasRun,
-}
-
-impl Progress {
-    fn qualify(self, mut refusal: Refusal) -> Refusal {
-        refusal.ran = match self {
-            Progress::NotWritten => refusal.ran,
-            Progress::MayHaveRun => Ran::Unknown,
-            Progress::HasRun => Ran::Yes,
-        };
-        refusal
-    }
-}
-
-/// An attempt without a whole answer.
-struct Failure {
-    message: String,
-    kind: FailureKind,
-}
-
-/// Whether another attempt may follow.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum FailureKind {
-    /// Always: nothing was written.
-    NotWritten,
-    /// Within the retry budget.
-    Repeatable,
-    /// Never.
-    Final,
-}
-
-impl Failure {
-    fn new(message: String, kind: FailureKind) -> Self {
-        Failure { message, kind }
-    }
-
-    fn refusal(&self, retry_after_ms: u64) -> Refusal {
-        Refusal::not_run(Code::UpstreamFailed, self.message.as_str()).retry_after_ms(retry_after_ms)
-    }
-}
-
 /// A grant that is given back when dropped, also if the caller leaves.
 struct OpenGrant<'s> {
     state: &'s ServerState,
--- a/src/relay.rs
+++ b/src/relay.rs
@@ -11,6 +11,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::attempt::Attempt;
+use crate::attempt::Link;
 use crate::clock::Time;
 use crate::id::AttemptId;
 use crate::refusal::Code;
@@ -18,6 +20,12 @@
 use crate::refusal::Refusal;
 use crate::wire::EngineRefusalReason;
 
+pub use crate::relaystep::Action;
+pub use crate::relaystep::Completion;
+pub use crate::relaystep::DropReason;
+pub use crate::relaystep::Input;
+pub use crate::relaystep::RestartCause;
+
 /// How patient the relay is.
 #[derive(Debug, Clone, PartialEq, Eq, Builder, Serialize, Deserialize)]
 #[builder(default)]
@@ -57,109 +65,6 @@
     }
 }
 
-/// What the link to the upstream, or the host, tells the relay.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Input<'a> {
-    /// The upstream answers with a stream, to a start or a resumption.
-    Opened,
-    /// A token.
-    Token {
-        /// The attempt that the upstream names.
-        attempt: AttemptId,
-        /// Its position, from 0.
-        index: u32,
-        /// Its text.
-        text: &'a str,
-    },
-    /// The generation is complete.
-    Done {
-        /// The attempt that the upstream names.
-        attempt: AttemptId,
-        /// Tokens in all.
-        output_tokens: u32,
-        /// Prompt tokens found in the prefix cache.
-        cached_prompt_tokens: u32,
-    },
-    /// The upstream gave the generation up.
-    Failed {
-        /// The attempt that the upstream names.
-        attempt: AttemptId,
-        /// Its words.
-        message: &'a str,
-    },
-    /// The start was never written.
-    NotWritten(&'a str),
-    /// The start was refused by the protocol.
-    Refused(EngineRefusalReason),
-    /// The link was lost, or no link came about.
-    Lost(&'a str),
-    /// The upstream does not know the attempt to resume.
-    Forgotten,
-    /// The scheduler wants the request moved.
-    Relocate,
-    /// The deadline passed.
-    DeadlinePassed,
-    /// The caller doesn't read.
-    SlowCaller,
-    /// Time passed.
-    Tick,
-}
-
-/// What the relay wants done.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Action {
-    /// Hand the caller this token.
-    Deliver(String),
-    /// Forget what was collected of an attempt that is given up.
-    Discard,
-    /// Connect again and resume from this index.
-    Resume {
-        /// The next index expected.
-        from: u32,
-    },
-    /// Cancel the attempt at its upstream.
-    Cancel(AttemptId),
-    /// Ask for another upstream and start anew.
-    Restart(RestartCause),
-    /// The answer is whole.
-    Complete(Completion),
-    /// The request failed.
-    Fail(Refusal),
-    /// An event of the upstream was dropped.
-    Dropped(DropReason),
-}
-
-/// Why a request starts again elsewhere.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum RestartCause {
-    /// The scheduler moves it.
-    Moved,
-    /// The attempt was never written, which costs no upstream anything; the words tell why.
-    NotWritten(String),
-    /// The attempt failed; the words tell how.
-    Failed(String),
-}
-
-/// What is known of a whole answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Completion {
-    /// Tokens in all.
-    pub output_tokens: u32,
-    /// Prompt tokens found in the prefix cache.
-    pub cached_prompt_tokens: u32,
-}
-
-/// Why an event of the upstream was dropped.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DropReason {
-    /// The index was delivered before.
-    Duplicate,
-    /// It names another attempt.
-    Crossed,
-    /// The request has ended.
-    Late,
-}
-
 /// What the request allows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RelayTerms {
@@ -181,33 +86,6 @@
     ended: bool,
 }
 
-/// The attempt that is running.
-#[derive(Debug)]
-struct Attempt {
-    id: AttemptId,
-    link: Link,
-    next_index: u32,
-    early: Vec<EarlyToken>,
-    gap_since: Option<Time>,
-    end: Option<Completion>,
-    last_heard: Time,
-    stall_timeout_ms: u64,
-    failed_resumptions: u32,
-}
-
-/// A token that overtook others.
-#[derive(Debug)]
-struct EarlyToken {
-    index: u32,
-    text: String,
-}
-
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Link {
-    Opening,
-    Open,
-}
-
 impl Relay {
     /// A relay that waits for its first attempt.
     pub fn new(options: RelayOptions, terms: RelayTerms) -> Self {
@@ -225,17 +103,7 @@
     /// An attempt is about to be written to an upstream.
     pub fn begin(&mut self, now: Time, attempt: AttemptId) {
         self.attempts += 1;
-        self.attempt = Some(Attempt {
-            id: attempt,
-            link: Link::Opening,
-            next_index: 0,
-            early: Vec::new(),
-            gap_since: None,
-            end: None,
-            last_heard: now,
-            stall_timeout_ms: self.options.stall_timeout_ms,
-            failed_resumptions: 0,
-        });
+        self.attempt = Some(Attempt::new(attempt, now, self.options.stall_timeout_ms));
     }
 
     /// The attempt that runs.
@@ -299,6 +167,7 @@
             Input::SlowCaller => {
                 self.fail(Code::SlowCaller, "the caller reads too slowly", actions);
             }
+            Input::Stopped => self.fail(Code::Stopped, "the host was forced to stop", actions),
             Input::Tick => self.tick(now, actions),
         }
     }
@@ -414,7 +283,7 @@
         self.attempt = None;
         let message = format!("the upstream refused the request: {}", describe(reason));
         if self.terms.repeatable && self.attempts < self.options.attempts_max {
-            return actions.push(Action::Restart(RestartCause::Failed(message)));
+            return actions.push(Action::Restart(RestartCause::Refused(message)));
         }
         self.fail(Code::Overloaded, &message, actions);
     }
@@ -503,57 +372,6 @@
     }
 }
 
-impl Attempt {
-    fn keep_early(
-        &mut self,
-        now: Time,
-        index: u32,
-        text: &str,
-        capacity: usize,
-        actions: &mut Vec<Action>,
-    ) {
-        if self.early.iter().any(|early| early.index == index) {
-            return actions.push(Action::Dropped(DropReason::Duplicate));
-        }
-        self.gap_since.get_or_insert(now);
-        if self.early.len() >= capacity {
-            return self.resume(actions);
-        }
-        self.early.push(EarlyToken {
-            index,
-            text: text.to_owned(),
-        });
-    }
-
-    /// Delivers the early tokens that are next now.
-    fn close_gap(&mut self, now: Time, actions: &mut Vec<Action>) {
-        while let Some(at) = self
-            .early
-            .iter()
-            .position(|early| early.index == self.next_index)
-        {
-            let early = self.early.swap_remove(at);
-            self.next_index += 1;
-            actions.push(Action::Deliver(early.text));
-        }
-        let waits_for_end = self
-            .end
-            .is_some_and(|end| end.output_tokens > self.next_index);
-        let gap_remains = waits_for_end || !self.early.is_empty();
-        self.gap_since = gap_remains.then_some(now);
-    }
-
-    fn resume(&mut self, actions: &mut Vec<Action>) {
-        self.link = Link::Opening;
-        self.early.clear();
-        self.gap_since = None;
-        self.end = None;
-        actions.push(Action::Resume {
-            from: self.next_index,
-        });
-    }
-}
-
 /// An upstream's event after the request has ended is dropped; anything else means nothing then.
 fn late(input: &Input<'_>) -> Option<Action> {
     match input {
--- a/src/session.rs
+++ b/src/session.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use backon::BackoffBuilder;
@@ -12,10 +13,8 @@
 use tokio::time::Sleep;
 
 use crate::account::Account;
-use crate::claim::Summary;
 use crate::claims::HeldClaim;
 use crate::clock::SystemClock;
-use crate::clock::Time;
 use crate::dispatch::Dispatcher;
 use crate::dispatch::Grant;
 use crate::engine::EngineClient;
@@ -23,27 +22,22 @@
 use crate::engine::EventView;
 use crate::engine::OpenOutcome;
 use crate::event::EventCode;
+use crate::gate::Gate;
 use crate::id::AttemptId;
 use crate::id::RequestId;
-use crate::id::UpstreamId;
 use crate::journal::Journal;
-use crate::journal::Subject;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::relay::Action;
 use crate::relay::Completion;
-use crate::relay::DropReason;
 use crate::relay::Input;
 use crate::relay::Relay;
 use crate::relay::RelayOptions;
 use crate::relay::RelayTerms;
-use crate::relay::RestartCause;
 use crate::retries::RetryBudgets;
 use crate::schedule::Ending;
 use crate::schedule::Ticket;
-use crate::telemetry;
 use crate::wire::EngineRefusalReason;
-use crate::wire::GenerateRequest;
 
 /// The scheduler hears of progress every so many tokens.
 const PROGRESS_TOKENS: u32 = 16;
@@ -52,6 +46,8 @@
 const RESUME_DELAY_MIN: Duration = Duration::from_millis(20);
 const RESUME_DELAY_MAX: Duration = Duration::from_millis(1_000);
 
+mod act;
+
 /// What a session needs from its host.
 #[derive(Clone)]
 pub struct SessionContext {
@@ -67,6 +63,8 @@
     pub relay: RelayOptions,
     /// What retries are left.
     pub retries: RetryBudgets,
+    /// Tells when the host is forced to stop.
+    pub gate: Arc<Gate>,
 }
 
 /// What a session is to do.
@@ -230,7 +228,8 @@
         if let Some(claim) = &mut self.claim {
             claim.sending();
         }
-        let opening = self.context.engine.start(&upstream, &generate);
+        let repeatable = self.request.terms.repeatable;
+        let opening = self.context.engine.start(&upstream, &generate, repeatable);
         match tokio::time::timeout_at(self.deadline, opening).await {
             Ok(outcome) => self.opened(outcome),
             Err(_) => self.step(Input::DeadlinePassed),
@@ -289,6 +288,10 @@
             self.step(Input::Lost("no link"));
             return;
         };
+        if self.context.gate.is_forced() {
+            self.step(Input::Stopped);
+            return;
+        }
         if let Some(data) = link.next_data() {
             self.take_event(&data);
             return;
@@ -344,158 +347,6 @@
         }
         self.actions = actions;
     }
-
-    fn act(&mut self, now: Time, action: Action) {
-        match action {
-            Action::Deliver(text) => self.deliver(now, text),
-            Action::Discard => self.outputs.push_back(Output::Discard),
-            Action::Resume { from } => {
-                self.link = None;
-                self.phase = Phase::Resume { from };
-            }
-            Action::Cancel(attempt) => self.cancel(attempt),
-            Action::Restart(cause) => self.restart(cause),
-            Action::Complete(completion) => self.complete(completion),
-            Action::Fail(refusal) => self.fail(refusal),
-            Action::Dropped(reason) => self.record(EventCode::TokenDropped, describe(reason)),
-        }
-    }
-
-    fn deliver(&mut self, now: Time, text: String) {
-        self.account.token(now);
-        if self.output_tokens == 0 {
-            self.record(EventCode::FirstToken, "");
-        }
-        self.output_tokens = self.relay.output_tokens();
-        if std::mem::take(&mut self.resumed) {
-            self.backoff = resume_backoff();
-        }
-        if self.output_tokens.is_multiple_of(PROGRESS_TOKENS) {
-            let request = self.request_id();
-            self.context
-                .dispatcher
-                .progress(request, self.output_tokens);
-        }
-        self.outputs.push_back(Output::Token(text));
-    }
-
-    fn complete(&mut self, completion: Completion) {
-        self.link = None;
-        self.phase = Phase::Ended;
-        self.finish(Ending::Complete, completion.cached_prompt_tokens);
-        let service = &self.request.ticket.service;
-        let percent = self.request.retry_budget_percent;
-        self.context.retries.succeeded(service, percent);
-        if let Some(claim) = self.claim.take() {
-            claim.done(Summary {
-                status: 200,
-                output_tokens: completion.output_tokens,
-                body_bytes: 0,
-            });
-        }
-        let detail = format!("tokens={}", completion.output_tokens);
-        self.record(EventCode::RequestComplete, &detail);
-        self.outputs.push_back(Output::Complete(completion));
-    }
-
-    fn fail(&mut self, refusal: Refusal) {
-        self.link = None;
-        self.phase = Phase::Ended;
-        self.record(EventCode::RequestFailed, &refusal.message);
-        if let Some(claim) = self.claim.take() {
-            claim.failed(&refusal);
-        }
-        self.finish(Ending::UpstreamFailed, 0);
-        let refusal = refusal.for_request(self.request_id());
-        telemetry::count_refusal(Some(&self.request.ticket.service), refusal.code);
-        self.outputs.push_back(Output::Failed(refusal));
-    }
-
-    fn refuse(&mut self, refusal: Refusal) {
-        let refusal = self.relay.end(refusal);
-        self.fail(refusal);
-    }
-
-    fn restart(&mut self, cause: RestartCause) {
-        self.link = None;
-        self.output_tokens = 0;
-        let ending = match &cause {
-            RestartCause::Moved => Ending::Cancelled,
-            RestartCause::Failed(_) | RestartCause::NotWritten(_) => Ending::UpstreamFailed,
-        };
-        self.finish(ending, 0);
-        if let Some(grant) = self.grant.take() {
-            self.request.ticket.avoid.push(grant.upstream);
-        }
-        match cause {
-            RestartCause::Failed(reason) if !self.may_retry() => {
-                let refusal = Refusal::not_run(Code::UpstreamFailed, reason);
-                self.refuse(refusal.retry_after_ms(self.context.relay.retry_after_ms));
-            }
-            RestartCause::Failed(reason) | RestartCause::NotWritten(reason) => {
-                self.begin_again(&reason);
-            }
-            RestartCause::Moved => self.begin_again("moved by the scheduler"),
-        }
-    }
-
-    fn begin_again(&mut self, reason: &str) {
-        self.phase = Phase::Acquire;
-        self.record(EventCode::RequestRestarted, reason);
-    }
-
-    fn may_retry(&self) -> bool {
-        let service = &self.request.ticket.service;
-        let percent = self.request.retry_budget_percent;
-        self.context.retries.try_retry(service, percent)
-    }
-
-    fn cancel(&self, attempt: AttemptId) {
-        let Some(upstream) = self.upstream() else {
-            return;
-        };
-        let engine = self.context.engine.clone();
-        actix_rt::spawn(async move { engine.cancel(upstream, attempt).await });
-    }
-
-    /// Tells the scheduler that the grant is used up.
-    fn finish(&self, ending: Ending, cached_prompt_tokens: u32) {
-        if self.grant.is_some() {
-            self.context.dispatcher.finished(
-                self.request_id(),
-                self.output_tokens,
-                ending,
-                cached_prompt_tokens,
-            );
-        }
-    }
-
-    fn upstream(&self) -> Option<UpstreamId> {
-        self.grant.as_ref().map(|grant| grant.upstream.clone())
-    }
-
-    fn generate_request(&self, attempt: AttemptId, engine_priority: u8) -> GenerateRequest {
-        GenerateRequest {
-            attempt,
-            model: self.request.model.clone(),
-            prompt: self.request.prompt.clone(),
-            prompt_tokens: self.request.ticket.prompt_tokens,
-            max_output_tokens: self.request.ticket.max_output_tokens,
-            engine_priority,
-            prefix_hashes: self.request.ticket.prefix_hashes.clone(),
-        }
-    }
-
-    fn record(&self, code: EventCode, detail: &str) {
-        let mut subject = Subject::request(self.request_id()).detail(detail);
-        if let Some(upstream) = self.upstream() {
-            subject = subject.upstream(&upstream);
-        }
-        if let Some(attempt) = self.relay.attempt() {
-            subject = subject.attempt(attempt);
-        }
-        self.context.journal.record(code, subject);
-    }
 }
 
 impl Drop for Session {
@@ -542,11 +393,3 @@
         "the deadline passed before it started",
     )
 }
-
-fn describe(reason: DropReason) -> &'static str {
-    match reason {
-        DropReason::Duplicate => "duplicate",
-        DropReason::Crossed => "of another attempt",
-        DropReason::Late => "after the end",
-    }
-}
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -17,6 +17,12 @@
 use crate::journal::Journal;
 use crate::journal::Subject;
 
+/// Streams get this long to end with an explicit failure when the host is forced to stop.
+const FORCED_LIMIT: Duration = Duration::from_secs(1);
+
+/// How often it is looked whether they have.
+const FORCED_POLL: Duration = Duration::from_millis(10);
+
 /// How the host stops.
 #[derive(Debug, Clone, PartialEq, Eq, Builder, Serialize, Deserialize)]
 #[builder(default)]
@@ -97,7 +103,7 @@
             Stopped::Drained
         }
         () = signals.next() => {
-            journal.record(EventCode::ShutdownForced, in_flight(gate));
+            force(gate, journal).await;
             Stopped::Forced
         }
     }
@@ -109,6 +115,23 @@
     server.stop(true).await;
 }
 
+/// Names the requests that are cut and gives their streams a moment to end with a failure.
+async fn force(gate: &Gate, journal: &Journal) {
+    journal.record(EventCode::ShutdownForced, in_flight(gate));
+    for request in gate.in_flight_ids() {
+        journal.record(EventCode::ShutdownForced, Subject::request(request));
+    }
+    gate.force();
+    let ended = async {
+        while gate.in_flight() > 0 {
+            tokio::time::sleep(FORCED_POLL).await;
+        }
+    };
+    if tokio::time::timeout(FORCED_LIMIT, ended).await.is_err() {
+        log::warn!("{} requests were cut without a word", gate.in_flight());
+    }
+}
+
 fn in_flight(gate: &Gate) -> Subject {
     Subject::none().detail(format!("in_flight={}", gate.in_flight()))
 }
--- a/tests/relay_faults.rs
+++ b/tests/relay_faults.rs
@@ -344,6 +344,35 @@
     assert!(status.is_some_and(|status| status.success()), "{status:?}");
 }
 
+#[test]
+fn a_second_signal_ends_every_stream_with_a_failure_and_names_it() {
+    let mut deployment = Deployment::start(&DeploymentOptions {
+        hosts: 1,
+        ..options().build().expect("options")
+    });
+    wait_ready(&deployment);
+    let ask = Ask::new("report #tokens=20000");
+    let mut answer = ask.open(&deployment.hosts[0].caller);
+    answer.read_tokens(1);
+
+    deployment.hosts[0].program.terminate();
+    let begun = wait_until(BOUND, || log_of(&deployment).contains("ShutdownBegan"));
+    deployment.hosts[0].program.terminate();
+    let answer = answer.read_all();
+    let status = deployment.hosts[0].program.wait_exit(BOUND);
+
+    assert!(begun);
+    assert_eq!(error_field(&answer, "code"), "stopped");
+    assert_eq!(error_field(&answer, "tokens_delivered"), answer.tokens);
+    assert_eq!(answer.text, ask.expected(answer.tokens));
+    assert!(status.is_some_and(|status| !status.success()), "{status:?}");
+    assert!(log_of(&deployment).contains("ShutdownForced request="));
+}
+
+fn log_of(deployment: &Deployment) -> String {
+    deployment.hosts[0].program.log_text()
+}
+
 #[test]
 fn the_journal_tells_the_life_of_a_request() {
     let deployment = deploy();
