--- a/examples/small-deployment/start.sh
+++ b/examples/small-deployment/start.sh
@@ -20,4 +20,5 @@
 for settings in entry-*.json; do
     "$bin/cedargauge-entry" --settings "$settings" --log-level warn &
 done
+"$bin/cedargauge-admin" --settings admin.json --log-level warn &
 wait
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -10,14 +10,17 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::os::fd::AsFd;
+use std::process;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::dev::Extensions;
 use actix_web::dev::Server;
+use actix_web::rt;
 use actix_web::web;
 use serde::Deserialize;
 use serde::Serialize;
@@ -37,6 +40,9 @@
 /// Exit status of a stand-in that a fault told to die.
 pub const DIED_STATUS: i32 = 70;
 
+/// Time for the answer to a fault that ends the process.
+pub(crate) const DIE_ANSWER_TIME: Duration = Duration::from_millis(10);
+
 /// Header of a 429 that tells when to ask again, in milliseconds.
 pub const RETRY_AFTER_MS_HEADER: &str = "retry-after-ms";
 
@@ -131,6 +137,14 @@
     })
 }
 
+/// Ends the process once the answer at hand had time to go out.
+pub(crate) fn exit_soon(wait: Duration) {
+    rt::spawn(async move {
+        rt::time::sleep(wait).await;
+        process::exit(DIED_STATUS);
+    });
+}
+
 /// A second handle on a connection's socket, by which a fault cuts it.
 struct Socket(TcpStream);
 
--- a/src/standin_engine.rs
+++ b/src/standin_engine.rs
@@ -1,6 +1,5 @@
 //! A stand-in for an engine: the engine model in real time behind the engines' protocol.
 
-use std::process;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,10 +17,11 @@
 use crate::id::AttemptId;
 use crate::journal::Journal;
 use crate::model::ModelOptions;
-use crate::standin::DIED_STATUS;
+use crate::standin::DIE_ANSWER_TIME;
 use crate::standin::Served;
 use crate::standin::cut;
 use crate::standin::events;
+use crate::standin::exit_soon;
 use crate::standin::journal;
 use crate::standin::keep_socket;
 use crate::standin::listen;
@@ -240,12 +240,10 @@
 ) -> HttpResponse {
     record_fault(&journal, &fault.0);
     match fault.into_inner() {
+        EngineFault::Die => exit_soon(DIE_ANSWER_TIME),
         EngineFault::Reclaim { notice_ms } => {
             engine.leave();
-            rt::spawn(async move {
-                sleep(Duration::from_millis(notice_ms)).await;
-                process::exit(DIED_STATUS);
-            });
+            exit_soon(Duration::from_millis(notice_ms));
         }
         EngineFault::Leave => engine.leave(),
         other => engine.faults.arm(other),
--- a/src/standin_faults.rs
+++ b/src/standin_faults.rs
@@ -1,6 +1,5 @@
 //! The faults that the stand-in engine is told to have.
 
-use std::process;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -10,7 +9,6 @@
 use crate::clock::SystemClock;
 use crate::clock::Time;
 use crate::id::AttemptId;
-use crate::standin::DIED_STATUS;
 use crate::standin::lock;
 use crate::wire::EngineRefusalReason;
 
@@ -18,7 +16,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "fault", rename_all = "snake_case", deny_unknown_fields)]
 pub enum EngineFault {
-    /// The process exits at once.
+    /// The process answers and exits.
     Die,
     /// Streams that are open now send nothing for a while; generations go on, and streams opened
     /// later, to resume, are not stalled.
@@ -146,11 +144,10 @@
         }
     }
 
-    /// Arms a fault. Leaving is the engine's affair and changes nothing here.
+    /// Arms a fault. Leaving and dying are the engine's affair and change nothing here.
     pub(crate) fn arm(&self, fault: EngineFault) {
         let mut armed = lock(&self.armed);
         match fault {
-            EngineFault::Die => process::exit(DIED_STATUS),
             EngineFault::StallLinks { ms } => {
                 armed.stalled_before = armed.links_opened;
                 armed.stalled_until = self.clock.now() + Duration::from_millis(ms);
@@ -169,7 +166,7 @@
                     ..Armed::default()
                 };
             }
-            EngineFault::Reclaim { .. } | EngineFault::Leave => {}
+            EngineFault::Die | EngineFault::Reclaim { .. } | EngineFault::Leave => {}
         }
     }
 
--- a/src/standin_service.rs
+++ b/src/standin_service.rs
@@ -1,7 +1,6 @@
 //! A stand-in for a plain service: it echoes what it is asked and counts how often each key ran.
 
 use std::collections::BTreeMap;
-use std::process;
 use std::sync::Mutex;
 use std::time::Duration;
 
@@ -16,11 +15,12 @@
 
 use crate::error::Result;
 use crate::journal::Journal;
-use crate::standin::DIED_STATUS;
+use crate::standin::DIE_ANSWER_TIME;
 use crate::standin::Served;
 use crate::standin::count_key;
 use crate::standin::cut;
 use crate::standin::events;
+use crate::standin::exit_soon;
 use crate::standin::journal;
 use crate::standin::keep_socket;
 use crate::standin::listen;
@@ -62,7 +62,7 @@
         /// How many calls.
         count: u32,
     },
-    /// The process exits at once.
+    /// The process answers and exits.
     Die,
     /// Ends every fault.
     Clear,
@@ -164,7 +164,7 @@
         ServiceFault::Slow { ms } => state.slow = Duration::from_millis(ms),
         ServiceFault::ResetAfterRun { count } => state.resets = count,
         ServiceFault::ErrorAfterRun { count } => state.errors = count,
-        ServiceFault::Die => process::exit(DIED_STATUS),
+        ServiceFault::Die => exit_soon(DIE_ANSWER_TIME),
         ServiceFault::Clear => {
             state.slow = Duration::ZERO;
             state.resets = 0;
--- a/tests/examples.rs
+++ b/tests/examples.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use cedargauge::admin::AdminSettings;
 use cedargauge::fold::Outcome;
 use cedargauge::id::Offset;
 use cedargauge::platform::HostKind;
@@ -54,6 +55,7 @@
     for name in names() {
         match name.as_str() {
             "README.md" | "start.sh" => {}
+            "admin.json" => drop(read::<AdminSettings>(&name)),
             "table.json" => drop(read::<Vec<Row>>(&name)),
             "hosts.json" => drop(read::<HostList>(&name)),
             name if name.starts_with("entry-") => drop(read::<EntrySettings>(name)),
--- a/tests/standin_engine.rs
+++ b/tests/standin_engine.rs
@@ -217,13 +217,15 @@
 }
 
 #[test]
-fn a_reclaimed_engine_exits_after_its_notice() {
-    let mut engine = Engine::start(FAST);
+fn engines_that_die_or_are_reclaimed_exit() {
+    for fault in [EngineFault::Die, EngineFault::Reclaim { notice_ms: 50 }] {
+        let mut engine = Engine::start(FAST);
 
-    engine.fault(&EngineFault::Reclaim { notice_ms: 50 });
+        engine.fault(&fault);
 
-    let status = engine.program.wait_exit(BOUND).and_then(|s| s.code());
-    assert_eq!(status, Some(DIED_STATUS));
+        let status = engine.program.wait_exit(BOUND).and_then(|s| s.code());
+        assert_eq!(status, Some(DIED_STATUS), "{fault:?}");
+    }
 }
 
 #[test]
