Draw the delays between tries from one place

Cause: the session and the plain calls each built the same backoff. Change: both take it from the retries module. Conclusion: no change of behaviour.

--- a/src/passthrough.rs
+++ b/src/passthrough.rs
@@ -9,9 +9,6 @@
 use actix_web::HttpResponse;
 use actix_web::http::StatusCode;
 use actix_web::web;
-use backon::BackoffBuilder;
-use backon::ExponentialBackoff;
-use backon::ExponentialBuilder;
 use serde::Deserialize;
 use tokio::time::Instant;
 
@@ -37,6 +34,7 @@
 use crate::plain::PlainOutcome;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
+use crate::retries;
 use crate::row::Backing;
 use crate::schedule::Ending;
 use crate::schedule::Ticket;
@@ -54,10 +52,6 @@
 /// The header with the priority class.
 const CLASS_HEADER: &str = "priority-class";
 
-/// Bounds of the delay before a call is repeated.
-const RETRY_DELAY_MIN: Duration = Duration::from_millis(20);
-const RETRY_DELAY_MAX: Duration = Duration::from_millis(1_000);
-
 /// What the path names.
 #[derive(Debug, Deserialize)]
 pub(crate) struct PathNames {
@@ -217,7 +211,7 @@
         progress: &mut Progress,
     ) -> Result<PlainAnswer, Refusal> {
         self.admission.started().await;
-        let mut delays = retry_delays();
+        let mut delays = retries::delays();
         loop {
             let grant = state
                 .context
@@ -242,7 +236,7 @@
                 .journal
                 .record(EventCode::RequestRestarted, subject);
             self.ticket.avoid.push(upstream);
-            tokio::time::sleep(delays.next().unwrap_or(RETRY_DELAY_MAX)).await;
+            tokio::time::sleep(delays.next().unwrap_or(retries::DELAY_MAX)).await;
         }
     }
 
@@ -372,12 +366,3 @@
     response.insert_header(("x-request-id", request_id.to_string()));
     response.body(answer.body)
 }
-
-fn retry_delays() -> ExponentialBackoff {
-    ExponentialBuilder::default()
-        .with_jitter()
-        .with_min_delay(RETRY_DELAY_MIN)
-        .with_max_delay(RETRY_DELAY_MAX)
-        .without_max_times()
-        .build()
-}
--- a/src/retries.rs
+++ b/src/retries.rs
@@ -1,14 +1,33 @@
-//! The retry budgets of all services of a host.
+//! Retries: the budgets of all services of a host, and the delays between tries.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
+
+use backon::BackoffBuilder;
+use backon::ExponentialBackoff;
+use backon::ExponentialBuilder;
 
 use crate::budget::RetryBudget;
 use crate::id::ServiceId;
 
+/// Bounds of the delay before a try.
+const DELAY_MIN: Duration = Duration::from_millis(20);
+pub(crate) const DELAY_MAX: Duration = Duration::from_millis(1_000);
+
+/// Growing delays with jitter.
+pub(crate) fn delays() -> ExponentialBackoff {
+    ExponentialBuilder::default()
+        .with_jitter()
+        .with_min_delay(DELAY_MIN)
+        .with_max_delay(DELAY_MAX)
+        .without_max_times()
+        .build()
+}
+
 /// The budgets; clones share them.
 #[derive(Debug, Clone, Default)]
 pub struct RetryBudgets {
--- a/src/session.rs
+++ b/src/session.rs
@@ -5,9 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use backon::BackoffBuilder;
 use backon::ExponentialBackoff;
-use backon::ExponentialBuilder;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 use tokio::time::Sleep;
@@ -34,6 +32,7 @@
 use crate::relay::Relay;
 use crate::relay::RelayOptions;
 use crate::relay::RelayTerms;
+use crate::retries;
 use crate::retries::RetryBudgets;
 use crate::schedule::Ending;
 use crate::schedule::Ticket;
@@ -42,10 +41,6 @@
 /// The scheduler hears of progress every so many tokens.
 const PROGRESS_TOKENS: u32 = 16;
 
-/// Bounds of the delay before a resumption.
-const RESUME_DELAY_MIN: Duration = Duration::from_millis(20);
-const RESUME_DELAY_MAX: Duration = Duration::from_millis(1_000);
-
 mod act;
 
 /// What a session needs from its host.
@@ -149,7 +144,7 @@
             grant: None,
             relocate: None,
             link: None,
-            backoff: resume_backoff(),
+            backoff: retries::delays(),
             resumed: false,
             actions: Vec::new(),
             outputs: VecDeque::new(),
@@ -242,7 +237,7 @@
             return;
         };
         let upstream = grant.upstream.clone();
-        let delay = self.backoff.next().unwrap_or(RESUME_DELAY_MAX);
+        let delay = self.backoff.next().unwrap_or(retries::DELAY_MAX);
         self.resumed = true;
         self.record(EventCode::StreamResumed, &format!("from={from}"));
         self.phase = Phase::Read;
@@ -378,15 +373,6 @@
     ordered
 }
 
-fn resume_backoff() -> ExponentialBackoff {
-    ExponentialBuilder::default()
-        .with_jitter()
-        .with_min_delay(RESUME_DELAY_MIN)
-        .with_max_delay(RESUME_DELAY_MAX)
-        .without_max_times()
-        .build()
-}
-
 fn deadline_passed() -> Refusal {
     Refusal::not_run(
         Code::DeadlineExceeded,
--- a/src/session/act.rs
+++ b/src/session/act.rs
@@ -4,7 +4,6 @@
 use super::PROGRESS_TOKENS;
 use super::Phase;
 use super::Session;
-use super::resume_backoff;
 use crate::claim::Summary;
 use crate::clock::Time;
 use crate::event::EventCode;
@@ -17,6 +16,7 @@
 use crate::relay::Completion;
 use crate::relay::DropReason;
 use crate::relay::RestartCause;
+use crate::retries;
 use crate::schedule::Ending;
 use crate::telemetry;
 use crate::wire::GenerateRequest;
@@ -45,7 +45,7 @@
         }
         self.output_tokens = self.relay.output_tokens();
         if std::mem::take(&mut self.resumed) {
-            self.backoff = resume_backoff();
+            self.backoff = retries::delays();
         }
         if self.output_tokens.is_multiple_of(PROGRESS_TOKENS) {
             let request = self.request_id();
