--- a/src/bin/cedargauge-replay/compare.rs
+++ b/src/bin/cedargauge-replay/compare.rs
@@ -1,18 +1,20 @@
 //! `cedargauge-replay compare`.
 
-use std::path::Path;
+use std::fs;
+use std::io;
+use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use anyhow::Context;
 use anyhow::Result;
 use argh::FromArgs;
-use serde::de::DeserializeOwned;
 
 use cedargauge::compare::Comparison;
 use cedargauge::compare::PolicyName;
-use cedargauge::compare::compare;
+use cedargauge::compare::record;
 use cedargauge::figures;
-use cedargauge::settings;
+use cedargauge::plot;
 use cedargauge::trace::Trace;
 
 /// Replay a trace in virtual time under several policies and check the outcomes that it states.
@@ -38,6 +40,9 @@
     /// print one JSON object in place of a table
     #[argh(switch)]
     json: bool,
+    /// draw the stall times into this SVG file
+    #[argh(option)]
+    plot: Option<PathBuf>,
 }
 
 #[derive(Clone)]
@@ -45,13 +50,19 @@
 
 pub(crate) fn run(arguments: &Arguments) -> Result<ExitCode> {
     let trace = Trace::read(&arguments.trace)?;
-    let faults = read_or_default(arguments.faults.as_deref())?;
-    let scheduler = read_or_default(arguments.scheduler.as_deref())?;
-    let comparison = compare(&trace, &arguments.policies.0, &faults, &scheduler);
+    let faults = crate::read_or_default(arguments.faults.as_deref())?;
+    let scheduler = crate::read_or_default(arguments.scheduler.as_deref())?;
+    let recorded = record(&trace, &arguments.policies.0, &faults, &scheduler);
+    if let Some(path) = &arguments.plot {
+        let title = format!("{} at load {:.2}", trace.header.name, trace.header.load);
+        let picture = plot::draw(&title, &recorded)?;
+        fs::write(path, picture).with_context(|| path.display().to_string())?;
+    }
+    let comparison = Comparison::of(&trace, &recorded);
     if arguments.json {
         println!("{}", serde_json::to_string(&comparison)?);
     } else {
-        print_table(&comparison);
+        print_table(&comparison)?;
     }
     Ok(if comparison.holds() {
         ExitCode::SUCCESS
@@ -60,11 +71,13 @@
     })
 }
 
-fn print_table(comparison: &Comparison) {
-    println!("{}", figures::render(comparison));
+fn print_table(comparison: &Comparison) -> Result<()> {
+    let mut out = io::stdout().lock();
+    writeln!(out, "{}", figures::render(comparison))?;
     for outcome in &comparison.outcomes {
-        println!("{outcome}");
+        writeln!(out, "{outcome}")?;
     }
+    Ok(())
 }
 
 fn policy_list(text: &str) -> Result<PolicyList, String> {
@@ -72,7 +85,3 @@
     let list: Result<Vec<PolicyName>, _> = names.collect();
     list.map(PolicyList).map_err(|error| error.to_string())
 }
-
-fn read_or_default<S: DeserializeOwned + Default>(path: Option<&Path>) -> Result<S> {
-    Ok(path.map(settings::read).transpose()?.unwrap_or_default())
-}
--- a/src/bin/cedargauge-replay/main.rs
+++ b/src/bin/cedargauge-replay/main.rs
@@ -2,12 +2,19 @@
 //! and checks stated outcomes.
 
 mod compare;
+mod convert;
 mod drive;
+mod grid;
 mod synth;
 
+use std::path::Path;
 use std::process::ExitCode;
 
+use anyhow::Result;
 use argh::FromArgs;
+use serde::de::DeserializeOwned;
+
+use cedargauge::settings;
 
 /// Replay traces of requests: in virtual time under several policies, or against entry hosts.
 #[derive(FromArgs)]
@@ -28,6 +35,8 @@
     Synth(synth::Arguments),
     Compare(compare::Arguments),
     Drive(drive::Arguments),
+    Grid(grid::Arguments),
+    Convert(convert::Arguments),
 }
 
 fn main() -> ExitCode {
@@ -36,9 +45,16 @@
         Command::Synth(arguments) => synth::run(&arguments),
         Command::Compare(arguments) => compare::run(&arguments),
         Command::Drive(arguments) => drive::run(&arguments),
+        Command::Grid(arguments) => grid::run(&arguments),
+        Command::Convert(arguments) => convert::run(&arguments),
     };
     result.unwrap_or_else(|error| {
         eprintln!("cedargauge-replay: {error:#}");
         ExitCode::FAILURE
     })
 }
+
+/// Settings from a file, or the defaults.
+fn read_or_default<S: DeserializeOwned + Default>(path: Option<&Path>) -> Result<S> {
+    Ok(path.map(settings::read).transpose()?.unwrap_or_default())
+}
--- a/src/bin/cedargauge-replay/synth.rs
+++ b/src/bin/cedargauge-replay/synth.rs
@@ -9,14 +9,15 @@
 
 use cedargauge::preset::Preset;
 use cedargauge::synth::Amount;
+use cedargauge::synth::add_flood;
 use cedargauge::synth::synthesise;
 
 /// Write a synthetic trace.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "synth")]
 pub(crate) struct Arguments {
-    /// workload: hoher-grat, joint-venture, or many-hosts (short answers, some of them not
-    /// repeatable, for drive)
+    /// workload: hoher-grat, joint-venture, many-hosts (short answers, some of them not
+    /// repeatable, for drive) or weights (three backlogged customers)
     #[argh(option)]
     preset: Preset,
     /// seed of the trace and of its engines; 1 by default
@@ -31,6 +32,12 @@
     /// requests arrive for this long, in minutes; 20 by default
     #[argh(option, default = "20.0")]
     minutes: f64,
+    /// load that one more customer adds in the middle third; none by default
+    #[argh(option, default = "0.0")]
+    flood: f64,
+    /// engines of every service, in place of the workload's
+    #[argh(option)]
+    engines: Option<u32>,
     /// file to write
     #[argh(option)]
     out: PathBuf,
@@ -51,7 +58,14 @@
     let amount = arguments
         .requests
         .map_or(Amount::Load(arguments.load), Amount::Requests);
-    let trace = synthesise(&arguments.preset, arguments.seed, amount, duration_ms);
+    let mut preset = arguments.preset.clone();
+    for plan in &mut preset.services {
+        plan.engines = arguments.engines.unwrap_or(plan.engines).max(1);
+    }
+    let mut trace = synthesise(&preset, arguments.seed, amount, duration_ms);
+    if arguments.flood > 0.0 {
+        add_flood(&mut trace, &preset, arguments.flood);
+    }
     trace.write(&arguments.out)?;
     println!(
         "{}: {} requests in {} s at load {:.3}",
--- a/src/compare.rs
+++ b/src/compare.rs
@@ -13,6 +13,8 @@
 use crate::baselines::Choice;
 use crate::clock::Time;
 use crate::error::Error;
+use crate::fairness::Fairness;
+use crate::fairness::fairness;
 use crate::faultscript::Faults;
 use crate::faultscript::shifted;
 use crate::id::RequestId;
@@ -87,12 +89,39 @@
 pub struct Comparison {
     /// Figures by policy.
     pub policies: BTreeMap<String, Summary>,
+    /// Shares of the tokens by policy, if there was a minute in which every customer waited.
+    #[serde(skip_serializing_if = "BTreeMap::is_empty")]
+    pub fairness: BTreeMap<String, Fairness>,
     /// Stated outcomes, checked.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub outcomes: Vec<CheckedOutcome>,
 }
 
 impl Comparison {
+    /// Sums up what was recorded under each policy and checks the outcomes that the trace states.
+    pub fn of(trace: &Trace, recorded: &[(PolicyName, Recorder)]) -> Self {
+        let weights = &trace.header.weights;
+        let mut comparison = Comparison {
+            policies: recorded
+                .iter()
+                .map(|(name, recorder)| (name.to_string(), Summary::of(recorder)))
+                .collect(),
+            fairness: recorded
+                .iter()
+                .filter_map(|(name, recorder)| {
+                    Some((name.to_string(), fairness(recorder, weights)?))
+                })
+                .collect(),
+            outcomes: Vec::new(),
+        };
+        comparison.outcomes = trace
+            .outcomes
+            .iter()
+            .map(|outcome| outcome.check(&comparison))
+            .collect();
+        comparison
+    }
+
     /// A top-level number of a policy's figures, by its name in JSON. A dotted name goes into
     /// groups, as in `by_class.urgent.refused`.
     pub fn metric(&self, policy: &str, metric: &str) -> Option<f64> {
@@ -117,20 +146,7 @@
     faults: &Faults,
     scheduler: &SchedulerOptions,
 ) -> Comparison {
-    let recorders = record(trace, policies, faults, scheduler);
-    let mut comparison = Comparison {
-        policies: recorders
-            .iter()
-            .map(|(name, recorder)| (name.to_string(), Summary::of(recorder)))
-            .collect(),
-        outcomes: Vec::new(),
-    };
-    comparison.outcomes = trace
-        .outcomes
-        .iter()
-        .map(|outcome| outcome.check(&comparison))
-        .collect();
-    comparison
+    Comparison::of(trace, &record(trace, policies, faults, scheduler))
 }
 
 /// Replays `trace` under each policy and answers with the records of each.
--- a/src/completions.rs
+++ b/src/completions.rs
@@ -78,7 +78,14 @@
     let key = intake::idempotency_key(http, session.ticket.repeatable)?;
     let admission = state.limits.admit(&identified.customer)?;
     let account = Account::open(state.context.clock.now(), admission, &session.ticket);
-    let subject = Subject::request(request_id).detail(identified.describe());
+    let detail = format!(
+        "{} prompt_tokens={} max_output_tokens={} repeatable={}",
+        identified.describe(),
+        session.ticket.prompt_tokens,
+        session.ticket.max_output_tokens,
+        session.ticket.repeatable
+    );
+    let subject = Subject::request(request_id).detail(detail);
     state
         .context
         .journal
--- a/src/preset.rs
+++ b/src/preset.rs
@@ -225,6 +225,23 @@
         Preset::new("many-hosts", vec![inspection, crew_app], customers)
     }
 
+    /// Three customers of weights 1, 2 and 4 that send equally much in one class whose requests
+    /// may wait: at a load of 3 all are backlogged.
+    pub fn weights() -> Self {
+        let mut preset = Preset::hoher_grat();
+        preset.services.truncate(1);
+        let customers = vec![
+            customer("one", 1.0, 1, false),
+            customer("two", 1.0, 2, false),
+            customer("four", 1.0, 4, false),
+        ];
+        let mut preset = Preset::new("weights", preset.services, customers);
+        preset.classes.truncate(1);
+        preset.classes[0].max_wait_ms = 600_000;
+        preset.weights.classes = preset.classes.iter().map(class_weight).collect();
+        preset
+    }
+
     fn new(name: &str, services: Vec<ServicePlan>, customers: Vec<CustomerPlan>) -> Self {
         let weights = Weights {
             classes: CLASSES.iter().map(class_weight).collect(),
@@ -248,9 +265,10 @@
             "hoher-grat" => Ok(Preset::hoher_grat()),
             "joint-venture" => Ok(Preset::joint_venture()),
             "many-hosts" => Ok(Preset::many_hosts()),
+            "weights" => Ok(Preset::weights()),
             _ => Err(Error::Invalid {
                 faults: vec![format!(
-                    "preset {text}: known are hoher-grat, joint-venture, many-hosts"
+                    "preset {text}: known are hoher-grat, joint-venture, many-hosts, weights"
                 )],
             }),
         }
--- a/src/summary.rs
+++ b/src/summary.rs
@@ -9,6 +9,7 @@
 use crate::observe::Recorder;
 use crate::observe::RequestRecord;
 use crate::observe::gap_histogram;
+use crate::synth::FLOODER;
 
 /// What a replay measured under one policy.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -45,6 +46,9 @@
     pub gap_stall_ms_total: f64,
     /// 99th percentile over requests of the longest gap between two tokens, in milliseconds.
     pub longest_gap_ms_p99: f64,
+    /// 99th percentile of the stall time of all customers but the one that floods, in
+    /// milliseconds.
+    pub others_stall_ms_p99: f64,
     /// 99th percentile of the time from arrival to refusal, in milliseconds.
     pub refusal_ms_p99: f64,
     /// Mean share of memory in use while requests arrived, in percent, by service.
@@ -107,6 +111,7 @@
             gap_stall_ms_p99: whole.gap_stall_ms_p99,
             gap_stall_ms_total: total_ms(&records, |r| r.gap_stall_us),
             longest_gap_ms_p99: percentile_ms(&records, 0.99, |r| Some(r.longest_gap_us)),
+            others_stall_ms_p99: percentile_ms(&records, 0.99, others_stall_us),
             refusal_ms_p99: percentile_ms(&records, 0.99, refusal_us),
             memory_percent: recorder
                 .memory_share
@@ -177,6 +182,10 @@
     (record.fate == Fate::Refused).then_some(waited_us)
 }
 
+fn others_stall_us(record: &RequestRecord) -> Option<u64> {
+    (record.customer.as_str() != FLOODER).then(|| record.stall_us())
+}
+
 fn count(records: &[&RequestRecord], fate: Fate) -> u64 {
     records.iter().filter(|record| record.fate == fate).count() as u64
 }
--- a/src/synth.rs
+++ b/src/synth.rs
@@ -59,6 +59,9 @@
     Requests(u64),
 }
 
+/// The customer that [`add_flood`] adds.
+pub const FLOODER: &str = "flooder";
+
 /// A trace of `preset` with `amount` requests, which arrive within `duration_ms`.
 pub fn synthesise(preset: &Preset, seed: u64, amount: Amount, duration_ms: u64) -> Trace {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -93,6 +96,26 @@
     }
 }
 
+/// Adds a customer of weight 1 that sends, in the middle third of the trace and in the class of
+/// most requests, as many requests as need the share `load` of every service's memory-time there.
+/// What was in the trace stays as it is.
+pub fn add_flood(trace: &mut Trace, preset: &Preset, load: f64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(trace.header.seed ^ 0xf100d);
+    let third_ms = trace.header.duration_ms / 3;
+    let classes = preset.classes.iter();
+    let class = classes.max_by(|a, b| a.share.total_cmp(&b.share));
+    for plan in &preset.services {
+        let (drawn, _) = draw_all(preset, plan, Amount::Load(load), third_ms, &mut rng);
+        for mut request in drawn {
+            request.customer = CustomerId::from(FLOODER);
+            request.class = class.map_or(request.class, |class| ClassId::from(class.name));
+            request.at_ms = third_ms + rng.random_range(0..third_ms.max(1));
+            trace.requests.push(request);
+        }
+    }
+    trace.requests.sort_by_key(|request| request.at_ms);
+}
+
 /// Requests of one service, and the share of its engines' memory-time that they need.
 fn draw_all(
     preset: &Preset,
--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -4,7 +4,9 @@
 
 mod tester;
 
+use std::fs;
 use std::path::Path;
+use std::path::PathBuf;
 use std::process::Command;
 use std::process::Output;
 
@@ -96,6 +98,77 @@
     }
 }
 
+#[test]
+fn traces_reach_their_stated_outcomes() {
+    let traces = fs::read_dir("tests/traces").unwrap();
+    let paths: Vec<PathBuf> = traces.map(|entry| entry.unwrap().path()).collect();
+
+    for path in &paths {
+        let output = replay(&["compare", path.to_str().unwrap(), "--json"]);
+
+        let comparison: Value = serde_json::from_slice(&output.stdout).unwrap();
+        let outcomes = &comparison["outcomes"];
+        assert!(output.status.success(), "{}: {outcomes}", path.display());
+        assert!(!outcomes.as_array().unwrap().is_empty());
+    }
+    assert!(paths.len() >= 3);
+}
+
+#[test]
+fn broken_outcome_is_named_and_fails_the_comparison() {
+    let directory = tempfile::tempdir().unwrap();
+    let trace = synthetic_trace(&directory, "hoher-grat", "20");
+    let stated = r#"{"outcome":{"policy":"oracle","metric":"completed","at_least":21}}"#;
+    let text = fs::read_to_string(&trace).unwrap();
+    fs::write(&trace, format!("{text}{stated}\n")).unwrap();
+
+    let output = replay(&["compare", &trace, "--policies", "oracle"]);
+
+    let printed = String::from_utf8(output.stdout).unwrap();
+    assert!(
+        printed.contains("BROKEN: oracle completed is 20.0"),
+        "{printed}"
+    );
+    assert_eq!(output.status.code(), Some(1));
+}
+
+#[test]
+fn recorded_time_line_converts_to_a_trace_that_replays() {
+    let deployment = Deployment::start(&DeploymentOptions::default());
+    let caller = &deployment.hosts[0].caller;
+    let directory = tempfile::tempdir().unwrap();
+    let trace = synthetic_trace(&directory, "hoher-grat", "12");
+    let inspection_only = only_inspection(&trace);
+    let driven = replay(&["drive", &trace, "--entry", caller]);
+    assert!(driven.status.success(), "{driven:?}");
+    let timeline = directory.path().join("timeline.jsonl");
+    let recorded = Command::new(env!("CARGO_BIN_EXE_cedargauge-timeline"))
+        .args(["--format", "json", caller])
+        .output()
+        .unwrap();
+    fs::write(&timeline, recorded.stdout).unwrap();
+    let converted = directory.path().join("converted.jsonl");
+    let converted = converted.to_str().unwrap();
+
+    let output = replay(&["convert", timeline.to_str().unwrap(), "--out", converted]);
+
+    assert!(output.status.success(), "{output:?}");
+    let requests = fs::read_to_string(converted).unwrap();
+    assert_eq!(requests.matches("\"request\"").count(), inspection_only);
+    assert!(replay(&["compare", converted]).status.success());
+}
+
+/// Leaves only requests of the small table's model in the trace; answers how many.
+fn only_inspection(trace: &str) -> usize {
+    let text = fs::read_to_string(trace).unwrap();
+    let kept: Vec<&str> = text
+        .lines()
+        .filter(|line| line.starts_with("{\"trace\"") || line.contains("\"inspection\""))
+        .collect();
+    fs::write(trace, kept.join("\n")).unwrap();
+    kept.len() - 1
+}
+
 #[test]
 fn missing_trace_is_named() {
     let path = Path::new("no-such-trace.jsonl");
