--- a/tests/replay.rs
+++ b/tests/replay.rs
@@ -125,10 +125,7 @@
     let output = replay(&["compare", &trace, "--policies", "oracle"]);
 
     let printed = String::from_utf8(output.stdout).unwrap();
-    assert!(
-        printed.contains("BROKEN: oracle completed is"),
-        "{printed}"
-    );
+    assert!(printed.contains("BROKEN: oracle completed is"), "{printed}");
     assert_eq!(output.status.code(), Some(1));
 }
 
