--- a/benches/slopes/configuration.rs
+++ b/benches/slopes/configuration.rs
@@ -9,6 +9,7 @@
 use cedargauge::platform::Record;
 use cedargauge::record::ConfigRecord;
 use cedargauge::record::Edit;
+use cedargauge::record::Snapshot;
 use cedargauge::row::ClassRow;
 use cedargauge::row::CustomerRow;
 use cedargauge::row::Row;
@@ -18,6 +19,7 @@
 const CUSTOMERS: [usize; 4] = [1_000, 4_000, 12_000, 36_000];
 const LOOKUPS: usize = 2_000;
 const EDITS: usize = 50;
+const SNAPSHOTS: usize = 3;
 
 /// Prints the slopes of the configuration reader.
 pub fn measure() {
@@ -38,6 +40,28 @@
         nanos_each(EDITS, |index| fold_one(&mut table, index))
     })
     .print("ns");
+    Series::measure("snapshot, its text", &CUSTOMERS, |customers| {
+        snapshot(&table(customers)).len() as f64
+    })
+    .print("bytes");
+    Series::measure("snapshot, written", &CUSTOMERS, |customers| {
+        let table = table(customers);
+        nanos_each(SNAPSHOTS, |_| drop(snapshot(&table)))
+    })
+    .print("ns");
+    Series::measure("snapshot, read and indexed", &CUSTOMERS, |customers| {
+        let text = snapshot(&table(customers));
+        nanos_each(SNAPSHOTS, |_| {
+            let read = ConfigRecord::parse(&text);
+            assert!(read.is_ok());
+        })
+    })
+    .print("ns");
+}
+
+fn snapshot(table: &Table) -> String {
+    let record = ConfigRecord::Snapshot(Snapshot::of(table));
+    record.to_text().expect("snapshots encode")
 }
 
 /// A customer's row; its shape is that of the examples.
--- a/src/config.rs
+++ b/src/config.rs
@@ -19,13 +19,13 @@
 use crate::logstream::LogHandle;
 use crate::peer::ConfigTail;
 use crate::peers::ConfigSource;
+use crate::peers::PeersHandle;
 use crate::replica::Input;
 use crate::replica::Replica;
 use crate::snapshot::SnapshotOptions;
 use crate::status::ConfigStatus;
 use crate::subscription::AskHistory;
 use crate::subscription::AskOutcome;
-use crate::subscription::LiveHosts;
 use crate::subscription::Step;
 use crate::subscription::Subscription;
 use crate::subscription::SubscriptionParts;
@@ -103,7 +103,7 @@
 impl ConfigHandle {
     /// Starts to follow the configuration stream in the current arbiter.
     ///
-    /// `host` is this host's name among those told by [`ConfigHandle::set_live_hosts`]; `seed`
+    /// `host` is this host's name among the live ones ([`ConfigHandle::share_duty`]); `seed`
     /// drives the jitter of snapshots.
     pub fn start(
         log: LogHandle,
@@ -167,15 +167,10 @@
         beyond.map_or_else(|_| self.table(), |state| Arc::clone(&state.table))
     }
 
-    /// Tells that a peer has `offset` in force: this host isn't ready before it has reached it.
-    pub fn told(&self, offset: Offset) {
-        self.tell(Input::Told(offset));
-    }
-
-    /// Tells which hosts are live, this one among them; they share the duty of snapshots.
-    pub fn set_live_hosts(&self, hosts: Vec<HostId>) {
+    /// Shares the duty of snapshots with the live hosts that `peers` tell of.
+    pub fn share_duty(&self, peers: &PeersHandle) {
         if let Some(actor) = &self.actor {
-            actor.do_send(LiveHosts(hosts));
+            peers.subscribe(actor.clone().recipient());
         }
     }
 
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -140,6 +140,7 @@
             journal: journal.clone(),
             config: Arc::new(config.clone()),
         })?;
+        config.share_duty(&peers.handle);
         let dispatcher = Dispatcher::start(
             settings.dispatch.clone(),
             config.clone(),
--- a/src/replica.rs
+++ b/src/replica.rs
@@ -26,8 +26,6 @@
     Stream(StreamEvent),
     /// A peer answered with what this host lacks.
     Offer(ConfigTail),
-    /// A peer has this offset in force.
-    Told(Offset),
 }
 
 /// What a replica wants done.
@@ -61,12 +59,13 @@
 #[derive(Debug)]
 pub struct Replica {
     table: Option<Table>,
-    /// Records that don't follow on the table: all of them until there is one, and those after a
-    /// gap.
+    /// Records that don't follow on the table: all until there is one, and those after a gap.
     pending: Option<Pending>,
     /// The host serves once it has reached this.
     target: Offset,
     has_head: bool,
+    /// Where the log ended when it was last read.
+    head: Offset,
     is_ready: bool,
     /// The log as read shows another history; it is followed anew until it shows the old one.
     has_foreign_records: bool,
@@ -98,6 +97,7 @@
             pending: Some(Pending::default()),
             target: Offset(0),
             has_head: false,
+            head: Offset(0),
             is_ready: false,
             has_foreign_records: false,
             is_foreign: false,
@@ -153,7 +153,8 @@
     pub fn snapshot_due(&self, wall_ms: u64) -> Option<&Table> {
         let is_own = !self.is_foreign && !self.has_foreign_records;
         let may_append = self.is_ready && self.is_reachable && is_own;
-        let is_whole = self.pending.is_none() && self.next_offset() >= self.target;
+        // A log that ends before the table, as one that was wiped, gets no snapshot of it.
+        let is_whole = self.pending.is_none() && self.head >= self.next_offset();
         let is_due = may_append && is_whole && self.keeper.is_due(wall_ms);
         self.table.as_ref().filter(|_| is_due)
     }
@@ -183,8 +184,6 @@
         match input {
             Input::Stream(event) => self.stream(event, &mut actions),
             Input::Offer(tail) => self.offer(tail, &mut actions),
-            Input::Told(offset) if !self.is_ready => self.target = self.target.max(offset),
-            Input::Told(_) => {}
         }
         self.settle(&mut actions);
         if before != (self.next_offset(), self.is_ready, self.reason()) {
@@ -228,6 +227,7 @@
             self.target = self.target.max(answer.head);
         }
         self.has_head = true;
+        self.head = answer.head;
         match &mut self.pending {
             Some(pending) => pending.records.extend(answer.records),
             None => self.follow(answer.records, actions),
--- a/src/subscription.rs
+++ b/src/subscription.rs
@@ -35,6 +35,7 @@
 use crate::logstream::AppendOutcome;
 use crate::logstream::LogHandle;
 use crate::ownership::Ownership;
+use crate::peers::PeerNews;
 use crate::platform::CONFIG_STREAM;
 use crate::record::ConfigRecord;
 use crate::record::Snapshot;
@@ -74,10 +75,6 @@
 #[rtype(result = "Option<HistoryEntry>")]
 pub(crate) struct AskOutcome(pub(crate) Offset);
 
-#[derive(Debug, Message)]
-#[rtype(result = "()")]
-pub(crate) struct LiveHosts(pub(crate) Vec<HostId>);
-
 /// What a subscription works with.
 #[derive(Debug)]
 pub(crate) struct SubscriptionParts {
@@ -95,7 +92,7 @@
     log: LogHandle,
     journal: Journal,
     host: HostId,
-    live: Ownership,
+    live: Arc<Ownership>,
     history: VecDeque<HistoryEntry>,
     waiting: BTreeMap<Offset, Vec<oneshot::Sender<Option<HistoryEntry>>>>,
     /// Counts the followers started; events of older ones are dropped.
@@ -121,7 +118,7 @@
             log: parts.log,
             journal: parts.journal,
             host: parts.host,
-            live: Ownership::default(),
+            live: Arc::default(),
             history: VecDeque::new(),
             waiting: BTreeMap::new(),
             generation: 0,
@@ -358,10 +355,12 @@
     }
 }
 
-impl Handler<LiveHosts> for Subscription {
+impl Handler<PeerNews> for Subscription {
     type Result = ();
 
-    fn handle(&mut self, LiveHosts(hosts): LiveHosts, _: &mut Context<Self>) {
-        self.live = Ownership::new(hosts);
+    fn handle(&mut self, news: PeerNews, _: &mut Context<Self>) {
+        if let PeerNews::Owners(live) = news {
+            self.live = live;
+        }
     }
 }
