--- a/src/controller.rs
+++ b/src/controller.rs
@@ -374,6 +374,7 @@
 /// cancelled.
 fn serve(parts: Parts, listener: TcpListener) -> Result<ServerHandle> {
     let workers = parts.settings.server.workers;
+    let head_timeout = Duration::from_millis(parts.settings.server.head_timeout_ms);
     let factory = move || {
         let state = Rc::new(parts.worker_state());
         App::new()
@@ -383,6 +384,7 @@
     };
     let mut server = HttpServer::new(factory)
         .disable_signals()
+        .client_request_timeout(head_timeout)
         .tcp_nodelay(true)
         .h1_allow_half_closed(false)
         .shutdown_timeout(SERVER_SHUTDOWN_TIMEOUT_S);
--- a/src/server.rs
+++ b/src/server.rs
@@ -34,6 +34,9 @@
     pub body_bytes_max: usize,
     /// All headers of a request together, in bytes. Default 16 KiB.
     pub header_bytes_max: usize,
+    /// Timeout of a request's head, in milliseconds. A host that was paused for longer answers what
+    /// arrived meanwhile with a bare 408. Default 60,000.
+    pub head_timeout_ms: u64,
     /// Timeout of a request's body, in milliseconds. Default 10,000.
     pub body_timeout_ms: u64,
     /// Longest deadline that a caller may ask for, in milliseconds. Default one hour.
@@ -55,6 +58,7 @@
         ServerOptions {
             body_bytes_max: 1 << 20,
             header_bytes_max: 16 << 10,
+            head_timeout_ms: 60_000,
             body_timeout_ms: 10_000,
             deadline_ms_max: 3_600_000,
             send_buffer_bytes: 64 << 10,
