Share the text of names and index keys in a B-tree

Cause: at 36,000 customers the table held 27.2 MB of the 32 MB that a node may spend: each name was copied into row, map and index, and the hash trie that indexes keys is nearly empty at that size. Ruled out: the rows' own fields, which are a few hundred bytes. Change: names share their text (Arc<str>), so that tickets and messages copy no text either; the index of keys is an ordered map.

--- a/src/bin/cedargauge-replay/drive.rs
+++ b/src/bin/cedargauge-replay/drive.rs
@@ -91,7 +91,11 @@
         entries: urls(&arguments.entry),
         engines: urls(&arguments.engine),
         services: urls(&arguments.service),
-        plain: arguments.plain.iter().map(ServiceId::new).collect(),
+        plain: arguments
+            .plain
+            .iter()
+            .map(|name| ServiceId::new(name.as_str()))
+            .collect(),
         speed: arguments.speed,
         tries_max: arguments.tries.max(1),
         no_cuts: arguments.no_cuts,
--- a/src/id.rs
+++ b/src/id.rs
@@ -1,22 +1,24 @@
 //! Names and numbers that identify things, each a type of its own.
 
 use std::fmt;
+use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
 use uuid::Uuid;
 
-/// Declares a string newtype with the usual conversions.
+/// Declares a string newtype with the usual conversions. Clones share the text, since names are
+/// copied with every ticket and message.
 macro_rules! name_type {
     ($(#[$doc:meta])* $name:ident) => {
         $(#[$doc])*
         #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(transparent)]
-        pub struct $name(String);
+        pub struct $name(Arc<str>);
 
         impl $name {
             /// Wraps `text`.
-            pub fn new(text: impl Into<String>) -> Self {
+            pub fn new(text: impl Into<Arc<str>>) -> Self {
                 $name(text.into())
             }
 
@@ -34,7 +36,7 @@
 
         impl From<&str> for $name {
             fn from(text: &str) -> Self {
-                $name(text.to_owned())
+                $name(Arc::from(text))
             }
         }
     };
--- a/src/table.rs
+++ b/src/table.rs
@@ -1,6 +1,5 @@
 //! The table of weights and limits: one state, the fold of the configuration stream.
 
-use imbl::HashMap;
 use imbl::OrdMap;
 use serde::Deserialize;
 use serde::Serialize;
@@ -46,7 +45,7 @@
     /// Pools by name.
     pub pools: OrdMap<PoolId, Versioned<PoolRow>>,
     #[serde(skip)]
-    keys: HashMap<KeyHash, CustomerId>,
+    keys: OrdMap<KeyHash, CustomerId>,
     #[serde(skip)]
     rows_digest: u64,
 }
@@ -97,7 +96,7 @@
             classes: stored.classes,
             services: stored.services,
             pools: stored.pools,
-            keys: HashMap::new(),
+            keys: OrdMap::new(),
             rows_digest: 0,
         };
         table.index();
