Leave room for hosts that turn active, and bound the traffic of limits

Cause: a host that alone used a customer's limit was lent all of it, so the next host to turn active was refused (429) for up to two seconds; at landing time tests/claims_processes.rs failed once at the_same_key_at_two_hosts_runs_once, most likely by this (one answer of the two was not the expected 409). Demands were unbounded in number. check told neither numbers out of range nor what the fold rejects.

Change: spare limit is spread over all hosts, so a host that isn't a borrower yet finds its part unlent; a host whose share is used up asks again after 200 ms. At most demands_max demands a period, in turn; allowances are valid for longer where demands are rarer. check applies ranges by unit and the fold's own checks; cedargauge-entry refuses settings with all their faults.

Conclusion: a host that turns active is served at once unless the limit is used up; then within about two seconds.

--- a/src/bin/cedargauge-entry/main.rs
+++ b/src/bin/cedargauge-entry/main.rs
@@ -10,8 +10,8 @@
 use simplelog::TermLogger;
 use simplelog::TerminalMode;
 
+use cedargauge::check;
 use cedargauge::controller::EntryHost;
-use cedargauge::settings;
 use cedargauge::settings::EntrySettings;
 use cedargauge::shutdown::Signals;
 use cedargauge::shutdown::Stopped;
@@ -36,7 +36,7 @@
         TerminalMode::Stderr,
         ColorChoice::Auto,
     )?;
-    let settings: EntrySettings = settings::read(&arguments.settings)?;
+    let settings = check::read_entry(&arguments.settings)?;
     actix_rt::System::new().block_on(run(settings))
 }
 
--- a/src/check.rs
+++ b/src/check.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::fs;
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::path::Path;
 use std::str::FromStr;
 
@@ -15,11 +16,16 @@
 use crate::error::Result;
 use crate::faults::Fault;
 use crate::faults::faults;
+use crate::record::Edit;
+use crate::record::RowKey;
 use crate::row::ClassRow;
 use crate::row::CustomerRow;
 use crate::row::PoolRow;
+use crate::row::Row;
 use crate::row::ServiceRow;
+use crate::settings;
 use crate::settings::EntrySettings;
+use crate::table::Table;
 
 /// What a file holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -105,9 +111,25 @@
     }
 }
 
+/// Reads an entry host's settings.
+///
+/// # Errors
+///
+/// [`Error::File`] if the file cannot be read, [`Error::Invalid`] with all its faults.
+pub fn read_entry(path: &Path) -> Result<EntrySettings> {
+    let report = check(path, Some(FileKind::Entry))?;
+    if report.faults.is_empty() {
+        return settings::read(path);
+    }
+    Err(Error::Invalid {
+        faults: report.faults.iter().map(Fault::to_string).collect(),
+    })
+}
+
 /// Every fault of an entry host's settings.
 pub fn check_entry(value: &Value) -> Vec<Fault> {
     let mut found = faults::<EntrySettings>(value, &entry_sample());
+    range_faults("", value, &mut found);
     for path in ["caller_address", "peer_address", "platform_address"] {
         found.extend(address_fault(path, &value[path]));
     }
@@ -117,6 +139,55 @@
     found
 }
 
+/// Adds the numbers below `value` that are out of the range of their unit.
+fn range_faults(path: &str, value: &Value, found: &mut Vec<Fault>) {
+    for (field, value) in value.as_object().into_iter().flatten() {
+        let path = match path {
+            "" => field.clone(),
+            _ => format!("{path}.{field}"),
+        };
+        range_faults(&path, value, found);
+        let (Some(number), Some(range)) = (value.as_u64(), range_of(field)) else {
+            continue;
+        };
+        if !range.contains(&number) {
+            found.push(Fault {
+                path,
+                value: Some(value.to_string()),
+                allowed: format!("{} to {}", range.start(), range.end()),
+            });
+        }
+    }
+}
+
+/// What a number may be, by the unit that its field's name ends with.
+fn range_of(field: &str) -> Option<RangeInclusive<u64>> {
+    const DAY_MS: u64 = 86_400_000;
+    const GIB: u64 = 1 << 30;
+    if NEVER_ZERO.contains(&field) {
+        return Some(1..=DAY_MS);
+    }
+    if field.ends_with("_ms") {
+        return Some(0..=DAY_MS);
+    }
+    if field.ends_with("_percent") {
+        return Some(0..=100);
+    }
+    field.contains("_bytes").then_some(0..=GIB)
+}
+
+/// Times of which zero would be no time at all.
+const NEVER_ZERO: [&str; 8] = [
+    "tick_ms",
+    "period_ms",
+    "call_timeout_ms",
+    "burst_ms",
+    "valid_ms",
+    "half_life_ms",
+    "rotate_ms",
+    "report_ms",
+];
+
 fn address_fault(path: &str, value: &Value) -> Option<Fault> {
     let text = value.as_str()?;
     text.parse::<SocketAddr>().is_err().then(|| Fault {
@@ -142,9 +213,35 @@
             ..fault
         }));
     }
+    if found.is_empty() {
+        found = fold_faults(rows);
+    }
     found
 }
 
+/// What the fold would say against the rows as a first edit.
+fn fold_faults(rows: &[Value]) -> Vec<Fault> {
+    let parsed: Vec<Row> = rows
+        .iter()
+        .filter_map(|row| serde_json::from_value(row.clone()).ok())
+        .collect();
+    let keys: Vec<RowKey> = parsed.iter().map(RowKey::of).collect();
+    let edit = Edit::adding("check", parsed);
+    let Err(rejection) = Table::default().edited(&edit) else {
+        return Vec::new();
+    };
+    let told = rejection.faults.into_iter().map(|fault| {
+        let index = keys.iter().position(|key| *key == fault.row);
+        let index = index.unwrap_or_default();
+        Fault {
+            path: format!("[{index}].{}", fault.column),
+            value: rows[index].get(&fault.column).map(Value::to_string),
+            allowed: fault.message,
+        }
+    });
+    told.collect()
+}
+
 /// The tag is taken off first, since it would hide the path of a fault.
 fn check_row_value(row: &Value) -> Vec<Fault> {
     let mut fields = row.clone();
--- a/src/enforcer.rs
+++ b/src/enforcer.rs
@@ -1,10 +1,12 @@
 //! Holds the customers of one host to its share of their limits, as lent by their owners.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use crate::clock::Time;
 use crate::id::CustomerId;
 use crate::id::HostId;
+use crate::lending::LendingOptions;
 use crate::limits::AdmissionId;
 use crate::limits::LimitOptions;
 use crate::limits::Limits;
@@ -18,12 +20,20 @@
 use crate::share::Share;
 use crate::status::LimitStatus;
 
+/// Least time between two demands for a customer.
+const ASK_AGAIN_AFTER: Duration = Duration::from_millis(200);
+
 /// Limits and loans of one host: pure, time is passed in.
 #[derive(Debug)]
 pub struct Enforcer {
     limits: Limits,
     loans: Loans,
     parts: HashMap<CustomerId, Share>,
+    /// When each active customer's demand was last told.
+    told: HashMap<CustomerId, Time>,
+    /// Demands that may still be told in this period.
+    demands_left: usize,
+    lending: LendingOptions,
     newly_active: Vec<CustomerId>,
     data_centres: usize,
     hosts: usize,
@@ -34,6 +44,9 @@
     pub fn new(options: LimitOptions) -> Self {
         Enforcer {
             loans: Loans::new(options.lending.clone()),
+            told: HashMap::new(),
+            demands_left: options.lending.demands_max,
+            lending: options.lending.clone(),
             limits: Limits::new(options),
             parts: HashMap::new(),
             newly_active: Vec::new(),
@@ -80,7 +93,11 @@
         }
         let part = self.part(row);
         let share = self.share(now, &row.customer, part);
-        self.limits.admit(now, row, &share)
+        let admitted = self.limits.admit(now, row, &share);
+        if !matches!(admitted, Ok((_, Standing::Running))) {
+            self.ask_again(now, &row.customer);
+        }
+        admitted
     }
 
     /// Whether the customer is active here.
@@ -116,27 +133,29 @@
     pub fn demands(&mut self, now: Time) -> Vec<Demand> {
         let mut demands = self.give_back(now);
         self.newly_active.clear();
-        for wanted in self.limits.wanted(now) {
-            self.refresh(now, &wanted.customer);
-            demands.push(self.demand(now, wanted));
+        self.demands_left = self.lending.demands_max;
+        let mut wanted = self.limits.wanted(now);
+        for active in &wanted {
+            self.refresh(now, &active.customer);
         }
+        wanted.sort_by_key(|wanted| self.told.get(&wanted.customer).copied());
+        wanted.truncate(self.renewals_max());
+        demands.extend(self.tell(now, wanted));
         demands
     }
 
-    /// Whether customers turned active since the owners were last told.
+    /// Whether customers turned active, or used their share up, since the owners were last told.
     pub fn has_newly_active(&self) -> bool {
         !self.newly_active.is_empty()
     }
 
-    /// What to tell the owners of the customers that turned active; not to be put off to the end of
+    /// What to tell the owners of the customers that turned active or used their share up; not to be put off to the end of
     /// the period, since until they answer the host takes an equal split.
     pub fn new_demands(&mut self, now: Time) -> Vec<Demand> {
-        let newly_active = std::mem::take(&mut self.newly_active);
+        let mut newly_active = std::mem::take(&mut self.newly_active);
+        newly_active.truncate(self.demands_left);
         let wanted = self.limits.wanted_by(now, &newly_active);
-        wanted
-            .into_iter()
-            .map(|wanted| self.demand(now, wanted))
-            .collect()
+        self.tell(now, wanted)
     }
 
     /// Limits whose use is at least `percent` of this host's share, the fullest first.
@@ -166,6 +185,36 @@
         }
     }
 
+    /// A customer whose share is used up doesn't wait for the end of the period.
+    fn ask_again(&mut self, now: Time, customer: &CustomerId) {
+        let told = self.told.get(customer);
+        let is_due = told.is_some_and(|told| now.since(*told) >= ASK_AGAIN_AFTER);
+        if is_due && !self.newly_active.contains(customer) {
+            self.newly_active.push(customer.clone());
+        }
+    }
+
+    fn tell(&mut self, now: Time, wanted: Vec<Wanted>) -> Vec<Demand> {
+        self.demands_left = self.demands_left.saturating_sub(wanted.len());
+        let mut demands = Vec::new();
+        for wanted in wanted {
+            self.told.insert(wanted.customer.clone(), now);
+            demands.push(self.demand(now, wanted));
+        }
+        demands
+    }
+
+    /// A part of the period's demands is kept for customers that turn active.
+    fn renewals_max(&self) -> usize {
+        (self.lending.demands_max * 3 / 4).max(1)
+    }
+
+    /// How long it takes to tell every active customer's demand once.
+    fn round_ms(&self) -> u64 {
+        let periods = self.limits.active().div_ceil(self.renewals_max()).max(1);
+        self.lending.period_ms * periods as u64
+    }
+
     fn demand(&self, now: Time, wanted: Wanted) -> Demand {
         let part = self.parts.get(&wanted.customer).copied();
         let equal = self.equal(&part.unwrap_or_default());
@@ -174,6 +223,7 @@
             customer: wanted.customer,
             wanted: wanted.share,
             running: wanted.running,
+            next_ms: self.round_ms(),
         }
     }
 
@@ -182,7 +232,11 @@
         for customer in &forgotten {
             self.loans.forget(customer);
             self.parts.remove(customer);
+            self.told.remove(customer);
         }
         forgotten.into_iter().map(Demand::nothing).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/lending.rs
+++ b/src/lending.rs
@@ -33,7 +33,11 @@
 pub struct LendingOptions {
     /// A host tells its demand this often, in milliseconds; 100 to 10,000. Default 1,000.
     pub period_ms: u64,
-    /// An allowance is in force this long without a new one, in milliseconds. Default 3,000.
+    /// Demands that a host tells in a period at most, which bounds its traffic; with more active
+    /// customers each is told less often. At least 4. Default 64.
+    pub demands_max: usize,
+    /// An allowance is in force this long without a new one, in milliseconds, and longer by as much
+    /// as the host tells its demand later than each period. Default 3,000.
     pub valid_ms: u64,
     /// After that a host's share comes half as near to an equal split in this time, in
     /// milliseconds. Default 10,000.
@@ -54,6 +58,7 @@
     fn default() -> Self {
         LendingOptions {
             period_ms: 1_000,
+            demands_max: 64,
             valid_ms: 3_000,
             half_life_ms: 10_000,
             delay_ms: 1_000,
@@ -64,16 +69,22 @@
     }
 }
 
-/// A share that was `last` and is not renewed, `silent` after it was.
+impl LendingOptions {
+    /// How long an allowance is valid for a host that tells its demand again after `next_ms`.
+    fn valid_ms(&self, next_ms: u64) -> u64 {
+        self.valid_ms + next_ms.saturating_sub(self.period_ms)
+    }
+}
+
+/// A share that was `last` and is not renewed, `overdue` after it was valid.
 pub(crate) fn lapsed(
     options: &LendingOptions,
     last: &Share,
     equal: &Share,
-    silent: Duration,
+    overdue: Duration,
 ) -> Share {
-    let valid = Duration::from_millis(options.valid_ms);
     let half_life = Duration::from_millis(options.half_life_ms.max(1));
-    let half_lives = silent.saturating_sub(valid).as_secs_f64() / half_life.as_secs_f64();
+    let half_lives = overdue.as_secs_f64() / half_life.as_secs_f64();
     equal.towards(last, 0.5_f64.powf(half_lives))
 }
 
@@ -100,6 +111,7 @@
     in_force: Share,
     last_round: u64,
     heard: Time,
+    next_ms: u64,
     removed: Option<Time>,
 }
 
@@ -161,7 +173,7 @@
         let left = ledger.left_for(now, options, from, whole, equal);
         let wanted = match is_learning {
             true => demand.held.map_or(*equal, |held| held.share),
-            false => ledger.fair_share(now, options, from, whole),
+            false => ledger.fair_share(now, options, from, whole, equal),
         };
         let share = wanted.zip(&left, f64::min);
         let share = Share {
@@ -173,7 +185,7 @@
             customer: demand.customer.clone(),
             round,
             share,
-            valid_ms: options.valid_ms,
+            valid_ms: options.valid_ms(demand.next_ms),
         })
     }
 
@@ -228,6 +240,7 @@
             in_force: Share::default(),
             last_round: 0,
             heard: now,
+            next_ms: demand.next_ms,
             removed: None,
         });
         borrower.hear(now, demand);
@@ -268,24 +281,31 @@
     }
 
     /// The borrower's fair share of `whole` by what each wants.
-    fn fair_share(&self, now: Time, options: &LendingOptions, of: &B, whole: &Share) -> Share {
+    fn fair_share(
+        &self,
+        now: Time,
+        options: &LendingOptions,
+        of: &B,
+        whole: &Share,
+        equal: &Share,
+    ) -> Share {
         let position = self.borrowers.keys().position(|name| name == of);
         let position = position.unwrap_or_default();
-        let fair = |limit: f64, part: fn(&Share) -> f64| {
+        let fair = |part: fn(&Share) -> f64| {
             let wanted: Vec<f64> = self
                 .borrowers
                 .values()
                 .map(|borrower| part(&borrower.wanted))
                 .collect();
-            fair_parts(limit, &wanted)
+            fair_parts(part(whole), part(equal), &wanted)
         };
-        let generations = fair(whole.concurrent_generations, |w| w.concurrent_generations);
+        let generations = fair(|s| s.concurrent_generations);
         let turn = now.as_ms() / options.rotate_ms.max(1);
         Share {
-            requests_per_s: fair(whole.requests_per_s, |w| w.requests_per_s)[position],
-            tokens_per_s: fair(whole.tokens_per_s, |w| w.tokens_per_s)[position],
+            requests_per_s: fair(|s| s.requests_per_s)[position],
+            tokens_per_s: fair(|s| s.tokens_per_s)[position],
             concurrent_generations: whole_parts(&generations, turn)[position],
-            queue_length: fair(whole.queue_length, |w| w.queue_length)[position],
+            queue_length: fair(|s| s.queue_length)[position],
         }
     }
 }
@@ -295,6 +315,7 @@
         self.wanted = demand.wanted;
         self.running = f64::from(demand.running);
         self.heard = now;
+        self.next_ms = demand.next_ms;
         self.removed = None;
         let held = demand.held;
         let is_latest = held.is_some_and(|held| held.round == self.last_round);
@@ -307,10 +328,16 @@
 
     /// The most that the borrower may be using at `now`, if it decays towards `equal` as it should.
     fn may_use(&self, now: Time, options: &LendingOptions, equal: &Share) -> Share {
-        let silent = now.since(self.heard);
+        let valid = Duration::from_millis(options.valid_ms(self.next_ms));
+        let overdue = now.since(self.heard).saturating_sub(valid);
         let delay = Duration::from_millis(options.delay_ms);
-        let falling = lapsed(options, &self.in_force, equal, silent.saturating_sub(delay));
-        let rising = lapsed(options, &self.in_force, equal, silent);
+        let falling = lapsed(
+            options,
+            &self.in_force,
+            equal,
+            overdue.saturating_sub(delay),
+        );
+        let rising = lapsed(options, &self.in_force, equal, overdue);
         let share = falling.zip(&rising, f64::max);
         Share {
             concurrent_generations: share.concurrent_generations.max(self.running),
@@ -319,12 +346,13 @@
     }
 }
 
-/// Shares `limit` out: nobody gets more than it wants while another lacks, and what nobody wants is
-/// spread evenly, as room to grow.
-fn fair_parts(limit: f64, wanted: &[f64]) -> Vec<f64> {
+/// Shares `limit` out: nobody gets more than it wants while another lacks. What nobody wants is
+/// spread over all hosts, as room to grow: a host that isn't a borrower yet finds its part unlent.
+fn fair_parts(limit: f64, equal: f64, wanted: &[f64]) -> Vec<f64> {
     let total: f64 = wanted.iter().sum();
     if total <= limit {
-        let spare = (limit - total) / wanted.len().max(1) as f64;
+        let share_of_spare = if limit > 0.0 { equal / limit } else { 0.0 };
+        let spare = (limit - total) * share_of_spare;
         return wanted.iter().map(|want| want + spare).collect();
     }
     let level = fill_level(limit, wanted);
--- a/src/loan.rs
+++ b/src/loan.rs
@@ -1,6 +1,7 @@
 //! The shares of customers' limits that a host was lent.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use crate::clock::Time;
 use crate::id::CustomerId;
@@ -24,6 +25,7 @@
     round: u64,
     share: Share,
     received: Time,
+    valid: Duration,
 }
 
 impl Loans {
@@ -46,6 +48,7 @@
             round: allowance.round,
             share: allowance.share,
             received: now,
+            valid: Duration::from_millis(allowance.valid_ms),
         };
         self.loans.insert(allowance.customer.clone(), loan);
         true
@@ -58,9 +61,10 @@
     pub fn share(&self, now: Time, customer: &CustomerId, equal: &Share) -> Share {
         match self.loans.get(customer) {
             None => *equal,
-            Some(loan) if !self.is_loan_lapsed(now, loan) => loan.share,
+            Some(loan) if !loan.is_lapsed(now) => loan.share,
             Some(loan) => {
-                let share = lapsed(&self.options, &loan.share, equal, now.since(loan.received));
+                let overdue = now.since(loan.received).saturating_sub(loan.valid);
+                let share = lapsed(&self.options, &loan.share, equal, overdue);
                 let least = f64::from(u8::from(equal.concurrent_generations > 0.0));
                 Share {
                     concurrent_generations: share.concurrent_generations.max(least),
@@ -87,11 +91,13 @@
     pub fn lapsed(&self, now: Time) -> usize {
         self.loans
             .values()
-            .filter(|loan| self.is_loan_lapsed(now, loan))
+            .filter(|loan| loan.is_lapsed(now))
             .count()
     }
+}
 
-    fn is_loan_lapsed(&self, now: Time, loan: &Loan) -> bool {
-        now.since(loan.received).as_millis() > u128::from(self.options.valid_ms)
+impl Loan {
+    fn is_lapsed(&self, now: Time) -> bool {
+        now.since(self.received) > self.valid
     }
 }
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -166,6 +166,8 @@
     pub running: u32,
     /// The share it holds, if it was lent one.
     pub held: Option<HeldShare>,
+    /// The sender tells this demand again within this time, in milliseconds.
+    pub next_ms: u64,
 }
 
 impl Demand {
@@ -176,6 +178,7 @@
             wanted: Share::default(),
             running: 0,
             held: None,
+            next_ms: 0,
         }
     }
 }
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -295,6 +296,52 @@
     assert!(text.contains("5 faults"), "{text}");
 }
 
+#[test]
+fn check_names_numbers_out_of_range() {
+    let directory = tempfile::tempdir().unwrap();
+    let path = directory.path().join("entry.json");
+    let settings = r#"{"host": "a", "data_centre": "a", "caller_address": "127.0.0.1:1",
+        "peer_address": "127.0.0.1:2", "platform_address": "127.0.0.1:3",
+        "limits": {"burst_ms": 0, "lending": {"valid_ms": 86400001}}}"#;
+    fs::write(&path, settings).unwrap();
+
+    let text = stdout(&mut cedargauge(&["check", path.to_str().unwrap()]), 1);
+
+    for fault in [
+        "limits.burst_ms: 0; allowed: 1 to 86400000",
+        "limits.lending.valid_ms: 86400001; allowed: 1 to 86400000",
+    ] {
+        assert!(text.contains(fault), "{fault} not in {text}");
+    }
+}
+
+#[test]
+fn check_of_a_table_tells_what_the_fold_would_reject() {
+    let directory = tempfile::tempdir().unwrap();
+    let path = directory.path().join("table.json");
+    let rows = r#"[
+        {"kind": "class", "class": "urgent", "weight": 1001, "engine_priority": 1, "max_wait_ms": 1},
+        {"kind": "service", "service": "s", "backing": {"type": "plain"}, "pool": "nowhere",
+         "repeatable": true, "retry_budget_percent": 10, "deadline_ms": 1000}]"#;
+    fs::write(&path, rows).unwrap();
+
+    let text = stdout(&mut cedargauge(&["check", path.to_str().unwrap()]), 1);
+
+    assert!(text.contains("[0].weight: 1001"), "{text}");
+}
+
+#[test]
+fn check_finds_no_fault_in_the_examples() {
+    let examples = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/small-deployment");
+    for name in ["entry-0.json", "table.json"] {
+        let path = examples.join(name);
+
+        cedargauge(&["check", path.to_str().unwrap()])
+            .assert()
+            .code(0);
+    }
+}
+
 #[test]
 fn check_of_a_table_names_row_and_column() {
     let directory = tempfile::tempdir().unwrap();
