Let explain take a request's id as answers give it

Cause: an answer's id is cmpl- and the request's digits, and explain refused that; found by running the commands of docs/OPERATIONS.md against the small deployment.

--- a/src/bin/cedargauge/explain.rs
+++ b/src/bin/cedargauge/explain.rs
@@ -1,6 +1,7 @@
 //! `cedargauge explain REQUEST`.
 
 use std::process::ExitCode;
+use std::str::FromStr;
 
 use argh::FromArgs;
 use uuid::Uuid;
@@ -24,13 +25,13 @@
     subcommand,
     name = "explain",
     example = "$ {command_name} 0193a3c4-5d6e-7000-8000-000000000001 --entry 127.0.0.1:8080 --entry 127.0.0.1:8081",
-    note = "The request's id is in the header x-request-id of its answer and in each error's request_id.",
+    note = "The request's id is in the header x-request-id of its answer, in the answer's id (cmpl-...) and in each error's request_id.",
     error_code(1, "No host that answered knows the request.")
 )]
 pub(crate) struct Explain {
     /// the request's id
     #[argh(positional)]
-    request: Uuid,
+    request: RequestName,
 
     /// callers' address of an entry host; may be repeated
     #[argh(option)]
@@ -41,6 +42,19 @@
     json: bool,
 }
 
+/// A request's id as answers name it: a UUID, or `cmpl-` and its digits.
+struct RequestName(RequestId);
+
+impl FromStr for RequestName {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let digits = text.strip_prefix("cmpl-").unwrap_or(text);
+        let id = Uuid::parse_str(digits).map_err(|error| error.to_string())?;
+        Ok(RequestName(RequestId(id)))
+    }
+}
+
 impl Explain {
     pub(crate) async fn run(self) -> anyhow::Result<ExitCode> {
         let answers = entries::inquiry(&self.entry)?.events().await;
@@ -50,8 +64,9 @@
             .filter_map(|answer| answer.answer.clone())
             .collect();
         entries::print_silent(&answers);
-        let Some(explanation) = explain(RequestId(self.request), &processes) else {
-            eprintln!("no host that answered knows request {}", self.request);
+        let request = self.request.0;
+        let Some(explanation) = explain(request, &processes) else {
+            eprintln!("no host that answered knows request {request}");
             return Ok(ExitCode::from(EXIT_BAD));
         };
         if self.json {
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -243,6 +243,17 @@
     assert!(text.contains("+20"), "{text}");
 }
 
+#[test]
+fn explain_takes_the_id_as_an_answer_gives_it() {
+    let received = event("entry-a", 0, 1_000, EventCode::RequestReceived, "");
+    let host = start("entry-a", None, vec![received]).address.to_string();
+    let id = format!("cmpl-{}", REQUEST.0.simple());
+
+    cedargauge(&["explain", &id, "--entry", &host])
+        .assert()
+        .code(0);
+}
+
 #[test]
 fn explain_of_an_unknown_request_ends_with_1() {
     let host = start("entry-a", None, Vec::new()).address.to_string();
