Lower borrowers that hold too much to their fair share, not to nothing

Cause: two hosts that each owned a customer's limits until they met both held the whole limit.

Change: what the others leave bounds only how far a borrower is raised; it is never lowered below its fair share. The sum of all shares still cannot rise above the limit.

Conclusion: hosts that meet keep serving.

--- a/src/lending.rs
+++ b/src/lending.rs
@@ -175,7 +175,7 @@
             true => demand.held.map_or(*equal, |held| held.share),
             false => ledger.fair_share(now, options, from, whole, equal),
         };
-        let share = wanted.zip(&left, f64::min);
+        let share = wanted.zip(&ledger.most_for(from, &left), f64::min);
         let share = Share {
             concurrent_generations: share.concurrent_generations.floor(),
             ..share
@@ -253,6 +253,13 @@
         }
     }
 
+    /// A borrower may be raised to what the others leave; what it holds needn't be taken from it
+    /// below its fair share, even if all hold too much since they had different owners.
+    fn most_for(&self, borrower: &B, left: &Share) -> Share {
+        let held = self.borrowers.get(borrower);
+        held.map_or(*left, |held| held.in_force.zip(left, f64::max))
+    }
+
     /// What the other borrowers leave of `whole`.
     fn left_for(
         &self,
--- a/src/lending/tests.rs
+++ b/src/lending/tests.rs
@@ -62,6 +62,22 @@
     assert_eq!(b.share.tokens_per_s, 45.0);
 }
 
+#[test]
+fn hosts_that_each_held_the_whole_limit_come_down_to_their_fair_shares_and_no_lower() {
+    let whole = Allowance {
+        customer: "canton".into(),
+        round: 7,
+        share: share(100.0),
+        valid_ms: 3_000,
+    };
+    let mut lender = lender();
+
+    for from in ["a", "b", "a", "b"] {
+        let lent = lend(&mut lender, Time::ZERO, from, &demand(10.0, Some(&whole)));
+        assert!(lent.share.tokens_per_s >= 50.0, "{lent:?}");
+    }
+}
+
 #[test]
 fn whole_parts_add_up_and_go_around() {
     let parts = [0.5; 8];
