--- a/tests/paused_host.rs
+++ b/tests/paused_host.rs
@@ -57,11 +57,11 @@
          content-type: application/json\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
     );
-    caller.write_all(request.as_bytes()).unwrap();
+    caller.write_all(request.as_bytes()).expect("an open connection");
 }
 
 fn read_all(mut caller: TcpStream) -> String {
     let mut answer = String::new();
-    caller.read_to_string(&mut answer).unwrap();
+    caller.read_to_string(&mut answer).expect("an answer");
     answer
 }
