Serve a host that joins before the others have come down

Cause: on a host that joined while the others, or hosts just replaced, held the whole limit, nothing was left: it was lent nothing for some seconds and refused its callers with limit_reached (requests_per_s 5000 hardly used). tests/peers_processes.rs failed by it at all_hosts_of_a_data_centre_are_replaced_under_load_and_no_request_fails.

Change: a borrower may be raised to an equal split at once, and beyond it only by what the others leave, as before. Generations keep the strict rule: requests wait for one and aren't refused. Ruled out: the same for generations, which let 41 of 40 run in limits_shared.rs.

Conclusion: replacing hosts costs no caller a refusal; the price is an overshoot of at most an equal split for each host that joins, for about two seconds.

--- a/src/lending.rs
+++ b/src/lending.rs
@@ -3,9 +3,11 @@
 //! The owner of a customer answers each [`Demand`] with an [`Allowance`]. It keeps for every
 //! borrower the most that it may still be using, and raises one only by what the others leave.
 //!
-//! Bound, for each limit L of a customer with one owner: what all borrowers hold together never
-//! exceeds L. Beyond it, a host may use only
-//! - an equal split's burst once, when it turns active and has not yet been answered;
+//! Bound, for each limit L of a customer with one owner: once every borrower has told its demand
+//! twice since the last one turned active or joined, what all hold together doesn't exceed L. Beyond
+//! it, a host may use only
+//! - an equal split at most, but of generations none, when it turns active or joins, until the
+//!   others have come down;
 //! - its last share, decaying towards an equal split, while it is cut off and the owner has taken
 //!   it for dead;
 //! - as many generations as it was running when its share fell: they are not cut off.
@@ -175,7 +177,7 @@
             true => demand.held.map_or(*equal, |held| held.share),
             false => ledger.fair_share(now, options, from, whole, equal),
         };
-        let share = wanted.zip(&ledger.most_for(from, &left), f64::min);
+        let share = wanted.zip(&ledger.most_for(from, &left, equal), f64::min);
         let share = Share {
             concurrent_generations: share.concurrent_generations.floor(),
             ..share
@@ -253,11 +255,17 @@
         }
     }
 
-    /// A borrower may be raised to what the others leave; what it holds needn't be taken from it
-    /// below its fair share, even if all hold too much since they had different owners.
-    fn most_for(&self, borrower: &B, left: &Share) -> Share {
+    /// A borrower may be raised to what the others leave, and to an equal split in any case, so
+    /// that a host that joins refuses nobody before the others have come down; for a generation its
+    /// requests wait. Nor is what it holds taken from it below its fair share, even if all hold too
+    /// much since they had different owners.
+    fn most_for(&self, borrower: &B, left: &Share, equal: &Share) -> Share {
+        let most = Share {
+            concurrent_generations: left.concurrent_generations,
+            ..left.zip(equal, f64::max)
+        };
         let held = self.borrowers.get(borrower);
-        held.map_or(*left, |held| held.in_force.zip(left, f64::max))
+        held.map_or(most, |held| held.in_force.zip(&most, f64::max))
     }
 
     /// What the other borrowers leave of `whole`.
