Kill the owner only after its survivors know it

Cause: the_survivors_tell_the_story_of_a_killed_owner failed twice on a busy machine: the host was killed before the survivor had it as a member, and a host that never joined cannot die. Change: the fixture waits until the survivor has seen both others join; the assertions stay. Conclusion: the order of join and kill no longer depends on the machine.

--- a/tests/paused_host.rs
+++ b/tests/paused_host.rs
@@ -57,7 +57,9 @@
          content-type: application/json\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{body}",
         body.len()
     );
-    caller.write_all(request.as_bytes()).expect("an open connection");
+    caller
+        .write_all(request.as_bytes())
+        .expect("an open connection");
 }
 
 fn read_all(mut caller: TcpStream) -> String {
--- a/tests/timeline.rs
+++ b/tests/timeline.rs
@@ -108,6 +108,11 @@
         ..DeploymentOptions::default()
     });
     deployment.wait_ready();
+    let survivor = deployment.hosts[1].caller.clone();
+    // Only a member can die: the survivor must know both others first.
+    assert!(wait_until(BOUND, || {
+        times_seen(&survivor, EventCode::PeerJoined) >= 2
+    }));
     let callers: Vec<_> = (0..6)
         .map(|number| {
             let caller = deployment.hosts[1 + number % 2].caller.clone();
@@ -116,8 +121,9 @@
         .collect();
     assert!(wait_until(BOUND, || running(&deployment) > 0));
     deployment.hosts[0].program.kill();
-    let survivor = deployment.hosts[1].caller.clone();
-    assert!(wait_until(BOUND, || saw(&survivor, EventCode::PeerDied)));
+    assert!(wait_until(BOUND, || {
+        times_seen(&survivor, EventCode::PeerDied) > 0
+    }));
     for caller in callers {
         assert_eq!(caller.join().expect("an answer"), 200);
     }
@@ -139,9 +145,9 @@
     engines.map(|engine| engine.counters().running).sum()
 }
 
-fn saw(address: &str, code: EventCode) -> bool {
+fn times_seen(address: &str, code: EventCode) -> usize {
     let events: Vec<Event> = get_json(address, "/events");
-    events.iter().any(|event| event.code == code)
+    events.iter().filter(|event| event.code == code).count()
 }
 
 #[test]
