Count preemptions that engines report

Cause: cedargauge_preemptions_total was in the catalogue, and nothing ever counted it. Change: an owner counts the difference of an engine's last two reports for each service on it; a restart of the engine counts from nothing.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -65,6 +65,7 @@
 use crate::status::UpstreamState;
 use crate::status::UpstreamStatus;
 use crate::table::Table;
+use crate::telemetry::count_preemptions;
 use crate::wire::CacheEvents;
 use crate::wire::LoadReport;
 
@@ -649,6 +650,7 @@
                 return;
             }
         };
+        self.count_preemptions(&upstream, &report);
         let memory = report.memory_tokens.max(1) as f64;
         let load = report.used_tokens as f64 / memory + f64::from(report.waiting);
         self.drive(Work::Registry(RegistryInput::Load {
@@ -658,6 +660,18 @@
         self.drive(Work::Owner(OwnerInput::Report { upstream, report }));
     }
 
+    /// Counts what an owned engine preempted between its last two reports.
+    fn count_preemptions(&self, upstream: &UpstreamId, report: &LoadReport) {
+        let Some(earlier) = self.owner.report(upstream) else {
+            return;
+        };
+        let preemptions = report.preemptions_since(earlier);
+        let serving = self.pools.iter();
+        for pool in serving.filter(|pool| pool.upstreams.contains(upstream)) {
+            count_preemptions(&pool.service, preemptions);
+        }
+    }
+
     fn poll_caches(&mut self, context: &mut Context<Self>) {
         let upstreams = self.owner.reporting_upstreams();
         self.cache_next
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -111,6 +111,18 @@
     pub incarnation: u64,
 }
 
+impl LoadReport {
+    /// Preemptions since an earlier report of the same upstream.
+    pub fn preemptions_since(&self, earlier: &LoadReport) -> u64 {
+        if self.incarnation != earlier.incarnation {
+            return self.preemptions_total;
+        }
+        // Reports may overtake one another.
+        self.preemptions_total
+            .saturating_sub(earlier.preemptions_total)
+    }
+}
+
 /// A running sequence in a [`LoadReport`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RunningReport {
@@ -199,3 +211,6 @@
     /// Its report.
     pub report: LoadReport,
 }
+
+#[cfg(test)]
+mod tests;
