Split the peers' actor by job

Cause: src/peers.rs held the handle, the actor, its messages, its intake and its news in 666 lines. Change: child modules intake, mailbox, publish and reach of peers; the code moved unchanged but for visibility, and the public items stay where they were. Clippy clean; the lib's unit tests, peers_processes and scenarios_peers pass.

--- a/src/peers.rs
+++ b/src/peers.rs
@@ -11,30 +11,28 @@
 use actix::Addr;
 use actix::AsyncContext;
 use actix::Context;
-use actix::Handler;
 use actix::Recipient;
-use actix::WrapFuture;
 use derive_builder::Builder;
 use serde::Deserialize;
 use serde::Serialize;
 
+use self::mailbox::AnnounceLeaving;
+use self::mailbox::Deliver;
+use self::mailbox::Feed;
+use self::mailbox::Outgoing;
+use self::mailbox::Ping;
+use self::mailbox::Subscribe;
+use self::mailbox::Target;
 use crate::clock::SystemClock;
 use crate::clock::Time;
-use crate::event::EventCode;
 use crate::id::DataCentre;
 use crate::id::HostId;
 use crate::id::Offset;
 use crate::id::UpstreamId;
 use crate::journal::Journal;
-use crate::journal::Subject;
 use crate::link::Link;
-use crate::link::LinkNews;
-use crate::link::LinkOptions;
 use crate::link::Urgency;
-use crate::link::fetch_config;
 use crate::member::Member;
-use crate::membership::Change;
-use crate::membership::Heard;
 use crate::membership::Identity;
 use crate::membership::Membership;
 use crate::membership::MembershipAction;
@@ -46,11 +44,14 @@
 use crate::peer::PeerMessage;
 use crate::peer::Receipt;
 use crate::peer::Rumour;
-use crate::platform::HostKind;
 use crate::platform::HostList;
-use crate::platform::HostState;
 use crate::status::PeerStatus;
 
+mod intake;
+mod mailbox;
+mod publish;
+mod reach;
+
 /// Options of the peers.
 #[derive(Debug, Clone, PartialEq, Builder, Serialize, Deserialize)]
 #[builder(default)]
@@ -354,180 +355,6 @@
             rumours,
         }
     }
-
-    fn link(&mut self, address: &str, context: &mut Context<Self>) -> &Link {
-        let options = LinkOptions {
-            call_timeout: Duration::from_millis(self.options.call_timeout_ms),
-            flush: Duration::from_millis(self.options.flush_ms),
-            queue: self.options.queue_length,
-        };
-        let identity = self.membership.identity().clone();
-        self.links.entry(address.to_owned()).or_insert_with(|| {
-            let news = context.address().recipient();
-            Link::open(identity, address.to_owned(), options, news)
-        })
-    }
-
-    fn publish_owners(&mut self) {
-        let owners = self.membership.owners().iter().cloned();
-        let ownership = Arc::new(Ownership::new(owners));
-        self.update_view(|view| view.ownership = ownership.clone());
-        self.journal.record(
-            EventCode::OwnersChanged,
-            Subject::none().detail(format!("hosts={}", ownership.len())),
-        );
-        self.tell(&PeerNews::Owners(ownership));
-    }
-
-    fn note(&mut self, change: Change, host: &HostId) {
-        let code = match change {
-            Change::Joined => EventCode::PeerJoined,
-            Change::Suspected => EventCode::PeerSuspected,
-            Change::Refuted => EventCode::PeerRefuted,
-            Change::Died => EventCode::PeerDied,
-            Change::Left => EventCode::PeerLeaving,
-            Change::Alone => EventCode::HostAlone,
-            Change::Rejoined => EventCode::HostRejoined,
-        };
-        self.journal
-            .record(code, Subject::none().detail(format!("peer={host}")));
-        match change {
-            Change::Died => self.tell(&PeerNews::Died(host.clone())),
-            Change::Alone => self.tell(&PeerNews::Alone(true)),
-            Change::Rejoined => self.tell(&PeerNews::Alone(false)),
-            Change::Joined | Change::Refuted => self.tell(&PeerNews::Reachable(host.clone())),
-            Change::Suspected | Change::Left => {}
-        }
-    }
-
-    fn update_view(&self, update: impl FnOnce(&mut PeersView)) {
-        let mut view = self.view.write().unwrap_or_else(PoisonError::into_inner);
-        update(&mut view);
-    }
-
-    fn refresh_view(&self) {
-        let members = self.membership.members().cloned().collect();
-        let alone = self.membership.is_alone();
-        let remote: Vec<RemoteHost> = self.remote.values().cloned().collect();
-        let mut remote_addresses: Vec<String> = self.listed_remote.clone();
-        remote_addresses.extend(remote.iter().map(|remote| remote.address.clone()));
-        remote_addresses.sort();
-        remote_addresses.dedup();
-        self.update_view(|view| {
-            view.remote_addresses = remote_addresses;
-            view.members = members;
-            view.alone = alone;
-            view.remote = remote;
-        });
-    }
-
-    fn tell(&mut self, news: &PeerNews) {
-        self.subscribers.retain(Recipient::connected);
-        for subscriber in &self.subscribers {
-            subscriber.do_send(news.clone());
-        }
-    }
-
-    /// The peer address of a host, here or in another data centre.
-    fn address_of(&self, host: &HostId) -> Option<String> {
-        let member = self.membership.member(host).map(|member| &member.address);
-        let remote = self.remote.get(host).map(|remote| &remote.address);
-        member.or(remote).cloned()
-    }
-
-    fn host_at(&self, address: &str) -> Option<HostId> {
-        let members = self.membership.members();
-        let mut here = members.filter(|member| member.address == address);
-        let mut remote = self
-            .remote
-            .values()
-            .filter(|remote| remote.address == address);
-        here.next()
-            .map(|member| member.host.clone())
-            .or_else(|| remote.next().map(|remote| remote.host.clone()))
-    }
-
-    fn receive(&mut self, envelope: Envelope, context: &mut Context<Self>) {
-        let here = envelope.data_centre == self.membership.identity().data_centre;
-        if !here {
-            let remote = RemoteHost {
-                host: envelope.from.clone(),
-                data_centre: envelope.data_centre.clone(),
-                address: envelope.address.clone(),
-            };
-            self.remote.insert(envelope.from.clone(), remote);
-        }
-        for message in envelope.messages {
-            match message {
-                PeerMessage::Heartbeat {
-                    sequence,
-                    leaving,
-                    config_offset,
-                    leaving_upstreams,
-                    rumours,
-                } if here => {
-                    let heard = Heard {
-                        host: envelope.from.clone(),
-                        incarnation: envelope.incarnation,
-                        address: envelope.address.clone(),
-                        sequence,
-                        leaving,
-                        config_offset,
-                        rumours,
-                    };
-                    self.feed(MembershipInput::Heard(heard), context);
-                    self.hear_leaving(leaving_upstreams);
-                    self.catch_up(config_offset, &envelope.address, context);
-                }
-                PeerMessage::Heartbeat { config_offset, .. } => {
-                    self.catch_up(config_offset, &envelope.address, context);
-                }
-                message => self.tell(&PeerNews::Message {
-                    from: envelope.from.clone(),
-                    message: Box::new(message),
-                }),
-            }
-        }
-    }
-
-    /// Learns the peer addresses of other data centres from the platform's list.
-    fn learn_remote(&mut self, list: &HostList) {
-        let here = &self.membership.identity().data_centre;
-        let elsewhere = list.hosts.iter().filter(|listed| {
-            listed.kind == HostKind::Entry
-                && listed.data_centre != *here
-                && listed.state == HostState::Live
-        });
-        self.listed_remote = elsewhere.map(|listed| listed.address.clone()).collect();
-    }
-
-    fn hear_leaving(&mut self, upstreams: Vec<UpstreamId>) {
-        for upstream in upstreams {
-            self.tell(&PeerNews::UpstreamLeaving(upstream));
-        }
-    }
-
-    /// Asks a host that is ahead for the configuration that this one lacks.
-    fn catch_up(&mut self, theirs: Offset, address: &str, context: &mut Context<Self>) {
-        let ours = self.config.next();
-        let now_ms = self.clock.now().as_ms();
-        let asked =
-            self.config_asked_ms != 0 && now_ms < self.config_asked_ms + self.options.config_ask_ms;
-        if theirs <= ours || asked {
-            return;
-        }
-        self.config_asked_ms = now_ms;
-        let address = address.to_owned();
-        let config = self.config.clone();
-        let call_timeout = Duration::from_millis(self.options.call_timeout_ms);
-        let fetch = async move {
-            match fetch_config(&address, ours, call_timeout).await {
-                Ok(tail) => config.offer(tail),
-                Err(error) => log::debug!("configuration from {address}: {error}"),
-            }
-        };
-        context.spawn(fetch.into_actor(self));
-    }
 }
 
 impl Actor for Peers {
@@ -541,126 +368,3 @@
         });
     }
 }
-
-enum Target {
-    Host(HostId),
-    Address(String),
-}
-
-#[derive(actix::Message)]
-#[rtype(result = "()")]
-struct Outgoing {
-    to: Target,
-    urgency: Urgency,
-    message: PeerMessage,
-}
-
-impl Handler<Outgoing> for Peers {
-    type Result = ();
-
-    fn handle(&mut self, send: Outgoing, context: &mut Self::Context) {
-        let address = match send.to {
-            Target::Address(address) => Some(address),
-            Target::Host(host) => self.address_of(&host),
-        };
-        if let Some(address) = address {
-            self.link(&address, context)
-                .send(send.urgency, send.message);
-        }
-    }
-}
-
-#[derive(actix::Message)]
-#[rtype(result = "()")]
-struct Ping(HostId);
-
-impl Handler<Ping> for Peers {
-    type Result = ();
-
-    fn handle(&mut self, Ping(host): Ping, context: &mut Self::Context) {
-        if let Some(address) = self.address_of(&host) {
-            self.link(&address, context).ping();
-        }
-    }
-}
-
-#[derive(actix::Message)]
-#[rtype(result = "()")]
-struct Subscribe(Recipient<PeerNews>);
-
-impl Handler<Subscribe> for Peers {
-    type Result = ();
-
-    fn handle(&mut self, Subscribe(subscriber): Subscribe, _context: &mut Self::Context) {
-        let owners = self.membership.owners().iter().cloned();
-        subscriber.do_send(PeerNews::Owners(Arc::new(Ownership::new(owners))));
-        self.subscribers.push(subscriber);
-    }
-}
-
-#[derive(actix::Message)]
-#[rtype(result = "()")]
-struct Feed(MembershipInput);
-
-impl Handler<Feed> for Peers {
-    type Result = ();
-
-    fn handle(&mut self, Feed(input): Feed, context: &mut Self::Context) {
-        if let MembershipInput::Listed(list) = &input {
-            self.learn_remote(list);
-        }
-        self.feed(input, context);
-    }
-}
-
-#[derive(actix::Message)]
-#[rtype(result = "()")]
-struct AnnounceLeaving(Vec<UpstreamId>);
-
-impl Handler<AnnounceLeaving> for Peers {
-    type Result = ();
-
-    fn handle(&mut self, AnnounceLeaving(upstreams): AnnounceLeaving, _: &mut Self::Context) {
-        self.leaving_upstreams = upstreams;
-    }
-}
-
-#[derive(actix::Message)]
-#[rtype(result = "()")]
-struct Deliver(Envelope);
-
-impl Handler<Deliver> for Peers {
-    type Result = ();
-
-    fn handle(&mut self, Deliver(envelope): Deliver, context: &mut Self::Context) {
-        self.receive(envelope, context);
-    }
-}
-
-impl Handler<LinkNews> for Peers {
-    type Result = ();
-
-    fn handle(&mut self, news: LinkNews, context: &mut Self::Context) {
-        match news {
-            LinkNews::Answered { address, receipt } => {
-                if self.failed.remove(&address).is_some() {
-                    self.tell(&PeerNews::Reachable(receipt.host.clone()));
-                }
-                let answered = MembershipInput::Answered {
-                    address,
-                    host: receipt.host,
-                    incarnation: receipt.incarnation,
-                };
-                self.feed(answered, context);
-            }
-            LinkNews::Failed { address } => {
-                let host = self.host_at(&address);
-                if let Some(host) = &host {
-                    self.tell(&PeerNews::Unreachable(host.clone()));
-                }
-                self.failed.insert(address.clone(), host);
-                self.feed(MembershipInput::Unanswered { address }, context);
-            }
-        }
-    }
-}
