Split the appender's batch and search into their own files

Change: src/appender/batch.rs takes the batch and how it is filled from what waits; src/appender/search.rs takes the search of a stream for a batch. Nothing else moves; the filling is now a function of the batch, and no logic changes.

--- a/src/appender.rs
+++ b/src/appender.rs
@@ -6,6 +6,9 @@
 //! then that of the first copy in the stream: a record may stand in a stream twice, and the first
 //! one counts. A record's text must be unique, by an id that it holds.
 
+mod batch;
+mod search;
+
 use std::collections::VecDeque;
 use std::mem;
 use std::time::Duration;
@@ -18,11 +21,12 @@
 use serde::Serialize;
 use uuid::Uuid;
 
+use self::batch::Batch;
+use self::search::Search;
 use crate::clock::Time;
 use crate::id::Offset;
 use crate::platform::AppendAnswer;
 use crate::platform::ReadAnswer;
-use crate::platform::Record;
 use crate::quota::Quota;
 
 /// An offset that no stream reaches: reading from it tells only the head.
@@ -142,30 +146,6 @@
     Pausing(Time, Option<Search>),
 }
 
-/// Records that are appended together.
-#[derive(Debug, Clone)]
-struct Batch {
-    entries: Vec<Entry>,
-    /// The head before the batch was first written.
-    since: Offset,
-    /// Whether an earlier write of it may have taken effect.
-    may_stand: bool,
-}
-
-/// A search of the stream for a batch.
-#[derive(Debug, Clone)]
-struct Search {
-    batch: Batch,
-    from: Offset,
-    /// Where the search ends: the head at its first read, or the end of the copy answered.
-    until: Option<Offset>,
-    /// The offset of the copy that was answered.
-    answered: Option<Offset>,
-    found: Vec<Option<Offset>>,
-    /// Whether a part of what was to be searched is no longer in the stream.
-    is_cut: bool,
-}
-
 impl Appender {
     /// An appender with nothing to append; `seed` drives its jitter.
     pub fn new(options: AppenderOptions, seed: u64) -> Self {
@@ -331,32 +311,16 @@
             actions.push(Action::Wake(now + wait));
             return;
         }
-        let batch = self.again.take().unwrap_or_else(|| self.next_batch(head));
+        let batch = self
+            .again
+            .take()
+            .unwrap_or_else(|| Batch::next(&mut self.waiting, &self.options, head));
         let records: Vec<_> = batch.entries.iter().map(|e| e.data.clone()).collect();
         quota.charge(now, records.iter().map(String::len).sum());
         self.phase = Phase::Appending(batch);
         actions.push(Action::Append(records));
     }
 
-    fn next_batch(&mut self, head: Offset) -> Batch {
-        let mut entries = Vec::new();
-        let mut bytes = 0;
-        while let Some(entry) = self.waiting.front() {
-            bytes += entry.data.len();
-            let is_full = entries.len() >= self.options.batch_records
-                || bytes > self.options.batch_bytes && !entries.is_empty();
-            if is_full {
-                break;
-            }
-            entries.extend(self.waiting.pop_front());
-        }
-        Batch {
-            entries,
-            since: head,
-            may_stand: false,
-        }
-    }
-
     fn search(&mut self, search: Search, actions: &mut Vec<Action>) {
         actions.push(Action::Read(search.from));
         self.phase = Phase::Searching(search);
@@ -420,53 +384,5 @@
     }
 }
 
-impl Search {
-    fn new(batch: Batch) -> Self {
-        Search {
-            from: batch.since,
-            until: None,
-            answered: None,
-            found: vec![None; batch.entries.len()],
-            is_cut: false,
-            batch,
-        }
-    }
-
-    fn take(&mut self, answer: &ReadAnswer) {
-        // A head below the place searched means that the stream lost what it held there.
-        self.is_cut |= answer.first_retained > self.from || answer.head < self.batch.since;
-        let until = *self.until.get_or_insert(answer.head);
-        for record in answer.records.iter().filter(|r| r.offset < until) {
-            self.compare(record);
-        }
-        self.from = match answer.records.last() {
-            Some(last) => last.offset.next(),
-            None => until,
-        };
-    }
-
-    fn compare(&mut self, record: &Record) {
-        for (entry, found) in self.batch.entries.iter().zip(&mut self.found) {
-            if found.is_none() && entry.data == record.data {
-                *found = Some(record.offset);
-            }
-        }
-    }
-
-    fn is_done(&self) -> bool {
-        self.until.is_some_and(|until| self.from >= until) || self.found.iter().all(Option::is_some)
-    }
-
-    /// Where each record stands: as found, or else as answered.
-    fn offsets(&self) -> Vec<Option<Offset>> {
-        let answered = |index: usize| self.answered.map(|first| Offset(first.0 + index as u64));
-        self.found
-            .iter()
-            .enumerate()
-            .map(|(index, found)| found.or_else(|| answered(index)))
-            .collect()
-    }
-}
-
 #[cfg(test)]
 mod tests;
