Record a caller's refusal in one place

Cause: completions and plain calls each recorded, counted and answered a refusal by the same lines. Change: ServerState::refuse does it for both. Behaviour as before. Conclusion: one place to change what a refusal leaves behind.

--- a/src/completions.rs
+++ b/src/completions.rs
@@ -8,7 +8,6 @@
 
 use crate::account::Account;
 use crate::answer::Answer;
-use crate::answer::refuse;
 use crate::claims::HeldClaim;
 use crate::clock;
 use crate::completion::CompletionWriter;
@@ -26,7 +25,6 @@
 use crate::server::ServerState;
 use crate::session::Session;
 use crate::session::SessionRequest;
-use crate::telemetry;
 
 /// Answers one request.
 pub(crate) async fn serve(
@@ -38,15 +36,7 @@
     let pass = state.gate.enter(request_id);
     match prepare(&state, &http, payload, request_id).await {
         Ok(prepared) => prepared.answer(&state, pass).await,
-        Err(refusal) => {
-            let subject = Subject::request(request_id).detail(refusal.message.as_str());
-            state
-                .context
-                .journal
-                .record(EventCode::RequestRefused, subject);
-            telemetry::count_refusal(None, refusal.code);
-            refuse(refusal.for_request(request_id))
-        }
+        Err(refusal) => state.refuse(request_id, refusal),
     }
 }
 
--- a/src/passthrough.rs
+++ b/src/passthrough.rs
@@ -15,7 +15,6 @@
 use self::progress::Failure;
 use self::progress::FailureKind;
 use self::progress::Progress;
-use crate::answer::refuse;
 use crate::claim::Summary;
 use crate::claims::HeldClaim;
 use crate::dispatch::Grant;
@@ -39,7 +38,6 @@
 use crate::schedule::Ending;
 use crate::schedule::Ticket;
 use crate::server::ServerState;
-use crate::telemetry;
 
 mod progress;
 
@@ -74,15 +72,7 @@
     };
     match outcome {
         Ok(answer) => pass_on(answer, request_id),
-        Err(refusal) => {
-            let subject = Subject::request(request_id).detail(refusal.message.as_str());
-            state
-                .context
-                .journal
-                .record(EventCode::RequestRefused, subject);
-            telemetry::count_refusal(None, refusal.code);
-            refuse(refusal.for_request(request_id))
-        }
+        Err(refusal) => state.refuse(request_id, refusal),
     }
 }
 
--- a/src/server.rs
+++ b/src/server.rs
@@ -14,15 +14,18 @@
 use crate::claims::ClaimHandle;
 use crate::completions;
 use crate::config::ConfigHandle;
+use crate::event::EventCode;
 use crate::gate::Gate;
 use crate::id::HostId;
 use crate::id::RequestId;
+use crate::journal::Subject;
 use crate::limits::LimitHandle;
 use crate::passthrough;
 use crate::plain::PlainClient;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::session::SessionContext;
+use crate::telemetry;
 use crate::watch::SlowCallers;
 
 /// Bounds of what callers may send.
@@ -103,6 +106,16 @@
         Err(Refusal::not_run(Code::NotReady, message))
     }
 
+    /// Records a refusal, counts it and makes the caller's answer of it.
+    pub(crate) fn refuse(&self, request_id: RequestId, refusal: Refusal) -> HttpResponse {
+        let subject = Subject::request(request_id).detail(refusal.message.as_str());
+        self.context
+            .journal
+            .record(EventCode::RequestRefused, subject);
+        telemetry::count_refusal(None, refusal.code);
+        refuse(refusal.for_request(request_id))
+    }
+
     /// A caller's deadline within the bounds, in milliseconds.
     pub(crate) fn deadline_ms(&self, asked: Option<u64>, default: u64) -> u64 {
         asked.unwrap_or(default).min(self.options.deadline_ms_max)
