--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,31 @@
+//! The gateway: passes requests on unchanged by routes, over upstreams that the platform lists.
+//!
+//! Start reading at [`serve`], which is the path of a request: route, identify, place, send or
+//! stream, answer. [`host`] composes the process. What differs between platforms (names, formats,
+//! paths) is behind [`protocol::Protocol`]; everything that decides is here. The area imports the
+//! library's basic types and nothing of the product's own API.
+
+pub mod call;
+pub mod configuration;
+pub mod connection;
+pub mod decisions;
+pub mod directory;
+pub mod events;
+pub mod follow;
+pub mod forward;
+pub mod gossip;
+pub mod host;
+pub mod identity;
+pub mod loads;
+pub mod peerfetch;
+pub mod place;
+pub mod pool;
+pub mod protocol;
+pub mod refuse;
+pub mod rescue;
+pub mod retrybudget;
+pub mod route;
+pub mod serve;
+pub mod settings;
+pub mod shared;
+pub mod stream;
--- /dev/null
+++ b/src/gateway/call.rs
@@ -0,0 +1,302 @@
+//! Calls of plain services: the whole answer is read before any of it is passed on, so that one
+//! which breaks can be replaced by another attempt or a clean failure.
+
+use std::time::Duration;
+
+use actix_web::HttpResponse;
+use actix_web::http::StatusCode;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::response::Parts;
+use http_body_util::BodyExt;
+use tokio::time::Instant;
+
+use crate::event::EventCode;
+use crate::gateway::connection::Connection;
+use crate::gateway::connection::Failure;
+use crate::gateway::directory::Upstream;
+use crate::gateway::forward;
+use crate::gateway::forward::AttemptHeaders;
+use crate::gateway::place::Need;
+use crate::gateway::route::RouteKind;
+use crate::gateway::serve::Admitted;
+use crate::gateway::serve::Front;
+use crate::gateway::shared::Shared;
+use crate::id::UpstreamId;
+use crate::refusal::Code;
+use crate::refusal::Refusal;
+
+/// A connection that isn't established within this time was not written to: a few round trips of
+/// the farthest data centre, and well before the system sends a lost opening packet again (1 s).
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+/// Upstreams tried for one request, however many of them certainly did not run it.
+const SENDS_MAX: usize = 4;
+/// An attempt that may be repeated elsewhere is given up after this multiple of the objective.
+const ATTEMPT_OBJECTIVES: u32 = 2;
+/// The answer of our own goes out this long before the deadline.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
+
+/// An upstream's whole answer.
+#[derive(Debug)]
+pub struct WholeAnswer {
+    /// Status and headers.
+    pub head: Parts,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// What became of one attempt.
+#[derive(Debug)]
+pub enum Attempted {
+    /// The upstream answered in whole.
+    Answered(WholeAnswer),
+    /// It certainly did not run.
+    NotRun(String),
+    /// It may have run.
+    Unknown(String),
+    /// No answer came in time; it may have run.
+    TimedOut,
+}
+
+/// Calls upstreams until one answers.
+pub async fn run(front: &Front, admitted: Admitted) -> HttpResponse {
+    let shared = &front.shared;
+    let now = shared.now();
+    shared.budget(&admitted.service, |budget| budget.requested(now));
+    let mut tried: Vec<UpstreamId> = Vec::new();
+    let mut may_have_run = 0;
+    loop {
+        if admitted.time_left() <= DEADLINE_MARGIN {
+            return timed_out(shared, &admitted, may_have_run);
+        }
+        let Some(candidate) = admitted.place(shared, Need::Slot, &tried) else {
+            return exhausted(shared, &admitted, may_have_run, &tried);
+        };
+        let upstream = candidate.upstream;
+        tried.push(upstream.id.clone());
+        let last = is_last(&admitted, may_have_run);
+        let outcome = attempt(front, &admitted, &upstream, last).await;
+        note_health(shared, &admitted, &upstream, &outcome);
+        let reason = match outcome {
+            Attempted::Answered(answer) if may_repeat_answer(&admitted, &answer, last) => {
+                may_have_run += 1;
+                format!("status {}", answer.head.status.as_u16())
+            }
+            Attempted::Answered(answer) => {
+                return pass_on(shared, &admitted, &upstream, answer, tried.len());
+            }
+            Attempted::NotRun(reason) => reason,
+            Attempted::Unknown(reason) => {
+                may_have_run += 1;
+                if last {
+                    return failed(shared, &admitted, &upstream, &reason);
+                }
+                reason
+            }
+            Attempted::TimedOut if last => return timed_out(shared, &admitted, 1),
+            Attempted::TimedOut => {
+                may_have_run += 1;
+                "no answer in time".to_owned()
+            }
+        };
+        let now = shared.now();
+        let hosts = shared.hosts();
+        let retried = tried.len() < SENDS_MAX
+            && shared.budget(&admitted.service, |budget| budget.try_retry(now, hosts));
+        let line = admitted.line(shared, EventCode::RequestRestarted);
+        line.with("upstream", upstream.id.as_str())
+            .with("reason", reason.as_str())
+            .with("hosts", hosts)
+            .with("retried", retried)
+            .write();
+        if !retried {
+            return exhausted(shared, &admitted, may_have_run, &tried);
+        }
+    }
+}
+
+/// Whether no further attempt may follow one that may have run.
+fn is_last(admitted: &Admitted, may_have_run: u32) -> bool {
+    admitted.route.kind != RouteKind::Idempotent || may_have_run + 1 >= admitted.route.attempts
+}
+
+/// An upstream's own failure is repeated elsewhere if the request may be.
+fn may_repeat_answer(admitted: &Admitted, answer: &WholeAnswer, last: bool) -> bool {
+    let idempotent = admitted.route.kind == RouteKind::Idempotent;
+    idempotent && !last && answer.head.status.is_server_error()
+}
+
+/// Sends the request to one upstream.
+async fn attempt(front: &Front, admitted: &Admitted, upstream: &Upstream, last: bool) -> Attempted {
+    let shared = &front.shared;
+    let _occupied = shared.loads().occupy(&upstream.id, 0);
+    let mut limit = admitted.time_left().saturating_sub(DEADLINE_MARGIN);
+    if !last {
+        limit = limit.min(admitted.route.objective * ATTEMPT_OBJECTIVES);
+    }
+    let until = Instant::now() + limit;
+    let exchange = exchange(front, admitted, upstream);
+    tokio::select! {
+        outcome = exchange => outcome,
+        () = tokio::time::sleep_until(until) => Attempted::TimedOut,
+    }
+}
+
+async fn exchange(front: &Front, admitted: &Admitted, upstream: &Upstream) -> Attempted {
+    let pooled = match admitted.route.kind {
+        RouteKind::Idempotent => front.pool.borrow_mut().take(upstream.address),
+        RouteKind::Once | RouteKind::Stream => None,
+    };
+    let mut connection = match pooled {
+        Some(connection) => connection,
+        None => match Connection::open(upstream.address, CONNECT_TIMEOUT).await {
+            Ok(connection) => connection,
+            Err(failure) => return Attempted::NotRun(failure.reason().to_owned()),
+        },
+    };
+    let shared = &front.shared;
+    let headers = AttemptHeaders {
+        upstream,
+        time_left: admitted.time_left(),
+        customer: admitted.customer.as_ref(),
+        priority: None,
+        backup_at: None,
+        continue_from: None,
+    };
+    if headers.time_left.is_zero() {
+        return Attempted::NotRun("the deadline passed before it was sent".to_owned());
+    }
+    let names = shared.protocol().headers();
+    let request = forward::towards_upstream(&admitted.request, names, &headers);
+    let response = match connection.send(request).await {
+        Ok(response) => response,
+        Err(Failure::NotWritten(reason)) => return Attempted::NotRun(reason),
+        Err(Failure::Unknown(reason)) => return Attempted::Unknown(reason),
+    };
+    let (head, body) = response.into_parts();
+    if !is_answer_to(admitted, shared, &head.headers) {
+        return Attempted::Unknown("an answer to another request".to_owned());
+    }
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return Attempted::Unknown(format!("the answer broke off: {error}")),
+    };
+    if let Some(reason) = not_run_reason(shared, upstream, &head) {
+        return Attempted::NotRun(reason);
+    }
+    front.pool.borrow_mut().put(upstream.address, connection);
+    Attempted::Answered(WholeAnswer { head, body })
+}
+
+/// Upstreams echo the request's id; an answer with another one belongs to another request.
+pub fn is_answer_to(admitted: &Admitted, shared: &Shared, headers: &HeaderMap) -> bool {
+    let echoed = headers.get(&shared.protocol().headers().request_id);
+    echoed.is_none_or(|echoed| echoed.as_bytes() == admitted.id.as_bytes())
+}
+
+/// Why an answer says that the request did not run, if it does. Another instance at the address
+/// shows that the expected one is gone.
+pub fn not_run_reason(shared: &Shared, upstream: &Upstream, head: &Parts) -> Option<String> {
+    let names = shared.protocol().headers();
+    let status = head.status.as_u16();
+    if status == 421 {
+        shared.witness_leaving(&upstream.id, "another instance answers at its address");
+        return Some("another instance answers at its address".to_owned());
+    }
+    head.headers
+        .contains_key(&names.not_run)
+        .then(|| format!("the upstream did not run it: status {status}"))
+}
+
+fn note_health(shared: &Shared, admitted: &Admitted, upstream: &Upstream, outcome: &Attempted) {
+    match outcome {
+        Attempted::Answered(answer) if !answer.head.status.is_server_error() => {
+            shared.ejector(|ejector| ejector.succeeded(&upstream.id));
+        }
+        Attempted::Answered(answer) => {
+            let reason = format!("status {}", answer.head.status.as_u16());
+            shared.upstream_failed(&admitted.service, &upstream.id, &reason);
+        }
+        Attempted::NotRun(reason) | Attempted::Unknown(reason) => {
+            shared.upstream_failed(&admitted.service, &upstream.id, reason);
+        }
+        Attempted::TimedOut => {
+            shared.upstream_failed(&admitted.service, &upstream.id, "no answer in time");
+        }
+    }
+}
+
+/// Statuses that promise that a request did not run. An upstream that gives one without saying so
+/// promises nothing, and its answer must not be passed on as a promise.
+fn promises_not_run(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
+/// Passes an upstream's answer on unchanged.
+pub fn pass_on(
+    shared: &Shared,
+    admitted: &Admitted,
+    upstream: &Upstream,
+    answer: WholeAnswer,
+    sends: usize,
+) -> HttpResponse {
+    let status = answer.head.status.as_u16();
+    if promises_not_run(status) {
+        let reason = format!("the upstream answered {status} without saying that it did not run");
+        return failed(shared, admitted, upstream, &reason);
+    }
+    let line = admitted.line(shared, EventCode::RequestComplete);
+    line.with("upstream", upstream.id.as_str())
+        .with("status", status)
+        .with("sends", sends)
+        .with("bytes", answer.body.len())
+        .write();
+    let mut response = respond(&answer.head);
+    if shared.gate().is_shutting_down() {
+        response.force_close();
+    }
+    response.body(answer.body)
+}
+
+/// The head of the upstream's answer for the caller.
+pub fn respond(head: &Parts) -> actix_web::HttpResponseBuilder {
+    let status = StatusCode::from_u16(head.status.as_u16()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = HttpResponse::build(status);
+    let mut headers = HeaderMap::new();
+    forward::copy_end_to_end(&head.headers, &mut headers, |_| false);
+    for (name, value) in &headers {
+        response.append_header((name.as_str(), value.as_bytes()));
+    }
+    response
+}
+
+/// A failure of a request that may have run.
+fn failed(shared: &Shared, admitted: &Admitted, upstream: &Upstream, reason: &str) -> HttpResponse {
+    let message = format!("{}: {reason}", upstream.id);
+    admitted.refuse(shared, &Refusal::unknown(Code::UpstreamFailed, message))
+}
+
+fn timed_out(shared: &Shared, admitted: &Admitted, may_have_run: u32) -> HttpResponse {
+    let refusal = match may_have_run {
+        0 => Refusal::not_run(Code::Overloaded, "the deadline passed before it was sent"),
+        _ => Refusal::unknown(Code::DeadlineExceeded, "no answer before the deadline"),
+    };
+    admitted.refuse(shared, &refusal)
+}
+
+fn exhausted(
+    shared: &Shared,
+    admitted: &Admitted,
+    may_have_run: u32,
+    tried: &[UpstreamId],
+) -> HttpResponse {
+    let message = format!("no upstream left after {} tries", tried.len());
+    let refusal = match may_have_run {
+        0 => Refusal::not_run(Code::NoUpstream, message),
+        _ => Refusal::unknown(Code::UpstreamFailed, message),
+    };
+    admitted.refuse(shared, &refusal)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/follow.rs
@@ -0,0 +1,336 @@
+//! Follows the keyed topics of the platform's log: newest records first, then each one in order.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use backon::BackoffBuilder;
+use backon::ExponentialBackoff;
+use backon::ExponentialBuilder;
+use bytes::Bytes;
+use http::Request;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::gateway::connection::Connection;
+use crate::gateway::directory::Upstream;
+use crate::gateway::protocol::OwnCall;
+use crate::gateway::protocol::Record;
+use crate::gateway::protocol::Topic;
+use crate::gateway::shared::Shared;
+use crate::id::UpstreamId;
+
+/// A long poll waits this long at the platform; probes of the connection notice a cut sooner.
+const POLL_WAIT: Duration = Duration::from_secs(10);
+/// Beyond the wait, an answer that is slow counts as lost.
+const POLL_SLACK: Duration = Duration::from_secs(2);
+/// A call that doesn't wait.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Each connection attempt.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Records that come together are read together: calls are priced, and this is far below the
+/// bound on configuration (2 s).
+const BATCH_PAUSE: Duration = Duration::from_millis(20);
+const BACKOFF_MIN: Duration = Duration::from_millis(120);
+const BACKOFF_MAX: Duration = Duration::from_millis(700);
+/// Largest answer of the log: a configuration of many routes fits.
+const ANSWER_BYTES_MAX: usize = 8 << 20;
+/// How often hosts that listed themselves are read again; peers tell of others in between.
+const HOSTS_INTERVAL: Duration = Duration::from_secs(20);
+/// Hosts that start together list themselves within this time.
+const HOSTS_SETTLE: Duration = Duration::from_millis(1_500);
+
+/// Makes calls to one address, one at a time, over a connection that is kept.
+#[derive(Debug)]
+pub struct OwnClient {
+    address: SocketAddr,
+    connection: Option<Connection>,
+}
+
+impl OwnClient {
+    /// A client that connects with its first call.
+    pub fn new(address: SocketAddr) -> Self {
+        OwnClient {
+            address,
+            connection: None,
+        }
+    }
+
+    /// Makes a call; answers with status and body.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Remote`] if there is no whole answer within `timeout`.
+    pub async fn call(&mut self, call: &OwnCall, timeout: Duration) -> Result<(u16, Bytes)> {
+        let connection = self.connection.take().filter(Connection::is_usable);
+        let exchange = exchange(self.address, connection, call);
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(Ok((status, body, connection))) => {
+                self.connection = Some(connection);
+                Ok((status, body))
+            }
+            Ok(Err(reason)) => Err(self.remote(reason)),
+            Err(_) => Err(self.remote(format!("no answer in {} ms", timeout.as_millis()))),
+        }
+    }
+
+    fn remote(&self, reason: String) -> Error {
+        Error::Remote {
+            peer: self.address.to_string(),
+            reason,
+        }
+    }
+}
+
+async fn exchange(
+    address: SocketAddr,
+    connection: Option<Connection>,
+    call: &OwnCall,
+) -> std::result::Result<(u16, Bytes, Connection), String> {
+    let mut connection = match connection {
+        Some(connection) => connection,
+        None => Connection::open(address, CONNECT_TIMEOUT)
+            .await
+            .map_err(|failure| failure.reason().to_owned())?,
+    };
+    let request = request_of(address, call).map_err(|error| error.to_string())?;
+    let response = connection
+        .send(request)
+        .await
+        .map_err(|failure| failure.reason().to_owned())?;
+    let status = response.status().as_u16();
+    let body = Limited::new(response.into_body(), ANSWER_BYTES_MAX)
+        .collect()
+        .await
+        .map_err(|error| error.to_string())?
+        .to_bytes();
+    Ok((status, body, connection))
+}
+
+fn request_of(address: SocketAddr, call: &OwnCall) -> http::Result<Request<Full<Bytes>>> {
+    let mut builder = Request::builder()
+        .method(call.method.clone())
+        .uri(&call.path)
+        .header(header::HOST, address.to_string());
+    if let Some(content_type) = call.content_type {
+        builder = builder.header(header::CONTENT_TYPE, content_type);
+    }
+    builder.body(Full::new(call.body.clone()))
+}
+
+/// Why a topic must be read anew or later.
+#[derive(Debug)]
+enum Interrupted {
+    /// Records that were not read are gone.
+    Truncated,
+    /// The log can't be read.
+    Unavailable(String),
+}
+
+impl From<Error> for Interrupted {
+    fn from(error: Error) -> Self {
+        Interrupted::Unavailable(error.to_string())
+    }
+}
+
+/// Follows one topic for ever.
+pub async fn follow(shared: Shared, topic: Topic) {
+    let mut follower = Follower {
+        client: OwnClient::new(shared.settings().log_address),
+        shared,
+        topic,
+        next: None,
+    };
+    let mut backoff = new_backoff();
+    loop {
+        match follower.advance().await {
+            Ok(()) => {
+                backoff = new_backoff();
+                tokio::time::sleep(BATCH_PAUSE).await;
+            }
+            Err(Interrupted::Truncated) => follower.next = None,
+            Err(Interrupted::Unavailable(reason)) => {
+                follower.shared.set_log_away(true, &reason);
+                tokio::time::sleep(backoff.next().unwrap_or(BACKOFF_MAX)).await;
+            }
+        }
+    }
+}
+
+fn new_backoff() -> ExponentialBackoff {
+    ExponentialBuilder::new()
+        .with_min_delay(BACKOFF_MIN)
+        .with_max_delay(BACKOFF_MAX)
+        .without_max_times()
+        .with_jitter()
+        .build()
+}
+
+struct Follower {
+    shared: Shared,
+    client: OwnClient,
+    topic: Topic,
+    next: Option<u64>,
+}
+
+impl Follower {
+    async fn advance(&mut self) -> std::result::Result<(), Interrupted> {
+        match self.next {
+            None => self.read_newest().await,
+            Some(next) => self.read_from(next).await,
+        }
+    }
+
+    /// Starts from the newest record of each key. The first page's end is where reading goes on, so
+    /// nothing is missed that changes while further pages are read.
+    async fn read_newest(&mut self) -> std::result::Result<(), Interrupted> {
+        let (records, end) = newest(&self.shared, &mut self.client, self.topic).await?;
+        self.shared.set_log_away(false, self.topic.name());
+        match self.topic {
+            Topic::Operator => self.take_operator(&records),
+            Topic::Upstreams => self.take_all_upstreams(&records, end),
+            Topic::Hosts => {}
+        }
+        self.next = Some(end);
+        Ok(())
+    }
+
+    async fn read_from(&mut self, next: u64) -> std::result::Result<(), Interrupted> {
+        let call = self
+            .shared
+            .protocol()
+            .read_call(self.topic, next, POLL_WAIT);
+        let (status, body) = self.client.call(&call, POLL_WAIT + POLL_SLACK).await?;
+        match status {
+            200 => {}
+            410 => return Err(Interrupted::Truncated),
+            _ => return Err(Interrupted::Unavailable(format!("status {status}"))),
+        }
+        let batch = self.shared.protocol().decode_read(next, &body)?;
+        self.shared.set_log_away(false, self.topic.name());
+        match self.topic {
+            Topic::Operator => self.take_operator(&batch.records),
+            Topic::Upstreams => self.take_upstreams(&batch.records, batch.next),
+            Topic::Hosts => {}
+        }
+        self.next = Some(batch.next);
+        Ok(())
+    }
+
+    fn take_operator(&self, records: &[Record]) {
+        for record in records {
+            if let Some(value) = &record.value {
+                self.shared.offer_configuration(&record.key, value, "log");
+            }
+        }
+    }
+
+    fn take_upstreams(&self, records: &[Record], next: u64) {
+        let now = self.shared.now();
+        let mut changes = Vec::new();
+        for record in records {
+            let id = UpstreamId::new(record.key.as_str());
+            let upstream = match &record.value {
+                Some(value) => match decode_upstream(&self.shared, &record.key, value) {
+                    Some(upstream) => Some(upstream),
+                    None => continue,
+                },
+                None => None,
+            };
+            let change = self
+                .shared
+                .directory(|directory| directory.apply(now, &id, upstream, record.offset));
+            changes.extend(change.map(|change| (id, change)));
+        }
+        self.shared.directory(|directory| directory.advance(next));
+        self.shared.directory_changes(changes, "log");
+    }
+
+    fn take_all_upstreams(&self, records: &[Record], end: u64) {
+        let now = self.shared.now();
+        let mut listed = Vec::new();
+        for record in records {
+            let Some(value) = &record.value else { continue };
+            if let Some(upstream) = decode_upstream(&self.shared, &record.key, value) {
+                listed.push((upstream, record.offset));
+            }
+        }
+        let changes = self
+            .shared
+            .directory(|directory| directory.replace(now, listed, end));
+        self.shared.directory_changes(changes, "log");
+    }
+}
+
+/// The newest record of each key of a topic, and the offset to read from next.
+async fn newest(
+    shared: &Shared,
+    client: &mut OwnClient,
+    topic: Topic,
+) -> std::result::Result<(Vec<Record>, u64), Interrupted> {
+    let mut records: Vec<Record> = Vec::new();
+    let mut end = None;
+    loop {
+        let after = records.last().map(|record| record.key.as_str());
+        let call = shared.protocol().newest_call(topic, after);
+        let (status, body) = client.call(&call, CALL_TIMEOUT).await?;
+        if status != 200 {
+            return Err(Interrupted::Unavailable(format!("status {status}")));
+        }
+        let page = shared.protocol().decode_newest(&body)?;
+        let from = *end.get_or_insert(page.end);
+        let more = page.more && !page.records.is_empty();
+        records.extend(page.records);
+        if !more {
+            return Ok((records, from));
+        }
+    }
+}
+
+fn decode_upstream(shared: &Shared, key: &str, value: &[u8]) -> Option<Upstream> {
+    match shared.protocol().upstream(key, value) {
+        Ok(upstream) => Some(upstream),
+        Err(error) => {
+            let line = shared.log().line(crate::event::EventCode::RecordSkipped);
+            line.with("source", "upstreams")
+                .with("key", key)
+                .with("reason", error.to_string())
+                .write();
+            None
+        }
+    }
+}
+
+/// Lists this host and learns of the others, now and then again.
+pub async fn list_hosts(shared: Shared) {
+    let mut client = OwnClient::new(shared.settings().log_address);
+    let mut backoff = new_backoff();
+    let own = shared.gossip_address().to_string();
+    let value = shared.settings().host.as_str().to_owned();
+    loop {
+        let call = shared
+            .protocol()
+            .append_call(Topic::Hosts, &own, value.as_bytes());
+        match client.call(&call, CALL_TIMEOUT).await {
+            Ok((200, _)) => break,
+            // Appending the same record twice is harmless: the newest of a key counts.
+            Ok(_) | Err(_) => tokio::time::sleep(backoff.next().unwrap_or(BACKOFF_MAX)).await,
+        }
+    }
+    let mut pause = HOSTS_SETTLE;
+    loop {
+        tokio::time::sleep(pause).await;
+        pause = HOSTS_INTERVAL;
+        if let Ok((records, _)) = newest(&shared, &mut client, Topic::Hosts).await {
+            let addresses = records
+                .iter()
+                .filter(|record| record.value.is_some())
+                .filter_map(|record| record.key.parse().ok());
+            let now = shared.now();
+            shared.peers(|peers| peers.learn(now, addresses));
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/forward.rs
@@ -0,0 +1,169 @@
+//! What is passed on of a caller's request and of an upstream's answer.
+
+use std::time::Duration;
+
+use actix_web::HttpRequest;
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use http::Request;
+use http::header;
+use http_body_util::Full;
+
+use crate::gateway::directory::Upstream;
+use crate::gateway::protocol::HeaderNames;
+use crate::id::CustomerId;
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1), or that each side writes
+/// itself.
+const OF_ONE_CONNECTION: [HeaderName; 10] = [
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::EXPECT,
+    HeaderName::from_static("keep-alive"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+];
+
+/// A caller's request, read whole.
+#[derive(Debug, Clone)]
+pub struct CallerRequest {
+    /// Its method.
+    pub method: Method,
+    /// Path and query as they came.
+    pub target: String,
+    /// All of its headers.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+impl CallerRequest {
+    /// The text of a header, or nothing.
+    pub fn text(&self, name: &HeaderName) -> Option<&str> {
+        self.headers.get(name)?.to_str().ok()
+    }
+}
+
+/// The headers of an actix request. Both libraries take the same names and values.
+pub fn headers_of(http: &HttpRequest) -> HeaderMap {
+    let mut headers = HeaderMap::with_capacity(http.headers().len());
+    for (name, value) in http.headers() {
+        let name = HeaderName::from_bytes(name.as_str().as_bytes());
+        let value = HeaderValue::from_bytes(value.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            headers.append(name, value);
+        }
+    }
+    headers
+}
+
+/// What the gateway sets on one attempt.
+#[derive(Debug, Clone)]
+pub struct AttemptHeaders<'a> {
+    /// Where it goes.
+    pub upstream: &'a Upstream,
+    /// Time left.
+    pub time_left: Duration,
+    /// Whose it is.
+    pub customer: Option<&'a CustomerId>,
+    /// Rank for the engine.
+    pub priority: Option<u8>,
+    /// The engine that shall keep a copy.
+    pub backup_at: Option<&'a Upstream>,
+    /// Continue from this copy after that event.
+    pub continue_from: Option<(HeaderValue, u64)>,
+}
+
+/// The request as it goes to an upstream.
+pub fn towards_upstream(
+    request: &CallerRequest,
+    names: &HeaderNames,
+    attempt: &AttemptHeaders<'_>,
+) -> Request<Full<Bytes>> {
+    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = request.target.parse().unwrap_or_default();
+    let headers = outgoing.headers_mut();
+    copy_end_to_end(&request.headers, headers, |name| is_ours(names, name));
+    set_attempt(headers, names, attempt);
+    outgoing
+}
+
+/// Whether callers may not set a header, because the system does or because it names a key.
+fn is_ours(names: &HeaderNames, name: &HeaderName) -> bool {
+    let set_here = [
+        &header::AUTHORIZATION,
+        &names.deadline_ms,
+        &names.customer,
+        &names.expected_instance,
+        &names.priority,
+        &names.continue_from,
+        &names.backup_at,
+    ];
+    set_here.contains(&name) || names.reserved.contains(name)
+}
+
+fn set_attempt(headers: &mut HeaderMap, names: &HeaderNames, attempt: &AttemptHeaders<'_>) {
+    let left_ms = u64::try_from(attempt.time_left.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(&names.deadline_ms, HeaderValue::from(left_ms));
+    insert_text(
+        headers,
+        &names.expected_instance,
+        attempt.upstream.id.as_str(),
+    );
+    if let Some(customer) = attempt.customer {
+        insert_text(headers, &names.customer, customer.as_str());
+    }
+    if let Some(priority) = attempt.priority {
+        headers.insert(&names.priority, HeaderValue::from(u16::from(priority)));
+    }
+    if let Some(backup) = attempt.backup_at {
+        insert_text(headers, &names.backup_at, &backup.address.to_string());
+    }
+    if let Some((copy, last_event)) = &attempt.continue_from {
+        headers.insert(&names.continue_from, copy.clone());
+        headers.insert(&names.last_event, HeaderValue::from(*last_event));
+    }
+}
+
+/// Names come from configurations that were checked when they were read.
+fn insert_text(headers: &mut HeaderMap, name: &HeaderName, text: &str) {
+    match HeaderValue::from_str(text) {
+        Ok(value) => {
+            headers.insert(name, value);
+        }
+        Err(error) => log::warn!("{name} can't carry {text:?}: {error}"),
+    }
+}
+
+/// Copies headers but those of one connection and those that `left_out` names.
+pub fn copy_end_to_end(
+    from: &HeaderMap,
+    to: &mut HeaderMap,
+    left_out: impl Fn(&HeaderName) -> bool,
+) {
+    let named = from
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|option| option.trim().to_ascii_lowercase())
+        .collect::<Vec<String>>();
+    for (name, value) in from {
+        let one_connection =
+            OF_ONE_CONNECTION.contains(name) || named.iter().any(|option| option == name.as_str());
+        if !one_connection && !left_out(name) {
+            to.append(name, value.clone());
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/host.rs
@@ -0,0 +1,304 @@
+//! Composes a gateway host and runs it from its start to its end.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_web::App;
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::HttpServer;
+use actix_web::dev::ServerHandle;
+use actix_web::http::KeepAlive;
+use actix_web::web;
+use tokio::net::UdpSocket;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::time::Instant;
+
+use crate::clock::SystemClock;
+use crate::clock::wall_ms;
+use crate::error::Result;
+use crate::event::EventCode;
+use crate::gateway::decisions::DecisionLog;
+use crate::gateway::follow;
+use crate::gateway::gossip;
+use crate::gateway::peerfetch;
+use crate::gateway::protocol::Protocol;
+use crate::gateway::protocol::Topic;
+use crate::gateway::serve;
+use crate::gateway::serve::Front;
+use crate::gateway::settings::GatewaySettings;
+use crate::gateway::shared::Shared;
+use crate::id::Incarnation;
+use crate::telemetry::Telemetry;
+use crate::telemetry::UPKEEP_INTERVAL_MS;
+
+/// Idle connections of callers are kept for this long: longer than any caller keeps one, since a
+/// close that crosses a request costs the caller a retry.
+const CALLER_IDLE: Duration = Duration::from_secs(120);
+/// Timeout of a request's head. A host that was frozen answers what arrived meanwhile with a bare
+/// 408 once this is over, so it is longer than any freeze.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+/// The balancer asks once a second and takes a host out after two misses.
+const BALANCER_NOTICES: Duration = Duration::from_millis(2_800);
+/// What still runs is cut this long before the kill, so that the last lines are written.
+const EXIT_MARGIN: Duration = Duration::from_millis(150);
+/// How often it is looked whether all requests have ended.
+const DRAIN_POLL: Duration = Duration::from_millis(20);
+/// How often beliefs that lapse by time are looked at.
+const LAPSE_INTERVAL: Duration = Duration::from_millis(250);
+/// Between two rounds of asking seeds for a first configuration.
+const SEED_PAUSE: Duration = Duration::from_millis(300);
+
+/// Reads the settings again; none if they can't be read.
+pub type Reload = Box<dyn Fn() -> Option<GatewaySettings>>;
+
+/// How the host ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    /// Everything in flight ended.
+    Drained,
+    /// The grace ended first.
+    Cut,
+}
+
+/// A gateway host that serves.
+pub struct GatewayHost {
+    shared: Shared,
+    reload: Reload,
+    server: ServerHandle,
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl GatewayHost {
+    /// Opens the host's sockets and serves in the background.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::error::Error::Io`] if a socket can't be opened.
+    pub async fn start(
+        settings: GatewaySettings,
+        protocol: Arc<dyn Protocol>,
+        reload: Reload,
+    ) -> Result<Self> {
+        let clock = SystemClock::new();
+        let incarnation = Incarnation(wall_ms());
+        let log = DecisionLog::start(settings.host.clone(), incarnation, clock);
+        GatewayHost::start_with(settings, protocol, reload, clock, log).await
+    }
+
+    /// The same with a log of the caller's.
+    ///
+    /// # Errors
+    ///
+    /// [`crate::error::Error::Io`] if a socket can't be opened.
+    pub async fn start_with(
+        settings: GatewaySettings,
+        protocol: Arc<dyn Protocol>,
+        reload: Reload,
+        clock: SystemClock,
+        log: DecisionLog,
+    ) -> Result<Self> {
+        let telemetry = Telemetry::install();
+        let socket = UdpSocket::bind(settings.gossip_address).await?;
+        let shared = Shared::new(settings, protocol, clock, log);
+        let server = serve_all(&shared, &telemetry)?;
+        actix_rt::spawn(follow::follow(shared.clone(), Topic::Operator));
+        actix_rt::spawn(follow::follow(shared.clone(), Topic::Upstreams));
+        actix_rt::spawn(follow::list_hosts(shared.clone()));
+        actix_rt::spawn(gossip::run(shared.clone(), socket));
+        actix_rt::spawn(ask_seeds(shared.clone()));
+        actix_rt::spawn(lapse(shared.clone()));
+        actix_rt::spawn(keep_up(telemetry));
+        let settings = shared.settings();
+        let line = shared.log().line(EventCode::ProcessStarted);
+        line.with("callers", settings.caller_address.to_string())
+            .with("data_centre", settings.data_centre.as_str())
+            .write();
+        Ok(GatewayHost {
+            shared,
+            reload,
+            server,
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hangup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// The host's state.
+    pub fn shared(&self) -> &Shared {
+        &self.shared
+    }
+
+    /// Serves until a signal, then until everything in flight has ended or the grace is over.
+    pub async fn run(mut self) -> Ended {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => break,
+                _ = self.interrupt.recv() => break,
+                _ = self.hangup.recv() => self.read_settings_again(),
+            }
+        }
+        self.drain().await
+    }
+
+    /// Only the seeds may change while the host runs.
+    fn read_settings_again(&self) {
+        let settings = (self.reload)();
+        let line = self.shared.log().line(EventCode::SettingsReloaded);
+        line.with("read", settings.is_some()).write();
+        if let Some(settings) = settings {
+            let now = self.shared.now();
+            let port = self.shared.gossip_address().port();
+            let seeds = settings.seeds.iter();
+            let addresses = seeds.map(|seed| SocketAddr::new(seed.ip(), port));
+            self.shared.peers(|peers| peers.learn(now, addresses));
+        }
+    }
+
+    /// Not ready at once, but what still arrives is taken until the balancer has noticed.
+    pub async fn drain(self) -> Ended {
+        let began = Instant::now();
+        let gate = self.shared.gate().clone();
+        gate.shut();
+        self.shared.tell_news();
+        let line = self.shared.log().line(EventCode::ShutdownBegan);
+        line.with("in_flight", gate.in_flight()).write();
+        let cut_at = began + self.shared.settings().grace.saturating_sub(EXIT_MARGIN);
+        let quiet_from = (began + BALANCER_NOTICES).min(cut_at);
+        tokio::time::sleep_until(quiet_from).await;
+        while gate.in_flight() > 0 && Instant::now() < cut_at {
+            tokio::time::sleep(DRAIN_POLL).await;
+        }
+        let in_flight = gate.in_flight();
+        let (code, ended) = match in_flight {
+            0 => (EventCode::ShutdownComplete, Ended::Drained),
+            _ => (EventCode::ShutdownForced, Ended::Cut),
+        };
+        let line = self.shared.log().line(code);
+        line.with("in_flight", in_flight).write();
+        self.server.stop(false).await;
+        ended
+    }
+}
+
+/// One server for all addresses; the port that a request came in by says what it is for.
+fn serve_all(shared: &Shared, telemetry: &Telemetry) -> Result<ServerHandle> {
+    let settings = shared.settings().clone();
+    let shared = shared.clone();
+    let telemetry = telemetry.clone();
+    let factory = move || {
+        let front = Front::new(shared.clone());
+        actix_rt::spawn(close_idle(front.clone()));
+        App::new()
+            .app_data(web::Data::new(front))
+            .app_data(web::Data::new(shared.clone()))
+            .app_data(web::Data::new(telemetry.clone()))
+            .default_service(web::to(by_port))
+    };
+    let addresses = [
+        settings.caller_address,
+        settings.ready_address,
+        settings.peer_address,
+        settings.metrics_address,
+    ];
+    let mut server = HttpServer::new(factory)
+        .workers(1)
+        .disable_signals()
+        .keep_alive(KeepAlive::Timeout(CALLER_IDLE))
+        .client_request_timeout(HEAD_TIMEOUT)
+        .tcp_nodelay(true)
+        .h1_allow_half_closed(false);
+    for address in addresses {
+        server = server.listen(TcpListener::bind(address)?)?;
+    }
+    let server = server.run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(handle)
+}
+
+async fn by_port(
+    front: web::Data<Front>,
+    shared: web::Data<Shared>,
+    telemetry: web::Data<Telemetry>,
+    http: HttpRequest,
+    payload: web::Payload,
+) -> HttpResponse {
+    let port = http.app_config().local_addr().port();
+    let settings = shared.settings();
+    if port == settings.caller_address.port() {
+        return serve::serve(front, http, payload).await;
+    }
+    if port == settings.ready_address.port() {
+        return ready(&shared);
+    }
+    if port == settings.metrics_address.port() {
+        return HttpResponse::Ok().body(telemetry.render());
+    }
+    match http.path() {
+        peerfetch::CONFIGURATION_PATH => peerfetch::serve_configuration(shared).await,
+        peerfetch::UPSTREAMS_PATH => peerfetch::serve_upstreams(shared).await,
+        _ => HttpResponse::NotFound().finish(),
+    }
+}
+
+fn ready(shared: &Shared) -> HttpResponse {
+    match shared.is_ready() {
+        true => HttpResponse::Ok().finish(),
+        false => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+/// A host that starts while the log is away takes what its peers have.
+async fn ask_seeds(shared: Shared) {
+    let seeds = shared.settings().seeds.clone();
+    let own = shared.settings().peer_address;
+    loop {
+        tokio::time::sleep(SEED_PAUSE).await;
+        if shared.is_ready() {
+            return;
+        }
+        if !shared.is_log_away() {
+            continue;
+        }
+        for seed in seeds.iter().filter(|seed| **seed != own) {
+            if let Err(error) = peerfetch::fetch_now(&shared, *seed).await {
+                log::debug!("seed {seed}: {error}");
+            }
+        }
+    }
+}
+
+/// Drops beliefs whose time is over.
+async fn lapse(shared: Shared) {
+    loop {
+        tokio::time::sleep(LAPSE_INTERVAL).await;
+        let now = shared.now();
+        shared.loads().with(|loads| loads.lapse(now));
+        let gone = shared.directory(|directory| directory.lapse(now));
+        for id in gone {
+            shared.note_lapsed(&id);
+        }
+    }
+}
+
+async fn close_idle(front: Front) {
+    loop {
+        tokio::time::sleep(LAPSE_INTERVAL).await;
+        front.pool.borrow_mut().close_idle();
+    }
+}
+
+/// Keeps the memory of metrics bounded.
+async fn keep_up(telemetry: Telemetry) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(UPKEEP_INTERVAL_MS)).await;
+        telemetry.upkeep();
+    }
+}
--- /dev/null
+++ b/src/gateway/loads.rs
@@ -0,0 +1,141 @@
+//! What runs at each upstream, by this host's own count and by its peers'.
+//!
+//! Upstreams' own reports are half a second old; the hosts' counts are as old as a datagram.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::clock::Time;
+use crate::id::HostId;
+use crate::id::UpstreamId;
+
+/// What a peer told counts for this long: a few missed datagrams, or a short cut.
+const PEER_COUNT_LASTS: Duration = Duration::from_millis(3_000);
+
+/// Work at an upstream.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Requests.
+    pub requests: u32,
+    /// Tokens of memory that they are predicted to need.
+    pub tokens: u32,
+}
+
+impl Load {
+    fn add(&mut self, other: Load) {
+        self.requests += other.requests;
+        self.tokens += other.tokens;
+    }
+}
+
+/// One host's counts.
+#[derive(Debug, Clone)]
+struct PeerLoads {
+    at: Time,
+    loads: HashMap<UpstreamId, Load>,
+}
+
+/// The counts of all hosts.
+#[derive(Debug, Default)]
+pub struct Loads {
+    own: BTreeMap<UpstreamId, Load>,
+    peers: HashMap<HostId, PeerLoads>,
+}
+
+impl Loads {
+    /// Takes a peer's counts.
+    pub fn hear(&mut self, now: Time, host: HostId, loads: Vec<(UpstreamId, Load)>) {
+        let loads = loads.into_iter().collect();
+        self.peers.insert(host, PeerLoads { at: now, loads });
+    }
+
+    /// Forgets peers that are silent.
+    pub fn lapse(&mut self, now: Time) {
+        self.peers
+            .retain(|_, peer| now.since(peer.at) < PEER_COUNT_LASTS);
+    }
+
+    /// All that runs at an upstream.
+    pub fn at(&self, upstream: &UpstreamId) -> Load {
+        let mut sum = self.own.get(upstream).copied().unwrap_or_default();
+        for peer in self.peers.values() {
+            if let Some(load) = peer.loads.get(upstream) {
+                sum.add(*load);
+            }
+        }
+        sum
+    }
+
+    /// This host's own counts.
+    pub fn own(&self) -> Vec<(UpstreamId, Load)> {
+        let own = self.own.iter();
+        own.map(|(upstream, load)| (upstream.clone(), *load))
+            .collect()
+    }
+
+    fn start(&mut self, upstream: &UpstreamId, load: Load) {
+        self.own.entry(upstream.clone()).or_default().add(load);
+    }
+
+    fn end(&mut self, upstream: &UpstreamId, load: Load) {
+        let Some(sum) = self.own.get_mut(upstream) else {
+            return;
+        };
+        sum.requests = sum.requests.saturating_sub(load.requests);
+        sum.tokens = sum.tokens.saturating_sub(load.tokens);
+        if *sum == Load::default() {
+            self.own.remove(upstream);
+        }
+    }
+}
+
+/// A handle on the counts; clones share them.
+#[derive(Debug, Clone, Default)]
+pub struct LoadBoard(Arc<Mutex<Loads>>);
+
+impl LoadBoard {
+    /// Runs `use_loads` on the counts.
+    pub fn with<T>(&self, use_loads: impl FnOnce(&mut Loads) -> T) -> T {
+        use_loads(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Counts work at an upstream until the guard is dropped.
+    pub fn occupy(&self, upstream: &UpstreamId, tokens: u32) -> Occupied {
+        let load = Load {
+            requests: 1,
+            tokens,
+        };
+        self.with(|loads| loads.start(upstream, load));
+        Occupied {
+            board: self.clone(),
+            upstream: upstream.clone(),
+            load,
+        }
+    }
+}
+
+/// Work that is counted at an upstream.
+#[derive(Debug)]
+pub struct Occupied {
+    board: LoadBoard,
+    upstream: UpstreamId,
+    load: Load,
+}
+
+impl Drop for Occupied {
+    fn drop(&mut self) {
+        let upstream = &self.upstream;
+        let load = self.load;
+        self.board.with(|loads| loads.end(upstream, load));
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/peerfetch.rs
@@ -0,0 +1,111 @@
+//! What a host serves to peers that can't read the log, and how it fetches the same from them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_web::HttpResponse;
+use actix_web::web;
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::event::EventCode;
+use crate::gateway::directory::Upstream;
+use crate::gateway::follow::OwnClient;
+use crate::gateway::protocol::OwnCall;
+use crate::gateway::shared::Shared;
+
+/// Path of the configuration.
+pub const CONFIGURATION_PATH: &str = "/peer/configuration";
+/// Path of the upstreams.
+pub const UPSTREAMS_PATH: &str = "/peer/upstreams";
+/// Each call to a peer.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// A configuration as a peer tells it.
+#[derive(Debug, Serialize, Deserialize)]
+struct ConfigurationPage {
+    key: String,
+    document: String,
+}
+
+/// The upstreams as a peer knows them.
+#[derive(Debug, Serialize, Deserialize)]
+struct UpstreamsPage {
+    offset: u64,
+    upstreams: Vec<(Upstream, u64)>,
+}
+
+/// Serves the configuration in force, or 404 while there is none.
+pub async fn serve_configuration(shared: web::Data<Shared>) -> HttpResponse {
+    match shared.in_force() {
+        Some(held) => HttpResponse::Ok().json(ConfigurationPage {
+            key: held.key,
+            document: String::from_utf8_lossy(&held.document).into_owned(),
+        }),
+        None => HttpResponse::NotFound().finish(),
+    }
+}
+
+/// Serves the list of upstreams.
+pub async fn serve_upstreams(shared: web::Data<Shared>) -> HttpResponse {
+    HttpResponse::Ok().json(shared.directory(|directory| UpstreamsPage {
+        offset: directory.offset(),
+        upstreams: directory.list_all(),
+    }))
+}
+
+/// Fetches what `peer` has newer, after `wait`.
+pub async fn fetch(shared: Shared, peer: SocketAddr, wait: Duration) {
+    tokio::time::sleep(wait).await;
+    if let Err(error) = fetch_now(&shared, peer).await {
+        let line = shared.log().line(EventCode::PeerSuspected);
+        line.with("peer", peer.to_string())
+            .with("reason", error.to_string())
+            .write();
+    }
+    shared.peers(|peers| peers.end_fetch());
+}
+
+/// Fetches both pages. A host that starts while the log is away asks its seeds this way.
+///
+/// # Errors
+///
+/// [`Error::Remote`] if the peer doesn't answer.
+pub async fn fetch_now(shared: &Shared, peer: SocketAddr) -> Result<()> {
+    let mut client = OwnClient::new(peer);
+    let source = peer.to_string();
+    if let Some(body) = get(&mut client, peer, CONFIGURATION_PATH).await? {
+        let page: ConfigurationPage = serde_json::from_slice(&body)?;
+        let document = Bytes::from(page.document);
+        shared.offer_configuration(&page.key, &document, &source);
+    }
+    if let Some(body) = get(&mut client, peer, UPSTREAMS_PATH).await? {
+        let page: UpstreamsPage = serde_json::from_slice(&body)?;
+        let now = shared.now();
+        let changes = shared.directory(|directory| {
+            if page.offset <= directory.offset() {
+                return Vec::new();
+            }
+            directory.replace(now, page.upstreams, page.offset)
+        });
+        shared.directory_changes(changes, &source);
+    }
+    Ok(())
+}
+
+async fn get(client: &mut OwnClient, peer: SocketAddr, path: &str) -> Result<Option<Bytes>> {
+    match client.call(&OwnCall::get(path), FETCH_TIMEOUT).await? {
+        (200, body) => Ok(Some(body)),
+        (404, _) => Ok(None),
+        (status, _) => Err(Error::Remote {
+            peer: peer.to_string(),
+            reason: format!("status {status} for {path}"),
+        }),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/place.rs
@@ -0,0 +1,105 @@
+//! Chooses the upstream of a request: a pure decision over what is known of each.
+
+use std::sync::Arc;
+
+use crate::gateway::directory::Upstream;
+use crate::gateway::loads::Load;
+use crate::id::DataCentre;
+
+/// Cost of leaving the data centre, as a share of an upstream's room. Calls of plain services are
+/// short: a round trip weighs as much as about one request of six that runs there.
+const PLAIN_DISTANCE: f64 = 0.15;
+/// Cost of leaving the data centre for a generation: it lasts seconds, so room goes first.
+const GENERATION_DISTANCE: f64 = 0.02;
+/// Cost of leaving the data centre for a copy of memory, which takes twice as long there.
+const COPY_DISTANCE: f64 = 0.25;
+/// Cost of each request that runs beside, as each slows the steps of the others a little (an
+/// engine's step grows by less than 2% a request).
+const NEIGHBOUR_COST: f64 = 0.008;
+/// Random part of a score, so that hosts that see the same don't choose the same.
+const JITTER: f64 = 0.03;
+
+/// What a request needs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Need {
+    /// A slot of a plain service.
+    Slot,
+    /// Memory of an engine for a new generation, in tokens, out of the engine's whole.
+    Memory {
+        /// Tokens that it is predicted to need.
+        tokens: u32,
+        /// Tokens that an engine holds.
+        memory_tokens: u32,
+    },
+    /// The same for the copy of a running one.
+    Copy {
+        /// Tokens that it is predicted to need.
+        tokens: u32,
+        /// Tokens that an engine holds.
+        memory_tokens: u32,
+    },
+}
+
+/// An upstream that may be chosen.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// The upstream.
+    pub upstream: Arc<Upstream>,
+    /// What runs there.
+    pub load: Load,
+    /// Whether its recent failures speak against it.
+    pub doubtful: bool,
+}
+
+/// The share of a candidate's room that would be taken; lower is better.
+fn score(need: Need, candidate: &Candidate, here: &DataCentre) -> f64 {
+    let away = candidate.upstream.data_centre != *here;
+    let distance = if away { 1.0 } else { 0.0 };
+    let slots = f64::from(candidate.upstream.slots.max(1));
+    let requests = f64::from(candidate.load.requests);
+    match need {
+        Need::Slot => (requests + 1.0) / slots + distance * PLAIN_DISTANCE,
+        Need::Memory {
+            tokens,
+            memory_tokens,
+        } => {
+            memory_share(candidate, tokens, memory_tokens)
+                + requests * NEIGHBOUR_COST
+                + distance * GENERATION_DISTANCE
+        }
+        Need::Copy {
+            tokens,
+            memory_tokens,
+        } => {
+            memory_share(candidate, tokens, memory_tokens)
+                + requests * NEIGHBOUR_COST
+                + distance * COPY_DISTANCE
+        }
+    }
+}
+
+fn memory_share(candidate: &Candidate, tokens: u32, memory_tokens: u32) -> f64 {
+    f64::from(candidate.load.tokens + tokens) / f64::from(memory_tokens.max(1))
+}
+
+/// The best candidate for a request of a caller in `here`; doubtful ones only where there is no
+/// other. `draw` gives random numbers from 0 to 1.
+pub fn choose(
+    need: Need,
+    candidates: &[Candidate],
+    here: &DataCentre,
+    mut draw: impl FnMut() -> f64,
+) -> Option<Candidate> {
+    let sound = candidates.iter().filter(|candidate| !candidate.doubtful);
+    let pool: Vec<&Candidate> = match sound.clone().next() {
+        Some(_) => sound.collect(),
+        None => candidates.iter().collect(),
+    };
+    pool.into_iter()
+        .map(|candidate| (score(need, candidate, here) + draw() * JITTER, candidate))
+        .min_by(|(left, _), (right, _)| left.total_cmp(right))
+        .map(|(_, candidate)| candidate.clone())
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/pool.rs
@@ -0,0 +1,51 @@
+//! Idle connections to upstreams, kept for requests that may run again.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::gateway::connection::Connection;
+
+/// An idle connection is closed after this time. Upstreams announce timeouts in whole seconds, and
+/// some drop idle connections sooner without a word.
+const IDLE_MAX: Duration = Duration::from_millis(900);
+/// Idle connections kept to one address.
+const IDLE_CONNECTIONS_MAX: usize = 4;
+
+/// Idle connections by address.
+#[derive(Debug, Default)]
+pub struct Pool {
+    idle: HashMap<SocketAddr, Vec<(Connection, Instant)>>,
+}
+
+impl Pool {
+    /// An idle connection that still looks alive.
+    pub fn take(&mut self, address: SocketAddr) -> Option<Connection> {
+        let connections = self.idle.get_mut(&address)?;
+        while let Some((connection, since)) = connections.pop() {
+            if since.elapsed() < IDLE_MAX && connection.is_usable() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose answer was read to its end.
+    pub fn put(&mut self, address: SocketAddr, connection: Connection) {
+        let connections = self.idle.entry(address).or_default();
+        if connections.len() < IDLE_CONNECTIONS_MAX {
+            connections.push((connection, Instant::now()));
+        }
+    }
+
+    /// Closes connections that were idle for too long.
+    pub fn close_idle(&mut self) {
+        for connections in self.idle.values_mut() {
+            connections
+                .retain(|(connection, since)| since.elapsed() < IDLE_MAX && connection.is_usable());
+        }
+        self.idle.retain(|_, connections| !connections.is_empty());
+    }
+}
--- /dev/null
+++ b/src/gateway/protocol.rs
@@ -0,0 +1,248 @@
+//! What differs between platforms: names, formats and paths. An adapter implements
+//! [`Protocol`]; it makes no calls and decides nothing.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+
+use crate::error::Result;
+use crate::gateway::configuration::Configuration;
+use crate::gateway::directory::Upstream;
+
+/// The keyed topics of the log that the gateway uses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Topic {
+    /// What operators publish.
+    Operator,
+    /// Upstreams list themselves.
+    Upstreams,
+    /// Entry hosts list themselves.
+    Hosts,
+}
+
+impl Topic {
+    /// The topic's name in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Topic::Operator => "operator",
+            Topic::Upstreams => "upstreams",
+            Topic::Hosts => "hosts",
+        }
+    }
+}
+
+/// A record of a keyed topic.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Record {
+    /// What it is about.
+    pub key: String,
+    /// None where the key was removed.
+    pub value: Option<Bytes>,
+    /// Its position.
+    pub offset: u64,
+}
+
+/// A page of the newest record of each key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NewestPage {
+    /// The records, by key.
+    pub records: Vec<Record>,
+    /// Whether there are more keys after the last one.
+    pub more: bool,
+    /// The offset after the log's last record.
+    pub end: u64,
+}
+
+/// Records read in order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReadBatch {
+    /// The records; their offsets rise by one from where the read began.
+    pub records: Vec<Record>,
+    /// The offset to read from next.
+    pub next: u64,
+}
+
+/// A call that the gateway makes itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OwnCall {
+    /// Its method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Its body.
+    pub body: Bytes,
+    /// The body's type, if it has one.
+    pub content_type: Option<&'static str>,
+}
+
+impl OwnCall {
+    /// A call without a body.
+    pub fn get(path: impl Into<String>) -> Self {
+        OwnCall {
+            method: Method::GET,
+            path: path.into(),
+            body: Bytes::new(),
+            content_type: None,
+        }
+    }
+}
+
+/// The size of a generation as its caller tells it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct GenerationSize {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Most tokens it may produce.
+    pub output_tokens_max: u32,
+    /// The caller's own estimate of what it will produce.
+    pub output_tokens_hint: Option<u32>,
+}
+
+/// An engine's report on itself; some hundred milliseconds old.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct EngineReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Tokens of memory that cannot yield.
+    pub used_tokens: u32,
+    /// Tokens of memory.
+    pub memory_tokens: u32,
+    /// Time until it ends, if it is leaving and knows.
+    pub leaves_in: Option<Duration>,
+}
+
+/// What came of copying a generation's memory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CopyDone {
+    /// Names the copy.
+    pub handle: String,
+    /// Events produced so far.
+    pub events: u64,
+}
+
+/// Load that an upstream tells with an answer.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AnswerLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+}
+
+/// Names of the headers that the gateway reads or sets.
+#[derive(Debug, Clone)]
+pub struct HeaderNames {
+    /// The request's id, chosen by the caller and echoed by the upstream.
+    pub request_id: HeaderName,
+    /// Time left, in milliseconds.
+    pub deadline_ms: HeaderName,
+    /// The customer's name, for the upstream.
+    pub customer: HeaderName,
+    /// The instance that a request is meant for.
+    pub expected_instance: HeaderName,
+    /// In an answer: the upstream did not run the request.
+    pub not_run: HeaderName,
+    /// In an answer: the upstream's signature over it.
+    pub signature: HeaderName,
+    /// The engine's priority for the request; 0 is first.
+    pub priority: HeaderName,
+    /// Continue from the copy that the value names.
+    pub continue_from: HeaderName,
+    /// The last event that the caller has.
+    pub last_event: HeaderName,
+    /// The engine that keeps a copy up to date.
+    pub backup_at: HeaderName,
+    /// Load of the upstream, in its answers.
+    pub load: HeaderName,
+    /// Headers of callers that are the system's to set; never passed on.
+    pub reserved: Vec<HeaderName>,
+    /// The scheme before a key in the `Authorization` header.
+    pub key_scheme: &'static str,
+}
+
+/// One platform's names, formats and paths.
+pub trait Protocol: std::fmt::Debug + Send + Sync {
+    /// Names of headers.
+    fn headers(&self) -> &HeaderNames;
+
+    /// Reads the newest record of each key after the key `after`.
+    fn newest_call(&self, topic: Topic, after: Option<&str>) -> OwnCall;
+
+    /// The answer to [`Protocol::newest_call`].
+    ///
+    /// # Errors
+    ///
+    /// If it isn't one.
+    fn decode_newest(&self, body: &[u8]) -> Result<NewestPage>;
+
+    /// Reads records from `from` on, waiting up to `wait` for the first.
+    fn read_call(&self, topic: Topic, from: u64, wait: Duration) -> OwnCall;
+
+    /// The answer to [`Protocol::read_call`] from `from` on.
+    ///
+    /// # Errors
+    ///
+    /// If it isn't one.
+    fn decode_read(&self, from: u64, body: &Bytes) -> Result<ReadBatch>;
+
+    /// Appends one record to a keyed topic of the system's own.
+    fn append_call(&self, topic: Topic, key: &str, value: &[u8]) -> OwnCall;
+
+    /// The configuration in a record of [`Topic::Operator`], or none where the record is something
+    /// else.
+    ///
+    /// # Errors
+    ///
+    /// If it is a configuration but can't be read.
+    fn configuration(&self, key: &str, value: &[u8]) -> Result<Option<Configuration>>;
+
+    /// The upstream in a record of [`Topic::Upstreams`].
+    ///
+    /// # Errors
+    ///
+    /// If it can't be read.
+    fn upstream(&self, key: &str, value: &[u8]) -> Result<Upstream>;
+
+    /// The size of the generation that a request asks for.
+    fn generation_size(&self, headers: &HeaderMap) -> Option<GenerationSize>;
+
+    /// The load that an answer tells.
+    fn answer_load(&self, value: &HeaderValue) -> Option<AnswerLoad>;
+
+    /// Asks an engine for its report.
+    fn report_call(&self) -> OwnCall;
+
+    /// The answer to [`Protocol::report_call`].
+    ///
+    /// # Errors
+    ///
+    /// If it isn't one.
+    fn decode_report(&self, body: &[u8]) -> Result<EngineReport>;
+
+    /// Copies the memory of the run `request_id` to the engine at `to`; with `last` the run stops
+    /// first.
+    fn copy_call(&self, request_id: &str, to: SocketAddr, last: bool) -> OwnCall;
+
+    /// The answer to [`Protocol::copy_call`].
+    ///
+    /// # Errors
+    ///
+    /// If it isn't one.
+    fn decode_copy(&self, body: &[u8]) -> Result<CopyDone>;
+
+    /// Frees the copy `handle`; sent to its source.
+    fn free_copy_call(&self, handle: &str) -> OwnCall;
+
+    /// The value of `continue_from` for the copy `handle` whose source listens at `source`. Of a
+    /// backup the handle is the request's id and the source the engine that holds it.
+    fn continue_value(&self, source: SocketAddr, handle: &str) -> HeaderValue;
+}
--- /dev/null
+++ b/src/gateway/rescue.rs
@@ -0,0 +1,106 @@
+//! Moves running generations off engines that are leaving.
+//!
+//! A move has two parts. The first copies the generation's memory to another engine while it runs,
+//! at once, because the copies of all runs of the engine share its link. The second stops the run,
+//! copies what was added meanwhile and continues at the other engine. It waits until the first
+//! parts of the other runs should be done, since a stopped run that waits behind their copies
+//! would stand still for its caller.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::gateway::directory::Upstream;
+use crate::gateway::follow::OwnClient;
+use crate::gateway::protocol::CopyDone;
+use crate::gateway::protocol::EngineReport;
+use crate::gateway::shared::Shared;
+
+/// A copy of the largest generation over a link that others use takes less than this.
+const COPY_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Reports and orders to free a copy are answered at once.
+const SHORT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Why a copy was not made.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CopyFailure {
+    /// The engine runs no such request: it has ended or not begun.
+    NoSuchRun,
+    /// Another copy of the run is under way.
+    Busy,
+    /// No room at the destination, or it can't be reached. Where the run was stopped the source
+    /// keeps its memory under the handle.
+    NoRoom(Option<String>),
+    /// What became of it is not known.
+    Unknown(String),
+}
+
+impl CopyFailure {
+    /// The failure in logs.
+    pub fn describe(&self) -> String {
+        match self {
+            CopyFailure::NoSuchRun => "no such run".to_owned(),
+            CopyFailure::Busy => "busy".to_owned(),
+            CopyFailure::NoRoom(_) => "no room".to_owned(),
+            CopyFailure::Unknown(reason) => reason.clone(),
+        }
+    }
+}
+
+/// Copies a run's memory to another engine; with `last` the run stops first.
+///
+/// # Errors
+///
+/// A [`CopyFailure`].
+pub async fn copy(
+    shared: &Shared,
+    source: &Upstream,
+    request_id: &str,
+    to: &Upstream,
+    last: bool,
+) -> std::result::Result<CopyDone, CopyFailure> {
+    let call = shared.protocol().copy_call(request_id, to.address, last);
+    let mut client = OwnClient::new(source.address);
+    let (status, body) = client
+        .call(&call, COPY_TIMEOUT)
+        .await
+        .map_err(|error| CopyFailure::Unknown(error.to_string()))?;
+    let decoded = shared.protocol().decode_copy(&body);
+    match status {
+        200 => decoded.map_err(|error| CopyFailure::Unknown(error.to_string())),
+        404 => Err(CopyFailure::NoSuchRun),
+        409 => Err(CopyFailure::Busy),
+        503 => Err(CopyFailure::NoRoom(decoded.ok().map(|done| done.handle))),
+        status => Err(CopyFailure::Unknown(format!("status {status}"))),
+    }
+}
+
+/// Asks an engine for its report.
+///
+/// # Errors
+///
+/// [`Error::Remote`] if it doesn't give one.
+pub async fn report(shared: &Shared, engine: &Upstream) -> Result<EngineReport> {
+    let mut client = OwnClient::new(engine.address);
+    let (status, body) = client
+        .call(&shared.protocol().report_call(), SHORT_TIMEOUT)
+        .await?;
+    if status != 200 {
+        return Err(Error::Remote {
+            peer: engine.address.to_string(),
+            reason: format!("status {status}"),
+        });
+    }
+    shared.protocol().decode_report(&body)
+}
+
+/// Frees a copy that is not needed any more.
+pub async fn free(shared: Shared, source: Arc<Upstream>, handle: String) {
+    let mut client = OwnClient::new(source.address);
+    let call = shared.protocol().free_copy_call(&handle);
+    if let Err(error) = client.call(&call, SHORT_TIMEOUT).await {
+        // The copy ends by itself after a while.
+        log::debug!("copy {handle}: {error}");
+    }
+}
--- /dev/null
+++ b/src/gateway/serve.rs
@@ -0,0 +1,296 @@
+//! The path of a request: route, identify, read, then call or stream.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::StreamExt;
+use tokio::time::Instant;
+
+use crate::ejection::Health;
+use crate::event::EventCode;
+use crate::gate::Pass;
+use crate::gateway::call;
+use crate::gateway::configuration::Configuration;
+use crate::gateway::configuration::EngineSpec;
+use crate::gateway::decisions::Line;
+use crate::gateway::forward;
+use crate::gateway::forward::CallerRequest;
+use crate::gateway::identity;
+use crate::gateway::identity::Caller;
+use crate::gateway::place;
+use crate::gateway::place::Candidate;
+use crate::gateway::place::Need;
+use crate::gateway::pool::Pool;
+use crate::gateway::protocol::GenerationSize;
+use crate::gateway::refuse;
+use crate::gateway::route::Route;
+use crate::gateway::route::RouteKind;
+use crate::gateway::shared::Shared;
+use crate::gateway::stream;
+use crate::id::CustomerId;
+use crate::id::RequestId;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+use crate::refusal::Code;
+use crate::refusal::Refusal;
+use crate::telemetry;
+
+/// What is assumed of a generation that tells nothing of its size, in tokens.
+const UNKNOWN_SIZE: GenerationSize = GenerationSize {
+    prompt_tokens: 1_000,
+    output_tokens_max: 1_000,
+    output_tokens_hint: None,
+};
+
+/// What one worker's handlers use.
+#[derive(Debug, Clone)]
+pub struct Front {
+    /// The host's state.
+    pub shared: Shared,
+    /// Idle connections to upstreams.
+    pub pool: Rc<RefCell<Pool>>,
+}
+
+impl Front {
+    /// The state of one worker thread.
+    pub fn new(shared: Shared) -> Self {
+        Front {
+            shared,
+            pool: Rc::default(),
+        }
+    }
+}
+
+/// A request that passed the filters before the upstream.
+#[derive(Debug)]
+pub struct Admitted {
+    /// What the caller sent.
+    pub request: CallerRequest,
+    /// Its id, for logs.
+    pub id: String,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that its route chose.
+    pub service: ServiceId,
+    /// The service's engines, if it runs generations.
+    pub engine: Option<EngineSpec>,
+    /// Whose it is.
+    pub customer: Option<CustomerId>,
+    /// Its rank; 0 is the most urgent.
+    pub priority: u8,
+    /// When its head was read.
+    pub arrived: Instant,
+    /// When the caller or the route gives up.
+    pub deadline: Instant,
+    /// The version of the configuration that it is served by.
+    pub config_version: u64,
+    /// Counts it until it ends.
+    pub pass: Pass,
+}
+
+impl Admitted {
+    /// What is left of its time.
+    pub fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// A log line of this request.
+    pub fn line(&self, shared: &Shared, code: EventCode) -> Line {
+        let ms = self.arrived.elapsed().as_secs_f64() * 1_000.0;
+        let line = shared.log().line(code);
+        line.with("request", self.id.as_str())
+            .with("route", self.route.name.as_str())
+            .with("kind", self.route.kind.name())
+            .with("service", self.service.as_str())
+            .with("config", self.config_version)
+            .with("after_ms", ms)
+    }
+
+    /// Refuses or fails the request; writes the line that says why.
+    pub fn refuse(&self, shared: &Shared, refusal: &Refusal) -> HttpResponse {
+        let line = self.line(shared, EventCode::RequestRefused);
+        line.with("code", refusal.code.name())
+            .with("ran", format!("{:?}", refusal.ran))
+            .with("message", refusal.message.as_str())
+            .write();
+        telemetry::count_refusal(Some(&self.service), refusal.code);
+        refuse::answer(refusal, shared.gate().is_shutting_down())
+    }
+
+    /// What the caller says of the generation's size.
+    pub fn size(&self, shared: &Shared) -> GenerationSize {
+        let size = shared.protocol().generation_size(&self.request.headers);
+        size.unwrap_or(UNKNOWN_SIZE)
+    }
+
+    /// Chooses an upstream for `need`, but none of `avoid`.
+    pub fn place(&self, shared: &Shared, need: Need, avoid: &[UpstreamId]) -> Option<Candidate> {
+        let candidates = candidates(shared, &self.service, avoid);
+        let here = &shared.settings().data_centre;
+        place::choose(need, &candidates, here, rand::random::<f64>)
+    }
+}
+
+/// The upstreams of a service that may be chosen.
+pub fn candidates(shared: &Shared, service: &ServiceId, avoid: &[UpstreamId]) -> Vec<Candidate> {
+    let now = shared.now();
+    let ready = shared.directory(|directory| directory.ready(service));
+    let loads = shared.loads();
+    ready
+        .into_iter()
+        .filter(|upstream| !avoid.contains(&upstream.id))
+        .map(|upstream| Candidate {
+            load: loads.with(|loads| loads.at(&upstream.id)),
+            doubtful: shared.ejector(|ejector| ejector.health(now, &upstream.id))
+                == Health::Ejected,
+            upstream,
+        })
+        .collect()
+}
+
+/// Serves one request of a caller.
+pub async fn serve(
+    front: web::Data<Front>,
+    http: HttpRequest,
+    payload: web::Payload,
+) -> HttpResponse {
+    let front = front.get_ref();
+    match admit(front, &http, payload).await {
+        Ok(admitted) => match admitted.route.kind {
+            RouteKind::Stream => stream::run(front, admitted).await,
+            RouteKind::Idempotent | RouteKind::Once => call::run(front, admitted).await,
+        },
+        Err(response) => response,
+    }
+}
+
+/// The filters before the upstream.
+async fn admit(
+    front: &Front,
+    http: &HttpRequest,
+    payload: web::Payload,
+) -> Result<Admitted, HttpResponse> {
+    let shared = &front.shared;
+    let arrived = Instant::now();
+    let pass = shared.gate().enter(RequestId::generate());
+    let headers = forward::headers_of(http);
+    let request = CallerRequest {
+        method: http::Method::from_bytes(http.method().as_str().as_bytes()).unwrap_or_default(),
+        target: target_of(http),
+        headers,
+        body: Bytes::new(),
+    };
+    let names = shared.protocol().headers();
+    let id = request.text(&names.request_id).unwrap_or("").to_owned();
+    let reject = |refusal: Refusal| reject(shared, &id, &request, &refusal);
+    let Some(configuration) = shared.configuration() else {
+        let refusal = Refusal::not_run(Code::NotReady, "the host has no configuration yet");
+        return Err(reject(refusal));
+    };
+    let (route, service) = find_route(&configuration, http)
+        .ok_or_else(|| reject(stale_or(shared, Code::UnknownService, "no route matches")))?;
+    let customer =
+        match identity::identify(&configuration, &route, &request.headers, names.key_scheme) {
+            Caller::Known(customer) => Some(customer),
+            Caller::Anonymous => None,
+            Caller::Unauthorized => {
+                let refusal = stale_or(shared, Code::Unauthorized, "the key names no customer");
+                return Err(reject(refusal));
+            }
+        };
+    let body = read_body(payload, configuration.limits.body_bytes_max)
+        .await
+        .map_err(reject)?;
+    let timeout = caller_timeout(&request, names).min(route.timeout);
+    let own_priority = customer.as_ref().and_then(|customer| customer.priority);
+    Ok(Admitted {
+        request: CallerRequest { body, ..request },
+        id,
+        engine: configuration.engine(&service).cloned(),
+        customer: customer.map(|customer| customer.name.clone()),
+        priority: own_priority.unwrap_or(route.priority),
+        service,
+        route,
+        arrived,
+        deadline: arrived + timeout,
+        config_version: configuration.version,
+        pass,
+    })
+}
+
+fn target_of(http: &HttpRequest) -> String {
+    let uri = http.uri();
+    match uri.path_and_query() {
+        Some(target) => target.as_str().to_owned(),
+        None => uri.path().to_owned(),
+    }
+}
+
+fn find_route(
+    configuration: &Configuration,
+    http: &HttpRequest,
+) -> Option<(Arc<Route>, ServiceId)> {
+    let host = http
+        .headers()
+        .get("host")
+        .and_then(|value| value.to_str().ok())
+        .or_else(|| http.uri().host())?;
+    let route = configuration.routes.find(host, http.uri().path())?;
+    let service = route.service(rand::random())?;
+    Some((route.clone(), service.clone()))
+}
+
+/// A host that may have missed a configuration doesn't deny what a newer one may allow.
+fn stale_or(shared: &Shared, code: Code, message: &str) -> Refusal {
+    if shared.is_log_away() {
+        let message = format!("{message}, and the configuration may be stale");
+        return Refusal::not_run(Code::NotReady, message);
+    }
+    Refusal::not_run(code, message)
+}
+
+fn caller_timeout(
+    request: &CallerRequest,
+    names: &crate::gateway::protocol::HeaderNames,
+) -> Duration {
+    let asked = request.text(&names.deadline_ms);
+    let asked_ms = asked.and_then(|text| text.trim().parse::<f64>().ok());
+    let asked_ms = asked_ms.filter(|ms| ms.is_finite() && *ms >= 0.0);
+    asked_ms.map_or(Duration::MAX, |ms| Duration::from_secs_f64(ms / 1_000.0))
+}
+
+async fn read_body(mut payload: web::Payload, bytes_max: usize) -> Result<Bytes, Refusal> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|error| {
+            Refusal::not_run(Code::InvalidRequest, format!("the body broke off: {error}"))
+        })?;
+        if body.len() + chunk.len() > bytes_max {
+            let message = format!("the body is longer than {bytes_max} bytes");
+            return Err(Refusal::not_run(Code::TooLarge, message));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+/// Refuses a request that no route or customer is known of.
+fn reject(shared: &Shared, id: &str, request: &CallerRequest, refusal: &Refusal) -> HttpResponse {
+    let line = shared.log().line(EventCode::RequestRefused);
+    line.with("request", id)
+        .with("target", request.target.as_str())
+        .with("code", refusal.code.name())
+        .with("config", shared.config_version())
+        .with("log_away", shared.is_log_away())
+        .with("message", refusal.message.as_str())
+        .write();
+    telemetry::count_refusal(None, refusal.code);
+    refuse::answer(refusal, shared.gate().is_shutting_down())
+}
--- /dev/null
+++ b/src/gateway/settings.rs
@@ -0,0 +1,37 @@
+//! Settings of a gateway host.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_builder::Builder;
+
+use crate::gateway::retrybudget::RetryBudgetOptions;
+use crate::id::DataCentre;
+use crate::id::HostId;
+
+/// What a gateway host is told at its start.
+#[derive(Debug, Clone, PartialEq, Builder)]
+pub struct GatewaySettings {
+    /// Its name.
+    pub host: HostId,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Where readiness is asked.
+    pub ready_address: SocketAddr,
+    /// Where other hosts fetch what they lack.
+    pub peer_address: SocketAddr,
+    /// Where datagrams of other hosts arrive; all hosts use the same port.
+    pub gossip_address: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_address: SocketAddr,
+    /// Peer addresses of a few hosts; may be stale.
+    pub seeds: Vec<SocketAddr>,
+    /// The platform's log.
+    pub log_address: SocketAddr,
+    /// The shared bound on retries.
+    pub retries: RetryBudgetOptions,
+    /// Time between SIGTERM and the kill that follows.
+    pub grace: Duration,
+}
--- /dev/null
+++ b/src/gateway/shared.rs
@@ -0,0 +1,341 @@
+//! What all parts of a gateway host share: the configuration in force, the upstreams, the peers,
+//! the loads, and the log of decisions.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use tokio::sync::watch;
+
+use crate::clock::SystemClock;
+use crate::clock::Time;
+use crate::ejection::Ejector;
+use crate::event::EventCode;
+use crate::gate::Gate;
+use crate::gateway::configuration::Configuration;
+use crate::gateway::decisions::DecisionLog;
+use crate::gateway::directory::Directory;
+use crate::gateway::directory::DirectoryChange;
+use crate::gateway::gossip::Peers;
+use crate::gateway::loads::LoadBoard;
+use crate::gateway::protocol::Protocol;
+use crate::gateway::retrybudget::SharedRetryBudget;
+use crate::gateway::settings::GatewaySettings;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+
+/// At most this share of a service's upstreams is ejected at once, in percent.
+const EJECTED_PERCENT_MAX: usize = 50;
+
+/// A configuration with the document it was read from, which peers may fetch.
+#[derive(Debug, Clone)]
+pub struct InForce {
+    /// What is in force.
+    pub configuration: Arc<Configuration>,
+    /// The record's key.
+    pub key: String,
+    /// The record's value.
+    pub document: Bytes,
+}
+
+/// Shared state of a host; clones are handles.
+#[derive(Debug, Clone)]
+pub struct Shared(Arc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    settings: GatewaySettings,
+    protocol: Arc<dyn Protocol>,
+    clock: SystemClock,
+    log: DecisionLog,
+    gate: Arc<Gate>,
+    loads: LoadBoard,
+    in_force: RwLock<Option<InForce>>,
+    directory: Mutex<Directory>,
+    directory_changed: watch::Sender<u64>,
+    peers: Mutex<Peers>,
+    ejector: Mutex<Ejector>,
+    budgets: Mutex<HashMap<ServiceId, SharedRetryBudget>>,
+    log_away: AtomicBool,
+    news: watch::Sender<u64>,
+    config_version: AtomicU64,
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    /// The state of a host that knows nothing yet.
+    pub fn new(
+        settings: GatewaySettings,
+        protocol: Arc<dyn Protocol>,
+        clock: SystemClock,
+        log: DecisionLog,
+    ) -> Self {
+        let peers = Peers::new(settings.gossip_address, &settings.seeds);
+        Shared(Arc::new(Inner {
+            settings,
+            protocol,
+            clock,
+            log,
+            gate: Gate::new(),
+            loads: LoadBoard::default(),
+            in_force: RwLock::new(None),
+            directory: Mutex::default(),
+            directory_changed: watch::channel(0).0,
+            peers: Mutex::new(peers),
+            ejector: Mutex::new(Ejector::new(Default::default())),
+            budgets: Mutex::default(),
+            log_away: AtomicBool::new(true),
+            news: watch::channel(0).0,
+            config_version: AtomicU64::new(0),
+        }))
+    }
+
+    /// The host's settings.
+    pub fn settings(&self) -> &GatewaySettings {
+        &self.0.settings
+    }
+
+    /// The platform's names and formats.
+    pub fn protocol(&self) -> &dyn Protocol {
+        self.0.protocol.as_ref()
+    }
+
+    /// Monotonic time.
+    pub fn now(&self) -> Time {
+        self.0.clock.now()
+    }
+
+    /// The log of decisions.
+    pub fn log(&self) -> &DecisionLog {
+        &self.0.log
+    }
+
+    /// Readiness and requests in flight.
+    pub fn gate(&self) -> &Arc<Gate> {
+        &self.0.gate
+    }
+
+    /// What runs where.
+    pub fn loads(&self) -> &LoadBoard {
+        &self.0.loads
+    }
+
+    /// Runs `use_directory` on the upstreams.
+    pub fn directory<T>(&self, use_directory: impl FnOnce(&mut Directory) -> T) -> T {
+        use_directory(&mut locked(&self.0.directory))
+    }
+
+    /// Runs `use_peers` on the other hosts.
+    pub fn peers<T>(&self, use_peers: impl FnOnce(&mut Peers) -> T) -> T {
+        use_peers(&mut locked(&self.0.peers))
+    }
+
+    /// The configuration in force.
+    pub fn in_force(&self) -> Option<InForce> {
+        let in_force = self.0.in_force.read();
+        in_force.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// The configuration in force, without its document.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        let in_force = self.0.in_force.read();
+        let in_force = in_force.unwrap_or_else(PoisonError::into_inner);
+        in_force.as_ref().map(|held| held.configuration.clone())
+    }
+
+    /// The version in force; 0 while there is none.
+    pub fn config_version(&self) -> u64 {
+        self.0.config_version.load(Ordering::Relaxed)
+    }
+
+    /// Takes a configuration document, unless one as new is in force. `source` says where it came
+    /// from.
+    pub fn offer_configuration(&self, key: &str, document: &Bytes, source: &str) {
+        let configuration = match self.protocol().configuration(key, document) {
+            Ok(Some(configuration)) => configuration,
+            Ok(None) => return,
+            Err(error) => {
+                let line = self.log().line(EventCode::RecordSkipped);
+                line.with("source", source)
+                    .with("key", key)
+                    .with("reason", error.to_string())
+                    .write();
+                return;
+            }
+        };
+        let version = configuration.version;
+        {
+            let in_force = self.0.in_force.write();
+            let mut in_force = in_force.unwrap_or_else(PoisonError::into_inner);
+            let current = in_force.as_ref().map(|held| held.configuration.version);
+            if current.is_some_and(|current| current >= version) {
+                return;
+            }
+            *in_force = Some(InForce {
+                configuration: Arc::new(configuration),
+                key: key.to_owned(),
+                document: document.clone(),
+            });
+            self.0.config_version.store(version, Ordering::Relaxed);
+        }
+        let line = self.log().line(EventCode::ConfigReady);
+        line.with("version", version).with("source", source).write();
+        self.tell_news();
+    }
+
+    /// Records changes of the directory and wakes whom they concern.
+    pub fn directory_changes(&self, changes: Vec<(UpstreamId, DirectoryChange)>, source: &str) {
+        if changes.is_empty() {
+            return;
+        }
+        for (id, change) in changes {
+            let code = match change {
+                DirectoryChange::Leaving | DirectoryChange::Removed => EventCode::UpstreamLeaving,
+                DirectoryChange::Missing => EventCode::UpstreamLost,
+                DirectoryChange::Added | DirectoryChange::Changed => EventCode::UpstreamBack,
+            };
+            if change == DirectoryChange::Removed {
+                locked(&self.0.ejector).forget(&id);
+            }
+            let (address, offset) = self.directory(|directory| {
+                let address = directory.get(&id).map(|upstream| upstream.address);
+                (address, directory.offset())
+            });
+            let line = self.log().line(code);
+            line.with("upstream", id.as_str())
+                .with_some("address", address.map(|address| address.to_string()))
+                .with("change", change.name())
+                .with("offset", offset)
+                .with("source", source)
+                .write();
+        }
+        self.0.directory_changed.send_modify(|count| *count += 1);
+        self.tell_news();
+    }
+
+    /// An upstream was seen leaving or gone.
+    pub fn witness_leaving(&self, upstream: &UpstreamId, reason: &str) {
+        let now = self.now();
+        if !self.directory(|directory| directory.witness(now, upstream)) {
+            return;
+        }
+        let line = self.log().line(EventCode::UpstreamLeaving);
+        line.with("upstream", upstream.as_str())
+            .with("change", "witnessed")
+            .with("source", reason)
+            .write();
+        self.0.directory_changed.send_modify(|count| *count += 1);
+        self.tell_news();
+    }
+
+    /// Wakes at each change of the directory.
+    pub fn directory_watch(&self) -> watch::Receiver<u64> {
+        self.0.directory_changed.subscribe()
+    }
+
+    /// Wakes when peers should be told something at once.
+    pub fn news_watch(&self) -> watch::Receiver<u64> {
+        self.0.news.subscribe()
+    }
+
+    /// Has the next datagram go out at once.
+    pub fn tell_news(&self) {
+        self.0.news.send_modify(|count| *count += 1);
+    }
+
+    /// An upstream that was missing since an outage of the log counts as gone.
+    pub fn note_lapsed(&self, id: &UpstreamId) {
+        let change = DirectoryChange::Removed;
+        self.directory_changes(vec![(id.clone(), change)], "missing since the log's return");
+    }
+
+    /// Whether the platform's log can't be read now: what this host believes may be stale.
+    pub fn is_log_away(&self) -> bool {
+        self.0.log_away.load(Ordering::Relaxed)
+    }
+
+    /// The log was lost or came back.
+    pub fn set_log_away(&self, away: bool, reason: &str) {
+        if self.0.log_away.swap(away, Ordering::Relaxed) == away {
+            return;
+        }
+        let now = self.now();
+        let code = match away {
+            true => EventCode::ConfigLogUnreachable,
+            false => EventCode::ConfigLogReachable,
+        };
+        self.directory(|directory| match away {
+            true => directory.log_lost(),
+            false => directory.log_back(now),
+        });
+        let line = self.log().line(code);
+        line.with("reason", reason)
+            .with("version", self.config_version())
+            .write();
+    }
+
+    /// Whether the host can serve requests.
+    pub fn is_ready(&self) -> bool {
+        !self.gate().is_shutting_down()
+            && self.configuration().is_some()
+            && self.directory(|directory| !directory.is_empty())
+    }
+
+    /// Hosts that share bounds, this one among them.
+    pub fn hosts(&self) -> usize {
+        let now = self.now();
+        self.peers(|peers| peers.live(now)) + 1
+    }
+
+    /// Runs `use_budget` on the retry budget of a service.
+    pub fn budget<T>(
+        &self,
+        service: &ServiceId,
+        use_budget: impl FnOnce(&mut SharedRetryBudget) -> T,
+    ) -> T {
+        let mut budgets = locked(&self.0.budgets);
+        if !budgets.contains_key(service) {
+            let budget = SharedRetryBudget::new(self.settings().retries);
+            budgets.insert(service.clone(), budget);
+        }
+        let budget = budgets
+            .get_mut(service)
+            .expect("the budget was just inserted");
+        use_budget(budget)
+    }
+
+    /// Runs `use_ejector` on what is known of upstreams' failures.
+    pub(crate) fn ejector<T>(&self, use_ejector: impl FnOnce(&mut Ejector) -> T) -> T {
+        use_ejector(&mut locked(&self.0.ejector))
+    }
+
+    /// A request at an upstream failed by the upstream's fault.
+    pub fn upstream_failed(&self, service: &ServiceId, upstream: &UpstreamId, reason: &str) {
+        let now = self.now();
+        let pool = self.directory(|directory| directory.ready(service).len());
+        let ejected_max = pool * EJECTED_PERCENT_MAX / 100;
+        if self.ejector(|ejector| ejector.failed(now, upstream, ejected_max)) {
+            let line = self.log().line(EventCode::UpstreamEjected);
+            line.with("upstream", upstream.as_str())
+                .with("reason", reason)
+                .with("pool", pool)
+                .write();
+        }
+    }
+
+    /// Where this host listens for datagrams.
+    pub fn gossip_address(&self) -> SocketAddr {
+        self.settings().gossip_address
+    }
+}
--- /dev/null
+++ b/src/gateway/stream.rs
@@ -0,0 +1,266 @@
+//! Requests that are answered with a stream of events: sent to one engine, relayed event by event,
+//! moved to another engine where theirs is leaving.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_web::HttpResponse;
+use bytes::Bytes;
+use futures_util::stream;
+use http::HeaderValue;
+use http::response::Parts;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::event::EventCode;
+use crate::gateway::call;
+use crate::gateway::call::CONNECT_TIMEOUT;
+use crate::gateway::call::WholeAnswer;
+use crate::gateway::connection::Connection;
+use crate::gateway::connection::Failure;
+use crate::gateway::directory::Upstream;
+use crate::gateway::forward;
+use crate::gateway::forward::AttemptHeaders;
+use crate::gateway::loads::Occupied;
+use crate::gateway::place::Need;
+use crate::gateway::serve::Admitted;
+use crate::gateway::serve::Front;
+use crate::gateway::shared::Shared;
+use crate::gateway::stream::relay::Relay;
+use crate::id::UpstreamId;
+use crate::refusal::Code;
+use crate::refusal::Refusal;
+
+mod relay;
+
+/// Engines tried for one request, however many of them certainly did not run it.
+const SENDS_MAX: usize = 4;
+/// Upstreams' lowest rank. Ranks of routes and customers go from 0.
+const PRIORITY_MAX: u8 = 9;
+/// A caller's hint is right at the median; this much longer is planned for.
+const HINT_MARGIN: f64 = 1.25;
+
+/// A run at an engine whose answer has begun.
+#[derive(Debug)]
+struct Running {
+    upstream: Arc<Upstream>,
+    head: Parts,
+    body: Incoming,
+    /// Closes with the run.
+    _connection: Connection,
+    _occupied: Occupied,
+}
+
+/// What came of sending a request to an engine.
+enum Opened {
+    /// Its answer began.
+    Running(Box<Running>),
+    /// It answered in whole with something other than a stream.
+    Answered(WholeAnswer),
+    /// It certainly did not run.
+    NotRun(String),
+    /// It may have run.
+    Unknown(String),
+    /// No answer began in time.
+    TimedOut,
+}
+
+/// Where a stream goes on.
+#[derive(Debug, Clone)]
+struct Continuation {
+    copy: HeaderValue,
+    last_event: u64,
+}
+
+/// Serves one request.
+pub async fn run(front: &Front, admitted: Admitted) -> HttpResponse {
+    let shared = &front.shared;
+    let now = shared.now();
+    shared.budget(&admitted.service, |budget| budget.requested(now));
+    let mut tried: Vec<UpstreamId> = Vec::new();
+    loop {
+        let need = need(shared, &admitted);
+        let Some(candidate) = admitted.place(shared, need, &tried) else {
+            return refuse_unplaced(shared, &admitted, &tried, "no engine is left");
+        };
+        let upstream = candidate.upstream;
+        tried.push(upstream.id.clone());
+        let line = admitted.line(shared, EventCode::RequestDispatched);
+        line.with("upstream", upstream.id.as_str())
+            .with("load_requests", candidate.load.requests)
+            .with("load_tokens", candidate.load.tokens)
+            .with("tokens", tokens(need))
+            .with("hosts", shared.hosts())
+            .write();
+        let reason = match open(shared, &admitted, &upstream, tokens(need), None).await {
+            Opened::Running(running) => return respond(shared.clone(), admitted, *running),
+            Opened::Answered(answer) => return pass_on(shared, &admitted, &upstream, answer),
+            Opened::TimedOut => {
+                shared.upstream_failed(&admitted.service, &upstream.id, "no answer in time");
+                let refusal =
+                    Refusal::unknown(Code::DeadlineExceeded, "no answer before the deadline");
+                return admitted.refuse(shared, &refusal);
+            }
+            Opened::Unknown(reason) => {
+                shared.upstream_failed(&admitted.service, &upstream.id, &reason);
+                let message = format!("{}: {reason}", upstream.id);
+                return admitted.refuse(shared, &Refusal::unknown(Code::UpstreamFailed, message));
+            }
+            Opened::NotRun(reason) => reason,
+        };
+        shared.upstream_failed(&admitted.service, &upstream.id, &reason);
+        let now = shared.now();
+        let hosts = shared.hosts();
+        let retried = tried.len() < SENDS_MAX
+            && shared.budget(&admitted.service, |budget| budget.try_retry(now, hosts));
+        let line = admitted.line(shared, EventCode::RequestRestarted);
+        line.with("upstream", upstream.id.as_str())
+            .with("reason", reason.as_str())
+            .with("retried", retried)
+            .write();
+        if !retried {
+            return refuse_unplaced(shared, &admitted, &tried, &reason);
+        }
+    }
+}
+
+fn refuse_unplaced(
+    shared: &Shared,
+    admitted: &Admitted,
+    tried: &[UpstreamId],
+    reason: &str,
+) -> HttpResponse {
+    let message = format!("not run after {} tries: {reason}", tried.len());
+    admitted.refuse(shared, &Refusal::not_run(Code::NoUpstream, message))
+}
+
+/// The memory that a generation is predicted to need.
+fn need(shared: &Shared, admitted: &Admitted) -> Need {
+    let Some(engine) = &admitted.engine else {
+        return Need::Slot;
+    };
+    let size = admitted.size(shared);
+    let planned = size
+        .output_tokens_hint
+        .map(|hint| (f64::from(hint) * HINT_MARGIN) as u32);
+    let output = planned.map_or(size.output_tokens_max, |planned| {
+        planned.min(size.output_tokens_max)
+    });
+    Need::Memory {
+        tokens: size.prompt_tokens + output,
+        memory_tokens: engine.memory_tokens,
+    }
+}
+
+fn tokens(need: Need) -> u32 {
+    match need {
+        Need::Slot => 0,
+        Need::Memory { tokens, .. } | Need::Copy { tokens, .. } => tokens,
+    }
+}
+
+/// Sends the request to an engine and waits until its answer begins.
+async fn open(
+    shared: &Shared,
+    admitted: &Admitted,
+    upstream: &Arc<Upstream>,
+    tokens: u32,
+    continuation: Option<&Continuation>,
+) -> Opened {
+    let occupied = shared.loads().occupy(&upstream.id, tokens);
+    let opening = open_now(shared, admitted, upstream, occupied, continuation);
+    tokio::select! {
+        opened = opening => opened,
+        () = tokio::time::sleep_until(admitted.deadline) => Opened::TimedOut,
+    }
+}
+
+async fn open_now(
+    shared: &Shared,
+    admitted: &Admitted,
+    upstream: &Arc<Upstream>,
+    occupied: Occupied,
+    continuation: Option<&Continuation>,
+) -> Opened {
+    let mut connection = match Connection::open(upstream.address, CONNECT_TIMEOUT).await {
+        Ok(connection) => connection,
+        Err(failure) => return Opened::NotRun(failure.reason().to_owned()),
+    };
+    let headers = AttemptHeaders {
+        upstream,
+        time_left: admitted.time_left(),
+        customer: admitted.customer.as_ref(),
+        priority: Some(admitted.priority.min(PRIORITY_MAX)),
+        backup_at: None,
+        continue_from: continuation.map(|to| (to.copy.clone(), to.last_event)),
+    };
+    if headers.time_left < Duration::from_millis(1) {
+        return Opened::NotRun("the deadline passed before it was sent".to_owned());
+    }
+    let names = shared.protocol().headers();
+    let request = forward::towards_upstream(&admitted.request, names, &headers);
+    let response = match connection.send(request).await {
+        Ok(response) => response,
+        Err(Failure::NotWritten(reason)) => return Opened::NotRun(reason),
+        Err(Failure::Unknown(reason)) => return Opened::Unknown(reason),
+    };
+    let (head, body) = response.into_parts();
+    if !call::is_answer_to(admitted, shared, &head.headers) {
+        return Opened::Unknown("an answer to another request".to_owned());
+    }
+    if head.status.is_success() {
+        return Opened::Running(Box::new(Running {
+            upstream: upstream.clone(),
+            head,
+            body,
+            _connection: connection,
+            _occupied: occupied,
+        }));
+    }
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return Opened::Unknown(format!("the answer broke off: {error}")),
+    };
+    match call::not_run_reason(shared, upstream, &head) {
+        Some(reason) => Opened::NotRun(reason),
+        None => Opened::Answered(WholeAnswer { head, body }),
+    }
+}
+
+/// Passes the upstream's own failure on.
+fn pass_on(
+    shared: &Shared,
+    admitted: &Admitted,
+    upstream: &Upstream,
+    answer: WholeAnswer,
+) -> HttpResponse {
+    let status = answer.head.status.as_u16();
+    shared.upstream_failed(&admitted.service, &upstream.id, &format!("status {status}"));
+    call::pass_on(shared, admitted, upstream, answer, 1)
+}
+
+/// The head of the engine's answer, and its events as they come.
+fn respond(shared: Shared, admitted: Admitted, running: Running) -> HttpResponse {
+    shared.ejector(|ejector| ejector.succeeded(&running.upstream.id));
+    let mut response = call::respond(&running.head);
+    if shared.gate().is_shutting_down() {
+        response.force_close();
+    }
+    let relay = Relay::new(shared, admitted, running);
+    response.streaming(stream::unfold(Some(relay), step))
+}
+
+async fn step(relay: Option<Relay>) -> Option<(Result<Bytes, BrokenOff>, Option<Relay>)> {
+    let mut relay = relay?;
+    match relay.next().await {
+        Some(Ok(events)) => Some((Ok(events), Some(relay))),
+        Some(Err(broken)) => Some((Err(broken), None)),
+        None => None,
+    }
+}
+
+/// A stream ends without its last event; the caller's connection breaks, so that the answer can't
+/// be taken for a whole one.
+#[derive(Debug, thiserror::Error)]
+#[error("the stream broke off: {0}")]
+pub struct BrokenOff(String);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -50,6 +50,7 @@
 pub mod follower;
 mod following;
 pub mod gate;
+pub mod gateway;
 mod gauge;
 pub mod grid;
 mod headers;
