Move runs off a leaving engine in turns, and read the log once a data centre

Change: hosts tell each other how many runs they have still to move off an engine and take turns by name; a run is copied, stopped and continued before the next one begins.

Change: one reader a data centre from twelve hosts on; the others take changes from its datagrams and fetch documents from whoever has them.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -29,3 +29,4 @@
 pub mod settings;
 pub mod shared;
 pub mod stream;
+pub mod turns;
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -5,12 +5,14 @@
 //! a living upstream has listed itself again by then.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Time;
 use crate::id::DataCentre;
@@ -24,6 +26,9 @@
 /// Removals are remembered for this long, so that a peer's older list brings none back.
 const REMOVAL_REMEMBERED: Duration = Duration::from_secs(120);
 
+/// Changes that hosts tell each other again with each datagram, so that one lost is made good.
+const RECENT_CHANGES: usize = 12;
+
 /// Whether an upstream takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UpstreamState {
@@ -97,6 +102,29 @@
     witnessed: BTreeMap<UpstreamId, Time>,
     away: bool,
     returned_at: Option<Time>,
+    recent: VecDeque<Change>,
+}
+
+/// A change as hosts tell it to each other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Whose.
+    pub id: UpstreamId,
+    /// The offset of its record.
+    pub offset: u64,
+    /// What became of it.
+    pub news: News,
+}
+
+/// What became of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum News {
+    /// It is listed like this.
+    Listed(Arc<Upstream>),
+    /// It is listed as before, but leaving.
+    Leaving,
+    /// It was removed.
+    Removed,
 }
 
 impl Directory {
@@ -152,6 +180,10 @@
         let state = upstream.state;
         let upstream = Arc::new(upstream);
         let known = self.entries.get(id).and_then(|entry| entry.leaving_since);
+        let known_ready = self
+            .entries
+            .get(id)
+            .is_some_and(|entry| entry.upstream.state == UpstreamState::Ready);
         let leaving = state == UpstreamState::Leaving;
         let entry = Entry {
             upstream: upstream.clone(),
@@ -159,6 +191,11 @@
             gone_at: None,
             leaving_since: leaving.then(|| known.unwrap_or(now)),
         };
+        let news = match known_ready && leaving {
+            true => News::Leaving,
+            false => News::Listed(upstream.clone()),
+        };
+        self.remember(id, offset, news);
         match self.entries.insert(id.clone(), entry) {
             None if state == UpstreamState::Leaving => Some(DirectoryChange::Leaving),
             None => Some(DirectoryChange::Added),
@@ -179,9 +216,58 @@
             entry.gone_at = Some(ends);
             return Some(DirectoryChange::Missing);
         }
+        self.drop_entry(now, id, offset);
+        Some(DirectoryChange::Removed)
+    }
+
+    fn drop_entry(&mut self, now: Time, id: &UpstreamId, offset: u64) {
         self.entries.remove(id);
         self.removed.insert(id.clone(), (offset, now));
-        Some(DirectoryChange::Removed)
+        self.remember(id, offset, News::Removed);
+    }
+
+    fn remember(&mut self, id: &UpstreamId, offset: u64, news: News) {
+        self.recent.retain(|change| change.id != *id);
+        if self.recent.len() == RECENT_CHANGES {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(Change {
+            id: id.clone(),
+            offset,
+            news,
+        });
+    }
+
+    /// Takes a change that another host tells.
+    pub fn take(&mut self, now: Time, change: &Change) -> Option<DirectoryChange> {
+        let upstream = match &change.news {
+            News::Listed(upstream) => Some((**upstream).clone()),
+            News::Removed => None,
+            News::Leaving => {
+                let known = self.entries.get(&change.id)?;
+                let mut upstream = (*known.upstream).clone();
+                upstream.state = UpstreamState::Leaving;
+                Some(upstream)
+            }
+        };
+        self.apply(now, &change.id, upstream, change.offset)
+    }
+
+    /// The last changes, for other hosts.
+    pub fn recent(&self) -> Vec<Change> {
+        self.recent.iter().cloned().collect()
+    }
+
+    /// A hash over what is listed; hosts that list the same have the same.
+    pub fn digest(&self) -> u64 {
+        let entries = self.entries.iter();
+        entries
+            .map(|(id, entry)| {
+                let leaving = entry.upstream.state == UpstreamState::Leaving;
+                let seed = entry.offset * 2 + u64::from(leaving);
+                xxh3_64_with_seed(id.as_str().as_bytes(), seed)
+            })
+            .fold(0, |sum, hash| sum ^ hash)
     }
 
     /// Takes a whole list as of `offset`: what it lacks was removed.
@@ -230,8 +316,8 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in &gone {
-            if let Some(entry) = self.entries.remove(id) {
-                self.removed.insert(id.clone(), (entry.offset, now));
+            if let Some(offset) = self.entries.get(id).map(|entry| entry.offset) {
+                self.drop_entry(now, id, offset);
             }
         }
         let recent = |at: Time| now.since(at) < REMOVAL_REMEMBERED;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -38,8 +38,12 @@
 const BACKOFF_MAX: Duration = Duration::from_millis(700);
 /// Largest answer of the log: a configuration of many routes fits.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
+/// How often a host that listens looks whether it has to read for itself.
+const READER_CHECK: Duration = Duration::from_millis(200);
 /// How often hosts that listed themselves are read again; peers tell of others in between.
 const HOSTS_INTERVAL: Duration = Duration::from_secs(20);
+/// A host that hears more than this many others learns of the rest from them.
+const HOSTS_ENOUGH: usize = 3;
 /// Hosts that start together list themselves within this time.
 const HOSTS_SETTLE: Duration = Duration::from_millis(1_500);
 
@@ -146,6 +150,10 @@
     };
     let mut backoff = new_backoff();
     loop {
+        if follower.is_fresh_elsewhere() {
+            tokio::time::sleep(READER_CHECK).await;
+            continue;
+        }
         match follower.advance().await {
             Ok(()) => {
                 backoff = new_backoff();
@@ -177,6 +185,19 @@
 }
 
 impl Follower {
+    /// Whether other hosts follow the log for this one. Where it begins again it starts from the
+    /// newest records, since it doesn't know what they have read.
+    fn is_fresh_elsewhere(&mut self) -> bool {
+        let now = self.shared.now();
+        let begun = self.next.is_some() || self.shared.is_ready();
+        let elsewhere =
+            begun && !self.shared.is_reader() && self.shared.peers(|peers| peers.hears_reader(now));
+        if elsewhere {
+            self.next = None;
+        }
+        elsewhere
+    }
+
     async fn advance(&mut self) -> std::result::Result<(), Interrupted> {
         match self.next {
             None => self.read_newest().await,
@@ -324,6 +345,9 @@
     loop {
         tokio::time::sleep(pause).await;
         pause = HOSTS_INTERVAL;
+        if shared.hosts() > HOSTS_ENOUGH {
+            continue;
+        }
         if let Ok((records, _)) = newest(&shared, &mut client, Topic::Hosts).await {
             let addresses = records
                 .iter()
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -3,6 +3,12 @@
 //!
 //! Every host sends to every other; the interval grows with their number, so that what a host
 //! sends and gets stays bounded. A datagram lost is made good by the next one.
+//!
+//! Calls to the log are priced, so only one host of a data centre follows it and tells the others
+//! with its datagrams: the upstreams' last changes in full, and the configuration's version, which
+//! the others then fetch. Who reads is decided by each host for itself from whom it hears
+//! ([`Peers::is_reader`]); two readers for a moment are harmless, and a host that hears of none
+//! reads for itself.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -14,20 +20,31 @@
 
 use crate::clock::Time;
 use crate::event::EventCode;
+use crate::gateway::directory::Change;
 use crate::gateway::loads::Load;
 use crate::gateway::peerfetch;
 use crate::gateway::shared::Shared;
+use crate::id::DataCentre;
 use crate::id::HostId;
 use crate::id::UpstreamId;
 
 /// Time between two rounds while hosts are few.
 const INTERVAL_MIN: Duration = Duration::from_millis(250);
 /// News goes out at once, but not sooner than this after the round before.
-const NEWS_INTERVAL_MIN: Duration = Duration::from_millis(30);
+const NEWS_INTERVAL_MIN: Duration = Duration::from_millis(10);
 /// Added for each host: bounds datagrams a host to about 250 a second each way.
 const INTERVAL_PER_HOST: Duration = Duration::from_millis(4);
 /// A host that was not heard for so long counts no more: several rounds.
 const LIVE_FOR: Duration = Duration::from_millis(3_000);
+/// A reader that was silent for so long is replaced: three rounds of a hundred hosts, and short
+/// against the bound on configuration (2 s).
+const READER_SILENT_FOR: Duration = Duration::from_millis(1_000);
+/// With fewer other hosts each reads the log for itself: their calls cost less than half a percent
+/// of what is served, and need no one else.
+const READERS_ONLY_FROM: usize = 12;
+/// A host that only listens sends to other data centres in one round of so many; they count it as
+/// live in between.
+const FAR_ROUNDS: u64 = 6;
 /// An address that never answers is tried for this long, and again when it is learnt anew.
 const TRIED_FOR: Duration = Duration::from_secs(15);
 /// Largest datagram that crosses a network whole.
@@ -36,6 +53,8 @@
 const ADDRESSES_TOLD: usize = 4;
 /// A host whose own reading works gives it this time before it asks a peer for news.
 const OWN_READING_FIRST: Duration = Duration::from_millis(300);
+/// Hosts that only listen fetch within this time of the first word.
+const LISTENER_SPREAD: Duration = Duration::from_millis(250);
 
 /// What a host tells the others.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -48,8 +67,23 @@
     pub upstreams: u64,
     /// Where it serves what others lack.
     pub peer_port: u16,
+    /// Its data centre.
+    pub data_centre: DataCentre,
+    /// Whether it reads the log: what it tells is first-hand and fresh.
+    pub reading: bool,
+    /// Whether it tried to read the log of late and could not.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub log_away: bool,
+    /// A hash over the upstreams that it lists.
+    pub upstreams_digest: u64,
+    /// The last changes of its upstreams.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub changes: Vec<Change>,
     /// What it runs where.
     pub loads: Vec<(UpstreamId, Load)>,
+    /// Runs that it has still to move off engines that are leaving.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub moving: Vec<(UpstreamId, u32)>,
     /// Upstreams that it saw leaving.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<UpstreamId>,
@@ -65,7 +99,19 @@
 #[derive(Debug, Clone)]
 struct Peer {
     learnt_at: Time,
-    heard_at: Option<Time>,
+    heard: Option<Heard>,
+}
+
+/// What a host's last datagram said.
+#[derive(Debug, Clone)]
+struct Heard {
+    at: Time,
+    host: HostId,
+    data_centre: DataCentre,
+    peer_address: SocketAddr,
+    config: u64,
+    reading: bool,
+    log_away: bool,
     stopping: bool,
 }
 
@@ -104,43 +150,91 @@
             }
             self.peers.entry(address).or_insert(Peer {
                 learnt_at: now,
-                heard_at: None,
-                stopping: false,
+                heard: None,
             });
         }
     }
 
     /// A datagram came from `address`. True if the host is new or back.
     pub fn hear(&mut self, now: Time, address: SocketAddr, datagram: &Datagram) -> bool {
-        let known = self.peers.get(&address).and_then(|peer| peer.heard_at);
+        let known = self
+            .peers
+            .get(&address)
+            .and_then(|peer| peer.heard.as_ref());
+        let is_news = known.is_none_or(|heard| now.since(heard.at) > LIVE_FOR);
+        let heard = Heard {
+            at: now,
+            host: datagram.host.clone(),
+            data_centre: datagram.data_centre.clone(),
+            peer_address: SocketAddr::new(address.ip(), datagram.peer_port),
+            config: datagram.config,
+            reading: datagram.reading,
+            log_away: datagram.log_away,
+            stopping: datagram.stopping,
+        };
         self.peers.insert(
             address,
             Peer {
                 learnt_at: now,
-                heard_at: Some(now),
-                stopping: datagram.stopping,
+                heard: Some(heard),
             },
         );
         let hosts = datagram.hosts.iter().copied();
         self.learn(now, hosts.filter(|host| host.port() == address.port()));
-        known.is_none_or(|heard| now.since(heard) > LIVE_FOR)
+        is_news
+    }
+
+    fn live_hosts(&self, now: Time) -> impl Iterator<Item = &Heard> {
+        let heard = self.peers.values().filter_map(|peer| peer.heard.as_ref());
+        heard.filter(move |heard| now.since(heard.at) < LIVE_FOR && !heard.stopping)
+    }
+
+    /// Whether this host shall read the log: it is the first by name of the hosts of its data
+    /// centre that are heard and can read it. While hosts are few, each reads for itself.
+    pub fn is_reader(&self, now: Time, host: &HostId, data_centre: &DataCentre) -> bool {
+        if self.live(now) < READERS_ONLY_FROM {
+            return true;
+        }
+        let able = self.live_hosts(now).filter(|heard| {
+            heard.data_centre == *data_centre
+                && !heard.log_away
+                && now.since(heard.at) < READER_SILENT_FOR
+        });
+        !able.into_iter().any(|heard| heard.host < *host)
+    }
+
+    /// Whether a host that reads the log was heard a moment ago.
+    pub fn hears_reader(&self, now: Time) -> bool {
+        self.live_hosts(now)
+            .any(|heard| heard.reading && now.since(heard.at) < READER_SILENT_FOR)
+    }
+
+    /// Where hosts that have a configuration newer than `version` serve it.
+    pub fn holders(&self, now: Time, version: u64) -> Vec<SocketAddr> {
+        self.live_hosts(now)
+            .filter(|heard| heard.config > version)
+            .map(|heard| heard.peer_address)
+            .collect()
     }
 
     /// Number of hosts heard of late that are not stopping.
     pub fn live(&self, now: Time) -> usize {
-        let peers = self.peers.values();
-        peers
-            .filter(|peer| !peer.stopping && peer.is_live(now))
-            .count()
+        self.live_hosts(now).count()
     }
 
-    /// Whom to send to in this round. Forgets hosts that are silent; seeds are always tried.
-    pub fn targets(&mut self, now: Time) -> Vec<SocketAddr> {
+    /// Whom to send to in this round: all hosts, or only those of `data_centre` and unknown ones.
+    /// Forgets hosts that are silent; seeds are always tried.
+    pub fn targets(&mut self, now: Time, only: Option<&DataCentre>) -> Vec<SocketAddr> {
         self.peers.retain(|_, peer| {
-            let last = peer.heard_at.unwrap_or(peer.learnt_at);
+            let last = peer.heard.as_ref().map_or(peer.learnt_at, |heard| heard.at);
             now.since(last) < TRIED_FOR
         });
-        let mut targets: Vec<SocketAddr> = self.peers.keys().copied().collect();
+        let near = |peer: &Peer| match (only, &peer.heard) {
+            (Some(only), Some(heard)) => heard.data_centre == *only,
+            (None, _) | (_, None) => true,
+        };
+        let chosen = self.peers.iter().filter(|(_, peer)| near(peer));
+        let mut targets: Vec<SocketAddr> = chosen.map(|(address, _)| *address).collect();
         let unknown = self
             .seeds
             .iter()
@@ -181,7 +275,8 @@
 
 impl Peer {
     fn is_live(&self, now: Time) -> bool {
-        self.heard_at.is_some_and(|at| now.since(at) < LIVE_FOR)
+        let heard = self.heard.as_ref();
+        heard.is_some_and(|heard| now.since(heard.at) < LIVE_FOR)
     }
 }
 
@@ -191,6 +286,7 @@
     let mut buffer = vec![0; 2 * DATAGRAM_BYTES_MAX];
     let mut last_round = tokio::time::Instant::now();
     let mut next_round = last_round;
+    let mut round = 0;
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
@@ -200,8 +296,9 @@
             },
             _ = news.changed() => next_round = next_round.min(last_round + NEWS_INTERVAL_MIN),
             () = tokio::time::sleep_until(next_round) => {
-                let sent = send_round(&shared, &socket).await;
-                let hosts = u32::try_from(sent).unwrap_or(u32::MAX);
+                round += 1;
+                send_round(&shared, &socket, round).await;
+                let hosts = u32::try_from(shared.hosts()).unwrap_or(u32::MAX);
                 let interval = INTERVAL_MIN.max(INTERVAL_PER_HOST * hosts);
                 last_round = tokio::time::Instant::now();
                 next_round = last_round + interval;
@@ -210,36 +307,52 @@
     }
 }
 
-async fn send_round(shared: &Shared, socket: &UdpSocket) -> usize {
+/// Hosts of other data centres get every round from a reader while hosts are many, and from the
+/// others only now and then: bytes between data centres are priced, and each has a reader.
+async fn send_round(shared: &Shared, socket: &UdpSocket, round: u64) {
     let now = shared.now();
-    let targets = shared.peers(|peers| peers.targets(now));
+    let is_few = shared.hosts() <= READERS_ONLY_FROM;
+    let is_far_round = is_few || shared.is_reading() || round.is_multiple_of(FAR_ROUNDS);
+    let near = (!is_far_round).then_some(&shared.settings().data_centre);
+    let targets = shared.peers(|peers| peers.targets(now, near));
     let bytes = encode(own_datagram(shared, now));
     for target in &targets {
         if let Err(error) = socket.send_to(&bytes, target).await {
             log::debug!("datagram to {target}: {error}");
         }
     }
-    targets.len()
 }
 
 fn own_datagram(shared: &Shared, now: Time) -> Datagram {
-    let (upstreams, leaving) = shared.directory(|directory| {
-        let leaving = directory.witnessed().cloned().collect();
-        (directory.offset(), leaving)
-    });
-    Datagram {
-        host: shared.settings().host.clone(),
+    let settings = shared.settings();
+    let mut datagram = Datagram {
+        host: settings.host.clone(),
+        data_centre: settings.data_centre.clone(),
         config: shared.config_version(),
-        upstreams,
-        peer_port: shared.settings().peer_address.port(),
+        upstreams: 0,
+        upstreams_digest: 0,
+        changes: Vec::new(),
+        reading: shared.is_reading(),
+        log_away: shared.is_log_away() && shared.is_reader(),
+        peer_port: settings.peer_address.port(),
         loads: shared.loads().with(|loads| loads.own()),
-        leaving,
+        moving: shared.turns().with(|turns| turns.own()),
+        leaving: Vec::new(),
         hosts: shared.peers(|peers| peers.some(now)),
         stopping: shared.gate().is_shutting_down(),
-    }
+    };
+    shared.directory(|directory| {
+        datagram.upstreams = directory.offset();
+        datagram.upstreams_digest = directory.digest();
+        datagram.leaving = directory.witnessed().cloned().collect();
+        if datagram.reading {
+            datagram.changes = directory.recent();
+        }
+    });
+    datagram
 }
 
-/// A datagram that is too large loses its smallest loads.
+/// A datagram that is too large loses its oldest changes, then its smallest loads.
 fn encode(mut datagram: Datagram) -> Vec<u8> {
     datagram
         .loads
@@ -249,6 +362,10 @@
         if bytes.len() <= DATAGRAM_BYTES_MAX || datagram.loads.is_empty() {
             return bytes;
         }
+        if !datagram.changes.is_empty() {
+            datagram.changes.remove(0);
+            continue;
+        }
         let keep = datagram.loads.len() * 3 / 4;
         datagram.loads.truncate(keep);
     }
@@ -269,9 +386,12 @@
     for upstream in &datagram.leaving {
         shared.witness_leaving(upstream, datagram.host.as_str());
     }
+    let newer_upstreams = take_changes(shared, now, &datagram);
     let newer_config = datagram.config > shared.config_version();
-    let newer_upstreams = datagram.upstreams > shared.directory(|directory| directory.offset());
     let peer = SocketAddr::new(from.ip(), datagram.peer_port);
+    shared
+        .turns()
+        .with(|turns| turns.hear(now, &datagram.host, datagram.moving));
     shared
         .loads()
         .with(|loads| loads.hear(now, datagram.host, datagram.loads));
@@ -280,11 +400,34 @@
     }
 }
 
-/// Gives the own reading of the log a moment, then asks the peer.
+/// Takes the changes that a reader tells. True if it must know of more.
+fn take_changes(shared: &Shared, now: Time, datagram: &Datagram) -> bool {
+    let own_offset = shared.directory(|directory| directory.offset());
+    if datagram.upstreams <= own_offset {
+        return false;
+    }
+    let mut changes = Vec::new();
+    let same = shared.directory(|directory| {
+        for change in &datagram.changes {
+            let taken = directory.take(now, change);
+            changes.extend(taken.map(|taken| (change.id.clone(), taken)));
+        }
+        let same = directory.digest() == datagram.upstreams_digest;
+        if same {
+            directory.advance(datagram.upstreams);
+        }
+        same
+    });
+    shared.directory_changes(changes, datagram.host.as_str());
+    !same
+}
+
+/// Gives the own reading of the log, or the next datagram, a moment; then asks a peer. Hosts that
+/// only listen spread their questions, so that the readers are not asked by all at once.
 fn fetch_soon(shared: &Shared, peer: SocketAddr) {
-    let wait = match shared.is_log_away() {
-        true => Duration::ZERO,
-        false => OWN_READING_FIRST,
+    let wait = match shared.is_reading() {
+        true => OWN_READING_FIRST,
+        false => LISTENER_SPREAD.mul_f64(rand::random()),
     };
     if shared.peers(|peers| peers.begin_fetch()) {
         actix_rt::spawn(peerfetch::fetch(shared.clone(), peer, wait));
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -241,8 +241,11 @@
         return HttpResponse::Ok().body(telemetry.render());
     }
     match http.path() {
-        peerfetch::CONFIGURATION_PATH => peerfetch::serve_configuration(shared).await,
-        peerfetch::UPSTREAMS_PATH => peerfetch::serve_upstreams(shared).await,
+        peerfetch::CONFIGURATION_PATH => match web::Query::from_query(http.query_string()) {
+            Ok(query) => peerfetch::serve_configuration(&shared, &query).await,
+            Err(error) => HttpResponse::BadRequest().body(error.to_string()),
+        },
+        peerfetch::UPSTREAMS_PATH => peerfetch::serve_upstreams(&shared).await,
         _ => HttpResponse::NotFound().finish(),
     }
 }
@@ -263,7 +266,7 @@
         if shared.is_ready() {
             return;
         }
-        if !shared.is_log_away() {
+        if shared.is_reading() {
             continue;
         }
         for seed in seeds.iter().filter(|seed| **seed != own) {
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use actix_web::HttpResponse;
-use actix_web::web;
 use bytes::Bytes;
+use rand::seq::IndexedRandom;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -38,28 +38,39 @@
     upstreams: Vec<(Upstream, u64)>,
 }
 
-/// Serves the configuration in force, or 404 while there is none.
-pub async fn serve_configuration(shared: web::Data<Shared>) -> HttpResponse {
+/// Which configuration is asked for.
+#[derive(Debug, Deserialize)]
+pub struct ConfigurationQuery {
+    newer_than: u64,
+}
+
+/// Serves the configuration in force, or 404 while it is not newer.
+pub async fn serve_configuration(shared: &Shared, query: &ConfigurationQuery) -> HttpResponse {
     match shared.in_force() {
-        Some(held) => HttpResponse::Ok().json(ConfigurationPage {
-            key: held.key,
-            document: String::from_utf8_lossy(&held.document).into_owned(),
-        }),
-        None => HttpResponse::NotFound().finish(),
+        Some(held) if held.configuration.version > query.newer_than => {
+            HttpResponse::Ok().json(ConfigurationPage {
+                key: held.key,
+                document: String::from_utf8_lossy(&held.document).into_owned(),
+            })
+        }
+        Some(_) | None => HttpResponse::NotFound().finish(),
     }
 }
 
 /// Serves the list of upstreams.
-pub async fn serve_upstreams(shared: web::Data<Shared>) -> HttpResponse {
+pub async fn serve_upstreams(shared: &Shared) -> HttpResponse {
     HttpResponse::Ok().json(shared.directory(|directory| UpstreamsPage {
         offset: directory.offset(),
         upstreams: directory.list_all(),
     }))
 }
 
-/// Fetches what `peer` has newer, after `wait`.
+/// Fetches what `peer`, or by then another host, has newer, after `wait`.
 pub async fn fetch(shared: Shared, peer: SocketAddr, wait: Duration) {
     tokio::time::sleep(wait).await;
+    let now = shared.now();
+    let holders = shared.peers(|peers| peers.holders(now, shared.config_version()));
+    let peer = holders.choose(&mut rand::rng()).copied().unwrap_or(peer);
     if let Err(error) = fetch_now(&shared, peer).await {
         let line = shared.log().line(EventCode::PeerSuspected);
         line.with("peer", peer.to_string())
@@ -77,7 +88,11 @@
 pub async fn fetch_now(shared: &Shared, peer: SocketAddr) -> Result<()> {
     let mut client = OwnClient::new(peer);
     let source = peer.to_string();
-    if let Some(body) = get(&mut client, peer, CONFIGURATION_PATH).await? {
+    let path = format!(
+        "{CONFIGURATION_PATH}?newer_than={}",
+        shared.config_version()
+    );
+    if let Some(body) = get(&mut client, peer, &path).await? {
         let page: ConfigurationPage = serde_json::from_slice(&body)?;
         let document = Bytes::from(page.document);
         shared.offer_configuration(&page.key, &document, &source);
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -249,7 +249,7 @@
 
 /// A host that may have missed a configuration doesn't deny what a newer one may allow.
 fn stale_or(shared: &Shared, code: Code, message: &str) -> Refusal {
-    if shared.is_log_away() {
+    if shared.may_be_stale() {
         let message = format!("{message}, and the configuration may be stale");
         return Refusal::not_run(Code::NotReady, message);
     }
@@ -288,7 +288,7 @@
         .with("target", request.target.as_str())
         .with("code", refusal.code.name())
         .with("config", shared.config_version())
-        .with("log_away", shared.is_log_away())
+        .with("stale", shared.may_be_stale())
         .with("message", refusal.message.as_str())
         .write();
     telemetry::count_refusal(None, refusal.code);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -32,6 +32,7 @@
 use crate::gateway::protocol::Protocol;
 use crate::gateway::retrybudget::SharedRetryBudget;
 use crate::gateway::settings::GatewaySettings;
+use crate::gateway::turns::TurnBoard;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 
@@ -61,6 +62,7 @@
     log: DecisionLog,
     gate: Arc<Gate>,
     loads: LoadBoard,
+    turns: TurnBoard,
     in_force: RwLock<Option<InForce>>,
     directory: Mutex<Directory>,
     directory_changed: watch::Sender<u64>,
@@ -93,6 +95,7 @@
             log,
             gate: Gate::new(),
             loads: LoadBoard::default(),
+            turns: TurnBoard::default(),
             in_force: RwLock::new(None),
             directory: Mutex::default(),
             directory_changed: watch::channel(0).0,
@@ -136,6 +139,11 @@
         &self.0.loads
     }
 
+    /// Whose turn it is to move runs off leaving engines.
+    pub fn turns(&self) -> &TurnBoard {
+        &self.0.turns
+    }
+
     /// Runs `use_directory` on the upstreams.
     pub fn directory<T>(&self, use_directory: impl FnOnce(&mut Directory) -> T) -> T {
         use_directory(&mut locked(&self.0.directory))
@@ -265,11 +273,30 @@
         self.directory_changes(vec![(id.clone(), change)], "missing since the log's return");
     }
 
-    /// Whether the platform's log can't be read now: what this host believes may be stale.
+    /// Whether the last call to the platform's log failed.
     pub fn is_log_away(&self) -> bool {
         self.0.log_away.load(Ordering::Relaxed)
     }
 
+    /// Whether this host shall follow the log.
+    pub fn is_reader(&self) -> bool {
+        let now = self.now();
+        let settings = self.settings();
+        self.peers(|peers| peers.is_reader(now, &settings.host, &settings.data_centre))
+    }
+
+    /// Whether this host follows the log and reaches it.
+    pub fn is_reading(&self) -> bool {
+        self.is_reader() && !self.is_log_away()
+    }
+
+    /// Whether what this host believes may be stale: it doesn't read the log itself, nor hears of a
+    /// host that does.
+    pub fn may_be_stale(&self) -> bool {
+        let now = self.now();
+        !self.is_reading() && !self.peers(|peers| peers.hears_reader(now))
+    }
+
     /// The log was lost or came back.
     pub fn set_log_away(&self, away: bool, reason: &str) {
         if self.0.log_away.swap(away, Ordering::Relaxed) == away {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -44,6 +44,11 @@
 const TOKEN_TIME: Duration = Duration::from_millis(11);
 /// Time for a generation's prompt, beside that of its tokens.
 const START_ALLOWANCE: Duration = Duration::from_millis(800);
+/// Shorter runs are over before a copy of them pays: about a second and a half.
+const BACKUP_OUTPUT_TOKENS_MIN: u32 = 150;
+/// Copies are kept where the predicted peaks of all that an engine holds stay below this share of
+/// its memory. The peaks don't fall together, so that running work keeps room to spare.
+const BACKUP_MEMORY_SHARE_MAX: f64 = 0.0;
 /// The balancer sends a caller that comes back elsewhere at once.
 const STOPPING_RETRY_AFTER_MS: u64 = 20;
 
@@ -56,6 +61,15 @@
     /// Closes with the run.
     _connection: Connection,
     occupied: Occupied,
+    /// Keeps a copy of the run up to date.
+    backup: Option<Backup>,
+}
+
+/// An engine that is kept a copy of a run at.
+#[derive(Debug)]
+struct Backup {
+    upstream: Arc<Upstream>,
+    _occupied: Occupied,
 }
 
 /// What came of sending a request to an engine.
@@ -192,6 +206,32 @@
     }
 }
 
+/// Chooses an engine to keep a copy of the run at, if the run is worth it and there is room to
+/// spare: memory for copies is the first to go without.
+fn choose_backup(shared: &Shared, admitted: &Admitted, upstream: &Upstream) -> Option<Backup> {
+    let engine = admitted.engine.as_ref().filter(|engine| engine.backups)?;
+    let size = admitted.size(shared);
+    let output = output_planned(size);
+    if output < BACKUP_OUTPUT_TOKENS_MIN {
+        return None;
+    }
+    let tokens = size.prompt_tokens + output;
+    let need = Need::Copy {
+        tokens,
+        memory_tokens: engine.memory_tokens,
+    };
+    let candidate = admitted.place(shared, need, std::slice::from_ref(&upstream.id))?;
+    let taken = f64::from(candidate.load.tokens + tokens) / f64::from(engine.memory_tokens);
+    if taken > BACKUP_MEMORY_SHARE_MAX || candidate.doubtful {
+        return None;
+    }
+    let occupied = shared.loads().occupy(&candidate.upstream.id, tokens, 0);
+    Some(Backup {
+        upstream: candidate.upstream,
+        _occupied: occupied,
+    })
+}
+
 /// Sends the request to an engine and waits until its answer begins.
 async fn open(
     shared: &Shared,
@@ -200,13 +240,14 @@
     tokens: u32,
     continuation: Option<&Continuation>,
 ) -> Opened {
+    let backup = choose_backup(shared, admitted, upstream);
     let unread_tokens = match continuation {
         None if admitted.engine.is_some() => admitted.size(shared).prompt_tokens,
         _ => 0,
     };
     let occupied = shared.loads().occupy(&upstream.id, tokens, unread_tokens);
     shared.tell_news();
-    let opening = open_now(shared, admitted, upstream, occupied, continuation);
+    let opening = open_now(shared, admitted, upstream, occupied, backup, continuation);
     tokio::select! {
         opened = opening => opened,
         () = tokio::time::sleep_until(admitted.deadline) => Opened::TimedOut,
@@ -218,6 +259,7 @@
     admitted: &Admitted,
     upstream: &Arc<Upstream>,
     occupied: Occupied,
+    backup: Option<Backup>,
     continuation: Option<&Continuation>,
 ) -> Opened {
     let mut connection = match Connection::open(upstream.address, CONNECT_TIMEOUT).await {
@@ -229,7 +271,7 @@
         time_left: admitted.time_left(),
         customer: admitted.customer.as_ref(),
         priority: Some(admitted.priority.min(PRIORITY_MAX)),
-        backup_at: None,
+        backup_at: backup.as_ref().map(|backup| &*backup.upstream),
         continue_from: continuation.map(|to| (to.copy.clone(), to.last_event)),
     };
     if headers.time_left < Duration::from_millis(1) {
@@ -253,6 +295,7 @@
             body,
             _connection: connection,
             occupied,
+            backup,
         }));
     }
     let body = match body.collect().await {
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -17,27 +17,26 @@
 use crate::event::EventCode;
 use crate::gateway::directory::Upstream;
 use crate::gateway::events::EventSplitter;
+use crate::gateway::loads::Occupied;
 use crate::gateway::place::Need;
 use crate::gateway::protocol::CopyDone;
 use crate::gateway::rescue;
 use crate::gateway::rescue::CopyFailure;
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
+use crate::gateway::turns::Ticket;
 use crate::id::ClassId;
 use crate::id::UpstreamId;
 use crate::telemetry::StreamMeter;
 
-/// A leaving engine that doesn't say when it ends is expected to live this long: the shortest
-/// notices are 1.5 s.
-const NOTICE_DEFAULT: Duration = Duration::from_millis(1_500);
-/// Runs are stopped this long before their engine ends: the last parts of all its runs and their
-/// continuations take less.
-const STOP_BEFORE_END: Duration = Duration::from_millis(500);
-/// An engine's report on its end may be this old; the platform says some hundred milliseconds, and
-/// half a second was measured.
-const REPORT_AGE_MAX: Duration = Duration::from_millis(700);
+/// A run waits for its turn no longer than this after the notice. Runs that jump the line would make
+/// all of them late, and few engines live longer after it.
+const PATIENCE: Duration = Duration::from_millis(1_700);
 /// A copy that met another one under way is tried again after this time.
 const BUSY_PAUSE: Duration = Duration::from_millis(25);
+/// A stream of which nothing came for so long stands still: several times the longest gap between
+/// two events of a sound engine (0.2 s were measured while long prompts are read).
+const STALL_LIMIT: Duration = Duration::from_millis(800);
 /// Moves of one run that may fail before its fate is left to its engine.
 const MOVES_MAX: u32 = 6;
 
@@ -47,22 +46,41 @@
 enum Move {
     /// None is needed.
     None,
+    /// The run waits for its turn.
+    Queued {
+        turn: LocalBoxFuture<'static, Ticket>,
+    },
     /// The first part is being copied.
     First {
         to: Arc<Upstream>,
-        copying: LocalBoxFuture<'static, (CopyResult, Option<Duration>)>,
+        held: Held,
+        copying: LocalBoxFuture<'static, CopyResult>,
+    },
+    /// The first part is copied; the run is stopped at `stop_at`, after another copy of it.
+    Copied {
+        to: Arc<Upstream>,
+        held: Held,
+        stop_at: Instant,
     },
-    /// The first part is copied; the run is stopped at `stop_at`.
-    Copied { to: Arc<Upstream>, stop_at: Instant },
     /// The run is being stopped and its rest copied.
     Last {
         to: Arc<Upstream>,
+        /// Whether `to` has kept a copy all along, so that nobody waits for this one.
+        is_backup: bool,
+        /// What it holds, where the destination isn't a backup.
+        held: Option<Held>,
         copying: LocalBoxFuture<'static, CopyResult>,
     },
     /// The next try begins at this time.
     Paused { until: Instant },
 }
 
+/// What a move holds until the run goes on elsewhere.
+struct Held {
+    _room: Occupied,
+    _turn: Ticket,
+}
+
 /// One stream on its way to its caller.
 pub(super) struct Relay {
     shared: Shared,
@@ -74,7 +92,6 @@
     changes: watch::Receiver<u64>,
     moving: Move,
     leaving_since: Option<Instant>,
-    ends_at: Option<Instant>,
     moves: u32,
     avoid: Vec<UpstreamId>,
     meter: StreamMeter,
@@ -88,7 +105,8 @@
 enum Happened {
     Frame(Option<Result<Bytes, String>>),
     DirectoryChanged,
-    FirstCopied(CopyResult, Option<Duration>),
+    Turn(Ticket),
+    FirstCopied(CopyResult),
     LastCopied(CopyResult),
     Timer,
     Deadline,
@@ -109,7 +127,6 @@
             splitter: EventSplitter::default(),
             moving: Move::None,
             leaving_since: None,
-            ends_at: None,
             moves: 0,
             avoid: Vec::new(),
             first_ms: None,
@@ -139,7 +156,8 @@
                 Happened::Frame(None) => self.broken = Some("ended within an event".to_owned()),
                 Happened::Frame(Some(Err(reason))) => self.broken = Some(reason),
                 Happened::DirectoryChanged => self.look_at_directory(),
-                Happened::FirstCopied(result, leaves_in) => self.first_copied(result, leaves_in),
+                Happened::Turn(ticket) => self.begin_move(ticket),
+                Happened::FirstCopied(result) => self.first_copied(result),
                 Happened::LastCopied(result) => {
                     if let Err(reason) = self.last_copied(result).await {
                         return self.fail(&reason);
@@ -148,7 +166,7 @@
                 Happened::Timer => self.timer(),
                 Happened::Deadline => return self.fail("the deadline passed"),
             }
-            if let Some(reason) = self.lost() {
+            if let Err(reason) = self.go_on_if_broken().await {
                 return self.fail(&reason);
             }
         }
@@ -166,20 +184,69 @@
         self.last_at = now;
     }
 
-    /// The stream has broken off and nothing is under way that could continue it.
-    fn lost(&mut self) -> Option<String> {
-        self.broken.as_ref()?;
-        match self.moving {
-            Move::Last { .. } => None,
-            _ => self.broken.clone(),
+    /// Where the stream has broken off, continues it at the engine that keeps a copy, unless a move
+    /// is under way that will continue it.
+    ///
+    /// # Errors
+    ///
+    /// Why the stream can't go on.
+    async fn go_on_if_broken(&mut self) -> Result<(), String> {
+        let Some(reason) = self.broken.clone() else {
+            return Ok(());
+        };
+        match &mut self.moving {
+            Move::Last {
+                is_backup: false, ..
+            } => Ok(()),
+            Move::Last { is_backup, .. } => {
+                // The run was stopped. If its copy isn't there yet, the one under way will do.
+                *is_backup = false;
+                let _ = self.continue_at_backup(&reason).await;
+                Ok(())
+            }
+            _ => {
+                self.moving = Move::None;
+                self.continue_at_backup(&reason).await
+            }
         }
     }
 
+    /// Continues the run at the engine that keeps a copy of it.
+    ///
+    /// # Errors
+    ///
+    /// Why the stream can't go on.
+    async fn continue_at_backup(&mut self, reason: &str) -> Result<(), String> {
+        let Some(backup) = self.usable_backup() else {
+            return Err(reason.to_owned());
+        };
+        self.note_move(reason, Some(&backup));
+        let handle = self.admitted.id.clone();
+        self.continue_at(&backup, &backup, &handle).await
+    }
+
+    /// The engine that keeps a copy, if it can take the run over.
+    fn usable_backup(&self) -> Option<Arc<Upstream>> {
+        let backup = &self.running.backup.as_ref()?.upstream;
+        let ready = self
+            .shared
+            .directory(|directory| directory.is_ready(&backup.id));
+        ready.then(|| backup.clone())
+    }
+
+    /// When a stream that stands still is looked after: its engine may have gone without a word.
+    fn stall_at(&self) -> Option<Instant> {
+        self.usable_backup()?;
+        self.first_ms?;
+        Some(self.last_at + STALL_LIMIT)
+    }
+
     async fn happened(&mut self) -> Happened {
         let timer = match &self.moving {
             Move::Copied { stop_at, .. } => Some(*stop_at),
             Move::Paused { until } => Some(*until),
-            _ => None,
+            Move::None => self.stall_at(),
+            Move::Queued { .. } | Move::First { .. } | Move::Last { .. } => None,
         };
         let is_open = self.broken.is_none();
         tokio::select! {
@@ -210,7 +277,10 @@
             let ago = now.since(notice);
             let since = Instant::now().checked_sub(ago);
             self.leaving_since = since.or(self.leaving_since);
-            self.begin_move();
+            match self.usable_backup() {
+                Some(backup) => self.begin_last(backup, None),
+                None => self.queue(),
+            }
         }
     }
 
@@ -219,31 +289,47 @@
         engine.is_some_and(|engine| engine.moves) && self.moves < MOVES_MAX
     }
 
+    /// Joins the line of the runs that leave the engine.
+    fn queue(&mut self) {
+        let ticket = Ticket::join(&self.shared, &self.running.upstream.id);
+        let notice = self.leaving_since.unwrap_or_else(Instant::now);
+        self.moving = Move::Queued {
+            turn: Box::pin(ticket.wait(notice + PATIENCE)),
+        };
+    }
+
     /// Starts to copy the run's memory to the engine with the most room.
-    fn begin_move(&mut self) {
+    fn begin_move(&mut self, ticket: Ticket) {
         self.moves += 1;
         self.avoid.push(self.running.upstream.id.clone());
         let Some(to) = self.destination() else {
             self.note_move("no destination", None);
             self.avoid.clear();
-            self.moving = Move::Paused {
-                until: Instant::now() + BUSY_PAUSE,
-            };
+            self.pause();
             return;
         };
         self.note_move("copying", Some(&to));
+        let size = self.admitted.size(&self.shared);
+        let tokens = size.prompt_tokens + super::output_planned(size);
+        let held = Held {
+            _room: self.shared.loads().occupy(&to.id, tokens, 0),
+            _turn: ticket,
+        };
+        let copying = self.copy(&to, false);
+        self.moving = Move::First { to, held, copying };
+    }
+
+    fn copy(&self, to: &Arc<Upstream>, last: bool) -> LocalBoxFuture<'static, CopyResult> {
         let shared = self.shared.clone();
         let source = self.running.upstream.clone();
         let id = self.admitted.id.clone();
-        let destination = to.clone();
-        let copying = async move {
-            let result = rescue::copy(&shared, &source, &id, &destination, false).await;
-            let report = rescue::report(&shared, &source).await;
-            (result, report.ok().and_then(|report| report.leaves_in))
-        };
-        self.moving = Move::First {
-            to,
-            copying: Box::pin(copying),
+        let to = to.clone();
+        Box::pin(async move { rescue::copy(&shared, &source, &id, &to, last).await })
+    }
+
+    fn pause(&mut self) {
+        self.moving = Move::Paused {
+            until: Instant::now() + BUSY_PAUSE,
         };
     }
 
@@ -258,61 +344,57 @@
         Some(candidate.upstream)
     }
 
-    fn first_copied(&mut self, result: CopyResult, leaves_in: Option<Duration>) {
-        let Move::First { to, .. } = std::mem::replace(&mut self.moving, Move::None) else {
+    fn first_copied(&mut self, result: CopyResult) {
+        let moving = std::mem::replace(&mut self.moving, Move::None);
+        let Move::First { to, held, .. } = moving else {
             return;
         };
-        let now = Instant::now();
-        let ends_at = match leaves_in {
-            Some(leaves_in) => now + leaves_in.saturating_sub(REPORT_AGE_MAX),
-            None => self.leaving_since.unwrap_or(now) + NOTICE_DEFAULT,
-        };
-        self.ends_at = Some(ends_at);
         match result {
             Ok(done) => {
                 self.note_move(&format!("copied {} events", done.events), Some(&to));
-                let stop_at = ends_at.checked_sub(STOP_BEFORE_END).unwrap_or(now);
-                self.moving = Move::Copied { to, stop_at };
-            }
-            Err(CopyFailure::NoSuchRun) => {
-                // It is about to end by itself, or has not begun to run.
-                self.note_move("no such run", Some(&to));
-                self.avoid.pop();
-                self.moving = Move::Paused {
-                    until: now + BUSY_PAUSE,
-                };
+                self.begin_last(to, Some(held));
             }
             Err(failure) => {
                 self.note_move(&failure.describe(), Some(&to));
-                if failure != CopyFailure::Busy {
-                    self.avoid.push(to.id.clone());
+                match failure {
+                    // It is about to end by itself, or has not begun to run.
+                    CopyFailure::NoSuchRun | CopyFailure::Busy => {}
+                    CopyFailure::NoRoom(_) | CopyFailure::Unknown(_) => {
+                        self.avoid.push(to.id.clone());
+                    }
                 }
-                self.moving = Move::Paused {
-                    until: now + BUSY_PAUSE,
-                };
+                self.pause();
             }
         }
     }
 
     fn timer(&mut self) {
         match std::mem::replace(&mut self.moving, Move::None) {
-            Move::Copied { to, .. } => self.begin_last(to),
+            Move::Copied { to, held, .. } => self.begin_last(to, Some(held)),
             Move::Paused { .. } => self.look_at_directory(),
+            Move::None => self.look_at_stall(),
             other => self.moving = other,
         }
     }
 
-    /// Stops the run and copies its rest.
-    fn begin_last(&mut self, to: Arc<Upstream>) {
+    /// Stops a run that stands still and continues it at the engine that keeps a copy.
+    fn look_at_stall(&mut self) {
+        let Some(backup) = self.usable_backup() else {
+            return;
+        };
+        self.last_at = Instant::now();
+        self.begin_last(backup, None);
+    }
+
+    /// Stops the run and copies its rest. Where the move holds nothing `to` is the backup.
+    fn begin_last(&mut self, to: Arc<Upstream>, held: Option<Held>) {
         self.note_move("stopping", Some(&to));
-        let shared = self.shared.clone();
-        let source = self.running.upstream.clone();
-        let id = self.admitted.id.clone();
-        let destination = to.clone();
-        let copying = async move { rescue::copy(&shared, &source, &id, &destination, true).await };
+        let copying = self.copy(&to, true);
         self.moving = Move::Last {
             to,
-            copying: Box::pin(copying),
+            is_backup: held.is_none(),
+            held,
+            copying,
         };
     }
 
@@ -322,7 +404,14 @@
     ///
     /// Why the stream can't go on.
     async fn last_copied(&mut self, result: CopyResult) -> Result<(), String> {
-        let Move::Last { to, .. } = std::mem::replace(&mut self.moving, Move::None) else {
+        let moving = std::mem::replace(&mut self.moving, Move::None);
+        let Move::Last {
+            to,
+            is_backup,
+            held,
+            ..
+        } = moving
+        else {
             return Ok(());
         };
         let source = self.running.upstream.clone();
@@ -331,6 +420,13 @@
                 self.note_move(&format!("stopped at event {}", done.events), Some(&to));
                 self.continue_at(&to, &source, &done.handle).await
             }
+            Err(CopyFailure::NoRoom(_)) if is_backup => {
+                self.continue_at_backup("stopped, no room for another copy")
+                    .await
+            }
+            Err(CopyFailure::Unknown(reason)) if is_backup => {
+                self.continue_at_backup(&reason).await
+            }
             Err(CopyFailure::NoRoom(Some(handle))) => {
                 self.note_move("no room after the stop", Some(&to));
                 self.avoid.push(to.id.clone());
@@ -341,8 +437,12 @@
             Err(failure) => {
                 self.note_move(&failure.describe(), Some(&to));
                 let until = Instant::now() + BUSY_PAUSE;
-                self.moving = match failure {
-                    CopyFailure::Busy => Move::Copied { to, stop_at: until },
+                self.moving = match (failure, held) {
+                    (CopyFailure::Busy, Some(held)) => Move::Copied {
+                        to,
+                        held,
+                        stop_at: until,
+                    },
                     _ => Move::Paused { until },
                 };
                 Ok(())
@@ -378,6 +478,7 @@
         );
         match opened.await {
             Opened::Running(running) => {
+                self.moving = Move::None;
                 self.running = *running;
                 self.broken = None;
                 self.splitter.restart();
@@ -397,16 +498,12 @@
 
     fn note_move(&self, outcome: &str, to: Option<&Arc<Upstream>>) {
         let since = self.leaving_since.map(|since| since.elapsed().as_millis());
-        let ends_in = self
-            .ends_at
-            .map(|at| at.saturating_duration_since(Instant::now()).as_millis());
         let line = self.admitted.line(&self.shared, EventCode::StreamMoved);
         line.with("upstream", self.running.upstream.id.as_str())
             .with_some("to", to.map(|to| to.id.as_str()))
             .with("outcome", outcome)
             .with("last_event", self.splitter.last_id())
             .with_some("leaving_ms", since.map(|ms| ms as u64))
-            .with_some("ends_in_ms", ends_in.map(|ms| ms as u64))
             .write();
     }
 
@@ -449,10 +546,8 @@
 
 async fn copied(moving: &mut Move) -> Happened {
     match moving {
-        Move::First { copying, .. } => {
-            let (result, leaves_in) = copying.await;
-            Happened::FirstCopied(result, leaves_in)
-        }
+        Move::Queued { turn } => Happened::Turn(turn.await),
+        Move::First { copying, .. } => Happened::FirstCopied(copying.await),
         Move::Last { copying, .. } => Happened::LastCopied(copying.await),
         Move::None | Move::Copied { .. } | Move::Paused { .. } => std::future::pending().await,
     }
