Pass over upstreams that can't be connected to, and test the gateway without the platform

The ejector may eject only half of a pool, so a plain service with two of three upstreams behind the cut went on being tried there, and a try whose connection was never established drew on the retry budget. Change: reach.rs passes such upstreams over from the first failed connection on, for 0.8 to 3.2 s, without a bound on their number; retries of what was not sent draw on no budget. Also: a request to an ejected upstream counts as its trial, else it was never ejected again.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -21,6 +21,7 @@
 pub mod place;
 pub mod pool;
 pub mod protocol;
+pub mod reach;
 pub mod refuse;
 pub mod rescue;
 pub mod retrybudget;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -50,6 +50,8 @@
 pub enum Attempted {
     /// The upstream answered in whole.
     Answered(WholeAnswer),
+    /// It was not sent, because no connection could be established.
+    Unreachable(String),
     /// It certainly did not run.
     NotRun(String),
     /// It may have run.
@@ -74,9 +76,11 @@
         };
         let upstream = candidate.upstream;
         tried.push(upstream.id.clone());
+        let _trial = shared.trial(&upstream.id);
         let last = is_last(&admitted, may_have_run);
         let outcome = attempt(front, &admitted, &upstream, last).await;
         note_health(shared, &admitted, &upstream, &outcome);
+        let was_sent = !matches!(outcome, Attempted::Unreachable(_));
         let reason = match outcome {
             Attempted::Answered(answer) if may_repeat_answer(&admitted, &answer, last) => {
                 may_have_run += 1;
@@ -85,7 +89,7 @@
             Attempted::Answered(answer) => {
                 return pass_on(shared, &admitted, &upstream, answer, tried.len());
             }
-            Attempted::NotRun(reason) => reason,
+            Attempted::Unreachable(reason) | Attempted::NotRun(reason) => reason,
             Attempted::Unknown(reason) => {
                 may_have_run += 1;
                 if last {
@@ -101,8 +105,9 @@
         };
         let now = shared.now();
         let hosts = shared.hosts();
-        let retried = tried.len() < SENDS_MAX
-            && shared.budget(&admitted.service, |budget| budget.try_retry(now, hosts));
+        let in_budget =
+            !was_sent || shared.budget(&admitted.service, |budget| budget.try_retry(now, hosts));
+        let retried = in_budget && tried.len() < SENDS_MAX;
         let line = admitted.line(shared, EventCode::RequestRestarted);
         line.with("upstream", upstream.id.as_str())
             .with("reason", reason.as_str())
@@ -151,10 +156,11 @@
         Some(connection) => connection,
         None => match Connection::open(upstream.address, CONNECT_TIMEOUT).await {
             Ok(connection) => connection,
-            Err(failure) => return Attempted::NotRun(failure.reason().to_owned()),
+            Err(failure) => return Attempted::Unreachable(failure.reason().to_owned()),
         },
     };
     let shared = &front.shared;
+    shared.upstream_reached(&upstream.id);
     let headers = AttemptHeaders {
         upstream,
         time_left: admitted.time_left(),
@@ -217,6 +223,7 @@
             let reason = format!("status {}", answer.head.status.as_u16());
             shared.upstream_failed(&admitted.service, &upstream.id, &reason);
         }
+        Attempted::Unreachable(reason) => shared.upstream_unreachable(&upstream.id, reason),
         Attempted::NotRun(reason) | Attempted::Unknown(reason) => {
             shared.upstream_failed(&admitted.service, &upstream.id, reason);
         }
--- a/src/gateway/gossip/tests.rs
+++ b/src/gateway/gossip/tests.rs
@@ -1,1 +1,156 @@
+use super::Datagram;
+use super::Peers;
+use super::encode;
+use crate::clock::Time;
+use crate::gateway::loads::Load;
+use crate::id::DataCentre;
+use crate::id::HostId;
+use crate::id::UpstreamId;
 
+fn address(index: usize) -> std::net::SocketAddr {
+    format!("10.0.0.{index}:7200").parse().unwrap()
+}
+
+fn host(index: usize) -> HostId {
+    HostId::new(format!("host-{index:02}"))
+}
+
+fn datagram(index: usize, data_centre: &str) -> Datagram {
+    Datagram {
+        host: host(index),
+        config: 3,
+        upstreams: 10,
+        peer_port: 8000,
+        data_centre: DataCentre::new(data_centre),
+        reading: false,
+        log_away: false,
+        upstreams_digest: 0,
+        changes: Vec::new(),
+        loads: Vec::new(),
+        moving: Vec::new(),
+        leaving: Vec::new(),
+        hosts: Vec::new(),
+        stopping: false,
+    }
+}
+
+/// Twenty hosts, even ones in the north, as host 20 hears them.
+fn peers() -> Peers {
+    let mut peers = Peers::new(address(20), &[]);
+    for index in 0..20 {
+        peers.hear(Time::ZERO, address(index), &datagram(index, zone(index)));
+    }
+    peers
+}
+
+fn zone(index: usize) -> &'static str {
+    match index % 2 {
+        0 => "north",
+        _ => "south",
+    }
+}
+
+fn is_reader(peers: &Peers, now: Time, index: usize) -> bool {
+    peers.is_reader(now, &host(index), &DataCentre::new(zone(index)))
+}
+
+#[test]
+fn the_first_host_of_a_data_centre_reads() {
+    let mut peers = Peers::new(address(0), &[]);
+    for index in 1..20 {
+        peers.hear(Time::ZERO, address(index), &datagram(index, zone(index)));
+    }
+
+    assert!(is_reader(&peers, Time::ZERO, 0));
+    assert!(!is_reader(&self::peers(), Time::ZERO, 20));
+}
+
+#[test]
+fn a_reader_that_falls_silent_is_replaced() {
+    let mut peers = peers();
+    let later = Time::from_ms(1_200);
+    for index in 1..20 {
+        peers.hear(later, address(index), &datagram(index, zone(index)));
+    }
+
+    // Of the north, host 0 is silent and host 2 would be next.
+    assert!(!is_reader(&peers, later, 20));
+    assert!(peers.is_reader(later, &host(1), &DataCentre::new("north")));
+}
+
+#[test]
+fn a_reader_whom_the_log_turns_away_is_replaced() {
+    let mut peers = peers();
+    let mut turned_away = datagram(0, "north");
+    turned_away.log_away = true;
+    peers.hear(Time::ZERO, address(0), &turned_away);
+
+    assert!(peers.is_reader(Time::ZERO, &host(1), &DataCentre::new("north")));
+}
+
+#[test]
+fn a_few_hosts_read_each_for_itself() {
+    let mut peers = Peers::new(address(20), &[]);
+    for index in 0..8 {
+        peers.hear(Time::ZERO, address(index), &datagram(index, "north"));
+    }
+
+    assert!(is_reader(&peers, Time::ZERO, 20));
+}
+
+#[test]
+fn silent_and_stopping_hosts_count_no_more() {
+    let mut peers = peers();
+    let mut stopping = datagram(3, "south");
+    stopping.stopping = true;
+    peers.hear(Time::from_ms(2_900), address(3), &stopping);
+    peers.hear(Time::from_ms(2_900), address(4), &datagram(4, "north"));
+
+    assert_eq!(peers.live(Time::from_ms(2_900)), 19);
+    assert_eq!(peers.live(Time::from_ms(3_100)), 1);
+}
+
+#[test]
+fn seeds_are_tried_until_they_are_known_and_again_when_they_are_forgotten() {
+    let seed = "10.0.0.1:8000".parse().unwrap();
+    let mut peers = Peers::new(address(20), &[seed]);
+    let at_first = peers.targets(Time::ZERO, None);
+    peers.hear(Time::ZERO, address(1), &datagram(1, "south"));
+    let known = peers.targets(Time::ZERO, None);
+    let forgotten = peers.targets(Time::from_ms(60_000), None);
+
+    assert_eq!(at_first, [address(1)]);
+    assert_eq!(known, [address(1)]);
+    assert_eq!(forgotten, [address(1)]);
+}
+
+#[test]
+fn a_near_round_leaves_the_other_data_centres_out() {
+    let mut peers = peers();
+
+    let near = peers.targets(Time::ZERO, Some(&DataCentre::new("north")));
+
+    assert_eq!(near.len(), 10);
+}
+
+#[test]
+fn a_datagram_that_is_too_large_loses_its_smallest_loads() {
+    let mut large = datagram(1, "north");
+    large.loads = (0..200)
+        .map(|index| {
+            let load = Load {
+                requests: 1,
+                tokens: index,
+                unread_tokens: 0,
+            };
+            (UpstreamId::new(format!("i-{index:08}")), load)
+        })
+        .collect();
+
+    let bytes = encode(large);
+    let kept: Datagram = serde_json::from_slice(&bytes).unwrap();
+
+    assert!(bytes.len() <= 1_400, "{}", bytes.len());
+    assert!(kept.loads.iter().all(|(_, load)| load.tokens > 100));
+    assert!(!kept.loads.is_empty());
+}
--- a/src/gateway/place/tests.rs
+++ b/src/gateway/place/tests.rs
@@ -1,1 +1,107 @@
+use std::sync::Arc;
 
+use super::Candidate;
+use super::Need;
+use super::choose;
+use crate::gateway::directory::Upstream;
+use crate::gateway::directory::UpstreamState;
+use crate::gateway::loads::Load;
+use crate::id::DataCentre;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+
+fn candidate(id: &str, data_centre: &str, load: Load) -> Candidate {
+    Candidate {
+        upstream: Arc::new(Upstream {
+            id: UpstreamId::new(id),
+            service: ServiceId::new("inspection"),
+            address: "127.0.0.1:9000".parse().unwrap(),
+            data_centre: DataCentre::new(data_centre),
+            state: UpstreamState::Ready,
+            slots: 10,
+        }),
+        load,
+        doubtful: false,
+    }
+}
+
+fn load(requests: u32, tokens: u32, unread_tokens: u32) -> Load {
+    Load {
+        requests,
+        tokens,
+        unread_tokens,
+    }
+}
+
+const GENERATION: Need = Need::Memory {
+    tokens: 4_000,
+    prompt_tokens: 3_000,
+    memory_tokens: 34_000,
+};
+
+const COPY: Need = Need::Copy {
+    tokens: 4_000,
+    memory_tokens: 34_000,
+};
+
+fn chosen(need: Need, candidates: &[Candidate]) -> Option<String> {
+    let here = DataCentre::new("north");
+    choose(need, candidates, &here, || 0.0).map(|candidate| candidate.upstream.id.to_string())
+}
+
+#[test]
+fn a_generation_goes_where_the_most_memory_is_free() {
+    let candidates = [
+        candidate("full", "north", load(5, 20_000, 0)),
+        candidate("free", "north", load(5, 9_000, 0)),
+    ];
+
+    assert_eq!(chosen(GENERATION, &candidates), Some("free".into()));
+}
+
+#[test]
+fn prompts_that_wait_to_be_read_count() {
+    let candidates = [
+        candidate("reading", "north", load(2, 6_000, 6_000)),
+        candidate("read", "north", load(3, 10_000, 0)),
+    ];
+
+    assert_eq!(chosen(GENERATION, &candidates), Some("read".into()));
+}
+
+#[test]
+fn a_copy_stays_in_the_data_centre_unless_much_room_is_elsewhere() {
+    let near = candidate("near", "north", load(4, 12_000, 0));
+    let far = candidate("far", "south", load(4, 8_000, 0));
+    let empty = candidate("empty", "south", load(0, 0, 0));
+
+    assert_eq!(chosen(COPY, &[near.clone(), far]), Some("near".into()));
+    assert_eq!(chosen(COPY, &[near, empty]), Some("empty".into()));
+}
+
+#[test]
+fn a_call_takes_a_round_trip_only_for_a_free_slot() {
+    let near = candidate("near", "north", load(1, 0, 0));
+    let far = candidate("far", "south", load(0, 0, 0));
+    let busy = candidate("busy", "north", load(5, 0, 0));
+
+    assert_eq!(
+        chosen(Need::Slot, &[near, far.clone()]),
+        Some("near".into())
+    );
+    assert_eq!(chosen(Need::Slot, &[busy, far]), Some("far".into()));
+}
+
+#[test]
+fn a_doubtful_upstream_is_the_last_resort() {
+    let mut doubtful = candidate("doubtful", "north", load(0, 0, 0));
+    doubtful.doubtful = true;
+    let loaded = candidate("loaded", "south", load(9, 0, 0));
+
+    assert_eq!(
+        chosen(Need::Slot, &[doubtful.clone(), loaded]),
+        Some("loaded".into())
+    );
+    assert_eq!(chosen(Need::Slot, &[doubtful]), Some("doubtful".into()));
+    assert_eq!(chosen(Need::Slot, &[]), None);
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -13,7 +13,6 @@
 use futures_util::StreamExt;
 use tokio::time::Instant;
 
-use crate::ejection::Health;
 use crate::event::EventCode;
 use crate::gate::Pass;
 use crate::gateway::call;
@@ -148,8 +147,7 @@
         .filter(|upstream| !avoid.contains(&upstream.id))
         .map(|upstream| Candidate {
             load: loads.with(|loads| loads.at(&upstream.id)),
-            doubtful: shared.ejector(|ejector| ejector.health(now, &upstream.id))
-                == Health::Ejected,
+            doubtful: shared.is_doubtful(now, &upstream.id),
             upstream,
         })
         .collect()
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -21,6 +21,7 @@
 use crate::clock::SystemClock;
 use crate::clock::Time;
 use crate::ejection::Ejector;
+use crate::ejection::Health;
 use crate::event::EventCode;
 use crate::gate::Gate;
 use crate::gateway::configuration::Configuration;
@@ -30,6 +31,7 @@
 use crate::gateway::gossip::Peers;
 use crate::gateway::loads::LoadBoard;
 use crate::gateway::protocol::Protocol;
+use crate::gateway::reach::Reach;
 use crate::gateway::retrybudget::SharedRetryBudget;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::turns::TurnBoard;
@@ -68,6 +70,7 @@
     directory_changed: watch::Sender<u64>,
     peers: Mutex<Peers>,
     ejector: Mutex<Ejector>,
+    reach: Mutex<Reach>,
     budgets: Mutex<HashMap<ServiceId, SharedRetryBudget>>,
     log_away: AtomicBool,
     news: watch::Sender<u64>,
@@ -101,6 +104,7 @@
             directory_changed: watch::channel(0).0,
             peers: Mutex::new(peers),
             ejector: Mutex::new(Ejector::new(Default::default())),
+            reach: Mutex::default(),
             budgets: Mutex::default(),
             log_away: AtomicBool::new(true),
             news: watch::channel(0).0,
@@ -365,6 +369,43 @@
         use_ejector(&mut locked(&self.0.ejector))
     }
 
+    /// A connection to an upstream could not be established.
+    pub fn upstream_unreachable(&self, upstream: &UpstreamId, reason: &str) {
+        let now = self.now();
+        if locked(&self.0.reach).failed(now, upstream) {
+            let line = self.log().line(EventCode::UpstreamLost);
+            line.with("upstream", upstream.as_str())
+                .with("reason", reason)
+                .write();
+        }
+    }
+
+    /// A connection to an upstream was established.
+    pub fn upstream_reached(&self, upstream: &UpstreamId) {
+        if locked(&self.0.reach).reached(upstream) {
+            let line = self.log().line(EventCode::UpstreamBack);
+            line.with("upstream", upstream.as_str())
+                .with("change", "reached")
+                .write();
+        }
+    }
+
+    /// A request goes to an upstream. If the upstream was ejected and may be tried again, this is the
+    /// trial, and no other is made until the guard is dropped.
+    pub(crate) fn trial(&self, upstream: &UpstreamId) -> Trial {
+        self.ejector(|ejector| ejector.sent(upstream));
+        Trial {
+            shared: self.clone(),
+            upstream: upstream.clone(),
+        }
+    }
+
+    /// Whether requests that have another choice pass an upstream over.
+    pub(crate) fn is_doubtful(&self, now: Time, upstream: &UpstreamId) -> bool {
+        let health = self.ejector(|ejector| ejector.health(now, upstream));
+        health == Health::Ejected || locked(&self.0.reach).is_passed_over(now, upstream)
+    }
+
     /// A request at an upstream failed by the upstream's fault.
     pub fn upstream_failed(&self, service: &ServiceId, upstream: &UpstreamId, reason: &str) {
         let now = self.now();
@@ -384,3 +425,17 @@
         self.settings().gossip_address
     }
 }
+
+/// A request that is under way to an upstream, for the judgement on the upstream's health.
+#[derive(Debug)]
+pub(crate) struct Trial {
+    shared: Shared,
+    upstream: UpstreamId,
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        let upstream = &self.upstream;
+        self.shared.ejector(|ejector| ejector.abandoned(upstream));
+    }
+}
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -47,8 +47,9 @@
 /// Shorter runs are over before a copy of them pays: about a second and a half.
 const BACKUP_OUTPUT_TOKENS_MIN: u32 = 150;
 /// Copies are kept where the predicted peaks of all that an engine holds stay below this share of
-/// its memory. The peaks don't fall together, so that running work keeps room to spare.
-const BACKUP_MEMORY_SHARE_MAX: f64 = 0.0;
+/// its memory. Above it they cost more in preempted runs than they save after crashes
+/// (docs/MEASUREMENTS.md).
+const BACKUP_MEMORY_SHARE_MAX: f64 = 0.3;
 /// The balancer sends a caller that comes back elsewhere at once.
 const STOPPING_RETRY_AFTER_MS: u64 = 20;
 
@@ -78,6 +79,8 @@
     Running(Box<Running>),
     /// It answered in whole with something other than a stream.
     Answered(WholeAnswer),
+    /// It was not sent, because no connection could be established.
+    Unreachable(String),
     /// It certainly did not run.
     NotRun(String),
     /// It may have run.
@@ -109,6 +112,7 @@
         };
         let upstream = candidate.upstream;
         tried.push(upstream.id.clone());
+        let _trial = shared.trial(&upstream.id);
         let line = admitted.line(shared, EventCode::RequestDispatched);
         line.with("upstream", upstream.id.as_str())
             .with("load_requests", candidate.load.requests)
@@ -117,6 +121,7 @@
             .with("tokens", tokens(need))
             .with("hosts", shared.hosts())
             .write();
+        let mut was_sent = true;
         let reason = match open(shared, &admitted, &upstream, tokens(need), None).await {
             Opened::Running(running) => return respond(shared.clone(), admitted, *running),
             Opened::Answered(answer) => return pass_on(shared, &admitted, &upstream, answer),
@@ -131,13 +136,20 @@
                 let message = format!("{}: {reason}", upstream.id);
                 return admitted.refuse(shared, &Refusal::unknown(Code::UpstreamFailed, message));
             }
-            Opened::NotRun(reason) => reason,
+            Opened::Unreachable(reason) => {
+                was_sent = false;
+                reason
+            }
+            Opened::NotRun(reason) => {
+                shared.upstream_failed(&admitted.service, &upstream.id, &reason);
+                reason
+            }
         };
-        shared.upstream_failed(&admitted.service, &upstream.id, &reason);
         let now = shared.now();
         let hosts = shared.hosts();
-        let retried = tried.len() < SENDS_MAX
-            && shared.budget(&admitted.service, |budget| budget.try_retry(now, hosts));
+        let in_budget =
+            !was_sent || shared.budget(&admitted.service, |budget| budget.try_retry(now, hosts));
+        let retried = in_budget && tried.len() < SENDS_MAX;
         let line = admitted.line(shared, EventCode::RequestRestarted);
         line.with("upstream", upstream.id.as_str())
             .with("reason", reason.as_str())
@@ -264,8 +276,12 @@
 ) -> Opened {
     let mut connection = match Connection::open(upstream.address, CONNECT_TIMEOUT).await {
         Ok(connection) => connection,
-        Err(failure) => return Opened::NotRun(failure.reason().to_owned()),
+        Err(failure) => {
+            shared.upstream_unreachable(&upstream.id, failure.reason());
+            return Opened::Unreachable(failure.reason().to_owned());
+        }
     };
+    shared.upstream_reached(&upstream.id);
     let headers = AttemptHeaders {
         upstream,
         time_left: admitted.time_left(),
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -277,10 +277,7 @@
             let ago = now.since(notice);
             let since = Instant::now().checked_sub(ago);
             self.leaving_since = since.or(self.leaving_since);
-            match self.usable_backup() {
-                Some(backup) => self.begin_last(backup, None),
-                None => self.queue(),
-            }
+            self.queue();
         }
     }
 
@@ -486,11 +483,13 @@
                 self.note_move("continued", Some(to));
                 Ok(())
             }
-            Opened::NotRun(reason) if to.id != source.id => {
+            Opened::NotRun(reason) | Opened::Unreachable(reason) if to.id != source.id => {
                 self.note_move(&format!("not continued: {reason}"), Some(to));
                 Box::pin(self.continue_at(source, source, handle)).await
             }
-            Opened::NotRun(reason) | Opened::Unknown(reason) => Err(reason),
+            Opened::Unreachable(reason) | Opened::NotRun(reason) | Opened::Unknown(reason) => {
+                Err(reason)
+            }
             Opened::Answered(answer) => Err(format!("status {}", answer.head.status)),
             Opened::TimedOut => Err("the deadline passed".to_owned()),
         }
--- a/src/gateway/turns/tests.rs
+++ b/src/gateway/turns/tests.rs
@@ -1,1 +1,62 @@
+use super::Turns;
+use crate::clock::Time;
+use crate::id::HostId;
+use crate::id::UpstreamId;
 
+fn engine() -> UpstreamId {
+    UpstreamId::new("engine")
+}
+
+fn moving(runs: u32) -> Vec<(UpstreamId, u32)> {
+    vec![(engine(), runs)]
+}
+
+fn is_turn(turns: &Turns, now: Time, host: &str, ticket: u64) -> bool {
+    turns.is_turn(now, &HostId::new(host), &engine(), ticket)
+}
+
+#[test]
+fn runs_of_one_host_go_in_the_order_in_which_they_joined() {
+    let mut turns = Turns::default();
+    let first = turns.join(&engine());
+    let second = turns.join(&engine());
+    let before = is_turn(&turns, Time::ZERO, "host-1", second);
+
+    turns.leave(&engine(), first);
+
+    assert!(!before);
+    assert!(is_turn(&turns, Time::ZERO, "host-1", second));
+}
+
+#[test]
+fn a_host_waits_for_those_before_it_by_name_only() {
+    let mut turns = Turns::default();
+    let ticket = turns.join(&engine());
+
+    turns.hear(Time::ZERO, &HostId::new("host-0"), moving(2));
+    turns.hear(Time::ZERO, &HostId::new("host-2"), moving(2));
+
+    assert!(!is_turn(&turns, Time::ZERO, "host-1", ticket));
+    turns.hear(Time::ZERO, &HostId::new("host-0"), Vec::new());
+    assert!(is_turn(&turns, Time::ZERO, "host-1", ticket));
+}
+
+#[test]
+fn a_peer_that_fell_silent_holds_nobody_up() {
+    let mut turns = Turns::default();
+    let ticket = turns.join(&engine());
+    turns.hear(Time::ZERO, &HostId::new("host-0"), moving(1));
+
+    assert!(!is_turn(&turns, Time::from_ms(800), "host-1", ticket));
+    assert!(is_turn(&turns, Time::from_ms(900), "host-1", ticket));
+}
+
+#[test]
+fn engines_have_lines_of_their_own() {
+    let mut turns = Turns::default();
+    turns.join(&UpstreamId::new("other"));
+    let ticket = turns.join(&engine());
+
+    assert!(is_turn(&turns, Time::ZERO, "host-1", ticket));
+    assert_eq!(turns.own().len(), 2);
+}
--- /dev/null
+++ b/tests/gatewayworld/fakelog.rs
@@ -0,0 +1,191 @@
+//! A keyed log that can go away and forget its history.
+
+use std::collections::HashMap;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+
+#[derive(Default)]
+struct Topic {
+    first: usize,
+    records: Vec<(String, Value)>,
+}
+
+#[derive(Default)]
+struct State {
+    topics: HashMap<String, Topic>,
+    down: bool,
+    truncated_reads: usize,
+}
+
+/// A handle on the log; clones share it.
+#[derive(Clone)]
+pub struct FakeLog {
+    address: SocketAddr,
+    state: Arc<(Mutex<State>, Condvar)>,
+}
+
+impl FakeLog {
+    /// Listens at a port from the system.
+    pub fn start(address: IpAddr) -> Self {
+        let listener = TcpListener::bind((address, 0)).unwrap();
+        let log = FakeLog {
+            address: listener.local_addr().unwrap(),
+            state: Arc::default(),
+        };
+        let serving = log.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let log = serving.clone();
+                std::thread::spawn(move || log.serve(&stream));
+            }
+        });
+        log
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    fn with<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        let result = change(&mut self.state.0.lock().unwrap());
+        self.state.1.notify_all();
+        result
+    }
+
+    /// Appends a record; null removes the key.
+    pub fn put(&self, topic: &str, key: &str, value: &Value) {
+        self.with(|state| {
+            let topic = state.topics.entry(topic.to_owned()).or_default();
+            topic.records.push((key.to_owned(), value.clone()));
+        });
+    }
+
+    /// From now on every call is refused, or no longer.
+    pub fn set_down(&self, down: bool) {
+        self.with(|state| state.down = down);
+    }
+
+    /// Forgets all records of a topic but the newest of each key.
+    pub fn truncate(&self, topic: &str) {
+        self.with(|state| {
+            let topic = state.topics.entry(topic.to_owned()).or_default();
+            topic.first = topic.records.len();
+        });
+    }
+
+    /// Reads that asked for records which are gone.
+    pub fn truncated_reads(&self) -> usize {
+        self.with(|state| state.truncated_reads)
+    }
+
+    fn serve(&self, stream: &TcpStream) {
+        let mut reader = BufReader::new(stream);
+        let mut writer = stream;
+        loop {
+            let mut line = String::new();
+            if reader.read_line(&mut line).unwrap_or(0) == 0 {
+                return;
+            }
+            let mut length = 0;
+            loop {
+                let mut header = String::new();
+                if reader.read_line(&mut header).unwrap_or(0) == 0 || header == "\r\n" {
+                    break;
+                }
+                if let Some(value) = header.to_ascii_lowercase().strip_prefix("content-length:") {
+                    length = value.trim().parse().unwrap();
+                }
+            }
+            let mut body = vec![0; length];
+            if reader.read_exact(&mut body).is_err() {
+                return;
+            }
+            let path = line.split(' ').nth(1).unwrap_or("").to_owned();
+            let (status, answer) = self.answer(&path);
+            let answer = answer.to_string();
+            let head = format!(
+                "HTTP/1.1 {status} X\r\ncontent-length: {}\r\n\r\n",
+                answer.len()
+            );
+            if writer.write_all((head + &answer).as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, path: &str) -> (u16, Value) {
+        let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+        if self.with(|state| state.down) {
+            return (503, json!({}));
+        }
+        match parts[..] {
+            ["newest", topic] => (200, self.newest(topic)),
+            ["read", topic, from, wait_ms] => {
+                let wait = Duration::from_millis(wait_ms.parse().unwrap());
+                self.read(topic, from.parse().unwrap(), wait)
+            }
+            ["append", ..] => (200, json!({})),
+            _ => (404, json!({})),
+        }
+    }
+
+    fn newest(&self, topic: &str) -> Value {
+        self.with(|state| {
+            let topic = state.topics.entry(topic.to_owned()).or_default();
+            let mut newest: HashMap<&str, (usize, &Value)> = HashMap::new();
+            for (offset, (key, value)) in topic.records.iter().enumerate() {
+                newest.insert(key, (offset, value));
+            }
+            let records = newest
+                .into_iter()
+                .filter(|(_, (_, value))| !value.is_null())
+                .map(|(key, (offset, value))| record(key, offset, value));
+            json!({"records": records.collect::<Vec<Value>>(), "end": topic.records.len()})
+        })
+    }
+
+    fn read(&self, topic: &str, from: usize, wait: Duration) -> (u16, Value) {
+        let ends = Instant::now() + wait;
+        let (lock, changed) = &*self.state;
+        let mut state = lock.lock().unwrap();
+        loop {
+            if state.down {
+                return (503, json!({}));
+            }
+            let topic = state.topics.entry(topic.to_owned()).or_default();
+            let (first, end) = (topic.first, topic.records.len());
+            if from < first {
+                state.truncated_reads += 1;
+                return (410, json!({"first": first}));
+            }
+            let left = ends.saturating_duration_since(Instant::now());
+            if from < end || left.is_zero() {
+                let records = topic.records.iter().enumerate().skip(from);
+                let records = records.map(|(offset, (key, value))| record(key, offset, value));
+                return (
+                    200,
+                    json!({"records": records.collect::<Vec<Value>>(), "end": end}),
+                );
+            }
+            state = changed.wait_timeout(state, left).unwrap().0;
+        }
+    }
+}
+
+fn record(key: &str, offset: usize, value: &Value) -> Value {
+    json!({"key": key, "offset": offset, "value": value})
+}
--- /dev/null
+++ b/tests/gatewayworld/mod.rs
@@ -0,0 +1,201 @@
+//! A gateway host with stand-ins of its own around it: a log, upstreams and callers that speak raw
+//! HTTP, and a protocol whose names are the product's.
+
+#![allow(clippy::unwrap_used, reason = "fixtures of tests")]
+
+mod caller;
+mod fakelog;
+mod protocol;
+mod upstream;
+
+use std::net::IpAddr;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::channel;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::oneshot;
+
+use cedargauge::clock::SystemClock;
+use cedargauge::gateway::decisions::DecisionLog;
+use cedargauge::gateway::host::GatewayHost;
+use cedargauge::gateway::retrybudget::RetryBudgetOptions;
+use cedargauge::gateway::settings::GatewaySettings;
+use cedargauge::gateway::settings::GatewaySettingsBuilder;
+use cedargauge::id::DataCentre;
+use cedargauge::id::HostId;
+use cedargauge::id::Incarnation;
+
+pub use caller::Answer;
+pub use caller::Caller;
+pub use caller::ask;
+pub use fakelog::FakeLog;
+pub use protocol::ProductProtocol;
+pub use upstream::Behaviour;
+pub use upstream::FakeUpstream;
+
+/// What must happen happens within this time.
+pub const BOUND: Duration = Duration::from_secs(10);
+
+/// Waits until `condition` holds; false if it doesn't within [`BOUND`].
+pub fn wait_until(mut condition: impl FnMut() -> bool) -> bool {
+    let ends = Instant::now() + BOUND;
+    while Instant::now() < ends {
+        if condition() {
+            return true;
+        }
+        std::thread::yield_now();
+        std::thread::park_timeout(Duration::from_millis(2));
+    }
+    false
+}
+
+/// A loopback address of its own for each world, so that its fixed ports meet nobody else's.
+fn own_address() -> IpAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let pid = std::process::id().to_be_bytes();
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    IpAddr::V4(Ipv4Addr::new(127, 10 + pid[2] % 200, pid[3], number))
+}
+
+/// A host that runs in a thread of its own.
+pub struct World {
+    pub log: FakeLog,
+    pub address: IpAddr,
+    drain: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl World {
+    /// Starts a host; it knows nothing until the log is filled.
+    pub fn start() -> Self {
+        let address = own_address();
+        let log = FakeLog::start(address);
+        let settings = settings(address, log.address());
+        let (started, ready) = channel();
+        let (drain, drained) = oneshot::channel();
+        let thread = std::thread::spawn(move || {
+            actix_rt::System::new().block_on(async move {
+                let clock = SystemClock::new();
+                let lines = DecisionLog::start_with(
+                    settings.host.clone(),
+                    Incarnation(1),
+                    clock,
+                    std::io::sink(),
+                );
+                let host = GatewayHost::start_with(
+                    settings,
+                    Arc::new(ProductProtocol::default()),
+                    Box::new(|| None),
+                    clock,
+                    lines,
+                )
+                .await
+                .unwrap();
+                started.send(()).unwrap();
+                // Either a test asks for it or the world is dropped.
+                let _ = drained.await;
+                host.drain().await;
+            });
+        });
+        ready.recv().unwrap();
+        World {
+            log,
+            address,
+            drain: Some(drain),
+            thread: Some(thread),
+        }
+    }
+
+    /// A host that serves `routes` by `upstreams`.
+    pub fn serving(routes: Value, upstreams: &[&FakeUpstream]) -> Self {
+        let world = World::start();
+        for upstream in upstreams {
+            world.list(upstream, "ready");
+        }
+        world.log.put("operator", "table", &table(1, routes));
+        assert!(wait_until(|| world.is_ready()), "the host is not ready");
+        world
+    }
+
+    /// Lists an upstream in the log.
+    pub fn list(&self, upstream: &FakeUpstream, state: &str) {
+        self.log
+            .put("upstreams", upstream.id(), &upstream.entry(state));
+    }
+
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.address, CALLER_PORT)
+    }
+
+    /// Whether the host says that it is ready.
+    pub fn is_ready(&self) -> bool {
+        let ready = SocketAddr::new(self.address, READY_PORT);
+        ask(ready, "GET /ready HTTP/1.1\r\nhost: x\r\n\r\n").status == 200
+    }
+
+    /// Begins to stop the host.
+    pub fn drain(&mut self) {
+        if let Some(drain) = self.drain.take() {
+            // The host may have ended by itself.
+            let _ = drain.send(());
+        }
+    }
+
+    /// Waits until the host has ended.
+    pub fn wait_ended(&mut self) {
+        self.drain();
+        if let Some(thread) = self.thread.take() {
+            thread.join().unwrap();
+        }
+    }
+}
+
+const CALLER_PORT: u16 = 8000;
+const READY_PORT: u16 = 8001;
+
+fn settings(address: IpAddr, log_address: SocketAddr) -> GatewaySettings {
+    let at = |port| SocketAddr::new(address, port);
+    GatewaySettingsBuilder::default()
+        .host(HostId::new("host-0"))
+        .data_centre(DataCentre::new("north"))
+        .caller_address(at(CALLER_PORT))
+        .ready_address(at(READY_PORT))
+        .peer_address(at(8002))
+        .gossip_address(at(8003))
+        .metrics_address(at(8004))
+        .seeds(Vec::new())
+        .log_address(log_address)
+        .retries(RetryBudgetOptions {
+            ratio: 0.2,
+            allowance: 50.0,
+            window: Duration::from_secs(10),
+        })
+        .grace(Duration::from_secs(4))
+        .build()
+        .unwrap()
+}
+
+/// A configuration with one customer.
+pub fn table(version: u64, routes: Value) -> Value {
+    json!({"version": version, "routes": routes, "keys": {"key-1": "canton"}})
+}
+
+/// A route of `kind` for everything under `/nets/`.
+pub fn route(kind: &str) -> Value {
+    route_to(kind, "nets")
+}
+
+/// The same to a service of that name.
+pub fn route_to(kind: &str, service: &str) -> Value {
+    json!({"name": "nets", "host": "a.example", "prefix": "/nets/", "kind": kind,
+           "timeout_ms": 4000, "objective_ms": 1000, "service": service, "attempts": 2})
+}
--- /dev/null
+++ b/tests/gatewayworld/protocol.rs
@@ -0,0 +1,250 @@
+//! The stand-ins' protocol: JSON throughout, and header names in the product's words.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Method;
+use serde_json::Value;
+use serde_json::json;
+
+use cedargauge::error::Error;
+use cedargauge::error::Result;
+use cedargauge::gateway::configuration::CallerLimits;
+use cedargauge::gateway::configuration::Configuration;
+use cedargauge::gateway::configuration::Customer;
+use cedargauge::gateway::configuration::EngineSpec;
+use cedargauge::gateway::configuration::ServiceSpec;
+use cedargauge::gateway::directory::Upstream;
+use cedargauge::gateway::protocol::AnswerLoad;
+use cedargauge::gateway::protocol::CopyDone;
+use cedargauge::gateway::protocol::EngineReport;
+use cedargauge::gateway::protocol::GenerationSize;
+use cedargauge::gateway::protocol::HeaderNames;
+use cedargauge::gateway::protocol::NewestPage;
+use cedargauge::gateway::protocol::OwnCall;
+use cedargauge::gateway::protocol::Protocol;
+use cedargauge::gateway::protocol::ReadBatch;
+use cedargauge::gateway::protocol::Record;
+use cedargauge::gateway::protocol::Topic;
+use cedargauge::gateway::route::Route;
+use cedargauge::gateway::route::RouteKind;
+use cedargauge::gateway::route::RouteTable;
+use cedargauge::gateway::route::Target;
+use cedargauge::id::CustomerId;
+use cedargauge::id::ServiceId;
+
+/// Speaks with the stand-ins of these tests.
+#[derive(Debug)]
+pub struct ProductProtocol {
+    headers: HeaderNames,
+}
+
+impl Default for ProductProtocol {
+    fn default() -> Self {
+        let name = HeaderName::from_static;
+        ProductProtocol {
+            headers: HeaderNames {
+                request_id: name("request-id"),
+                deadline_ms: name("deadline-ms"),
+                customer: name("customer"),
+                expected_instance: name("instance"),
+                not_run: name("not-run"),
+                signature: name("signature"),
+                priority: name("rank"),
+                continue_from: name("continue-from"),
+                last_event: name("last-event-id"),
+                backup_at: name("copy-at"),
+                load: name("load"),
+                reserved: vec![name("reserved")],
+                key_scheme: "Key",
+            },
+        }
+    }
+}
+
+fn bad(reason: &str) -> Error {
+    Error::Remote {
+        peer: "stand-in".to_owned(),
+        reason: reason.to_owned(),
+    }
+}
+
+fn records(values: &Value) -> Vec<Record> {
+    let values = values.as_array().unwrap();
+    let record = |value: &Value| Record {
+        key: value["key"].as_str().unwrap().to_owned(),
+        value: (!value["value"].is_null()).then(|| Bytes::from(value["value"].to_string())),
+        offset: value["offset"].as_u64().unwrap(),
+    };
+    values.iter().map(record).collect()
+}
+
+impl Protocol for ProductProtocol {
+    fn headers(&self) -> &HeaderNames {
+        &self.headers
+    }
+
+    fn newest_call(&self, topic: Topic, _after: Option<&str>) -> OwnCall {
+        OwnCall::get(format!("/newest/{}", topic.name()))
+    }
+
+    fn decode_newest(&self, body: &[u8]) -> Result<NewestPage> {
+        let page: Value = serde_json::from_slice(body)?;
+        Ok(NewestPage {
+            records: records(&page["records"]),
+            more: false,
+            end: page["end"].as_u64().unwrap(),
+        })
+    }
+
+    fn read_call(&self, topic: Topic, from: u64, wait: Duration) -> OwnCall {
+        let wait_ms = wait.as_millis();
+        OwnCall::get(format!("/read/{}/{from}/{wait_ms}", topic.name()))
+    }
+
+    fn decode_read(&self, _from: u64, body: &Bytes) -> Result<ReadBatch> {
+        let page: Value = serde_json::from_slice(body)?;
+        Ok(ReadBatch {
+            records: records(&page["records"]),
+            next: page["end"].as_u64().unwrap(),
+        })
+    }
+
+    fn append_call(&self, topic: Topic, key: &str, value: &[u8]) -> OwnCall {
+        OwnCall {
+            method: Method::POST,
+            path: format!("/append/{}/{key}", topic.name()),
+            body: Bytes::copy_from_slice(value),
+            content_type: None,
+        }
+    }
+
+    fn configuration(&self, key: &str, value: &[u8]) -> Result<Option<Configuration>> {
+        if key != "table" {
+            return Ok(None);
+        }
+        let document: Value = serde_json::from_slice(value)?;
+        let version = document["version"].as_u64().ok_or_else(|| bad("version"))?;
+        let routes: Vec<Route> = document["routes"]
+            .as_array()
+            .unwrap()
+            .iter()
+            .map(route)
+            .collect();
+        let keys = document["keys"].as_object().unwrap();
+        let customers = keys.iter().map(|(key, name)| {
+            let customer = Customer {
+                name: CustomerId::new(name.as_str().unwrap()),
+                priority: None,
+            };
+            (key.clone(), Arc::new(customer))
+        });
+        let engine = EngineSpec {
+            slots: 8,
+            memory_tokens: 30_000,
+            moves: true,
+            backups: false,
+            tokens_per_event: 1,
+        };
+        let service = |engine: Option<EngineSpec>| ServiceSpec {
+            connections_max: 100,
+            engine,
+        };
+        Ok(Some(Configuration {
+            version,
+            routes: RouteTable::new(routes),
+            services: HashMap::from([
+                (ServiceId::new("nets"), service(None)),
+                (ServiceId::new("reports"), service(Some(engine))),
+            ]),
+            limits: CallerLimits {
+                header_bytes_max: 16_384,
+                body_bytes_max: 100_000,
+            },
+            customers: Some(customers.collect()),
+        }))
+    }
+
+    fn upstream(&self, _key: &str, value: &[u8]) -> Result<Upstream> {
+        Ok(serde_json::from_slice(value)?)
+    }
+
+    fn generation_size(&self, headers: &HeaderMap) -> Option<GenerationSize> {
+        let tokens = headers.get("tokens")?.to_str().ok()?.parse().ok()?;
+        Some(GenerationSize {
+            prompt_tokens: 100,
+            output_tokens_max: tokens,
+            output_tokens_hint: None,
+        })
+    }
+
+    fn answer_load(&self, _value: &HeaderValue) -> Option<AnswerLoad> {
+        None
+    }
+
+    fn report_call(&self) -> OwnCall {
+        OwnCall::get("/report")
+    }
+
+    fn decode_report(&self, _body: &[u8]) -> Result<EngineReport> {
+        Ok(EngineReport::default())
+    }
+
+    fn copy_call(&self, request_id: &str, to: SocketAddr, last: bool) -> OwnCall {
+        let body = json!({"run": request_id, "to": to, "last": last});
+        OwnCall {
+            method: Method::POST,
+            path: "/copy".to_owned(),
+            body: Bytes::from(body.to_string()),
+            content_type: None,
+        }
+    }
+
+    fn decode_copy(&self, body: &[u8]) -> Result<CopyDone> {
+        let done: Value = serde_json::from_slice(body)?;
+        Ok(CopyDone {
+            handle: done["handle"]
+                .as_str()
+                .ok_or_else(|| bad("handle"))?
+                .to_owned(),
+            events: done["events"].as_u64().unwrap_or(0),
+        })
+    }
+
+    fn free_copy_call(&self, handle: &str) -> OwnCall {
+        OwnCall::get(format!("/free/{handle}"))
+    }
+
+    fn continue_value(&self, source: SocketAddr, handle: &str) -> HeaderValue {
+        HeaderValue::from_str(&format!("{source}#{handle}")).unwrap()
+    }
+}
+
+fn route(value: &Value) -> Route {
+    let ms = |name: &str| Duration::from_millis(value[name].as_u64().unwrap());
+    Route {
+        name: value["name"].as_str().unwrap().to_owned(),
+        host: value["host"].as_str().unwrap().to_owned(),
+        path_prefix: value["prefix"].as_str().unwrap().to_owned(),
+        kind: match value["kind"].as_str().unwrap() {
+            "idempotent" => RouteKind::Idempotent,
+            "stream" => RouteKind::Stream,
+            _ => RouteKind::Once,
+        },
+        timeout: ms("timeout_ms"),
+        objective: ms("objective_ms"),
+        priority: 0,
+        targets: vec![Target {
+            service: ServiceId::new(value["service"].as_str().unwrap()),
+            weight: 1,
+        }],
+        attempts: value["attempts"].as_u64().unwrap() as u32,
+        public: false,
+    }
+}
--- /dev/null
+++ b/tests/gatewayworld/upstream.rs
@@ -0,0 +1,365 @@
+//! An upstream that behaves as it is told, one behaviour a request.
+
+use std::collections::VecDeque;
+use std::io::Read;
+use std::io::Write;
+use std::net::IpAddr;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+
+use super::caller::header;
+
+/// What an upstream does with a request.
+#[derive(Debug, Clone)]
+pub enum Behaviour {
+    /// Answers with this status and body.
+    Answer(u16, &'static str),
+    /// The same with another request's id.
+    AnswerOfAnother(&'static str),
+    /// Says that it did not run the request.
+    NotRun,
+    /// Another instance listens here.
+    OtherInstance,
+    /// Reads the request and closes.
+    Close,
+    /// Breaks off within the body.
+    CutBody,
+    /// A body that ends with the connection.
+    Unframed(&'static str),
+    /// A second answer behind the first.
+    Extra(&'static str),
+    /// Never answers.
+    Mute,
+    /// Answers before it reads the body, and reads it afterwards.
+    Early(&'static str),
+    /// A stream of events from the one after the caller's last on; breaks off where told, and
+    /// waits where told until the run is stopped.
+    Events {
+        to: u64,
+        break_after: Option<u64>,
+        hold_after: Option<u64>,
+    },
+}
+
+/// A request as an upstream saw it.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub head: String,
+    pub body: Vec<u8>,
+    pub connection: usize,
+}
+
+impl Seen {
+    /// The value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        header(&self.head, name)
+    }
+
+    /// Method and target.
+    pub fn line(&self) -> &str {
+        let line = self.head.lines().next().unwrap_or("");
+        line.strip_suffix(" HTTP/1.1").unwrap_or(line)
+    }
+}
+
+#[derive(Default)]
+struct State {
+    behaviours: VecDeque<Behaviour>,
+    seen: Vec<Seen>,
+    closed_by_gateway: usize,
+    stopped: Vec<String>,
+    connections: usize,
+}
+
+/// A handle on the upstream; clones share it.
+#[derive(Clone)]
+pub struct FakeUpstream {
+    id: String,
+    service: &'static str,
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl FakeUpstream {
+    /// An upstream of the service `nets`.
+    pub fn start(id: &str, behaviours: &[Behaviour]) -> Self {
+        FakeUpstream::of("nets", id, behaviours)
+    }
+
+    /// An upstream of another service. The last behaviour stays.
+    pub fn of(service: &'static str, id: &str, behaviours: &[Behaviour]) -> Self {
+        let listener = TcpListener::bind((IpAddr::from([127, 0, 0, 1]), 0)).unwrap();
+        let upstream = FakeUpstream {
+            id: id.to_owned(),
+            service,
+            address: listener.local_addr().unwrap(),
+            state: Arc::default(),
+        };
+        upstream.with(|state| state.behaviours = behaviours.iter().cloned().collect());
+        let serving = upstream.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let upstream = serving.clone();
+                std::thread::spawn(move || upstream.serve(stream));
+            }
+        });
+        upstream
+    }
+
+    /// An upstream at whose address nobody listens.
+    pub fn absent(id: &str) -> Self {
+        let listener = TcpListener::bind((IpAddr::from([127, 0, 0, 1]), 0)).unwrap();
+        FakeUpstream {
+            id: id.to_owned(),
+            service: "nets",
+            address: listener.local_addr().unwrap(),
+            state: Arc::default(),
+        }
+    }
+
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// The entry by which it lists itself.
+    pub fn entry(&self, state: &str) -> Value {
+        let state = if state == "ready" { "Ready" } else { "Leaving" };
+        json!({"id": self.id, "service": self.service, "address": self.address,
+               "data_centre": "north", "state": state, "slots": 4})
+    }
+
+    fn with<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
+        change(&mut self.state.lock().unwrap())
+    }
+
+    /// The requests that it saw.
+    pub fn seen(&self) -> Vec<Seen> {
+        self.with(|state| state.seen.clone())
+    }
+
+    /// Requests whose connection the gateway closed before an answer.
+    pub fn closed_by_gateway(&self) -> usize {
+        self.with(|state| state.closed_by_gateway)
+    }
+
+    /// Runs that were stopped to be moved.
+    pub fn stopped(&self) -> Vec<String> {
+        self.with(|state| state.stopped.clone())
+    }
+
+    fn serve(&self, mut stream: TcpStream) {
+        let connection = self.with(|state| {
+            state.connections += 1;
+            state.connections
+        });
+        let mut buffer = Vec::new();
+        loop {
+            let Some(head) = read_head(&mut stream, &mut buffer) else {
+                return;
+            };
+            if head.starts_with("POST /copy ") {
+                let body = read_body(&mut stream, &mut buffer, &head);
+                self.copy(&stream, &body);
+                continue;
+            }
+            let behaviour = self.with(|state| match state.behaviours.len() {
+                0 => Behaviour::NotRun,
+                1 => state.behaviours[0].clone(),
+                _ => state.behaviours.pop_front().unwrap(),
+            });
+            if let Behaviour::Early(text) = behaviour {
+                self.answer(&stream, &head, 200, text);
+            }
+            let body = read_body(&mut stream, &mut buffer, &head);
+            let seen = Seen {
+                head: head.clone(),
+                body,
+                connection,
+            };
+            self.with(|state| state.seen.push(seen));
+            if !self.behave(&mut stream, &head, behaviour) {
+                // Closing both ways, so that the gateway sees the end at once.
+                let _ = stream.shutdown(Shutdown::Both);
+                return;
+            }
+        }
+    }
+
+    /// Does as told; false if the connection ends with it.
+    fn behave(&self, stream: &mut TcpStream, head: &str, behaviour: Behaviour) -> bool {
+        let id = header(head, "request-id").unwrap_or("").to_owned();
+        match behaviour {
+            Behaviour::Early(_) => true,
+            Behaviour::Answer(status, text) => self.answer(stream, head, status, text),
+            Behaviour::AnswerOfAnother(text) => {
+                let other = format!("X / HTTP/1.1\r\nrequest-id: other-{id}\r\n");
+                self.answer(stream, &other, 200, text)
+            }
+            Behaviour::NotRun => write(
+                stream,
+                "HTTP/1.1 503 X\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n",
+            ),
+            Behaviour::OtherInstance => {
+                write(stream, "HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n")
+            }
+            Behaviour::Close => false,
+            Behaviour::CutBody => {
+                write(
+                    stream,
+                    &format!(
+                        "HTTP/1.1 200 X\r\nrequest-id: {id}\r\ncontent-length: 90\r\n\r\nthe first half"
+                    ),
+                );
+                false
+            }
+            Behaviour::Unframed(text) => {
+                write(
+                    stream,
+                    &format!(
+                        "HTTP/1.1 200 X\r\nrequest-id: {id}\r\nconnection: close\r\n\r\n{text}"
+                    ),
+                );
+                false
+            }
+            Behaviour::Extra(text) => {
+                self.answer(stream, head, 200, text)
+                    && self.answer(stream, head, 200, "not asked for")
+            }
+            Behaviour::Mute => {
+                self.wait_closed(stream);
+                false
+            }
+            Behaviour::Events {
+                to,
+                break_after,
+                hold_after,
+            } => self.events(stream, head, &id, to, break_after, hold_after),
+        }
+    }
+
+    fn answer(&self, stream: &TcpStream, head: &str, status: u16, text: &str) -> bool {
+        let id = header(head, "request-id").unwrap_or("");
+        let length = text.len();
+        let answer = format!(
+            "HTTP/1.1 {status} X\r\nrequest-id: {id}\r\nsignature: {}-{id}\r\ncontent-length: {length}\r\n\r\n{text}",
+            self.id
+        );
+        write(stream, &answer)
+    }
+
+    fn wait_closed(&self, stream: &mut TcpStream) {
+        let mut byte = [0];
+        if matches!(stream.read(&mut byte), Ok(0) | Err(_)) {
+            self.with(|state| state.closed_by_gateway += 1);
+        }
+    }
+
+    fn events(
+        &self,
+        stream: &mut TcpStream,
+        head: &str,
+        id: &str,
+        to: u64,
+        break_after: Option<u64>,
+        hold_after: Option<u64>,
+    ) -> bool {
+        let after = header(head, "last-event-id").and_then(|text| text.parse().ok());
+        write(
+            stream,
+            &format!("HTTP/1.1 200 X\r\nrequest-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n"),
+        );
+        for number in after.unwrap_or(0) + 1..=to {
+            let event = format!("id: {number}\ndata: {}\n\n", self.id);
+            if !write(stream, &format!("{:x}\r\n{event}\r\n", event.len())) {
+                self.with(|state| state.closed_by_gateway += 1);
+                return false;
+            }
+            if break_after == Some(number) {
+                return false;
+            }
+            if hold_after == Some(number) {
+                self.hold(stream, id);
+                return false;
+            }
+        }
+        write(stream, "0\r\n\r\n")
+    }
+
+    /// The run goes on until it is stopped or its caller leaves.
+    fn hold(&self, stream: &TcpStream, id: &str) {
+        stream
+            .set_read_timeout(Some(Duration::from_millis(5)))
+            .unwrap();
+        let mut byte = [0];
+        loop {
+            if self.stopped().iter().any(|stopped| stopped == id) {
+                return;
+            }
+            let mut reader = stream;
+            if matches!(reader.read(&mut byte), Ok(0)) {
+                self.with(|state| state.closed_by_gateway += 1);
+                return;
+            }
+        }
+    }
+
+    fn copy(&self, stream: &TcpStream, body: &[u8]) {
+        let call: Value = serde_json::from_slice(body).unwrap();
+        let run = call["run"].as_str().unwrap().to_owned();
+        if call["last"] == true {
+            self.with(|state| state.stopped.push(run.clone()));
+        }
+        let done = json!({"handle": format!("copy-of-{run}"), "events": 3}).to_string();
+        write(
+            stream,
+            &format!(
+                "HTTP/1.1 200 X\r\ncontent-length: {}\r\n\r\n{done}",
+                done.len()
+            ),
+        );
+    }
+}
+
+fn write(mut stream: &TcpStream, text: &str) -> bool {
+    stream.write_all(text.as_bytes()).is_ok()
+}
+
+fn read_head(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<String> {
+    loop {
+        if let Some(end) = buffer.windows(4).position(|four| four == b"\r\n\r\n") {
+            let head = buffer.drain(..end + 4).collect::<Vec<u8>>();
+            return Some(String::from_utf8_lossy(&head).into_owned());
+        }
+        fill(stream, buffer)?;
+    }
+}
+
+fn read_body(stream: &mut TcpStream, buffer: &mut Vec<u8>, head: &str) -> Vec<u8> {
+    let length = header(head, "content-length").and_then(|text| text.parse().ok());
+    let length: usize = length.unwrap_or(0);
+    while buffer.len() < length {
+        if fill(stream, buffer).is_none() {
+            return std::mem::take(buffer);
+        }
+    }
+    buffer.drain(..length).collect()
+}
+
+fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Option<()> {
+    let mut chunk = [0; 4096];
+    match stream.read(&mut chunk) {
+        Ok(0) | Err(_) => None,
+        Ok(length) => {
+            buffer.extend_from_slice(&chunk[..length]);
+            Some(())
+        }
+    }
+}
