--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -9,8 +9,9 @@
 /// Cost of leaving the data centre, as a share of an upstream's room. Calls of plain services are
 /// short: a round trip weighs as much as about one request of six that runs there.
 const PLAIN_DISTANCE: f64 = 0.15;
-/// Cost of leaving the data centre for a generation: it lasts seconds, so room goes first.
-const GENERATION_DISTANCE: f64 = 0.02;
+/// Cost of leaving the data centre for a generation: a cut between data centres breaks what runs
+/// across it. Of 0.02, 0.12 and 0.3 the middle one served most (docs/MEASUREMENTS.md).
+const GENERATION_DISTANCE: f64 = 0.12;
 /// Cost of leaving the data centre for a copy of memory, which takes twice as long there.
 const COPY_DISTANCE: f64 = 0.25;
 /// Prompts are read one after another, some 7 tokens a millisecond between the steps of what runs.
