Take turns over all data centres, leave short runs alone, and take no call at the grace's end

Changes: what is to be moved is told to all data centres at once in a short datagram, all else at intervals of 1.8 s; a copy counts at its destination as unread tokens; runs that are expected to end within 0.7 s are not moved at first; a stopping host refuses calls in the last 1.5 s of its grace. Test: a_host_at_the_end_of_its_grace_takes_no_further_call.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -33,6 +33,11 @@
 const SENDS_MAX: usize = 4;
 /// An attempt that may be repeated elsewhere is given up after this multiple of the objective.
 const ATTEMPT_OBJECTIVES: u32 = 2;
+/// A stopping host takes no call so shortly before the end of its grace: most take 0.06 s, the
+/// longest half a second, and twice as long with a second attempt.
+const LAST_CALLS: Duration = Duration::from_millis(1_500);
+/// The balancer sends a caller that comes back elsewhere at once.
+pub const STOPPING_RETRY_AFTER_MS: u64 = 20;
 /// The answer of our own goes out this long before the deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 
@@ -65,6 +70,11 @@
     let shared = &front.shared;
     let now = shared.now();
     shared.budget(&admitted.service, |budget| budget.requested(now));
+    if shared.stops_in().is_some_and(|left| left < LAST_CALLS) {
+        let refusal = Refusal::not_run(Code::NotReady, "the host is stopping");
+        let refusal = refusal.retry_after_ms(STOPPING_RETRY_AFTER_MS);
+        return admitted.refuse(shared, &refusal);
+    }
     let mut tried: Vec<UpstreamId> = Vec::new();
     let mut may_have_run = 0;
     loop {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -34,17 +34,17 @@
 const NEWS_INTERVAL_MIN: Duration = Duration::from_millis(10);
 /// Added for each host: bounds datagrams a host to about 250 a second each way.
 const INTERVAL_PER_HOST: Duration = Duration::from_millis(4);
-/// A host that was not heard for so long counts no more: several rounds.
-const LIVE_FOR: Duration = Duration::from_millis(3_000);
+/// A host that was not heard for so long counts no more: two rounds to other data centres.
+const LIVE_FOR: Duration = Duration::from_millis(4_000);
 /// A reader that was silent for so long is replaced: three rounds of a hundred hosts, and short
 /// against the bound on configuration (2 s).
 const READER_SILENT_FOR: Duration = Duration::from_millis(1_000);
 /// With fewer other hosts each reads the log for itself: their calls cost less than half a percent
 /// of what is served, and need no one else.
 const READERS_ONLY_FROM: usize = 12;
-/// A host that only listens sends to other data centres in one round of so many; they count it as
-/// live in between.
-const FAR_ROUNDS: u64 = 6;
+/// Hosts of other data centres are sent to at this interval while hosts are many: bytes between data
+/// centres are priced, and each has a reader of its own.
+const FAR_INTERVAL: Duration = Duration::from_millis(1_800);
 /// An address that never answers is tried for this long, and again when it is learnt anew.
 const TRIED_FOR: Duration = Duration::from_secs(15);
 /// Largest datagram that crosses a network whole.
@@ -79,8 +79,9 @@
     /// The last changes of its upstreams.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub changes: Vec<Change>,
-    /// What it runs where.
-    pub loads: Vec<(UpstreamId, Load)>,
+    /// What it runs where; none in a datagram that tells only of turns.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub loads: Option<Vec<(UpstreamId, Load)>>,
     /// Runs that it has still to move off engines that are leaving.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub moving: Vec<(UpstreamId, u32)>,
@@ -95,6 +96,17 @@
     pub stopping: bool,
 }
 
+impl Datagram {
+    fn of_turns_only(&self) -> Datagram {
+        Datagram {
+            changes: Vec::new(),
+            loads: None,
+            hosts: Vec::new(),
+            ..self.clone()
+        }
+    }
+}
+
 /// What is known of another host.
 #[derive(Debug, Clone)]
 struct Peer {
@@ -253,6 +265,16 @@
         self.fetching = false;
     }
 
+    /// The live hosts of other data centres.
+    fn live_outside(&self, now: Time, own: &DataCentre) -> Vec<SocketAddr> {
+        let is_far = |peer: &Peer| {
+            let heard = peer.heard.as_ref();
+            peer.is_live(now) && heard.is_some_and(|heard| heard.data_centre != *own)
+        };
+        let far = self.peers.iter().filter(|(_, peer)| is_far(peer));
+        far.map(|(address, _)| *address).collect()
+    }
+
     /// A few live hosts to tell of, in turn.
     fn some(&mut self, now: Time) -> Vec<SocketAddr> {
         let live: Vec<SocketAddr> = self
@@ -286,7 +308,7 @@
     let mut buffer = vec![0; 2 * DATAGRAM_BYTES_MAX];
     let mut last_round = tokio::time::Instant::now();
     let mut next_round = last_round;
-    let mut round = 0;
+    let mut far = FarRounds::default();
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
@@ -296,8 +318,7 @@
             },
             _ = news.changed() => next_round = next_round.min(last_round + NEWS_INTERVAL_MIN),
             () = tokio::time::sleep_until(next_round) => {
-                round += 1;
-                send_round(&shared, &socket, round).await;
+                send_round(&shared, &socket, &mut far).await;
                 let hosts = u32::try_from(shared.hosts()).unwrap_or(u32::MAX);
                 let interval = INTERVAL_MIN.max(INTERVAL_PER_HOST * hosts);
                 last_round = tokio::time::Instant::now();
@@ -307,17 +328,57 @@
     }
 }
 
-/// Hosts of other data centres get every round from a reader while hosts are many, and from the
-/// others only now and then: bytes between data centres are priced, and each has a reader.
-async fn send_round(shared: &Shared, socket: &UdpSocket, round: u64) {
+/// When other data centres were last sent to.
+#[derive(Debug, Default)]
+struct FarRounds {
+    last: Option<Time>,
+    was_moving: bool,
+}
+
+/// What other data centres get in a round.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum FarRound {
+    /// Nothing.
+    Nothing,
+    /// Only what has to be moved: turns are taken over all hosts.
+    Turns,
+    /// All that the own data centre gets.
+    All,
+}
+
+impl FarRounds {
+    fn next(&mut self, shared: &Shared, now: Time) -> FarRound {
+        let is_moving = !shared.turns().with(|turns| turns.own()).is_empty();
+        let was_moving = std::mem::replace(&mut self.was_moving, is_moving);
+        let is_few = shared.hosts() <= READERS_ONLY_FROM;
+        if is_few || self.last.is_none_or(|last| now.since(last) >= FAR_INTERVAL) {
+            self.last = Some(now);
+            return FarRound::All;
+        }
+        match is_moving || was_moving {
+            true => FarRound::Turns,
+            false => FarRound::Nothing,
+        }
+    }
+}
+
+async fn send_round(shared: &Shared, socket: &UdpSocket, far: &mut FarRounds) {
     let now = shared.now();
-    let is_few = shared.hosts() <= READERS_ONLY_FROM;
-    let is_far_round = is_few || shared.is_reading() || round.is_multiple_of(FAR_ROUNDS);
-    let near = (!is_far_round).then_some(&shared.settings().data_centre);
-    let targets = shared.peers(|peers| peers.targets(now, near));
-    let bytes = encode(own_datagram(shared, now));
-    for target in &targets {
-        if let Err(error) = socket.send_to(&bytes, target).await {
+    let round = far.next(shared, now);
+    let own = &shared.settings().data_centre;
+    let only = (round != FarRound::All).then_some(own);
+    let targets = shared.peers(|peers| peers.targets(now, only));
+    let datagram = own_datagram(shared, now);
+    if round == FarRound::Turns {
+        let far = shared.peers(|peers| peers.live_outside(now, own));
+        send(socket, &encode(datagram.of_turns_only()), &far).await;
+    }
+    send(socket, &encode(datagram), &targets).await;
+}
+
+async fn send(socket: &UdpSocket, bytes: &[u8], targets: &[SocketAddr]) {
+    for target in targets {
+        if let Err(error) = socket.send_to(bytes, target).await {
             log::debug!("datagram to {target}: {error}");
         }
     }
@@ -335,7 +396,7 @@
         reading: shared.is_reading(),
         log_away: shared.is_log_away() && shared.is_reader(),
         peer_port: settings.peer_address.port(),
-        loads: shared.loads().with(|loads| loads.own()),
+        loads: Some(shared.loads().with(|loads| loads.own())),
         moving: shared.turns().with(|turns| turns.own()),
         leaving: Vec::new(),
         hosts: shared.peers(|peers| peers.some(now)),
@@ -354,20 +415,29 @@
 
 /// A datagram that is too large loses its oldest changes, then its smallest loads.
 fn encode(mut datagram: Datagram) -> Vec<u8> {
-    datagram
-        .loads
-        .sort_by_key(|(_, load)| std::cmp::Reverse(load.tokens));
+    if let Some(loads) = &mut datagram.loads {
+        loads.sort_by_key(|(_, load)| std::cmp::Reverse(load.tokens));
+    }
     loop {
         let bytes = serde_json::to_vec(&datagram).unwrap_or_default();
-        if bytes.len() <= DATAGRAM_BYTES_MAX || datagram.loads.is_empty() {
+        if bytes.len() <= DATAGRAM_BYTES_MAX || !shorten(&mut datagram) {
             return bytes;
         }
-        if !datagram.changes.is_empty() {
-            datagram.changes.remove(0);
-            continue;
+    }
+}
+
+/// Leaves something out; false if there is nothing to leave out.
+fn shorten(datagram: &mut Datagram) -> bool {
+    if !datagram.changes.is_empty() {
+        datagram.changes.remove(0);
+        return true;
+    }
+    match &mut datagram.loads {
+        Some(loads) if !loads.is_empty() => {
+            loads.truncate(loads.len() * 3 / 4);
+            true
         }
-        let keep = datagram.loads.len() * 3 / 4;
-        datagram.loads.truncate(keep);
+        Some(_) | None => false,
     }
 }
 
@@ -392,9 +462,11 @@
     shared
         .turns()
         .with(|turns| turns.hear(now, &datagram.host, datagram.moving));
-    shared
-        .loads()
-        .with(|loads| loads.hear(now, datagram.host, datagram.loads));
+    if let Some(told) = datagram.loads {
+        shared
+            .loads()
+            .with(|loads| loads.hear(now, datagram.host, told));
+    }
     if newer_config || newer_upstreams {
         fetch_soon(shared, peer);
     }
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -16,8 +16,8 @@
 use crate::id::HostId;
 use crate::id::UpstreamId;
 
-/// What a peer told counts for this long: a few missed datagrams, or a short cut.
-const PEER_COUNT_LASTS: Duration = Duration::from_millis(3_000);
+/// What a peer told counts for this long: two rounds between data centres, or a short cut.
+const PEER_COUNT_LASTS: Duration = Duration::from_millis(4_000);
 
 /// Work at an upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/gateway/loads/tests.rs
+++ b/src/gateway/loads/tests.rs
@@ -53,7 +53,7 @@
     board.with(|loads| loads.hear(Time::ZERO, HostId::new("peer"), told));
     let heard = board.with(|loads| loads.at(&upstream()));
 
-    board.with(|loads| loads.lapse(Time::from_ms(3_000)));
+    board.with(|loads| loads.lapse(Time::from_ms(4_000)));
 
     assert_eq!(heard, load(3, 100, 5));
     assert_eq!(board.with(|loads| loads.at(&upstream())), load(1, 10, 0));
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -81,7 +81,8 @@
             tokens,
             memory_tokens,
         } => {
-            memory_share(candidate, tokens, memory_tokens)
+            f64::from(candidate.load.unread_tokens) / UNREAD_SCALE_TOKENS
+                + memory_share(candidate, tokens, memory_tokens)
                 + requests * NEIGHBOUR_COST
                 + distance * COPY_DISTANCE
         }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -15,6 +15,7 @@
 use crate::event::EventCode;
 use crate::gateway::call;
 use crate::gateway::call::CONNECT_TIMEOUT;
+use crate::gateway::call::STOPPING_RETRY_AFTER_MS;
 use crate::gateway::call::WholeAnswer;
 use crate::gateway::connection::Connection;
 use crate::gateway::connection::Failure;
@@ -50,8 +51,6 @@
 /// its memory. Above it they cost more in preempted runs than they save after crashes
 /// (docs/MEASUREMENTS.md).
 const BACKUP_MEMORY_SHARE_MAX: f64 = 0.3;
-/// The balancer sends a caller that comes back elsewhere at once.
-const STOPPING_RETRY_AFTER_MS: u64 = 20;
 
 /// A run at an engine whose answer has begun.
 #[derive(Debug)]
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -13,6 +13,7 @@
 use super::Continuation;
 use super::Opened;
 use super::Running;
+use super::TOKEN_TIME;
 use super::open;
 use crate::event::EventCode;
 use crate::gateway::directory::Upstream;
@@ -32,6 +33,13 @@
 /// A run waits for its turn no longer than this after the notice. Runs that jump the line would make
 /// all of them late, and few engines live longer after it.
 const PATIENCE: Duration = Duration::from_millis(1_700);
+/// A run that is expected to end within this time isn't moved at first, so that the link is free for
+/// the others,
+const SHORT_RUN: Duration = Duration::from_millis(700);
+/// but is after this time since the notice.
+const SHORT_RUN_WAIT: Duration = Duration::from_millis(600);
+/// How often it is looked whether such a run has ended.
+const SHORT_RUN_PAUSE: Duration = Duration::from_millis(150);
 /// A copy that met another one under way is tried again after this time.
 const BUSY_PAUSE: Duration = Duration::from_millis(25);
 /// A stream of which nothing came for so long stands still: several times the longest gap between
@@ -277,7 +285,10 @@
             let ago = now.since(notice);
             let since = Instant::now().checked_sub(ago);
             self.leaving_since = since.or(self.leaving_since);
-            self.queue();
+            match self.ends_soon() && ago < SHORT_RUN_WAIT {
+                true => self.pause_for(SHORT_RUN_PAUSE),
+                false => self.queue(),
+            }
         }
     }
 
@@ -309,7 +320,8 @@
         let size = self.admitted.size(&self.shared);
         let tokens = size.prompt_tokens + super::output_planned(size);
         let held = Held {
-            _room: self.shared.loads().occupy(&to.id, tokens, 0),
+            // Its link takes one copy after another, so the copy counts as unread until it is used.
+            _room: self.shared.loads().occupy(&to.id, tokens, tokens),
             _turn: ticket,
         };
         let copying = self.copy(&to, false);
@@ -325,9 +337,24 @@
     }
 
     fn pause(&mut self) {
+        self.pause_for(BUSY_PAUSE);
+    }
+
+    fn pause_for(&mut self, pause: Duration) {
         self.moving = Move::Paused {
-            until: Instant::now() + BUSY_PAUSE,
+            until: Instant::now() + pause,
+        };
+    }
+
+    /// Whether the run is expected to end by itself before its engine does.
+    fn ends_soon(&self) -> bool {
+        let Some(engine) = &self.admitted.engine else {
+            return true;
         };
+        let produced = self.splitter.passed() * u64::from(engine.tokens_per_event);
+        let produced = u32::try_from(produced).unwrap_or(u32::MAX);
+        let planned = super::output_planned(self.admitted.size(&self.shared));
+        TOKEN_TIME * planned.saturating_sub(produced) < SHORT_RUN && produced < planned
     }
 
     fn destination(&self) -> Option<Arc<Upstream>> {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -593,3 +593,36 @@
     assert_eq!(sum_seen(&engines), 1);
     world.wait_ended();
 }
+
+#[test]
+fn a_host_at_the_end_of_its_grace_takes_no_further_call() {
+    let (mut world, engines) = engines(&[Behaviour::Events {
+        to: 40,
+        break_after: None,
+        hold_after: Some(3),
+    }]);
+    let plain = FakeUpstream::start("up-0", &[Behaviour::Answer(200, "sound")]);
+    world.list(&plain, "ready");
+    let routes = json!([route_to("stream", "reports"), {
+        "name": "plain", "host": "a.example", "prefix": "/plain/", "kind": "once",
+        "timeout_ms": 4000, "objective_ms": 1000, "service": "nets", "attempts": 1}]);
+    world.log.put("operator", "table", &table(2, routes));
+    assert!(wait_until(|| ask(world.callers(), &get("/plain/1", ""))
+        .status
+        == 200));
+    let mut held = Caller::connect(world.callers());
+    held.send(post("/nets/7", "tokens: 40\r\n", "report"));
+    assert!(held.read_until("id: 3\n"));
+
+    world.drain();
+    let mut taken = 0;
+    let refused = wait_until(|| {
+        let answer = ask(world.callers(), &get("/plain/1", ""));
+        taken += usize::from(answer.status == 200);
+        answer.status == 503 && ran(&answer) == "no"
+    });
+    world.wait_ended();
+
+    assert!(refused && taken > 0, "{taken} calls taken");
+    assert_eq!(sum_seen(&engines), 1);
+}
