Doubt a whole data centre behind a cut, weigh unread prompts more, spread copies

A failed answer of an upstream is passed on where no other attempt can be made. Histograms of calls, counters of streams moved and lost.

--- a/src/event.rs
+++ b/src/event.rs
@@ -77,6 +77,7 @@
     303 UpstreamLeaving "An upstream is leaving: no new work.",
     304 UpstreamLost "An upstream was lost with what it ran.",
     305 UpstreamBack "An upstream that was leaving or lost takes work again.",
+    306 UpstreamListed "An upstream is listed, or its entry changed.",
     310 OwnerDecided "An owner decided on a request: granted, refused or to be moved, with the figures.",
     400 ConfigReady "The host has a configuration and serves by it.",
     401 EditApplied "An edit of the table is in force on this host.",
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,6 +1,7 @@
 //! Calls of plain services: the whole answer is read before any of it is passed on, so that one
 //! which breaks can be replaced by another attempt or a clean failure.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_web::HttpResponse;
@@ -25,6 +26,7 @@
 use crate::id::UpstreamId;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
+use crate::telemetry;
 
 /// A connection that isn't established within this time was not written to: a few round trips of
 /// the farthest data centre, and well before the system sends a lost opening packet again (1 s).
@@ -77,12 +79,13 @@
     }
     let mut tried: Vec<UpstreamId> = Vec::new();
     let mut may_have_run = 0;
+    let mut failure: Option<FailedAnswer> = None;
     loop {
         if admitted.time_left() <= DEADLINE_MARGIN {
             return timed_out(shared, &admitted, may_have_run);
         }
         let Some(candidate) = admitted.place(shared, Need::Slot, &tried) else {
-            return exhausted(shared, &admitted, may_have_run, &tried);
+            return exhausted(shared, &admitted, may_have_run, &tried, failure);
         };
         let upstream = candidate.upstream;
         tried.push(upstream.id.clone());
@@ -94,7 +97,9 @@
         let reason = match outcome {
             Attempted::Answered(answer) if may_repeat_answer(&admitted, &answer, last) => {
                 may_have_run += 1;
-                format!("status {}", answer.head.status.as_u16())
+                let reason = format!("status {}", answer.head.status.as_u16());
+                failure = Some((upstream.clone(), answer));
+                reason
             }
             Attempted::Answered(answer) => {
                 return pass_on(shared, &admitted, &upstream, answer, tried.len());
@@ -125,11 +130,14 @@
             .with("retried", retried)
             .write();
         if !retried {
-            return exhausted(shared, &admitted, may_have_run, &tried);
+            return exhausted(shared, &admitted, may_have_run, &tried, failure);
         }
     }
 }
 
+/// An upstream's own failure, kept for the case that no other attempt does better.
+type FailedAnswer = (Arc<Upstream>, WholeAnswer);
+
 /// Whether no further attempt may follow one that may have run.
 fn is_last(admitted: &Admitted, may_have_run: u32) -> bool {
     admitted.route.kind != RouteKind::Idempotent || may_have_run + 1 >= admitted.route.attempts
@@ -262,6 +270,7 @@
         let reason = format!("the upstream answered {status} without saying that it did not run");
         return failed(shared, admitted, upstream, &reason);
     }
+    telemetry::record_call(&admitted.service, status, admitted.arrived.elapsed());
     let line = admitted.line(shared, EventCode::RequestComplete);
     line.with("upstream", upstream.id.as_str())
         .with("status", status)
@@ -306,7 +315,11 @@
     admitted: &Admitted,
     may_have_run: u32,
     tried: &[UpstreamId],
+    failure: Option<FailedAnswer>,
 ) -> HttpResponse {
+    if let Some((upstream, answer)) = failure {
+        return pass_on(shared, admitted, &upstream, answer, tried.len());
+    }
     let message = format!("no upstream left after {} tries", tried.len());
     let refusal = match may_have_run {
         0 => Refusal::not_run(Code::NoUpstream, message),
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -33,6 +33,8 @@
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::shared::Shared;
 use crate::id::Incarnation;
+use crate::telemetry;
+use crate::telemetry::Metric;
 use crate::telemetry::Telemetry;
 use crate::telemetry::UPKEEP_INTERVAL_MS;
 
@@ -238,6 +240,8 @@
         return ready(&shared);
     }
     if port == settings.metrics_address.port() {
+        let dropped = shared.log().dropped() as f64;
+        telemetry::set_gauge(Metric::LogLinesDropped, dropped);
         return HttpResponse::Ok().body(telemetry.render());
     }
     match http.path() {
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -17,12 +17,15 @@
 /// Prompts are read one after another, some 7 tokens a millisecond between the steps of what runs.
 /// So many unread tokens delay a first token by 1.4 s, about a whole objective, and weigh as much as
 /// a whole engine's memory.
-const UNREAD_SCALE_TOKENS: f64 = 10_000.0;
+const UNREAD_SCALE_TOKENS: f64 = 6_000.0;
 /// Cost of each request that runs beside, as each slows the steps of the others a little (an
 /// engine's step grows by less than 2% a request).
 const NEIGHBOUR_COST: f64 = 0.008;
 /// Random part of a score, so that hosts that see the same don't choose the same.
 const JITTER: f64 = 0.03;
+/// The same for copies. Where several engines leave at once, all their hosts choose in the same
+/// moment, and copies to one engine wait for each other.
+const COPY_JITTER: f64 = 0.12;
 
 /// What a request needs.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -106,8 +109,12 @@
         Some(_) => sound.collect(),
         None => candidates.iter().collect(),
     };
+    let jitter = match need {
+        Need::Slot | Need::Memory { .. } => JITTER,
+        Need::Copy { .. } => COPY_JITTER,
+    };
     pool.into_iter()
-        .map(|candidate| (score(need, candidate, here) + draw() * JITTER, candidate))
+        .map(|candidate| (score(need, candidate, here) + draw() * jitter, candidate))
         .min_by(|(left, _), (right, _)| left.total_cmp(right))
         .map(|(_, candidate)| candidate.clone())
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -1,6 +1,7 @@
 //! The path of a request: route, identify, read, then call or stream.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,12 +14,14 @@
 use futures_util::StreamExt;
 use tokio::time::Instant;
 
+use crate::clock::Time;
 use crate::event::EventCode;
 use crate::gate::Pass;
 use crate::gateway::call;
 use crate::gateway::configuration::Configuration;
 use crate::gateway::configuration::EngineSpec;
 use crate::gateway::decisions::Line;
+use crate::gateway::directory::Upstream;
 use crate::gateway::forward;
 use crate::gateway::forward::CallerRequest;
 use crate::gateway::identity;
@@ -34,6 +37,7 @@
 use crate::gateway::shared::Shared;
 use crate::gateway::stream;
 use crate::id::CustomerId;
+use crate::id::DataCentre;
 use crate::id::RequestId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
@@ -48,6 +52,9 @@
     output_tokens_hint: None,
 };
 
+/// So many upstreams of another data centre that can't be connected to are taken for a cut.
+const CUT_UPSTREAMS: usize = 2;
+
 /// What one worker's handlers use.
 #[derive(Debug, Clone)]
 pub struct Front {
@@ -137,22 +144,40 @@
     }
 }
 
-/// The upstreams of a service that may be chosen.
+/// The upstreams of a service that may be chosen. Where two of another data centre can't be connected
+/// to, a cut is likelier than two failures, and all of it is in doubt.
 pub fn candidates(shared: &Shared, service: &ServiceId, avoid: &[UpstreamId]) -> Vec<Candidate> {
     let now = shared.now();
     let ready = shared.directory(|directory| directory.ready(service));
+    let cut = cut_data_centres(shared, now, &ready);
     let loads = shared.loads();
     ready
         .into_iter()
         .filter(|upstream| !avoid.contains(&upstream.id))
         .map(|upstream| Candidate {
             load: loads.with(|loads| loads.at(&upstream.id)),
-            doubtful: shared.is_doubtful(now, &upstream.id),
+            doubtful: shared.is_doubtful(now, &upstream.id) || cut.contains(&upstream.data_centre),
             upstream,
         })
         .collect()
 }
 
+/// Other data centres of which at least [`CUT_UPSTREAMS`] upstreams can't be connected to.
+fn cut_data_centres(shared: &Shared, now: Time, ready: &[Arc<Upstream>]) -> Vec<DataCentre> {
+    let here = &shared.settings().data_centre;
+    let mut unreachable: BTreeMap<&DataCentre, usize> = BTreeMap::new();
+    for upstream in ready {
+        if upstream.data_centre != *here && shared.is_passed_over(now, &upstream.id) {
+            *unreachable.entry(&upstream.data_centre).or_default() += 1;
+        }
+    }
+    unreachable
+        .into_iter()
+        .filter(|(_, upstreams)| *upstreams >= CUT_UPSTREAMS)
+        .map(|(data_centre, _)| data_centre.clone())
+        .collect()
+}
+
 /// Serves one request of a caller.
 pub async fn serve(
     front: web::Data<Front>,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -220,7 +220,7 @@
             let code = match change {
                 DirectoryChange::Leaving | DirectoryChange::Removed => EventCode::UpstreamLeaving,
                 DirectoryChange::Missing => EventCode::UpstreamLost,
-                DirectoryChange::Added | DirectoryChange::Changed => EventCode::UpstreamBack,
+                DirectoryChange::Added | DirectoryChange::Changed => EventCode::UpstreamListed,
             };
             if change == DirectoryChange::Removed {
                 locked(&self.0.ejector).forget(&id);
@@ -403,7 +403,12 @@
     /// Whether requests that have another choice pass an upstream over.
     pub(crate) fn is_doubtful(&self, now: Time, upstream: &UpstreamId) -> bool {
         let health = self.ejector(|ejector| ejector.health(now, upstream));
-        health == Health::Ejected || locked(&self.0.reach).is_passed_over(now, upstream)
+        health == Health::Ejected || self.is_passed_over(now, upstream)
+    }
+
+    /// Whether connections to an upstream could not be established a moment ago.
+    pub(crate) fn is_passed_over(&self, now: Time, upstream: &UpstreamId) -> bool {
+        locked(&self.0.reach).is_passed_over(now, upstream)
     }
 
     /// A request at an upstream failed by the upstream's fault.
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -28,6 +28,8 @@
 use crate::gateway::turns::Ticket;
 use crate::id::ClassId;
 use crate::id::UpstreamId;
+use crate::telemetry;
+use crate::telemetry::Metric;
 use crate::telemetry::StreamMeter;
 
 /// A run waits for its turn no longer than this after the notice. Runs that jump the line would make
@@ -442,6 +444,8 @@
         match result {
             Ok(done) => {
                 self.note_move(&format!("stopped at event {}", done.events), Some(&to));
+                // The link is free for the next run.
+                drop(held);
                 self.continue_at(&to, &source, &done.handle).await
             }
             Err(CopyFailure::NoRoom(_)) if is_backup => {
@@ -507,6 +511,7 @@
                 self.broken = None;
                 self.splitter.restart();
                 self.leaving_since = None;
+                telemetry::count_stream(Metric::StreamMovesTotal, &service);
                 self.note_move("continued", Some(to));
                 Ok(())
             }
@@ -549,6 +554,7 @@
         let id = self.running.upstream.id.clone();
         self.shared
             .upstream_failed(&self.admitted.service, &id, reason);
+        telemetry::count_stream(Metric::StreamsLostTotal, &self.admitted.service);
         let line = self.admitted.line(&self.shared, EventCode::RequestFailed);
         line.with("upstream", id.as_str())
             .with("reason", reason)
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -5,6 +5,7 @@
 //! names those that matter. `docs/METRICS.md` is the catalogue.
 
 use std::sync::OnceLock;
+use std::time::Duration;
 
 use metrics::Counter;
 use metrics::Gauge;
@@ -120,6 +121,14 @@
         "Customers whose use of their limits this host keeps.",
     AllowancesLapsed Gauge "cedargauge_allowances_lapsed" ""
         "Active customers whose allowance lapsed: this host moves to an equal split.",
+    CallMs Histogram "cedargauge_call_ms" "service, status"
+        "Time from a call's arrival to its answer, of calls that the gateway passes to plain services.",
+    StreamMovesTotal Counter "cedargauge_stream_moves_total" "service"
+        "Streams that the gateway continued at another engine.",
+    StreamsLostTotal Counter "cedargauge_streams_lost_total" "service"
+        "Streams that the gateway broke off before their last event.",
+    LogLinesDropped Gauge "cedargauge_log_lines_dropped" ""
+        "Lines of the gateway's log that were dropped because their reader was too slow.",
     PeerMessagesDroppedTotal Counter "cedargauge_peer_messages_dropped_total" ""
         "Messages to other entry hosts that were dropped because the host's queue was full.",
 }
@@ -280,6 +289,23 @@
     metrics::counter!(Metric::PreemptionsTotal.name(), &labels).increment(preemptions);
 }
 
+/// Records a call that was answered with `status`.
+pub fn record_call(service: &ServiceId, status: u16, took: Duration) {
+    let labels = [
+        ("service", service.as_str().to_owned()),
+        ("status", status.to_string()),
+    ];
+    let ms = took.as_secs_f64() * 1_000.0;
+    metrics::histogram!(Metric::CallMs.name(), &labels).record(ms);
+}
+
+/// Counts a stream's event of a counter that is labelled by service.
+pub fn count_stream(metric: Metric, service: &ServiceId) {
+    debug_assert!(metric.kind() == Kind::Counter && metric.labels() == "service");
+    let labels = [("service", service.as_str().to_owned())];
+    metrics::counter!(metric.name(), &labels).increment(1);
+}
+
 /// Sets a gauge of the catalogue that has no labels.
 pub fn set_gauge(metric: Metric, value: f64) {
     debug_assert!(metric.kind() == Kind::Gauge && metric.labels().is_empty());
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -288,6 +288,20 @@
     }
 }
 
+#[test]
+fn an_upstreams_failure_is_passed_on_where_no_other_attempt_can_be_made() {
+    let absent = FakeUpstream::absent("up-absent");
+    let failing = FakeUpstream::start("up-0", &[Behaviour::Answer(500, "failed")]);
+    let world = World::serving(json!([route("idempotent")]), &[&absent, &failing]);
+
+    let answers: Vec<(u16, String)> = (0..4)
+        .map(|_| ask(world.callers(), &get("/nets/7", "")))
+        .map(|answer| (answer.status, answer.text()))
+        .collect();
+
+    assert_eq!(answers, vec![(500, "failed".to_owned()); 4]);
+}
+
 #[test]
 fn an_upstreams_own_failure_is_passed_on_with_its_signature() {
     let (world, _upstreams) = world("once", &[&[Behaviour::Answer(500, "failed")]]);
