Split the gateway's datagrams, peers and moves into files of their own

gossip.rs had 510 lines and relay.rs 593, each with three jobs: what is told, who the others are, and when to send; relaying and the steps of a move.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod configuration;
 pub mod connection;
+pub mod datagram;
 pub mod decisions;
 pub mod directory;
 pub mod events;
@@ -18,6 +19,7 @@
 pub mod identity;
 pub mod loads;
 pub mod peerfetch;
+pub mod peers;
 pub mod place;
 pub mod pool;
 pub mod protocol;
--- a/src/gateway/gossip/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -1,7 +1,7 @@
-use super::Datagram;
 use super::Peers;
-use super::encode;
 use crate::clock::Time;
+use crate::gateway::datagram::Datagram;
+use crate::gateway::datagram::encode;
 use crate::gateway::loads::Load;
 use crate::id::DataCentre;
 use crate::id::HostId;
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -103,21 +103,6 @@
     pub output_tokens_hint: Option<u32>,
 }
 
-/// An engine's report on itself; some hundred milliseconds old.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct EngineReport {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Tokens of memory that cannot yield.
-    pub used_tokens: u32,
-    /// Tokens of memory.
-    pub memory_tokens: u32,
-    /// Time until it ends, if it is leaving and knows.
-    pub leaves_in: Option<Duration>,
-}
-
 /// What came of copying a generation's memory.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CopyDone {
@@ -127,17 +112,6 @@
     pub events: u64,
 }
 
-/// Load that an upstream tells with an answer.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct AnswerLoad {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Requests that can run at once.
-    pub slots: u32,
-}
-
 /// Names of the headers that the gateway reads or sets.
 #[derive(Debug, Clone)]
 pub struct HeaderNames {
@@ -151,8 +125,6 @@
     pub expected_instance: HeaderName,
     /// In an answer: the upstream did not run the request.
     pub not_run: HeaderName,
-    /// In an answer: the upstream's signature over it.
-    pub signature: HeaderName,
     /// The engine's priority for the request; 0 is first.
     pub priority: HeaderName,
     /// Continue from the copy that the value names.
@@ -161,8 +133,6 @@
     pub last_event: HeaderName,
     /// The engine that keeps a copy up to date.
     pub backup_at: HeaderName,
-    /// Load of the upstream, in its answers.
-    pub load: HeaderName,
     /// Headers of callers that are the system's to set; never passed on.
     pub reserved: Vec<HeaderName>,
     /// The scheme before a key in the `Authorization` header.
@@ -215,19 +185,6 @@
     /// The size of the generation that a request asks for.
     fn generation_size(&self, headers: &HeaderMap) -> Option<GenerationSize>;
 
-    /// The load that an answer tells.
-    fn answer_load(&self, value: &HeaderValue) -> Option<AnswerLoad>;
-
-    /// Asks an engine for its report.
-    fn report_call(&self) -> OwnCall;
-
-    /// The answer to [`Protocol::report_call`].
-    ///
-    /// # Errors
-    ///
-    /// If it isn't one.
-    fn decode_report(&self, body: &[u8]) -> Result<EngineReport>;
-
     /// Copies the memory of the run `request_id` to the engine at `to`; with `last` the run stops
     /// first.
     fn copy_call(&self, request_id: &str, to: SocketAddr, last: bool) -> OwnCall;
@@ -239,9 +196,6 @@
     /// If it isn't one.
     fn decode_copy(&self, body: &[u8]) -> Result<CopyDone>;
 
-    /// Frees the copy `handle`; sent to its source.
-    fn free_copy_call(&self, handle: &str) -> OwnCall;
-
     /// The value of `continue_from` for the copy `handle` whose source listens at `source`. Of a
     /// backup the handle is the request's id and the source the engine that holds it.
     fn continue_value(&self, source: SocketAddr, handle: &str) -> HeaderValue;
--- a/src/gateway/rescue.rs
+++ b/src/gateway/rescue.rs
@@ -6,21 +6,15 @@
 //! parts of the other runs should be done, since a stopped run that waits behind their copies
 //! would stand still for its caller.
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use crate::error::Error;
-use crate::error::Result;
 use crate::gateway::directory::Upstream;
 use crate::gateway::follow::OwnClient;
 use crate::gateway::protocol::CopyDone;
-use crate::gateway::protocol::EngineReport;
 use crate::gateway::shared::Shared;
 
 /// A copy of the largest generation over a link that others use takes less than this.
 const COPY_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Reports and orders to free a copy are answered at once.
-const SHORT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Why a copy was not made.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -75,32 +69,3 @@
         status => Err(CopyFailure::Unknown(format!("status {status}"))),
     }
 }
-
-/// Asks an engine for its report.
-///
-/// # Errors
-///
-/// [`Error::Remote`] if it doesn't give one.
-pub async fn report(shared: &Shared, engine: &Upstream) -> Result<EngineReport> {
-    let mut client = OwnClient::new(engine.address);
-    let (status, body) = client
-        .call(&shared.protocol().report_call(), SHORT_TIMEOUT)
-        .await?;
-    if status != 200 {
-        return Err(Error::Remote {
-            peer: engine.address.to_string(),
-            reason: format!("status {status}"),
-        });
-    }
-    shared.protocol().decode_report(&body)
-}
-
-/// Frees a copy that is not needed any more.
-pub async fn free(shared: Shared, source: Arc<Upstream>, handle: String) {
-    let mut client = OwnClient::new(source.address);
-    let call = shared.protocol().free_copy_call(&handle);
-    if let Err(error) = client.call(&call, SHORT_TIMEOUT).await {
-        // The copy ends by itself after a while.
-        log::debug!("copy {handle}: {error}");
-    }
-}
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -33,6 +33,7 @@
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 
+mod moving;
 mod relay;
 
 /// Engines tried for one request, however many of them certainly did not run it.
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -4,25 +4,18 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::future::LocalBoxFuture;
 use http_body_util::BodyExt;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::BrokenOff;
-use super::Continuation;
-use super::Opened;
 use super::Running;
-use super::TOKEN_TIME;
-use super::open;
+use super::moving::CopyResult;
+use super::moving::Move;
+use super::moving::copied;
 use crate::event::EventCode;
 use crate::gateway::directory::Upstream;
 use crate::gateway::events::EventSplitter;
-use crate::gateway::loads::Occupied;
-use crate::gateway::place::Need;
-use crate::gateway::protocol::CopyDone;
-use crate::gateway::rescue;
-use crate::gateway::rescue::CopyFailure;
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
 use crate::gateway::turns::Ticket;
@@ -32,87 +25,32 @@
 use crate::telemetry::Metric;
 use crate::telemetry::StreamMeter;
 
-/// A run waits for its turn no longer than this after the notice. Runs that jump the line would make
-/// all of them late, and few engines live longer after it.
-const PATIENCE: Duration = Duration::from_millis(1_700);
-/// A run that is expected to end within this time isn't moved at first, so that the link is free for
-/// the others,
-const SHORT_RUN: Duration = Duration::from_millis(700);
-/// but is after this time since the notice.
-const SHORT_RUN_WAIT: Duration = Duration::from_millis(600);
-/// How often it is looked whether such a run has ended.
-const SHORT_RUN_PAUSE: Duration = Duration::from_millis(150);
-/// A copy that met another one under way is tried again after this time.
-const BUSY_PAUSE: Duration = Duration::from_millis(25);
 /// A stream of which nothing came for so long stands still: several times the longest gap between
 /// two events of a sound engine (0.2 s were measured while long prompts are read).
 const STALL_LIMIT: Duration = Duration::from_millis(800);
-/// Moves of one run that may fail before its fate is left to its engine.
-const MOVES_MAX: u32 = 6;
-
-type CopyResult = std::result::Result<CopyDone, CopyFailure>;
-
-/// How far a move has come.
-enum Move {
-    /// None is needed.
-    None,
-    /// The run waits for its turn.
-    Queued {
-        turn: LocalBoxFuture<'static, Ticket>,
-    },
-    /// The first part is being copied.
-    First {
-        to: Arc<Upstream>,
-        held: Held,
-        copying: LocalBoxFuture<'static, CopyResult>,
-    },
-    /// The first part is copied; the run is stopped at `stop_at`, after another copy of it.
-    Copied {
-        to: Arc<Upstream>,
-        held: Held,
-        stop_at: Instant,
-    },
-    /// The run is being stopped and its rest copied.
-    Last {
-        to: Arc<Upstream>,
-        /// Whether `to` has kept a copy all along, so that nobody waits for this one.
-        is_backup: bool,
-        /// What it holds, where the destination isn't a backup.
-        held: Option<Held>,
-        copying: LocalBoxFuture<'static, CopyResult>,
-    },
-    /// The next try begins at this time.
-    Paused { until: Instant },
-}
-
-/// What a move holds until the run goes on elsewhere.
-struct Held {
-    _room: Occupied,
-    _turn: Ticket,
-}
 
 /// One stream on its way to its caller.
 pub(super) struct Relay {
-    shared: Shared,
-    admitted: Admitted,
-    running: Running,
+    pub(super) shared: Shared,
+    pub(super) admitted: Admitted,
+    pub(super) running: Running,
     /// The engine's stream has broken off; a move may still continue it.
-    broken: Option<String>,
-    splitter: EventSplitter,
-    changes: watch::Receiver<u64>,
-    moving: Move,
-    leaving_since: Option<Instant>,
-    moves: u32,
-    avoid: Vec<UpstreamId>,
-    meter: StreamMeter,
-    first_ms: Option<f64>,
-    last_at: Instant,
-    gap_max: Duration,
-    ended: bool,
+    pub(super) broken: Option<String>,
+    pub(super) splitter: EventSplitter,
+    pub(super) changes: watch::Receiver<u64>,
+    pub(super) moving: Move,
+    pub(super) leaving_since: Option<Instant>,
+    pub(super) moves: u32,
+    pub(super) avoid: Vec<UpstreamId>,
+    pub(super) meter: StreamMeter,
+    pub(super) first_ms: Option<f64>,
+    pub(super) last_at: Instant,
+    pub(super) gap_max: Duration,
+    pub(super) ended: bool,
 }
 
 /// What happened next.
-enum Happened {
+pub(super) enum Happened {
     Frame(Option<Result<Bytes, String>>),
     DirectoryChanged,
     Turn(Ticket),
@@ -226,7 +164,7 @@
     /// # Errors
     ///
     /// Why the stream can't go on.
-    async fn continue_at_backup(&mut self, reason: &str) -> Result<(), String> {
+    pub(super) async fn continue_at_backup(&mut self, reason: &str) -> Result<(), String> {
         let Some(backup) = self.usable_backup() else {
             return Err(reason.to_owned());
         };
@@ -236,7 +174,7 @@
     }
 
     /// The engine that keeps a copy, if it can take the run over.
-    fn usable_backup(&self) -> Option<Arc<Upstream>> {
+    pub(super) fn usable_backup(&self) -> Option<Arc<Upstream>> {
         let backup = &self.running.backup.as_ref()?.upstream;
         let ready = self
             .shared
@@ -273,271 +211,6 @@
         }
     }
 
-    /// Begins a move if the engine is leaving.
-    fn look_at_directory(&mut self) {
-        if !matches!(self.moving, Move::None) || !self.can_move() {
-            return;
-        }
-        let id = &self.running.upstream.id;
-        let now = self.shared.now();
-        let notice = self
-            .shared
-            .directory(|directory| directory.leaving_since(id));
-        if let Some(notice) = notice {
-            let ago = now.since(notice);
-            let since = Instant::now().checked_sub(ago);
-            self.leaving_since = since.or(self.leaving_since);
-            match self.ends_soon() && ago < SHORT_RUN_WAIT {
-                true => self.pause_for(SHORT_RUN_PAUSE),
-                false => self.queue(),
-            }
-        }
-    }
-
-    fn can_move(&self) -> bool {
-        let engine = self.admitted.engine.as_ref();
-        engine.is_some_and(|engine| engine.moves) && self.moves < MOVES_MAX
-    }
-
-    /// Joins the line of the runs that leave the engine.
-    fn queue(&mut self) {
-        let ticket = Ticket::join(&self.shared, &self.running.upstream.id);
-        let notice = self.leaving_since.unwrap_or_else(Instant::now);
-        self.moving = Move::Queued {
-            turn: Box::pin(ticket.wait(notice + PATIENCE)),
-        };
-    }
-
-    /// Starts to copy the run's memory to the engine with the most room.
-    fn begin_move(&mut self, ticket: Ticket) {
-        self.moves += 1;
-        self.avoid.push(self.running.upstream.id.clone());
-        let Some(to) = self.destination() else {
-            self.note_move("no destination", None);
-            self.avoid.clear();
-            self.pause();
-            return;
-        };
-        self.note_move("copying", Some(&to));
-        let size = self.admitted.size(&self.shared);
-        let tokens = size.prompt_tokens + super::output_planned(size);
-        let held = Held {
-            // Its link takes one copy after another, so the copy counts as unread until it is used.
-            _room: self.shared.loads().occupy(&to.id, tokens, tokens),
-            _turn: ticket,
-        };
-        let copying = self.copy(&to, false);
-        self.moving = Move::First { to, held, copying };
-    }
-
-    fn copy(&self, to: &Arc<Upstream>, last: bool) -> LocalBoxFuture<'static, CopyResult> {
-        let shared = self.shared.clone();
-        let source = self.running.upstream.clone();
-        let id = self.admitted.id.clone();
-        let to = to.clone();
-        Box::pin(async move { rescue::copy(&shared, &source, &id, &to, last).await })
-    }
-
-    fn pause(&mut self) {
-        self.pause_for(BUSY_PAUSE);
-    }
-
-    fn pause_for(&mut self, pause: Duration) {
-        self.moving = Move::Paused {
-            until: Instant::now() + pause,
-        };
-    }
-
-    /// Whether the run is expected to end by itself before its engine does.
-    fn ends_soon(&self) -> bool {
-        let Some(engine) = &self.admitted.engine else {
-            return true;
-        };
-        let produced = self.splitter.passed() * u64::from(engine.tokens_per_event);
-        let produced = u32::try_from(produced).unwrap_or(u32::MAX);
-        let planned = super::output_planned(self.admitted.size(&self.shared));
-        TOKEN_TIME * planned.saturating_sub(produced) < SHORT_RUN && produced < planned
-    }
-
-    fn destination(&self) -> Option<Arc<Upstream>> {
-        let engine = self.admitted.engine.as_ref()?;
-        let size = self.admitted.size(&self.shared);
-        let need = Need::Copy {
-            tokens: size.prompt_tokens + size.output_tokens_max / 2,
-            memory_tokens: engine.memory_tokens,
-        };
-        let candidate = self.admitted.place(&self.shared, need, &self.avoid)?;
-        Some(candidate.upstream)
-    }
-
-    fn first_copied(&mut self, result: CopyResult) {
-        let moving = std::mem::replace(&mut self.moving, Move::None);
-        let Move::First { to, held, .. } = moving else {
-            return;
-        };
-        match result {
-            Ok(done) => {
-                self.note_move(&format!("copied {} events", done.events), Some(&to));
-                self.begin_last(to, Some(held));
-            }
-            Err(failure) => {
-                self.note_move(&failure.describe(), Some(&to));
-                match failure {
-                    // It is about to end by itself, or has not begun to run.
-                    CopyFailure::NoSuchRun | CopyFailure::Busy => {}
-                    CopyFailure::NoRoom(_) | CopyFailure::Unknown(_) => {
-                        self.avoid.push(to.id.clone());
-                    }
-                }
-                self.pause();
-            }
-        }
-    }
-
-    fn timer(&mut self) {
-        match std::mem::replace(&mut self.moving, Move::None) {
-            Move::Copied { to, held, .. } => self.begin_last(to, Some(held)),
-            Move::Paused { .. } => self.look_at_directory(),
-            Move::None => self.look_at_stall(),
-            other => self.moving = other,
-        }
-    }
-
-    /// Stops a run that stands still and continues it at the engine that keeps a copy.
-    fn look_at_stall(&mut self) {
-        let Some(backup) = self.usable_backup() else {
-            return;
-        };
-        self.last_at = Instant::now();
-        self.begin_last(backup, None);
-    }
-
-    /// Stops the run and copies its rest. Where the move holds nothing `to` is the backup.
-    fn begin_last(&mut self, to: Arc<Upstream>, held: Option<Held>) {
-        self.note_move("stopping", Some(&to));
-        let copying = self.copy(&to, true);
-        self.moving = Move::Last {
-            to,
-            is_backup: held.is_none(),
-            held,
-            copying,
-        };
-    }
-
-    /// The run was stopped and copied, or not.
-    ///
-    /// # Errors
-    ///
-    /// Why the stream can't go on.
-    async fn last_copied(&mut self, result: CopyResult) -> Result<(), String> {
-        let moving = std::mem::replace(&mut self.moving, Move::None);
-        let Move::Last {
-            to,
-            is_backup,
-            held,
-            ..
-        } = moving
-        else {
-            return Ok(());
-        };
-        let source = self.running.upstream.clone();
-        match result {
-            Ok(done) => {
-                self.note_move(&format!("stopped at event {}", done.events), Some(&to));
-                // The link is free for the next run.
-                drop(held);
-                self.continue_at(&to, &source, &done.handle).await
-            }
-            Err(CopyFailure::NoRoom(_)) if is_backup => {
-                self.continue_at_backup("stopped, no room for another copy")
-                    .await
-            }
-            Err(CopyFailure::Unknown(reason)) if is_backup => {
-                self.continue_at_backup(&reason).await
-            }
-            Err(CopyFailure::NoRoom(Some(handle))) => {
-                self.note_move("no room after the stop", Some(&to));
-                self.avoid.push(to.id.clone());
-                self.continue_at(&source, &source, &handle).await?;
-                self.look_at_directory();
-                Ok(())
-            }
-            Err(failure) => {
-                self.note_move(&failure.describe(), Some(&to));
-                let until = Instant::now() + BUSY_PAUSE;
-                self.moving = match (failure, held) {
-                    (CopyFailure::Busy, Some(held)) => Move::Copied {
-                        to,
-                        held,
-                        stop_at: until,
-                    },
-                    _ => Move::Paused { until },
-                };
-                Ok(())
-            }
-        }
-    }
-
-    /// Continues the run at `to`, from the copy that `source` made.
-    async fn continue_at(
-        &mut self,
-        to: &Arc<Upstream>,
-        source: &Arc<Upstream>,
-        handle: &str,
-    ) -> Result<(), String> {
-        let now = self.shared.now();
-        let service = self.admitted.service.clone();
-        self.shared.budget(&service, |budget| budget.charge(now));
-        let continuation = Continuation {
-            copy: self
-                .shared
-                .protocol()
-                .continue_value(source.address, handle),
-            last_event: self.splitter.last_id().unwrap_or(0),
-        };
-        let size = self.admitted.size(&self.shared);
-        let tokens = size.prompt_tokens + size.output_tokens_max / 2;
-        let opened = open(
-            &self.shared,
-            &self.admitted,
-            to,
-            tokens,
-            Some(&continuation),
-        );
-        match opened.await {
-            Opened::Running(running) => {
-                self.moving = Move::None;
-                self.running = *running;
-                self.broken = None;
-                self.splitter.restart();
-                self.leaving_since = None;
-                telemetry::count_stream(Metric::StreamMovesTotal, &service);
-                self.note_move("continued", Some(to));
-                Ok(())
-            }
-            Opened::NotRun(reason) | Opened::Unreachable(reason) if to.id != source.id => {
-                self.note_move(&format!("not continued: {reason}"), Some(to));
-                Box::pin(self.continue_at(source, source, handle)).await
-            }
-            Opened::Unreachable(reason) | Opened::NotRun(reason) | Opened::Unknown(reason) => {
-                Err(reason)
-            }
-            Opened::Answered(answer) => Err(format!("status {}", answer.head.status)),
-            Opened::TimedOut => Err("the deadline passed".to_owned()),
-        }
-    }
-
-    fn note_move(&self, outcome: &str, to: Option<&Arc<Upstream>>) {
-        let since = self.leaving_since.map(|since| since.elapsed().as_millis());
-        let line = self.admitted.line(&self.shared, EventCode::StreamMoved);
-        line.with("upstream", self.running.upstream.id.as_str())
-            .with_some("to", to.map(|to| to.id.as_str()))
-            .with("outcome", outcome)
-            .with("last_event", self.splitter.last_id())
-            .with_some("leaving_ms", since.map(|ms| ms as u64))
-            .write();
-    }
-
     fn complete(&mut self) {
         self.ended = true;
         let line = self.admitted.line(&self.shared, EventCode::RequestComplete);
@@ -576,15 +249,6 @@
     }
 }
 
-async fn copied(moving: &mut Move) -> Happened {
-    match moving {
-        Move::Queued { turn } => Happened::Turn(turn.await),
-        Move::First { copying, .. } => Happened::FirstCopied(copying.await),
-        Move::Last { copying, .. } => Happened::LastCopied(copying.await),
-        Move::None | Move::Copied { .. } | Move::Paused { .. } => std::future::pending().await,
-    }
-}
-
 async fn sleep_until(at: Option<Instant>) {
     match at {
         Some(at) => tokio::time::sleep_until(at).await,
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -21,9 +21,7 @@
 use cedargauge::gateway::configuration::EngineSpec;
 use cedargauge::gateway::configuration::ServiceSpec;
 use cedargauge::gateway::directory::Upstream;
-use cedargauge::gateway::protocol::AnswerLoad;
 use cedargauge::gateway::protocol::CopyDone;
-use cedargauge::gateway::protocol::EngineReport;
 use cedargauge::gateway::protocol::GenerationSize;
 use cedargauge::gateway::protocol::HeaderNames;
 use cedargauge::gateway::protocol::NewestPage;
@@ -55,12 +53,10 @@
                 customer: name("customer"),
                 expected_instance: name("instance"),
                 not_run: name("not-run"),
-                signature: name("signature"),
                 priority: name("rank"),
                 continue_from: name("continue-from"),
                 last_event: name("last-event-id"),
                 backup_at: name("copy-at"),
-                load: name("load"),
                 reserved: vec![name("reserved")],
                 key_scheme: "Key",
             },
@@ -184,18 +180,6 @@
         })
     }
 
-    fn answer_load(&self, _value: &HeaderValue) -> Option<AnswerLoad> {
-        None
-    }
-
-    fn report_call(&self) -> OwnCall {
-        OwnCall::get("/report")
-    }
-
-    fn decode_report(&self, _body: &[u8]) -> Result<EngineReport> {
-        Ok(EngineReport::default())
-    }
-
     fn copy_call(&self, request_id: &str, to: SocketAddr, last: bool) -> OwnCall {
         let body = json!({"run": request_id, "to": to, "last": last});
         OwnCall {
@@ -217,10 +201,6 @@
         })
     }
 
-    fn free_copy_call(&self, handle: &str) -> OwnCall {
-        OwnCall::get(format!("/free/{handle}"))
-    }
-
     fn continue_value(&self, source: SocketAddr, handle: &str) -> HeaderValue {
         HeaderValue::from_str(&format!("{source}#{handle}")).unwrap()
     }
