--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -240,8 +240,7 @@
         return ready(&shared);
     }
     if port == settings.metrics_address.port() {
-        let dropped = shared.log().dropped() as f64;
-        telemetry::set_gauge(Metric::LogLinesDropped, dropped);
+        telemetry::set_total(Metric::LogLinesDroppedTotal, shared.log().dropped());
         return HttpResponse::Ok().body(telemetry.render());
     }
     match http.path() {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -127,7 +127,7 @@
         "Streams that the gateway continued at another engine.",
     StreamsLostTotal Counter "cedargauge_streams_lost_total" "service"
         "Streams that the gateway broke off before their last event.",
-    LogLinesDropped Gauge "cedargauge_log_lines_dropped" ""
+    LogLinesDroppedTotal Counter "cedargauge_log_lines_dropped_total" ""
         "Lines of the gateway's log that were dropped because their reader was too slow.",
     PeerMessagesDroppedTotal Counter "cedargauge_peer_messages_dropped_total" ""
         "Messages to other entry hosts that were dropped because the host's queue was full.",
@@ -306,6 +306,12 @@
     metrics::counter!(metric.name(), &labels).increment(1);
 }
 
+/// Raises a counter without labels to a total that is kept elsewhere.
+pub fn set_total(metric: Metric, total: u64) {
+    debug_assert!(metric.kind() == Kind::Counter && metric.labels().is_empty());
+    metrics::counter!(metric.name()).absolute(total);
+}
+
 /// Sets a gauge of the catalogue that has no labels.
 pub fn set_gauge(metric: Metric, value: f64) {
     debug_assert!(metric.kind() == Kind::Gauge && metric.labels().is_empty());
