Hold callers to the configuration's bound on headers, and tidy imports

The bound on bodies was held, that on headers was not. Test: headers_over_the_limit_are_refused, which got 200 before. No measured path changes but one sum over a request's headers.

--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -5,6 +5,7 @@
 //! a living upstream has listed itself again by then.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -277,7 +278,7 @@
         listed: Vec<(Upstream, u64)>,
         offset: u64,
     ) -> Vec<(UpstreamId, DirectoryChange)> {
-        let present: std::collections::BTreeSet<UpstreamId> = listed
+        let present: BTreeSet<UpstreamId> = listed
             .iter()
             .map(|(upstream, _)| upstream.id.clone())
             .collect();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -15,6 +15,7 @@
 
 use crate::error::Error;
 use crate::error::Result;
+use crate::event::EventCode;
 use crate::gateway::connection::Connection;
 use crate::gateway::directory::Upstream;
 use crate::gateway::protocol::OwnCall;
@@ -134,6 +135,9 @@
     Unavailable(String),
 }
 
+/// What a step of following comes to.
+type Step<T> = std::result::Result<T, Interrupted>;
+
 impl From<Error> for Interrupted {
     fn from(error: Error) -> Self {
         Interrupted::Unavailable(error.to_string())
@@ -198,7 +202,7 @@
         elsewhere
     }
 
-    async fn advance(&mut self) -> std::result::Result<(), Interrupted> {
+    async fn advance(&mut self) -> Step<()> {
         match self.next {
             None => self.read_newest().await,
             Some(next) => self.read_from(next).await,
@@ -207,7 +211,7 @@
 
     /// Starts from the newest record of each key. The first page's end is where reading goes on, so
     /// nothing is missed that changes while further pages are read.
-    async fn read_newest(&mut self) -> std::result::Result<(), Interrupted> {
+    async fn read_newest(&mut self) -> Step<()> {
         let (records, end) = newest(&self.shared, &mut self.client, self.topic).await?;
         self.shared.set_log_away(false, self.topic.name());
         match self.topic {
@@ -219,7 +223,7 @@
         Ok(())
     }
 
-    async fn read_from(&mut self, next: u64) -> std::result::Result<(), Interrupted> {
+    async fn read_from(&mut self, next: u64) -> Step<()> {
         let call = self
             .shared
             .protocol()
@@ -287,11 +291,7 @@
 }
 
 /// The newest record of each key of a topic, and the offset to read from next.
-async fn newest(
-    shared: &Shared,
-    client: &mut OwnClient,
-    topic: Topic,
-) -> std::result::Result<(Vec<Record>, u64), Interrupted> {
+async fn newest(shared: &Shared, client: &mut OwnClient, topic: Topic) -> Step<(Vec<Record>, u64)> {
     let mut records: Vec<Record> = Vec::new();
     let mut end = None;
     loop {
@@ -315,7 +315,7 @@
     match shared.protocol().upstream(key, value) {
         Ok(upstream) => Some(upstream),
         Err(error) => {
-            let line = shared.log().line(crate::event::EventCode::RecordSkipped);
+            let line = shared.log().line(EventCode::RecordSkipped);
             line.with("source", "upstreams")
                 .with("key", key)
                 .with("reason", error.to_string())
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::StreamExt;
+use http::HeaderMap;
 use tokio::time::Instant;
 
 use crate::clock::Time;
@@ -31,6 +32,7 @@
 use crate::gateway::place::Need;
 use crate::gateway::pool::Pool;
 use crate::gateway::protocol::GenerationSize;
+use crate::gateway::protocol::HeaderNames;
 use crate::gateway::refuse;
 use crate::gateway::route::Route;
 use crate::gateway::route::RouteKind;
@@ -217,6 +219,10 @@
         let refusal = Refusal::not_run(Code::NotReady, "the host has no configuration yet");
         return Err(reject(refusal));
     };
+    if header_bytes(&request.headers) > configuration.limits.header_bytes_max {
+        let refusal = Refusal::not_run(Code::TooLarge, "the headers are longer than allowed");
+        return Err(reject(refusal));
+    }
     let (route, service) = find_route(&configuration, http)
         .ok_or_else(|| reject(stale_or(shared, Code::UnknownService, "no route matches")))?;
     let customer =
@@ -248,6 +254,14 @@
     })
 }
 
+/// Bytes of all headers as they are written: name, colon, space, value and line end.
+fn header_bytes(headers: &HeaderMap) -> usize {
+    let headers = headers.iter();
+    headers
+        .map(|(name, value)| name.as_str().len() + value.len() + 4)
+        .sum()
+}
+
 fn target_of(http: &HttpRequest) -> String {
     let uri = http.uri();
     match uri.path_and_query() {
@@ -279,10 +293,7 @@
     Refusal::not_run(code, message)
 }
 
-fn caller_timeout(
-    request: &CallerRequest,
-    names: &crate::gateway::protocol::HeaderNames,
-) -> Duration {
+fn caller_timeout(request: &CallerRequest, names: &HeaderNames) -> Duration {
     let asked = request.text(&names.deadline_ms);
     let asked_ms = asked.and_then(|text| text.trim().parse::<f64>().ok());
     let asked_ms = asked_ms.filter(|ms| ms.is_finite() && *ms >= 0.0);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -455,6 +455,19 @@
     assert_eq!(sum_seen(&upstreams), 0);
 }
 
+#[test]
+fn headers_over_the_limit_are_refused() {
+    let (world, upstreams) = world("once", &[&[Behaviour::Answer(200, "sound")]]);
+    let long = format!("x-long: {}\r\n", "x".repeat(16_384));
+    let fitting = format!("x-long: {}\r\n", "x".repeat(16_000));
+
+    let refused = ask(world.callers(), &get("/nets/7", &long));
+    let served = ask(world.callers(), &get("/nets/7", &fitting));
+
+    assert_eq!((refused.status, served.status), (413, 200));
+    assert_eq!(sum_seen(&upstreams), 1);
+}
+
 fn events(to: u64) -> Behaviour {
     Behaviour::Events {
         to,
