--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -445,6 +445,31 @@
     assert_eq!(seen[0].header("transfer-encoding"), None);
 }
 
+#[test]
+fn a_length_beside_chunks_or_a_bare_line_feed_smuggles_nothing() {
+    let hidden = "GET /nets/hidden HTTP/1.1\r\nhost: a.example\r\nauthorization: Key key-1\r\n\r\n";
+    let chunks = format!("{:x}\r\n{hidden}\r\n0\r\n\r\n", hidden.len());
+    let head = "POST /nets/7 HTTP/1.1\r\nhost: a.example\r\nauthorization: Key key-1\r\n";
+    for request in [
+        format!("{head}content-length: 4\r\ntransfer-encoding: chunked\r\n\r\n{chunks}"),
+        format!("{head}transfer-encoding: chunked\r\ncontent-length: 4\r\n\r\n{chunks}"),
+        format!(
+            "{head}x-bare: 1\ncontent-length: {}\r\n\r\n{hidden}",
+            hidden.len()
+        ),
+    ] {
+        let (world, upstreams) = world("once", &[&[Behaviour::Answer(200, "sound")]]);
+
+        let answer = ask(world.callers(), &request);
+
+        let seen = upstreams[0].seen();
+        assert!(matches!(answer.status, 200 | 400), "{request}");
+        assert!(seen.len() <= 1, "{request}");
+        assert!(seen.iter().all(|seen| seen.line() == "POST /nets/7"));
+        assert!(seen.iter().all(|seen| seen.body == hidden.as_bytes()));
+    }
+}
+
 #[test]
 fn a_body_over_the_limit_is_refused() {
     let (world, upstreams) = world("once", &[&[Behaviour::Answer(200, "sound")]]);
