Never continue a stalled run twice

Found by reading the whole change once more: where a stream stood still, its run was stopped and continued at the engine that keeps a copy; if that continuation's answer was lost, its error was dropped and the run was continued again from the copy under way. Two runs could have followed. Now the copy under way is given up and the error ends the stream. The price: a copy at the backup that is not there yet ends the stream, where the copy under way would have saved it.

--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -142,21 +142,16 @@
         let Some(reason) = self.broken.clone() else {
             return Ok(());
         };
-        match &mut self.moving {
-            Move::Last {
-                is_backup: false, ..
-            } => Ok(()),
-            Move::Last { is_backup, .. } => {
-                // The run was stopped. If its copy isn't there yet, the one under way will do.
-                *is_backup = false;
-                let _ = self.continue_at_backup(&reason).await;
-                Ok(())
-            }
-            _ => {
-                self.moving = Move::None;
-                self.continue_at_backup(&reason).await
-            }
+        if let Move::Last {
+            is_backup: false, ..
+        } = self.moving
+        {
+            return Ok(());
         }
+        // A copy that is under way is given up: where the backup's answer is lost the run may go on
+        // there, and continuing it from that copy too would run it twice.
+        self.moving = Move::None;
+        self.continue_at_backup(&reason).await
     }
 
     /// Continues the run at the engine that keeps a copy of it.
