Pass over as many upstreams as can't be connected to

Ruled out: the retry budget (tries that were never sent draw nothing from it).

Change: a request that could not be sent looks on for half of its objective; only sends count against the four. `Tries` holds the list, the count and the line, which call and stream each had.

Test: a_crowd_of_upstreams_that_went_at_once_costs_no_request fails on the commit before.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -32,4 +32,5 @@
 pub mod settings;
 pub mod shared;
 pub mod stream;
+pub(crate) mod tries;
 pub mod turns;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -23,7 +23,8 @@
 use crate::gateway::serve::Admitted;
 use crate::gateway::serve::Front;
 use crate::gateway::shared::Shared;
-use crate::id::UpstreamId;
+use crate::gateway::tries::Reached;
+use crate::gateway::tries::Tries;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::telemetry;
@@ -31,8 +32,6 @@
 /// A connection that isn't established within this time was not written to: a few round trips of
 /// the farthest data centre, and well before the system sends a lost opening packet again (1 s).
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Upstreams tried for one request, however many of them certainly did not run it.
-const SENDS_MAX: usize = 4;
 /// An attempt that may be repeated elsewhere is given up after this multiple of the objective.
 const ATTEMPT_OBJECTIVES: u32 = 2;
 /// A stopping host takes no call so shortly before the end of its grace: most take 0.06 s, the
@@ -77,23 +76,26 @@
         let refusal = refusal.retry_after_ms(STOPPING_RETRY_AFTER_MS);
         return admitted.refuse(shared, &refusal);
     }
-    let mut tried: Vec<UpstreamId> = Vec::new();
+    let mut tries = Tries::default();
     let mut may_have_run = 0;
     let mut failure: Option<FailedAnswer> = None;
     loop {
         if admitted.time_left() <= DEADLINE_MARGIN {
             return timed_out(shared, &admitted, may_have_run);
         }
-        let Some(candidate) = admitted.place(shared, Need::Slot, &tried) else {
-            return exhausted(shared, &admitted, may_have_run, &tried, failure);
+        let Some(candidate) = admitted.place(shared, Need::Slot, tries.upstreams()) else {
+            return exhausted(shared, &admitted, may_have_run, tries.len(), failure);
         };
         let upstream = candidate.upstream;
-        tried.push(upstream.id.clone());
+        tries.begin(&upstream.id);
         let _trial = shared.trial(&upstream.id);
         let last = is_last(&admitted, may_have_run);
         let outcome = attempt(front, &admitted, &upstream, last).await;
         note_health(shared, &admitted, &upstream, &outcome);
-        let was_sent = !matches!(outcome, Attempted::Unreachable(_));
+        let reached = match outcome {
+            Attempted::Unreachable(_) => Reached::Unreachable,
+            _ => Reached::Sent,
+        };
         let reason = match outcome {
             Attempted::Answered(answer) if may_repeat_answer(&admitted, &answer, last) => {
                 may_have_run += 1;
@@ -102,7 +104,7 @@
                 reason
             }
             Attempted::Answered(answer) => {
-                return pass_on(shared, &admitted, &upstream, answer, tried.len());
+                return pass_on(shared, &admitted, &upstream, answer, tries.len());
             }
             Attempted::Unreachable(reason) | Attempted::NotRun(reason) => reason,
             Attempted::Unknown(reason) => {
@@ -118,19 +120,8 @@
                 "no answer in time".to_owned()
             }
         };
-        let now = shared.now();
-        let hosts = shared.hosts();
-        let in_budget =
-            !was_sent || shared.budget(&admitted.service, |budget| budget.try_retry(now, hosts));
-        let retried = in_budget && tried.len() < SENDS_MAX;
-        let line = admitted.line(shared, EventCode::RequestRestarted);
-        line.with("upstream", upstream.id.as_str())
-            .with("reason", reason.as_str())
-            .with("hosts", hosts)
-            .with("retried", retried)
-            .write();
-        if !retried {
-            return exhausted(shared, &admitted, may_have_run, &tried, failure);
+        if !tries.go_on(shared, &admitted, reached, &reason) {
+            return exhausted(shared, &admitted, may_have_run, tries.len(), failure);
         }
     }
 }
@@ -314,13 +305,13 @@
     shared: &Shared,
     admitted: &Admitted,
     may_have_run: u32,
-    tried: &[UpstreamId],
+    tries: usize,
     failure: Option<FailedAnswer>,
 ) -> HttpResponse {
     if let Some((upstream, answer)) = failure {
-        return pass_on(shared, admitted, &upstream, answer, tried.len());
+        return pass_on(shared, admitted, &upstream, answer, tries);
     }
-    let message = format!("no upstream left after {} tries", tried.len());
+    let message = format!("no upstream left after {tries} tries");
     let refusal = match may_have_run {
         0 => Refusal::not_run(Code::NoUpstream, message),
         _ => Refusal::unknown(Code::UpstreamFailed, message),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -29,15 +29,14 @@
 use crate::gateway::serve::Front;
 use crate::gateway::shared::Shared;
 use crate::gateway::stream::relay::Relay;
-use crate::id::UpstreamId;
+use crate::gateway::tries::Reached;
+use crate::gateway::tries::Tries;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 
 mod moving;
 mod relay;
 
-/// Engines tried for one request, however many of them certainly did not run it.
-const SENDS_MAX: usize = 4;
 /// Upstreams' lowest rank. Ranks of routes and customers go from 0.
 const PRIORITY_MAX: u8 = 9;
 /// A caller's hint is right at the median; this much longer is planned for.
@@ -104,14 +103,14 @@
     if let Some(refusal) = refuse_while_stopping(shared, &admitted) {
         return admitted.refuse(shared, &refusal);
     }
-    let mut tried: Vec<UpstreamId> = Vec::new();
+    let mut tries = Tries::default();
     loop {
         let need = need(shared, &admitted);
-        let Some(candidate) = admitted.place(shared, need, &tried) else {
-            return refuse_unplaced(shared, &admitted, &tried, "no engine is left");
+        let Some(candidate) = admitted.place(shared, need, tries.upstreams()) else {
+            return refuse_unplaced(shared, &admitted, tries.len(), "no engine is left");
         };
         let upstream = candidate.upstream;
-        tried.push(upstream.id.clone());
+        tries.begin(&upstream.id);
         let _trial = shared.trial(&upstream.id);
         let line = admitted.line(shared, EventCode::RequestDispatched);
         line.with("upstream", upstream.id.as_str())
@@ -121,8 +120,7 @@
             .with("tokens", tokens(need))
             .with("hosts", shared.hosts())
             .write();
-        let mut was_sent = true;
-        let reason = match open(shared, &admitted, &upstream, tokens(need), None).await {
+        let (reached, reason) = match open(shared, &admitted, &upstream, tokens(need), None).await {
             Opened::Running(running) => return respond(shared.clone(), admitted, *running),
             Opened::Answered(answer) => return pass_on(shared, &admitted, &upstream, answer),
             Opened::TimedOut => {
@@ -136,27 +134,14 @@
                 let message = format!("{}: {reason}", upstream.id);
                 return admitted.refuse(shared, &Refusal::unknown(Code::UpstreamFailed, message));
             }
-            Opened::Unreachable(reason) => {
-                was_sent = false;
-                reason
-            }
+            Opened::Unreachable(reason) => (Reached::Unreachable, reason),
             Opened::NotRun(reason) => {
                 shared.upstream_failed(&admitted.service, &upstream.id, &reason);
-                reason
+                (Reached::Sent, reason)
             }
         };
-        let now = shared.now();
-        let hosts = shared.hosts();
-        let in_budget =
-            !was_sent || shared.budget(&admitted.service, |budget| budget.try_retry(now, hosts));
-        let retried = in_budget && tried.len() < SENDS_MAX;
-        let line = admitted.line(shared, EventCode::RequestRestarted);
-        line.with("upstream", upstream.id.as_str())
-            .with("reason", reason.as_str())
-            .with("retried", retried)
-            .write();
-        if !retried {
-            return refuse_unplaced(shared, &admitted, &tried, &reason);
+        if !tries.go_on(shared, &admitted, reached, &reason) {
+            return refuse_unplaced(shared, &admitted, tries.len(), &reason);
         }
     }
 }
@@ -191,10 +176,10 @@
 fn refuse_unplaced(
     shared: &Shared,
     admitted: &Admitted,
-    tried: &[UpstreamId],
+    tries: usize,
     reason: &str,
 ) -> HttpResponse {
-    let message = format!("not run after {} tries: {reason}", tried.len());
+    let message = format!("not run after {tries} tries: {reason}");
     admitted.refuse(shared, &Refusal::not_run(Code::NoUpstream, message))
 }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -248,6 +248,23 @@
     assert_eq!(statuses, [200; 20]);
 }
 
+#[test]
+fn a_crowd_of_upstreams_that_went_at_once_costs_no_request() {
+    let absent: Vec<FakeUpstream> = (0..12)
+        .map(|index| FakeUpstream::absent(&format!("up-absent-{index}")))
+        .collect();
+    let present = FakeUpstream::start("up-0", &[Behaviour::Answer(200, "sound")]);
+    let mut all: Vec<&FakeUpstream> = absent.iter().collect();
+    all.push(&present);
+    let world = World::serving(json!([route("once")]), &all);
+
+    let statuses: Vec<u16> = (0..5)
+        .map(|_| ask(world.callers(), &get("/nets/7", "")).status)
+        .collect();
+
+    assert_eq!(statuses, [200; 5]);
+}
+
 #[test]
 fn what_runs_once_is_never_sent_again_after_it_may_have_run() {
     for behaviour in [
