Tell less and read less: binary datagrams, one reader of the upstreams, two lookouts

Ruled out: reports of engines, which nobody asked for then.

Change: datagrams are postcard with a format byte. What operators publish is still read by one host of each data centre, from which documents are fetched; the upstreams, whose changes are many and small, by one host for all, whose datagrams go to all data centres at least every 300 ms and at each change. A host that hears no reader for a second reads for its data centre, as before. While the log is away only the first two hosts of a data centre look for its return every 0.7 s, the others every 3 s.

Tests: one_host_reads_the_upstreams_for_all_data_centres, two_hosts_of_a_data_centre_look_out_for_a_log_that_is_away.

--- a/src/error.rs
+++ b/src/error.rs
@@ -21,6 +21,9 @@
     /// A message could not be encoded or decoded.
     #[error("bad message: {0}")]
     Message(#[from] serde_json::Error),
+    /// A datagram of another host could not be decoded.
+    #[error("bad datagram: {0}")]
+    Datagram(String),
     /// Another process did not answer, or not as its protocol says.
     #[error("{peer}: {reason}")]
     Remote {
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -1,18 +1,47 @@
-//! What hosts tell each other in one datagram.
+//! What hosts tell each other in one datagram, and its encoding.
+//!
+//! Every host sends to every other of its data centre, so bytes count: the encoding is binary
+//! ([`postcard`]), a third of the size of JSON here (docs/MEASUREMENTS.md).
 
 use std::net::SocketAddr;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::error::Error;
+use crate::error::Result;
 use crate::gateway::directory::Change;
 use crate::gateway::loads::Load;
+use crate::gateway::protocol::Topic;
 use crate::id::DataCentre;
 use crate::id::HostId;
 use crate::id::UpstreamId;
 
 /// Largest datagram that crosses a network whole.
 pub(crate) const DATAGRAM_BYTES_MAX: usize = 1_400;
+/// First byte of a datagram; rises with each change of its fields, so that hosts of two releases
+/// side by side don't misread each other.
+const FORMAT: u8 = 1;
+
+/// What a host reads of the log and reaches.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reading {
+    /// What operators publish.
+    pub operator: bool,
+    /// The upstreams.
+    pub upstreams: bool,
+}
+
+impl Reading {
+    /// Whether it reads `topic`.
+    pub fn reads(self, topic: Topic) -> bool {
+        match topic {
+            Topic::Operator => self.operator,
+            Topic::Upstreams => self.upstreams,
+            Topic::Hosts => false,
+        }
+    }
+}
 
 /// What a host tells the others.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -27,30 +56,23 @@
     pub peer_port: u16,
     /// Its data centre.
     pub data_centre: DataCentre,
-    /// Whether it reads the log: what it tells is first-hand and fresh.
-    pub reading: bool,
+    /// What it reads of the log: what it tells of that is first-hand and fresh.
+    pub reading: Reading,
     /// Whether it tried to read the log of late and could not.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub log_away: bool,
     /// A hash over the upstreams that it lists.
     pub upstreams_digest: u64,
     /// The last changes of its upstreams.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub changes: Vec<Change>,
     /// What it runs where; none in a datagram that tells only of turns.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub loads: Option<Vec<(UpstreamId, Load)>>,
     /// Runs that it has still to move off engines that are leaving.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub moving: Vec<(UpstreamId, u32)>,
     /// Upstreams that it saw leaving.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub leaving: Vec<UpstreamId>,
     /// Some other hosts.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub hosts: Vec<SocketAddr>,
     /// Whether it is shutting down and counts no more.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub stopping: bool,
 }
 
@@ -71,13 +93,25 @@
         loads.sort_by_key(|(_, load)| std::cmp::Reverse(load.tokens));
     }
     loop {
-        let bytes = serde_json::to_vec(&datagram).unwrap_or_default();
+        let bytes = postcard::to_extend(&datagram, vec![FORMAT]).unwrap_or_default();
         if bytes.len() <= DATAGRAM_BYTES_MAX || !shorten(&mut datagram) {
             return bytes;
         }
     }
 }
 
+/// What a datagram tells.
+///
+/// # Errors
+///
+/// [`Error::Datagram`] if it is not a datagram of this release.
+pub(crate) fn decode(bytes: &[u8]) -> Result<Datagram> {
+    let Some((&FORMAT, fields)) = bytes.split_first() else {
+        return Err(Error::Datagram("another format".to_owned()));
+    };
+    postcard::from_bytes(fields).map_err(|error| Error::Datagram(error.to_string()))
+}
+
 /// Leaves something out; false if there is nothing to leave out.
 fn shorten(datagram: &mut Datagram) -> bool {
     if !datagram.changes.is_empty() {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -12,6 +12,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use tokio::time::Instant;
 
 use crate::error::Error;
 use crate::error::Result;
@@ -37,6 +38,9 @@
 const BATCH_PAUSE: Duration = Duration::from_millis(20);
 const BACKOFF_MIN: Duration = Duration::from_millis(120);
 const BACKOFF_MAX: Duration = Duration::from_millis(700);
+/// Hosts that don't look out for a log that is away try it this seldom: calls are priced also while
+/// they are refused.
+const AWAY_PAUSE: Duration = Duration::from_millis(3_000);
 /// Largest answer of the log: a configuration of many routes fits.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
 /// How often a host that listens looks whether it has to read for itself.
@@ -166,7 +170,8 @@
             Err(Interrupted::Truncated) => follower.next = None,
             Err(Interrupted::Unavailable(reason)) => {
                 follower.shared.set_log_away(true, &reason);
-                tokio::time::sleep(backoff.next().unwrap_or(BACKOFF_MAX)).await;
+                let pause = backoff.next().unwrap_or(BACKOFF_MAX);
+                follower.wait_for_return(pause).await;
             }
         }
     }
@@ -192,16 +197,30 @@
     /// Whether other hosts follow the log for this one. Where it begins again it starts from the
     /// newest records, since it doesn't know what they have read.
     fn is_fresh_elsewhere(&mut self) -> bool {
-        let now = self.shared.now();
         let begun = self.next.is_some() || self.shared.is_ready();
         let elsewhere =
-            begun && !self.shared.is_reader() && self.shared.peers(|peers| peers.hears_reader(now));
+            begun && !self.shared.is_reader(self.topic) && self.shared.hears_log(self.topic);
         if elsewhere {
             self.next = None;
         }
         elsewhere
     }
 
+    /// Waits before the log is tried again: for `pause` on the hosts that look out for its return,
+    /// else longer, unless such a host reads it again before. A host that knows nothing yet doesn't
+    /// wait for others.
+    async fn wait_for_return(&mut self, pause: Duration) {
+        tokio::time::sleep(pause).await;
+        let tries_again = Instant::now() + AWAY_PAUSE;
+        while Instant::now() < tries_again
+            && self.shared.is_ready()
+            && !self.shared.is_lookout()
+            && !self.is_fresh_elsewhere()
+        {
+            tokio::time::sleep(READER_CHECK).await;
+        }
+    }
+
     async fn advance(&mut self) -> Step<()> {
         match self.next {
             None => self.read_newest().await,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -4,8 +4,8 @@
 //! Every host sends to every other; the interval grows with their number, so that what a host
 //! sends and gets stays bounded. A datagram lost is made good by the next one.
 //!
-//! Calls to the log are priced, so only one host of a data centre follows it and tells the others
-//! with its datagrams: the upstreams' last changes in full, and the configuration's version, which
+//! Calls to the log are priced, so where hosts are many few of them follow it and tell the others
+//! with their datagrams: the upstreams' last changes in full, and the configuration's version, which
 //! the others then fetch. Who reads is decided by each host for itself from whom it hears
 //! ([`crate::gateway::peers::Peers::is_reader`]); two readers for a moment are harmless, and a host that hears of none
 //! reads for itself.
@@ -19,9 +19,11 @@
 use crate::event::EventCode;
 use crate::gateway::datagram::DATAGRAM_BYTES_MAX;
 use crate::gateway::datagram::Datagram;
+use crate::gateway::datagram::decode;
 use crate::gateway::datagram::encode;
 use crate::gateway::peerfetch;
 use crate::gateway::peers::READERS_ONLY_FROM;
+use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
 
 /// Time between two rounds while hosts are few.
@@ -33,6 +35,9 @@
 /// Hosts of other data centres are sent to at this interval while hosts are many: bytes between data
 /// centres are priced, and each has a reader of its own.
 const FAR_INTERVAL: Duration = Duration::from_millis(1_800);
+/// The same of a host that reads the log for all of them: three rounds within the time after which a
+/// silent reader is replaced.
+const FAR_READER_INTERVAL: Duration = Duration::from_millis(300);
 /// A host whose own reading works gives it this time before it asks a peer for news.
 const OWN_READING_FIRST: Duration = Duration::from_millis(300);
 /// Hosts that only listen fetch within this time of the first word.
@@ -69,6 +74,8 @@
 struct FarRounds {
     last: Option<Time>,
     was_moving: bool,
+    /// The log's offset up to which this host had told of upstreams.
+    told_upstreams: u64,
 }
 
 /// What other data centres get in a round.
@@ -87,7 +94,10 @@
         let is_moving = !shared.turns().with(|turns| turns.own()).is_empty();
         let was_moving = std::mem::replace(&mut self.was_moving, is_moving);
         let is_few = shared.hosts() <= READERS_ONLY_FROM;
-        if is_few || self.last.is_none_or(|last| now.since(last) >= FAR_INTERVAL) {
+        let is_due = self
+            .last
+            .is_none_or(|last| now.since(last) >= self.interval(shared));
+        if is_few || is_due || self.has_news(shared) {
             self.last = Some(now);
             return FarRound::All;
         }
@@ -98,6 +108,23 @@
     }
 }
 
+impl FarRounds {
+    /// A host that reads for all must be heard by all.
+    fn interval(&self, shared: &Shared) -> Duration {
+        match shared.is_reading(Topic::Upstreams) {
+            true => FAR_READER_INTERVAL,
+            false => FAR_INTERVAL,
+        }
+    }
+
+    /// Whether this host reads the upstreams for all and they have changed.
+    fn has_news(&mut self, shared: &Shared) -> bool {
+        let upstreams = shared.directory(|directory| directory.offset());
+        let told = std::mem::replace(&mut self.told_upstreams, upstreams);
+        told != upstreams && shared.is_reading(Topic::Upstreams)
+    }
+}
+
 async fn send_round(shared: &Shared, socket: &UdpSocket, far: &mut FarRounds) {
     let now = shared.now();
     let round = far.next(shared, now);
@@ -129,8 +156,8 @@
         upstreams: 0,
         upstreams_digest: 0,
         changes: Vec::new(),
-        reading: shared.is_reading(),
-        log_away: shared.is_log_away() && shared.is_reader(),
+        reading: shared.reading(),
+        log_away: shared.is_log_away() && shared.is_reader(Topic::Operator),
         peer_port: settings.peer_address.port(),
         loads: Some(shared.loads().with(|loads| loads.own())),
         moving: shared.turns().with(|turns| turns.own()),
@@ -142,7 +169,7 @@
         datagram.upstreams = directory.offset();
         datagram.upstreams_digest = directory.digest();
         datagram.leaving = directory.witnessed().cloned().collect();
-        if datagram.reading {
+        if datagram.reading.upstreams {
             datagram.changes = directory.recent();
         }
     });
@@ -150,9 +177,12 @@
 }
 
 fn receive(shared: &Shared, from: SocketAddr, bytes: &[u8]) {
-    let Ok(datagram) = serde_json::from_slice::<Datagram>(bytes) else {
-        log::debug!("a datagram from {from} can't be read");
-        return;
+    let datagram = match decode(bytes) {
+        Ok(datagram) => datagram,
+        Err(error) => {
+            log::debug!("a datagram from {from}: {error}");
+            return;
+        }
     };
     let now = shared.now();
     if shared.peers(|peers| peers.hear(now, from, &datagram)) {
@@ -205,7 +235,7 @@
 /// Gives the own reading of the log, or the next datagram, a moment; then asks a peer. Hosts that
 /// only listen spread their questions, so that the readers are not asked by all at once.
 fn fetch_soon(shared: &Shared, peer: SocketAddr) {
-    let wait = match shared.is_reading() {
+    let wait = match shared.is_reading(Topic::Operator) {
         true => OWN_READING_FIRST,
         false => LISTENER_SPREAD.mul_f64(rand::random()),
     };
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -269,7 +269,7 @@
         if shared.is_ready() {
             return;
         }
-        if shared.is_reading() {
+        if shared.is_reading(Topic::Operator) {
             continue;
         }
         for seed in seeds.iter().filter(|seed| **seed != own) {
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -27,14 +27,9 @@
     /// Tokens of memory that they are predicted to need.
     pub tokens: u32,
     /// Tokens of the prompts among them that are not read yet.
-    #[serde(default, skip_serializing_if = "is_zero")]
     pub unread_tokens: u32,
 }
 
-fn is_zero(tokens: &u32) -> bool {
-    *tokens == 0
-}
-
 impl Load {
     fn add(&mut self, other: Load) {
         self.requests += other.requests;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -6,6 +6,8 @@
 
 use crate::clock::Time;
 use crate::gateway::datagram::Datagram;
+use crate::gateway::datagram::Reading;
+use crate::gateway::protocol::Topic;
 use crate::id::DataCentre;
 use crate::id::HostId;
 
@@ -17,6 +19,8 @@
 /// With fewer other hosts each reads the log for itself: their calls cost less than half a percent
 /// of what is served, and need no one else.
 pub(crate) const READERS_ONLY_FROM: usize = 12;
+/// Hosts of a data centre that look for a log that is away: one, and another if it is turned away.
+const LOOKOUTS: usize = 2;
 /// An address that never answers is tried for this long, and again when it is learnt anew.
 const TRIED_FOR: Duration = Duration::from_secs(15);
 /// Addresses of other hosts that a datagram carries.
@@ -37,7 +41,7 @@
     data_centre: DataCentre,
     peer_address: SocketAddr,
     config: u64,
-    reading: bool,
+    reading: Reading,
     log_away: bool,
     stopping: bool,
 }
@@ -116,24 +120,43 @@
         heard.filter(move |heard| now.since(heard.at) < LIVE_FOR && !heard.stopping)
     }
 
-    /// Whether this host shall read the log: it is the first by name of the hosts of its data
-    /// centre that are heard and can read it. While hosts are few, each reads for itself.
-    pub fn is_reader(&self, now: Time, host: &HostId, data_centre: &DataCentre) -> bool {
+    /// Whether this host shall read a topic of the log. While hosts are few, each reads for itself.
+    ///
+    /// Else what operators publish is read by one host of each data centre, from which the others
+    /// fetch it, and the upstreams, whose changes are many and small, by one host for all. The reader
+    /// is the first by name of the hosts that are heard and can read; a host that hears of no reader
+    /// reads for its data centre.
+    pub fn is_reader(
+        &self,
+        now: Time,
+        host: &HostId,
+        data_centre: &DataCentre,
+        topic: Topic,
+    ) -> bool {
         if self.live(now) < READERS_ONLY_FROM {
             return true;
         }
-        let able = self.live_hosts(now).filter(|heard| {
-            heard.data_centre == *data_centre
-                && !heard.log_away
-                && now.since(heard.at) < READER_SILENT_FOR
+        let mut able = self.live_hosts(now).filter(|heard| {
+            let is_near = heard.data_centre == *data_centre && !heard.log_away;
+            let reads_for_all = topic == Topic::Upstreams && heard.reading.upstreams;
+            (is_near || reads_for_all) && now.since(heard.at) < READER_SILENT_FOR
         });
-        !able.into_iter().any(|heard| heard.host < *host)
+        !able.any(|heard| heard.host < *host)
     }
 
-    /// Whether a host that reads the log was heard a moment ago.
-    pub fn hears_reader(&self, now: Time) -> bool {
+    /// Whether a host that reads a topic of the log was heard a moment ago.
+    pub fn hears_reader(&self, now: Time, topic: Topic) -> bool {
         self.live_hosts(now)
-            .any(|heard| heard.reading && now.since(heard.at) < READER_SILENT_FOR)
+            .any(|heard| heard.reading.reads(topic) && now.since(heard.at) < READER_SILENT_FOR)
+    }
+
+    /// Whether this host is among the first by name of the live hosts of its data centre: those look
+    /// for a log that is away more often than the others, who hear of its return from them.
+    pub fn is_lookout(&self, now: Time, host: &HostId, data_centre: &DataCentre) -> bool {
+        let before = self
+            .live_hosts(now)
+            .filter(|heard| heard.data_centre == *data_centre && heard.host < *host);
+        before.count() < LOOKOUTS
     }
 
     /// Where hosts that have a configuration newer than `version` serve it.
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -1,8 +1,11 @@
 use super::Peers;
 use crate::clock::Time;
 use crate::gateway::datagram::Datagram;
+use crate::gateway::datagram::Reading;
+use crate::gateway::datagram::decode;
 use crate::gateway::datagram::encode;
 use crate::gateway::loads::Load;
+use crate::gateway::protocol::Topic;
 use crate::id::DataCentre;
 use crate::id::HostId;
 use crate::id::UpstreamId;
@@ -22,7 +25,7 @@
         upstreams: 10,
         peer_port: 8000,
         data_centre: DataCentre::new(data_centre),
-        reading: false,
+        reading: Reading::default(),
         log_away: false,
         upstreams_digest: 0,
         changes: Vec::new(),
@@ -50,8 +53,13 @@
     }
 }
 
+fn is_reader_in(peers: &Peers, now: Time, index: usize, data_centre: &str) -> bool {
+    let data_centre = DataCentre::new(data_centre);
+    peers.is_reader(now, &host(index), &data_centre, Topic::Operator)
+}
+
 fn is_reader(peers: &Peers, now: Time, index: usize) -> bool {
-    peers.is_reader(now, &host(index), &DataCentre::new(zone(index)))
+    is_reader_in(peers, now, index, zone(index))
 }
 
 #[test]
@@ -75,7 +83,7 @@
 
     // Of the north, host 0 is silent and host 2 would be next.
     assert!(!is_reader(&peers, later, 20));
-    assert!(peers.is_reader(later, &host(1), &DataCentre::new("north")));
+    assert!(is_reader_in(&peers, later, 1, "north"));
 }
 
 #[test]
@@ -85,7 +93,36 @@
     turned_away.log_away = true;
     peers.hear(Time::ZERO, address(0), &turned_away);
 
-    assert!(peers.is_reader(Time::ZERO, &host(1), &DataCentre::new("north")));
+    assert!(is_reader_in(&peers, Time::ZERO, 1, "north"));
+}
+
+#[test]
+fn one_host_reads_the_upstreams_for_all_data_centres() {
+    let mut peers = peers();
+    let south = DataCentre::new("south");
+    let reads = |peers: &Peers, now: Time| peers.is_reader(now, &host(1), &south, Topic::Upstreams);
+    // Host 1 is the first of the south, and host 0 reads in the north.
+    assert!(reads(&peers, Time::ZERO));
+    let mut reading = datagram(0, "north");
+    reading.reading.upstreams = true;
+    peers.hear(Time::ZERO, address(0), &reading);
+
+    assert!(!reads(&peers, Time::from_ms(999)));
+    assert!(peers.hears_reader(Time::from_ms(999), Topic::Upstreams));
+    assert!(is_reader_in(&peers, Time::from_ms(999), 1, "south"));
+    // Behind a cut it isn't heard any more.
+    assert!(reads(&peers, Time::from_ms(1_000)));
+}
+
+#[test]
+fn two_hosts_of_a_data_centre_look_out_for_a_log_that_is_away() {
+    let peers = peers();
+    let is_lookout =
+        |index: usize| peers.is_lookout(Time::ZERO, &host(index), &DataCentre::new(zone(index)));
+
+    let lookouts: Vec<usize> = (0..20).filter(|index| is_lookout(*index)).collect();
+
+    assert_eq!(lookouts, [0, 1, 2, 3]);
 }
 
 #[test]
@@ -147,7 +184,7 @@
     large.loads = Some(loads.collect());
 
     let bytes = encode(large);
-    let kept: Datagram = serde_json::from_slice(&bytes).unwrap();
+    let kept = decode(&bytes).unwrap();
 
     assert!(bytes.len() <= 1_400, "{}", bytes.len());
     let kept = kept.loads.unwrap();
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -25,12 +25,14 @@
 use crate::event::EventCode;
 use crate::gate::Gate;
 use crate::gateway::configuration::Configuration;
+use crate::gateway::datagram::Reading;
 use crate::gateway::decisions::DecisionLog;
 use crate::gateway::directory::Directory;
 use crate::gateway::directory::DirectoryChange;
 use crate::gateway::loads::LoadBoard;
 use crate::gateway::peers::Peers;
 use crate::gateway::protocol::Protocol;
+use crate::gateway::protocol::Topic;
 use crate::gateway::reach::Reach;
 use crate::gateway::retrybudget::SharedRetryBudget;
 use crate::gateway::settings::GatewaySettings;
@@ -282,23 +284,43 @@
         self.0.log_away.load(Ordering::Relaxed)
     }
 
-    /// Whether this host shall follow the log.
-    pub fn is_reader(&self) -> bool {
+    /// Whether this host shall follow a topic of the log.
+    pub fn is_reader(&self, topic: Topic) -> bool {
         let now = self.now();
         let settings = self.settings();
-        self.peers(|peers| peers.is_reader(now, &settings.host, &settings.data_centre))
+        self.peers(|peers| peers.is_reader(now, &settings.host, &settings.data_centre, topic))
     }
 
-    /// Whether this host follows the log and reaches it.
-    pub fn is_reading(&self) -> bool {
-        self.is_reader() && !self.is_log_away()
+    /// Whether this host is one of those that look for a log that is away.
+    pub fn is_lookout(&self) -> bool {
+        let now = self.now();
+        let settings = self.settings();
+        self.peers(|peers| peers.is_lookout(now, &settings.host, &settings.data_centre))
     }
 
-    /// Whether what this host believes may be stale: it doesn't read the log itself, nor hears of a
-    /// host that does.
-    pub fn may_be_stale(&self) -> bool {
+    /// Whether this host follows a topic of the log and reaches it.
+    pub fn is_reading(&self, topic: Topic) -> bool {
+        !self.is_log_away() && self.is_reader(topic)
+    }
+
+    /// What this host reads of the log, for its peers.
+    pub fn reading(&self) -> Reading {
+        Reading {
+            operator: self.is_reading(Topic::Operator),
+            upstreams: self.is_reading(Topic::Upstreams),
+        }
+    }
+
+    /// Whether what changes in a topic of the log reaches this host: it reads the topic itself, or
+    /// heard a host that does a moment ago.
+    pub fn hears_log(&self, topic: Topic) -> bool {
         let now = self.now();
-        !self.is_reading() && !self.peers(|peers| peers.hears_reader(now))
+        self.is_reading(topic) || self.peers(|peers| peers.hears_reader(now, topic))
+    }
+
+    /// Whether the configuration that this host believes to be in force may be stale.
+    pub fn may_be_stale(&self) -> bool {
+        !self.hears_log(Topic::Operator)
     }
 
     /// The log was lost or came back.
