Tell each other which upstreams can't be connected to

Cause: after the cut of a data centre each of its 25 hosts finds out by itself, by a timeout of 150 ms a request and upstream, which engines lie behind it; so do hosts after engines that went while the log was away. Change: hosts of a data centre tell each other what they themselves can't connect to now; a word counts for 0.8 s and for nothing against a connection of the host's own of a second ago. Ruled out: waiting for two words (hosts of small deployments would learn nothing).

--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -70,6 +70,8 @@
     pub moving: Vec<(UpstreamId, u32)>,
     /// Upstreams that it saw leaving.
     pub leaving: Vec<UpstreamId>,
+    /// Upstreams that it can't connect to now.
+    pub unreachable: Vec<UpstreamId>,
     /// Some other hosts.
     pub hosts: Vec<SocketAddr>,
     /// Whether it is shutting down and counts no more.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -162,6 +162,7 @@
         loads: Some(shared.loads().with(|loads| loads.own())),
         moving: shared.turns().with(|turns| turns.own()),
         leaving: Vec::new(),
+        unreachable: shared.unreachable(),
         hosts: shared.peers(|peers| peers.some(now)),
         stopping: shared.gate().is_shutting_down(),
     };
@@ -194,6 +195,9 @@
     for upstream in &datagram.leaving {
         shared.witness_leaving(upstream, datagram.host.as_str());
     }
+    if datagram.data_centre == shared.settings().data_centre {
+        shared.hear_unreachable(&datagram.host, &datagram.unreachable);
+    }
     let newer_upstreams = take_changes(shared, now, &datagram);
     let newer_config = datagram.config > shared.config_version();
     let peer = SocketAddr::new(from.ip(), datagram.peer_port);
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -32,6 +32,7 @@
         loads: Some(Vec::new()),
         moving: Vec::new(),
         leaving: Vec::new(),
+        unreachable: Vec::new(),
         hosts: Vec::new(),
         stopping: false,
     }
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -4,6 +4,9 @@
 //! request a connect timeout. After one, an upstream is passed over for a while by all requests
 //! that have another choice. Unlike an ejection this is no judgement on the upstream and has no
 //! bound: behind a cut may lie most of a pool.
+//!
+//! The hosts of a data centre mostly see the same, so they tell each other what they could not
+//! connect to. What a host saw for itself a moment ago goes before what it is told.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -15,44 +18,98 @@
 const PASSED_OVER_MIN: Duration = Duration::from_millis(800);
 /// Longest time, so that a cut that healed is noticed within it.
 const PASSED_OVER_MAX: Duration = Duration::from_millis(3_200);
+/// A connection of the host's own outweighs its peers' words for this long.
+const OWN_SIGHT_LASTS: Duration = Duration::from_millis(1_000);
 
-/// Failed connections of one upstream.
+/// An upstream that is passed over.
 #[derive(Debug, Clone, Copy)]
-struct Record {
+struct Failing {
     until: Time,
     next: Duration,
+    /// Whether this host saw it itself.
+    first_hand: bool,
+}
+
+/// What is known of connections to one upstream.
+#[derive(Debug, Clone, Copy, Default)]
+struct Record {
+    failing: Option<Failing>,
+    reached_at: Option<Time>,
 }
 
-/// The upstreams that can't be reached.
+/// What is known of connections to all upstreams.
 #[derive(Debug, Default)]
 pub struct Reach {
-    failed: HashMap<UpstreamId, Record>,
+    records: HashMap<UpstreamId, Record>,
 }
 
 impl Reach {
     /// A connection could not be established. True if the upstream could be reached before.
     pub fn failed(&mut self, now: Time, upstream: &UpstreamId) -> bool {
-        let record = self.failed.get(upstream);
-        if record.is_some_and(|record| record.until > now) {
+        let record = self.records.entry(upstream.clone()).or_default();
+        let known = record.failing;
+        if known.is_some_and(|failing| failing.first_hand && failing.until > now) {
             return false;
         }
-        let pause = record.map_or(PASSED_OVER_MIN, |record| record.next);
-        let next = Record {
+        let pause = match known {
+            Some(failing) if failing.first_hand => failing.next,
+            Some(_) | None => PASSED_OVER_MIN,
+        };
+        record.failing = Some(Failing {
             until: now + pause,
             next: (pause * 2).min(PASSED_OVER_MAX),
-        };
-        self.failed.insert(upstream.clone(), next).is_none()
+            first_hand: true,
+        });
+        known.is_none()
+    }
+
+    /// Another host of the data centre could not connect. True if that is news.
+    pub fn hear(&mut self, now: Time, upstream: &UpstreamId) -> bool {
+        let record = self.records.entry(upstream.clone()).or_default();
+        let seen = record.reached_at;
+        let reached_lately = seen.is_some_and(|at| now.since(at) < OWN_SIGHT_LASTS);
+        let known = record.failing;
+        if reached_lately || known.is_some_and(|failing| failing.until > now) {
+            return false;
+        }
+        record.failing = Some(Failing {
+            until: now + PASSED_OVER_MIN,
+            next: known.map_or(PASSED_OVER_MIN, |failing| failing.next),
+            first_hand: false,
+        });
+        known.is_none()
     }
 
     /// A connection was established. True if it could not before.
-    pub fn reached(&mut self, upstream: &UpstreamId) -> bool {
-        self.failed.remove(upstream).is_some()
+    pub fn reached(&mut self, now: Time, upstream: &UpstreamId) -> bool {
+        let record = self.records.entry(upstream.clone()).or_default();
+        record.reached_at = Some(now);
+        record.failing.take().is_some()
     }
 
     /// Whether an upstream is to be passed over.
     pub fn is_passed_over(&self, now: Time, upstream: &UpstreamId) -> bool {
-        let record = self.failed.get(upstream);
-        record.is_some_and(|record| record.until > now)
+        let record = self.records.get(upstream);
+        let failing = record.and_then(|record| record.failing);
+        failing.is_some_and(|failing| failing.until > now)
+    }
+
+    /// What this host itself can't connect to now, for its peers.
+    pub fn first_hand(&self, now: Time) -> Vec<UpstreamId> {
+        let failing = |record: &Record| {
+            let failing = record.failing;
+            failing.is_some_and(|failing| failing.first_hand && failing.until > now)
+        };
+        let records = self.records.iter();
+        records
+            .filter(|(_, record)| failing(record))
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    /// An upstream is gone for good.
+    pub fn forget(&mut self, upstream: &UpstreamId) {
+        self.records.remove(upstream);
     }
 }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -37,6 +37,7 @@
 use crate::gateway::retrybudget::SharedRetryBudget;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::turns::TurnBoard;
+use crate::id::HostId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 
@@ -226,6 +227,7 @@
             };
             if change == DirectoryChange::Removed {
                 locked(&self.0.ejector).forget(&id);
+                locked(&self.0.reach).forget(&id);
             }
             let (address, offset) = self.directory(|directory| {
                 let address = directory.get(&id).map(|upstream| upstream.address);
@@ -399,12 +401,31 @@
             line.with("upstream", upstream.as_str())
                 .with("reason", reason)
                 .write();
+            self.tell_news();
         }
     }
 
+    /// Another host of the data centre can't connect to these upstreams.
+    pub fn hear_unreachable(&self, peer: &HostId, upstreams: &[UpstreamId]) {
+        let now = self.now();
+        for upstream in upstreams {
+            if locked(&self.0.reach).hear(now, upstream) {
+                let line = self.log().line(EventCode::UpstreamLost);
+                line.with("upstream", upstream.as_str())
+                    .with("source", peer.as_str())
+                    .write();
+            }
+        }
+    }
+
+    /// What this host itself can't connect to now.
+    pub fn unreachable(&self) -> Vec<UpstreamId> {
+        locked(&self.0.reach).first_hand(self.now())
+    }
+
     /// A connection to an upstream was established.
     pub fn upstream_reached(&self, upstream: &UpstreamId) {
-        if locked(&self.0.reach).reached(upstream) {
+        if locked(&self.0.reach).reached(self.now(), upstream) {
             let line = self.log().line(EventCode::UpstreamBack);
             line.with("upstream", upstream.as_str())
                 .with("change", "reached")
