Ask engines whether they are leaving while the log is away

Ruled out: that the answers' heads tell (a stream's head comes at its start).

Change: while a host neither reads the upstreams' topic nor hears one that does, it asks the engines of its data centre that have work for their own report, four times a second, each engine by one host (rendezvous over the hosts that are heard). A report that says so is a witness like any other.

Test: a_run_moves_off_an_engine_that_leaves_while_the_log_is_away.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,6 +19,7 @@
 pub mod host;
 pub mod identity;
 pub mod loads;
+pub(crate) mod ownword;
 pub mod peerfetch;
 pub mod peers;
 pub mod place;
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -366,6 +366,12 @@
             .collect()
     }
 
+    /// All upstreams that take new work.
+    pub fn all_ready(&self) -> Vec<Arc<Upstream>> {
+        let ids = self.entries.keys().filter(|id| self.is_ready(id));
+        ids.filter_map(|id| self.get(id)).cloned().collect()
+    }
+
     /// The listed upstreams of a service that were seen leaving less than `within` ago, by id.
     pub fn leaving(&self, now: Time, service: &ServiceId, within: Duration) -> Vec<Arc<Upstream>> {
         let entries = self.entries.values();
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -25,6 +25,7 @@
 use crate::gateway::decisions::DecisionLog;
 use crate::gateway::follow;
 use crate::gateway::gossip;
+use crate::gateway::ownword;
 use crate::gateway::peerfetch;
 use crate::gateway::protocol::Protocol;
 use crate::gateway::protocol::Topic;
@@ -115,6 +116,7 @@
         actix_rt::spawn(follow::list_hosts(shared.clone()));
         actix_rt::spawn(gossip::run(shared.clone(), socket));
         actix_rt::spawn(ask_seeds(shared.clone()));
+        actix_rt::spawn(ownword::ask_while_blind(shared.clone()));
         actix_rt::spawn(lapse(shared.clone()));
         actix_rt::spawn(keep_up(telemetry));
         let settings = shared.settings();
--- /dev/null
+++ b/src/gateway/ownword.rs
@@ -0,0 +1,88 @@
+//! Asks engines whether they are leaving while nobody of the data centre can read the log.
+//!
+//! Notices arrive by the log. While it is away, engines leave all the same, and what runs there
+//! would be lost without a word. Their own reports tell, half a second late. Each engine is asked
+//! by one host of its data centre, chosen by rendezvous hashing over the hosts that are heard; where
+//! two believe that it is theirs, one call more is made. In quiet times nobody asks, since calls to
+//! engines cost them time.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::error::Result;
+use crate::gateway::directory::Upstream;
+use crate::gateway::follow::OwnClient;
+use crate::gateway::protocol::Topic;
+use crate::gateway::shared::Shared;
+use crate::id::HostId;
+use crate::id::UpstreamId;
+
+/// Between two rounds: engines give at least 1.5 s of notice and their word is half a second old,
+/// so most of a second is left to move what runs there.
+const ASK_INTERVAL: Duration = Duration::from_millis(250);
+/// An engine of the data centre that doesn't answer within this time can't be reached.
+const ASK_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// Asks for ever, while there is need.
+pub async fn ask_while_blind(shared: Shared) {
+    loop {
+        tokio::time::sleep(ASK_INTERVAL).await;
+        if !shared.hears_log(Topic::Upstreams) {
+            let engines = engines_to_ask(&shared);
+            join_all(engines.iter().map(|engine| ask(&shared, engine))).await;
+        }
+    }
+}
+
+/// The engines of this data centre with work whose word this host is to ask for.
+fn engines_to_ask(shared: &Shared) -> Vec<Arc<Upstream>> {
+    let Some(configuration) = shared.configuration() else {
+        return Vec::new();
+    };
+    let settings = shared.settings();
+    let now = shared.now();
+    let hosts = shared.peers(|peers| peers.live_inside(now, &settings.data_centre));
+    let ready = shared.directory(|directory| directory.all_ready());
+    ready
+        .into_iter()
+        .filter(|upstream| upstream.data_centre == settings.data_centre)
+        .filter(|upstream| configuration.engine(&upstream.service).is_some())
+        .filter(|upstream| shared.loads().with(|loads| loads.at(&upstream.id)).requests > 0)
+        .filter(|upstream| is_asker(&settings.host, &hosts, &upstream.id))
+        .collect()
+}
+
+/// Whether `host` asks the engine, and none of `others`.
+fn is_asker(host: &HostId, others: &[HostId], engine: &UpstreamId) -> bool {
+    let weight = |host: &HostId| {
+        let seed = xxh3_64_with_seed(host.as_str().as_bytes(), 0);
+        xxh3_64_with_seed(engine.as_str().as_bytes(), seed)
+    };
+    let own = weight(host);
+    others.iter().all(|other| weight(other) <= own)
+}
+
+async fn ask(shared: &Shared, engine: &Upstream) {
+    match is_leaving(shared, engine).await {
+        Ok(true) => shared.witness_leaving(&engine.id, "its own report"),
+        Ok(false) => {}
+        Err(error) => shared.upstream_unreachable(&engine.id, &error.to_string()),
+    }
+}
+
+async fn is_leaving(shared: &Shared, engine: &Upstream) -> Result<bool> {
+    let call = shared.protocol().report_call();
+    let mut client = OwnClient::new(engine.address);
+    let (status, body) = client.call(&call, ASK_TIMEOUT).await?;
+    match status {
+        200 => Ok(shared.protocol().decode_report(&body)?.leaving),
+        // It is too busy to answer, which says nothing of its leaving.
+        _ => Ok(false),
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -159,6 +159,14 @@
         before.count() < LOOKOUTS
     }
 
+    /// The live hosts of a data centre.
+    pub(crate) fn live_inside(&self, now: Time, data_centre: &DataCentre) -> Vec<HostId> {
+        let live = self.live_hosts(now);
+        live.filter(|heard| heard.data_centre == *data_centre)
+            .map(|heard| heard.host.clone())
+            .collect()
+    }
+
     /// Where hosts that have a configuration newer than `version` serve it.
     pub fn holders(&self, now: Time, version: u64) -> Vec<SocketAddr> {
         self.live_hosts(now)
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -112,6 +112,13 @@
     pub events: u64,
 }
 
+/// What an engine tells of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineReport {
+    /// It is leaving and takes no new work.
+    pub leaving: bool,
+}
+
 /// Names of the headers that the gateway reads or sets.
 #[derive(Debug, Clone)]
 pub struct HeaderNames {
@@ -199,4 +206,14 @@
     /// The value of `continue_from` for the copy `handle` whose source listens at `source`. Of a
     /// backup the handle is the request's id and the source the engine that holds it.
     fn continue_value(&self, source: SocketAddr, handle: &str) -> HeaderValue;
+
+    /// Asks an engine about itself.
+    fn report_call(&self) -> OwnCall;
+
+    /// The answer to [`Protocol::report_call`].
+    ///
+    /// # Errors
+    ///
+    /// If it isn't one.
+    fn decode_report(&self, body: &[u8]) -> Result<EngineReport>;
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -604,6 +604,32 @@
     assert_eq!(continued.header("request-id"), Some("r-1"));
 }
 
+#[test]
+fn a_run_moves_off_an_engine_that_leaves_while_the_log_is_away() {
+    let held = Behaviour::Events {
+        to: 40,
+        break_after: None,
+        hold_after: Some(7),
+    };
+    let (world, engines) = engines(&[held.clone(), held]);
+    let mut caller = Caller::connect(world.callers());
+    caller.send(post("/nets/7", "tokens: 40\r\n", "report"));
+    assert!(caller.read_until("id: 7\n"));
+    world.log.set_down(true);
+
+    let (left, other) = match engines[0].seen().is_empty() {
+        true => (&engines[1], &engines[0]),
+        false => (&engines[0], &engines[1]),
+    };
+    left.leave();
+    let answer = caller.read();
+
+    assert!(answer.whole);
+    assert_eq!(ids(&answer.text()), (1..=40).collect::<Vec<u64>>());
+    assert_eq!(left.stopped(), ["r-1"]);
+    assert_eq!(other.seen()[0].header("last-event-id"), Some("7"));
+}
+
 #[test]
 fn a_caller_of_a_stream_who_leaves_frees_the_engine() {
     let held = Behaviour::Events {
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -22,6 +22,7 @@
 use cedargauge::gateway::configuration::ServiceSpec;
 use cedargauge::gateway::directory::Upstream;
 use cedargauge::gateway::protocol::CopyDone;
+use cedargauge::gateway::protocol::EngineReport;
 use cedargauge::gateway::protocol::GenerationSize;
 use cedargauge::gateway::protocol::HeaderNames;
 use cedargauge::gateway::protocol::NewestPage;
@@ -204,6 +205,17 @@
     fn continue_value(&self, source: SocketAddr, handle: &str) -> HeaderValue {
         HeaderValue::from_str(&format!("{source}#{handle}")).unwrap()
     }
+
+    fn report_call(&self) -> OwnCall {
+        OwnCall::get("/report")
+    }
+
+    fn decode_report(&self, body: &[u8]) -> Result<EngineReport> {
+        let report: Value = serde_json::from_slice(body)?;
+        Ok(EngineReport {
+            leaving: report["leaving"].as_bool().unwrap_or(false),
+        })
+    }
 }
 
 fn route(value: &Value) -> Route {
--- a/tests/gatewayworld/upstream.rs
+++ b/tests/gatewayworld/upstream.rs
@@ -76,6 +76,7 @@
     seen: Vec<Seen>,
     closed_by_gateway: usize,
     stopped: Vec<String>,
+    leaving: bool,
     connections: usize,
 }
 
@@ -155,6 +156,11 @@
         self.with(|state| state.stopped.clone())
     }
 
+    /// From now on it says of itself that it is leaving.
+    pub fn leave(&self) {
+        self.with(|state| state.leaving = true);
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let connection = self.with(|state| {
             state.connections += 1;
@@ -170,6 +176,16 @@
                 self.copy(&stream, &body);
                 continue;
             }
+            if head.starts_with("GET /report ") {
+                let leaving = self.with(|state| state.leaving);
+                self.answer(
+                    &stream,
+                    &head,
+                    200,
+                    &json!({"leaving": leaving}).to_string(),
+                );
+                continue;
+            }
             let behaviour = self.with(|state| match state.behaviours.len() {
                 0 => Behaviour::NotRun,
                 1 => state.behaviours[0].clone(),
