Let streams wait out a silent cut

Ruled out: continuing at another engine, which needs the copy that a cut-off engine can't send.

Change: connections are opened with a patience: short for calls and reads of the log, as before; long for streams: 8 s for unacknowledged bytes, seven unanswered probes.

No test of its own: a loopback connection can't be cut silently without privileges; the soak's proxy holds bytes up, but acknowledges them.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -15,6 +15,7 @@
 use crate::event::EventCode;
 use crate::gateway::connection::Connection;
 use crate::gateway::connection::Failure;
+use crate::gateway::connection::Patience;
 use crate::gateway::directory::Upstream;
 use crate::gateway::forward;
 use crate::gateway::forward::AttemptHeaders;
@@ -163,7 +164,7 @@
     };
     let mut connection = match pooled {
         Some(connection) => connection,
-        None => match Connection::open(upstream.address, CONNECT_TIMEOUT).await {
+        None => match Connection::open(upstream.address, CONNECT_TIMEOUT, Patience::Short).await {
             Ok(connection) => connection,
             Err(failure) => return Attempted::Unreachable(failure.reason().to_owned()),
         },
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -18,14 +18,38 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
-/// An unacknowledged write breaks the connection after this time: a silent cut must be noticed well
-/// before the shortest bound on a stale view (2 s).
-const USER_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// A quiet connection is probed after this time; with [`PROBE_INTERVAL`] and [`PROBES`] a silent cut
-/// under a long poll is noticed within two seconds.
+/// A quiet connection is probed after this time, and then again and again.
 const PROBE_AFTER: Duration = Duration::from_secs(1);
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-const PROBES: u32 = 2;
+
+/// How long a connection may be silent before it counts as cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Patience {
+    /// A cut is noticed within two seconds, the shortest bound on a stale view: for calls and reads
+    /// that can be made again.
+    Short,
+    /// A cut of some seconds is waited out: for streams, which can't be made again and whose bytes
+    /// arrive when it is over. Callers wait for the next event for 7 s.
+    Long,
+}
+
+impl Patience {
+    /// After so long an unacknowledged write breaks the connection.
+    const fn user_timeout(self) -> Duration {
+        match self {
+            Patience::Short => Duration::from_millis(1_200),
+            Patience::Long => Duration::from_millis(8_000),
+        }
+    }
+
+    /// After so many unanswered probes the connection breaks.
+    const fn probes(self) -> u32 {
+        match self {
+            Patience::Short => 2,
+            Patience::Long => 7,
+        }
+    }
+}
 
 /// Why an exchange has no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -68,14 +92,18 @@
     /// # Errors
     ///
     /// [`Failure::NotWritten`] if it isn't established within `timeout`.
-    pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self, Failure> {
+    pub async fn open(
+        address: SocketAddr,
+        timeout: Duration,
+        patience: Patience,
+    ) -> Result<Self, Failure> {
         let connecting = TcpStream::connect(address);
         let stream = match tokio::time::timeout(timeout, connecting).await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(Failure::NotWritten(format!("connect: {error}"))),
             Err(_) => return Err(Failure::NotWritten("connect: timeout".to_owned())),
         };
-        set_options(&stream).map_err(|error| Failure::NotWritten(error.to_string()))?;
+        set_options(&stream, patience).map_err(|error| Failure::NotWritten(error.to_string()))?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| Failure::NotWritten(error.to_string()))?;
@@ -129,14 +157,14 @@
     }
 }
 
-fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+fn set_options(stream: &TcpStream, patience: Patience) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(patience.user_timeout()))?;
     let probes = TcpKeepalive::new()
         .with_time(PROBE_AFTER)
         .with_interval(PROBE_INTERVAL)
-        .with_retries(PROBES);
+        .with_retries(patience.probes());
     socket.set_tcp_keepalive(&probes)
 }
 
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -18,6 +18,7 @@
 use crate::error::Result;
 use crate::event::EventCode;
 use crate::gateway::connection::Connection;
+use crate::gateway::connection::Patience;
 use crate::gateway::directory::Upstream;
 use crate::gateway::protocol::OwnCall;
 use crate::gateway::protocol::Record;
@@ -101,7 +102,7 @@
 ) -> std::result::Result<(u16, Bytes, Connection), String> {
     let mut connection = match connection {
         Some(connection) => connection,
-        None => Connection::open(address, CONNECT_TIMEOUT)
+        None => Connection::open(address, CONNECT_TIMEOUT, Patience::Short)
             .await
             .map_err(|failure| failure.reason().to_owned())?,
     };
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -19,6 +19,7 @@
 use crate::gateway::call::WholeAnswer;
 use crate::gateway::connection::Connection;
 use crate::gateway::connection::Failure;
+use crate::gateway::connection::Patience;
 use crate::gateway::directory::Upstream;
 use crate::gateway::forward;
 use crate::gateway::forward::AttemptHeaders;
@@ -259,7 +260,8 @@
     backup: Option<Backup>,
     continuation: Option<&Continuation>,
 ) -> Opened {
-    let mut connection = match Connection::open(upstream.address, CONNECT_TIMEOUT).await {
+    let opening = Connection::open(upstream.address, CONNECT_TIMEOUT, Patience::Long);
+    let mut connection = match opening.await {
         Ok(connection) => connection,
         Err(failure) => {
             shared.upstream_unreachable(&upstream.id, failure.reason());
