Keep generations near while counts of other data centres are old

Ruled out: a larger fixed cost of leaving (an empty far engine beats a near one that is half full at any cost that still lets load leave a full data centre).

Change: with more than twelve hosts a generation goes to another data centre only where no near engine has room: 85% of its memory, 4,500 unread tokens. With fewer hosts nothing changes.

Tests: two unit tests of place.

--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -27,6 +27,30 @@
 /// moment, and copies to one engine wait for each other.
 const COPY_JITTER: f64 = 0.12;
 
+/// While counts of other data centres are old, a generation stays near as long as an engine there has
+/// no more than this share of its memory taken,
+const NEAR_MEMORY_SHARE_MAX: f64 = 0.85;
+/// and no more unread tokens than these: 0.6 s at 7 tokens a millisecond.
+const NEAR_UNREAD_TOKENS_MAX: u32 = 4_500;
+
+/// How old this host's counts of what runs in other data centres are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FarCounts {
+    /// A datagram, as those of the own data centre.
+    Fresh,
+    /// Seconds: hosts of several data centres that choose by them all choose the same engine.
+    Old,
+}
+
+/// From where a choice is made.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// The own data centre.
+    pub here: &'a DataCentre,
+    /// What is known of the others.
+    pub far_counts: FarCounts,
+}
+
 /// What a request needs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Need {
@@ -96,12 +120,28 @@
     f64::from(candidate.load.tokens + tokens) / f64::from(memory_tokens.max(1))
 }
 
-/// The best candidate for a request of a caller in `here`; doubtful ones only where there is no
-/// other. `draw` gives random numbers from 0 to 1.
+/// Whether a generation is well placed at a candidate, whatever others there are.
+fn has_room(need: Need, candidate: &Candidate) -> bool {
+    match need {
+        Need::Memory {
+            tokens,
+            memory_tokens,
+            ..
+        } => {
+            memory_share(candidate, tokens, memory_tokens) <= NEAR_MEMORY_SHARE_MAX
+                && candidate.load.unread_tokens <= NEAR_UNREAD_TOKENS_MAX
+        }
+        Need::Slot | Need::Copy { .. } => false,
+    }
+}
+
+/// The best candidate for a request; doubtful ones only where there is no other, and of other data
+/// centres only where the counts of these are fresh or no near one has room. `draw` gives random
+/// numbers from 0 to 1.
 pub fn choose(
     need: Need,
     candidates: &[Candidate],
-    here: &DataCentre,
+    view: View<'_>,
     mut draw: impl FnMut() -> f64,
 ) -> Option<Candidate> {
     let sound = candidates.iter().filter(|candidate| !candidate.doubtful);
@@ -109,12 +149,27 @@
         Some(_) => sound.collect(),
         None => candidates.iter().collect(),
     };
+    let near: Vec<&Candidate> = match view.far_counts {
+        FarCounts::Fresh => Vec::new(),
+        FarCounts::Old => pool
+            .iter()
+            .copied()
+            .filter(|candidate| candidate.upstream.data_centre == *view.here)
+            .filter(|candidate| has_room(need, candidate))
+            .collect(),
+    };
+    let pool = if near.is_empty() { pool } else { near };
     let jitter = match need {
         Need::Slot | Need::Memory { .. } => JITTER,
         Need::Copy { .. } => COPY_JITTER,
     };
     pool.into_iter()
-        .map(|candidate| (score(need, candidate, here) + draw() * jitter, candidate))
+        .map(|candidate| {
+            (
+                score(need, candidate, view.here) + draw() * jitter,
+                candidate,
+            )
+        })
         .min_by(|(left, _), (right, _)| left.total_cmp(right))
         .map(|(_, candidate)| candidate.clone())
 }
--- a/src/gateway/place/tests.rs
+++ b/src/gateway/place/tests.rs
@@ -1,7 +1,9 @@
 use std::sync::Arc;
 
 use super::Candidate;
+use super::FarCounts;
 use super::Need;
+use super::View;
 use super::choose;
 use crate::gateway::directory::Upstream;
 use crate::gateway::directory::UpstreamState;
@@ -45,8 +47,15 @@
 };
 
 fn chosen(need: Need, candidates: &[Candidate]) -> Option<String> {
-    let here = DataCentre::new("north");
-    choose(need, candidates, &here, || 0.0).map(|candidate| candidate.upstream.id.to_string())
+    chosen_by(FarCounts::Fresh, need, candidates)
+}
+
+fn chosen_by(far_counts: FarCounts, need: Need, candidates: &[Candidate]) -> Option<String> {
+    let view = View {
+        here: &DataCentre::new("north"),
+        far_counts,
+    };
+    choose(need, candidates, view, || 0.0).map(|candidate| candidate.upstream.id.to_string())
 }
 
 #[test]
@@ -105,3 +114,33 @@
     assert_eq!(chosen(Need::Slot, &[doubtful]), Some("doubtful".into()));
     assert_eq!(chosen(Need::Slot, &[]), None);
 }
+
+#[test]
+fn old_counts_of_other_data_centres_draw_no_generation_while_there_is_room_near() {
+    let candidates = [
+        candidate("near", "north", load(5, 22_000, 3_000)),
+        candidate("new", "south", load(0, 0, 0)),
+    ];
+
+    assert_eq!(
+        chosen_by(FarCounts::Fresh, GENERATION, &candidates),
+        Some("new".into())
+    );
+    assert_eq!(
+        chosen_by(FarCounts::Old, GENERATION, &candidates),
+        Some("near".into())
+    );
+}
+
+#[test]
+fn full_or_busy_near_engines_send_generations_far() {
+    let new = candidate("new", "south", load(0, 0, 0));
+    for full_or_busy in [load(8, 30_000, 0), load(2, 9_000, 6_000)] {
+        let candidates = [candidate("near", "north", full_or_busy), new.clone()];
+
+        assert_eq!(
+            chosen_by(FarCounts::Old, GENERATION, &candidates),
+            Some("new".into())
+        );
+    }
+}
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -31,6 +31,8 @@
 use crate::gateway::directory::DirectoryChange;
 use crate::gateway::loads::LoadBoard;
 use crate::gateway::peers::Peers;
+use crate::gateway::peers::READERS_ONLY_FROM;
+use crate::gateway::place::FarCounts;
 use crate::gateway::protocol::Protocol;
 use crate::gateway::protocol::Topic;
 use crate::gateway::reach::Reach;
@@ -371,6 +373,14 @@
         self.peers(|peers| peers.live(now)) + 1
     }
 
+    /// How old the counts of what runs in other data centres are: few hosts tell all of it to all.
+    pub fn far_counts(&self) -> FarCounts {
+        match self.hosts() <= READERS_ONLY_FROM {
+            true => FarCounts::Fresh,
+            false => FarCounts::Old,
+        }
+    }
+
     /// Runs `use_budget` on the retry budget of a service.
     pub fn budget<T>(
         &self,
