Ask peers before the log at the start, and list few hosts

Change: a host that starts waits a second for what its seeds tell (configuration and upstreams are fetched from peers as ever) before it reads the log; the seeds themselves read at once. Only the two lookouts of a data centre and hosts that find nobody list themselves, and only those that find nobody read the list.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -14,6 +14,7 @@
 use http_body_util::Limited;
 use tokio::time::Instant;
 
+use crate::clock::Time;
 use crate::error::Error;
 use crate::error::Result;
 use crate::event::EventCode;
@@ -46,12 +47,16 @@
 const ANSWER_BYTES_MAX: usize = 8 << 20;
 /// How often a host that listens looks whether it has to read for itself.
 const READER_CHECK: Duration = Duration::from_millis(200);
-/// How often hosts that listed themselves are read again; peers tell of others in between.
+/// How often it is looked whether this host must list itself or learn of others; hosts that start
+/// together have heard each other by then.
+const HOSTS_CHECK: Duration = Duration::from_millis(1_500);
+/// How often a host that knows too few reads the list again; peers tell of others in between.
 const HOSTS_INTERVAL: Duration = Duration::from_secs(20);
 /// A host that hears more than this many others learns of the rest from them.
 const HOSTS_ENOUGH: usize = 3;
-/// Hosts that start together list themselves within this time.
-const HOSTS_SETTLE: Duration = Duration::from_millis(1_500);
+/// A host that starts gives those that its seeds name this time to tell what they know, and reads the
+/// log only then: hundreds that start together would all read all of it.
+const JOIN_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Makes calls to one address, one at a time, over a connection that is kept.
 #[derive(Debug)]
@@ -195,18 +200,29 @@
 }
 
 impl Follower {
-    /// Whether other hosts follow the log for this one. Where it begins again it starts from the
-    /// newest records, since it doesn't know what they have read.
+    /// Whether other hosts follow the log for this one, or may be about to tell what they know.
+    /// Where it begins again it starts from the newest records, since it doesn't know what they
+    /// have read.
     fn is_fresh_elsewhere(&mut self) -> bool {
         let begun = self.next.is_some() || self.shared.is_ready();
-        let elsewhere =
-            begun && !self.shared.is_reader(self.topic) && self.shared.hears_log(self.topic);
+        let elsewhere = match begun {
+            true => !self.shared.is_reader(self.topic) && self.shared.hears_log(self.topic),
+            false => self.is_joining(),
+        };
         if elsewhere {
             self.next = None;
         }
         elsewhere
     }
 
+    /// Whether this host has just started and others may know what it lacks. Seeds read at once.
+    fn is_joining(&self) -> bool {
+        let settings = self.shared.settings();
+        let is_seed = settings.seeds.contains(&settings.peer_address);
+        let is_young = self.shared.now() < Time::ZERO + JOIN_WAIT;
+        is_young && !is_seed && !settings.seeds.is_empty()
+    }
+
     /// Waits before the log is tried again: for `pause` on the hosts that look out for its return,
     /// else longer, unless such a host reads it again before. A host that knows nothing yet doesn't
     /// wait for others.
@@ -345,36 +361,45 @@
     }
 }
 
-/// Lists this host and learns of the others, now and then again.
+/// Lists this host where others must find it, and learns of others where it knows too few.
+///
+/// Hosts that start find the others by their seeds. Only if those are gone do they need the list,
+/// and then one living host in it is enough; so a few hosts list themselves, not all.
 pub async fn list_hosts(shared: Shared) {
     let mut client = OwnClient::new(shared.settings().log_address);
-    let mut backoff = new_backoff();
-    let own = shared.gossip_address().to_string();
-    let value = shared.settings().host.as_str().to_owned();
+    let mut is_listed = false;
+    let mut learnt_at: Option<Instant> = None;
     loop {
-        let call = shared
-            .protocol()
-            .append_call(Topic::Hosts, &own, value.as_bytes());
-        match client.call(&call, CALL_TIMEOUT).await {
-            Ok((200, _)) => break,
-            // Appending the same record twice is harmless: the newest of a key counts.
-            Ok(_) | Err(_) => tokio::time::sleep(backoff.next().unwrap_or(BACKOFF_MAX)).await,
+        tokio::time::sleep(HOSTS_CHECK).await;
+        let is_alone = shared.hosts() <= HOSTS_ENOUGH;
+        if !is_listed && (is_alone || shared.is_lookout()) {
+            is_listed = list_host(&shared, &mut client).await;
         }
-    }
-    let mut pause = HOSTS_SETTLE;
-    loop {
-        tokio::time::sleep(pause).await;
-        pause = HOSTS_INTERVAL;
-        if shared.hosts() > HOSTS_ENOUGH {
-            continue;
+        let is_due = learnt_at.is_none_or(|at| at.elapsed() >= HOSTS_INTERVAL);
+        if is_alone && is_due {
+            learn_hosts(&shared, &mut client).await;
+            learnt_at = Some(Instant::now());
         }
-        if let Ok((records, _)) = newest(&shared, &mut client, Topic::Hosts).await {
-            let addresses = records
-                .iter()
-                .filter(|record| record.value.is_some())
-                .filter_map(|record| record.key.parse().ok());
+    }
+}
+
+/// Whether the log took this host's record. Appending it twice is harmless: the newest of a key
+/// counts.
+async fn list_host(shared: &Shared, client: &mut OwnClient) -> bool {
+    let own = shared.gossip_address().to_string();
+    let value = shared.settings().host.as_str().as_bytes();
+    let call = shared.protocol().append_call(Topic::Hosts, &own, value);
+    matches!(client.call(&call, CALL_TIMEOUT).await, Ok((200, _)))
+}
+
+async fn learn_hosts(shared: &Shared, client: &mut OwnClient) {
+    match newest(shared, client, Topic::Hosts).await {
+        Ok((records, _)) => {
+            let listed = records.iter().filter(|record| record.value.is_some());
+            let addresses = listed.filter_map(|record| record.key.parse().ok());
             let now = shared.now();
             shared.peers(|peers| peers.learn(now, addresses));
         }
+        Err(error) => log::debug!("the list of hosts: {error:?}"),
     }
 }
