Wait for a run that is being moved, and divide the second choice of destinations too

In some, a host earlier by name joined an engine's line while another host's run was being copied, and began at once: turns told how many runs wait, not that one is on its way. In others, three leaving engines whose own destinations had no room all fell back on the same emptiest engine.

Change: hosts tell whether one of their runs is being moved, and such a run is waited for; the engines that remain are divided once more, among all that are leaving, before the choice is free.

Tests: two unit tests of turns, one of destinations.

--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -13,6 +13,7 @@
 use crate::gateway::directory::Change;
 use crate::gateway::loads::Load;
 use crate::gateway::protocol::Topic;
+use crate::gateway::turns::ToMove;
 use crate::id::DataCentre;
 use crate::id::HostId;
 use crate::id::UpstreamId;
@@ -21,7 +22,7 @@
 pub(crate) const DATAGRAM_BYTES_MAX: usize = 1_400;
 /// First byte of a datagram; rises with each change of its fields, so that hosts of two releases
 /// side by side don't misread each other.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 
 /// What a host reads of the log and reaches.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,7 +68,7 @@
     /// What it runs where; none in a datagram that tells only of turns.
     pub loads: Option<Vec<(UpstreamId, Load)>>,
     /// Runs that it has still to move off engines that are leaving.
-    pub moving: Vec<(UpstreamId, u32)>,
+    pub moving: Vec<ToMove>,
     /// Upstreams that it saw leaving.
     pub leaving: Vec<UpstreamId>,
     /// Upstreams that it can't connect to now.
--- a/src/gateway/destinations.rs
+++ b/src/gateway/destinations.rs
@@ -13,16 +13,26 @@
 use crate::id::DataCentre;
 use crate::id::UpstreamId;
 
+/// The leaving engines among which the engines of a data centre are divided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Among {
+    /// Those of the same data centre, if one leaves there.
+    Near,
+    /// All: where the engines divided among the near ones have no room.
+    All,
+}
+
 /// Those of `ready` that take the runs of `source`, which is one of `leaving`. Both lists are in
 /// the order of their ids. Empty where there are fewer engines left than are leaving.
 pub(crate) fn of_source(
     source: &UpstreamId,
     leaving: &[Arc<Upstream>],
     ready: &[Arc<Upstream>],
+    among: Among,
 ) -> BTreeSet<UpstreamId> {
     let data_centres: BTreeSet<&DataCentre> = ready.iter().map(|to| &to.data_centre).collect();
     let shares = data_centres.into_iter().flat_map(|data_centre| {
-        let sources = sources_for(data_centre, leaving);
+        let sources = sources_for(data_centre, leaving, among);
         let engines = ready.iter().filter(|to| to.data_centre == *data_centre);
         engines
             .enumerate()
@@ -34,15 +44,19 @@
 }
 
 /// The leaving engines whose runs go to the engines of a data centre.
-fn sources_for<'a>(data_centre: &DataCentre, leaving: &'a [Arc<Upstream>]) -> Vec<&'a UpstreamId> {
+fn sources_for<'a>(
+    data_centre: &DataCentre,
+    leaving: &'a [Arc<Upstream>],
+    among: Among,
+) -> Vec<&'a UpstreamId> {
     let near = leaving
         .iter()
         .filter(|from| from.data_centre == *data_centre)
         .map(|from| &from.id);
     let near: Vec<&UpstreamId> = near.collect();
-    match near.is_empty() {
-        true => leaving.iter().map(|from| &from.id).collect(),
-        false => near,
+    match among {
+        Among::Near if !near.is_empty() => near,
+        Among::Near | Among::All => leaving.iter().map(|from| &from.id).collect(),
     }
 }
 
--- a/src/gateway/destinations/tests.rs
+++ b/src/gateway/destinations/tests.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use super::Among;
 use super::of_source;
 use crate::gateway::directory::Upstream;
 use crate::gateway::directory::UpstreamState;
@@ -32,8 +33,8 @@
     let leaving = engines(&["x", "y"], "north");
     let ready = engines(&["a", "b", "c", "d", "e"], "north");
 
-    let of_x = of_source(&leaving[0].id, &leaving, &ready);
-    let of_y = of_source(&leaving[1].id, &leaving, &ready);
+    let of_x = of_source(&leaving[0].id, &leaving, &ready, Among::Near);
+    let of_y = of_source(&leaving[1].id, &leaving, &ready, Among::Near);
 
     assert_eq!(of_x, ids(&["a", "c", "e"]));
     assert_eq!(of_y, ids(&["b", "d"]));
@@ -46,11 +47,11 @@
     ready.extend(engines(&["c", "d"], "south"));
 
     assert_eq!(
-        of_source(&leaving[0].id, &leaving, &ready),
+        of_source(&leaving[0].id, &leaving, &ready, Among::Near),
         ids(&["a", "b"])
     );
     assert_eq!(
-        of_source(&leaving[1].id, &leaving, &ready),
+        of_source(&leaving[1].id, &leaving, &ready, Among::Near),
         ids(&["c", "d"])
     );
 }
@@ -61,10 +62,13 @@
     let ready = engines(&["a", "b", "c"], "east");
 
     assert_eq!(
-        of_source(&leaving[0].id, &leaving, &ready),
+        of_source(&leaving[0].id, &leaving, &ready, Among::Near),
         ids(&["a", "c"])
     );
-    assert_eq!(of_source(&leaving[1].id, &leaving, &ready), ids(&["b"]));
+    assert_eq!(
+        of_source(&leaving[1].id, &leaving, &ready, Among::Near),
+        ids(&["b"])
+    );
 }
 
 #[test]
@@ -72,7 +76,22 @@
     let leaving = engines(&["x", "y"], "north");
     let ready = engines(&["a"], "north");
 
-    assert!(of_source(&leaving[1].id, &leaving, &ready).is_empty());
-    assert!(of_source(&UpstreamId::new("z"), &leaving, &ready).is_empty());
-    assert!(of_source(&UpstreamId::new("x"), &[], &ready).is_empty());
+    assert!(of_source(&leaving[1].id, &leaving, &ready, Among::Near).is_empty());
+    assert!(of_source(&UpstreamId::new("z"), &leaving, &ready, Among::Near).is_empty());
+    assert!(of_source(&UpstreamId::new("x"), &[], &ready, Among::Near).is_empty());
+}
+
+#[test]
+fn the_second_choice_is_divided_among_all_that_leave() {
+    let leaving = [engine("x", "north"), engine("y", "south")];
+    let ready = engines(&["a", "b"], "north");
+
+    assert_eq!(
+        of_source(&leaving[0].id, &leaving, &ready, Among::All),
+        ids(&["a"])
+    );
+    assert_eq!(
+        of_source(&leaving[1].id, &leaving, &ready, Among::All),
+        ids(&["b"])
+    );
 }
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -16,6 +16,7 @@
 use super::relay::Relay;
 use crate::event::EventCode;
 use crate::gateway::destinations;
+use crate::gateway::destinations::Among;
 use crate::gateway::directory::Upstream;
 use crate::gateway::loads::Occupied;
 use crate::gateway::place::Candidate;
@@ -188,28 +189,30 @@
             memory_tokens: engine.memory_tokens,
         };
         let candidates = serve::candidates(&self.shared, &self.admitted.service, &self.avoid);
-        let own = self.own_destinations();
         let room = f64::from(engine.memory_tokens) * DESTINATION_MEMORY_SHARE_MAX;
-        let own: Vec<Candidate> = candidates
-            .iter()
-            .filter(|candidate| own.contains(&candidate.upstream.id) && !candidate.doubtful)
-            .filter(|candidate| f64::from(candidate.load.tokens + tokens) < room)
-            .cloned()
-            .collect();
-        let candidate = serve::choose(&self.shared, need, &own)
+        let of_share = |among: Among| -> Vec<Candidate> {
+            let own = self.own_destinations(among);
+            let own = candidates
+                .iter()
+                .filter(|candidate| own.contains(&candidate.upstream.id) && !candidate.doubtful)
+                .filter(|candidate| f64::from(candidate.load.tokens + tokens) < room);
+            own.cloned().collect()
+        };
+        let candidate = serve::choose(&self.shared, need, &of_share(Among::Near))
+            .or_else(|| serve::choose(&self.shared, need, &of_share(Among::All)))
             .or_else(|| serve::choose(&self.shared, need, &candidates))?;
         Some(candidate.upstream)
     }
 
     /// The engines that take runs of this run's engine and of no other one.
-    fn own_destinations(&self) -> BTreeSet<UpstreamId> {
+    fn own_destinations(&self, among: Among) -> BTreeSet<UpstreamId> {
         let now = self.shared.now();
         let service = &self.admitted.service;
         let (leaving, ready) = self.shared.directory(|directory| {
             let leaving = directory.leaving(now, service, MOVES_LAST);
             (leaving, directory.ready(service))
         });
-        destinations::of_source(&self.running.upstream.id, &leaving, &ready)
+        destinations::of_source(&self.running.upstream.id, &leaving, &ready, among)
     }
 
     pub(super) fn first_copied(&mut self, result: CopyResult) {
--- a/src/gateway/turns.rs
+++ b/src/gateway/turns.rs
@@ -4,7 +4,8 @@
 //! last part of each waits behind the first parts of all others while its caller sees nothing, and
 //! what is still queued when the engine ends is lost with it. So the runs take turns: within a host
 //! in the order in which they ask, and among hosts by name, as the hosts tell each other what they
-//! have still to move. A wait is bounded: turns are a courtesy, and no promise rests on them.
+//! have still to move. A run that is being moved is waited for, whoever joined meanwhile. A wait is
+//! bounded: turns are a courtesy, and no promise rests on them.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -14,6 +15,8 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::time::Instant;
 
 use crate::clock::Time;
@@ -28,58 +31,96 @@
 /// How often it is looked whose turn it is.
 const LOOK_INTERVAL: Duration = Duration::from_millis(5);
 
+/// What a host has still to move off one engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToMove {
+    /// The engine.
+    pub upstream: UpstreamId,
+    /// Runs, the one that is being moved among them.
+    pub runs: u32,
+    /// Whether one of them is being moved now.
+    pub is_moving: bool,
+}
+
+/// This host's runs that leave one engine, in their order.
+#[derive(Debug, Default)]
+struct Line {
+    tickets: Vec<u64>,
+    moving: Option<u64>,
+}
+
 /// Who has what to move off which engine.
 #[derive(Debug, Default)]
 pub struct Turns {
-    own: BTreeMap<UpstreamId, Vec<u64>>,
-    peers: HashMap<HostId, (Time, Vec<(UpstreamId, u32)>)>,
+    own: BTreeMap<UpstreamId, Line>,
+    peers: HashMap<HostId, (Time, Vec<ToMove>)>,
     next_ticket: u64,
 }
 
 impl Turns {
     /// What this host has still to move, for its peers.
-    pub fn own(&self) -> Vec<(UpstreamId, u32)> {
+    pub fn own(&self) -> Vec<ToMove> {
         let own = self.own.iter();
-        own.map(|(upstream, tickets)| (upstream.clone(), tickets.len() as u32))
-            .collect()
+        own.map(|(upstream, line)| ToMove {
+            upstream: upstream.clone(),
+            runs: line.tickets.len() as u32,
+            is_moving: line.moving.is_some(),
+        })
+        .collect()
     }
 
     /// What a peer has still to move.
-    pub fn hear(&mut self, now: Time, host: &HostId, moving: Vec<(UpstreamId, u32)>) {
-        if moving.is_empty() {
+    pub fn hear(&mut self, now: Time, host: &HostId, to_move: Vec<ToMove>) {
+        if to_move.is_empty() {
             self.peers.remove(host);
         } else {
-            self.peers.insert(host.clone(), (now, moving));
+            self.peers.insert(host.clone(), (now, to_move));
         }
     }
 
     fn join(&mut self, upstream: &UpstreamId) -> u64 {
         self.next_ticket += 1;
         let ticket = self.next_ticket;
-        self.own.entry(upstream.clone()).or_default().push(ticket);
+        let line = self.own.entry(upstream.clone()).or_default();
+        line.tickets.push(ticket);
         ticket
     }
 
+    /// The ticket's run is being moved from now on.
+    fn begin(&mut self, upstream: &UpstreamId, ticket: u64) {
+        if let Some(line) = self.own.get_mut(upstream) {
+            line.moving = Some(ticket);
+        }
+    }
+
     fn leave(&mut self, upstream: &UpstreamId, ticket: u64) {
-        let Some(tickets) = self.own.get_mut(upstream) else {
+        let Some(line) = self.own.get_mut(upstream) else {
             return;
         };
-        tickets.retain(|other| *other != ticket);
-        if tickets.is_empty() {
+        line.tickets.retain(|other| *other != ticket);
+        if line.moving == Some(ticket) {
+            line.moving = None;
+        }
+        if line.tickets.is_empty() {
             self.own.remove(upstream);
         }
     }
 
     /// Whether it is the turn of a ticket of `host`.
     fn is_turn(&self, now: Time, host: &HostId, upstream: &UpstreamId, ticket: u64) -> bool {
-        let first = self.own.get(upstream).and_then(|tickets| tickets.first());
-        if first != Some(&ticket) {
+        let Some(line) = self.own.get(upstream) else {
+            return true;
+        };
+        if line.tickets.first() != Some(&ticket) || line.moving.is_some() {
             return false;
         }
-        let before = self.peers.iter().filter(|(peer, _)| *peer < host);
-        !before
-            .filter(|(_, (at, _))| now.since(*at) < PEER_WORD_LASTS)
-            .any(|(_, (_, moving))| moving.iter().any(|(id, runs)| id == upstream && *runs > 0))
+        let live = self.peers.iter();
+        let live = live.filter(|(_, (at, _))| now.since(*at) < PEER_WORD_LASTS);
+        let mut before = live.flat_map(|(peer, (_, to_move))| {
+            let of_engine = to_move.iter().filter(|word| word.upstream == *upstream);
+            of_engine.filter(move |word| word.is_moving || (peer < host && word.runs > 0))
+        });
+        before.next().is_none()
     }
 }
 
@@ -124,6 +165,9 @@
         while Instant::now() < patience_ends && !self.is_turn() {
             tokio::time::sleep(LOOK_INTERVAL).await;
         }
+        let turns = self.shared.turns();
+        turns.with(|turns| turns.begin(&self.upstream, self.number));
+        self.shared.tell_news();
         self
     }
 
--- a/src/gateway/turns/tests.rs
+++ b/src/gateway/turns/tests.rs
@@ -1,3 +1,4 @@
+use super::ToMove;
 use super::Turns;
 use crate::clock::Time;
 use crate::id::HostId;
@@ -7,8 +8,20 @@
     UpstreamId::new("engine")
 }
 
-fn moving(runs: u32) -> Vec<(UpstreamId, u32)> {
-    vec![(engine(), runs)]
+fn waiting(runs: u32) -> Vec<ToMove> {
+    vec![ToMove {
+        upstream: engine(),
+        runs,
+        is_moving: false,
+    }]
+}
+
+fn moving() -> Vec<ToMove> {
+    vec![ToMove {
+        upstream: engine(),
+        runs: 1,
+        is_moving: true,
+    }]
 }
 
 fn is_turn(turns: &Turns, now: Time, host: &str, ticket: u64) -> bool {
@@ -33,8 +46,8 @@
     let mut turns = Turns::default();
     let ticket = turns.join(&engine());
 
-    turns.hear(Time::ZERO, &HostId::new("host-0"), moving(2));
-    turns.hear(Time::ZERO, &HostId::new("host-2"), moving(2));
+    turns.hear(Time::ZERO, &HostId::new("host-0"), waiting(2));
+    turns.hear(Time::ZERO, &HostId::new("host-2"), waiting(2));
 
     assert!(!is_turn(&turns, Time::ZERO, "host-1", ticket));
     turns.hear(Time::ZERO, &HostId::new("host-0"), Vec::new());
@@ -45,7 +58,7 @@
 fn a_peer_that_fell_silent_holds_nobody_up() {
     let mut turns = Turns::default();
     let ticket = turns.join(&engine());
-    turns.hear(Time::ZERO, &HostId::new("host-0"), moving(1));
+    turns.hear(Time::ZERO, &HostId::new("host-0"), waiting(1));
 
     assert!(!is_turn(&turns, Time::from_ms(800), "host-1", ticket));
     assert!(is_turn(&turns, Time::from_ms(900), "host-1", ticket));
@@ -60,3 +73,29 @@
     assert!(is_turn(&turns, Time::ZERO, "host-1", ticket));
     assert_eq!(turns.own().len(), 2);
 }
+
+#[test]
+fn a_run_that_is_being_moved_is_waited_for_whatever_its_hosts_name() {
+    let mut turns = Turns::default();
+    let ticket = turns.join(&engine());
+
+    turns.hear(Time::ZERO, &HostId::new("host-2"), moving());
+
+    assert!(!is_turn(&turns, Time::ZERO, "host-1", ticket));
+    turns.hear(Time::ZERO, &HostId::new("host-2"), waiting(1));
+    assert!(is_turn(&turns, Time::ZERO, "host-1", ticket));
+}
+
+#[test]
+fn a_run_that_jumped_the_line_is_waited_for_by_its_own_host() {
+    let mut turns = Turns::default();
+    let first = turns.join(&engine());
+    let second = turns.join(&engine());
+    turns.begin(&engine(), second);
+
+    let while_moving = is_turn(&turns, Time::ZERO, "host-1", first);
+    turns.leave(&engine(), second);
+
+    assert!(!while_moving);
+    assert!(is_turn(&turns, Time::ZERO, "host-1", first));
+}
