Spread generations that leave a full data centre

Change: such choices are spread by a random part of 0.35 of an engine's room. Ruled out: telling far counts sooner (bytes between data centres).

Test: generations_that_leave_a_full_data_centre_spread_over_the_others.

--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -23,6 +23,9 @@
 const NEIGHBOUR_COST: f64 = 0.008;
 /// Random part of a score, so that hosts that see the same don't choose the same.
 const JITTER: f64 = 0.03;
+/// The same for generations that leave a full data centre while counts of the others are old: the
+/// hosts of all data centres that are full would else choose the same engine for seconds.
+const SPILL_JITTER: f64 = 0.35;
 /// The same for copies. Where several engines leave at once, all their hosts choose in the same
 /// moment, and copies to one engine wait for each other.
 const COPY_JITTER: f64 = 0.12;
@@ -158,8 +161,10 @@
             .filter(|candidate| has_room(need, candidate))
             .collect(),
     };
+    let spills = view.far_counts == FarCounts::Old && near.is_empty();
     let pool = if near.is_empty() { pool } else { near };
     let jitter = match need {
+        Need::Memory { .. } if spills => SPILL_JITTER,
         Need::Slot | Need::Memory { .. } => JITTER,
         Need::Copy { .. } => COPY_JITTER,
     };
--- a/src/gateway/place/tests.rs
+++ b/src/gateway/place/tests.rs
@@ -132,6 +132,24 @@
     );
 }
 
+#[test]
+fn generations_that_leave_a_full_data_centre_spread_over_the_others() {
+    let candidates = [
+        candidate("near", "north", load(8, 33_000, 0)),
+        candidate("emptier", "south", load(1, 4_000, 0)),
+        candidate("empty", "south", load(0, 0, 0)),
+    ];
+    let view = View {
+        here: &DataCentre::new("north"),
+        far_counts: FarCounts::Old,
+    };
+    let mut draws = [0.5, 0.1, 0.9].into_iter();
+
+    let chosen = choose(GENERATION, &candidates, view, || draws.next().unwrap());
+
+    assert_eq!(chosen.unwrap().upstream.id.as_str(), "emptier");
+}
+
 #[test]
 fn full_or_busy_near_engines_send_generations_far() {
     let new = candidate("new", "south", load(0, 0, 0));
