Send to an upstream in one place, and refuse while stopping in one

Calls and streams each wrote a request, classified its fate and checked the echoed id; both made the same refusal of a host that is stopping.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -13,6 +13,7 @@
 pub(crate) mod destinations;
 pub mod directory;
 pub mod events;
+pub(crate) mod exchange;
 pub mod follow;
 pub mod forward;
 pub mod gossip;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -14,12 +14,15 @@
 
 use crate::event::EventCode;
 use crate::gateway::connection::Connection;
-use crate::gateway::connection::Failure;
 use crate::gateway::connection::Patience;
 use crate::gateway::directory::Upstream;
+use crate::gateway::exchange;
+use crate::gateway::exchange::Begun;
+use crate::gateway::exchange::Unanswered;
 use crate::gateway::forward;
 use crate::gateway::forward::AttemptHeaders;
 use crate::gateway::place::Need;
+use crate::gateway::refuse;
 use crate::gateway::route::RouteKind;
 use crate::gateway::serve::Admitted;
 use crate::gateway::serve::Front;
@@ -38,8 +41,6 @@
 /// A stopping host takes no call so shortly before the end of its grace: most take 0.06 s, the
 /// longest half a second, and twice as long with a second attempt.
 const LAST_CALLS: Duration = Duration::from_millis(1_500);
-/// The balancer sends a caller that comes back elsewhere at once.
-pub const STOPPING_RETRY_AFTER_MS: u64 = 20;
 /// The answer of our own goes out this long before the deadline.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 
@@ -73,9 +74,7 @@
     let now = shared.now();
     shared.budget(&admitted.service, |budget| budget.requested(now));
     if shared.stops_in().is_some_and(|left| left < LAST_CALLS) {
-        let refusal = Refusal::not_run(Code::NotReady, "the host is stopping");
-        let refusal = refusal.retry_after_ms(STOPPING_RETRY_AFTER_MS);
-        return admitted.refuse(shared, &refusal);
+        return admitted.refuse(shared, &refuse::stopping());
     }
     let mut tries = Tries::default();
     let mut may_have_run = 0;
@@ -150,19 +149,19 @@
         limit = limit.min(admitted.route.objective * ATTEMPT_OBJECTIVES);
     }
     let until = Instant::now() + limit;
-    let exchange = exchange(front, admitted, upstream);
+    let exchange = call_upstream(front, admitted, upstream);
     tokio::select! {
         outcome = exchange => outcome,
         () = tokio::time::sleep_until(until) => Attempted::TimedOut,
     }
 }
 
-async fn exchange(front: &Front, admitted: &Admitted, upstream: &Upstream) -> Attempted {
+async fn call_upstream(front: &Front, admitted: &Admitted, upstream: &Upstream) -> Attempted {
     let pooled = match admitted.route.kind {
         RouteKind::Idempotent => front.pool.borrow_mut().take(upstream.address),
         RouteKind::Once | RouteKind::Stream => None,
     };
-    let mut connection = match pooled {
+    let connection = match pooled {
         Some(connection) => connection,
         None => match Connection::open(upstream.address, CONNECT_TIMEOUT, Patience::Short).await {
             Ok(connection) => connection,
@@ -179,51 +178,27 @@
         backup_at: None,
         continue_from: None,
     };
-    if headers.time_left.is_zero() {
-        return Attempted::NotRun("the deadline passed before it was sent".to_owned());
-    }
-    let names = shared.protocol().headers();
-    let request = forward::towards_upstream(&admitted.request, names, &headers);
-    let response = match connection.send(request).await {
-        Ok(response) => response,
-        Err(Failure::NotWritten(reason)) => return Attempted::NotRun(reason),
-        Err(Failure::Unknown(reason)) => return Attempted::Unknown(reason),
+    let begun = match exchange::send(shared, admitted, connection, &headers).await {
+        Ok(begun) => begun,
+        Err(Unanswered::NotRun(reason)) => return Attempted::NotRun(reason),
+        Err(Unanswered::Unknown(reason)) => return Attempted::Unknown(reason),
     };
-    let (head, body) = response.into_parts();
-    if !is_answer_to(admitted, shared, &head.headers) {
-        return Attempted::Unknown("an answer to another request".to_owned());
-    }
+    let Begun {
+        connection,
+        head,
+        body,
+    } = begun;
     let body = match body.collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => return Attempted::Unknown(format!("the answer broke off: {error}")),
     };
-    if let Some(reason) = not_run_reason(shared, upstream, &head) {
+    if let Some(reason) = exchange::not_run_reason(shared, upstream, &head) {
         return Attempted::NotRun(reason);
     }
     front.pool.borrow_mut().put(upstream.address, connection);
     Attempted::Answered(WholeAnswer { head, body })
 }
 
-/// Upstreams echo the request's id; an answer with another one belongs to another request.
-pub fn is_answer_to(admitted: &Admitted, shared: &Shared, headers: &HeaderMap) -> bool {
-    let echoed = headers.get(&shared.protocol().headers().request_id);
-    echoed.is_none_or(|echoed| echoed.as_bytes() == admitted.id.as_bytes())
-}
-
-/// Why an answer says that the request did not run, if it does. Another instance at the address
-/// shows that the expected one is gone.
-pub fn not_run_reason(shared: &Shared, upstream: &Upstream, head: &Parts) -> Option<String> {
-    let names = shared.protocol().headers();
-    let status = head.status.as_u16();
-    if status == 421 {
-        shared.witness_leaving(&upstream.id, "another instance answers at its address");
-        return Some("another instance answers at its address".to_owned());
-    }
-    head.headers
-        .contains_key(&names.not_run)
-        .then(|| format!("the upstream did not run it: status {status}"))
-}
-
 fn note_health(shared: &Shared, admitted: &Admitted, upstream: &Upstream, outcome: &Attempted) {
     match outcome {
         Attempted::Answered(answer) if !answer.head.status.is_server_error() => {
--- /dev/null
+++ b/src/gateway/exchange.rs
@@ -0,0 +1,91 @@
+//! Sends a request to one upstream and says what came of it, up to the head of the answer.
+
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::response::Parts;
+use hyper::body::Incoming;
+
+use crate::gateway::connection::Connection;
+use crate::gateway::connection::Failure;
+use crate::gateway::directory::Upstream;
+use crate::gateway::forward;
+use crate::gateway::forward::AttemptHeaders;
+use crate::gateway::serve::Admitted;
+use crate::gateway::shared::Shared;
+
+/// Time left is passed on in whole milliseconds; a request with less than one is not sent.
+const TIME_LEFT_MIN: Duration = Duration::from_millis(1);
+
+/// An answer that has begun.
+#[derive(Debug)]
+pub(crate) struct Begun {
+    /// Where the body comes from; closes with it.
+    pub(crate) connection: Connection,
+    pub(crate) head: Parts,
+    pub(crate) body: Incoming,
+}
+
+/// Why no answer to the request began.
+#[derive(Debug)]
+pub(crate) enum Unanswered {
+    /// It certainly did not run.
+    NotRun(String),
+    /// It may have run.
+    Unknown(String),
+}
+
+/// Sends a request over `connection`.
+///
+/// # Errors
+///
+/// Why no answer to it began.
+pub(crate) async fn send(
+    shared: &Shared,
+    admitted: &Admitted,
+    mut connection: Connection,
+    headers: &AttemptHeaders<'_>,
+) -> Result<Begun, Unanswered> {
+    if headers.time_left < TIME_LEFT_MIN {
+        let reason = "the deadline passed before it was sent".to_owned();
+        return Err(Unanswered::NotRun(reason));
+    }
+    let names = shared.protocol().headers();
+    let request = forward::towards_upstream(&admitted.request, names, headers);
+    let response = match connection.send(request).await {
+        Ok(response) => response,
+        Err(Failure::NotWritten(reason)) => return Err(Unanswered::NotRun(reason)),
+        Err(Failure::Unknown(reason)) => return Err(Unanswered::Unknown(reason)),
+    };
+    let (head, body) = response.into_parts();
+    if !is_answer_to(shared, admitted, &head.headers) {
+        let reason = "an answer to another request".to_owned();
+        return Err(Unanswered::Unknown(reason));
+    }
+    Ok(Begun {
+        connection,
+        head,
+        body,
+    })
+}
+
+/// Upstreams echo the request's id; an answer with another one belongs to another request.
+fn is_answer_to(shared: &Shared, admitted: &Admitted, headers: &HeaderMap) -> bool {
+    let echoed = headers.get(&shared.protocol().headers().request_id);
+    echoed.is_none_or(|echoed| echoed.as_bytes() == admitted.id.as_bytes())
+}
+
+/// Why an answer says that the request did not run, if it does. Another instance at the address
+/// shows that the expected one is gone.
+pub(crate) fn not_run_reason(shared: &Shared, upstream: &Upstream, head: &Parts) -> Option<String> {
+    let names = shared.protocol().headers();
+    let status = head.status.as_u16();
+    if status == 421 {
+        let reason = "another instance answers at its address";
+        shared.witness_leaving(&upstream.id, reason);
+        return Some(reason.to_owned());
+    }
+    head.headers
+        .contains_key(&names.not_run)
+        .then(|| format!("the upstream did not run it: status {status}"))
+}
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -4,6 +4,7 @@
 use actix_web::http::StatusCode;
 use actix_web::http::header;
 
+use crate::refusal::Code;
 use crate::refusal::ErrorBody;
 use crate::refusal::Refusal;
 
@@ -11,6 +12,15 @@
 /// a host that lost its upstreams to learn of others.
 const RETRY_AFTER_MS: u64 = 200;
 
+/// The balancer sends a caller that comes back elsewhere at once.
+const STOPPING_RETRY_AFTER_MS: u64 = 20;
+
+/// The refusal of a host that is stopping and would have to cut the request.
+pub fn stopping() -> Refusal {
+    let refusal = Refusal::not_run(Code::NotReady, "the host is stopping");
+    refusal.retry_after_ms(STOPPING_RETRY_AFTER_MS)
+}
+
 /// A refusal as an answer. Callers read fractions of a second in `Retry-After`.
 pub fn answer(refusal: &Refusal, close: bool) -> HttpResponse {
     let status = StatusCode::from_u16(refusal.code.http_status())
