Take late on a stopping host only what finishes for certain

A report sent over a kept connection 3.7 s after SIGTERM was taken, as its hint promised less than the 4.1 s left; it took longer and was cut with the host. Ruled out: the drain itself (it waited until 150 ms before the kill). Change: 2.5 s after SIGTERM, when the balancer has long sent new connections elsewhere, the largest output counts instead of the hint. Earlier the hint still counts, since a refused report earns half at best and most hints hold.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -26,7 +26,6 @@
 use crate::gateway::loads::Occupied;
 use crate::gateway::place::Need;
 use crate::gateway::protocol::GenerationSize;
-use crate::gateway::refuse;
 use crate::gateway::serve::Admitted;
 use crate::gateway::serve::Front;
 use crate::gateway::shared::Shared;
@@ -38,6 +37,7 @@
 
 mod moving;
 mod relay;
+mod stopping;
 
 /// Upstreams' lowest rank. Ranks of routes and customers go from 0.
 const PRIORITY_MAX: u8 = 9;
@@ -45,8 +45,6 @@
 const HINT_MARGIN: f64 = 1.25;
 /// Time of one token at an engine with usual company; 8 to 11 ms were measured.
 const TOKEN_TIME: Duration = Duration::from_millis(11);
-/// Time for a generation's prompt, beside that of its tokens.
-const START_ALLOWANCE: Duration = Duration::from_millis(800);
 /// Shorter runs are over before a copy of them pays: about a second and a half.
 const BACKUP_OUTPUT_TOKENS_MIN: u32 = 150;
 /// Copies are kept where the predicted peaks of all that an engine holds stay below this share of
@@ -102,7 +100,7 @@
     let shared = &front.shared;
     let now = shared.now();
     shared.budget(&admitted.service, |budget| budget.requested(now));
-    if let Some(refusal) = refuse_while_stopping(shared, &admitted) {
+    if let Some(refusal) = stopping::refuse_while_stopping(shared, &admitted) {
         return admitted.refuse(shared, &refusal);
     }
     let mut tries = Tries::default();
@@ -148,22 +146,6 @@
     }
 }
 
-/// A host that stops takes no generation that it would have to cut; the caller's next try reaches
-/// another host.
-fn refuse_while_stopping(shared: &Shared, admitted: &Admitted) -> Option<Refusal> {
-    let stops_in = shared.stops_in()?;
-    if expected_duration(shared, admitted) < stops_in {
-        return None;
-    }
-    Some(refuse::stopping())
-}
-
-/// How long a generation is expected to take.
-fn expected_duration(shared: &Shared, admitted: &Admitted) -> Duration {
-    let size = admitted.size(shared);
-    START_ALLOWANCE + TOKEN_TIME * output_planned(size)
-}
-
 /// Tokens that a generation is expected to produce.
 fn output_planned(size: GenerationSize) -> u32 {
     let planned = size
--- /dev/null
+++ b/src/gateway/stream/stopping.rs
@@ -0,0 +1,43 @@
+//! Which generations a host that stops still takes: none that it would have to cut, since the
+//! caller's next try reaches another host.
+
+use std::time::Duration;
+
+use super::TOKEN_TIME;
+use super::output_planned;
+use crate::gateway::protocol::GenerationSize;
+use crate::gateway::refuse;
+use crate::gateway::serve::Admitted;
+use crate::gateway::shared::Shared;
+use crate::refusal::Refusal;
+
+/// Time for a generation's prompt, beside that of its tokens.
+const START_ALLOWANCE: Duration = Duration::from_millis(800);
+/// For so long callers can't know that the host stops: until the balancer has noticed (2 s) and what
+/// was under way has arrived. What comes later over an old connection must certainly finish.
+const UNNOTICED: Duration = Duration::from_millis(2_500);
+
+/// The refusal of a generation that would not finish before the host ends.
+pub(super) fn refuse_while_stopping(shared: &Shared, admitted: &Admitted) -> Option<Refusal> {
+    let left = shared.stops_in()?;
+    let stopping_for = shared.settings().grace.saturating_sub(left);
+    let size = admitted.size(shared);
+    match finishes(size, stopping_for, left) {
+        true => None,
+        false => Some(refuse::stopping()),
+    }
+}
+
+/// Whether a generation finishes within `left` on a host that has been stopping for `stopping_for`:
+/// by its caller's hint at first, and by the most that it may produce later, as hints are far off now
+/// and then.
+fn finishes(size: GenerationSize, stopping_for: Duration, left: Duration) -> bool {
+    let output_tokens = match stopping_for < UNNOTICED {
+        true => output_planned(size),
+        false => size.output_tokens_max,
+    };
+    START_ALLOWANCE + TOKEN_TIME * output_tokens < left
+}
+
+#[cfg(test)]
+mod tests;
