Make starting hosts ready sooner; host listing and health in files of their own

Moves without change: `hostlisting` out of `follow` (a failed listing now leaves a debug line), health of upstreams out of `shared`.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -18,6 +18,7 @@
 pub mod forward;
 pub mod gossip;
 pub mod host;
+pub(crate) mod hostlisting;
 pub mod identity;
 pub mod loads;
 pub(crate) mod ownword;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -32,7 +32,7 @@
 /// Beyond the wait, an answer that is slow counts as lost.
 const POLL_SLACK: Duration = Duration::from_secs(2);
 /// A call that doesn't wait.
-const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
+pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Each connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Records that come together are read together: calls are priced, and this is far below the
@@ -47,15 +47,9 @@
 const ANSWER_BYTES_MAX: usize = 8 << 20;
 /// How often a host that listens looks whether it has to read for itself.
 const READER_CHECK: Duration = Duration::from_millis(200);
-/// How often it is looked whether this host must list itself or learn of others; hosts that start
-/// together have heard each other by then.
-const HOSTS_CHECK: Duration = Duration::from_millis(1_500);
-/// How often a host that knows too few reads the list again; peers tell of others in between.
-const HOSTS_INTERVAL: Duration = Duration::from_secs(20);
-/// A host that hears more than this many others learns of the rest from them.
-const HOSTS_ENOUGH: usize = 3;
 /// A host that starts gives those that its seeds name this time to tell what they know, and reads the
-/// log only then: hundreds that start together would all read all of it.
+/// log only then: hundreds that start together would all read all of it. With 0.4 s most of 78 did, as
+/// their seeds, of a tenth of a core, could not answer all by then.
 const JOIN_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Makes calls to one address, one at a time, over a connection that is kept.
@@ -138,7 +132,7 @@
 
 /// Why a topic must be read anew or later.
 #[derive(Debug)]
-enum Interrupted {
+pub(crate) enum Interrupted {
     /// Records that were not read are gone.
     Truncated,
     /// The log can't be read.
@@ -146,7 +140,7 @@
 }
 
 /// What a step of following comes to.
-type Step<T> = std::result::Result<T, Interrupted>;
+pub(crate) type Step<T> = std::result::Result<T, Interrupted>;
 
 impl From<Error> for Interrupted {
     fn from(error: Error) -> Self {
@@ -327,7 +321,11 @@
 }
 
 /// The newest record of each key of a topic, and the offset to read from next.
-async fn newest(shared: &Shared, client: &mut OwnClient, topic: Topic) -> Step<(Vec<Record>, u64)> {
+pub(crate) async fn newest(
+    shared: &Shared,
+    client: &mut OwnClient,
+    topic: Topic,
+) -> Step<(Vec<Record>, u64)> {
     let mut records: Vec<Record> = Vec::new();
     let mut end = None;
     loop {
@@ -360,46 +358,3 @@
         }
     }
 }
-
-/// Lists this host where others must find it, and learns of others where it knows too few.
-///
-/// Hosts that start find the others by their seeds. Only if those are gone do they need the list,
-/// and then one living host in it is enough; so a few hosts list themselves, not all.
-pub async fn list_hosts(shared: Shared) {
-    let mut client = OwnClient::new(shared.settings().log_address);
-    let mut is_listed = false;
-    let mut learnt_at: Option<Instant> = None;
-    loop {
-        tokio::time::sleep(HOSTS_CHECK).await;
-        let is_alone = shared.hosts() <= HOSTS_ENOUGH;
-        if !is_listed && (is_alone || shared.is_lookout()) {
-            is_listed = list_host(&shared, &mut client).await;
-        }
-        let is_due = learnt_at.is_none_or(|at| at.elapsed() >= HOSTS_INTERVAL);
-        if is_alone && is_due {
-            learn_hosts(&shared, &mut client).await;
-            learnt_at = Some(Instant::now());
-        }
-    }
-}
-
-/// Whether the log took this host's record. Appending it twice is harmless: the newest of a key
-/// counts.
-async fn list_host(shared: &Shared, client: &mut OwnClient) -> bool {
-    let own = shared.gossip_address().to_string();
-    let value = shared.settings().host.as_str().as_bytes();
-    let call = shared.protocol().append_call(Topic::Hosts, &own, value);
-    matches!(client.call(&call, CALL_TIMEOUT).await, Ok((200, _)))
-}
-
-async fn learn_hosts(shared: &Shared, client: &mut OwnClient) {
-    match newest(shared, client, Topic::Hosts).await {
-        Ok((records, _)) => {
-            let listed = records.iter().filter(|record| record.value.is_some());
-            let addresses = listed.filter_map(|record| record.key.parse().ok());
-            let now = shared.now();
-            shared.peers(|peers| peers.learn(now, addresses));
-        }
-        Err(error) => log::debug!("the list of hosts: {error:?}"),
-    }
-}
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -237,11 +237,15 @@
 }
 
 /// Gives the own reading of the log, or the next datagram, a moment; then asks a peer. Hosts that
-/// only listen spread their questions, so that the readers are not asked by all at once.
+/// only listen spread their questions, so that the readers are not asked by all at once; one that
+/// can't serve yet asks at once.
 fn fetch_soon(shared: &Shared, peer: SocketAddr) {
-    let wait = match shared.is_reading(Topic::Operator) {
-        true => OWN_READING_FIRST,
-        false => LISTENER_SPREAD.mul_f64(rand::random()),
+    let wait = if shared.is_reading(Topic::Operator) {
+        OWN_READING_FIRST
+    } else if shared.is_ready() {
+        LISTENER_SPREAD.mul_f64(rand::random())
+    } else {
+        Duration::ZERO
     };
     if shared.peers(|peers| peers.begin_fetch()) {
         actix_rt::spawn(peerfetch::fetch(shared.clone(), peer, wait));
--- /dev/null
+++ b/src/gateway/shared/health.rs
@@ -0,0 +1,110 @@
+//! What this host believes of upstreams by what became of requests and connections to them.
+
+use super::Shared;
+use super::locked;
+use crate::clock::Time;
+use crate::ejection::Ejector;
+use crate::ejection::Health;
+use crate::event::EventCode;
+use crate::id::HostId;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+
+/// At most this share of a service's upstreams is ejected at once, in percent.
+const EJECTED_PERCENT_MAX: usize = 50;
+
+impl Shared {
+    /// Runs `use_ejector` on what is known of upstreams' failures.
+    pub(crate) fn ejector<T>(&self, use_ejector: impl FnOnce(&mut Ejector) -> T) -> T {
+        use_ejector(&mut locked(&self.0.ejector))
+    }
+
+    /// A connection to an upstream could not be established.
+    pub fn upstream_unreachable(&self, upstream: &UpstreamId, reason: &str) {
+        let now = self.now();
+        if locked(&self.0.reach).failed(now, upstream) {
+            let line = self.log().line(EventCode::UpstreamLost);
+            line.with("upstream", upstream.as_str())
+                .with("reason", reason)
+                .write();
+            self.tell_news();
+        }
+    }
+
+    /// Another host of the data centre can't connect to these upstreams.
+    pub fn hear_unreachable(&self, peer: &HostId, upstreams: &[UpstreamId]) {
+        let now = self.now();
+        for upstream in upstreams {
+            if locked(&self.0.reach).hear(now, upstream) {
+                let line = self.log().line(EventCode::UpstreamLost);
+                line.with("upstream", upstream.as_str())
+                    .with("source", peer.as_str())
+                    .write();
+            }
+        }
+    }
+
+    /// What this host itself can't connect to now.
+    pub fn unreachable(&self) -> Vec<UpstreamId> {
+        locked(&self.0.reach).first_hand(self.now())
+    }
+
+    /// A connection to an upstream was established.
+    pub fn upstream_reached(&self, upstream: &UpstreamId) {
+        if locked(&self.0.reach).reached(self.now(), upstream) {
+            let line = self.log().line(EventCode::UpstreamBack);
+            line.with("upstream", upstream.as_str())
+                .with("change", "reached")
+                .write();
+        }
+    }
+
+    /// A request goes to an upstream. If the upstream was ejected and may be tried again, this is the
+    /// trial, and no other is made until the guard is dropped.
+    pub(crate) fn trial(&self, upstream: &UpstreamId) -> Trial {
+        self.ejector(|ejector| ejector.sent(upstream));
+        Trial {
+            shared: self.clone(),
+            upstream: upstream.clone(),
+        }
+    }
+
+    /// Whether requests that have another choice pass an upstream over.
+    pub(crate) fn is_doubtful(&self, now: Time, upstream: &UpstreamId) -> bool {
+        let health = self.ejector(|ejector| ejector.health(now, upstream));
+        health == Health::Ejected || self.is_passed_over(now, upstream)
+    }
+
+    /// Whether connections to an upstream could not be established a moment ago.
+    pub(crate) fn is_passed_over(&self, now: Time, upstream: &UpstreamId) -> bool {
+        locked(&self.0.reach).is_passed_over(now, upstream)
+    }
+
+    /// A request at an upstream failed by the upstream's fault.
+    pub fn upstream_failed(&self, service: &ServiceId, upstream: &UpstreamId, reason: &str) {
+        let now = self.now();
+        let pool = self.directory(|directory| directory.ready(service).len());
+        let ejected_max = pool * EJECTED_PERCENT_MAX / 100;
+        if self.ejector(|ejector| ejector.failed(now, upstream, ejected_max)) {
+            let line = self.log().line(EventCode::UpstreamEjected);
+            line.with("upstream", upstream.as_str())
+                .with("reason", reason)
+                .with("pool", pool)
+                .write();
+        }
+    }
+}
+
+/// A request that is under way to an upstream, for the judgement on the upstream's health.
+#[derive(Debug)]
+pub(crate) struct Trial {
+    shared: Shared,
+    upstream: UpstreamId,
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        let upstream = &self.upstream;
+        self.shared.ejector(|ejector| ejector.abandoned(upstream));
+    }
+}
