--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -178,8 +178,8 @@
         TOKEN_TIME * planned.saturating_sub(produced) < SHORT_RUN && produced < planned
     }
 
-    /// Where the run goes: to an engine that takes runs of no other leaving engine, or, if none of
-    /// them has room, to any.
+    /// Where the run goes: to an engine that takes runs of no other near leaving engine; if none of
+    /// those has room, to one that takes runs of no other leaving engine at all; else to any.
     fn destination(&self) -> Option<Arc<Upstream>> {
         let engine = self.admitted.engine.as_ref()?;
         let size = self.admitted.size(&self.shared);
