Start a generation only where memory is predicted, let it wait shortly, and refuse the rest at once

Cause: the gateway sent each generation at once to the least bad engine. Change: gateway/admit decides from predicted memory, the line ahead and the observed pace of engines (gateway/pace); gateway/line orders by rank, then by what runs of the customer, then by arrival, and waits. What has no prospect within a third of the objective is refused at once; it is told to come back in the last half of the time in which it could still be served, as its objective is lost and later there is more room.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,6 +5,7 @@
 //! paths) is behind [`protocol::Protocol`]; everything that decides is here. The area imports the
 //! library's basic types and nothing of the product's own API.
 
+pub mod admit;
 pub mod call;
 pub mod configuration;
 pub mod connection;
@@ -20,8 +21,10 @@
 pub mod host;
 pub(crate) mod hostlisting;
 pub mod identity;
+pub(crate) mod line;
 pub mod loads;
 pub(crate) mod ownword;
+pub mod pace;
 pub mod peerfetch;
 pub mod peers;
 pub mod place;
--- /dev/null
+++ b/src/gateway/admit/tests.rs
@@ -0,0 +1,296 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use quickcheck::TestResult;
+use quickcheck::quickcheck;
+
+use super::Demand;
+use super::Line;
+use super::Verdict;
+use super::decide;
+use super::return_after;
+use crate::gateway::admit::tests::crowd::Crowd;
+use crate::gateway::admit::tests::crowd::Policy;
+use crate::gateway::directory::Upstream;
+use crate::gateway::directory::UpstreamState;
+use crate::gateway::loads::Load;
+use crate::gateway::pace::Pace;
+use crate::gateway::place::Candidate;
+use crate::gateway::place::FarCounts;
+use crate::gateway::place::Need;
+use crate::gateway::place::View;
+use crate::id::DataCentre;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+
+mod crowd;
+
+const MEMORY_TOKENS: u32 = 34_000;
+const OBJECTIVE: Duration = Duration::from_millis(1_800);
+
+pub(super) fn candidate(id: &str, load: Load) -> Candidate {
+    Candidate {
+        upstream: Arc::new(Upstream {
+            id: UpstreamId::new(id),
+            service: ServiceId::new("inspection"),
+            address: "127.0.0.1:9000".parse().unwrap(),
+            data_centre: DataCentre::new("north"),
+            state: UpstreamState::Ready,
+            slots: 24,
+        }),
+        load,
+        doubtful: false,
+    }
+}
+
+fn running(requests: u32, tokens: u32, unread_tokens: u32) -> Candidate {
+    let load = Load {
+        requests,
+        tokens,
+        unread_tokens,
+    };
+    candidate("engine", load)
+}
+
+pub(super) fn need(prompt_tokens: u32, output_tokens: u32) -> Need {
+    Need::Memory {
+        tokens: prompt_tokens + output_tokens,
+        prompt_tokens,
+        memory_tokens: MEMORY_TOKENS,
+    }
+}
+
+pub(super) fn verdict(demand: &Demand, line: &Line<'_>, candidates: &[Candidate]) -> Verdict {
+    let view = View {
+        here: &DataCentre::new("north"),
+        far_counts: FarCounts::Fresh,
+    };
+    decide(demand, line, candidates, view, || 0.0)
+}
+
+fn report(waited: Option<Duration>) -> Demand {
+    Demand {
+        need: need(3_000, 1_000),
+        objective: OBJECTIVE,
+        waited,
+    }
+}
+
+fn flag() -> Demand {
+    Demand {
+        need: need(2_500, 12),
+        objective: OBJECTIVE,
+        waited: None,
+    }
+}
+
+/// The line of a host of six, with this much taken at all engines.
+fn line(pace: &Pace, ahead_tokens: u64, taken_tokens: u64) -> Line<'_> {
+    Line {
+        ahead_tokens,
+        taken_tokens,
+        hosts: 6,
+        pace,
+    }
+}
+
+/// One that observed that memory is free again after `turnover`.
+fn pace(turnover: Duration) -> Pace {
+    let mut pace = Pace::default();
+    for _ in 0..1_000 {
+        pace.ended(4_000, turnover);
+        pace.first_event(3_000, Duration::from_millis(400));
+    }
+    pace
+}
+
+#[test]
+fn it_starts_where_there_is_room() {
+    let pace = Pace::default();
+    let verdict = verdict(
+        &report(None),
+        &line(&pace, 0, 30_000),
+        &[running(7, 30_000, 0)],
+    );
+    assert!(matches!(verdict, Verdict::Start(_)));
+}
+
+#[test]
+fn an_empty_engine_takes_also_what_may_not_fit() {
+    let pace = Pace::default();
+    let huge = Demand {
+        need: need(30_000, 20_000),
+        ..report(None)
+    };
+    let verdict = verdict(&huge, &line(&pace, 0, 0), &[running(0, 0, 0)]);
+    assert!(matches!(verdict, Verdict::Start(_)));
+}
+
+#[test]
+fn it_waits_where_memory_is_expected_in_time() {
+    let pace = pace(Duration::from_secs(4));
+    let verdict = verdict(
+        &report(None),
+        &line(&pace, 0, 500_000),
+        &[running(8, 33_000, 0)],
+    );
+    assert!(matches!(verdict, Verdict::Wait));
+}
+
+#[test]
+fn it_is_refused_at_once_where_no_memory_is_expected_in_time() {
+    let pace = pace(Duration::from_secs(10));
+    let verdict = verdict(
+        &report(None),
+        &line(&pace, 20_000, 500_000),
+        &[running(8, 33_000, 0)],
+    );
+    assert!(matches!(verdict, Verdict::Refuse(_)));
+}
+
+#[test]
+fn it_is_refused_once_its_first_event_would_be_late() {
+    let pace = pace(Duration::from_secs(4));
+    let waited = Some(Duration::from_millis(700));
+    let verdict = verdict(
+        &report(waited),
+        &line(&pace, 0, 500_000),
+        &[running(8, 33_000, 0)],
+    );
+    assert!(matches!(verdict, Verdict::Refuse(_)));
+}
+
+#[test]
+fn it_does_not_pass_those_ahead_of_it() {
+    let pace = pace(Duration::from_secs(1));
+    let verdict = verdict(
+        &report(None),
+        &line(&pace, 4_000, 500_000),
+        &[running(1, 4_000, 0)],
+    );
+    assert!(matches!(verdict, Verdict::Wait));
+}
+
+#[test]
+fn a_short_generation_fits_beside_what_has_not_grown_yet() {
+    let pace = Pace::default();
+    let full = [running(8, 33_000, 0)];
+    let verdict = verdict(&flag(), &line(&pace, 0, 33_000), &full);
+    assert!(matches!(verdict, Verdict::Start(_)));
+}
+
+#[test]
+fn prompts_are_not_queued_at_an_engine_beyond_the_objective() {
+    let pace = Pace::default();
+    let busy = [running(4, 12_000, 12_000)];
+    let verdict = verdict(&report(None), &line(&pace, 0, 12_000), &busy);
+    assert!(!matches!(verdict, Verdict::Start(_)));
+}
+
+#[test]
+fn a_doubtful_engine_is_no_way_out_of_a_crowd() {
+    let pace = Pace::default();
+    let mut doubtful = running(1, 1_000, 0);
+    doubtful.doubtful = true;
+    let candidates = [running(8, 34_000, 0), doubtful];
+    let verdict = verdict(&report(None), &line(&pace, 0, 35_000), &candidates);
+    assert!(!matches!(verdict, Verdict::Start(_)));
+}
+
+quickcheck! {
+    fn memory_is_never_promised_beyond_an_engines(loads: Vec<(u8, u16, u16)>, prompt: u16, output: u16) -> TestResult {
+        let pace = Pace::default();
+        let candidates: Vec<Candidate> = loads
+            .iter()
+            .map(|(requests, tokens, unread)| running(u32::from(*requests), u32::from(*tokens), u32::from(*unread)))
+            .collect();
+        let demand = Demand { need: need(u32::from(prompt), 101 + u32::from(output)), ..report(None) };
+        let Verdict::Start(chosen) = verdict(&demand, &line(&pace, 0, 1), &candidates) else {
+            return TestResult::discard();
+        };
+        let tokens = crate::gateway::place::tokens(demand.need);
+        TestResult::from_bool(chosen.load.requests == 0 || chosen.load.tokens + tokens <= MEMORY_TOKENS)
+    }
+
+    fn a_caller_is_never_told_to_return_too_late(left_ms: u16, run_ms: u16, expected_ms: u16, draw: u8) -> bool {
+        let millis = |ms: u16| Duration::from_millis(u64::from(ms));
+        let again = return_after(millis(left_ms), millis(run_ms), millis(expected_ms), f64::from(draw) / 255.0);
+        again <= millis(left_ms).saturating_sub(millis(run_ms))
+    }
+}
+
+/// Long answers at four times the rate that the engines carry with ease, for 9 s.
+fn surge_of_long_answers(policy: Policy) -> crowd::Outcome {
+    Crowd::new(policy)
+        .engines(6)
+        .reports_per_s(11.0)
+        .flags_per_s(4.0)
+        .lasting_s(9)
+        .play()
+}
+
+#[test]
+fn in_a_surge_of_long_answers_more_are_served_in_time_than_by_sending_all_at_once() {
+    let at_once = surge_of_long_answers(Policy::SendAtOnce);
+    let decided = surge_of_long_answers(Policy::Decide);
+    assert!(
+        decided.in_time_reports * 2 > at_once.in_time_reports * 3,
+        "{decided:?} {at_once:?}"
+    );
+    assert!(
+        decided.in_time_flags >= at_once.in_time_flags,
+        "{decided:?} {at_once:?}"
+    );
+}
+
+#[test]
+fn in_a_surge_of_long_answers_hardly_any_run_is_preempted() {
+    let at_once = surge_of_long_answers(Policy::SendAtOnce);
+    let decided = surge_of_long_answers(Policy::Decide);
+    assert!(at_once.preempted > 10, "{at_once:?}");
+    assert!(decided.preempted < 5, "{decided:?}");
+}
+
+#[test]
+fn in_a_surge_the_more_urgent_are_served_no_less_often() {
+    let decided = surge_of_long_answers(Policy::Decide);
+    assert!(
+        decided.flags_share() >= decided.reports_share(),
+        "{decided:?}"
+    );
+}
+
+#[test]
+fn at_a_usual_load_nothing_is_refused_or_waits() {
+    let decided = Crowd::new(Policy::Decide)
+        .engines(6)
+        .reports_per_s(2.3)
+        .flags_per_s(3.2)
+        .lasting_s(20)
+        .play();
+    assert_eq!(decided.refused, 0, "{decided:?}");
+    assert_eq!(decided.waited, 0, "{decided:?}");
+}
+
+#[test]
+fn engines_that_go_in_a_surge_leave_no_backlog_behind() {
+    let crowd = |policy| {
+        Crowd::new(policy)
+            .engines(6)
+            .lose_engines_at_s(3, 2)
+            .reports_per_s(5.0)
+            .flags_per_s(6.0)
+            .lasting_s(9)
+            .play()
+    };
+    let at_once = crowd(Policy::SendAtOnce);
+    let decided = crowd(Policy::Decide);
+    assert!(
+        decided.in_time_reports >= at_once.in_time_reports,
+        "{decided:?} {at_once:?}"
+    );
+    assert!(
+        decided.late_reports * 2 < at_once.late_reports,
+        "{decided:?} {at_once:?}"
+    );
+}
--- /dev/null
+++ b/src/gateway/line.rs
@@ -0,0 +1,291 @@
+//! The generations of this host that wait for room at an engine.
+//!
+//! The most urgent rank goes first; within it the customer of whom least runs at this host, so that
+//! one who sends many times its usual waits behind the others; then who came first.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::event::EventCode;
+use crate::gateway::admit;
+use crate::gateway::admit::Demand;
+use crate::gateway::admit::Prospect;
+use crate::gateway::admit::Verdict;
+use crate::gateway::pace::Pace;
+use crate::gateway::place;
+use crate::gateway::place::Candidate;
+use crate::gateway::place::Need;
+use crate::gateway::serve;
+use crate::gateway::serve::Admitted;
+use crate::gateway::shared::Shared;
+use crate::gateway::stream;
+use crate::id::CustomerId;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+use crate::refusal::Code;
+use crate::refusal::Refusal;
+
+/// How often one that waits looks for room: hosts tell each other what ended four times a second.
+const LOOK_INTERVAL: Duration = Duration::from_millis(20);
+
+/// One that waits.
+#[derive(Debug, Clone)]
+struct Waiting {
+    number: u64,
+    service: ServiceId,
+    rank: u8,
+    customer: Option<CustomerId>,
+    tokens: u32,
+}
+
+/// Those that wait, what runs of each customer, and the pace of engines.
+#[derive(Debug, Default)]
+pub struct Lines {
+    waiting: Vec<Waiting>,
+    running_tokens: HashMap<CustomerId, u64>,
+    next_number: u64,
+    /// What was observed of engines.
+    pub pace: Pace,
+}
+
+impl Lines {
+    fn join(
+        &mut self,
+        service: &ServiceId,
+        rank: u8,
+        customer: Option<&CustomerId>,
+        tokens: u32,
+    ) -> u64 {
+        self.next_number += 1;
+        self.waiting.push(Waiting {
+            number: self.next_number,
+            service: service.clone(),
+            rank,
+            customer: customer.cloned(),
+            tokens,
+        });
+        self.next_number
+    }
+
+    fn leave(&mut self, number: u64) {
+        self.waiting.retain(|other| other.number != number);
+    }
+
+    fn running(&self, customer: Option<&CustomerId>) -> u64 {
+        let running = customer.and_then(|customer| self.running_tokens.get(customer));
+        running.copied().unwrap_or(0)
+    }
+
+    /// Tokens needed by those that go before `number`.
+    fn ahead_tokens(&self, number: u64) -> u64 {
+        let key = |waiting: &Waiting| {
+            let running = self.running(waiting.customer.as_ref());
+            (waiting.rank, running, waiting.number)
+        };
+        let Some(own) = self.waiting.iter().find(|other| other.number == number) else {
+            return 0;
+        };
+        let line = self
+            .waiting
+            .iter()
+            .filter(|other| other.service == own.service);
+        line.filter(|other| key(other) < key(own))
+            .map(|other| u64::from(other.tokens))
+            .sum()
+    }
+
+    fn start(&mut self, customer: &CustomerId, tokens: u32) {
+        *self.running_tokens.entry(customer.clone()).or_default() += u64::from(tokens);
+    }
+
+    fn end(&mut self, customer: &CustomerId, tokens: u32) {
+        let Some(running) = self.running_tokens.get_mut(customer) else {
+            return;
+        };
+        *running = running.saturating_sub(u64::from(tokens));
+        if *running == 0 {
+            self.running_tokens.remove(customer);
+        }
+    }
+}
+
+/// A handle on the lines; clones share them.
+#[derive(Debug, Clone, Default)]
+pub struct LineBoard(Arc<Mutex<Lines>>);
+
+impl LineBoard {
+    /// Runs `use_lines` on the lines.
+    pub fn with<T>(&self, use_lines: impl FnOnce(&mut Lines) -> T) -> T {
+        use_lines(&mut self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Counts a generation as running for its customer until the guard is dropped.
+    pub fn run(&self, customer: Option<&CustomerId>, tokens: u32) -> Share {
+        if let Some(customer) = customer {
+            self.with(|lines| lines.start(customer, tokens));
+        }
+        Share {
+            board: self.clone(),
+            customer: customer.cloned(),
+            tokens,
+            began: Instant::now(),
+        }
+    }
+}
+
+/// What a running generation counts for its customer.
+#[derive(Debug)]
+pub struct Share {
+    board: LineBoard,
+    customer: Option<CustomerId>,
+    tokens: u32,
+    began: Instant,
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        let time = self.began.elapsed();
+        self.board.with(|lines| {
+            if let Some(customer) = &self.customer {
+                lines.end(customer, self.tokens);
+            }
+            lines.pace.ended(self.tokens, time);
+        });
+    }
+}
+
+/// A place in the line, given up when it is dropped.
+struct Ticket {
+    board: LineBoard,
+    number: u64,
+}
+
+impl Ticket {
+    fn join(shared: &Shared, admitted: &Admitted, tokens: u32) -> Self {
+        let board = shared.lines().clone();
+        let customer = admitted.customer.as_ref();
+        let number =
+            board.with(|lines| lines.join(&admitted.service, admitted.priority, customer, tokens));
+        Ticket { board, number }
+    }
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        self.board.with(|lines| lines.leave(self.number));
+    }
+}
+
+/// The engine at which a generation starts, at once or after a wait; none if there is no engine left.
+///
+/// # Errors
+///
+/// The refusal of one for which no room is expected in time.
+pub async fn wait_for_room(
+    shared: &Shared,
+    admitted: &Admitted,
+    need: Need,
+    avoid: &[UpstreamId],
+) -> Result<Option<Candidate>, Refusal> {
+    let tokens = place::tokens(need);
+    let ticket = Ticket::join(shared, admitted, tokens);
+    let mut waited = None;
+    loop {
+        let candidates = serve::candidates(shared, &admitted.service, avoid);
+        if candidates.is_empty() {
+            return Ok(None);
+        }
+        let demand = Demand {
+            need,
+            objective: admitted.route.objective,
+            waited,
+        };
+        let believed = Believed::new(shared, &ticket, &candidates);
+        match believed.decide(shared, &demand, &candidates) {
+            Verdict::Start(candidate) => return Ok(Some(candidate)),
+            Verdict::Wait if waited.is_none() => believed.note(shared, admitted, "waits"),
+            Verdict::Wait => {}
+            Verdict::Refuse(prospect) => {
+                believed.note(shared, admitted, "refused");
+                return Err(refusal(shared, admitted, prospect));
+            }
+        }
+        tokio::time::sleep(LOOK_INTERVAL).await;
+        waited = Some(admitted.arrived.elapsed());
+    }
+}
+
+/// What a decision about one that waits rests on.
+struct Believed {
+    ahead_tokens: u64,
+    taken_tokens: u64,
+    hosts: usize,
+    engines: usize,
+    pace: Pace,
+}
+
+impl Believed {
+    fn new(shared: &Shared, ticket: &Ticket, candidates: &[Candidate]) -> Self {
+        let (ahead_tokens, pace) = shared
+            .lines()
+            .with(|lines| (lines.ahead_tokens(ticket.number), lines.pace.clone()));
+        let taken = candidates.iter();
+        Believed {
+            ahead_tokens,
+            taken_tokens: taken
+                .map(|candidate| u64::from(candidate.load.tokens))
+                .sum(),
+            hosts: shared.hosts(),
+            engines: candidates.len(),
+            pace,
+        }
+    }
+
+    fn decide(&self, shared: &Shared, demand: &Demand, candidates: &[Candidate]) -> Verdict {
+        let line = admit::Line {
+            ahead_tokens: self.ahead_tokens,
+            taken_tokens: self.taken_tokens,
+            hosts: self.hosts,
+            pace: &self.pace,
+        };
+        admit::decide(
+            demand,
+            &line,
+            candidates,
+            shared.view(),
+            rand::random::<f64>,
+        )
+    }
+
+    fn note(&self, shared: &Shared, admitted: &Admitted, outcome: &str) {
+        let line = admitted.line(shared, EventCode::RequestQueued);
+        line.with("outcome", outcome)
+            .with("ahead_tokens", self.ahead_tokens)
+            .with("taken_tokens", self.taken_tokens)
+            .with("engines", self.engines)
+            .with("hosts", self.hosts)
+            .with("turnover_ms", self.pace.turnover().as_millis() as u64)
+            .with("far_counts", shared.far_counts().name())
+            .write();
+    }
+}
+
+fn refusal(shared: &Shared, admitted: &Admitted, prospect: Prospect) -> Refusal {
+    let left = admitted.time_left();
+    let run = stream::expected_run(shared, admitted);
+    let again = admit::return_after(left, run, prospect.expected, rand::random());
+    let message = format!(
+        "room is expected in {} ms, and it can wait {} ms",
+        prospect.expected.as_millis(),
+        prospect.patience.as_millis()
+    );
+    Refusal::not_run(Code::Overloaded, message).retry_after_ms(again.as_millis() as u64)
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/line/tests.rs
@@ -0,0 +1,61 @@
+use super::LineBoard;
+use super::Lines;
+use crate::id::CustomerId;
+use crate::id::ServiceId;
+
+fn service() -> ServiceId {
+    ServiceId::new("inspection")
+}
+
+fn join(lines: &mut Lines, rank: u8, customer: &str) -> u64 {
+    lines.join(&service(), rank, Some(&CustomerId::new(customer)), 1_000)
+}
+
+#[test]
+fn who_came_first_goes_first() {
+    let mut lines = Lines::default();
+    let first = join(&mut lines, 1, "a");
+    let second = join(&mut lines, 1, "b");
+    assert_eq!(lines.ahead_tokens(first), 0);
+    assert_eq!(lines.ahead_tokens(second), 1_000);
+    lines.leave(first);
+    assert_eq!(lines.ahead_tokens(second), 0);
+}
+
+#[test]
+fn a_more_urgent_rank_goes_before_those_that_came_earlier() {
+    let mut lines = Lines::default();
+    let report = join(&mut lines, 1, "a");
+    let flag = join(&mut lines, 0, "a");
+    assert_eq!(lines.ahead_tokens(flag), 0);
+    assert_eq!(lines.ahead_tokens(report), 1_000);
+}
+
+#[test]
+fn a_customer_of_whom_much_runs_waits_behind_the_others() {
+    let board = LineBoard::default();
+    let large = CustomerId::new("large");
+    let share = board.run(Some(&large), 9_000);
+    let (of_large, of_small) =
+        board.with(|lines| (join(lines, 1, "large"), join(lines, 1, "small")));
+    assert_eq!(board.with(|lines| lines.ahead_tokens(of_small)), 0);
+    assert_eq!(board.with(|lines| lines.ahead_tokens(of_large)), 1_000);
+    drop(share);
+    assert_eq!(board.with(|lines| lines.ahead_tokens(of_large)), 0);
+}
+
+#[test]
+fn lines_of_other_services_are_not_waited_behind() {
+    let mut lines = Lines::default();
+    join(&mut lines, 0, "a");
+    let other = lines.join(&ServiceId::new("other"), 1, None, 1_000);
+    assert_eq!(lines.ahead_tokens(other), 0);
+}
+
+#[test]
+fn a_run_that_ends_tells_the_pace() {
+    let board = LineBoard::default();
+    let before = board.with(|lines| lines.pace.turnover());
+    drop(board.run(None, 50_000));
+    assert!(board.with(|lines| lines.pace.turnover()) < before);
+}
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -45,6 +45,16 @@
     Old,
 }
 
+impl FarCounts {
+    /// The age in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            FarCounts::Fresh => "fresh",
+            FarCounts::Old => "old",
+        }
+    }
+}
+
 /// From where a choice is made.
 #[derive(Debug, Clone, Copy)]
 pub struct View<'a> {
@@ -138,6 +148,14 @@
     }
 }
 
+/// Tokens of memory that a request is predicted to need.
+pub fn tokens(need: Need) -> u32 {
+    match need {
+        Need::Slot => 0,
+        Need::Memory { tokens, .. } | Need::Copy { tokens, .. } => tokens,
+    }
+}
+
 /// The best candidate for a request; doubtful ones only where there is no other, and of other data
 /// centres only where the counts of these are fresh or no near one has room. `draw` gives random
 /// numbers from 0 to 1.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -30,7 +30,6 @@
 use crate::gateway::place;
 use crate::gateway::place::Candidate;
 use crate::gateway::place::Need;
-use crate::gateway::place::View;
 use crate::gateway::pool::Pool;
 use crate::gateway::protocol::GenerationSize;
 use crate::gateway::protocol::HeaderNames;
@@ -148,11 +147,7 @@
 
 /// Chooses one of `candidates`, as seen from this host.
 pub fn choose(shared: &Shared, need: Need, candidates: &[Candidate]) -> Option<Candidate> {
-    let view = View {
-        here: &shared.settings().data_centre,
-        far_counts: shared.far_counts(),
-    };
-    place::choose(need, candidates, view, rand::random::<f64>)
+    place::choose(need, candidates, shared.view(), rand::random::<f64>)
 }
 
 /// The upstreams of a service that may be chosen. Where two of another data centre can't be connected
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -28,10 +28,12 @@
 use crate::gateway::decisions::DecisionLog;
 use crate::gateway::directory::Directory;
 use crate::gateway::directory::DirectoryChange;
+use crate::gateway::line::LineBoard;
 use crate::gateway::loads::LoadBoard;
 use crate::gateway::peers::Peers;
 use crate::gateway::peers::READERS_ONLY_FROM;
 use crate::gateway::place::FarCounts;
+use crate::gateway::place::View;
 use crate::gateway::protocol::Protocol;
 use crate::gateway::protocol::Topic;
 use crate::gateway::reach::Reach;
@@ -67,6 +69,7 @@
     gate: Arc<Gate>,
     loads: LoadBoard,
     turns: TurnBoard,
+    lines: LineBoard,
     in_force: RwLock<Option<InForce>>,
     directory: Mutex<Directory>,
     directory_changed: watch::Sender<u64>,
@@ -101,6 +104,7 @@
             gate: Gate::new(),
             loads: LoadBoard::default(),
             turns: TurnBoard::default(),
+            lines: LineBoard::default(),
             in_force: RwLock::new(None),
             directory: Mutex::default(),
             directory_changed: watch::channel(0).0,
@@ -145,6 +149,11 @@
         &self.0.loads
     }
 
+    /// Generations that wait for room, and the pace of engines.
+    pub(crate) fn lines(&self) -> &LineBoard {
+        &self.0.lines
+    }
+
     /// Whose turn it is to move runs off leaving engines.
     pub fn turns(&self) -> &TurnBoard {
         &self.0.turns
@@ -378,6 +387,14 @@
         }
     }
 
+    /// From where upstreams are chosen.
+    pub fn view(&self) -> View<'_> {
+        View {
+            here: &self.settings().data_centre,
+            far_counts: self.far_counts(),
+        }
+    }
+
     /// Runs `use_budget` on the retry budget of a service.
     pub fn budget<T>(
         &self,
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -11,6 +11,7 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use tokio::time::Instant;
 
 use crate::event::EventCode;
 use crate::gateway::call;
@@ -23,8 +24,12 @@
 use crate::gateway::exchange::Begun;
 use crate::gateway::exchange::Unanswered;
 use crate::gateway::forward::AttemptHeaders;
+use crate::gateway::line;
+use crate::gateway::line::Share;
 use crate::gateway::loads::Occupied;
+use crate::gateway::place::Candidate;
 use crate::gateway::place::Need;
+use crate::gateway::place::tokens;
 use crate::gateway::protocol::GenerationSize;
 use crate::gateway::serve::Admitted;
 use crate::gateway::serve::Front;
@@ -32,6 +37,7 @@
 use crate::gateway::stream::relay::Relay;
 use crate::gateway::tries::Reached;
 use crate::gateway::tries::Tries;
+use crate::id::UpstreamId;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 
@@ -45,6 +51,8 @@
 const HINT_MARGIN: f64 = 1.25;
 /// Time of one token at an engine with usual company; 8 to 11 ms were measured.
 const TOKEN_TIME: Duration = Duration::from_millis(11);
+/// Time for a generation's prompt, beside that of its tokens.
+const START_ALLOWANCE: Duration = Duration::from_millis(800);
 /// Shorter runs are over before a copy of them pays: about a second and a half.
 const BACKUP_OUTPUT_TOKENS_MIN: u32 = 150;
 /// Copies are kept where the predicted peaks of all that an engine holds stay below this share of
@@ -61,6 +69,9 @@
     /// Closes with the run.
     _connection: Connection,
     occupied: Occupied,
+    sent_at: Instant,
+    /// Tokens to be read before its first event, its own among them.
+    unread_tokens: u32,
     /// Keeps a copy of the run up to date.
     backup: Option<Backup>,
 }
@@ -88,6 +99,16 @@
     TimedOut,
 }
 
+/// A request on its way to an engine.
+struct Sending<'a> {
+    upstream: &'a Arc<Upstream>,
+    occupied: Occupied,
+    /// Tokens to be read there before its first event, its own among them.
+    unread_tokens: u32,
+    backup: Option<Backup>,
+    continuation: Option<&'a Continuation>,
+}
+
 /// Where a stream goes on.
 #[derive(Debug, Clone)]
 struct Continuation {
@@ -106,9 +127,14 @@
     let mut tries = Tries::default();
     loop {
         let need = need(shared, &admitted);
-        let Some(candidate) = admitted.place(shared, need, tries.upstreams()) else {
-            return refuse_unplaced(shared, &admitted, tries.len(), "no engine is left");
+        let candidate = match choose_engine(shared, &admitted, need, tries.upstreams()).await {
+            Ok(Some(candidate)) => candidate,
+            Ok(None) => {
+                return refuse_unplaced(shared, &admitted, tries.len(), "no engine is left");
+            }
+            Err(refusal) => return admitted.refuse(shared, &refusal),
         };
+        let share = shared.lines().run(admitted.customer.as_ref(), tokens(need));
         let upstream = candidate.upstream;
         tries.begin(&upstream.id);
         let _trial = shared.trial(&upstream.id);
@@ -121,7 +147,7 @@
             .with("hosts", shared.hosts())
             .write();
         let (reached, reason) = match open(shared, &admitted, &upstream, tokens(need), None).await {
-            Opened::Running(running) => return respond(shared.clone(), admitted, *running),
+            Opened::Running(running) => return respond(shared.clone(), admitted, *running, share),
             Opened::Answered(answer) => return pass_on(shared, &admitted, &upstream, answer),
             Opened::TimedOut => {
                 shared.upstream_failed(&admitted.service, &upstream.id, "no answer in time");
@@ -146,6 +172,28 @@
     }
 }
 
+/// Where a request is sent; one to an engine may wait for room.
+async fn choose_engine(
+    shared: &Shared,
+    admitted: &Admitted,
+    need: Need,
+    avoid: &[UpstreamId],
+) -> Result<Option<Candidate>, Refusal> {
+    match need {
+        Need::Memory { .. } => line::wait_for_room(shared, admitted, need, avoid).await,
+        Need::Slot | Need::Copy { .. } => Ok(admitted.place(shared, need, avoid)),
+    }
+}
+
+/// How long a generation is expected to run.
+pub(crate) fn expected_run(shared: &Shared, admitted: &Admitted) -> Duration {
+    run_time(output_planned(admitted.size(shared)))
+}
+
+fn run_time(output_tokens: u32) -> Duration {
+    START_ALLOWANCE + TOKEN_TIME * output_tokens
+}
+
 /// Tokens that a generation is expected to produce.
 fn output_planned(size: GenerationSize) -> u32 {
     let planned = size
@@ -179,13 +227,6 @@
     }
 }
 
-fn tokens(need: Need) -> u32 {
-    match need {
-        Need::Slot => 0,
-        Need::Memory { tokens, .. } | Need::Copy { tokens, .. } => tokens,
-    }
-}
-
 /// Chooses an engine to keep a copy of the run at, if the run is worth it and there is room to
 /// spare: memory for copies is the first to go without.
 fn choose_backup(shared: &Shared, admitted: &Admitted, upstream: &Upstream) -> Option<Backup> {
@@ -226,22 +267,31 @@
         _ => 0,
     };
     let occupied = shared.loads().occupy(&upstream.id, tokens, unread_tokens);
+    let load = shared.loads().with(|loads| loads.at(&upstream.id));
     shared.tell_news();
-    let opening = open_now(shared, admitted, upstream, occupied, backup, continuation);
+    let sending = Sending {
+        upstream,
+        occupied,
+        unread_tokens: load.unread_tokens,
+        backup,
+        continuation,
+    };
+    let opening = open_now(shared, admitted, sending);
     tokio::select! {
         opened = opening => opened,
         () = tokio::time::sleep_until(admitted.deadline) => Opened::TimedOut,
     }
 }
 
-async fn open_now(
-    shared: &Shared,
-    admitted: &Admitted,
-    upstream: &Arc<Upstream>,
-    occupied: Occupied,
-    backup: Option<Backup>,
-    continuation: Option<&Continuation>,
-) -> Opened {
+async fn open_now(shared: &Shared, admitted: &Admitted, sending: Sending<'_>) -> Opened {
+    let Sending {
+        upstream,
+        occupied,
+        unread_tokens,
+        backup,
+        continuation,
+    } = sending;
+    let sent_at = Instant::now();
     let opening = Connection::open(upstream.address, CONNECT_TIMEOUT, Patience::Long);
     let connection = match opening.await {
         Ok(connection) => connection,
@@ -276,6 +326,8 @@
             body,
             _connection: connection,
             occupied,
+            sent_at,
+            unread_tokens,
             backup,
         }));
     }
@@ -302,13 +354,13 @@
 }
 
 /// The head of the engine's answer, and its events as they come.
-fn respond(shared: Shared, admitted: Admitted, running: Running) -> HttpResponse {
+fn respond(shared: Shared, admitted: Admitted, running: Running, share: Share) -> HttpResponse {
     shared.ejector(|ejector| ejector.succeeded(&running.upstream.id));
     let mut response = call::respond(&running.head);
     if shared.gate().is_shutting_down() {
         response.force_close();
     }
-    let relay = Relay::new(shared, admitted, running);
+    let relay = Relay::new(shared, admitted, running, share);
     response.streaming(stream::unfold(Some(relay), step))
 }
 
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -16,6 +16,7 @@
 use crate::event::EventCode;
 use crate::gateway::directory::Upstream;
 use crate::gateway::events::EventSplitter;
+use crate::gateway::line::Share;
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
 use crate::gateway::turns::Ticket;
@@ -47,6 +48,8 @@
     pub(super) last_at: Instant,
     pub(super) gap_max: Duration,
     pub(super) ended: bool,
+    /// What it counts for its customer.
+    _share: Share,
 }
 
 /// What happened next.
@@ -61,7 +64,7 @@
 }
 
 impl Relay {
-    pub(super) fn new(shared: Shared, admitted: Admitted, running: Running) -> Self {
+    pub(super) fn new(shared: Shared, admitted: Admitted, running: Running, share: Share) -> Self {
         let class = ClassId::new(format!("{}", admitted.priority));
         let meter = StreamMeter::start(shared.now(), &admitted.service, &class);
         let mut changes = shared.directory_watch();
@@ -81,6 +84,7 @@
             last_at: Instant::now(),
             gap_max: Duration::ZERO,
             ended: false,
+            _share: share,
             shared,
         }
     }
@@ -126,12 +130,20 @@
         self.running.occupied.prompt_read();
         let now = Instant::now();
         match self.first_ms {
-            None => self.first_ms = Some(self.admitted.arrived.elapsed().as_secs_f64() * 1_000.0),
+            None => self.first_passed(),
             Some(_) => self.gap_max = self.gap_max.max(now - self.last_at),
         }
         self.last_at = now;
     }
 
+    fn first_passed(&mut self) {
+        self.first_ms = Some(self.admitted.arrived.elapsed().as_secs_f64() * 1_000.0);
+        let time = self.running.sent_at.elapsed();
+        let tokens = self.running.unread_tokens;
+        let lines = self.shared.lines();
+        lines.with(|lines| lines.pace.first_event(tokens, time));
+    }
+
     /// Where the stream has broken off, continues it at the engine that keeps a copy, unless a move
     /// is under way that will continue it.
     ///
--- a/src/gateway/stream/stopping.rs
+++ b/src/gateway/stream/stopping.rs
@@ -3,16 +3,14 @@
 
 use std::time::Duration;
 
-use super::TOKEN_TIME;
 use super::output_planned;
+use super::run_time;
 use crate::gateway::protocol::GenerationSize;
 use crate::gateway::refuse;
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
 use crate::refusal::Refusal;
 
-/// Time for a generation's prompt, beside that of its tokens.
-const START_ALLOWANCE: Duration = Duration::from_millis(800);
 /// For so long callers can't know that the host stops: until the balancer has noticed (2 s) and what
 /// was under way has arrived. What comes later over an old connection must certainly finish.
 const UNNOTICED: Duration = Duration::from_millis(2_500);
@@ -36,7 +34,7 @@
         true => output_planned(size),
         false => size.output_tokens_max,
     };
-    START_ALLOWANCE + TOKEN_TIME * output_tokens < left
+    run_time(output_tokens) < left
 }
 
 #[cfg(test)]
