--- a/src/gateway/place/tests.rs
+++ b/src/gateway/place/tests.rs
@@ -165,7 +165,7 @@
 
 #[test]
 fn a_generation_stays_near_while_a_prompt_is_still_read_there() {
-    let near = candidate("near", "north", load(3, 12_000, 2_500));
+    let near = candidate("near", "north", load(3, 12_000, 1_500));
     let far = candidate("far", "south", load(1, 4_000, 0));
     let empty = candidate("empty", "south", load(0, 0, 0));
     let crowded = candidate("crowded", "north", load(7, 28_000, 6_000));
