Read the log at once where no seed can be reached, and let requests wait for what a starting host learns

Change: a starting host tries to connect to its seeds; if none is there it reads the log at once. Requests that come meanwhile wait, at most 0.4 s after the start and a quarter of their time.

--- a/src/event.rs
+++ b/src/event.rs
@@ -58,6 +58,7 @@
     102 ShutdownComplete "Everything in flight ended; the process exits.",
     103 ShutdownForced "A second signal: the streams named were cut.",
     104 SettingsReloaded "SIGHUP arrived: the settings file was read again.",
+    105 SeedsTried "A host that starts tried to connect to its seeds.",
     200 RequestReceived "A caller's request was parsed and its customer identified.",
     201 RequestRefused "A request was refused; it did not run.",
     202 RequestQueued "A request waits at its schedulers.",
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -21,6 +21,7 @@
 pub mod host;
 pub(crate) mod hostlisting;
 pub mod identity;
+pub(crate) mod joining;
 pub(crate) mod line;
 pub mod loads;
 pub(crate) mod ownword;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -21,6 +21,7 @@
 use crate::gateway::connection::Connection;
 use crate::gateway::connection::Patience;
 use crate::gateway::directory::Upstream;
+use crate::gateway::joining::Seeds;
 use crate::gateway::protocol::OwnCall;
 use crate::gateway::protocol::Record;
 use crate::gateway::protocol::Topic;
@@ -47,6 +48,8 @@
 const ANSWER_BYTES_MAX: usize = 8 << 20;
 /// How often a host that listens looks whether it has to read for itself.
 const READER_CHECK: Duration = Duration::from_millis(200);
+/// The same while it has just started.
+const JOIN_CHECK: Duration = Duration::from_millis(20);
 /// A host that starts gives those that its seeds name this time to tell what they know, and reads the
 /// log only then: hundreds that start together would all read all of it. With 0.4 s most of 78 did, as
 /// their seeds, of a tenth of a core, could not answer all by then.
@@ -159,7 +162,7 @@
     let mut backoff = new_backoff();
     loop {
         if follower.is_fresh_elsewhere() {
-            tokio::time::sleep(READER_CHECK).await;
+            tokio::time::sleep(follower.check_pause()).await;
             continue;
         }
         match follower.advance().await {
@@ -209,12 +212,20 @@
         elsewhere
     }
 
-    /// Whether this host has just started and others may know what it lacks. Seeds read at once.
+    fn check_pause(&self) -> Duration {
+        match self.is_joining() {
+            true => JOIN_CHECK,
+            false => READER_CHECK,
+        }
+    }
+
+    /// Whether this host has just started and others may know what it lacks. Seeds read at once, and
+    /// so does a host that can't connect to any.
     fn is_joining(&self) -> bool {
         let settings = self.shared.settings();
         let is_seed = settings.seeds.contains(&settings.peer_address);
         let is_young = self.shared.now() < Time::ZERO + JOIN_WAIT;
-        is_young && !is_seed && !settings.seeds.is_empty()
+        is_young && !is_seed && self.shared.seeds() != Seeds::Away
     }
 
     /// Waits before the log is tried again: for `pause` on the hosts that look out for its return,
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -12,7 +12,6 @@
 use actix_web::dev::ServerHandle;
 use actix_web::http::KeepAlive;
 use actix_web::web;
-use rand::seq::SliceRandom;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
@@ -27,6 +26,7 @@
 use crate::gateway::follow;
 use crate::gateway::gossip;
 use crate::gateway::hostlisting;
+use crate::gateway::joining;
 use crate::gateway::ownword;
 use crate::gateway::peerfetch;
 use crate::gateway::protocol::Protocol;
@@ -55,10 +55,6 @@
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 /// How often beliefs that lapse by time are looked at.
 const LAPSE_INTERVAL: Duration = Duration::from_millis(250);
-/// Between two rounds of asking seeds for a first configuration.
-const SEED_PAUSE: Duration = Duration::from_millis(300);
-/// Before the first such round: seeds that start at the same time have read the log by then.
-const SEED_FIRST_PAUSE: Duration = Duration::from_millis(100);
 
 /// Reads the settings again; none if they can't be read.
 pub type Reload = Box<dyn Fn() -> Option<GatewaySettings>>;
@@ -119,7 +115,7 @@
         actix_rt::spawn(follow::follow(shared.clone(), Topic::Upstreams));
         actix_rt::spawn(hostlisting::run(shared.clone()));
         actix_rt::spawn(gossip::run(shared.clone(), socket));
-        actix_rt::spawn(ask_seeds(shared.clone()));
+        actix_rt::spawn(joining::ask_seeds(shared.clone()));
         actix_rt::spawn(ownword::ask_while_blind(shared.clone()));
         actix_rt::spawn(lapse(shared.clone()));
         actix_rt::spawn(keep_up(telemetry));
@@ -266,34 +262,6 @@
     }
 }
 
-/// A host that starts while the log is away takes what its peers have.
-async fn ask_seeds(shared: Shared) {
-    let own = shared.settings().peer_address;
-    let mut seeds = shared.settings().seeds.clone();
-    seeds.retain(|seed| *seed != own);
-    // Hosts that start together don't all ask the same one first.
-    seeds.shuffle(&mut rand::rng());
-    tokio::time::sleep(SEED_FIRST_PAUSE).await;
-    while !shared.is_ready() {
-        if !shared.is_reading(Topic::Operator) {
-            ask_each(&shared, &seeds).await;
-        }
-        tokio::time::sleep(SEED_PAUSE).await;
-    }
-}
-
-/// Asks one seed after another until the host can serve.
-async fn ask_each(shared: &Shared, seeds: &[SocketAddr]) {
-    for seed in seeds {
-        if shared.is_ready() {
-            return;
-        }
-        if let Err(error) = peerfetch::fetch_now(shared, *seed).await {
-            log::debug!("seed {seed}: {error}");
-        }
-    }
-}
-
 /// Drops beliefs whose time is over.
 async fn lapse(shared: Shared) {
     loop {
--- /dev/null
+++ b/src/gateway/joining.rs
@@ -0,0 +1,138 @@
+//! How a host that starts learns what is in force.
+//!
+//! The load that this answers: after a loss of power hundreds of hosts start within half a second, and
+//! requests arrive before they know anything. Who names seeds asks them, so that not all read the
+//! whole log; but where no seed can be connected to, waiting for them keeps the host from serving,
+//! and it reads the log at once.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use rand::seq::SliceRandom;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::event::EventCode;
+use crate::gateway::peerfetch;
+use crate::gateway::protocol::Topic;
+use crate::gateway::shared::Shared;
+
+/// Between two rounds of asking seeds.
+const SEED_PAUSE: Duration = Duration::from_millis(300);
+/// Before the first such round: seeds that start at the same time have read the log by then.
+const SEED_FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Between two tries to connect to seeds.
+const REACH_PAUSE: Duration = Duration::from_millis(40);
+/// Tries after which seeds that can't be connected to count as away: those that start with this host
+/// listen by then.
+const REACH_TRIES: u32 = 2;
+/// A seed that answers the connection is there within this time: a few round trips of the farthest
+/// data centre.
+const REACH_TIMEOUT: Duration = Duration::from_millis(120);
+/// A request that comes while the host knows nothing yet waits for so long at most: a start takes a
+/// tenth of that where the log answers.
+const START_PATIENCE: Duration = Duration::from_millis(400);
+/// and for no more than this part of the time that its caller gives it.
+const START_PATIENCE_SHARE: f64 = 0.25;
+
+/// Whether seeds can be connected to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Seeds {
+    /// Not tried yet.
+    Unknown,
+    /// At least one can.
+    Reached,
+    /// None can, or none is named.
+    Away,
+}
+
+impl Seeds {
+    const fn name(self) -> &'static str {
+        match self {
+            Seeds::Unknown => "unknown",
+            Seeds::Reached => "reached",
+            Seeds::Away => "away",
+        }
+    }
+}
+
+/// Asks seeds until the host can serve.
+pub(crate) async fn ask_seeds(shared: Shared) {
+    let own = shared.settings().peer_address;
+    let mut seeds = shared.settings().seeds.clone();
+    seeds.retain(|seed| *seed != own);
+    // Hosts that start together don't all ask the same one first.
+    seeds.shuffle(&mut rand::rng());
+    let asks_from = Instant::now() + SEED_FIRST_PAUSE;
+    let state = reach(&seeds).await;
+    shared.set_seeds(state);
+    let line = shared.log().line(EventCode::SeedsTried);
+    line.with("seeds", seeds.len())
+        .with("outcome", state.name())
+        .write();
+    tokio::time::sleep_until(asks_from).await;
+    while !shared.is_ready() {
+        if !shared.is_reading(Topic::Operator) {
+            ask_each(&shared, &seeds).await;
+        }
+        tokio::time::sleep(SEED_PAUSE).await;
+    }
+}
+
+async fn reach(seeds: &[SocketAddr]) -> Seeds {
+    for _ in 0..REACH_TRIES {
+        tokio::time::sleep(REACH_PAUSE).await;
+        let tries = seeds.iter().map(|seed| can_connect(*seed));
+        if join_all(tries).await.contains(&true) {
+            return Seeds::Reached;
+        }
+    }
+    Seeds::Away
+}
+
+async fn can_connect(seed: SocketAddr) -> bool {
+    let connecting = TcpStream::connect(seed);
+    matches!(
+        tokio::time::timeout(REACH_TIMEOUT, connecting).await,
+        Ok(Ok(_))
+    )
+}
+
+/// Asks one seed after another until the host can serve.
+async fn ask_each(shared: &Shared, seeds: &[SocketAddr]) {
+    for seed in seeds {
+        if shared.is_ready() {
+            return;
+        }
+        if let Err(error) = peerfetch::fetch_now(shared, *seed).await {
+            log::debug!("seed {seed}: {error}");
+        }
+    }
+}
+
+/// Keeps a request of a caller who gives it `timeout` while the host has just started and knows
+/// nothing yet.
+pub(crate) async fn wait_until_informed(shared: &Shared, timeout: Duration) {
+    let age = Duration::from_micros(shared.now().as_us());
+    let until = Instant::now() + patience(age, timeout);
+    let mut news = shared.news_watch();
+    while !shared.is_informed() && Instant::now() < until {
+        tokio::select! {
+            _ = news.changed() => {}
+            () = tokio::time::sleep_until(until) => {}
+        }
+    }
+}
+
+/// How long a request waits at a host of this age.
+fn patience(age: Duration, timeout: Duration) -> Duration {
+    let left = START_PATIENCE.saturating_sub(age);
+    if timeout > START_PATIENCE.mul_f64(1.0 / START_PATIENCE_SHARE) {
+        return left;
+    }
+    left.min(timeout.mul_f64(START_PATIENCE_SHARE))
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/joining/tests.rs
@@ -0,0 +1,40 @@
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::time::Duration;
+
+use super::START_PATIENCE;
+use super::Seeds;
+use super::patience;
+use super::reach;
+
+/// An address at which nobody listens.
+fn closed_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+#[actix_rt::test]
+async fn seeds_that_nobody_can_connect_to_are_away() {
+    assert_eq!(reach(&[closed_address()]).await, Seeds::Away);
+    assert_eq!(reach(&[]).await, Seeds::Away);
+}
+
+#[actix_rt::test]
+async fn one_seed_that_listens_is_enough() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let seeds = [closed_address(), listener.local_addr().unwrap()];
+
+    assert_eq!(reach(&seeds).await, Seeds::Reached);
+}
+
+#[test]
+fn a_request_waits_at_a_young_host_only_and_for_a_part_of_its_time() {
+    let day = Duration::from_secs(86_400);
+    assert_eq!(patience(Duration::ZERO, day), START_PATIENCE);
+    assert_eq!(patience(START_PATIENCE, day), Duration::ZERO);
+    assert_eq!(
+        patience(Duration::ZERO, Duration::from_millis(800)),
+        Duration::from_millis(200)
+    );
+    assert_eq!(patience(Duration::ZERO, Duration::MAX), START_PATIENCE);
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -27,6 +27,7 @@
 use crate::gateway::forward::CallerRequest;
 use crate::gateway::identity;
 use crate::gateway::identity::Caller;
+use crate::gateway::joining;
 use crate::gateway::place;
 use crate::gateway::place::Candidate;
 use crate::gateway::place::Need;
@@ -219,6 +220,7 @@
     let names = shared.protocol().headers();
     let id = request.text(&names.request_id).unwrap_or("").to_owned();
     let reject = |refusal: Refusal| reject(shared, &id, &request, &refusal);
+    joining::wait_until_informed(shared, caller_timeout(&request, names)).await;
     let Some(configuration) = shared.configuration() else {
         let refusal = Refusal::not_run(Code::NotReady, "the host has no configuration yet");
         return Err(reject(refusal));
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -28,6 +28,7 @@
 use crate::gateway::decisions::DecisionLog;
 use crate::gateway::directory::Directory;
 use crate::gateway::directory::DirectoryChange;
+use crate::gateway::joining::Seeds;
 use crate::gateway::line::LineBoard;
 use crate::gateway::loads::LoadBoard;
 use crate::gateway::peers::Peers;
@@ -80,6 +81,7 @@
     log_away: AtomicBool,
     news: watch::Sender<u64>,
     stops_at: OnceLock<Instant>,
+    seeds: Mutex<Seeds>,
     config_version: AtomicU64,
 }
 
@@ -115,6 +117,7 @@
             log_away: AtomicBool::new(true),
             news: watch::channel(0).0,
             stops_at: OnceLock::new(),
+            seeds: Mutex::new(Seeds::Unknown),
             config_version: AtomicU64::new(0),
         }))
     }
@@ -368,9 +371,22 @@
 
     /// Whether the host can serve requests.
     pub fn is_ready(&self) -> bool {
-        !self.gate().is_shutting_down()
-            && self.configuration().is_some()
-            && self.directory(|directory| !directory.is_empty())
+        !self.gate().is_shutting_down() && self.is_informed()
+    }
+
+    /// Whether the host has a configuration and upstreams.
+    pub(crate) fn is_informed(&self) -> bool {
+        self.configuration().is_some() && self.directory(|directory| !directory.is_empty())
+    }
+
+    /// Whether the seeds could be connected to when the host started.
+    pub(crate) fn seeds(&self) -> Seeds {
+        *locked(&self.0.seeds)
+    }
+
+    /// The seeds were tried.
+    pub(crate) fn set_seeds(&self, seeds: Seeds) {
+        *locked(&self.0.seeds) = seeds;
     }
 
     /// Hosts that share bounds, this one among them.
