Say not ready when a cut keeps the host from a service, and pass over engines that reset

(2) Engines that go down and up by turns take a connection and reset it; each of 66 hosts learnt that for itself, and 72 generations were sent to engines that seemed empty because they were dead. Change: a host that hears no other data centre for 0.6 s and can connect to no upstream of a service is not ready, and closes its callers' connections after each answer, until it hears others again (gateway/cutoff). A generation's connection that breaks before the answer counts like one that can't be established, which hosts tell each other.

--- a/src/event.rs
+++ b/src/event.rs
@@ -79,6 +79,8 @@
     304 UpstreamLost "An upstream was lost with what it ran.",
     305 UpstreamBack "An upstream that was leaving or lost takes work again.",
     306 UpstreamListed "An upstream is listed, or its entry changed.",
+    307 ServiceOutOfReach "A cut keeps the host from all upstreams of a service; it says that it is not ready.",
+    308 ServiceInReach "Other data centres are heard again; the host is ready as before.",
     310 OwnerDecided "An owner decided on a request: granted, refused or to be moved, with the figures.",
     400 ConfigReady "The host has a configuration and serves by it.",
     401 EditApplied "An edit of the table is in force on this host.",
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod call;
 pub mod configuration;
 pub mod connection;
+pub(crate) mod cutoff;
 pub mod datagram;
 pub mod decisions;
 pub(crate) mod destinations;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -245,7 +245,7 @@
         .with("bytes", answer.body.len())
         .write();
     let mut response = respond(&answer.head);
-    if shared.gate().is_shutting_down() {
+    if shared.sends_callers_away() {
         response.force_close();
     }
     response.body(answer.body)
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -272,6 +272,7 @@
         for id in gone {
             shared.note_lapsed(&id);
         }
+        shared.look_for_cut();
     }
 }
 
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -52,6 +52,8 @@
     own: SocketAddr,
     seeds: Vec<SocketAddr>,
     peers: BTreeMap<SocketAddr, Peer>,
+    /// When a host of each data centre was last heard.
+    heard_at: BTreeMap<DataCentre, Time>,
     turn: usize,
     fetching: bool,
 }
@@ -68,6 +70,7 @@
             own,
             seeds,
             peers: BTreeMap::new(),
+            heard_at: BTreeMap::new(),
             turn: 0,
             fetching: false,
         }
@@ -103,6 +106,7 @@
             log_away: datagram.log_away,
             stopping: datagram.stopping,
         };
+        self.heard_at.insert(heard.data_centre.clone(), now);
         self.peers.insert(
             address,
             Peer {
@@ -150,6 +154,12 @@
             .any(|heard| heard.reading.reads(topic) && now.since(heard.at) < READER_SILENT_FOR)
     }
 
+    /// For how long no host outside `own` was heard; none if none ever was.
+    pub(crate) fn silence_outside(&self, now: Time, own: &DataCentre) -> Option<Duration> {
+        let outside = self.heard_at.iter().filter(|(other, _)| *other != own);
+        outside.map(|(_, at)| now.since(*at)).min()
+    }
+
     /// Whether this host is among the first by name of the live hosts of its data centre: those look
     /// for a log that is away more often than the others, who hear of its return from them.
     pub fn is_lookout(&self, now: Time, host: &HostId, data_centre: &DataCentre) -> bool {
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use super::Peers;
 use crate::clock::Time;
 use crate::gateway::datagram::Datagram;
@@ -192,3 +194,16 @@
     assert!(kept.iter().all(|(_, load)| load.tokens > 100));
     assert!(!kept.is_empty());
 }
+
+#[test]
+fn the_silence_of_other_data_centres_lasts_since_the_last_word_of_any() {
+    let mut peers = Peers::new(address(20), &[]);
+    let north = DataCentre::new("north");
+    peers.hear(Time::from_ms(100), address(1), &datagram(1, "north"));
+    assert_eq!(peers.silence_outside(Time::from_ms(900), &north), None);
+
+    peers.hear(Time::from_ms(200), address(2), &datagram(2, "south"));
+    peers.hear(Time::from_ms(500), address(3), &datagram(3, "east"));
+    let silence = peers.silence_outside(Time::from_ms(900), &north);
+    assert_eq!(silence, Some(Duration::from_millis(400)));
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -130,7 +130,7 @@
             .with("message", refusal.message.as_str())
             .write();
         telemetry::count_refusal(Some(&self.service), refusal.code);
-        refuse::answer(refusal, shared.gate().is_shutting_down())
+        refuse::answer(refusal, shared.sends_callers_away())
     }
 
     /// What the caller says of the generation's size.
@@ -332,5 +332,5 @@
         .with("message", refusal.message.as_str())
         .write();
     telemetry::count_refusal(None, refusal.code);
-    refuse::answer(refusal, shared.gate().is_shutting_down())
+    refuse::answer(refusal, shared.sends_callers_away())
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -24,6 +24,7 @@
 use crate::event::EventCode;
 use crate::gate::Gate;
 use crate::gateway::configuration::Configuration;
+use crate::gateway::cutoff::CutOff;
 use crate::gateway::datagram::Reading;
 use crate::gateway::decisions::DecisionLog;
 use crate::gateway::directory::Directory;
@@ -82,6 +83,7 @@
     news: watch::Sender<u64>,
     stops_at: OnceLock<Instant>,
     seeds: Mutex<Seeds>,
+    cut_off: Mutex<CutOff>,
     config_version: AtomicU64,
 }
 
@@ -118,6 +120,7 @@
             news: watch::channel(0).0,
             stops_at: OnceLock::new(),
             seeds: Mutex::new(Seeds::Unknown),
+            cut_off: Mutex::default(),
             config_version: AtomicU64::new(0),
         }))
     }
@@ -369,9 +372,15 @@
         Some(stops_at.saturating_duration_since(Instant::now()))
     }
 
-    /// Whether the host can serve requests.
+    /// Whether the host can serve requests better than others.
     pub fn is_ready(&self) -> bool {
-        !self.gate().is_shutting_down() && self.is_informed()
+        !self.gate().is_shutting_down() && self.is_informed() && !self.is_cut_off()
+    }
+
+    /// Whether callers do better with another host, so that their connections are closed after an
+    /// answer.
+    pub(crate) fn sends_callers_away(&self) -> bool {
+        self.gate().is_shutting_down() || self.is_cut_off()
     }
 
     /// Whether the host has a configuration and upstreams.
--- a/src/gateway/shared/health.rs
+++ b/src/gateway/shared/health.rs
@@ -6,6 +6,7 @@
 use crate::ejection::Ejector;
 use crate::ejection::Health;
 use crate::event::EventCode;
+use crate::gateway::cutoff::Change;
 use crate::id::HostId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
@@ -80,6 +81,47 @@
         locked(&self.0.reach).is_passed_over(now, upstream)
     }
 
+    /// Whether this host is cut off from all upstreams of a service that others can reach.
+    pub fn is_cut_off(&self) -> bool {
+        locked(&self.0.cut_off).is_cut_off()
+    }
+
+    /// Looks whether a cut keeps this host from a service, or has ended.
+    pub fn look_for_cut(&self) {
+        let now = self.now();
+        let here = &self.settings().data_centre;
+        let silence = self.peers(|peers| peers.silence_outside(now, here));
+        let lost = || self.service_out_of_reach(now);
+        let Some(change) = locked(&self.0.cut_off).look(silence, lost) else {
+            return;
+        };
+        let (code, service) = match &change {
+            Change::Lost(service) => (EventCode::ServiceOutOfReach, service),
+            Change::Back(service) => (EventCode::ServiceInReach, service),
+        };
+        let line = self.log().line(code);
+        line.with("service", service.as_str())
+            .with_some(
+                "silence_ms",
+                silence.map(|silence| silence.as_millis() as u64),
+            )
+            .write();
+    }
+
+    /// A service whose upstreams are listed and can't be connected to, all of them.
+    fn service_out_of_reach(&self, now: Time) -> Option<ServiceId> {
+        let configuration = self.configuration()?;
+        let mut services = configuration.services.keys();
+        let is_lost = |service: &&ServiceId| {
+            let ready = self.directory(|directory| directory.ready(service));
+            !ready.is_empty()
+                && ready
+                    .iter()
+                    .all(|upstream| self.is_passed_over(now, &upstream.id))
+        };
+        services.find(is_lost).cloned()
+    }
+
     /// A request at an upstream failed by the upstream's fault.
     pub fn upstream_failed(&self, service: &ServiceId, upstream: &UpstreamId, reason: &str) {
         let now = self.now();
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -312,7 +312,12 @@
     let begun = match exchange::send(shared, admitted, connection, &headers).await {
         Ok(begun) => begun,
         Err(Unanswered::NotRun(reason)) => return Opened::NotRun(reason),
-        Err(Unanswered::Unknown(reason)) => return Opened::Unknown(reason),
+        Err(Unanswered::Unknown(reason)) => {
+            // An engine that crashes takes connections for a while and looks empty, so it would be
+            // chosen again and again by each host that has not seen it yet.
+            shared.upstream_unreachable(&upstream.id, &reason);
+            return Opened::Unknown(reason);
+        }
     };
     let Begun {
         connection,
@@ -357,7 +362,7 @@
 fn respond(shared: Shared, admitted: Admitted, running: Running, share: Share) -> HttpResponse {
     shared.ejector(|ejector| ejector.succeeded(&running.upstream.id));
     let mut response = call::respond(&running.head);
-    if shared.gate().is_shutting_down() {
+    if shared.sends_callers_away() {
         response.force_close();
     }
     let relay = Relay::new(shared, admitted, running, share);
