Keep no copies of runs at a second engine

Cause: a copy of a run takes a link for 0.2 s. Change: backups are removed, with the setting, the stall limit and the second way to continue. What still waits is copies of two engines to one destination.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -175,7 +175,6 @@
         time_left: admitted.time_left(),
         customer: admitted.customer.as_ref(),
         priority: None,
-        backup_at: None,
         continue_from: None,
     };
     let begun = match exchange::send(shared, admitted, connection, &headers).await {
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -17,8 +17,6 @@
     pub memory_tokens: u32,
     /// Whether a running generation's memory can be copied to another engine.
     pub moves: bool,
-    /// Whether an engine keeps a copy of a running generation up to date at another one.
-    pub backups: bool,
     /// Tokens of one event of a stream.
     pub tokens_per_event: u32,
 }
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -75,8 +75,6 @@
     pub customer: Option<&'a CustomerId>,
     /// Rank for the engine.
     pub priority: Option<u8>,
-    /// The engine that shall keep a copy.
-    pub backup_at: Option<&'a Upstream>,
     /// Continue from this copy after that event.
     pub continue_from: Option<(HeaderValue, u64)>,
 }
@@ -105,7 +103,6 @@
         &names.expected_instance,
         &names.priority,
         &names.continue_from,
-        &names.backup_at,
     ];
     set_here.contains(&name) || names.reserved.contains(name)
 }
@@ -124,9 +121,6 @@
     if let Some(priority) = attempt.priority {
         headers.insert(&names.priority, HeaderValue::from(u16::from(priority)));
     }
-    if let Some(backup) = attempt.backup_at {
-        insert_text(headers, &names.backup_at, &backup.address.to_string());
-    }
     if let Some((copy, last_event)) = &attempt.continue_from {
         headers.insert(&names.continue_from, copy.clone());
         headers.insert(&names.last_event, HeaderValue::from(*last_event));
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -138,8 +138,6 @@
     pub continue_from: HeaderName,
     /// The last event that the caller has.
     pub last_event: HeaderName,
-    /// The engine that keeps a copy up to date.
-    pub backup_at: HeaderName,
     /// Headers of callers that are the system's to set; never passed on.
     pub reserved: Vec<HeaderName>,
     /// The scheme before a key in the `Authorization` header.
@@ -203,8 +201,7 @@
     /// If it isn't one.
     fn decode_copy(&self, body: &[u8]) -> Result<CopyDone>;
 
-    /// The value of `continue_from` for the copy `handle` whose source listens at `source`. Of a
-    /// backup the handle is the request's id and the source the engine that holds it.
+    /// The value of `continue_from` for the copy `handle` whose source listens at `source`.
     fn continue_value(&self, source: SocketAddr, handle: &str) -> HeaderValue;
 
     /// Asks an engine about itself.
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -53,13 +53,6 @@
 const TOKEN_TIME: Duration = Duration::from_millis(11);
 /// Time for a generation's prompt, beside that of its tokens.
 const START_ALLOWANCE: Duration = Duration::from_millis(800);
-/// Shorter runs are over before a copy of them pays: about a second and a half.
-const BACKUP_OUTPUT_TOKENS_MIN: u32 = 150;
-/// Copies are kept where the predicted peaks of all that an engine holds stay below this share of
-/// its memory. Above it they cost more in preempted runs than they save after crashes
-/// (docs/MEASUREMENTS.md).
-const BACKUP_MEMORY_SHARE_MAX: f64 = 0.3;
-
 /// A run at an engine whose answer has begun.
 #[derive(Debug)]
 struct Running {
@@ -72,15 +65,6 @@
     sent_at: Instant,
     /// Tokens to be read before its first event, its own among them.
     unread_tokens: u32,
-    /// Keeps a copy of the run up to date.
-    backup: Option<Backup>,
-}
-
-/// An engine that is kept a copy of a run at.
-#[derive(Debug)]
-struct Backup {
-    upstream: Arc<Upstream>,
-    _occupied: Occupied,
 }
 
 /// What came of sending a request to an engine.
@@ -105,7 +89,6 @@
     occupied: Occupied,
     /// Tokens to be read there before its first event, its own among them.
     unread_tokens: u32,
-    backup: Option<Backup>,
     continuation: Option<&'a Continuation>,
 }
 
@@ -227,32 +210,6 @@
     }
 }
 
-/// Chooses an engine to keep a copy of the run at, if the run is worth it and there is room to
-/// spare: memory for copies is the first to go without.
-fn choose_backup(shared: &Shared, admitted: &Admitted, upstream: &Upstream) -> Option<Backup> {
-    let engine = admitted.engine.as_ref().filter(|engine| engine.backups)?;
-    let size = admitted.size(shared);
-    let output = output_planned(size);
-    if output < BACKUP_OUTPUT_TOKENS_MIN {
-        return None;
-    }
-    let tokens = size.prompt_tokens + output;
-    let need = Need::Copy {
-        tokens,
-        memory_tokens: engine.memory_tokens,
-    };
-    let candidate = admitted.place(shared, need, std::slice::from_ref(&upstream.id))?;
-    let taken = f64::from(candidate.load.tokens + tokens) / f64::from(engine.memory_tokens);
-    if taken > BACKUP_MEMORY_SHARE_MAX || candidate.doubtful {
-        return None;
-    }
-    let occupied = shared.loads().occupy(&candidate.upstream.id, tokens, 0);
-    Some(Backup {
-        upstream: candidate.upstream,
-        _occupied: occupied,
-    })
-}
-
 /// Sends the request to an engine and waits until its answer begins.
 async fn open(
     shared: &Shared,
@@ -261,7 +218,6 @@
     tokens: u32,
     continuation: Option<&Continuation>,
 ) -> Opened {
-    let backup = choose_backup(shared, admitted, upstream);
     let unread_tokens = match continuation {
         None if admitted.engine.is_some() => admitted.size(shared).prompt_tokens,
         _ => 0,
@@ -273,7 +229,6 @@
         upstream,
         occupied,
         unread_tokens: load.unread_tokens,
-        backup,
         continuation,
     };
     let opening = open_now(shared, admitted, sending);
@@ -288,7 +243,6 @@
         upstream,
         occupied,
         unread_tokens,
-        backup,
         continuation,
     } = sending;
     let sent_at = Instant::now();
@@ -306,7 +260,6 @@
         time_left: admitted.time_left(),
         customer: admitted.customer.as_ref(),
         priority: Some(admitted.priority.min(PRIORITY_MAX)),
-        backup_at: backup.as_ref().map(|backup| &*backup.upstream),
         continue_from: continuation.map(|to| (to.copy.clone(), to.last_event)),
     };
     let begun = match exchange::send(shared, admitted, connection, &headers).await {
@@ -333,7 +286,6 @@
             occupied,
             sent_at,
             unread_tokens,
-            backup,
         }));
     }
     let body = match body.collect().await {
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -75,10 +75,7 @@
     /// The run is being stopped and its rest copied.
     Last {
         to: Arc<Upstream>,
-        /// Whether `to` has kept a copy all along, so that nobody waits for this one.
-        is_backup: bool,
-        /// What it holds, where the destination isn't a backup.
-        held: Option<Held>,
+        held: Held,
         copying: LocalBoxFuture<'static, CopyResult>,
     },
     /// The next try begins at this time.
@@ -223,7 +220,7 @@
         match result {
             Ok(done) => {
                 self.note_move(&format!("copied {} events", done.events), Some(&to));
-                self.begin_last(to, Some(held));
+                self.begin_last(to, held);
             }
             Err(failure) => {
                 self.note_move(&failure.describe(), Some(&to));
@@ -241,32 +238,17 @@
 
     pub(super) fn timer(&mut self) {
         match std::mem::replace(&mut self.moving, Move::None) {
-            Move::Copied { to, held, .. } => self.begin_last(to, Some(held)),
+            Move::Copied { to, held, .. } => self.begin_last(to, held),
             Move::Paused { .. } => self.look_at_directory(),
-            Move::None => self.look_at_stall(),
             other => self.moving = other,
         }
     }
 
-    /// Stops a run that stands still and continues it at the engine that keeps a copy.
-    fn look_at_stall(&mut self) {
-        let Some(backup) = self.usable_backup() else {
-            return;
-        };
-        self.last_at = Instant::now();
-        self.begin_last(backup, None);
-    }
-
-    /// Stops the run and copies its rest. Where the move holds nothing `to` is the backup.
-    pub(super) fn begin_last(&mut self, to: Arc<Upstream>, held: Option<Held>) {
+    /// Stops the run and copies its rest.
+    pub(super) fn begin_last(&mut self, to: Arc<Upstream>, held: Held) {
         self.note_move("stopping", Some(&to));
         let copying = self.copy(&to, true);
-        self.moving = Move::Last {
-            to,
-            is_backup: held.is_none(),
-            held,
-            copying,
-        };
+        self.moving = Move::Last { to, held, copying };
     }
 
     /// The run was stopped and copied, or not.
@@ -276,13 +258,7 @@
     /// Why the stream can't go on.
     pub(super) async fn last_copied(&mut self, result: CopyResult) -> Result<(), String> {
         let moving = std::mem::replace(&mut self.moving, Move::None);
-        let Move::Last {
-            to,
-            is_backup,
-            held,
-            ..
-        } = moving
-        else {
+        let Move::Last { to, held, .. } = moving else {
             return Ok(());
         };
         let source = self.running.upstream.clone();
@@ -293,13 +269,6 @@
                 drop(held);
                 self.continue_at(&to, &source, &done.handle).await
             }
-            Err(CopyFailure::NoRoom(_)) if is_backup => {
-                self.continue_at_backup("stopped, no room for another copy")
-                    .await
-            }
-            Err(CopyFailure::Unknown(reason)) if is_backup => {
-                self.continue_at_backup(&reason).await
-            }
             Err(CopyFailure::NoRoom(Some(handle))) => {
                 self.note_move("no room after the stop", Some(&to));
                 self.avoid.push(to.id.clone());
@@ -310,13 +279,15 @@
             Err(failure) => {
                 self.note_move(&failure.describe(), Some(&to));
                 let until = Instant::now() + BUSY_PAUSE;
-                self.moving = match (failure, held) {
-                    (CopyFailure::Busy, Some(held)) => Move::Copied {
+                self.moving = match failure {
+                    CopyFailure::Busy => Move::Copied {
                         to,
                         held,
                         stop_at: until,
                     },
-                    _ => Move::Paused { until },
+                    CopyFailure::NoSuchRun | CopyFailure::NoRoom(_) | CopyFailure::Unknown(_) => {
+                        Move::Paused { until }
+                    }
                 };
                 Ok(())
             }
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -1,6 +1,5 @@
 //! Relays one stream and moves its run off a leaving engine.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,7 +13,6 @@
 use super::moving::Move;
 use super::moving::copied;
 use crate::event::EventCode;
-use crate::gateway::directory::Upstream;
 use crate::gateway::events::EventSplitter;
 use crate::gateway::line::Share;
 use crate::gateway::serve::Admitted;
@@ -26,10 +24,6 @@
 use crate::telemetry::Metric;
 use crate::telemetry::StreamMeter;
 
-/// A stream of which nothing came for so long stands still: several times the longest gap between
-/// two events of a sound engine (0.2 s were measured while long prompts are read).
-const STALL_LIMIT: Duration = Duration::from_millis(800);
-
 /// One stream on its way to its caller.
 pub(super) struct Relay {
     pub(super) shared: Shared,
@@ -118,7 +112,9 @@
                 Happened::Timer => self.timer(),
                 Happened::Deadline => return self.fail("the deadline passed"),
             }
-            if let Err(reason) = self.go_on_if_broken().await {
+            if let Some(reason) = self.broken.clone()
+                && !self.will_go_on()
+            {
                 return self.fail(&reason);
             }
         }
@@ -144,64 +140,16 @@
         lines.with(|lines| lines.pace.first_event(tokens, time));
     }
 
-    /// Where the stream has broken off, continues it at the engine that keeps a copy, unless a move
-    /// is under way that will continue it.
-    ///
-    /// # Errors
-    ///
-    /// Why the stream can't go on.
-    async fn go_on_if_broken(&mut self) -> Result<(), String> {
-        let Some(reason) = self.broken.clone() else {
-            return Ok(());
-        };
-        if let Move::Last {
-            is_backup: false, ..
-        } = self.moving
-        {
-            return Ok(());
-        }
-        // A copy that is under way is given up: where the backup's answer is lost the run may go on
-        // there, and continuing it from that copy too would run it twice.
-        self.moving = Move::None;
-        self.continue_at_backup(&reason).await
-    }
-
-    /// Continues the run at the engine that keeps a copy of it.
-    ///
-    /// # Errors
-    ///
-    /// Why the stream can't go on.
-    pub(super) async fn continue_at_backup(&mut self, reason: &str) -> Result<(), String> {
-        let Some(backup) = self.usable_backup() else {
-            return Err(reason.to_owned());
-        };
-        self.note_move(reason, Some(&backup));
-        let handle = self.admitted.id.clone();
-        self.continue_at(&backup, &backup, &handle).await
-    }
-
-    /// The engine that keeps a copy, if it can take the run over.
-    pub(super) fn usable_backup(&self) -> Option<Arc<Upstream>> {
-        let backup = &self.running.backup.as_ref()?.upstream;
-        let ready = self
-            .shared
-            .directory(|directory| directory.is_ready(&backup.id));
-        ready.then(|| backup.clone())
-    }
-
-    /// When a stream that stands still is looked after: its engine may have gone without a word.
-    fn stall_at(&self) -> Option<Instant> {
-        self.usable_backup()?;
-        self.first_ms?;
-        Some(self.last_at + STALL_LIMIT)
+    /// Where the stream has broken off, whether a move is under way that will continue it.
+    fn will_go_on(&self) -> bool {
+        matches!(self.moving, Move::Last { .. })
     }
 
     async fn happened(&mut self) -> Happened {
         let timer = match &self.moving {
             Move::Copied { stop_at, .. } => Some(*stop_at),
             Move::Paused { until } => Some(*until),
-            Move::None => self.stall_at(),
-            Move::Queued { .. } | Move::First { .. } | Move::Last { .. } => None,
+            Move::None | Move::Queued { .. } | Move::First { .. } | Move::Last { .. } => None,
         };
         let is_open = self.broken.is_none();
         tokio::select! {
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -57,7 +57,6 @@
                 priority: name("rank"),
                 continue_from: name("continue-from"),
                 last_event: name("last-event-id"),
-                backup_at: name("copy-at"),
                 reserved: vec![name("reserved")],
                 key_scheme: "Key",
             },
@@ -146,7 +145,6 @@
             slots: 8,
             memory_tokens: 30_000,
             moves: true,
-            backups: false,
             tokens_per_event: 1,
         };
         let service = |engine: Option<EngineSpec>| ServiceSpec {
