Divide destinations also among runs that are being copied now

Change: hosts tell where the run goes that they are moving; others choose another destination while there is one. Datagrams change their format: hosts of two releases don't hear each other's.

--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -22,7 +22,7 @@
 pub(crate) const DATAGRAM_BYTES_MAX: usize = 1_400;
 /// First byte of a datagram; rises with each change of its fields, so that hosts of two releases
 /// side by side don't misread each other.
-const FORMAT: u8 = 2;
+const FORMAT: u8 = 3;
 
 /// What a host reads of the log and reaches.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -134,6 +134,7 @@
             self.pause();
             return;
         };
+        ticket.goes_to(&to.id);
         self.note_move("copying", Some(&to));
         let size = self.admitted.size(&self.shared);
         let tokens = size.prompt_tokens + output_planned(size);
@@ -176,7 +177,8 @@
     }
 
     /// Where the run goes: to an engine that takes runs of no other near leaving engine; if none of
-    /// those has room, to one that takes runs of no other leaving engine at all; else to any.
+    /// those has room, to one that takes runs of no other leaving engine at all; else to any. Engines to
+    /// which others are being copied now are passed over as long as there is another one.
     fn destination(&self) -> Option<Arc<Upstream>> {
         let engine = self.admitted.engine.as_ref()?;
         let size = self.admitted.size(&self.shared);
@@ -195,12 +197,24 @@
                 .filter(|candidate| f64::from(candidate.load.tokens + tokens) < room);
             own.cloned().collect()
         };
-        let candidate = serve::choose(&self.shared, need, &of_share(Among::Near))
-            .or_else(|| serve::choose(&self.shared, need, &of_share(Among::All)))
-            .or_else(|| serve::choose(&self.shared, need, &candidates))?;
+        let choose = |among: &[Candidate]| serve::choose(&self.shared, need, among);
+        let candidate = choose(&self.free(of_share(Among::Near)))
+            .or_else(|| choose(&self.free(of_share(Among::All))))
+            .or_else(|| choose(&self.free(candidates.clone())))
+            .or_else(|| choose(&candidates))?;
         Some(candidate.upstream)
     }
 
+    /// Those of `candidates` to which no run of another engine is being copied.
+    fn free(&self, mut candidates: Vec<Candidate>) -> Vec<Candidate> {
+        let now = self.shared.now();
+        let source = &self.running.upstream.id;
+        let turns = self.shared.turns();
+        let taken = turns.with(|turns| turns.taken_destinations(now, source));
+        candidates.retain(|candidate| !taken.contains(&candidate.upstream.id));
+        candidates
+    }
+
     /// The engines that take runs of this run's engine and of no other one.
     fn own_destinations(&self, among: Among) -> BTreeSet<UpstreamId> {
         let now = self.shared.now();
--- a/src/gateway/turns.rs
+++ b/src/gateway/turns.rs
@@ -8,6 +8,7 @@
 //! bounded: turns are a courtesy, and no promise rests on them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -40,6 +41,8 @@
     pub runs: u32,
     /// Whether one of them is being moved now.
     pub is_moving: bool,
+    /// Where that one goes, once it is known.
+    pub to: Option<UpstreamId>,
 }
 
 /// This host's runs that leave one engine, in their order.
@@ -47,6 +50,7 @@
 struct Line {
     tickets: Vec<u64>,
     moving: Option<u64>,
+    to: Option<UpstreamId>,
 }
 
 /// Who has what to move off which engine.
@@ -65,6 +69,7 @@
             upstream: upstream.clone(),
             runs: line.tickets.len() as u32,
             is_moving: line.moving.is_some(),
+            to: line.to.clone(),
         })
         .collect()
     }
@@ -93,6 +98,29 @@
         }
     }
 
+    /// The run that is being moved goes to `to`.
+    fn goes_to(&mut self, upstream: &UpstreamId, ticket: u64, to: &UpstreamId) {
+        let line = self.own.get_mut(upstream);
+        if let Some(line) = line.filter(|line| line.moving == Some(ticket)) {
+            line.to = Some(to.clone());
+        }
+    }
+
+    /// Where runs of other engines than `source` are being copied to now. Their links take one copy
+    /// after another, and a run that was stopped would wait behind the others' copies.
+    pub fn taken_destinations(&self, now: Time, source: &UpstreamId) -> BTreeSet<UpstreamId> {
+        let heard = self.peers.values();
+        let peers = heard
+            .filter(|(at, _)| now.since(*at) < PEER_WORD_LASTS)
+            .flat_map(|(_, to_move)| to_move)
+            .filter(|to_move| to_move.upstream != *source)
+            .filter_map(|to_move| to_move.to.clone());
+        let own = self.own.iter().filter(|(upstream, _)| *upstream != source);
+        peers
+            .chain(own.filter_map(|(_, line)| line.to.clone()))
+            .collect()
+    }
+
     fn leave(&mut self, upstream: &UpstreamId, ticket: u64) {
         let Some(line) = self.own.get_mut(upstream) else {
             return;
@@ -100,6 +128,7 @@
         line.tickets.retain(|other| *other != ticket);
         if line.moving == Some(ticket) {
             line.moving = None;
+            line.to = None;
         }
         if line.tickets.is_empty() {
             self.own.remove(upstream);
@@ -159,6 +188,13 @@
         }
     }
 
+    /// Tells the other hosts where the run goes.
+    pub fn goes_to(&self, to: &UpstreamId) {
+        let turns = self.shared.turns();
+        turns.with(|turns| turns.goes_to(&self.upstream, self.number, to));
+        self.shared.tell_news();
+    }
+
     /// Waits for the turn, or until `patience_ends`.
     pub async fn wait(self, patience_ends: Instant) -> Self {
         tokio::time::sleep(FIRST_WORDS).await;
--- a/src/gateway/turns/tests.rs
+++ b/src/gateway/turns/tests.rs
@@ -13,6 +13,7 @@
         upstream: engine(),
         runs,
         is_moving: false,
+        to: None,
     }]
 }
 
@@ -21,6 +22,7 @@
         upstream: engine(),
         runs: 1,
         is_moving: true,
+        to: Some(UpstreamId::new("destination")),
     }]
 }
 
@@ -99,3 +101,44 @@
     assert!(!while_moving);
     assert!(is_turn(&turns, Time::ZERO, "host-1", first));
 }
+
+#[test]
+fn a_destination_is_taken_while_another_engines_run_is_copied_to_it() {
+    let mut turns = Turns::default();
+    let destination = UpstreamId::new("destination");
+    let other = UpstreamId::new("other");
+    turns.hear(Time::ZERO, &HostId::new("host-2"), moving());
+
+    assert!(
+        turns
+            .taken_destinations(Time::ZERO, &other)
+            .contains(&destination)
+    );
+    assert!(turns.taken_destinations(Time::ZERO, &engine()).is_empty());
+    assert!(
+        turns
+            .taken_destinations(Time::from_ms(2_000), &other)
+            .is_empty()
+    );
+}
+
+#[test]
+fn a_hosts_own_copies_take_their_destination_until_they_end() {
+    let mut turns = Turns::default();
+    let destination = UpstreamId::new("destination");
+    let other = UpstreamId::new("other");
+    let ticket = turns.join(&engine());
+    turns.goes_to(&engine(), ticket, &destination);
+    assert!(turns.taken_destinations(Time::ZERO, &other).is_empty());
+
+    turns.begin(&engine(), ticket);
+    turns.goes_to(&engine(), ticket, &destination);
+    assert!(
+        turns
+            .taken_destinations(Time::ZERO, &other)
+            .contains(&destination)
+    );
+
+    turns.leave(&engine(), ticket);
+    assert!(turns.taken_destinations(Time::ZERO, &other).is_empty());
+}
