--- a/src/bin/cedargauge/main.rs
+++ b/src/bin/cedargauge/main.rs
@@ -8,6 +8,7 @@
 mod drain;
 mod entries;
 mod explain;
+mod losses;
 mod status;
 mod table;
 mod upstreams;
@@ -57,6 +58,7 @@
     Status(status::Status),
     Upstreams(upstreams::Upstreams),
     Explain(explain::Explain),
+    Losses(losses::Command),
     Drain(drain::Drain),
     Check(check::Check),
     Table(table::Table),
@@ -79,6 +81,7 @@
         Command::Status(command) => command.run().await,
         Command::Upstreams(command) => command.run().await,
         Command::Explain(command) => command.run().await,
+        Command::Losses(command) => command.run(),
         Command::Drain(command) => command.run().await,
         Command::Check(command) => command.run(),
         Command::Table(command) => command.run().await,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -25,6 +25,7 @@
 pub(crate) mod joining;
 pub(crate) mod line;
 pub mod loads;
+pub mod losses;
 pub(crate) mod ownword;
 pub mod pace;
 pub mod peerfetch;
--- /dev/null
+++ b/src/gateway/losses.rs
@@ -0,0 +1,182 @@
+//! What became of requests that were not served in time, by cause, read from hosts' log lines.
+//!
+//! A request's end is the last of its lines that tells one. A generation whose end no host tells was
+//! running when its host ended. Lines of several hosts may be mixed; what stands before a line's JSON
+//! object is passed over.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::Deserialize;
+
+/// A run that broke so soon after its engine's notice went with the engine; engines give 1.5 to 2.1 s.
+const NOTICE_LASTS: Duration = Duration::from_millis(3_500);
+
+/// Bounds beyond which a stream was late.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Time until the first event.
+    pub first: Duration,
+    /// Pause between two events.
+    pub pause: Duration,
+}
+
+/// Why a request was not served in time.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Cause {
+    /// Its host ended.
+    HostEnded,
+    /// Its engine left before the run was moved.
+    EngineLeft,
+    /// Its stream broke otherwise.
+    Broken,
+    /// Its caller left.
+    CallerLeft,
+    /// It was refused or failed with this code.
+    Refused(String),
+    /// Its upstream answered with this status.
+    UpstreamError(u16),
+    /// Its first event came late.
+    LateFirst,
+    /// It paused too long.
+    Paused {
+        /// After its run was moved.
+        moved: bool,
+    },
+}
+
+impl Cause {
+    /// The cause for a person.
+    pub fn describe(&self) -> String {
+        match self {
+            Cause::HostEnded => "host ended".to_owned(),
+            Cause::EngineLeft => "engine left".to_owned(),
+            Cause::Broken => "stream broke".to_owned(),
+            Cause::CallerLeft => "caller left".to_owned(),
+            Cause::Refused(code) => format!("refused: {code}"),
+            Cause::UpstreamError(status) => format!("upstream answered {status}"),
+            Cause::LateFirst => "first event late".to_owned(),
+            Cause::Paused { moved: true } => "paused, was moved".to_owned(),
+            Cause::Paused { moved: false } => "paused".to_owned(),
+        }
+    }
+}
+
+/// The fields of a line that are read here.
+#[derive(Debug, Deserialize)]
+struct Line {
+    name: String,
+    wall_ms: u64,
+    #[serde(default)]
+    request: Option<String>,
+    #[serde(default)]
+    kind: Option<String>,
+    #[serde(default)]
+    upstream: Option<String>,
+    #[serde(default)]
+    code: Option<String>,
+    #[serde(default)]
+    status: Option<u16>,
+    #[serde(default)]
+    first_ms: Option<f64>,
+    #[serde(default)]
+    gap_max_ms: Option<u64>,
+    #[serde(default)]
+    moves: Option<u32>,
+}
+
+/// How many requests of each kind ended how.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Losses {
+    /// Requests by kind of route.
+    pub requests: BTreeMap<String, u32>,
+    /// Requests not served in time, by kind of route and cause.
+    pub lost: BTreeMap<(String, Cause), u32>,
+    /// Lines that were no log lines.
+    pub skipped: u32,
+}
+
+/// Tallies log lines.
+pub fn tally<'a>(lines: impl Iterator<Item = &'a str>, bounds: Bounds) -> Losses {
+    let mut losses = Losses::default();
+    let mut notices: HashMap<String, u64> = HashMap::new();
+    let mut requests: BTreeMap<String, (String, Option<Line>)> = BTreeMap::new();
+    for text in lines {
+        let Some(line) = parse(text) else {
+            losses.skipped += 1;
+            continue;
+        };
+        if let ("UpstreamLeaving", Some(upstream)) = (line.name.as_str(), &line.upstream) {
+            notices.entry(upstream.clone()).or_insert(line.wall_ms);
+        }
+        let (Some(request), Some(kind)) = (line.request.clone(), line.kind.clone()) else {
+            continue;
+        };
+        let entry = requests.entry(request).or_insert((kind, None));
+        if is_end(&line.name) {
+            entry.1 = Some(line);
+        }
+    }
+    for (kind, end) in requests.into_values() {
+        *losses.requests.entry(kind.clone()).or_default() += 1;
+        if let Some(cause) = cause(&kind, end.as_ref(), &notices, bounds) {
+            *losses.lost.entry((kind, cause)).or_default() += 1;
+        }
+    }
+    losses
+}
+
+fn parse(text: &str) -> Option<Line> {
+    let from = text.find('{')?;
+    serde_json::from_str(&text[from..]).ok()
+}
+
+fn is_end(name: &str) -> bool {
+    matches!(
+        name,
+        "RequestComplete" | "RequestFailed" | "RequestRefused" | "CallerLeft"
+    )
+}
+
+fn cause(
+    kind: &str,
+    end: Option<&Line>,
+    notices: &HashMap<String, u64>,
+    bounds: Bounds,
+) -> Option<Cause> {
+    let Some(end) = end else {
+        return (kind == "stream").then_some(Cause::HostEnded);
+    };
+    match end.name.as_str() {
+        "CallerLeft" => Some(Cause::CallerLeft),
+        "RequestRefused" => Some(Cause::Refused(end.code.clone().unwrap_or_default())),
+        "RequestFailed" if left_with_engine(end, notices) => Some(Cause::EngineLeft),
+        "RequestFailed" => Some(Cause::Broken),
+        _ => late_or_failed(end, bounds),
+    }
+}
+
+fn left_with_engine(end: &Line, notices: &HashMap<String, u64>) -> bool {
+    let notice = end
+        .upstream
+        .as_ref()
+        .and_then(|upstream| notices.get(upstream));
+    notice.is_some_and(|at| u128::from(end.wall_ms.saturating_sub(*at)) < NOTICE_LASTS.as_millis())
+}
+
+fn late_or_failed(end: &Line, bounds: Bounds) -> Option<Cause> {
+    if let Some(status) = end.status.filter(|status| *status >= 500) {
+        return Some(Cause::UpstreamError(status));
+    }
+    let millis = |bound: Duration| bound.as_secs_f64() * 1_000.0;
+    if end.first_ms.is_some_and(|ms| ms > millis(bounds.first)) {
+        return Some(Cause::LateFirst);
+    }
+    let pause_ms = end.gap_max_ms.unwrap_or(0) as f64;
+    let moved = end.moves.unwrap_or(0) > 0;
+    (pause_ms > millis(bounds.pause)).then_some(Cause::Paused { moved })
+}
+
+#[cfg(test)]
+mod tests;
