Split the host's shared state, read failed answers in one place, and measure admission

Calls and streams read a failed answer alike (exchange::read_whole). An engine whose report can't be read is no longer passed over as unreachable; a line says so. benches/decision has a group for the gateway's admission.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -1,10 +1,12 @@
-//! What a decision of the scheduler costs, by the number of upstreams.
+//! What a decision of the scheduler and of the gateway's admission costs, by the number of upstreams.
 //!
 //! Every upstream is full and 1,000 requests wait. One decision takes the end of a generation,
 //! grants the freed memory to a waiting request and takes a new one into the queue. The figures to
 //! compare are ratios between the numbers of upstreams; a linear scan would double each time.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use criterion::BenchmarkId;
@@ -13,7 +15,19 @@
 use criterion::criterion_main;
 
 use cedargauge::clock::Time;
+use cedargauge::gateway::admit;
+use cedargauge::gateway::admit::Demand;
+use cedargauge::gateway::admit::Line;
+use cedargauge::gateway::directory::Upstream;
+use cedargauge::gateway::directory::UpstreamState;
+use cedargauge::gateway::loads::Load;
+use cedargauge::gateway::pace::Pace;
+use cedargauge::gateway::place::Candidate;
+use cedargauge::gateway::place::FarCounts;
+use cedargauge::gateway::place::Need;
+use cedargauge::gateway::place::View;
 use cedargauge::id::AttemptId;
+use cedargauge::id::DataCentre;
 use cedargauge::id::RequestId;
 use cedargauge::id::UpstreamId;
 use cedargauge::schedule::Action;
@@ -33,16 +47,16 @@
 const STEP: Duration = Duration::from_micros(500);
 
 /// A scheduler at work, with what its caller knows.
-struct Load {
+struct Work {
     scheduler: Scheduler,
     running: VecDeque<RequestId>,
     next: u128,
     now: Time,
 }
 
-impl Load {
+impl Work {
     fn new(upstreams: usize) -> Self {
-        let mut load = Load {
+        let mut load = Work {
             scheduler: Scheduler::new(SchedulerOptions::default()),
             running: VecDeque::new(),
             next: 0,
@@ -128,7 +142,7 @@
 fn decision(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("decision");
     for upstreams in UPSTREAMS {
-        let mut load = Load::new(upstreams);
+        let mut load = Work::new(upstreams);
         group.bench_function(BenchmarkId::from_parameter(upstreams), |bencher| {
             bencher.iter(|| load.decide());
         });
@@ -139,7 +153,7 @@
 fn progress(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("progress");
     for upstreams in UPSTREAMS {
-        let mut load = Load::new(upstreams);
+        let mut load = Work::new(upstreams);
         let mut output_tokens = 0;
         group.bench_function(BenchmarkId::from_parameter(upstreams), |bencher| {
             bencher.iter(|| {
@@ -151,5 +165,57 @@
     group.finish();
 }
 
-criterion_group!(benches, decision, progress);
+/// A generation for which no engine has room: every one is looked at.
+fn admission(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("admission");
+    let pace = Pace::default();
+    let demand = Demand {
+        need: Need::Memory {
+            tokens: 4_000,
+            prompt_tokens: 3_000,
+            memory_tokens: 34_000,
+        },
+        objective: Duration::from_millis(1_800),
+        waited: Some(Duration::ZERO),
+    };
+    let here = DataCentre::new("north");
+    let view = View {
+        here: &here,
+        far_counts: FarCounts::Fresh,
+    };
+    for upstreams in UPSTREAMS {
+        let candidates: Vec<Candidate> = (0..upstreams).map(full_engine).collect();
+        let line = Line {
+            ahead_tokens: 0,
+            taken_tokens: 30_000 * upstreams as u64,
+            hosts: 73,
+            pace: &pace,
+        };
+        group.bench_function(BenchmarkId::from_parameter(upstreams), |bencher| {
+            bencher.iter(|| admit::decide(&demand, &line, &candidates, view, || 0.5));
+        });
+    }
+    group.finish();
+}
+
+fn full_engine(index: usize) -> Candidate {
+    Candidate {
+        upstream: Arc::new(Upstream {
+            id: UpstreamId::new(format!("engine-{index}")),
+            service: "inspection".into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 8_000)),
+            data_centre: DataCentre::new("north"),
+            state: UpstreamState::Ready,
+            slots: 24,
+        }),
+        load: Load {
+            requests: 8,
+            tokens: 32_000,
+            unread_tokens: 0,
+        },
+        doubtful: false,
+    }
+}
+
+criterion_group!(benches, decision, progress, admission);
 criterion_main!(benches);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::response::Parts;
-use http_body_util::BodyExt;
 use tokio::time::Instant;
 
 use crate::event::EventCode;
@@ -19,6 +18,7 @@
 use crate::gateway::exchange;
 use crate::gateway::exchange::Begun;
 use crate::gateway::exchange::Unanswered;
+use crate::gateway::exchange::Whole;
 use crate::gateway::forward;
 use crate::gateway::forward::AttemptHeaders;
 use crate::gateway::place::Need;
@@ -187,15 +187,14 @@
         head,
         body,
     } = begun;
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return Attempted::Unknown(format!("the answer broke off: {error}")),
-    };
-    if let Some(reason) = exchange::not_run_reason(shared, upstream, &head) {
-        return Attempted::NotRun(reason);
+    match exchange::read_whole(shared, upstream, head, body).await {
+        Whole::Answered(answer) => {
+            front.pool.borrow_mut().put(upstream.address, connection);
+            Attempted::Answered(answer)
+        }
+        Whole::NotRun(reason) => Attempted::NotRun(reason),
+        Whole::Broken(reason) => Attempted::Unknown(reason),
     }
-    front.pool.borrow_mut().put(upstream.address, connection);
-    Attempted::Answered(WholeAnswer { head, body })
 }
 
 fn note_health(shared: &Shared, admitted: &Admitted, upstream: &Upstream, outcome: &Attempted) {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -4,8 +4,10 @@
 
 use http::HeaderMap;
 use http::response::Parts;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::gateway::call::WholeAnswer;
 use crate::gateway::connection::Connection;
 use crate::gateway::connection::Failure;
 use crate::gateway::directory::Upstream;
@@ -69,6 +71,34 @@
     })
 }
 
+/// What an answer that was read whole says.
+#[derive(Debug)]
+pub(crate) enum Whole {
+    /// It is the upstream's own answer.
+    Answered(WholeAnswer),
+    /// The request certainly did not run.
+    NotRun(String),
+    /// The answer broke off; the request may have run.
+    Broken(String),
+}
+
+/// Reads the rest of an answer from `upstream`.
+pub(crate) async fn read_whole(
+    shared: &Shared,
+    upstream: &Upstream,
+    head: Parts,
+    body: Incoming,
+) -> Whole {
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return Whole::Broken(format!("the answer broke off: {error}")),
+    };
+    match not_run_reason(shared, upstream, &head) {
+        Some(reason) => Whole::NotRun(reason),
+        None => Whole::Answered(WholeAnswer { head, body }),
+    }
+}
+
 /// Upstreams echo the request's id; an answer with another one belongs to another request.
 fn is_answer_to(shared: &Shared, admitted: &Admitted, headers: &HeaderMap) -> bool {
     let echoed = headers.get(&shared.protocol().headers().request_id);
@@ -77,7 +107,7 @@
 
 /// Why an answer says that the request did not run, if it does. Another instance at the address
 /// shows that the expected one is gone.
-pub(crate) fn not_run_reason(shared: &Shared, upstream: &Upstream, head: &Parts) -> Option<String> {
+fn not_run_reason(shared: &Shared, upstream: &Upstream, head: &Parts) -> Option<String> {
     let names = shared.protocol().headers();
     let status = head.status.as_u16();
     if status == 421 {
--- a/src/gateway/ownword.rs
+++ b/src/gateway/ownword.rs
@@ -12,7 +12,7 @@
 use futures_util::future::join_all;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::error::Result;
+use crate::event::EventCode;
 use crate::gateway::directory::Upstream;
 use crate::gateway::follow::OwnClient;
 use crate::gateway::protocol::Topic;
@@ -66,23 +66,31 @@
 }
 
 async fn ask(shared: &Shared, engine: &Upstream) {
-    match is_leaving(shared, engine).await {
-        Ok(true) => shared.witness_leaving(&engine.id, "its own report"),
-        Ok(false) => {}
+    let call = shared.protocol().report_call();
+    let mut client = OwnClient::new(engine.address);
+    match client.call(&call, ASK_TIMEOUT).await {
+        Ok((200, body)) => take_report(shared, engine, &body),
+        Ok((status, _)) => note_no_report(shared, engine, &format!("status {status}")),
         Err(error) => shared.upstream_unreachable(&engine.id, &error.to_string()),
     }
 }
 
-async fn is_leaving(shared: &Shared, engine: &Upstream) -> Result<bool> {
-    let call = shared.protocol().report_call();
-    let mut client = OwnClient::new(engine.address);
-    let (status, body) = client.call(&call, ASK_TIMEOUT).await?;
-    match status {
-        200 => Ok(shared.protocol().decode_report(&body)?.leaving),
-        // It is too busy to answer, which says nothing of its leaving.
-        _ => Ok(false),
+fn take_report(shared: &Shared, engine: &Upstream, body: &[u8]) {
+    match shared.protocol().decode_report(body) {
+        Ok(report) if report.leaving => shared.witness_leaving(&engine.id, "its own report"),
+        Ok(_) => {}
+        Err(error) => note_no_report(shared, engine, &error.to_string()),
     }
 }
 
+/// An engine that is too busy to tell, or tells what can't be read, says nothing of its leaving.
+fn note_no_report(shared: &Shared, engine: &Upstream, reason: &str) {
+    let line = shared.log().line(EventCode::RecordSkipped);
+    line.with("source", "an engine's report")
+        .with("upstream", engine.id.as_str())
+        .with("reason", reason)
+        .write();
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -14,7 +14,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use bytes::Bytes;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -23,12 +22,10 @@
 use crate::ejection::Ejector;
 use crate::event::EventCode;
 use crate::gate::Gate;
-use crate::gateway::configuration::Configuration;
 use crate::gateway::cutoff::CutOff;
 use crate::gateway::datagram::Reading;
 use crate::gateway::decisions::DecisionLog;
 use crate::gateway::directory::Directory;
-use crate::gateway::directory::DirectoryChange;
 use crate::gateway::joining::Seeds;
 use crate::gateway::line::LineBoard;
 use crate::gateway::loads::LoadBoard;
@@ -43,20 +40,12 @@
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::turns::TurnBoard;
 use crate::id::ServiceId;
-use crate::id::UpstreamId;
 
+mod changes;
 mod health;
+mod inforce;
 
-/// A configuration with the document it was read from, which peers may fetch.
-#[derive(Debug, Clone)]
-pub struct InForce {
-    /// What is in force.
-    pub configuration: Arc<Configuration>,
-    /// The record's key.
-    pub key: String,
-    /// The record's value.
-    pub document: Bytes,
-}
+pub use self::inforce::InForce;
 
 /// Shared state of a host; clones are handles.
 #[derive(Debug, Clone)]
@@ -175,110 +164,6 @@
         use_peers(&mut locked(&self.0.peers))
     }
 
-    /// The configuration in force.
-    pub fn in_force(&self) -> Option<InForce> {
-        let in_force = self.0.in_force.read();
-        in_force.unwrap_or_else(PoisonError::into_inner).clone()
-    }
-
-    /// The configuration in force, without its document.
-    pub fn configuration(&self) -> Option<Arc<Configuration>> {
-        let in_force = self.0.in_force.read();
-        let in_force = in_force.unwrap_or_else(PoisonError::into_inner);
-        in_force.as_ref().map(|held| held.configuration.clone())
-    }
-
-    /// The version in force; 0 while there is none.
-    pub fn config_version(&self) -> u64 {
-        self.0.config_version.load(Ordering::Relaxed)
-    }
-
-    /// Takes a configuration document, unless one as new is in force. `source` says where it came
-    /// from.
-    pub fn offer_configuration(&self, key: &str, document: &Bytes, source: &str) {
-        let configuration = match self.protocol().configuration(key, document) {
-            Ok(Some(configuration)) => configuration,
-            Ok(None) => return,
-            Err(error) => {
-                let line = self.log().line(EventCode::RecordSkipped);
-                line.with("source", source)
-                    .with("key", key)
-                    .with("reason", error.to_string())
-                    .write();
-                return;
-            }
-        };
-        let version = configuration.version;
-        {
-            let in_force = self.0.in_force.write();
-            let mut in_force = in_force.unwrap_or_else(PoisonError::into_inner);
-            let current = in_force.as_ref().map(|held| held.configuration.version);
-            if current.is_some_and(|current| current >= version) {
-                return;
-            }
-            *in_force = Some(InForce {
-                configuration: Arc::new(configuration),
-                key: key.to_owned(),
-                document: document.clone(),
-            });
-            self.0.config_version.store(version, Ordering::Relaxed);
-        }
-        let line = self.log().line(EventCode::ConfigReady);
-        line.with("version", version).with("source", source).write();
-        self.tell_news();
-    }
-
-    /// Records changes of the directory and wakes whom they concern.
-    pub fn directory_changes(&self, changes: Vec<(UpstreamId, DirectoryChange)>, source: &str) {
-        if changes.is_empty() {
-            return;
-        }
-        for (id, change) in changes {
-            let code = match change {
-                DirectoryChange::Leaving | DirectoryChange::Removed => EventCode::UpstreamLeaving,
-                DirectoryChange::Missing => EventCode::UpstreamLost,
-                DirectoryChange::Added | DirectoryChange::Changed => EventCode::UpstreamListed,
-            };
-            if change == DirectoryChange::Removed {
-                locked(&self.0.ejector).forget(&id);
-                locked(&self.0.reach).forget(&id);
-            }
-            let (address, offset) = self.directory(|directory| {
-                let address = directory.get(&id).map(|upstream| upstream.address);
-                (address, directory.offset())
-            });
-            let line = self.log().line(code);
-            line.with("upstream", id.as_str())
-                .with_some("address", address.map(|address| address.to_string()))
-                .with("change", change.name())
-                .with("offset", offset)
-                .with("source", source)
-                .write();
-        }
-        self.0.directory_changed.send_modify(|count| *count += 1);
-        self.tell_news();
-    }
-
-    /// An upstream was seen leaving or gone.
-    pub fn witness_leaving(&self, upstream: &UpstreamId, reason: &str) {
-        let now = self.now();
-        if !self.directory(|directory| directory.witness(now, upstream)) {
-            return;
-        }
-        let line = self.log().line(EventCode::UpstreamLeaving);
-        line.with("upstream", upstream.as_str())
-            .with("change", "witnessed")
-            .with("source", reason)
-            .write();
-        self.0.directory_changed.send_modify(|count| *count += 1);
-        self.tell_news();
-    }
-
-    /// Wakes at each change of the directory.
-    pub fn directory_watch(&self) -> watch::Receiver<u64> {
-        self.0.directory_changed.subscribe()
-    }
-
     /// Wakes when peers should be told something at once.
     pub fn news_watch(&self) -> watch::Receiver<u64> {
         self.0.news.subscribe()
@@ -289,12 +174,6 @@
         self.0.news.send_modify(|count| *count += 1);
     }
 
-    /// An upstream that was missing since an outage of the log counts as gone.
-    pub fn note_lapsed(&self, id: &UpstreamId) {
-        let change = DirectoryChange::Removed;
-        self.directory_changes(vec![(id.clone(), change)], "missing since the log's return");
-    }
-
     /// Whether the last call to the platform's log failed.
     pub fn is_log_away(&self) -> bool {
         self.0.log_away.load(Ordering::Relaxed)
--- /dev/null
+++ b/src/gateway/shared/changes.rs
@@ -0,0 +1,68 @@
+//! Changes of the directory of upstreams: recorded, and told to whom they concern.
+
+use tokio::sync::watch;
+
+use super::Shared;
+use super::locked;
+use crate::event::EventCode;
+use crate::gateway::directory::DirectoryChange;
+use crate::id::UpstreamId;
+
+impl Shared {
+    /// Records changes of the directory and wakes whom they concern.
+    pub fn directory_changes(&self, changes: Vec<(UpstreamId, DirectoryChange)>, source: &str) {
+        if changes.is_empty() {
+            return;
+        }
+        for (id, change) in changes {
+            let code = match change {
+                DirectoryChange::Leaving | DirectoryChange::Removed => EventCode::UpstreamLeaving,
+                DirectoryChange::Missing => EventCode::UpstreamLost,
+                DirectoryChange::Added | DirectoryChange::Changed => EventCode::UpstreamListed,
+            };
+            if change == DirectoryChange::Removed {
+                locked(&self.0.ejector).forget(&id);
+                locked(&self.0.reach).forget(&id);
+            }
+            let (address, offset) = self.directory(|directory| {
+                let address = directory.get(&id).map(|upstream| upstream.address);
+                (address, directory.offset())
+            });
+            let line = self.log().line(code);
+            line.with("upstream", id.as_str())
+                .with_some("address", address.map(|address| address.to_string()))
+                .with("change", change.name())
+                .with("offset", offset)
+                .with("source", source)
+                .write();
+        }
+        self.0.directory_changed.send_modify(|count| *count += 1);
+        self.tell_news();
+    }
+
+    /// An upstream was seen leaving or gone.
+    pub fn witness_leaving(&self, upstream: &UpstreamId, reason: &str) {
+        let now = self.now();
+        if !self.directory(|directory| directory.witness(now, upstream)) {
+            return;
+        }
+        let line = self.log().line(EventCode::UpstreamLeaving);
+        line.with("upstream", upstream.as_str())
+            .with("change", "witnessed")
+            .with("source", reason)
+            .write();
+        self.0.directory_changed.send_modify(|count| *count += 1);
+        self.tell_news();
+    }
+
+    /// Wakes at each change of the directory.
+    pub fn directory_watch(&self) -> watch::Receiver<u64> {
+        self.0.directory_changed.subscribe()
+    }
+
+    /// An upstream that was missing since an outage of the log counts as gone.
+    pub fn note_lapsed(&self, id: &UpstreamId) {
+        let change = DirectoryChange::Removed;
+        self.directory_changes(vec![(id.clone(), change)], "missing since the log's return");
+    }
+}
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -9,7 +9,6 @@
 use futures_util::stream;
 use http::HeaderValue;
 use http::response::Parts;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
@@ -23,6 +22,7 @@
 use crate::gateway::exchange;
 use crate::gateway::exchange::Begun;
 use crate::gateway::exchange::Unanswered;
+use crate::gateway::exchange::Whole;
 use crate::gateway::forward::AttemptHeaders;
 use crate::gateway::line;
 use crate::gateway::line::Share;
@@ -288,13 +288,10 @@
             unread_tokens,
         }));
     }
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return Opened::Unknown(format!("the answer broke off: {error}")),
-    };
-    match exchange::not_run_reason(shared, upstream, &head) {
-        Some(reason) => Opened::NotRun(reason),
-        None => Opened::Answered(WholeAnswer { head, body }),
+    match exchange::read_whole(shared, upstream, head, body).await {
+        Whole::Answered(answer) => Opened::Answered(answer),
+        Whole::NotRun(reason) => Opened::NotRun(reason),
+        Whole::Broken(reason) => Opened::Unknown(reason),
     }
 }
 
