Read a caller's time once, and pass an informed host's start check at once

Cause (read in the diff): each request parsed its deadline header twice, and subscribed to the host's news to wait for what the host had known since its start. Ruled out: a wait was ever lengthened by it; the loop ended before its first turn. Change: the deadline is parsed once; wait_until_informed returns before it subscribes. Behaviour is the same.

--- a/src/gateway/joining.rs
+++ b/src/gateway/joining.rs
@@ -114,6 +114,9 @@
 /// Keeps a request of a caller who gives it `timeout` while the host has just started and knows
 /// nothing yet.
 pub(crate) async fn wait_until_informed(shared: &Shared, timeout: Duration) {
+    if shared.is_informed() {
+        return;
+    }
     let age = Duration::from_micros(shared.now().as_us());
     let until = Instant::now() + patience(age, timeout);
     let mut news = shared.news_watch();
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -220,7 +220,8 @@
     let names = shared.protocol().headers();
     let id = request.text(&names.request_id).unwrap_or("").to_owned();
     let reject = |refusal: Refusal| reject(shared, &id, &request, &refusal);
-    joining::wait_until_informed(shared, caller_timeout(&request, names)).await;
+    let caller_timeout = caller_timeout(&request, names);
+    joining::wait_until_informed(shared, caller_timeout).await;
     let Some(configuration) = shared.configuration() else {
         let refusal = Refusal::not_run(Code::NotReady, "the host has no configuration yet");
         return Err(reject(refusal));
@@ -243,7 +244,7 @@
     let body = read_body(payload, configuration.limits.body_bytes_max)
         .await
         .map_err(reject)?;
-    let timeout = caller_timeout(&request, names).min(route.timeout);
+    let timeout = caller_timeout.min(route.timeout);
     let own_priority = customer.as_ref().and_then(|customer| customer.priority);
     Ok(Admitted {
         request: CallerRequest { body, ..request },
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -53,6 +53,7 @@
 const TOKEN_TIME: Duration = Duration::from_millis(11);
 /// Time for a generation's prompt, beside that of its tokens.
 const START_ALLOWANCE: Duration = Duration::from_millis(800);
+
 /// A run at an engine whose answer has begun.
 #[derive(Debug)]
 struct Running {
