Tell in logs and metrics which topic of the log is lost, and since when

E409 and E410 are written for each topic, with waited_ms, answered_ms_ago and away_ms; the metric cedargauge_log_age_ms tells between two such lines how old each topic's last answer is. No decision has changed.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -34,6 +34,7 @@
 pub mod pool;
 pub mod protocol;
 pub mod reach;
+pub(crate) mod reading;
 pub mod refuse;
 pub mod rescue;
 pub mod retrybudget;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -165,6 +165,7 @@
             tokio::time::sleep(follower.check_pause()).await;
             continue;
         }
+        let began = Instant::now();
         match follower.advance().await {
             Ok(()) => {
                 backoff = new_backoff();
@@ -172,7 +173,8 @@
             }
             Err(Interrupted::Truncated) => follower.next = None,
             Err(Interrupted::Unavailable(reason)) => {
-                follower.shared.set_log_away(true, &reason);
+                let shared = &follower.shared;
+                shared.log_failed(topic, began.elapsed(), &reason);
                 let pause = backoff.next().unwrap_or(BACKOFF_MAX);
                 follower.wait_for_return(pause).await;
             }
@@ -254,7 +256,7 @@
     /// nothing is missed that changes while further pages are read.
     async fn read_newest(&mut self) -> Step<()> {
         let (records, end) = newest(&self.shared, &mut self.client, self.topic).await?;
-        self.shared.set_log_away(false, self.topic.name());
+        self.shared.log_answered(self.topic);
         match self.topic {
             Topic::Operator => self.take_operator(&records),
             Topic::Upstreams => self.take_all_upstreams(&records, end),
@@ -276,7 +278,7 @@
             _ => return Err(Interrupted::Unavailable(format!("status {status}"))),
         }
         let batch = self.shared.protocol().decode_read(next, &body)?;
-        self.shared.set_log_away(false, self.topic.name());
+        self.shared.log_answered(self.topic);
         match self.topic {
             Topic::Operator => self.take_operator(&batch.records),
             Topic::Upstreams => self.take_upstreams(&batch.records, batch.next),
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -242,8 +242,7 @@
         return ready(&shared);
     }
     if port == settings.metrics_address.port() {
-        telemetry::set_total(Metric::LogLinesDroppedTotal, shared.log().dropped());
-        return HttpResponse::Ok().body(telemetry.render());
+        return HttpResponse::Ok().body(metrics_page(&shared, &telemetry));
     }
     match http.path() {
         peerfetch::CONFIGURATION_PATH => match web::Query::from_query(http.query_string()) {
@@ -262,6 +261,16 @@
     }
 }
 
+fn metrics_page(shared: &Shared, telemetry: &Telemetry) -> String {
+    telemetry::set_total(Metric::LogLinesDroppedTotal, shared.log().dropped());
+    for topic in [Topic::Operator, Topic::Upstreams] {
+        if let Some(age) = shared.log_age(topic) {
+            telemetry::set_log_age(topic.name(), age);
+        }
+    }
+    telemetry.render()
+}
+
 /// Drops beliefs whose time is over.
 async fn lapse(shared: Shared) {
     loop {
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -15,7 +15,7 @@
 use crate::gateway::directory::Upstream;
 
 /// The keyed topics of the log that the gateway uses.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Topic {
     /// What operators publish.
     Operator,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -11,7 +11,6 @@
 use std::sync::RwLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -20,10 +19,8 @@
 use crate::clock::SystemClock;
 use crate::clock::Time;
 use crate::ejection::Ejector;
-use crate::event::EventCode;
 use crate::gate::Gate;
 use crate::gateway::cutoff::CutOff;
-use crate::gateway::datagram::Reading;
 use crate::gateway::decisions::DecisionLog;
 use crate::gateway::directory::Directory;
 use crate::gateway::joining::Seeds;
@@ -34,8 +31,8 @@
 use crate::gateway::place::FarCounts;
 use crate::gateway::place::View;
 use crate::gateway::protocol::Protocol;
-use crate::gateway::protocol::Topic;
 use crate::gateway::reach::Reach;
+use crate::gateway::reading::ReadingBoard;
 use crate::gateway::retrybudget::SharedRetryBudget;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::turns::TurnBoard;
@@ -44,6 +41,7 @@
 mod changes;
 mod health;
 mod inforce;
+mod logreading;
 
 pub use self::inforce::InForce;
 
@@ -69,6 +67,7 @@
     reach: Mutex<Reach>,
     budgets: Mutex<HashMap<ServiceId, SharedRetryBudget>>,
     log_away: AtomicBool,
+    reading: Mutex<ReadingBoard>,
     news: watch::Sender<u64>,
     stops_at: OnceLock<Instant>,
     seeds: Mutex<Seeds>,
@@ -106,6 +105,7 @@
             reach: Mutex::default(),
             budgets: Mutex::default(),
             log_away: AtomicBool::new(true),
+            reading: Mutex::default(),
             news: watch::channel(0).0,
             stops_at: OnceLock::new(),
             seeds: Mutex::new(Seeds::Unknown),
@@ -174,70 +174,6 @@
         self.0.news.send_modify(|count| *count += 1);
     }
 
-    /// Whether the last call to the platform's log failed.
-    pub fn is_log_away(&self) -> bool {
-        self.0.log_away.load(Ordering::Relaxed)
-    }
-
-    /// Whether this host shall follow a topic of the log.
-    pub fn is_reader(&self, topic: Topic) -> bool {
-        let now = self.now();
-        let settings = self.settings();
-        self.peers(|peers| peers.is_reader(now, &settings.host, &settings.data_centre, topic))
-    }
-
-    /// Whether this host is one of those that look for a log that is away.
-    pub fn is_lookout(&self) -> bool {
-        let now = self.now();
-        let settings = self.settings();
-        self.peers(|peers| peers.is_lookout(now, &settings.host, &settings.data_centre))
-    }
-
-    /// Whether this host follows a topic of the log and reaches it.
-    pub fn is_reading(&self, topic: Topic) -> bool {
-        !self.is_log_away() && self.is_reader(topic)
-    }
-
-    /// What this host reads of the log, for its peers.
-    pub fn reading(&self) -> Reading {
-        Reading {
-            operator: self.is_reading(Topic::Operator),
-            upstreams: self.is_reading(Topic::Upstreams),
-        }
-    }
-
-    /// Whether what changes in a topic of the log reaches this host: it reads the topic itself, or
-    /// heard a host that does a moment ago.
-    pub fn hears_log(&self, topic: Topic) -> bool {
-        let now = self.now();
-        self.is_reading(topic) || self.peers(|peers| peers.hears_reader(now, topic))
-    }
-
-    /// Whether the configuration that this host believes to be in force may be stale.
-    pub fn may_be_stale(&self) -> bool {
-        !self.hears_log(Topic::Operator)
-    }
-
-    /// The log was lost or came back.
-    pub fn set_log_away(&self, away: bool, reason: &str) {
-        if self.0.log_away.swap(away, Ordering::Relaxed) == away {
-            return;
-        }
-        let now = self.now();
-        let code = match away {
-            true => EventCode::ConfigLogUnreachable,
-            false => EventCode::ConfigLogReachable,
-        };
-        self.directory(|directory| match away {
-            true => directory.log_lost(),
-            false => directory.log_back(now),
-        });
-        let line = self.log().line(code);
-        line.with("reason", reason)
-            .with("version", self.config_version())
-            .write();
-    }
-
     /// The host is stopping; what runs then is cut at `stops_at`.
     pub fn stop_at(&self, stops_at: Instant) {
         self.0.stops_at.get_or_init(|| stops_at);
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -129,6 +129,8 @@
         "Streams that the gateway broke off before their last event.",
     LogLinesDroppedTotal Counter "cedargauge_log_lines_dropped_total" ""
         "Lines of the gateway's log that were dropped because their reader was too slow.",
+    LogAgeMs Gauge "cedargauge_log_age_ms" "topic"
+        "Time since the platform's log last answered this host's own read of a topic.",
     PeerMessagesDroppedTotal Counter "cedargauge_peer_messages_dropped_total" ""
         "Messages to other entry hosts that were dropped because the host's queue was full.",
 }
@@ -318,6 +320,12 @@
     metrics::gauge!(metric.name()).set(value);
 }
 
+/// Sets how long ago the platform's log last answered a read of a topic.
+pub fn set_log_age(topic: &'static str, age: Duration) {
+    let ms = age.as_secs_f64() * 1_000.0;
+    metrics::gauge!(Metric::LogAgeMs.name(), "topic" => topic).set(ms);
+}
+
 fn elapsed_ms(from: Time, to: Time) -> f64 {
     to.since(from).as_secs_f64() * 1_000.0
 }
