Give up reads of the log that are not answered, by topic, and have other hosts read in their place

Cause: a read that the log never answers looks like one for which there is no news. Only its own timeout of 12 s ended it, while configurations and notices of leaving upstreams have to be in force within 2 to 4 s. One flag for both topics let the topic that could be read speak for the one that could not; and a reader whose reads stayed unanswered went on telling 72 hosts that it reads. Class: silence taken for no news, for longer than the promise that depends on it allows.

Change: the wait of a read is part of the platform's own bound on staleness (0.6 where a host reads for itself, 0.25 where others rely on it), its answer has 0.4 s, more while the log is slow. A host says that it reads a topic only while its last answer is that fresh, says by topic what it can't read, and tells it at once. Where nobody of a data centre is answered, its first three hosts try together. Reads of a lost topic don't wait, so the first answer tells that it is back.

Ruled out: probes of the connection (its other side acknowledges them), short polls of all hosts on a fleet (73 hosts x 2 topics; five reads a second and topic cost as much as they did).

--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -22,20 +22,20 @@
 pub(crate) const DATAGRAM_BYTES_MAX: usize = 1_400;
 /// First byte of a datagram; rises with each change of its fields, so that hosts of two releases
 /// side by side don't misread each other.
-const FORMAT: u8 = 3;
+const FORMAT: u8 = 4;
 
-/// What a host reads of the log and reaches.
+/// Topics of the log.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Reading {
+pub struct Topics {
     /// What operators publish.
     pub operator: bool,
     /// The upstreams.
     pub upstreams: bool,
 }
 
-impl Reading {
-    /// Whether it reads `topic`.
-    pub fn reads(self, topic: Topic) -> bool {
+impl Topics {
+    /// Whether `topic` is among them.
+    pub fn contains(self, topic: Topic) -> bool {
         match topic {
             Topic::Operator => self.operator,
             Topic::Upstreams => self.upstreams,
@@ -57,10 +57,10 @@
     pub peer_port: u16,
     /// Its data centre.
     pub data_centre: DataCentre,
-    /// What it reads of the log: what it tells of that is first-hand and fresh.
-    pub reading: Reading,
-    /// Whether it tried to read the log of late and could not.
-    pub log_away: bool,
+    /// What it reads of the log and is answered: what it tells of that is first-hand and fresh.
+    pub reading: Topics,
+    /// What it tried to read of the log and could not.
+    pub unreadable: Topics,
     /// A hash over the upstreams that it lists.
     pub upstreams_digest: u64,
     /// The last changes of its upstreams.
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -28,11 +28,7 @@
 use crate::gateway::shared::Shared;
 use crate::id::UpstreamId;
 
-/// A long poll waits this long at the platform; probes of the connection notice a cut sooner.
-const POLL_WAIT: Duration = Duration::from_secs(10);
-/// Beyond the wait, an answer that is slow counts as lost.
-const POLL_SLACK: Duration = Duration::from_secs(2);
-/// A call that doesn't wait.
+/// A call that doesn't wait, of a host that knows nothing yet: many start together.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Each connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -47,7 +43,7 @@
 /// Largest answer of the log: a configuration of many routes fits.
 const ANSWER_BYTES_MAX: usize = 8 << 20;
 /// How often a host that listens looks whether it has to read for itself.
-const READER_CHECK: Duration = Duration::from_millis(200);
+const READER_CHECK: Duration = Duration::from_millis(100);
 /// The same while it has just started.
 const JOIN_CHECK: Duration = Duration::from_millis(20);
 /// A host that starts gives those that its seeds name this time to tell what they know, and reads the
@@ -255,8 +251,10 @@
     /// Starts from the newest record of each key. The first page's end is where reading goes on, so
     /// nothing is missed that changes while further pages are read.
     async fn read_newest(&mut self) -> Step<()> {
-        let (records, end) = newest(&self.shared, &mut self.client, self.topic).await?;
-        self.shared.log_answered(self.topic);
+        let timeout = self.newest_timeout();
+        let began = Instant::now();
+        let (records, end) = newest(&self.shared, &mut self.client, self.topic, timeout).await?;
+        self.shared.log_answered(self.topic, began.elapsed());
         match self.topic {
             Topic::Operator => self.take_operator(&records),
             Topic::Upstreams => self.take_all_upstreams(&records, end),
@@ -266,19 +264,29 @@
         Ok(())
     }
 
+    /// The newest records are some pages of some 100 KB, for which twice the time of a read without
+    /// news is enough.
+    fn newest_timeout(&self) -> Duration {
+        match self.shared.is_informed() {
+            true => self.shared.answer_slack(self.topic) * 2,
+            false => CALL_TIMEOUT,
+        }
+    }
+
     async fn read_from(&mut self, next: u64) -> Step<()> {
-        let call = self
-            .shared
-            .protocol()
-            .read_call(self.topic, next, POLL_WAIT);
-        let (status, body) = self.client.call(&call, POLL_WAIT + POLL_SLACK).await?;
+        let wait = self.shared.next_wait(self.topic);
+        let timeout = wait + self.shared.answer_slack(self.topic);
+        let call = self.shared.protocol().read_call(self.topic, next, wait);
+        let began = Instant::now();
+        let (status, body) = self.client.call(&call, timeout).await?;
         match status {
             200 => {}
             410 => return Err(Interrupted::Truncated),
             _ => return Err(Interrupted::Unavailable(format!("status {status}"))),
         }
         let batch = self.shared.protocol().decode_read(next, &body)?;
-        self.shared.log_answered(self.topic);
+        let delay = began.elapsed().saturating_sub(wait);
+        self.shared.log_answered(self.topic, delay);
         match self.topic {
             Topic::Operator => self.take_operator(&batch.records),
             Topic::Upstreams => self.take_upstreams(&batch.records, batch.next),
@@ -338,13 +346,14 @@
     shared: &Shared,
     client: &mut OwnClient,
     topic: Topic,
+    timeout: Duration,
 ) -> Step<(Vec<Record>, u64)> {
     let mut records: Vec<Record> = Vec::new();
     let mut end = None;
     loop {
         let after = records.last().map(|record| record.key.as_str());
         let call = shared.protocol().newest_call(topic, after);
-        let (status, body) = client.call(&call, CALL_TIMEOUT).await?;
+        let (status, body) = client.call(&call, timeout).await?;
         if status != 200 {
             return Err(Interrupted::Unavailable(format!("status {status}")));
         }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -157,7 +157,7 @@
         upstreams_digest: 0,
         changes: Vec::new(),
         reading: shared.reading(),
-        log_away: shared.is_log_away() && shared.is_reader(Topic::Operator),
+        unreadable: shared.unreadable(),
         peer_port: settings.peer_address.port(),
         loads: Some(shared.loads().with(|loads| loads.own())),
         moving: shared.turns().with(|turns| turns.own()),
--- a/src/gateway/hostlisting.rs
+++ b/src/gateway/hostlisting.rs
@@ -60,7 +60,7 @@
 }
 
 async fn learn_hosts(shared: &Shared, client: &mut OwnClient) {
-    match newest(shared, client, Topic::Hosts).await {
+    match newest(shared, client, Topic::Hosts, CALL_TIMEOUT).await {
         Ok((records, _)) => {
             let listed = records.iter().filter(|record| record.value.is_some());
             let addresses = listed.filter_map(|record| record.key.parse().ok());
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::Time;
 use crate::gateway::datagram::Datagram;
-use crate::gateway::datagram::Reading;
+use crate::gateway::datagram::Topics;
 use crate::gateway::protocol::Topic;
 use crate::id::DataCentre;
 use crate::id::HostId;
@@ -21,6 +21,9 @@
 pub(crate) const READERS_ONLY_FROM: usize = 12;
 /// Hosts of a data centre that look for a log that is away: one, and another if it is turned away.
 const LOOKOUTS: usize = 2;
+/// Hosts of a data centre that try to read the log at once where nobody is answered. With a third of
+/// the hosts turned away all of three are in 4 cases of 100, and one try takes 0.4 s or more.
+const CANDIDATES: usize = 3;
 /// An address that never answers is tried for this long, and again when it is learnt anew.
 const TRIED_FOR: Duration = Duration::from_secs(15);
 /// Addresses of other hosts that a datagram carries.
@@ -41,8 +44,8 @@
     data_centre: DataCentre,
     peer_address: SocketAddr,
     config: u64,
-    reading: Reading,
-    log_away: bool,
+    reading: Topics,
+    unreadable: Topics,
     stopping: bool,
 }
 
@@ -103,7 +106,7 @@
             peer_address: SocketAddr::new(address.ip(), datagram.peer_port),
             config: datagram.config,
             reading: datagram.reading,
-            log_away: datagram.log_away,
+            unreadable: datagram.unreadable,
             stopping: datagram.stopping,
         };
         self.heard_at.insert(heard.data_centre.clone(), now);
@@ -128,8 +131,8 @@
     ///
     /// Else what operators publish is read by one host of each data centre, from which the others
     /// fetch it, and the upstreams, whose changes are many and small, by one host for all. The reader
-    /// is the first by name of the hosts that are heard and can read; a host that hears of no reader
-    /// reads for its data centre.
+    /// is the first by name of the hosts that are heard and are answered by the log. Where none is
+    /// answered, the first few of a data centre that don't know better try at once.
     pub fn is_reader(
         &self,
         now: Time,
@@ -140,18 +143,27 @@
         if self.live(now) < READERS_ONLY_FROM {
             return true;
         }
-        let mut able = self.live_hosts(now).filter(|heard| {
-            let is_near = heard.data_centre == *data_centre && !heard.log_away;
-            let reads_for_all = topic == Topic::Upstreams && heard.reading.upstreams;
-            (is_near || reads_for_all) && now.since(heard.at) < READER_SILENT_FOR
-        });
-        !able.any(|heard| heard.host < *host)
+        let before = self
+            .live_hosts(now)
+            .filter(|heard| heard.host < *host && now.since(heard.at) < READER_SILENT_FOR);
+        let mut candidates = 0;
+        for heard in before {
+            let is_near = heard.data_centre == *data_centre;
+            let reads_for_all = is_near || topic == Topic::Upstreams;
+            if reads_for_all && heard.reading.contains(topic) {
+                return false;
+            }
+            if is_near && !heard.unreadable.contains(topic) {
+                candidates += 1;
+            }
+        }
+        candidates < CANDIDATES
     }
 
     /// Whether a host that reads a topic of the log was heard a moment ago.
     pub fn hears_reader(&self, now: Time, topic: Topic) -> bool {
         self.live_hosts(now)
-            .any(|heard| heard.reading.reads(topic) && now.since(heard.at) < READER_SILENT_FOR)
+            .any(|heard| heard.reading.contains(topic) && now.since(heard.at) < READER_SILENT_FOR)
     }
 
     /// For how long no host outside `own` was heard; none if none ever was.
@@ -161,8 +173,12 @@
     }
 
     /// Whether this host is among the first by name of the live hosts of its data centre: those look
-    /// for a log that is away more often than the others, who hear of its return from them.
+    /// for a log that is away more often than the others, who hear of its return from them. While hosts
+    /// are few, each looks for itself.
     pub fn is_lookout(&self, now: Time, host: &HostId, data_centre: &DataCentre) -> bool {
+        if self.live(now) < READERS_ONLY_FROM {
+            return true;
+        }
         let before = self
             .live_hosts(now)
             .filter(|heard| heard.data_centre == *data_centre && heard.host < *host);
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -3,7 +3,7 @@
 use super::Peers;
 use crate::clock::Time;
 use crate::gateway::datagram::Datagram;
-use crate::gateway::datagram::Reading;
+use crate::gateway::datagram::Topics;
 use crate::gateway::datagram::decode;
 use crate::gateway::datagram::encode;
 use crate::gateway::loads::Load;
@@ -27,8 +27,8 @@
         upstreams: 10,
         peer_port: 8000,
         data_centre: DataCentre::new(data_centre),
-        reading: Reading::default(),
-        log_away: false,
+        reading: Topics::default(),
+        unreadable: Topics::default(),
         upstreams_digest: 0,
         changes: Vec::new(),
         loads: Some(Vec::new()),
@@ -93,7 +93,7 @@
 fn a_reader_whom_the_log_turns_away_is_replaced() {
     let mut peers = peers();
     let mut turned_away = datagram(0, "north");
-    turned_away.log_away = true;
+    turned_away.unreadable.operator = true;
     peers.hear(Time::ZERO, address(0), &turned_away);
 
     assert!(is_reader_in(&peers, Time::ZERO, 1, "north"));
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -1,5 +1,9 @@
-//! What a host knows of its own reading of the platform's log, topic by topic: when it was last
-//! answered, and since when it is not.
+//! How a host reads the topics of the platform's log, and how far it trusts its own reading.
+//!
+//! A read waits at the log for news. One that is never answered looks the same as one for which there
+//! is no news: its connection stays open, and the log's side acknowledges bytes. So the wait is bound
+//! by how stale a host may be, the answer has to come shortly after it, and a host says that it reads
+//! a topic only while its last answer is no older than that.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -7,11 +11,50 @@
 use crate::clock::Time;
 use crate::gateway::protocol::Topic;
 
+/// Part of the bound on staleness for which a read waits whose host reads for itself alone: with
+/// [`ANSWER_SLACK_MIN`] and one connection to the log (0.4 s) it ends within the bound of two seconds.
+const WAIT_PART_ALONE: f64 = 0.6;
+/// The same of a host on whose reading others rely. The rest of the bound is for another host to
+/// notice, to read in its place, and for all to fetch what it read.
+const WAIT_PART_FOR_OTHERS: f64 = 0.25;
+/// An answer comes at least within this time after its wait: the log's own time is some ms, and 0.24 s
+/// where it was slow.
+const ANSWER_SLACK_MIN: Duration = Duration::from_millis(400);
+/// The longest such time; a read that was lost just before the log's return is given up after it.
+const ANSWER_SLACK_MAX: Duration = Duration::from_millis(1_200);
+/// An answer may come so many times later than the latest one before.
+const ANSWER_SLACK_FACTOR: u32 = 3;
+/// Part of the latest delay that is remembered with each answer.
+const DELAY_DECAY: f64 = 0.9;
+/// Between an answer and the next read, on a host of a tenth of a core.
+const BETWEEN_READS: Duration = Duration::from_millis(200);
+
+/// For whom a host reads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Audience {
+    /// Each host reads for itself.
+    Itself,
+    /// A few hosts read for all.
+    Others,
+}
+
+/// How long a read waits at the log for news, if a host may be stale for `staleness_max`.
+pub(crate) fn wait_for_news(staleness_max: Duration, audience: Audience) -> Duration {
+    staleness_max.mul_f64(match audience {
+        Audience::Itself => WAIT_PART_ALONE,
+        Audience::Others => WAIT_PART_FOR_OTHERS,
+    })
+}
+
 /// The reading of one topic.
 #[derive(Debug, Clone, Copy)]
 struct TopicReading {
     answered_at: Option<Time>,
     lost_at: Option<Time>,
+    /// The latest that an answer came after its wait, of late.
+    delay_max: Duration,
+    /// Reads in a row that came to nothing.
+    failures: u32,
 }
 
 impl Default for TopicReading {
@@ -20,10 +63,22 @@
         TopicReading {
             answered_at: None,
             lost_at: Some(Time::ZERO),
+            delay_max: Duration::ZERO,
+            failures: 0,
         }
     }
 }
 
+impl TopicReading {
+    fn answer_slack(&self) -> Duration {
+        let by_delay = self.delay_max * ANSWER_SLACK_FACTOR;
+        let doubled = ANSWER_SLACK_MIN * 2_u32.saturating_pow(self.failures.min(4));
+        by_delay
+            .max(doubled)
+            .clamp(ANSWER_SLACK_MIN, ANSWER_SLACK_MAX)
+    }
+}
+
 /// The reading of all topics.
 #[derive(Debug, Default)]
 pub(crate) struct ReadingBoard {
@@ -31,10 +86,22 @@
 }
 
 impl ReadingBoard {
-    /// The log answered a read of a topic. Tells for how long it had not, if it was lost.
-    pub(crate) fn answered(&mut self, now: Time, topic: Topic) -> Option<Duration> {
+    fn topic(&self, topic: Topic) -> TopicReading {
+        self.topics.get(&topic).copied().unwrap_or_default()
+    }
+
+    /// The log answered a read of a topic, `delay` after the wait that was asked for. Tells for how
+    /// long it had not answered, if the topic was lost.
+    pub(crate) fn answered(
+        &mut self,
+        now: Time,
+        topic: Topic,
+        delay: Duration,
+    ) -> Option<Duration> {
         let reading = self.topics.entry(topic).or_default();
         reading.answered_at = Some(now);
+        reading.failures = 0;
+        reading.delay_max = reading.delay_max.mul_f64(DELAY_DECAY).max(delay);
         reading.lost_at.take().map(|lost_at| now.since(lost_at))
     }
 
@@ -43,12 +110,36 @@
         let reading = self.topics.entry(topic).or_default();
         let is_news = reading.lost_at.is_none();
         reading.lost_at.get_or_insert(now);
+        reading.failures += 1;
         is_news
     }
 
+    /// Whether the last read of a topic came to nothing, or none was answered yet.
+    pub(crate) fn is_lost(&self, topic: Topic) -> bool {
+        self.topic(topic).lost_at.is_some()
+    }
+
+    /// How long after its wait an answer may come.
+    pub(crate) fn answer_slack(&self, topic: Topic) -> Duration {
+        self.topic(topic).answer_slack()
+    }
+
+    /// Whether reads of a topic that wait for `wait` are being answered.
+    pub(crate) fn is_answered(&self, now: Time, topic: Topic, wait: Duration) -> bool {
+        let reading = self.topic(topic);
+        let lasts = wait + reading.answer_slack() + BETWEEN_READS;
+        let is_fresh = reading
+            .answered_at
+            .is_some_and(|answered_at| now.since(answered_at) <= lasts);
+        is_fresh && reading.lost_at.is_none()
+    }
+
     /// Time since the log last answered a read of a topic; none if it never did.
     pub(crate) fn age(&self, now: Time, topic: Topic) -> Option<Duration> {
-        let answered_at = self.topics.get(&topic)?.answered_at?;
+        let answered_at = self.topic(topic).answered_at?;
         Some(now.since(answered_at))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -32,6 +32,9 @@
     pub log_address: SocketAddr,
     /// The shared bound on retries.
     pub retries: RetryBudgetOptions,
+    /// What the platform's log tells must be known within this time: the shortest bound that depends
+    /// on it.
+    pub staleness_max: Duration,
     /// Time between SIGTERM and the kill that follows.
     pub grace: Duration,
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -9,7 +9,6 @@
 use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::RwLock;
-use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
@@ -66,7 +65,6 @@
     ejector: Mutex<Ejector>,
     reach: Mutex<Reach>,
     budgets: Mutex<HashMap<ServiceId, SharedRetryBudget>>,
-    log_away: AtomicBool,
     reading: Mutex<ReadingBoard>,
     news: watch::Sender<u64>,
     stops_at: OnceLock<Instant>,
@@ -104,7 +102,6 @@
             ejector: Mutex::new(Ejector::new(Default::default())),
             reach: Mutex::default(),
             budgets: Mutex::default(),
-            log_away: AtomicBool::new(true),
             reading: Mutex::default(),
             news: watch::channel(0).0,
             stops_at: OnceLock::new(),
--- a/src/gateway/shared/logreading.rs
+++ b/src/gateway/shared/logreading.rs
@@ -1,18 +1,20 @@
 //! Who reads the platform's log, and whether what changes there reaches this host.
 
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use super::Shared;
 use super::locked;
 use crate::event::EventCode;
-use crate::gateway::datagram::Reading;
+use crate::gateway::datagram::Topics;
+use crate::gateway::peers::READERS_ONLY_FROM;
 use crate::gateway::protocol::Topic;
+use crate::gateway::reading;
+use crate::gateway::reading::Audience;
 
 impl Shared {
-    /// Whether the last call to the platform's log failed.
-    pub fn is_log_away(&self) -> bool {
-        self.0.log_away.load(Ordering::Relaxed)
+    /// Whether this host's last read of a topic came to nothing.
+    pub fn is_log_lost(&self, topic: Topic) -> bool {
+        locked(&self.0.reading).is_lost(topic)
     }
 
     /// Whether this host shall follow a topic of the log.
@@ -29,19 +31,30 @@
         self.peers(|peers| peers.is_lookout(now, &settings.host, &settings.data_centre))
     }
 
-    /// Whether this host follows a topic of the log and reaches it.
+    /// Whether this host follows a topic of the log and is answered.
     pub fn is_reading(&self, topic: Topic) -> bool {
-        !self.is_log_away() && self.is_reader(topic)
+        let now = self.now();
+        let wait = self.wait_for_news();
+        locked(&self.0.reading).is_answered(now, topic, wait) && self.is_reader(topic)
     }
 
     /// What this host reads of the log, for its peers.
-    pub fn reading(&self) -> Reading {
-        Reading {
+    pub fn reading(&self) -> Topics {
+        Topics {
             operator: self.is_reading(Topic::Operator),
             upstreams: self.is_reading(Topic::Upstreams),
         }
     }
 
+    /// What this host should read of the log and can't, for its peers.
+    pub fn unreadable(&self) -> Topics {
+        let is_unreadable = |topic| self.is_log_lost(topic) && self.is_reader(topic);
+        Topics {
+            operator: is_unreadable(Topic::Operator),
+            upstreams: is_unreadable(Topic::Upstreams),
+        }
+    }
+
     /// Whether what changes in a topic of the log reaches this host: it reads the topic itself, or
     /// heard a host that does a moment ago.
     pub fn hears_log(&self, topic: Topic) -> bool {
@@ -54,28 +67,49 @@
         !self.hears_log(Topic::Operator)
     }
 
-    /// The log answered a read of a topic.
-    pub(crate) fn log_answered(&self, topic: Topic) {
-        let now = self.now();
-        if self.0.log_away.swap(false, Ordering::Relaxed) {
-            self.directory(|directory| directory.log_back(now));
+    /// How long this host's reads wait at the log for news.
+    fn wait_for_news(&self) -> Duration {
+        let audience = match self.hosts() <= READERS_ONLY_FROM {
+            true => Audience::Itself,
+            false => Audience::Others,
+        };
+        reading::wait_for_news(self.settings().staleness_max, audience)
+    }
+
+    /// How long the next read of a topic waits at the log: not at all while the topic is lost, so that
+    /// an answer tells at once that it is back.
+    pub(crate) fn next_wait(&self, topic: Topic) -> Duration {
+        match self.is_log_lost(topic) {
+            true => Duration::ZERO,
+            false => self.wait_for_news(),
         }
-        let Some(away) = locked(&self.0.reading).answered(now, topic) else {
+    }
+
+    /// How long after its wait the answer to a read of a topic may come.
+    pub(crate) fn answer_slack(&self, topic: Topic) -> Duration {
+        locked(&self.0.reading).answer_slack(topic)
+    }
+
+    /// The log answered a read of a topic, `delay` after the wait that was asked for.
+    pub(crate) fn log_answered(&self, topic: Topic, delay: Duration) {
+        let now = self.now();
+        let Some(away) = locked(&self.0.reading).answered(now, topic, delay) else {
             return;
         };
+        if topic == Topic::Upstreams {
+            self.directory(|directory| directory.log_back(now));
+        }
         let line = self.log().line(EventCode::ConfigLogReachable);
         line.with("topic", topic.name())
             .with("away_ms", away.as_millis() as u64)
             .with("version", self.config_version())
             .write();
+        self.tell_news();
     }
 
     /// A read of a topic that took `waited` came to nothing.
     pub(crate) fn log_failed(&self, topic: Topic, waited: Duration, reason: &str) {
         let now = self.now();
-        if !self.0.log_away.swap(true, Ordering::Relaxed) {
-            self.directory(|directory| directory.log_lost());
-        }
         let (is_news, age) = {
             let mut reading = locked(&self.0.reading);
             (reading.failed(now, topic), reading.age(now, topic))
@@ -83,6 +117,9 @@
         if !is_news {
             return;
         }
+        if topic == Topic::Upstreams {
+            self.directory(|directory| directory.log_lost());
+        }
         let line = self.log().line(EventCode::ConfigLogUnreachable);
         line.with("topic", topic.name())
             .with("reason", reason)
@@ -90,6 +127,8 @@
             .with_some("answered_ms_ago", age.map(|age| age.as_millis() as u64))
             .with("version", self.config_version())
             .write();
+        // Another host reads in this one's place as soon as it hears of it.
+        self.tell_news();
     }
 
     /// Time since the log last answered a read of a topic.
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -215,6 +215,7 @@
             allowance: 50.0,
             window: Duration::from_secs(10),
         })
+        .staleness_max(Duration::from_secs(2))
         .grace(Duration::from_secs(4))
         .build()
         .unwrap()
