Split the follower's client and the upstreams' types into files of their own

OwnClient, which four modules use, is in ownclient.rs now; what an upstream lists and how hosts tell changes of it in directory/upstream.rs.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -26,6 +26,7 @@
 pub(crate) mod line;
 pub mod loads;
 pub mod losses;
+pub mod ownclient;
 pub(crate) mod ownword;
 pub mod pace;
 pub mod peerfetch;
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -7,19 +7,23 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Time;
-use crate::id::DataCentre;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 
+mod upstream;
+
+pub use self::upstream::Change;
+pub use self::upstream::DirectoryChange;
+pub use self::upstream::News;
+pub use self::upstream::Upstream;
+pub use self::upstream::UpstreamState;
+
 /// After the log's return, living upstreams list themselves again within this time (the platform
 /// says about two seconds).
 pub const RETURN_GRACE: Duration = Duration::from_millis(2_000);
@@ -30,32 +34,6 @@
 /// Changes that hosts tell each other again with each datagram, so that one lost is made good.
 const RECENT_CHANGES: usize = 12;
 
-/// Whether an upstream takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum UpstreamState {
-    /// It does.
-    Ready,
-    /// It is leaving and ends soon.
-    Leaving,
-}
-
-/// One upstream as it lists itself.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Upstream {
-    /// The instance; a restart has another one.
-    pub id: UpstreamId,
-    /// What it serves.
-    pub service: ServiceId,
-    /// Where it listens. Reused by other instances, also of other services.
-    pub address: SocketAddr,
-    /// Where it stands.
-    pub data_centre: DataCentre,
-    /// Whether it takes new work.
-    pub state: UpstreamState,
-    /// Requests that run at once.
-    pub slots: u32,
-}
-
 /// A listed upstream and what this host knows beside.
 #[derive(Debug, Clone)]
 struct Entry {
@@ -65,34 +43,6 @@
     leaving_since: Option<Time>,
 }
 
-/// What a change of the directory was.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum DirectoryChange {
-    /// A new upstream.
-    Added,
-    /// It takes work again or changed otherwise.
-    Changed,
-    /// It takes no new work.
-    Leaving,
-    /// It was removed.
-    Removed,
-    /// It is missing after an outage of the log and counts as gone when the grace is over.
-    Missing,
-}
-
-impl DirectoryChange {
-    /// The change's name in logs.
-    pub const fn name(self) -> &'static str {
-        match self {
-            DirectoryChange::Added => "added",
-            DirectoryChange::Changed => "changed",
-            DirectoryChange::Leaving => "leaving",
-            DirectoryChange::Removed => "removed",
-            DirectoryChange::Missing => "missing",
-        }
-    }
-}
-
 /// The upstreams as one host knows them.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -106,28 +56,6 @@
     recent: VecDeque<Change>,
 }
 
-/// A change as hosts tell it to each other.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Change {
-    /// Whose.
-    pub id: UpstreamId,
-    /// The offset of its record.
-    pub offset: u64,
-    /// What became of it.
-    pub news: News,
-}
-
-/// What became of an upstream.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum News {
-    /// It is listed like this.
-    Listed(Arc<Upstream>),
-    /// It is listed as before, but leaving.
-    Leaving,
-    /// It was removed.
-    Removed,
-}
-
 impl Directory {
     /// The log's offset up to which this directory was read.
     pub fn offset(&self) -> u64 {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -1,28 +1,18 @@
 //! Follows the keyed topics of the platform's log: newest records first, then each one in order.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use backon::BackoffBuilder;
 use backon::ExponentialBackoff;
 use backon::ExponentialBuilder;
-use bytes::Bytes;
-use http::Request;
-use http::header;
-use http_body_util::BodyExt;
-use http_body_util::Full;
-use http_body_util::Limited;
 use tokio::time::Instant;
 
 use crate::clock::Time;
 use crate::error::Error;
-use crate::error::Result;
 use crate::event::EventCode;
-use crate::gateway::connection::Connection;
-use crate::gateway::connection::Patience;
 use crate::gateway::directory::Upstream;
 use crate::gateway::joining::Seeds;
-use crate::gateway::protocol::OwnCall;
+use crate::gateway::ownclient::OwnClient;
 use crate::gateway::protocol::Record;
 use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
@@ -30,8 +20,6 @@
 
 /// A call that doesn't wait, of a host that knows nothing yet: many start together.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
-/// Each connection attempt.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Records that come together are read together: calls are priced, and this is far below the
 /// bound on configuration (2 s).
 const BATCH_PAUSE: Duration = Duration::from_millis(20);
@@ -40,8 +28,6 @@
 /// Hosts that don't look out for a log that is away try it this seldom: calls are priced also while
 /// they are refused.
 const AWAY_PAUSE: Duration = Duration::from_millis(3_000);
-/// Largest answer of the log: a configuration of many routes fits.
-const ANSWER_BYTES_MAX: usize = 8 << 20;
 /// How often a host that listens looks whether it has to read for itself.
 const READER_CHECK: Duration = Duration::from_millis(100);
 /// The same while it has just started.
@@ -51,84 +37,6 @@
 /// their seeds, of a tenth of a core, could not answer all by then.
 const JOIN_WAIT: Duration = Duration::from_millis(1_000);
 
-/// Makes calls to one address, one at a time, over a connection that is kept.
-#[derive(Debug)]
-pub struct OwnClient {
-    address: SocketAddr,
-    connection: Option<Connection>,
-}
-
-impl OwnClient {
-    /// A client that connects with its first call.
-    pub fn new(address: SocketAddr) -> Self {
-        OwnClient {
-            address,
-            connection: None,
-        }
-    }
-
-    /// Makes a call; answers with status and body.
-    ///
-    /// # Errors
-    ///
-    /// [`Error::Remote`] if there is no whole answer within `timeout`.
-    pub async fn call(&mut self, call: &OwnCall, timeout: Duration) -> Result<(u16, Bytes)> {
-        let connection = self.connection.take().filter(Connection::is_usable);
-        let exchange = exchange(self.address, connection, call);
-        match tokio::time::timeout(timeout, exchange).await {
-            Ok(Ok((status, body, connection))) => {
-                self.connection = Some(connection);
-                Ok((status, body))
-            }
-            Ok(Err(reason)) => Err(self.remote(reason)),
-            Err(_) => Err(self.remote(format!("no answer in {} ms", timeout.as_millis()))),
-        }
-    }
-
-    fn remote(&self, reason: String) -> Error {
-        Error::Remote {
-            peer: self.address.to_string(),
-            reason,
-        }
-    }
-}
-
-async fn exchange(
-    address: SocketAddr,
-    connection: Option<Connection>,
-    call: &OwnCall,
-) -> std::result::Result<(u16, Bytes, Connection), String> {
-    let mut connection = match connection {
-        Some(connection) => connection,
-        None => Connection::open(address, CONNECT_TIMEOUT, Patience::Short)
-            .await
-            .map_err(|failure| failure.reason().to_owned())?,
-    };
-    let request = request_of(address, call).map_err(|error| error.to_string())?;
-    let response = connection
-        .send(request)
-        .await
-        .map_err(|failure| failure.reason().to_owned())?;
-    let status = response.status().as_u16();
-    let body = Limited::new(response.into_body(), ANSWER_BYTES_MAX)
-        .collect()
-        .await
-        .map_err(|error| error.to_string())?
-        .to_bytes();
-    Ok((status, body, connection))
-}
-
-fn request_of(address: SocketAddr, call: &OwnCall) -> http::Result<Request<Full<Bytes>>> {
-    let mut builder = Request::builder()
-        .method(call.method.clone())
-        .uri(&call.path)
-        .header(header::HOST, address.to_string());
-    if let Some(content_type) = call.content_type {
-        builder = builder.header(header::CONTENT_TYPE, content_type);
-    }
-    builder.body(Full::new(call.body.clone()))
-}
-
 /// Why a topic must be read anew or later.
 #[derive(Debug)]
 pub(crate) enum Interrupted {
--- a/src/gateway/hostlisting.rs
+++ b/src/gateway/hostlisting.rs
@@ -5,8 +5,8 @@
 use tokio::time::Instant;
 
 use crate::gateway::follow::CALL_TIMEOUT;
-use crate::gateway::follow::OwnClient;
 use crate::gateway::follow::newest;
+use crate::gateway::ownclient::OwnClient;
 use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
 
--- /dev/null
+++ b/src/gateway/ownclient.rs
@@ -0,0 +1,100 @@
+//! Calls that a host makes itself: to the platform's log, to peers and to engines.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http::header;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::gateway::connection::Connection;
+use crate::gateway::connection::Patience;
+use crate::gateway::protocol::OwnCall;
+
+/// Each connection attempt.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Largest answer: a configuration of many routes fits.
+const ANSWER_BYTES_MAX: usize = 8 << 20;
+
+/// Makes calls to one address, one at a time, over a connection that is kept.
+#[derive(Debug)]
+pub struct OwnClient {
+    address: SocketAddr,
+    connection: Option<Connection>,
+}
+
+impl OwnClient {
+    /// A client that connects with its first call.
+    pub fn new(address: SocketAddr) -> Self {
+        OwnClient {
+            address,
+            connection: None,
+        }
+    }
+
+    /// Makes a call; answers with status and body.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Remote`] if there is no whole answer within `timeout`.
+    pub async fn call(&mut self, call: &OwnCall, timeout: Duration) -> Result<(u16, Bytes)> {
+        let connection = self.connection.take().filter(Connection::is_usable);
+        let exchange = exchange(self.address, connection, call);
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(Ok((status, body, connection))) => {
+                self.connection = Some(connection);
+                Ok((status, body))
+            }
+            Ok(Err(reason)) => Err(self.remote(reason)),
+            Err(_) => Err(self.remote(format!("no answer in {} ms", timeout.as_millis()))),
+        }
+    }
+
+    fn remote(&self, reason: String) -> Error {
+        Error::Remote {
+            peer: self.address.to_string(),
+            reason,
+        }
+    }
+}
+
+async fn exchange(
+    address: SocketAddr,
+    connection: Option<Connection>,
+    call: &OwnCall,
+) -> std::result::Result<(u16, Bytes, Connection), String> {
+    let mut connection = match connection {
+        Some(connection) => connection,
+        None => Connection::open(address, CONNECT_TIMEOUT, Patience::Short)
+            .await
+            .map_err(|failure| failure.reason().to_owned())?,
+    };
+    let request = request_of(address, call).map_err(|error| error.to_string())?;
+    let response = connection
+        .send(request)
+        .await
+        .map_err(|failure| failure.reason().to_owned())?;
+    let status = response.status().as_u16();
+    let body = Limited::new(response.into_body(), ANSWER_BYTES_MAX)
+        .collect()
+        .await
+        .map_err(|error| error.to_string())?
+        .to_bytes();
+    Ok((status, body, connection))
+}
+
+fn request_of(address: SocketAddr, call: &OwnCall) -> http::Result<Request<Full<Bytes>>> {
+    let mut builder = Request::builder()
+        .method(call.method.clone())
+        .uri(&call.path)
+        .header(header::HOST, address.to_string());
+    if let Some(content_type) = call.content_type {
+        builder = builder.header(header::CONTENT_TYPE, content_type);
+    }
+    builder.body(Full::new(call.body.clone()))
+}
--- a/src/gateway/ownword.rs
+++ b/src/gateway/ownword.rs
@@ -14,7 +14,7 @@
 
 use crate::event::EventCode;
 use crate::gateway::directory::Upstream;
-use crate::gateway::follow::OwnClient;
+use crate::gateway::ownclient::OwnClient;
 use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
 use crate::id::HostId;
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -13,7 +13,7 @@
 use crate::error::Result;
 use crate::event::EventCode;
 use crate::gateway::directory::Upstream;
-use crate::gateway::follow::OwnClient;
+use crate::gateway::ownclient::OwnClient;
 use crate::gateway::protocol::OwnCall;
 use crate::gateway::shared::Shared;
 
--- a/src/gateway/rescue.rs
+++ b/src/gateway/rescue.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use crate::gateway::directory::Upstream;
-use crate::gateway::follow::OwnClient;
+use crate::gateway::ownclient::OwnClient;
 use crate::gateway::protocol::CopyDone;
 use crate::gateway::shared::Shared;
 
