--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -292,6 +292,3 @@
     };
     admitted.refuse(shared, &refusal)
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -167,6 +167,3 @@
         .with_retries(patience.probes());
     socket.set_tcp_keepalive(&probes)
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/gateway/forward.rs
+++ b/src/gateway/forward.rs
@@ -158,6 +158,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -149,6 +149,3 @@
         }
     }
 }
-
-#[cfg(test)]
-mod tests;
