--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -201,7 +201,7 @@
 fn full_engine(index: usize) -> Candidate {
     Candidate {
         upstream: Arc::new(Upstream {
-            id: UpstreamId::new(format!("engine-{index}")),
+            id: UpstreamId::new(format!("engine-{index}")).into(),
             service: "inspection".into(),
             address: SocketAddr::from(([127, 0, 0, 1], 8_000)),
             data_centre: DataCentre::new("north"),
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -49,6 +49,16 @@
     }
 }
 
+/// No request is kept for longer than this, whatever its caller or its route allows: longer than any
+/// generation runs, and short enough to be added to any reading of a clock.
+const REQUEST_TIME_MAX: Duration = Duration::from_secs(24 * 60 * 60);
+
+/// A time that a caller or an operator gives, in milliseconds, cut to what a request may be kept.
+pub fn request_time(ms: f64) -> Duration {
+    let time = Duration::try_from_secs_f64(ms.max(0.0) / 1_000.0);
+    time.map_or(REQUEST_TIME_MAX, |time| time.min(REQUEST_TIME_MAX))
+}
+
 impl Add<Duration> for Time {
     type Output = Time;
 
--- a/src/ejection.rs
+++ b/src/ejection.rs
@@ -51,15 +51,15 @@
     probing: bool,
 }
 
-/// The ejected upstreams of a pool.
+/// The ejected upstreams of a pool, each known by a `K`.
 #[derive(Debug)]
-pub(crate) struct Ejector {
+pub(crate) struct Ejector<K = UpstreamId> {
     options: EjectionOptions,
-    records: BTreeMap<UpstreamId, Record>,
+    records: BTreeMap<K, Record>,
     ejected: usize,
 }
 
-impl Ejector {
+impl<K: Clone + Ord> Ejector<K> {
     /// An ejector that has seen no failures.
     pub(crate) fn new(options: EjectionOptions) -> Self {
         Ejector {
@@ -70,7 +70,7 @@
     }
 
     /// Whether an upstream may be given work at `now`.
-    pub(crate) fn health(&self, now: Time, upstream: &UpstreamId) -> Health {
+    pub(crate) fn health(&self, now: Time, upstream: &K) -> Health {
         let Some(record) = self.records.get(upstream) else {
             return Health::Open;
         };
@@ -82,7 +82,7 @@
     }
 
     /// The upstreams that may be given a probe.
-    pub(crate) fn half_open(&self, now: Time) -> Vec<UpstreamId> {
+    pub(crate) fn half_open(&self, now: Time) -> Vec<K> {
         self.records
             .keys()
             .filter(|upstream| self.health(now, upstream) == Health::HalfOpen)
@@ -91,19 +91,19 @@
     }
 
     /// A request goes to the upstream; if it is half-open, this is the probe.
-    pub(crate) fn sent(&mut self, upstream: &UpstreamId) {
+    pub(crate) fn sent(&mut self, upstream: &K) {
         if let Some(record) = self.records.get_mut(upstream) {
             record.probing = record.until.is_some();
         }
     }
 
     /// The upstream served a request.
-    pub(crate) fn succeeded(&mut self, upstream: &UpstreamId) {
+    pub(crate) fn succeeded(&mut self, upstream: &K) {
         self.forget(upstream);
     }
 
     /// A request ended without telling anything of the upstream.
-    pub(crate) fn abandoned(&mut self, upstream: &UpstreamId) {
+    pub(crate) fn abandoned(&mut self, upstream: &K) {
         if let Some(record) = self.records.get_mut(upstream) {
             record.probing = false;
         }
@@ -112,7 +112,7 @@
     /// The upstream failed a request. At most `ejected_max` upstreams are ejected at once.
     ///
     /// True if this ejected it.
-    pub(crate) fn failed(&mut self, now: Time, upstream: &UpstreamId, ejected_max: usize) -> bool {
+    pub(crate) fn failed(&mut self, now: Time, upstream: &K, ejected_max: usize) -> bool {
         let record = self.records.entry(upstream.clone()).or_default();
         record.failures += 1;
         let again = record.until.is_some();
@@ -135,7 +135,7 @@
     }
 
     /// Forgets an upstream.
-    pub(crate) fn forget(&mut self, upstream: &UpstreamId) {
+    pub(crate) fn forget(&mut self, upstream: &K) {
         let Some(record) = self.records.remove(upstream) else {
             return;
         };
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod host;
 pub(crate) mod hostlisting;
 pub mod identity;
+pub mod instance;
 pub(crate) mod joining;
 pub(crate) mod line;
 pub mod loads;
--- a/src/gateway/admit/tests.rs
+++ b/src/gateway/admit/tests.rs
@@ -13,6 +13,7 @@
 use crate::gateway::admit::tests::crowd::Policy;
 use crate::gateway::directory::Upstream;
 use crate::gateway::directory::UpstreamState;
+use crate::gateway::instance::InstanceId;
 use crate::gateway::loads::Load;
 use crate::gateway::pace::Pace;
 use crate::gateway::place::Candidate;
@@ -31,7 +32,7 @@
 pub(super) fn candidate(id: &str, load: Load) -> Candidate {
     Candidate {
         upstream: Arc::new(Upstream {
-            id: UpstreamId::new(id),
+            id: InstanceId::from(UpstreamId::new(id)),
             service: ServiceId::new("inspection"),
             address: "127.0.0.1:9000".parse().unwrap(),
             data_centre: DataCentre::new("north"),
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -158,7 +158,7 @@
 
 async fn call_upstream(front: &Front, admitted: &Admitted, upstream: &Upstream) -> Attempted {
     let pooled = match admitted.route.kind {
-        RouteKind::Idempotent => front.pool.borrow_mut().take(upstream.address),
+        RouteKind::Idempotent => front.pool.borrow_mut().take(&upstream.id),
         RouteKind::Once | RouteKind::Stream => None,
     };
     let connection = match pooled {
@@ -189,7 +189,7 @@
     } = begun;
     match exchange::read_whole(shared, upstream, head, body).await {
         Whole::Answered(answer) => {
-            front.pool.borrow_mut().put(upstream.address, connection);
+            front.pool.borrow_mut().put(&upstream.id, connection);
             Attempted::Answered(answer)
         }
         Whole::NotRun(reason) => Attempted::NotRun(reason),
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -11,18 +11,19 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::gateway::directory::Change;
+use crate::gateway::instance::InstanceId;
+use crate::gateway::instance::InstanceKey;
 use crate::gateway::loads::Load;
 use crate::gateway::protocol::Topic;
 use crate::gateway::turns::ToMove;
 use crate::id::DataCentre;
 use crate::id::HostId;
-use crate::id::UpstreamId;
 
 /// Largest datagram that crosses a network whole.
 pub(crate) const DATAGRAM_BYTES_MAX: usize = 1_400;
 /// First byte of a datagram; rises with each change of its fields, so that hosts of two releases
 /// side by side don't misread each other.
-const FORMAT: u8 = 4;
+const FORMAT: u8 = 5;
 
 /// Topics of the log.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,13 +67,13 @@
     /// The last changes of its upstreams.
     pub changes: Vec<Change>,
     /// What it runs where; none in a datagram that tells only of turns or of the log.
-    pub loads: Option<Vec<(UpstreamId, Load)>>,
+    pub loads: Option<Vec<(InstanceKey, Load)>>,
     /// Runs that it has still to move off engines that are leaving.
     pub moving: Vec<ToMove>,
     /// Upstreams that it saw leaving.
-    pub leaving: Vec<UpstreamId>,
+    pub leaving: Vec<InstanceId>,
     /// Upstreams that it can't connect to now.
-    pub unreachable: Vec<UpstreamId>,
+    pub unreachable: Vec<InstanceId>,
     /// Some other hosts.
     pub hosts: Vec<SocketAddr>,
     /// How many other hosts it hears. One that has just started takes its fleet's size from this.
@@ -103,7 +104,7 @@
 }
 
 /// A datagram that is too large loses its oldest changes, then its smallest loads.
-pub(crate) fn encode(mut datagram: Datagram) -> Vec<u8> {
+pub fn encode(mut datagram: Datagram) -> Vec<u8> {
     if let Some(loads) = &mut datagram.loads {
         loads.sort_by_key(|(_, load)| std::cmp::Reverse(load.tokens));
     }
@@ -120,7 +121,7 @@
 /// # Errors
 ///
 /// [`Error::Datagram`] if it is not a datagram of this release.
-pub(crate) fn decode(bytes: &[u8]) -> Result<Datagram> {
+pub fn decode(bytes: &[u8]) -> Result<Datagram> {
     let Some((&FORMAT, fields)) = bytes.split_first() else {
         return Err(Error::Datagram("another format".to_owned()));
     };
--- a/src/gateway/destinations.rs
+++ b/src/gateway/destinations.rs
@@ -10,8 +10,8 @@
 use std::sync::Arc;
 
 use crate::gateway::directory::Upstream;
+use crate::gateway::instance::InstanceId;
 use crate::id::DataCentre;
-use crate::id::UpstreamId;
 
 /// The leaving engines among which the engines of a data centre are divided.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -25,11 +25,11 @@
 /// Those of `ready` that take the runs of `source`, which is one of `leaving`. Both lists are in
 /// the order of their ids. Empty where there are fewer engines left than are leaving.
 pub(crate) fn of_source(
-    source: &UpstreamId,
+    source: &InstanceId,
     leaving: &[Arc<Upstream>],
     ready: &[Arc<Upstream>],
     among: Among,
-) -> BTreeSet<UpstreamId> {
+) -> BTreeSet<InstanceId> {
     let data_centres: BTreeSet<&DataCentre> = ready.iter().map(|to| &to.data_centre).collect();
     let shares = data_centres.into_iter().flat_map(|data_centre| {
         let sources = sources_for(data_centre, leaving, among);
@@ -38,7 +38,7 @@
             .enumerate()
             .filter(move |(index, _)| sources.get(index % sources.len().max(1)) == Some(&source))
             .map(|(_, to)| to.id.clone())
-            .collect::<Vec<UpstreamId>>()
+            .collect::<Vec<InstanceId>>()
     });
     shares.collect()
 }
@@ -48,12 +48,12 @@
     data_centre: &DataCentre,
     leaving: &'a [Arc<Upstream>],
     among: Among,
-) -> Vec<&'a UpstreamId> {
+) -> Vec<&'a InstanceId> {
     let near = leaving
         .iter()
         .filter(|from| from.data_centre == *data_centre)
         .map(|from| &from.id);
-    let near: Vec<&UpstreamId> = near.collect();
+    let near: Vec<&InstanceId> = near.collect();
     match among {
         Among::Near if !near.is_empty() => near,
         Among::Near | Among::All => leaving.iter().map(|from| &from.id).collect(),
--- a/src/gateway/destinations/tests.rs
+++ b/src/gateway/destinations/tests.rs
@@ -5,13 +5,14 @@
 use super::of_source;
 use crate::gateway::directory::Upstream;
 use crate::gateway::directory::UpstreamState;
+use crate::gateway::instance::InstanceId;
 use crate::id::DataCentre;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 
 fn engine(id: &str, data_centre: &str) -> Arc<Upstream> {
     Arc::new(Upstream {
-        id: UpstreamId::new(id),
+        id: InstanceId::from(UpstreamId::new(id)),
         service: ServiceId::new("reports"),
         address: "10.0.0.1:8000".parse().unwrap(),
         data_centre: DataCentre::new(data_centre),
@@ -24,8 +25,11 @@
     ids.iter().map(|id| engine(id, data_centre)).collect()
 }
 
-fn ids(names: &[&str]) -> BTreeSet<UpstreamId> {
-    names.iter().map(|name| UpstreamId::new(*name)).collect()
+fn ids(names: &[&str]) -> BTreeSet<InstanceId> {
+    names
+        .iter()
+        .map(|name| InstanceId::from(UpstreamId::new(*name)))
+        .collect()
 }
 
 #[test]
@@ -77,8 +81,24 @@
     let ready = engines(&["a"], "north");
 
     assert!(of_source(&leaving[1].id, &leaving, &ready, Among::Near).is_empty());
-    assert!(of_source(&UpstreamId::new("z"), &leaving, &ready, Among::Near).is_empty());
-    assert!(of_source(&UpstreamId::new("x"), &[], &ready, Among::Near).is_empty());
+    assert!(
+        of_source(
+            &InstanceId::from(UpstreamId::new("z")),
+            &leaving,
+            &ready,
+            Among::Near
+        )
+        .is_empty()
+    );
+    assert!(
+        of_source(
+            &InstanceId::from(UpstreamId::new("x")),
+            &[],
+            &ready,
+            Among::Near
+        )
+        .is_empty()
+    );
 }
 
 #[test]
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -3,6 +3,10 @@
 //! While the log is away, entries may lapse although their upstreams live. A removal that is read
 //! soon after the log came back therefore takes effect only [`RETURN_GRACE`] after the return:
 //! a living upstream has listed itself again by then.
+//!
+//! The directory is where instances of one upstream are told apart. Entries of one id are ordered by
+//! the log, but an entry of an earlier instance may be written late; it never replaces that of a
+//! later one. An entry that tells no start is about the instance that is known.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -13,11 +17,13 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock::Time;
+use crate::gateway::instance::InstanceId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 
 mod upstream;
 
+pub use self::upstream::Applied;
 pub use self::upstream::Change;
 pub use self::upstream::DirectoryChange;
 pub use self::upstream::News;
@@ -43,14 +49,24 @@
     leaving_since: Option<Time>,
 }
 
+/// What is remembered of an upstream that is not listed.
+#[derive(Debug, Clone)]
+struct Removal {
+    offset: u64,
+    at: Time,
+    instance: InstanceId,
+}
+
 /// The upstreams as one host knows them.
 #[derive(Debug, Default)]
 pub struct Directory {
     offset: u64,
     entries: BTreeMap<UpstreamId, Entry>,
-    removed: BTreeMap<UpstreamId, (u64, Time)>,
+    removed: BTreeMap<UpstreamId, Removal>,
     /// Instances that answered at their address with another id, or refused as leaving.
-    witnessed: BTreeMap<UpstreamId, Time>,
+    witnessed: BTreeMap<InstanceId, Time>,
+    /// Keys whose newest record names no upstream, with the record's offset.
+    foreign: BTreeMap<UpstreamId, u64>,
     away: bool,
     returned_at: Option<Time>,
     recent: VecDeque<Change>,
@@ -79,107 +95,129 @@
         }
     }
 
-    /// Takes one record; `upstream` is none where the key was removed.
+    /// Takes one record; `upstream` is none where the key was removed, or its record names none.
     pub fn apply(
         &mut self,
         now: Time,
         id: &UpstreamId,
         upstream: Option<Upstream>,
         offset: u64,
-    ) -> Option<DirectoryChange> {
+    ) -> Option<Applied> {
         let known = self.entries.get(id).map(|entry| entry.offset);
-        let removed = self.removed.get(id).map(|(offset, _)| *offset);
+        let removed = self.removed.get(id).map(|removal| removal.offset);
         if known.max(removed).is_some_and(|newest| newest > offset) {
             return None;
         }
         match upstream {
-            Some(upstream) => self.list(now, id, upstream, offset),
+            Some(upstream) => self.list(now, upstream, offset),
             None => self.remove(now, id, offset),
         }
     }
 
-    fn list(
-        &mut self,
-        now: Time,
-        id: &UpstreamId,
-        upstream: Upstream,
-        offset: u64,
-    ) -> Option<DirectoryChange> {
-        self.removed.remove(id);
-        let state = upstream.state;
+    /// The latest start that is known of an upstream.
+    fn latest_born_ms(&self, id: &UpstreamId) -> Option<u64> {
+        let listed = self.entries.get(id).map(|entry| &entry.upstream.id);
+        let removed = self.removed.get(id).map(|removal| &removal.instance);
+        listed.or(removed).and_then(InstanceId::born_ms)
+    }
+
+    fn list(&mut self, now: Time, mut upstream: Upstream, offset: u64) -> Option<Applied> {
+        let name = upstream.id.upstream().clone();
+        let latest = self.latest_born_ms(&name);
+        let born_ms = upstream.id.born_ms().or(latest);
+        if born_ms < latest {
+            return None;
+        }
+        upstream.id = InstanceId::new(name.clone(), born_ms);
+        self.removed.remove(&name);
+        self.foreign.remove(&name);
+        let old = self.entries.remove(&name);
+        let leaving_since = old
+            .as_ref()
+            .filter(|old| old.upstream.id == upstream.id)
+            .and_then(|old| old.leaving_since);
         let upstream = Arc::new(upstream);
-        let known = self.entries.get(id).and_then(|entry| entry.leaving_since);
-        let known_ready = self
-            .entries
-            .get(id)
-            .is_some_and(|entry| entry.upstream.state == UpstreamState::Ready);
-        let leaving = state == UpstreamState::Leaving;
+        let is_leaving = upstream.state == UpstreamState::Leaving;
+        let change = change_of(old.as_ref(), &upstream);
+        let news = match is_notice(old.as_ref(), &upstream) {
+            true => News::Leaving(upstream.id.clone()),
+            false => News::Listed(upstream.clone()),
+        };
+        self.remember(offset, news);
         let entry = Entry {
             upstream: upstream.clone(),
             offset,
             gone_at: None,
-            leaving_since: leaving.then(|| known.unwrap_or(now)),
+            leaving_since: is_leaving.then(|| leaving_since.unwrap_or(now)),
         };
-        let news = match known_ready && leaving {
-            true => News::Leaving,
-            false => News::Listed(upstream.clone()),
-        };
-        self.remember(id, offset, news);
-        match self.entries.insert(id.clone(), entry) {
-            None if state == UpstreamState::Leaving => Some(DirectoryChange::Leaving),
-            None => Some(DirectoryChange::Added),
-            Some(old) if old.upstream == upstream && old.gone_at.is_none() => None,
-            Some(old) if old.upstream.state != state && state == UpstreamState::Leaving => {
-                Some(DirectoryChange::Leaving)
-            }
-            Some(_) => Some(DirectoryChange::Changed),
-        }
+        self.entries.insert(name, entry);
+        let ended = old.map(|old| old.upstream.id.clone());
+        change.map(|change| Applied {
+            ended: ended.filter(|ended| *ended != upstream.id),
+            id: upstream.id.clone(),
+            change,
+        })
     }
 
-    fn remove(&mut self, now: Time, id: &UpstreamId, offset: u64) -> Option<DirectoryChange> {
+    fn remove(&mut self, now: Time, id: &UpstreamId, offset: u64) -> Option<Applied> {
         let entry = self.entries.get_mut(id)?;
         let grace_ends = self.returned_at.map(|returned| returned + RETURN_GRACE);
         let ready = entry.upstream.state == UpstreamState::Ready;
         if let Some(ends) = grace_ends.filter(|ends| *ends > now && ready) {
             entry.offset = offset;
             entry.gone_at = Some(ends);
-            return Some(DirectoryChange::Missing);
+            return Some(Applied {
+                id: entry.upstream.id.clone(),
+                change: DirectoryChange::Missing,
+                ended: None,
+            });
         }
-        self.drop_entry(now, id, offset);
-        Some(DirectoryChange::Removed)
+        self.drop_entry(now, id, offset)
     }
 
-    fn drop_entry(&mut self, now: Time, id: &UpstreamId, offset: u64) {
-        self.entries.remove(id);
-        self.removed.insert(id.clone(), (offset, now));
-        self.remember(id, offset, News::Removed);
+    fn drop_entry(&mut self, now: Time, id: &UpstreamId, offset: u64) -> Option<Applied> {
+        let instance = self.entries.remove(id)?.upstream.id.clone();
+        let removal = Removal {
+            offset,
+            at: now,
+            instance: instance.clone(),
+        };
+        self.removed.insert(id.clone(), removal);
+        self.remember(offset, News::Removed(instance.clone()));
+        Some(Applied {
+            id: instance.clone(),
+            change: DirectoryChange::Removed,
+            ended: Some(instance),
+        })
     }
 
-    fn remember(&mut self, id: &UpstreamId, offset: u64, news: News) {
-        self.recent.retain(|change| change.id != *id);
+    /// The newest record of a key names no upstream. True if this is news.
+    pub fn note_foreign(&mut self, id: &UpstreamId, offset: u64) -> bool {
+        self.foreign.insert(id.clone(), offset) != Some(offset)
+    }
+
+    fn remember(&mut self, offset: u64, news: News) {
+        let name = news.id().upstream();
+        self.recent
+            .retain(|change| change.news.id().upstream() != name);
         if self.recent.len() == RECENT_CHANGES {
             self.recent.pop_front();
         }
-        self.recent.push_back(Change {
-            id: id.clone(),
-            offset,
-            news,
-        });
+        self.recent.push_back(Change { offset, news });
     }
 
     /// Takes a change that another host tells.
-    pub fn take(&mut self, now: Time, change: &Change) -> Option<DirectoryChange> {
+    pub fn take(&mut self, now: Time, change: &Change) -> Option<Applied> {
         let upstream = match &change.news {
             News::Listed(upstream) => Some((**upstream).clone()),
-            News::Removed => None,
-            News::Leaving => {
-                let known = self.entries.get(&change.id)?;
-                let mut upstream = (*known.upstream).clone();
+            News::Removed(_) => None,
+            News::Leaving(id) => {
+                let mut upstream = (**self.get(id)?).clone();
                 upstream.state = UpstreamState::Leaving;
                 Some(upstream)
             }
         };
-        self.apply(now, &change.id, upstream, change.offset)
+        self.apply(now, change.news.id().upstream(), upstream, change.offset)
     }
 
     /// The last changes, for other hosts.
@@ -193,7 +231,7 @@
         entries
             .map(|(id, entry)| {
                 let leaving = entry.upstream.state == UpstreamState::Leaving;
-                let seed = entry.offset * 2 + u64::from(leaving);
+                let seed = entry.offset.wrapping_mul(2) + u64::from(leaving);
                 xxh3_64_with_seed(id.as_str().as_bytes(), seed)
             })
             .fold(0, |sum, hash| sum ^ hash)
@@ -205,81 +243,79 @@
         now: Time,
         listed: Vec<(Upstream, u64)>,
         offset: u64,
-    ) -> Vec<(UpstreamId, DirectoryChange)> {
+    ) -> Vec<Applied> {
         let present: BTreeSet<UpstreamId> = listed
             .iter()
-            .map(|(upstream, _)| upstream.id.clone())
+            .map(|(upstream, _)| upstream.id.upstream().clone())
             .collect();
         let lacking: Vec<UpstreamId> = self
             .entries
             .iter()
             .filter(|(id, entry)| !present.contains(*id) && entry.offset < offset)
+            .filter(|(_, entry)| entry.gone_at.is_none())
             .map(|(id, _)| id.clone())
             .collect();
         let mut changes = Vec::new();
         for (upstream, at) in listed {
-            let id = upstream.id.clone();
-            if let Some(change) = self.apply(now, &id, Some(upstream), at) {
-                changes.push((id, change));
-            }
+            let id = upstream.id.upstream().clone();
+            changes.extend(self.apply(now, &id, Some(upstream), at));
         }
         for id in lacking {
-            let missing = self.entries.get(&id).is_some_and(|e| e.gone_at.is_some());
-            if missing {
-                continue;
-            }
-            if let Some(change) = self.remove(now, &id, offset.saturating_sub(1)) {
-                changes.push((id, change));
-            }
+            changes.extend(self.remove(now, &id, offset.saturating_sub(1)));
         }
         self.advance(offset);
         changes
     }
 
     /// Drops what is missing and whose grace is over, and old memories.
-    pub fn lapse(&mut self, now: Time) -> Vec<UpstreamId> {
-        let gone: Vec<UpstreamId> = self
+    pub fn lapse(&mut self, now: Time) -> Vec<Applied> {
+        let gone: Vec<(UpstreamId, u64)> = self
             .entries
             .iter()
             .filter(|(_, entry)| entry.gone_at.is_some_and(|at| at <= now))
-            .map(|(id, _)| id.clone())
+            .map(|(id, entry)| (id.clone(), entry.offset))
             .collect();
-        for id in &gone {
-            if let Some(offset) = self.entries.get(id).map(|entry| entry.offset) {
-                self.drop_entry(now, id, offset);
-            }
-        }
         let recent = |at: Time| now.since(at) < REMOVAL_REMEMBERED;
-        self.removed.retain(|_, (_, at)| recent(*at));
+        self.removed.retain(|_, removal| recent(removal.at));
         self.witnessed.retain(|_, at| recent(*at));
-        gone
+        let dropped = gone.iter();
+        dropped
+            .filter_map(|(id, offset)| self.drop_entry(now, id, *offset))
+            .collect()
     }
 
     /// An answer or a peer showed that the instance is leaving or gone. True if that is news.
-    pub fn witness(&mut self, now: Time, id: &UpstreamId) -> bool {
+    pub fn witness(&mut self, now: Time, id: &InstanceId) -> bool {
         self.witnessed.insert(id.clone(), now).is_none()
     }
 
     /// Instances that were seen leaving, beside what the log says.
-    pub fn witnessed(&self) -> impl Iterator<Item = &UpstreamId> {
+    pub fn witnessed(&self) -> impl Iterator<Item = &InstanceId> {
         self.witnessed.keys()
     }
 
     /// Whether an instance takes new work.
-    pub fn is_ready(&self, id: &UpstreamId) -> bool {
+    pub fn is_ready(&self, id: &InstanceId) -> bool {
         !self.witnessed.contains_key(id)
             && self
-                .entries
                 .get(id)
-                .is_some_and(|entry| entry.upstream.state == UpstreamState::Ready)
+                .is_some_and(|upstream| upstream.state == UpstreamState::Ready)
     }
 
-    /// Since when an instance is known to be leaving or gone; none while it takes new work.
-    pub fn leaving_since(&self, id: &UpstreamId) -> Option<Time> {
-        let listed = self.entries.get(id).and_then(|entry| entry.leaving_since);
-        let removed = self.removed.get(id).map(|(_, at)| *at);
+    /// Since when an instance is known to be leaving or gone; none while it takes new work, and once a
+    /// later instance is listed: what still runs is then at the later one or ends with its connection,
+    /// and there is nothing to be moved from it.
+    pub fn leaving_since(&self, id: &InstanceId) -> Option<Time> {
+        let name = id.upstream();
+        let entry = self.entries.get(name);
+        if entry.is_some_and(|entry| entry.upstream.id != *id) {
+            return None;
+        }
+        let listed = entry.and_then(|entry| entry.leaving_since);
+        let removed = self.removed.get(name);
+        let removed = removed.filter(|removal| removal.instance == *id);
         listed
-            .or(removed)
+            .or(removed.map(|removal| removal.at))
             .or_else(|| self.witnessed.get(id).copied())
     }
 
@@ -296,8 +332,9 @@
 
     /// All upstreams that take new work.
     pub fn all_ready(&self) -> Vec<Arc<Upstream>> {
-        let ids = self.entries.keys().filter(|id| self.is_ready(id));
-        ids.filter_map(|id| self.get(id)).cloned().collect()
+        let upstreams = self.entries.values().map(|entry| &entry.upstream);
+        let ready = upstreams.filter(|upstream| self.is_ready(&upstream.id));
+        ready.cloned().collect()
     }
 
     /// The listed upstreams of a service that were seen leaving less than `within` ago, by id.
@@ -313,9 +350,11 @@
             .collect()
     }
 
-    /// The upstream, if it is listed.
-    pub fn get(&self, id: &UpstreamId) -> Option<&Arc<Upstream>> {
-        self.entries.get(id).map(|entry| &entry.upstream)
+    /// The upstream, if this instance of it is listed.
+    pub fn get(&self, id: &InstanceId) -> Option<&Arc<Upstream>> {
+        let entry = self.entries.get(id.upstream());
+        let upstream = entry.map(|entry| &entry.upstream);
+        upstream.filter(|upstream| upstream.id == *id)
     }
 
     /// The whole list with each entry's offset, for a peer.
@@ -337,5 +376,32 @@
     }
 }
 
+/// What it means for an upstream that was known as `old` to be listed as `new`.
+fn change_of(old: Option<&Entry>, new: &Arc<Upstream>) -> Option<DirectoryChange> {
+    let Some(old) = old else {
+        return Some(match new.state {
+            UpstreamState::Ready => DirectoryChange::Added,
+            UpstreamState::Leaving => DirectoryChange::Leaving,
+        });
+    };
+    if old.upstream.id != new.id {
+        return Some(DirectoryChange::Restarted);
+    }
+    if old.upstream == *new && old.gone_at.is_none() {
+        return None;
+    }
+    match is_notice(Some(old), new) {
+        true => Some(DirectoryChange::Leaving),
+        false => Some(DirectoryChange::Changed),
+    }
+}
+
+/// Whether an instance that took work says that it is leaving.
+fn is_notice(old: Option<&Entry>, new: &Upstream) -> bool {
+    let was_ready = old
+        .is_some_and(|old| old.upstream.id == new.id && old.upstream.state == UpstreamState::Ready);
+    was_ready && new.state == UpstreamState::Leaving
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/gateway/directory/tests.rs
+++ b/src/gateway/directory/tests.rs
@@ -1,16 +1,24 @@
+use super::Applied;
+use super::Change;
 use super::Directory;
 use super::DirectoryChange;
+use super::News;
 use super::RETURN_GRACE;
 use super::Upstream;
 use super::UpstreamState;
 use crate::clock::Time;
+use crate::gateway::instance::InstanceId;
 use crate::id::DataCentre;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 
+fn instance(id: &str) -> InstanceId {
+    InstanceId::from(UpstreamId::new(id))
+}
+
 fn upstream(id: &str, state: UpstreamState) -> Upstream {
     Upstream {
-        id: UpstreamId::new(id),
+        id: instance(id),
         service: ServiceId::new("inspection"),
         address: "127.0.0.1:9000".parse().unwrap(),
         data_centre: DataCentre::new("north"),
@@ -75,7 +83,7 @@
 
     let change = directory.apply(Time::from_ms(5), &UpstreamId::new("a"), None, 9);
 
-    assert_eq!(change, Some(DirectoryChange::Removed));
+    assert_eq!(change.unwrap().change, DirectoryChange::Removed);
     assert_eq!(ready_ids(&directory), ["b"]);
 }
 
@@ -91,10 +99,11 @@
     let ids_early = ready_ids(&directory);
     let late = directory.lapse(back + RETURN_GRACE);
 
-    assert_eq!(change, Some(DirectoryChange::Missing));
+    assert_eq!(change.unwrap().change, DirectoryChange::Missing);
     assert!(early.is_empty());
     assert_eq!(ids_early, ["a", "b"]);
-    assert_eq!(late, [UpstreamId::new("a")]);
+    let late: Vec<InstanceId> = late.into_iter().map(|applied| applied.id).collect();
+    assert_eq!(late, [instance("a")]);
     assert_eq!(ready_ids(&directory), ["b"]);
 }
 
@@ -124,7 +133,10 @@
     let changes = directory.replace(Time::ZERO, vec![(ready("b"), 1), (ready("c"), 5)], 6);
 
     assert_eq!(ready_ids(&directory), ["b", "c"]);
-    assert!(changes.contains(&(UpstreamId::new("a"), DirectoryChange::Removed)));
+    let removed = |applied: &Applied| {
+        applied.id == instance("a") && applied.change == DirectoryChange::Removed
+    };
+    assert!(changes.iter().any(removed));
     assert_eq!(directory.offset(), 6);
 }
 
@@ -132,12 +144,12 @@
 fn a_witness_goes_before_the_list() {
     let mut directory = directory_of(&["a"]);
 
-    let news = directory.witness(Time::from_ms(3), &UpstreamId::new("a"));
-    let again = directory.witness(Time::from_ms(4), &UpstreamId::new("a"));
+    let news = directory.witness(Time::from_ms(3), &instance("a"));
+    let again = directory.witness(Time::from_ms(4), &instance("a"));
 
     assert!(news && !again);
     assert!(ready_ids(&directory).is_empty());
-    assert!(directory.leaving_since(&UpstreamId::new("a")).is_some());
+    assert!(directory.leaving_since(&instance("a")).is_some());
 }
 
 #[test]
@@ -149,7 +161,10 @@
 
     directory.apply(Time::from_ms(900), &id, Some(leaving), 6);
 
-    assert_eq!(directory.leaving_since(&id), Some(Time::from_ms(100)));
+    assert_eq!(
+        directory.leaving_since(&instance("a")),
+        Some(Time::from_ms(100))
+    );
 }
 
 #[test]
@@ -172,3 +187,167 @@
     assert_eq!(listener.digest(), reader.digest());
     assert_eq!(ready_ids(&listener), ["c"]);
 }
+
+/// An entry of the instance of `id` that started at `born_ms`.
+fn born(id: &str, born_ms: u64, state: UpstreamState) -> Upstream {
+    Upstream {
+        id: InstanceId::new(UpstreamId::new(id), Some(born_ms)),
+        ..upstream(id, state)
+    }
+}
+
+fn apply(directory: &mut Directory, upstream: Upstream, offset: u64) -> Option<DirectoryChange> {
+    let name = upstream.id.upstream().clone();
+    let applied = directory.apply(Time::ZERO, &name, Some(upstream), offset);
+    applied.map(|applied| applied.change)
+}
+
+// An upstream that had been seen leaving started again under its id. Keyed by the id alone, what
+// had been seen kept work from it for 120 s.
+#[test]
+fn an_upstream_that_was_seen_leaving_takes_work_when_it_has_started_again() {
+    let mut directory = Directory::default();
+    apply(&mut directory, born("a", 5, UpstreamState::Ready), 1);
+    directory.witness(Time::ZERO, &born("a", 5, UpstreamState::Ready).id);
+    let before = ready_ids(&directory);
+
+    let change = apply(&mut directory, born("a", 9, UpstreamState::Ready), 2);
+
+    assert!(before.is_empty());
+    assert_eq!(change, Some(DirectoryChange::Restarted));
+    assert_eq!(ready_ids(&directory), ["a"]);
+}
+
+// A write that got no answer may be carried out seconds later: the entry of an instance that ended
+// can follow that of the one after it, and may say that it is leaving.
+#[test]
+fn a_late_entry_of_an_earlier_instance_changes_nothing() {
+    let mut directory = Directory::default();
+    apply(&mut directory, born("a", 9, UpstreamState::Ready), 1);
+
+    let change = apply(&mut directory, born("a", 5, UpstreamState::Leaving), 2);
+
+    assert_eq!(change, None);
+    assert_eq!(ready_ids(&directory), ["a"]);
+}
+
+#[test]
+fn an_earlier_instance_is_not_listed_again_after_the_removal_of_a_later_one() {
+    let mut directory = Directory::default();
+    apply(&mut directory, born("a", 9, UpstreamState::Ready), 1);
+    directory.apply(Time::ZERO, &UpstreamId::new("a"), None, 2);
+
+    let change = apply(&mut directory, born("a", 5, UpstreamState::Ready), 3);
+
+    assert_eq!(change, None);
+    assert!(directory.is_empty());
+}
+
+#[test]
+fn what_is_seen_of_an_earlier_instance_is_not_held_against_a_later_one() {
+    let mut directory = Directory::default();
+    apply(&mut directory, born("a", 9, UpstreamState::Ready), 1);
+
+    directory.witness(Time::ZERO, &born("a", 5, UpstreamState::Ready).id);
+
+    assert_eq!(ready_ids(&directory), ["a"]);
+}
+
+#[test]
+fn nothing_is_moved_off_an_instance_once_a_later_one_is_listed() {
+    let mut directory = Directory::default();
+    let earlier = born("a", 5, UpstreamState::Leaving);
+    apply(&mut directory, earlier.clone(), 1);
+    let before = directory.leaving_since(&earlier.id);
+
+    let later = born("a", 9, UpstreamState::Ready);
+    apply(&mut directory, later.clone(), 2);
+
+    assert!(before.is_some());
+    assert_eq!(directory.leaving_since(&earlier.id), None);
+    assert_eq!(directory.leaving_since(&later.id), None);
+}
+
+#[test]
+fn the_instance_before_is_told_to_have_ended() {
+    let mut directory = Directory::default();
+    let earlier = born("a", 5, UpstreamState::Ready);
+    apply(&mut directory, earlier.clone(), 1);
+
+    let later = born("a", 9, UpstreamState::Ready);
+    let applied = directory.apply(Time::ZERO, &UpstreamId::new("a"), Some(later), 2);
+
+    assert_eq!(applied.unwrap().ended, Some(earlier.id));
+}
+
+#[test]
+fn an_entry_without_a_start_is_about_the_instance_that_is_known() {
+    let mut directory = Directory::default();
+    apply(&mut directory, born("a", 9, UpstreamState::Ready), 1);
+
+    let change = apply(&mut directory, upstream("a", UpstreamState::Leaving), 2);
+
+    assert_eq!(change, Some(DirectoryChange::Leaving));
+    assert!(
+        directory
+            .leaving_since(&born("a", 9, UpstreamState::Ready).id)
+            .is_some()
+    );
+}
+
+#[test]
+fn a_notice_that_a_peer_tells_of_an_earlier_instance_is_not_taken() {
+    let mut directory = Directory::default();
+    apply(&mut directory, born("a", 9, UpstreamState::Ready), 1);
+    let earlier = born("a", 5, UpstreamState::Ready).id;
+
+    let taken = directory.take(
+        Time::ZERO,
+        &Change {
+            offset: 7,
+            news: News::Leaving(earlier),
+        },
+    );
+
+    assert_eq!(taken, None);
+    assert_eq!(ready_ids(&directory), ["a"]);
+}
+
+#[test]
+fn a_foreign_record_is_news_once() {
+    let mut directory = Directory::default();
+    let id = UpstreamId::new("a");
+
+    let news = [4, 4, 6].map(|offset| directory.note_foreign(&id, offset));
+
+    assert_eq!(news, [true, false, true]);
+}
+
+/// News of one upstream reaches hosts in any order and more than once.
+#[test]
+fn hosts_list_the_same_whatever_order_they_hear_records_in() {
+    fn lists_the_same(starts: Vec<u8>, order: Vec<usize>) -> bool {
+        let records: Vec<Upstream> = starts
+            .iter()
+            .map(|start| born("a", u64::from(start % 4), UpstreamState::Ready))
+            .collect();
+        let last_born_ms = 9;
+        let last = born("a", last_born_ms, UpstreamState::Ready);
+        let mut in_order = Directory::default();
+        for (offset, record) in records.iter().enumerate() {
+            apply(&mut in_order, record.clone(), offset as u64);
+        }
+        let mut out_of_order = Directory::default();
+        for index in order {
+            if let Some(record) = records.get(index % records.len().max(1)) {
+                let offset = (index % records.len().max(1)) as u64;
+                apply(&mut out_of_order, record.clone(), offset);
+            }
+        }
+        for directory in [&mut in_order, &mut out_of_order] {
+            apply(directory, last.clone(), records.len() as u64);
+        }
+        in_order.digest() == out_of_order.digest() && in_order.list_all() == out_of_order.list_all()
+    }
+    quickcheck::quickcheck(lists_the_same as fn(Vec<u8>, Vec<usize>) -> bool);
+}
--- a/src/gateway/directory/upstream.rs
+++ b/src/gateway/directory/upstream.rs
@@ -6,9 +6,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::gateway::instance::InstanceId;
 use crate::id::DataCentre;
 use crate::id::ServiceId;
-use crate::id::UpstreamId;
 
 /// Whether an upstream takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,8 +22,8 @@
 /// One upstream as it lists itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Upstream {
-    /// The instance; a restart has another one.
-    pub id: UpstreamId,
+    /// The instance; a restart is another one.
+    pub id: InstanceId,
     /// What it serves.
     pub service: ServiceId,
     /// Where it listens. Reused by other instances, also of other services.
@@ -41,6 +41,8 @@
 pub enum DirectoryChange {
     /// A new upstream.
     Added,
+    /// A later instance of an upstream that was listed.
+    Restarted,
     /// It takes work again or changed otherwise.
     Changed,
     /// It takes no new work.
@@ -56,6 +58,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             DirectoryChange::Added => "added",
+            DirectoryChange::Restarted => "restarted",
             DirectoryChange::Changed => "changed",
             DirectoryChange::Leaving => "leaving",
             DirectoryChange::Removed => "removed",
@@ -64,14 +67,23 @@
     }
 }
 
+/// A change that was taken into the directory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Applied {
+    /// The instance that it is about.
+    pub id: InstanceId,
+    /// What became of it.
+    pub change: DirectoryChange,
+    /// The instance that is no longer listed by this change: the one removed, or the one before.
+    pub ended: Option<InstanceId>,
+}
+
 /// A change as hosts tell it to each other.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
-    /// Whose.
-    pub id: UpstreamId,
     /// The offset of its record.
     pub offset: u64,
-    /// What became of it.
+    /// What became of an upstream.
     pub news: News,
 }
 
@@ -81,7 +93,17 @@
     /// It is listed like this.
     Listed(Arc<Upstream>),
     /// It is listed as before, but leaving.
-    Leaving,
+    Leaving(InstanceId),
     /// It was removed.
-    Removed,
+    Removed(InstanceId),
+}
+
+impl News {
+    /// Whose.
+    pub fn id(&self) -> &InstanceId {
+        match self {
+            News::Listed(upstream) => &upstream.id,
+            News::Leaving(id) | News::Removed(id) => id,
+        }
+    }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -17,6 +17,8 @@
 use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
 use crate::id::UpstreamId;
+use crate::telemetry;
+use crate::telemetry::Metric;
 
 /// A call that doesn't wait, of a host that knows nothing yet: many start together.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
@@ -41,6 +43,9 @@
 /// their seeds, of a tenth of a core, could not answer all by then.
 const JOIN_WAIT: Duration = Duration::from_millis(1_000);
 
+/// So much of a record that can't be used is shown in the log.
+const SHOWN_BYTES: usize = 48;
+
 /// Why a topic must be read anew or later.
 #[derive(Debug)]
 pub(crate) enum Interrupted {
@@ -266,17 +271,11 @@
         let mut changes = Vec::new();
         for record in records {
             let id = UpstreamId::new(record.key.as_str());
-            let upstream = match &record.value {
-                Some(value) => match decode_upstream(&self.shared, &record.key, value) {
-                    Some(upstream) => Some(upstream),
-                    None => continue,
-                },
-                None => None,
-            };
+            let upstream = listed_upstream(&self.shared, &id, record);
             let change = self
                 .shared
                 .directory(|directory| directory.apply(now, &id, upstream, record.offset));
-            changes.extend(change.map(|change| (id, change)));
+            changes.extend(change);
         }
         self.shared.directory(|directory| directory.advance(next));
         self.shared.directory_changes(changes, "log");
@@ -284,13 +283,12 @@
 
     fn take_all_upstreams(&self, records: &[Record], end: u64) {
         let now = self.shared.now();
-        let mut listed = Vec::new();
-        for record in records {
-            let Some(value) = &record.value else { continue };
-            if let Some(upstream) = decode_upstream(&self.shared, &record.key, value) {
-                listed.push((upstream, record.offset));
-            }
-        }
+        let listed = records.iter().filter_map(|record| {
+            let id = UpstreamId::new(record.key.as_str());
+            let upstream = listed_upstream(&self.shared, &id, record)?;
+            Some((upstream, record.offset))
+        });
+        let listed = listed.collect();
         let changes = self
             .shared
             .directory(|directory| directory.replace(now, listed, end));
@@ -308,15 +306,17 @@
     let mut records: Vec<Record> = Vec::new();
     let mut end = None;
     loop {
-        let after = records.last().map(|record| record.key.as_str());
-        let call = shared.protocol().newest_call(topic, after);
+        let after = records.last().map(|record| record.key.clone());
+        let call = shared.protocol().newest_call(topic, after.as_deref());
         let (status, body) = client.call(&call, timeout).await?;
         if status != 200 {
             return Err(Interrupted::Unavailable(format!("status {status}")));
         }
         let page = shared.protocol().decode_newest(&body)?;
         let from = *end.get_or_insert(page.end);
-        let more = page.more && !page.records.is_empty();
+        let is_further = |key: &str| after.as_deref().is_none_or(|after| after < key);
+        let last = page.records.last();
+        let more = page.more && last.is_some_and(|last| is_further(&last.key));
         records.extend(page.records);
         if !more {
             return Ok((records, from));
@@ -324,16 +324,32 @@
     }
 }
 
-fn decode_upstream(shared: &Shared, key: &str, value: &[u8]) -> Option<Upstream> {
-    match shared.protocol().upstream(key, value) {
+/// The upstream that a record names; none where the key was removed, and where another writer's record
+/// names none: an upstream that it replaces is gone like one removed.
+fn listed_upstream(shared: &Shared, id: &UpstreamId, record: &Record) -> Option<Upstream> {
+    let value = record.value.as_ref()?;
+    match shared.protocol().upstream(&record.key, value) {
         Ok(upstream) => Some(upstream),
         Err(error) => {
-            let line = shared.log().line(EventCode::RecordSkipped);
-            line.with("source", "upstreams")
-                .with("key", key)
-                .with("reason", error.to_string())
-                .write();
+            note_foreign(shared, id, record.offset, value, &error);
             None
         }
     }
 }
+
+/// Says once of each record that it names no upstream.
+fn note_foreign(shared: &Shared, id: &UpstreamId, offset: u64, value: &[u8], error: &Error) {
+    if !shared.directory(|directory| directory.note_foreign(id, offset)) {
+        return;
+    }
+    telemetry::count(Metric::ForeignRecordsTotal);
+    let shown = &value[..value.len().min(SHOWN_BYTES)];
+    let line = shared.log().line(EventCode::RecordSkipped);
+    line.with("source", "upstreams")
+        .with("key", id.as_str())
+        .with("offset", offset)
+        .with("reason", error.to_string())
+        .with("bytes", value.len())
+        .with("begins", shown.escape_ascii().to_string())
+        .write();
+}
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -280,7 +280,7 @@
     let same = shared.directory(|directory| {
         for change in &datagram.changes {
             let taken = directory.take(now, change);
-            changes.extend(taken.map(|taken| (change.id.clone(), taken)));
+            changes.extend(taken);
         }
         let same = directory.digest() == datagram.upstreams_digest;
         if same {
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -278,9 +278,7 @@
         let now = shared.now();
         shared.loads().with(|loads| loads.lapse(now));
         let gone = shared.directory(|directory| directory.lapse(now));
-        for id in gone {
-            shared.note_lapsed(&id);
-        }
+        shared.note_lapsed(gone);
         shared.look_for_cut();
     }
 }
--- a/src/gateway/line.rs
+++ b/src/gateway/line.rs
@@ -16,6 +16,7 @@
 use crate::gateway::admit::Demand;
 use crate::gateway::admit::Prospect;
 use crate::gateway::admit::Verdict;
+use crate::gateway::instance::InstanceId;
 use crate::gateway::pace::Pace;
 use crate::gateway::place;
 use crate::gateway::place::Candidate;
@@ -26,7 +27,6 @@
 use crate::gateway::stream;
 use crate::id::CustomerId;
 use crate::id::ServiceId;
-use crate::id::UpstreamId;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 
@@ -195,7 +195,7 @@
     shared: &Shared,
     admitted: &Admitted,
     need: Need,
-    avoid: &[UpstreamId],
+    avoid: &[InstanceId],
 ) -> Result<Option<Candidate>, Refusal> {
     let tokens = place::tokens(need);
     let ticket = Ticket::join(shared, admitted, tokens);
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -13,8 +13,9 @@
 use serde::Serialize;
 
 use crate::clock::Time;
+use crate::gateway::instance::InstanceId;
+use crate::gateway::instance::InstanceKey;
 use crate::id::HostId;
-use crate::id::UpstreamId;
 
 /// What a peer told counts for this long: two rounds between data centres, or a short cut.
 const PEER_COUNT_LASTS: Duration = Duration::from_millis(4_000);
@@ -48,19 +49,19 @@
 #[derive(Debug, Clone)]
 struct PeerLoads {
     at: Time,
-    loads: HashMap<UpstreamId, Load>,
+    loads: HashMap<InstanceKey, Load>,
 }
 
 /// The counts of all hosts.
 #[derive(Debug, Default)]
 pub struct Loads {
-    own: BTreeMap<UpstreamId, Load>,
+    own: BTreeMap<InstanceId, Load>,
     peers: HashMap<HostId, PeerLoads>,
 }
 
 impl Loads {
     /// Takes a peer's counts.
-    pub fn hear(&mut self, now: Time, host: HostId, loads: Vec<(UpstreamId, Load)>) {
+    pub fn hear(&mut self, now: Time, host: HostId, loads: Vec<(InstanceKey, Load)>) {
         let loads = loads.into_iter().collect();
         self.peers.insert(host, PeerLoads { at: now, loads });
     }
@@ -72,28 +73,29 @@
     }
 
     /// All that runs at an upstream.
-    pub fn at(&self, upstream: &UpstreamId) -> Load {
+    pub fn at(&self, upstream: &InstanceId) -> Load {
         let mut sum = self.own.get(upstream).copied().unwrap_or_default();
+        let key = upstream.key();
         for peer in self.peers.values() {
-            if let Some(load) = peer.loads.get(upstream) {
+            if let Some(load) = peer.loads.get(&key) {
                 sum.add(*load);
             }
         }
         sum
     }
 
-    /// This host's own counts.
-    pub fn own(&self) -> Vec<(UpstreamId, Load)> {
+    /// This host's own counts, for its peers.
+    pub fn own(&self) -> Vec<(InstanceKey, Load)> {
         let own = self.own.iter();
-        own.map(|(upstream, load)| (upstream.clone(), *load))
+        own.map(|(upstream, load)| (upstream.key(), *load))
             .collect()
     }
 
-    fn start(&mut self, upstream: &UpstreamId, load: Load) {
+    fn start(&mut self, upstream: &InstanceId, load: Load) {
         self.own.entry(upstream.clone()).or_default().add(load);
     }
 
-    fn end(&mut self, upstream: &UpstreamId, load: Load) {
+    fn end(&mut self, upstream: &InstanceId, load: Load) {
         let Some(sum) = self.own.get_mut(upstream) else {
             return;
         };
@@ -116,7 +118,7 @@
 
     /// Counts one request at an upstream until the guard is dropped. Its prompt counts as unread
     /// until [`Occupied::prompt_read`].
-    pub fn occupy(&self, upstream: &UpstreamId, tokens: u32, prompt_tokens: u32) -> Occupied {
+    pub fn occupy(&self, upstream: &InstanceId, tokens: u32, prompt_tokens: u32) -> Occupied {
         let load = Load {
             requests: 1,
             tokens,
@@ -135,7 +137,7 @@
 #[derive(Debug)]
 pub struct Occupied {
     board: LoadBoard,
-    upstream: UpstreamId,
+    upstream: InstanceId,
     load: Load,
 }
 
--- a/src/gateway/loads/tests.rs
+++ b/src/gateway/loads/tests.rs
@@ -1,11 +1,12 @@
 use super::Load;
 use super::LoadBoard;
 use crate::clock::Time;
+use crate::gateway::instance::InstanceId;
 use crate::id::HostId;
 use crate::id::UpstreamId;
 
-fn upstream() -> UpstreamId {
-    UpstreamId::new("a")
+fn upstream() -> InstanceId {
+    InstanceId::from(UpstreamId::new("a"))
 }
 
 fn load(requests: u32, tokens: u32, unread_tokens: u32) -> Load {
@@ -49,7 +50,7 @@
 fn peers_count_until_they_are_silent() {
     let board = LoadBoard::default();
     let _own = board.occupy(&upstream(), 10, 0);
-    let told = vec![(upstream(), load(2, 90, 5))];
+    let told = vec![(upstream().key(), load(2, 90, 5))];
     board.with(|loads| loads.hear(Time::ZERO, HostId::new("peer"), told));
     let heard = board.with(|loads| loads.at(&upstream()));
 
@@ -63,7 +64,7 @@
 fn a_peers_later_word_replaces_its_earlier_one() {
     let board = LoadBoard::default();
     let peer = HostId::new("peer");
-    let told = vec![(upstream(), load(2, 90, 5))];
+    let told = vec![(upstream().key(), load(2, 90, 5))];
     board.with(|loads| loads.hear(Time::ZERO, peer.clone(), told));
 
     board.with(|loads| loads.hear(Time::from_ms(5), peer, Vec::new()));
--- a/src/gateway/ownword.rs
+++ b/src/gateway/ownword.rs
@@ -14,11 +14,12 @@
 
 use crate::event::EventCode;
 use crate::gateway::directory::Upstream;
+use crate::gateway::instance::InstanceId;
 use crate::gateway::ownclient::OwnClient;
+use crate::gateway::protocol::EngineReport;
 use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
 use crate::id::HostId;
-use crate::id::UpstreamId;
 
 /// Between two rounds: engines give at least 1.5 s of notice and their word is half a second old,
 /// so most of a second is left to move what runs there.
@@ -56,7 +57,7 @@
 }
 
 /// Whether `host` asks the engine, and none of `others`.
-fn is_asker(host: &HostId, others: &[HostId], engine: &UpstreamId) -> bool {
+fn is_asker(host: &HostId, others: &[HostId], engine: &InstanceId) -> bool {
     let weight = |host: &HostId| {
         let seed = xxh3_64_with_seed(host.as_str().as_bytes(), 0);
         xxh3_64_with_seed(engine.as_str().as_bytes(), seed)
@@ -77,12 +78,20 @@
 
 fn take_report(shared: &Shared, engine: &Upstream, body: &[u8]) {
     match shared.protocol().decode_report(body) {
-        Ok(report) if report.leaving => shared.witness_leaving(&engine.id, "its own report"),
+        Ok(report) if report.leaving => {
+            shared.witness_leaving(&teller(&engine.id, &report), "its own report");
+        }
         Ok(_) => {}
         Err(error) => note_no_report(shared, engine, &error.to_string()),
     }
 }
 
+/// The instance that tells; by now it may be a later one than was asked.
+fn teller(asked: &InstanceId, report: &EngineReport) -> InstanceId {
+    let born_ms = report.born_ms.or(asked.born_ms());
+    InstanceId::new(asked.upstream().clone(), born_ms)
+}
+
 /// An engine that is too busy to tell, or tells what can't be read, says nothing of its leaving.
 fn note_no_report(shared: &Shared, engine: &Upstream, reason: &str) {
     let line = shared.log().line(EventCode::RecordSkipped);
--- a/src/gateway/ownword/tests.rs
+++ b/src/gateway/ownword/tests.rs
@@ -1,4 +1,5 @@
 use super::is_asker;
+use crate::gateway::instance::InstanceId;
 use crate::id::HostId;
 use crate::id::UpstreamId;
 
@@ -8,7 +9,7 @@
         .collect()
 }
 
-fn askers(hosts: &[HostId], engine: &UpstreamId) -> usize {
+fn askers(hosts: &[HostId], engine: &InstanceId) -> usize {
     let others_of = |host: &HostId| -> Vec<HostId> {
         let others = hosts.iter().filter(|other| *other != host);
         others.cloned().collect()
@@ -24,7 +25,7 @@
     let hosts = hosts(26);
 
     for index in 0..45 {
-        let engine = UpstreamId::new(format!("engine-{index}"));
+        let engine = InstanceId::from(UpstreamId::new(format!("engine-{index}")));
         assert_eq!(askers(&hosts, &engine), 1);
     }
 }
@@ -33,5 +34,9 @@
 fn a_host_alone_asks_all() {
     let host = HostId::new("host-0");
 
-    assert!(is_asker(&host, &[], &UpstreamId::new("engine-0")));
+    assert!(is_asker(
+        &host,
+        &[],
+        &InstanceId::from(UpstreamId::new("engine-0"))
+    ));
 }
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -6,6 +6,7 @@
 use crate::gateway::datagram::Topics;
 use crate::gateway::datagram::decode;
 use crate::gateway::datagram::encode;
+use crate::gateway::instance::InstanceId;
 use crate::gateway::loads::Load;
 use crate::gateway::protocol::Topic;
 use crate::id::DataCentre;
@@ -183,7 +184,8 @@
             tokens: index,
             unread_tokens: 0,
         };
-        (UpstreamId::new(format!("i-{index:08}")), load)
+        let upstream = InstanceId::from(UpstreamId::new(format!("i-{index:08}")));
+        (upstream.key(), load)
     });
     large.loads = Some(loads.collect());
 
@@ -192,7 +194,8 @@
 
     assert!(bytes.len() <= 1_400, "{}", bytes.len());
     let kept = kept.loads.unwrap();
-    assert!(kept.iter().all(|(_, load)| load.tokens > 100));
+    let least = 200 - kept.len() as u32;
+    assert!(kept.iter().all(|(_, load)| load.tokens >= least));
     assert!(!kept.is_empty());
 }
 
--- a/src/gateway/place/tests.rs
+++ b/src/gateway/place/tests.rs
@@ -7,6 +7,7 @@
 use super::choose;
 use crate::gateway::directory::Upstream;
 use crate::gateway::directory::UpstreamState;
+use crate::gateway::instance::InstanceId;
 use crate::gateway::loads::Load;
 use crate::id::DataCentre;
 use crate::id::ServiceId;
@@ -15,7 +16,7 @@
 fn candidate(id: &str, data_centre: &str, load: Load) -> Candidate {
     Candidate {
         upstream: Arc::new(Upstream {
-            id: UpstreamId::new(id),
+            id: InstanceId::from(UpstreamId::new(id)),
             service: ServiceId::new("inspection"),
             address: "127.0.0.1:9000".parse().unwrap(),
             data_centre: DataCentre::new(data_centre),
--- a/src/gateway/pool.rs
+++ b/src/gateway/pool.rs
@@ -1,29 +1,29 @@
 //! Idle connections to upstreams, kept for requests that may run again.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use crate::gateway::connection::Connection;
+use crate::gateway::instance::InstanceId;
 
 /// An idle connection is closed after this time. Upstreams announce timeouts in whole seconds, and
 /// some drop idle connections sooner without a word.
 const IDLE_MAX: Duration = Duration::from_millis(900);
-/// Idle connections kept to one address.
+/// Idle connections kept to one upstream.
 const IDLE_CONNECTIONS_MAX: usize = 4;
 
-/// Idle connections by address.
+/// Idle connections by the instance that they lead to.
 #[derive(Debug, Default)]
 pub struct Pool {
-    idle: HashMap<SocketAddr, Vec<(Connection, Instant)>>,
+    idle: HashMap<InstanceId, Vec<(Connection, Instant)>>,
 }
 
 impl Pool {
     /// An idle connection that still looks alive.
-    pub fn take(&mut self, address: SocketAddr) -> Option<Connection> {
-        let connections = self.idle.get_mut(&address)?;
+    pub fn take(&mut self, upstream: &InstanceId) -> Option<Connection> {
+        let connections = self.idle.get_mut(upstream)?;
         while let Some((connection, since)) = connections.pop() {
             if since.elapsed() < IDLE_MAX && connection.is_usable() {
                 return Some(connection);
@@ -33,8 +33,8 @@
     }
 
     /// Keeps a connection whose answer was read to its end.
-    pub fn put(&mut self, address: SocketAddr, connection: Connection) {
-        let connections = self.idle.entry(address).or_default();
+    pub fn put(&mut self, upstream: &InstanceId, connection: Connection) {
+        let connections = self.idle.entry(upstream.clone()).or_default();
         if connections.len() < IDLE_CONNECTIONS_MAX {
             connections.push((connection, Instant::now()));
         }
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -117,6 +117,8 @@
 pub struct EngineReport {
     /// It is leaving and takes no new work.
     pub leaving: bool,
+    /// When the engine that tells started, in Unix milliseconds of its own clock.
+    pub born_ms: Option<u64>,
 }
 
 /// Names of the headers that the gateway reads or sets.
@@ -184,7 +186,7 @@
     ///
     /// # Errors
     ///
-    /// If it can't be read.
+    /// Why the record names no upstream: another writer's, or one that can't be read.
     fn upstream(&self, key: &str, value: &[u8]) -> Result<Upstream>;
 
     /// The size of the generation that a request asks for.
--- a/src/gateway/reach.rs
+++ b/src/gateway/reach.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use crate::clock::Time;
-use crate::id::UpstreamId;
+use crate::gateway::instance::InstanceId;
 
 /// First time for which an upstream is passed over.
 const PASSED_OVER_MIN: Duration = Duration::from_millis(800);
@@ -40,12 +40,12 @@
 /// What is known of connections to all upstreams.
 #[derive(Debug, Default)]
 pub struct Reach {
-    records: HashMap<UpstreamId, Record>,
+    records: HashMap<InstanceId, Record>,
 }
 
 impl Reach {
     /// A connection could not be established. True if the upstream could be reached before.
-    pub fn failed(&mut self, now: Time, upstream: &UpstreamId) -> bool {
+    pub fn failed(&mut self, now: Time, upstream: &InstanceId) -> bool {
         let record = self.records.entry(upstream.clone()).or_default();
         let known = record.failing;
         if known.is_some_and(|failing| failing.first_hand && failing.until > now) {
@@ -64,7 +64,7 @@
     }
 
     /// Another host of the data centre could not connect. True if that is news.
-    pub fn hear(&mut self, now: Time, upstream: &UpstreamId) -> bool {
+    pub fn hear(&mut self, now: Time, upstream: &InstanceId) -> bool {
         let record = self.records.entry(upstream.clone()).or_default();
         let seen = record.reached_at;
         let reached_lately = seen.is_some_and(|at| now.since(at) < OWN_SIGHT_LASTS);
@@ -81,21 +81,21 @@
     }
 
     /// A connection was established. True if it could not before.
-    pub fn reached(&mut self, now: Time, upstream: &UpstreamId) -> bool {
+    pub fn reached(&mut self, now: Time, upstream: &InstanceId) -> bool {
         let record = self.records.entry(upstream.clone()).or_default();
         record.reached_at = Some(now);
         record.failing.take().is_some()
     }
 
     /// Whether an upstream is to be passed over.
-    pub fn is_passed_over(&self, now: Time, upstream: &UpstreamId) -> bool {
+    pub fn is_passed_over(&self, now: Time, upstream: &InstanceId) -> bool {
         let record = self.records.get(upstream);
         let failing = record.and_then(|record| record.failing);
         failing.is_some_and(|failing| failing.until > now)
     }
 
     /// What this host itself can't connect to now, for its peers.
-    pub fn first_hand(&self, now: Time) -> Vec<UpstreamId> {
+    pub fn first_hand(&self, now: Time) -> Vec<InstanceId> {
         let failing = |record: &Record| {
             let failing = record.failing;
             failing.is_some_and(|failing| failing.first_hand && failing.until > now)
@@ -108,7 +108,7 @@
     }
 
     /// An upstream is gone for good.
-    pub fn forget(&mut self, upstream: &UpstreamId) {
+    pub fn forget(&mut self, upstream: &InstanceId) {
         self.records.remove(upstream);
     }
 }
--- a/src/gateway/reach/tests.rs
+++ b/src/gateway/reach/tests.rs
@@ -1,9 +1,10 @@
 use super::Reach;
 use crate::clock::Time;
+use crate::gateway::instance::InstanceId;
 use crate::id::UpstreamId;
 
-fn upstream() -> UpstreamId {
-    UpstreamId::new("a")
+fn upstream() -> InstanceId {
+    InstanceId::from(UpstreamId::new("a"))
 }
 
 #[test]
@@ -83,7 +84,7 @@
 #[test]
 fn only_what_a_host_saw_itself_is_told() {
     let mut reach = Reach::default();
-    let heard = UpstreamId::new("heard");
+    let heard = InstanceId::from(UpstreamId::new("heard"));
     reach.hear(Time::ZERO, &heard);
     reach.failed(Time::ZERO, &upstream());
 
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -65,13 +65,15 @@
 impl Route {
     /// The service for a request, where `draw` is a random number.
     pub fn service(&self, draw: u32) -> Option<&ServiceId> {
-        let total: u32 = self.targets.iter().map(|target| target.weight).sum();
-        let mut left = draw.checked_rem(total)?;
+        let weights = self.targets.iter().map(|target| u64::from(target.weight));
+        let total: u64 = weights.sum();
+        let mut left = u64::from(draw).checked_rem(total)?;
         for target in &self.targets {
-            if left < target.weight {
+            let weight = u64::from(target.weight);
+            if left < weight {
                 return Some(&target.service);
             }
-            left -= target.weight;
+            left -= weight;
         }
         None
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -16,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::clock::Time;
+use crate::clock::request_time;
 use crate::event::EventCode;
 use crate::gate::Pass;
 use crate::gateway::call;
@@ -27,6 +28,7 @@
 use crate::gateway::forward::CallerRequest;
 use crate::gateway::identity;
 use crate::gateway::identity::Caller;
+use crate::gateway::instance::InstanceId;
 use crate::gateway::joining;
 use crate::gateway::place;
 use crate::gateway::place::Candidate;
@@ -43,7 +45,6 @@
 use crate::id::DataCentre;
 use crate::id::RequestId;
 use crate::id::ServiceId;
-use crate::id::UpstreamId;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::telemetry;
@@ -140,7 +141,7 @@
     }
 
     /// Chooses an upstream for `need`, but none of `avoid`.
-    pub fn place(&self, shared: &Shared, need: Need, avoid: &[UpstreamId]) -> Option<Candidate> {
+    pub fn place(&self, shared: &Shared, need: Need, avoid: &[InstanceId]) -> Option<Candidate> {
         let candidates = candidates(shared, &self.service, avoid);
         choose(shared, need, &candidates)
     }
@@ -153,7 +154,7 @@
 
 /// The upstreams of a service that may be chosen. Where two of another data centre can't be connected
 /// to, a cut is likelier than two failures, and all of it is in doubt.
-pub fn candidates(shared: &Shared, service: &ServiceId, avoid: &[UpstreamId]) -> Vec<Candidate> {
+pub fn candidates(shared: &Shared, service: &ServiceId, avoid: &[InstanceId]) -> Vec<Candidate> {
     let now = shared.now();
     let ready = shared.directory(|directory| directory.ready(service));
     let cut = cut_data_centres(shared, now, &ready);
@@ -304,7 +305,7 @@
     let asked = request.text(&names.deadline_ms);
     let asked_ms = asked.and_then(|text| text.trim().parse::<f64>().ok());
     let asked_ms = asked_ms.filter(|ms| ms.is_finite() && *ms >= 0.0);
-    asked_ms.map_or(Duration::MAX, |ms| Duration::from_secs_f64(ms / 1_000.0))
+    asked_ms.map_or(Duration::MAX, request_time)
 }
 
 async fn read_body(mut payload: web::Payload, bytes_max: usize) -> Result<Bytes, Refusal> {
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -22,6 +22,7 @@
 use crate::gateway::cutoff::CutOff;
 use crate::gateway::decisions::DecisionLog;
 use crate::gateway::directory::Directory;
+use crate::gateway::instance::InstanceId;
 use crate::gateway::joining::Seeds;
 use crate::gateway::line::LineBoard;
 use crate::gateway::loads::LoadBoard;
@@ -62,7 +63,7 @@
     directory: Mutex<Directory>,
     directory_changed: watch::Sender<u64>,
     peers: Mutex<Peers>,
-    ejector: Mutex<Ejector>,
+    ejector: Mutex<Ejector<InstanceId>>,
     reach: Mutex<Reach>,
     budgets: Mutex<HashMap<ServiceId, SharedRetryBudget>>,
     reading: Mutex<ReadingBoard>,
--- a/src/gateway/shared/changes.rs
+++ b/src/gateway/shared/changes.rs
@@ -5,24 +5,27 @@
 use super::Shared;
 use super::locked;
 use crate::event::EventCode;
+use crate::gateway::directory::Applied;
 use crate::gateway::directory::DirectoryChange;
-use crate::id::UpstreamId;
+use crate::gateway::instance::InstanceId;
 
 impl Shared {
     /// Records changes of the directory and wakes whom they concern.
-    pub fn directory_changes(&self, changes: Vec<(UpstreamId, DirectoryChange)>, source: &str) {
+    pub fn directory_changes(&self, changes: Vec<Applied>, source: &str) {
         if changes.is_empty() {
             return;
         }
-        for (id, change) in changes {
+        for Applied { id, change, ended } in changes {
             let code = match change {
                 DirectoryChange::Leaving | DirectoryChange::Removed => EventCode::UpstreamLeaving,
                 DirectoryChange::Missing => EventCode::UpstreamLost,
-                DirectoryChange::Added | DirectoryChange::Changed => EventCode::UpstreamListed,
+                DirectoryChange::Added | DirectoryChange::Restarted | DirectoryChange::Changed => {
+                    EventCode::UpstreamListed
+                }
             };
-            if change == DirectoryChange::Removed {
-                locked(&self.0.ejector).forget(&id);
-                locked(&self.0.reach).forget(&id);
+            if let Some(ended) = &ended {
+                locked(&self.0.ejector).forget(ended);
+                locked(&self.0.reach).forget(ended);
             }
             let (address, offset) = self.directory(|directory| {
                 let address = directory.get(&id).map(|upstream| upstream.address);
@@ -30,6 +33,7 @@
             });
             let line = self.log().line(code);
             line.with("upstream", id.as_str())
+                .with_some("born_ms", id.born_ms())
                 .with_some("address", address.map(|address| address.to_string()))
                 .with("change", change.name())
                 .with("offset", offset)
@@ -41,13 +45,14 @@
     }
 
     /// An upstream was seen leaving or gone.
-    pub fn witness_leaving(&self, upstream: &UpstreamId, reason: &str) {
+    pub fn witness_leaving(&self, upstream: &InstanceId, reason: &str) {
         let now = self.now();
         if !self.directory(|directory| directory.witness(now, upstream)) {
             return;
         }
         let line = self.log().line(EventCode::UpstreamLeaving);
         line.with("upstream", upstream.as_str())
+            .with_some("born_ms", upstream.born_ms())
             .with("change", "witnessed")
             .with("source", reason)
             .write();
@@ -60,9 +65,8 @@
         self.0.directory_changed.subscribe()
     }
 
-    /// An upstream that was missing since an outage of the log counts as gone.
-    pub fn note_lapsed(&self, id: &UpstreamId) {
-        let change = DirectoryChange::Removed;
-        self.directory_changes(vec![(id.clone(), change)], "missing since the log's return");
+    /// Upstreams that were missing since an outage of the log count as gone.
+    pub fn note_lapsed(&self, lapsed: Vec<Applied>) {
+        self.directory_changes(lapsed, "missing since the log's return");
     }
 }
--- a/src/gateway/shared/health.rs
+++ b/src/gateway/shared/health.rs
@@ -7,21 +7,21 @@
 use crate::ejection::Health;
 use crate::event::EventCode;
 use crate::gateway::cutoff::Change;
+use crate::gateway::instance::InstanceId;
 use crate::id::HostId;
 use crate::id::ServiceId;
-use crate::id::UpstreamId;
 
 /// At most this share of a service's upstreams is ejected at once, in percent.
 const EJECTED_PERCENT_MAX: usize = 50;
 
 impl Shared {
     /// Runs `use_ejector` on what is known of upstreams' failures.
-    pub(crate) fn ejector<T>(&self, use_ejector: impl FnOnce(&mut Ejector) -> T) -> T {
+    pub(crate) fn ejector<T>(&self, use_ejector: impl FnOnce(&mut Ejector<InstanceId>) -> T) -> T {
         use_ejector(&mut locked(&self.0.ejector))
     }
 
     /// A connection to an upstream could not be established.
-    pub fn upstream_unreachable(&self, upstream: &UpstreamId, reason: &str) {
+    pub fn upstream_unreachable(&self, upstream: &InstanceId, reason: &str) {
         let now = self.now();
         if locked(&self.0.reach).failed(now, upstream) {
             let line = self.log().line(EventCode::UpstreamLost);
@@ -33,7 +33,7 @@
     }
 
     /// Another host of the data centre can't connect to these upstreams.
-    pub fn hear_unreachable(&self, peer: &HostId, upstreams: &[UpstreamId]) {
+    pub fn hear_unreachable(&self, peer: &HostId, upstreams: &[InstanceId]) {
         let now = self.now();
         for upstream in upstreams {
             if locked(&self.0.reach).hear(now, upstream) {
@@ -46,12 +46,12 @@
     }
 
     /// What this host itself can't connect to now.
-    pub fn unreachable(&self) -> Vec<UpstreamId> {
+    pub fn unreachable(&self) -> Vec<InstanceId> {
         locked(&self.0.reach).first_hand(self.now())
     }
 
     /// A connection to an upstream was established.
-    pub fn upstream_reached(&self, upstream: &UpstreamId) {
+    pub fn upstream_reached(&self, upstream: &InstanceId) {
         if locked(&self.0.reach).reached(self.now(), upstream) {
             let line = self.log().line(EventCode::UpstreamBack);
             line.with("upstream", upstream.as_str())
@@ -62,7 +62,7 @@
 
     /// A request goes to an upstream. If the upstream was ejected and may be tried again, this is the
     /// trial, and no other is made until the guard is dropped.
-    pub(crate) fn trial(&self, upstream: &UpstreamId) -> Trial {
+    pub(crate) fn trial(&self, upstream: &InstanceId) -> Trial {
         self.ejector(|ejector| ejector.sent(upstream));
         Trial {
             shared: self.clone(),
@@ -71,13 +71,13 @@
     }
 
     /// Whether requests that have another choice pass an upstream over.
-    pub(crate) fn is_doubtful(&self, now: Time, upstream: &UpstreamId) -> bool {
+    pub(crate) fn is_doubtful(&self, now: Time, upstream: &InstanceId) -> bool {
         let health = self.ejector(|ejector| ejector.health(now, upstream));
         health == Health::Ejected || self.is_passed_over(now, upstream)
     }
 
     /// Whether connections to an upstream could not be established a moment ago.
-    pub(crate) fn is_passed_over(&self, now: Time, upstream: &UpstreamId) -> bool {
+    pub(crate) fn is_passed_over(&self, now: Time, upstream: &InstanceId) -> bool {
         locked(&self.0.reach).is_passed_over(now, upstream)
     }
 
@@ -123,7 +123,7 @@
     }
 
     /// A request at an upstream failed by the upstream's fault.
-    pub fn upstream_failed(&self, service: &ServiceId, upstream: &UpstreamId, reason: &str) {
+    pub fn upstream_failed(&self, service: &ServiceId, upstream: &InstanceId, reason: &str) {
         let now = self.now();
         let pool = self.directory(|directory| directory.ready(service).len());
         let ejected_max = pool * EJECTED_PERCENT_MAX / 100;
@@ -141,7 +141,7 @@
 #[derive(Debug)]
 pub(crate) struct Trial {
     shared: Shared,
-    upstream: UpstreamId,
+    upstream: InstanceId,
 }
 
 impl Drop for Trial {
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -24,6 +24,7 @@
 use crate::gateway::exchange::Unanswered;
 use crate::gateway::exchange::Whole;
 use crate::gateway::forward::AttemptHeaders;
+use crate::gateway::instance::InstanceId;
 use crate::gateway::line;
 use crate::gateway::line::Share;
 use crate::gateway::loads::Occupied;
@@ -37,7 +38,6 @@
 use crate::gateway::stream::relay::Relay;
 use crate::gateway::tries::Reached;
 use crate::gateway::tries::Tries;
-use crate::id::UpstreamId;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 
@@ -161,7 +161,7 @@
     shared: &Shared,
     admitted: &Admitted,
     need: Need,
-    avoid: &[UpstreamId],
+    avoid: &[InstanceId],
 ) -> Result<Option<Candidate>, Refusal> {
     match need {
         Need::Memory { .. } => line::wait_for_room(shared, admitted, need, avoid).await,
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -18,6 +18,7 @@
 use crate::gateway::destinations;
 use crate::gateway::destinations::Among;
 use crate::gateway::directory::Upstream;
+use crate::gateway::instance::InstanceId;
 use crate::gateway::loads::Occupied;
 use crate::gateway::place::Candidate;
 use crate::gateway::place::Need;
@@ -26,7 +27,6 @@
 use crate::gateway::rescue::CopyFailure;
 use crate::gateway::serve;
 use crate::gateway::turns::Ticket;
-use crate::id::UpstreamId;
 use crate::telemetry;
 use crate::telemetry::Metric;
 
@@ -216,7 +216,7 @@
     }
 
     /// The engines that take runs of this run's engine and of no other one.
-    fn own_destinations(&self, among: Among) -> BTreeSet<UpstreamId> {
+    fn own_destinations(&self, among: Among) -> BTreeSet<InstanceId> {
         let now = self.shared.now();
         let service = &self.admitted.service;
         let (leaving, ready) = self.shared.directory(|directory| {
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -14,12 +14,12 @@
 use super::moving::copied;
 use crate::event::EventCode;
 use crate::gateway::events::EventSplitter;
+use crate::gateway::instance::InstanceId;
 use crate::gateway::line::Share;
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
 use crate::gateway::turns::Ticket;
 use crate::id::ClassId;
-use crate::id::UpstreamId;
 use crate::telemetry;
 use crate::telemetry::Metric;
 use crate::telemetry::StreamMeter;
@@ -36,7 +36,7 @@
     pub(super) moving: Move,
     pub(super) leaving_since: Option<Instant>,
     pub(super) moves: u32,
-    pub(super) avoid: Vec<UpstreamId>,
+    pub(super) avoid: Vec<InstanceId>,
     pub(super) meter: StreamMeter,
     pub(super) first_ms: Option<f64>,
     pub(super) last_at: Instant,
--- a/src/gateway/tries.rs
+++ b/src/gateway/tries.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use crate::event::EventCode;
+use crate::gateway::instance::InstanceId;
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
-use crate::id::UpstreamId;
 
 /// Upstreams that a request is sent to, however many of them certainly did not run it.
 const SENDS_MAX: usize = 4;
@@ -29,18 +29,18 @@
 /// The tries of one request.
 #[derive(Debug, Default)]
 pub(crate) struct Tries {
-    upstreams: Vec<UpstreamId>,
+    upstreams: Vec<InstanceId>,
     sent: usize,
 }
 
 impl Tries {
     /// The request is offered to `upstream`.
-    pub(crate) fn begin(&mut self, upstream: &UpstreamId) {
+    pub(crate) fn begin(&mut self, upstream: &InstanceId) {
         self.upstreams.push(upstream.clone());
     }
 
     /// The upstreams tried so far.
-    pub(crate) fn upstreams(&self) -> &[UpstreamId] {
+    pub(crate) fn upstreams(&self) -> &[InstanceId] {
         &self.upstreams
     }
 
@@ -73,7 +73,7 @@
             }
         };
         let line = admitted.line(shared, EventCode::RequestRestarted);
-        line.with_some("upstream", self.upstreams.last().map(UpstreamId::as_str))
+        line.with_some("upstream", self.upstreams.last().map(InstanceId::as_str))
             .with("reason", reason)
             .with("tries", self.len())
             .with("sent", self.sent)
--- a/src/gateway/tries/tests.rs
+++ b/src/gateway/tries/tests.rs
@@ -2,12 +2,15 @@
 
 use super::SENDS_MAX;
 use super::Tries;
+use crate::gateway::instance::InstanceId;
 use crate::id::UpstreamId;
 
 fn tries(count: usize) -> Tries {
     let mut tries = Tries::default();
     for index in 0..count {
-        tries.begin(&UpstreamId::new(format!("upstream-{index}")));
+        tries.begin(&InstanceId::from(UpstreamId::new(format!(
+            "upstream-{index}"
+        ))));
     }
     tries
 }
--- a/src/gateway/turns.rs
+++ b/src/gateway/turns.rs
@@ -21,9 +21,9 @@
 use tokio::time::Instant;
 
 use crate::clock::Time;
+use crate::gateway::instance::InstanceId;
 use crate::gateway::shared::Shared;
 use crate::id::HostId;
-use crate::id::UpstreamId;
 
 /// What a peer said it has to move counts for this long.
 const PEER_WORD_LASTS: Duration = Duration::from_millis(900);
@@ -36,13 +36,13 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ToMove {
     /// The engine.
-    pub upstream: UpstreamId,
+    pub upstream: InstanceId,
     /// Runs, the one that is being moved among them.
     pub runs: u32,
     /// Whether one of them is being moved now.
     pub is_moving: bool,
     /// Where that one goes, once it is known.
-    pub to: Option<UpstreamId>,
+    pub to: Option<InstanceId>,
 }
 
 /// This host's runs that leave one engine, in their order.
@@ -50,13 +50,13 @@
 struct Line {
     tickets: Vec<u64>,
     moving: Option<u64>,
-    to: Option<UpstreamId>,
+    to: Option<InstanceId>,
 }
 
 /// Who has what to move off which engine.
 #[derive(Debug, Default)]
 pub struct Turns {
-    own: BTreeMap<UpstreamId, Line>,
+    own: BTreeMap<InstanceId, Line>,
     peers: HashMap<HostId, (Time, Vec<ToMove>)>,
     next_ticket: u64,
 }
@@ -83,7 +83,7 @@
         }
     }
 
-    fn join(&mut self, upstream: &UpstreamId) -> u64 {
+    fn join(&mut self, upstream: &InstanceId) -> u64 {
         self.next_ticket += 1;
         let ticket = self.next_ticket;
         let line = self.own.entry(upstream.clone()).or_default();
@@ -92,14 +92,14 @@
     }
 
     /// The ticket's run is being moved from now on.
-    fn begin(&mut self, upstream: &UpstreamId, ticket: u64) {
+    fn begin(&mut self, upstream: &InstanceId, ticket: u64) {
         if let Some(line) = self.own.get_mut(upstream) {
             line.moving = Some(ticket);
         }
     }
 
     /// The run that is being moved goes to `to`.
-    fn goes_to(&mut self, upstream: &UpstreamId, ticket: u64, to: &UpstreamId) {
+    fn goes_to(&mut self, upstream: &InstanceId, ticket: u64, to: &InstanceId) {
         let line = self.own.get_mut(upstream);
         if let Some(line) = line.filter(|line| line.moving == Some(ticket)) {
             line.to = Some(to.clone());
@@ -108,7 +108,7 @@
 
     /// Where runs of other engines than `source` are being copied to now. Their links take one copy
     /// after another, and a run that was stopped would wait behind the others' copies.
-    pub fn taken_destinations(&self, now: Time, source: &UpstreamId) -> BTreeSet<UpstreamId> {
+    pub fn taken_destinations(&self, now: Time, source: &InstanceId) -> BTreeSet<InstanceId> {
         let heard = self.peers.values();
         let peers = heard
             .filter(|(at, _)| now.since(*at) < PEER_WORD_LASTS)
@@ -121,7 +121,7 @@
             .collect()
     }
 
-    fn leave(&mut self, upstream: &UpstreamId, ticket: u64) {
+    fn leave(&mut self, upstream: &InstanceId, ticket: u64) {
         let Some(line) = self.own.get_mut(upstream) else {
             return;
         };
@@ -136,7 +136,7 @@
     }
 
     /// Whether it is the turn of a ticket of `host`.
-    fn is_turn(&self, now: Time, host: &HostId, upstream: &UpstreamId, ticket: u64) -> bool {
+    fn is_turn(&self, now: Time, host: &HostId, upstream: &InstanceId, ticket: u64) -> bool {
         let Some(line) = self.own.get(upstream) else {
             return true;
         };
@@ -172,13 +172,13 @@
 #[derive(Debug)]
 pub struct Ticket {
     shared: Shared,
-    upstream: UpstreamId,
+    upstream: InstanceId,
     number: u64,
 }
 
 impl Ticket {
     /// Joins the line of `upstream`.
-    pub fn join(shared: &Shared, upstream: &UpstreamId) -> Self {
+    pub fn join(shared: &Shared, upstream: &InstanceId) -> Self {
         let number = shared.turns().with(|turns| turns.join(upstream));
         shared.tell_news();
         Ticket {
@@ -189,7 +189,7 @@
     }
 
     /// Tells the other hosts where the run goes.
-    pub fn goes_to(&self, to: &UpstreamId) {
+    pub fn goes_to(&self, to: &InstanceId) {
         let turns = self.shared.turns();
         turns.with(|turns| turns.goes_to(&self.upstream, self.number, to));
         self.shared.tell_news();
--- a/src/gateway/turns/tests.rs
+++ b/src/gateway/turns/tests.rs
@@ -1,11 +1,12 @@
 use super::ToMove;
 use super::Turns;
 use crate::clock::Time;
+use crate::gateway::instance::InstanceId;
 use crate::id::HostId;
 use crate::id::UpstreamId;
 
-fn engine() -> UpstreamId {
-    UpstreamId::new("engine")
+fn engine() -> InstanceId {
+    InstanceId::from(UpstreamId::new("engine"))
 }
 
 fn waiting(runs: u32) -> Vec<ToMove> {
@@ -22,7 +23,7 @@
         upstream: engine(),
         runs: 1,
         is_moving: true,
-        to: Some(UpstreamId::new("destination")),
+        to: Some(InstanceId::from(UpstreamId::new("destination"))),
     }]
 }
 
@@ -69,7 +70,7 @@
 #[test]
 fn engines_have_lines_of_their_own() {
     let mut turns = Turns::default();
-    turns.join(&UpstreamId::new("other"));
+    turns.join(&InstanceId::from(UpstreamId::new("other")));
     let ticket = turns.join(&engine());
 
     assert!(is_turn(&turns, Time::ZERO, "host-1", ticket));
@@ -105,8 +106,8 @@
 #[test]
 fn a_destination_is_taken_while_another_engines_run_is_copied_to_it() {
     let mut turns = Turns::default();
-    let destination = UpstreamId::new("destination");
-    let other = UpstreamId::new("other");
+    let destination = InstanceId::from(UpstreamId::new("destination"));
+    let other = InstanceId::from(UpstreamId::new("other"));
     turns.hear(Time::ZERO, &HostId::new("host-2"), moving());
 
     assert!(
@@ -125,8 +126,8 @@
 #[test]
 fn a_hosts_own_copies_take_their_destination_until_they_end() {
     let mut turns = Turns::default();
-    let destination = UpstreamId::new("destination");
-    let other = UpstreamId::new("other");
+    let destination = InstanceId::from(UpstreamId::new("destination"));
+    let other = InstanceId::from(UpstreamId::new("other"));
     let ticket = turns.join(&engine());
     turns.goes_to(&engine(), ticket, &destination);
     assert!(turns.taken_destinations(Time::ZERO, &other).is_empty());
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -131,6 +131,8 @@
         "Lines of the gateway's log that were dropped because their reader was too slow.",
     LogAgeMs Gauge "cedargauge_log_age_ms" "topic"
         "Time since the platform's log last answered this host's own read of a topic.",
+    ForeignRecordsTotal Counter "cedargauge_foreign_records_total" ""
+        "Records in the list of upstreams that name no upstream: other writers', or unreadable.",
     PeerMessagesDroppedTotal Counter "cedargauge_peer_messages_dropped_total" ""
         "Messages to other entry hosts that were dropped because the host's queue was full.",
 }
@@ -308,6 +310,12 @@
     metrics::counter!(metric.name(), &labels).increment(1);
 }
 
+/// Counts an event of a counter without labels.
+pub fn count(metric: Metric) {
+    debug_assert!(metric.kind() == Kind::Counter && metric.labels().is_empty());
+    metrics::counter!(metric.name()).increment(1);
+}
+
 /// Raises a counter without labels to a total that is kept elsewhere.
 pub fn set_total(metric: Metric, total: u64) {
     debug_assert!(metric.kind() == Kind::Counter && metric.labels().is_empty());
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,6 +1,7 @@
 //! The gateway between raw callers and upstreams that misbehave, without any platform.
 
 mod gatewayworld;
+mod instances;
 mod silentlog;
 
 use std::time::Duration;
@@ -99,6 +100,17 @@
     assert!(left_ms <= 4_000, "{left_ms}");
 }
 
+// A deadline of 1e300 ms ended the handling of its request with a panic, and the caller saw its
+// connection close.
+#[test]
+fn a_deadline_past_all_bounds_is_as_good_as_none() {
+    let (world, upstreams) = world("once", &[&[Behaviour::Answer(200, "sound")]]);
+
+    let answer = ask(world.callers(), &get("/nets/7", "deadline-ms: 1e300\r\n"));
+
+    assert_eq!((answer.status, upstreams[0].seen().len()), (200, 1));
+}
+
 #[test]
 fn a_host_without_configuration_is_not_ready_and_denies_nothing() {
     let world = World::start();
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -21,6 +21,7 @@
 use cedargauge::gateway::configuration::EngineSpec;
 use cedargauge::gateway::configuration::ServiceSpec;
 use cedargauge::gateway::directory::Upstream;
+use cedargauge::gateway::instance::InstanceId;
 use cedargauge::gateway::protocol::CopyDone;
 use cedargauge::gateway::protocol::EngineReport;
 use cedargauge::gateway::protocol::GenerationSize;
@@ -37,6 +38,7 @@
 use cedargauge::gateway::route::Target;
 use cedargauge::id::CustomerId;
 use cedargauge::id::ServiceId;
+use cedargauge::id::UpstreamId;
 
 /// Speaks with the stand-ins of these tests.
 #[derive(Debug)]
@@ -166,8 +168,17 @@
         }))
     }
 
-    fn upstream(&self, _key: &str, value: &[u8]) -> Result<Upstream> {
-        Ok(serde_json::from_slice(value)?)
+    fn upstream(&self, key: &str, value: &[u8]) -> Result<Upstream> {
+        let entry: Value = serde_json::from_slice(value)?;
+        let id = UpstreamId::new(key);
+        Ok(Upstream {
+            id: InstanceId::new(id, entry["born_ms"].as_u64()),
+            service: serde_json::from_value(entry["service"].clone())?,
+            address: serde_json::from_value(entry["address"].clone())?,
+            data_centre: serde_json::from_value(entry["data_centre"].clone())?,
+            state: serde_json::from_value(entry["state"].clone())?,
+            slots: serde_json::from_value(entry["slots"].clone())?,
+        })
     }
 
     fn generation_size(&self, headers: &HeaderMap) -> Option<GenerationSize> {
@@ -211,6 +222,7 @@
     fn decode_report(&self, body: &[u8]) -> Result<EngineReport> {
         let report: Value = serde_json::from_slice(body)?;
         Ok(EngineReport {
+            born_ms: report["born_ms"].as_u64(),
             leaving: report["leaving"].as_bool().unwrap_or(false),
         })
     }
