--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -16,11 +16,16 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use self::entry::Entry;
+use self::entry::Removal;
+use self::entry::change_of;
+use self::entry::is_notice;
 use crate::clock::Time;
 use crate::gateway::instance::InstanceId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 
+mod entry;
 mod upstream;
 
 pub use self::upstream::Applied;
@@ -43,23 +48,6 @@
 /// and no more of them than these: a third of the upstreams of a large deployment at once.
 const RECENT_CHANGES_MAX: usize = 64;
 
-/// A listed upstream and what this host knows beside.
-#[derive(Debug, Clone)]
-struct Entry {
-    upstream: Arc<Upstream>,
-    offset: u64,
-    gone_at: Option<Time>,
-    leaving_since: Option<Time>,
-}
-
-/// What is remembered of an upstream that is not listed.
-#[derive(Debug, Clone)]
-struct Removal {
-    offset: u64,
-    at: Time,
-    instance: InstanceId,
-}
-
 /// The upstreams as one host knows them.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -397,32 +385,5 @@
     }
 }
 
-/// What it means for an upstream that was known as `old` to be listed as `new`.
-fn change_of(old: Option<&Entry>, new: &Arc<Upstream>) -> Option<DirectoryChange> {
-    let Some(old) = old else {
-        return Some(match new.state {
-            UpstreamState::Ready => DirectoryChange::Added,
-            UpstreamState::Leaving => DirectoryChange::Leaving,
-        });
-    };
-    if old.upstream.id != new.id {
-        return Some(DirectoryChange::Restarted);
-    }
-    if old.upstream == *new && old.gone_at.is_none() {
-        return None;
-    }
-    match is_notice(Some(old), new) {
-        true => Some(DirectoryChange::Leaving),
-        false => Some(DirectoryChange::Changed),
-    }
-}
-
-/// Whether an instance that took work says that it is leaving.
-fn is_notice(old: Option<&Entry>, new: &Upstream) -> bool {
-    let was_ready = old
-        .is_some_and(|old| old.upstream.id == new.id && old.upstream.state == UpstreamState::Ready);
-    was_ready && new.state == UpstreamState::Leaving
-}
-
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/gateway/directory/entry.rs
@@ -0,0 +1,53 @@
+//! What the directory keeps of one upstream, and what a new record of it means.
+
+use std::sync::Arc;
+
+use super::DirectoryChange;
+use super::Upstream;
+use super::UpstreamState;
+use crate::clock::Time;
+use crate::gateway::instance::InstanceId;
+
+/// A listed upstream and what this host knows beside.
+#[derive(Debug, Clone)]
+pub(super) struct Entry {
+    pub(super) upstream: Arc<Upstream>,
+    pub(super) offset: u64,
+    pub(super) gone_at: Option<Time>,
+    pub(super) leaving_since: Option<Time>,
+}
+
+/// What is remembered of an upstream that is not listed.
+#[derive(Debug, Clone)]
+pub(super) struct Removal {
+    pub(super) offset: u64,
+    pub(super) at: Time,
+    pub(super) instance: InstanceId,
+}
+
+/// What it means for an upstream that was known as `old` to be listed as `new`.
+pub(super) fn change_of(old: Option<&Entry>, new: &Arc<Upstream>) -> Option<DirectoryChange> {
+    let Some(old) = old else {
+        return Some(match new.state {
+            UpstreamState::Ready => DirectoryChange::Added,
+            UpstreamState::Leaving => DirectoryChange::Leaving,
+        });
+    };
+    if old.upstream.id != new.id {
+        return Some(DirectoryChange::Restarted);
+    }
+    if old.upstream == *new && old.gone_at.is_none() {
+        return None;
+    }
+    match is_notice(Some(old), new) {
+        true => Some(DirectoryChange::Leaving),
+        false => Some(DirectoryChange::Changed),
+    }
+}
+
+/// Whether an instance that took work says that it is leaving.
+pub(super) fn is_notice(old: Option<&Entry>, new: &Upstream) -> bool {
+    let was_ready = old
+        .is_some_and(|old| old.upstream.id == new.id && old.upstream.state == UpstreamState::Ready);
+    was_ready && new.state == UpstreamState::Leaving
+}
--- /dev/null
+++ b/src/gateway/peers/partners.rs
@@ -0,0 +1,164 @@
+//! Whom a host tells what it knows, and of whom it tells.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::Peer;
+use super::Peers;
+use crate::clock::Time;
+use crate::id::DataCentre;
+
+/// An address that never answers is tried for this long, and again when it is learnt anew.
+const TRIED_FOR: Duration = Duration::from_secs(15);
+/// Addresses of other hosts that a datagram carries.
+const ADDRESSES_TOLD: usize = 4;
+/// The same of the answer to a host that has just started: most of a data centre at once.
+const ADDRESSES_TOLD_AT_START: usize = 64;
+/// Hosts of each other data centre that a stranger is introduced to.
+const INTRODUCED: usize = 4;
+/// Hosts of each other data centre that a host of a large fleet tells in one of its rounds. All hosts of
+/// a data centre do, so that each host hears about as many of it: no word within [`LIVE_FOR`], two
+/// rounds and more, is one case in a thousand where as many hosts tell as listen.
+const FAR_PARTNERS: usize = 3;
+
+/// Which hosts a round is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Recipients {
+    /// All.
+    All,
+    /// Those of the own data centre.
+    Near,
+}
+
+impl Peers {
+    /// Whom to send to in this round, beside hosts that are known by their address alone. Forgets hosts
+    /// that are silent; seeds are always tried.
+    pub fn targets(&mut self, now: Time, recipients: Recipients) -> Vec<SocketAddr> {
+        self.peers.retain(|_, peer| {
+            let last = peer.heard.as_ref().map_or(peer.learnt_at, |heard| heard.at);
+            now.since(last) < TRIED_FOR
+        });
+        let is_meant = |peer: &Peer| match (recipients, &peer.heard) {
+            (Recipients::Near, Some(heard)) => heard.data_centre == self.data_centre,
+            (Recipients::All, _) | (_, None) => true,
+        };
+        let chosen = self.peers.iter().filter(|(_, peer)| is_meant(peer));
+        let mut targets: Vec<SocketAddr> = chosen.map(|(address, _)| *address).collect();
+        let unknown = self
+            .seeds
+            .iter()
+            .filter(|seed| !self.peers.contains_key(seed));
+        targets.extend(unknown);
+        targets
+    }
+
+    /// The hosts of another data centre that are known.
+    pub(super) fn known_in(&self, data_centre: &DataCentre) -> Vec<SocketAddr> {
+        let is_there = |peer: &Peer| {
+            let heard = peer.heard.as_ref();
+            heard.is_some_and(|heard| heard.data_centre == *data_centre && !heard.stopping)
+        };
+        let there = self.peers.iter().filter(|(_, peer)| is_there(peer));
+        there.map(|(address, _)| *address).collect()
+    }
+
+    /// All known hosts of other data centres.
+    pub(crate) fn all_outside(&self) -> Vec<SocketAddr> {
+        self.outside(&self.words.keys().cloned().collect())
+    }
+
+    /// The hosts of these data centres, but not of the own one.
+    pub(crate) fn outside(&self, data_centres: &BTreeSet<DataCentre>) -> Vec<SocketAddr> {
+        let outside = data_centres.iter();
+        outside
+            .filter(|data_centre| **data_centre != self.data_centre)
+            .flat_map(|data_centre| self.known_in(data_centre))
+            .collect()
+    }
+
+    /// Whom a host of a large fleet tells of its data centre in this round: some hosts of each other one
+    /// in turn, and those that read the upstreams for all, who must know whom to tell.
+    pub(crate) fn far_partners(&mut self, now: Time) -> BTreeSet<SocketAddr> {
+        let outside = self
+            .words
+            .keys()
+            .filter(|other| **other != self.data_centre);
+        let mut partners: BTreeSet<SocketAddr> = outside
+            .flat_map(|data_centre| {
+                in_turn(&self.known_in(data_centre), self.far_turn, FAR_PARTNERS)
+            })
+            .collect();
+        self.far_turn = self.far_turn.wrapping_add(FAR_PARTNERS);
+        partners.extend(self.readers_for_all(now));
+        partners
+    }
+
+    /// The live hosts that read the upstreams for all.
+    fn readers_for_all(&self, now: Time) -> Vec<SocketAddr> {
+        let reads = |peer: &Peer| {
+            let heard = peer.heard.as_ref();
+            peer.is_live(now) && heard.is_some_and(|heard| heard.reading.upstreams)
+        };
+        let readers = self.peers.iter().filter(|(_, peer)| reads(peer));
+        readers.map(|(address, _)| *address).collect()
+    }
+
+    /// A few live hosts to tell of, in turn; in a large fleet those of the own data centre, and who reads
+    /// the upstreams for all: of two that read, the second must hear the first to leave it to that one.
+    pub(crate) fn some(&mut self, now: Time) -> Vec<SocketAddr> {
+        let is_small = self.is_small(now);
+        let live = match is_small {
+            true => self.all_live(now),
+            false => self.live_in(now, &self.data_centre),
+        };
+        self.turn = self.turn.wrapping_add(ADDRESSES_TOLD);
+        let mut some = in_turn(&live, self.turn, ADDRESSES_TOLD);
+        if !is_small {
+            some.extend(self.readers_for_all(now).into_iter().take(ADDRESSES_TOLD));
+        }
+        some
+    }
+
+    /// Some hosts of each data centre but `own`, for a host there.
+    pub(crate) fn introductions(
+        &mut self,
+        now: Time,
+        own: &DataCentre,
+    ) -> Vec<(DataCentre, SocketAddr)> {
+        self.turn = self.turn.wrapping_add(INTRODUCED);
+        let others = self.words.keys().filter(|other| *other != own);
+        let introduced = others.flat_map(|other| {
+            let there = in_turn(&self.live_in(now, other), self.turn, INTRODUCED);
+            there.into_iter().map(|host| (other.clone(), host))
+        });
+        introduced.collect()
+    }
+
+    /// The hosts of a data centre, for one of them that has just started.
+    pub(crate) fn neighbours_of(&self, now: Time, data_centre: &DataCentre) -> Vec<SocketAddr> {
+        in_turn(&self.live_in(now, data_centre), 0, ADDRESSES_TOLD_AT_START)
+    }
+
+    fn all_live(&self, now: Time) -> Vec<SocketAddr> {
+        let live = self.peers.iter().filter(|(_, peer)| peer.is_live(now));
+        live.map(|(address, _)| *address).collect()
+    }
+
+    fn live_in(&self, now: Time, data_centre: &DataCentre) -> Vec<SocketAddr> {
+        let mut there = self.known_in(data_centre);
+        there.retain(|address| {
+            self.peers
+                .get(address)
+                .is_some_and(|peer| peer.is_live(now))
+        });
+        there
+    }
+}
+
+/// `count` of `addresses`, from `turn` on and round.
+fn in_turn(addresses: &[SocketAddr], turn: usize, count: usize) -> Vec<SocketAddr> {
+    let from = turn.checked_rem(addresses.len()).unwrap_or(0);
+    let rotated = addresses.iter().cycle().skip(from);
+    rotated.take(count.min(addresses.len())).copied().collect()
+}
