--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -14,7 +14,6 @@
 //! ([`crate::gateway::peers::Peers::is_reader`]); two readers for a moment are harmless, and a host that hears of none
 //! reads for itself.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -35,7 +34,6 @@
 use crate::gateway::peers::Recipients;
 use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
-use crate::gateway::turns::ToMove;
 use crate::id::DataCentre;
 
 /// Time between two rounds while hosts are few.
@@ -150,6 +148,7 @@
     last: Option<Time>,
     /// All hosts, by a host that reads the upstreams for all.
     last_of_reader: Option<Time>,
+    was_moving: bool,
     /// The log's offset up to which this host had told of upstreams.
     told_upstreams: u64,
 }
@@ -164,6 +163,11 @@
         is_due
     }
 
+    /// Whether there is something to tell of turns, be it that nothing is left to move.
+    fn tells_turns(&mut self, is_moving: bool) -> bool {
+        std::mem::replace(&mut self.was_moving, is_moving) || is_moving
+    }
+
     /// Whether this host reads the upstreams for all, and the others must hear that it does, or what has
     /// changed.
     fn is_due_of_reader(&mut self, shared: &Shared, now: Time) -> bool {
@@ -204,9 +208,8 @@
 /// Tells the other data centres of a large fleet what is due.
 async fn send_far(shared: &Shared, socket: &UdpSocket, far: &mut FarRounds, datagram: &Datagram) {
     let now = shared.now();
-    if !datagram.moving.is_empty() {
-        let concerned = data_centres_of(shared, &datagram.moving);
-        let targets = shared.peers(|peers| peers.outside(&concerned));
+    if far.tells_turns(!datagram.moving.is_empty()) {
+        let targets = shared.peers(|peers| peers.all_outside());
         send(socket, &encode(datagram.of_turns_only()), &targets).await;
     }
     if far.is_due_of_reader(shared, now) {
@@ -221,17 +224,6 @@
     }
 }
 
-/// Where the engines stand whose links runs are copied over: hosts there have runs to move too.
-fn data_centres_of(shared: &Shared, moving: &[ToMove]) -> BTreeSet<DataCentre> {
-    let engines = moving
-        .iter()
-        .flat_map(|to_move| std::iter::once(&to_move.upstream).chain(&to_move.to));
-    shared.directory(|directory| {
-        let listed = engines.filter_map(|engine| directory.get(engine));
-        listed.map(|engine| engine.data_centre.clone()).collect()
-    })
-}
-
 /// Sends a datagram, and before it the changes of the upstreams that have no room in it.
 async fn send_parts(socket: &UdpSocket, datagram: Datagram, targets: &[SocketAddr]) {
     for part in datagram.into_parts() {
--- a/src/gateway/peers/partners.rs
+++ b/src/gateway/peers/partners.rs
@@ -65,14 +65,11 @@
 
     /// All known hosts of other data centres.
     pub(crate) fn all_outside(&self) -> Vec<SocketAddr> {
-        self.outside(&self.words.keys().cloned().collect())
-    }
-
-    /// The hosts of these data centres, but not of the own one.
-    pub(crate) fn outside(&self, data_centres: &BTreeSet<DataCentre>) -> Vec<SocketAddr> {
-        let outside = data_centres.iter();
+        let outside = self
+            .words
+            .keys()
+            .filter(|other| **other != self.data_centre);
         outside
-            .filter(|data_centre| **data_centre != self.data_centre)
             .flat_map(|data_centre| self.known_in(data_centre))
             .collect()
     }
