End paging only where a page ends as the one before did

The check compared keys by their bytes, which a log that orders keys otherwise would not pass: a list of more than one page (500 entries) would have ended early. Read, not seen.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -314,9 +314,9 @@
         }
         let page = shared.protocol().decode_newest(&body)?;
         let from = *end.get_or_insert(page.end);
-        let is_further = |key: &str| after.as_deref().is_none_or(|after| after < key);
-        let last = page.records.last();
-        let more = page.more && last.is_some_and(|last| is_further(&last.key));
+        // A page that ends where the one before did would be asked for again and again.
+        let last = page.records.last().map(|record| &record.key);
+        let more = page.more && last.is_some() && last != after.as_ref();
         records.extend(page.records);
         if !more {
             return Ok((records, from));
