Call one piece for the other data centres and for counting an event

The filter on the own data centre stood twice in partners, and a counter without labels was raised by hand in link beside telemetry::count. A test's comment says heartbeats.

--- a/src/gateway/peers/partners.rs
+++ b/src/gateway/peers/partners.rs
@@ -63,13 +63,14 @@
         there.map(|(address, _)| *address).collect()
     }
 
+    fn other_data_centres(&self) -> impl Iterator<Item = &DataCentre> {
+        let heard = self.words.keys();
+        heard.filter(|other| **other != self.data_centre)
+    }
+
     /// All known hosts of other data centres.
     pub(crate) fn all_outside(&self) -> Vec<SocketAddr> {
-        let outside = self
-            .words
-            .keys()
-            .filter(|other| **other != self.data_centre);
-        outside
+        self.other_data_centres()
             .flat_map(|data_centre| self.known_in(data_centre))
             .collect()
     }
@@ -77,11 +78,8 @@
     /// Whom a host of a large fleet tells of its data centre in this round: some hosts of each other one
     /// in turn, and those that read the upstreams for all, who must know whom to tell.
     pub(crate) fn far_partners(&mut self, now: Time) -> BTreeSet<SocketAddr> {
-        let outside = self
-            .words
-            .keys()
-            .filter(|other| **other != self.data_centre);
-        let mut partners: BTreeSet<SocketAddr> = outside
+        let mut partners: BTreeSet<SocketAddr> = self
+            .other_data_centres()
             .flat_map(|data_centre| {
                 in_turn(&self.known_in(data_centre), self.far_turn, FAR_PARTNERS)
             })
--- a/src/link.rs
+++ b/src/link.rs
@@ -21,6 +21,7 @@
 use crate::peer::PeerMessage;
 use crate::peer::Receipt;
 use crate::peerapi::PeerApiClient;
+use crate::telemetry;
 use crate::telemetry::Metric;
 
 /// Messages that one envelope carries at most.
@@ -94,7 +95,7 @@
     /// Queues a message, or drops it if the queue is full.
     pub(crate) fn send(&self, urgency: Urgency, message: PeerMessage) {
         if self.queue.try_send((urgency, Some(message))).is_err() {
-            metrics::counter!(Metric::PeerMessagesDroppedTotal.name()).increment(1);
+            telemetry::count(Metric::PeerMessagesDroppedTotal);
         }
     }
 
--- a/tests/instances/mod.rs
+++ b/tests/instances/mod.rs
@@ -13,7 +13,7 @@
 use crate::gatewayworld::wait_until;
 use crate::get;
 
-/// What is listed takes work within this time: two of an upstream's own check-ins.
+/// What is listed takes work within this time: two of an upstream's own heartbeats.
 const LISTED_BOUND: Duration = Duration::from_millis(1_000);
 
 fn list_born(world: &World, upstream: &FakeUpstream, born_ms: u64) {
