--- a/src/gateway/ownclient.rs
+++ b/src/gateway/ownclient.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::body::Body;
 
 use crate::error::Error;
 use crate::error::Result;
@@ -44,14 +45,16 @@
     /// [`Error::Remote`] if there is no whole answer within `timeout`.
     pub async fn call(&mut self, call: &OwnCall, timeout: Duration) -> Result<(u16, Bytes)> {
         let connection = self.connection.take().filter(Connection::is_usable);
-        let exchange = exchange(self.address, connection, call);
-        match tokio::time::timeout(timeout, exchange).await {
+        let mut arrived = Arrived::default();
+        let exchange = exchange(self.address, connection, call, &mut arrived);
+        let outcome = tokio::time::timeout(timeout, exchange).await;
+        match outcome {
             Ok(Ok((status, body, connection))) => {
                 self.connection = Some(connection);
                 Ok((status, body))
             }
             Ok(Err(reason)) => Err(self.remote(reason)),
-            Err(_) => Err(self.remote(format!("no answer in {} ms", timeout.as_millis()))),
+            Err(_) => Err(self.remote(arrived.missed(timeout))),
         }
     }
 
@@ -63,10 +66,33 @@
     }
 }
 
+/// What of an answer has arrived, to tell a slow transfer from silence.
+#[derive(Debug, Default)]
+struct Arrived {
+    bytes: Vec<u8>,
+    /// What its head announced.
+    due_bytes: Option<u64>,
+}
+
+impl Arrived {
+    /// Why there is no whole answer.
+    fn missed(&self, timeout: Duration) -> String {
+        let timeout_ms = timeout.as_millis();
+        match self.due_bytes {
+            Some(due) => {
+                let got = self.bytes.len();
+                format!("{got} of {due} bytes in {timeout_ms} ms")
+            }
+            None => format!("no answer in {timeout_ms} ms"),
+        }
+    }
+}
+
 async fn exchange(
     address: SocketAddr,
     connection: Option<Connection>,
     call: &OwnCall,
+    arrived: &mut Arrived,
 ) -> std::result::Result<(u16, Bytes, Connection), String> {
     let mut connection = match connection {
         Some(connection) => connection,
@@ -80,11 +106,15 @@
         .await
         .map_err(|failure| failure.reason().to_owned())?;
     let status = response.status().as_u16();
-    let body = Limited::new(response.into_body(), ANSWER_BYTES_MAX)
-        .collect()
-        .await
-        .map_err(|error| error.to_string())?
-        .to_bytes();
+    let mut body = Limited::new(response.into_body(), ANSWER_BYTES_MAX);
+    arrived.due_bytes = body.size_hint().exact();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| error.to_string())?;
+        if let Ok(data) = frame.into_data() {
+            arrived.bytes.extend_from_slice(&data);
+        }
+    }
+    let body = Bytes::from(std::mem::take(&mut arrived.bytes));
     Ok((status, body, connection))
 }
 
--- a/src/gateway/shared/inforce.rs
+++ b/src/gateway/shared/inforce.rs
@@ -71,7 +71,10 @@
             self.0.config_version.store(version, Ordering::Relaxed);
         }
         let line = self.log().line(EventCode::ConfigReady);
-        line.with("version", version).with("source", source).write();
+        line.with("version", version)
+            .with("bytes", document.len())
+            .with("source", source)
+            .write();
         self.tell_news();
     }
 }
