--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -2,6 +2,7 @@
 
 mod gatewayworld;
 mod instances;
+mod largedocuments;
 mod silentlog;
 
 use std::time::Duration;
--- a/tests/gatewayworld/fakelog.rs
+++ b/tests/gatewayworld/fakelog.rs
@@ -18,6 +18,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::Link;
+
 #[derive(Default)]
 struct Topic {
     first: usize,
@@ -42,6 +44,8 @@
     silence: Silence,
     lost_paths: Vec<String>,
     reads: usize,
+    /// Over which answers go out.
+    link: Option<Link>,
 }
 
 #[derive(Default)]
@@ -120,6 +124,11 @@
         self.with(|state| state.doors[self.door].silence = silence);
     }
 
+    /// From now on answers go out over `link`.
+    pub fn set_link(&self, link: &Link) {
+        self.with(|state| state.doors[self.door].link = Some(link.clone()));
+    }
+
     /// Whether a read of a topic arrived here that is never answered.
     pub fn has_lost_read(&self, topic: &str) -> bool {
         let read = format!("/read/{topic}/");
@@ -181,7 +190,13 @@
                 "HTTP/1.1 {status} X\r\ncontent-length: {}\r\n\r\n",
                 answer.len()
             );
-            if writer.write_all((head + &answer).as_bytes()).is_err() {
+            let answer = head + &answer;
+            let link = self.with(|state| state.doors[self.door].link.clone());
+            let written = match link {
+                Some(link) => link.write(&mut writer, answer.as_bytes()),
+                None => writer.write_all(answer.as_bytes()),
+            };
+            if written.is_err() {
                 return;
             }
         }
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -5,6 +5,7 @@
 
 mod caller;
 mod fakelog;
+mod link;
 mod protocol;
 mod upstream;
 
@@ -38,6 +39,8 @@
 pub use caller::ask;
 pub use fakelog::FakeLog;
 pub use fakelog::Silence;
+pub use link::Link;
+pub use link::SLOW_BYTES_PER_S;
 pub use protocol::ProductProtocol;
 pub use upstream::Behaviour;
 pub use upstream::FakeUpstream;
@@ -66,6 +69,17 @@
     IpAddr::V4(Ipv4Addr::new(127, 10 + pid[2] % 200, pid[3], number))
 }
 
+/// Where the host of `address` serves its peers if a link stands before it.
+fn inner_address(address: IpAddr) -> IpAddr {
+    match address {
+        IpAddr::V4(address) => {
+            let [first, second, third, fourth] = address.octets();
+            IpAddr::V4(Ipv4Addr::new(first, 210 + second % 45, third, fourth))
+        }
+        IpAddr::V6(_) => unreachable!("worlds have addresses of version 4"),
+    }
+}
+
 /// A host that runs in a thread of its own.
 pub struct World {
     pub log: FakeLog,
@@ -85,6 +99,15 @@
     /// Starts `count` hosts of one data centre, each with an address of its own to one log. The first
     /// by name is the seed of all.
     pub fn start_fleet(count: usize) -> Vec<Self> {
+        World::start_fleet_behind(count, None)
+    }
+
+    /// The same with `links`, one a host, between each host and those who fetch from it.
+    pub fn start_linked_fleet(links: &[Link]) -> Vec<Self> {
+        World::start_fleet_behind(links.len(), Some(links))
+    }
+
+    fn start_fleet_behind(count: usize, links: Option<&[Link]>) -> Vec<Self> {
         let addresses: Vec<IpAddr> = (0..count).map(|_| own_address()).collect();
         let seed = SocketAddr::new(addresses[0], PEER_PORT);
         let first_door = FakeLog::start(addresses[0]);
@@ -98,6 +121,11 @@
                 let mut settings = settings(*address, door.address());
                 settings.host = HostId::new(format!("host-{index:02}"));
                 settings.seeds = vec![seed];
+                if let Some(links) = links {
+                    let outside = settings.peer_address;
+                    settings.peer_address.set_ip(inner_address(*address));
+                    links[index].connect(outside, settings.peer_address);
+                }
                 World::start_host(settings, door)
             })
             .collect()
