Fetch only the pieces of a configuration that a host lacks, from whoever has them, a few hosts at a time

Cause: a whole document went to every host at each change, as escaped JSON, whatever the change; all asked the one reader at once; what had arrived was of no use to the next try or the next version.

Change: documents are cut by content into pieces of 8 KB on the mean, named by their digest and sent compressed. A host asks for the manifest and the pieces it lacks, takes them one by one as they arrive, and goes on from there with another source or a newer version. A source serves four hosts at once; the others wait for it or ask those that have it by then, nearer ones first. A host that stays behind for half of its bound reads the log itself. A fetch of the upstreams no longer waits for one of the configuration. Wrong pieces, manifests and documents are counted and their source is left for 10 s. Metrics: version, newest version heard, time behind, bytes served, bad documents.

_version joins the units of metrics' names, as a configuration has no offset here.

--- a/src/error.rs
+++ b/src/error.rs
@@ -24,6 +24,9 @@
     /// A datagram of another host could not be decoded.
     #[error("bad datagram: {0}")]
     Datagram(String),
+    /// A document or a piece of it that another host sent is not what it should be.
+    #[error("bad document: {0}")]
+    Document(String),
     /// Another process did not answer, or not as its protocol says.
     #[error("{peer}: {reason}")]
     Remote {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,6 +7,7 @@
 
 pub mod admit;
 pub mod call;
+pub mod configfetch;
 pub mod configuration;
 pub mod connection;
 pub(crate) mod cutoff;
@@ -14,6 +15,7 @@
 pub mod decisions;
 pub(crate) mod destinations;
 pub mod directory;
+pub mod document;
 pub mod events;
 pub(crate) mod exchange;
 pub mod follow;
--- /dev/null
+++ b/src/gateway/configfetch.rs
@@ -0,0 +1,376 @@
+//! How a host gets a newer configuration from its peers, and serves its own to them.
+//!
+//! A host that has been told of a newer version asks for its manifest, then for the pieces that it lacks,
+//! from one source after another until it has all ([`CatchUp`]). What has arrived is never asked for
+//! again. A source serves a few hosts at once ([`Transfers`]) and sends the others away; they ask those
+//! that have it by then.
+//!
+//! [`CatchUp`]: crate::gateway::document::catchup::CatchUp
+//! [`Transfers`]: crate::gateway::document::transfers::Transfers
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_web::HttpResponse;
+use actix_web::web;
+use bytes::Bytes;
+use futures_util::stream;
+use http::Method;
+use serde::Deserialize;
+
+use crate::error::Error;
+use crate::error::Result;
+use crate::event::EventCode;
+use crate::gateway::document::DOCUMENT_BYTES_MAX;
+use crate::gateway::document::Manifest;
+use crate::gateway::document::PIECE_BYTES_MIN;
+use crate::gateway::document::PieceId;
+use crate::gateway::document::assembly::Assembly;
+use crate::gateway::document::catchup::Fault;
+use crate::gateway::document::catchup::Holder;
+use crate::gateway::document::catchup::Step;
+use crate::gateway::document::frames;
+use crate::gateway::document::frames::FrameReader;
+use crate::gateway::document::transfers::Ticket;
+use crate::gateway::ownclient::Arrival;
+use crate::gateway::ownclient::OwnClient;
+use crate::gateway::peers::Fetch;
+use crate::gateway::protocol::OwnCall;
+use crate::gateway::shared::Shared;
+use crate::telemetry;
+use crate::telemetry::Metric;
+
+/// Path of the manifest of the configuration in force.
+pub const CONFIGURATION_PATH: &str = "/peer/configuration";
+/// Path of pieces.
+pub const PIECES_PATH: &str = "/peer/pieces";
+/// A source's answer to each call begins within this time, a seed's of a tenth of a core within the second.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
+const SEED_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// A source that takes a newer version while it is asked is asked once more.
+const VERSIONS_MAX: usize = 2;
+/// No host asks for more pieces than the largest document has.
+const IDS_BYTES_MAX: usize = DOCUMENT_BYTES_MAX as usize / PIECE_BYTES_MIN as usize * PieceId::LEN;
+
+/// Which configuration is asked for.
+#[derive(Debug, Deserialize)]
+pub struct ConfigurationQuery {
+    newer_than: u64,
+}
+
+/// Serves the manifest of the configuration in force, or 404 while it is not newer.
+pub async fn serve_manifest(shared: &Shared, query: &ConfigurationQuery) -> HttpResponse {
+    let in_force = shared.in_force();
+    let newer = in_force.filter(|held| held.configuration.version > query.newer_than);
+    let Some(newer) = newer else {
+        return HttpResponse::NotFound().finish();
+    };
+    match newer.cut().manifest().encode() {
+        Ok(manifest) => HttpResponse::Ok().body(manifest),
+        Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+    }
+}
+
+/// Serves pieces of the configuration in force, or 503 while enough other hosts are being served.
+pub async fn serve_pieces(shared: &Shared, payload: web::Payload) -> HttpResponse {
+    let ids = match payload.to_bytes_limited(IDS_BYTES_MAX).await {
+        Ok(Ok(ids)) => ids,
+        Ok(Err(error)) => return HttpResponse::BadRequest().body(error.to_string()),
+        Err(_) => return HttpResponse::PayloadTooLarge().finish(),
+    };
+    let now = shared.now();
+    let Some(ticket) = shared.transfers(|transfers| transfers.begin(now)) else {
+        return HttpResponse::ServiceUnavailable().finish();
+    };
+    let serving = Serving {
+        shared: shared.clone(),
+        ticket,
+    };
+    match frames_of(shared, &ids) {
+        Ok(frames) => stream_frames(frames, serving),
+        Err(error) => HttpResponse::BadRequest().body(error.to_string()),
+    }
+}
+
+/// A transfer that ends when it is dropped, be it that its receiver is gone.
+struct Serving {
+    shared: Shared,
+    ticket: Ticket,
+}
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        self.shared
+            .transfers(|transfers| transfers.end(self.ticket));
+    }
+}
+
+fn frames_of(shared: &Shared, ids: &[u8]) -> Result<Vec<Bytes>> {
+    let in_force = shared.in_force();
+    let cut = in_force.as_ref().map(|held| held.cut());
+    let frame = |id: PieceId| {
+        let packed = cut.map(|cut| cut.packed(id)).transpose()?.flatten();
+        Ok(frames::frame(packed.as_ref()))
+    };
+    frames::decode_ids(ids)?.into_iter().map(frame).collect()
+}
+
+fn stream_frames(frames: Vec<Bytes>, serving: Serving) -> HttpResponse {
+    let bytes: usize = frames.iter().map(Bytes::len).sum();
+    telemetry::count_by(Metric::PieceBytesServedTotal, bytes as u64);
+    let frames = frames.into_iter().map(move |frame| {
+        let _until_all_are_sent = &serving;
+        Ok::<Bytes, actix_web::Error>(frame)
+    });
+    HttpResponse::Ok()
+        .no_chunking(bytes as u64)
+        .streaming(stream::iter(frames))
+}
+
+/// Begins to fetch the newest version that is known of, `wait` from now, unless that is under way.
+pub(crate) fn fetch_soon(shared: &Shared, wait: Duration) {
+    shared.look_for_newer();
+    if shared.peers(|peers| peers.begin_fetch(Fetch::Configuration)) {
+        let shared = shared.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep(wait).await;
+            catch_up(&shared).await;
+            shared.peers(|peers| peers.end_fetch(Fetch::Configuration));
+        });
+    }
+}
+
+/// Asks one source after another until no newer version is known of, or nobody answers who has one.
+async fn catch_up(shared: &Shared) {
+    loop {
+        let now = shared.now();
+        let holders = shared.peers(|peers| peers.holders(now, shared.config_version()));
+        let step = shared.catch_up(|catch_up| catch_up.next(now, &holders, rand::random::<f64>()));
+        match step {
+            Step::Ask(source) => ask(shared, source).await,
+            Step::Wait(pause) => tokio::time::sleep(pause).await,
+            Step::Stop => return,
+        }
+    }
+}
+
+/// What asking a source came to.
+enum Outcome {
+    /// It is in force.
+    Taken,
+    /// The source serves as many as it can.
+    Busy,
+}
+
+async fn ask(shared: &Shared, source: Holder) {
+    let kept = shared.take_assembly();
+    let kept = kept.filter(|assembly| assembly.manifest().version > shared.config_version());
+    let mut fetching = Fetching {
+        shared,
+        source: source.address,
+        client: OwnClient::new(source.address),
+        timeout: ANSWER_TIMEOUT,
+        assembly: kept,
+    };
+    let outcome = fetching.run(Some(source.version)).await;
+    let now = shared.now();
+    match outcome {
+        Ok(Outcome::Taken) => {}
+        Ok(Outcome::Busy) => shared.catch_up(|catch_up| {
+            catch_up.was_busy(now, source.address, rand::random::<f64>());
+        }),
+        Err(error) => {
+            let fault = fault_of(&error);
+            shared.catch_up(|catch_up| catch_up.has_failed(now, source.address, fault));
+            fetching.note_failure(&error);
+        }
+    }
+    shared.keep_assembly(fetching.assembly);
+}
+
+fn fault_of(error: &Error) -> Fault {
+    match error {
+        Error::Remote { .. } => Fault::Unanswered,
+        _ => Fault::Wrong,
+    }
+}
+
+/// Fetches the configuration from a seed, as a host does that starts.
+///
+/// # Errors
+///
+/// [`Error::Remote`] if the seed doesn't answer or is busy, [`Error::Document`] if what it tells is wrong.
+pub(crate) async fn fetch_from_seed(shared: &Shared, seed: SocketAddr) -> Result<()> {
+    let mut fetching = Fetching {
+        shared,
+        source: seed,
+        client: OwnClient::new(seed),
+        timeout: SEED_TIMEOUT,
+        assembly: shared.take_assembly(),
+    };
+    let outcome = fetching.run(None).await;
+    shared.keep_assembly(fetching.assembly.take());
+    match outcome? {
+        Outcome::Taken => Ok(()),
+        Outcome::Busy => Err(fetching.remote("it serves others")),
+    }
+}
+
+/// A fetch from one source.
+struct Fetching<'s> {
+    shared: &'s Shared,
+    source: SocketAddr,
+    client: OwnClient,
+    timeout: Duration,
+    /// What is there of the document, from other sources too.
+    assembly: Option<Assembly>,
+}
+
+impl Fetching<'_> {
+    /// Fetches what is missing of `version`, or of whatever newer one the source has.
+    async fn run(&mut self, version: Option<u64>) -> Result<Outcome> {
+        let known = self.assembly.as_ref().map(|known| known.manifest().version);
+        let mut has_manifest = known.is_some() && known == version;
+        for _ in 0..VERSIONS_MAX {
+            if !has_manifest {
+                let Some(manifest) = self.fetch_manifest().await? else {
+                    return Ok(Outcome::Taken);
+                };
+                self.begin(manifest);
+            }
+            if let Outcome::Busy = self.fetch_pieces().await? {
+                return Ok(Outcome::Busy);
+            }
+            if self.assembly.as_ref().is_some_and(Assembly::is_whole) {
+                return self.finish();
+            }
+            // The source has a newer version by now.
+            has_manifest = false;
+        }
+        Err(self.remote("it lacks pieces of the version that it tells"))
+    }
+
+    /// The source's manifest, if its version is newer than the one in force here.
+    async fn fetch_manifest(&mut self) -> Result<Option<Manifest>> {
+        let newer_than = self.shared.config_version();
+        let call = OwnCall::get(format!("{CONFIGURATION_PATH}?newer_than={newer_than}"));
+        let body = match self.client.call(&call, self.timeout).await? {
+            (200, body) => body,
+            (404, _) => return Ok(None),
+            (status, _) => return Err(self.remote(&format!("status {status}"))),
+        };
+        Manifest::decode(&body).map(Some)
+    }
+
+    /// Goes on with what has arrived of another version.
+    fn begin(&mut self, manifest: Manifest) {
+        let shelf = self.assembly.take().map(Assembly::into_shelf);
+        let in_force = self.shared.in_force();
+        let cut = in_force.as_ref().map(|held| held.cut());
+        let assembly = Assembly::begin(manifest, cut, shelf.unwrap_or_default());
+        self.assembly = Some(assembly);
+    }
+
+    async fn fetch_pieces(&mut self) -> Result<Outcome> {
+        let Some(assembly) = &mut self.assembly else {
+            return Ok(Outcome::Taken);
+        };
+        let missing = assembly.missing();
+        if missing.is_empty() {
+            return Ok(Outcome::Taken);
+        }
+        let call = OwnCall {
+            method: Method::POST,
+            path: PIECES_PATH.to_owned(),
+            body: frames::encode_ids(&missing),
+            content_type: None,
+        };
+        let mut arriving = ArrivingPieces::new(assembly, missing);
+        let watch = |arrival| arriving.take(arrival);
+        let status = self.client.call_watched(&call, self.timeout, watch).await;
+        match (status, arriving.fault) {
+            (Ok(200), None) => Ok(Outcome::Taken),
+            (Ok(503), _) => Ok(Outcome::Busy),
+            (Ok(200), Some(fault)) => Err(fault),
+            (Ok(status), _) => Err(self.remote(&format!("status {status}"))),
+            (Err(error), _) => Err(error),
+        }
+    }
+
+    fn finish(&mut self) -> Result<Outcome> {
+        if let Some(assembly) = self.assembly.take() {
+            let cut = assembly.finish()?;
+            self.shared.offer_cut(cut, &self.source.to_string())?;
+        }
+        Ok(Outcome::Taken)
+    }
+
+    fn note_failure(&self, error: &Error) {
+        if let Fault::Wrong = fault_of(error) {
+            telemetry::count(Metric::BadDocumentsTotal);
+        }
+        let assembly = self.assembly.as_ref();
+        let line = self.shared.log().line(EventCode::PeerSuspected);
+        line.with("peer", self.source.to_string())
+            .with("reason", error.to_string())
+            .with_some("version", assembly.map(|known| known.manifest().version))
+            .with_some("got_bytes", assembly.map(Assembly::got_bytes))
+            .with_some("of_bytes", assembly.map(|known| known.manifest().bytes()))
+            .write();
+    }
+
+    fn remote(&self, reason: &str) -> Error {
+        Error::Remote {
+            peer: self.source.to_string(),
+            reason: reason.to_owned(),
+        }
+    }
+}
+
+/// Puts pieces where they belong as they arrive.
+struct ArrivingPieces<'a> {
+    assembly: &'a mut Assembly,
+    due: std::vec::IntoIter<PieceId>,
+    frames: FrameReader,
+    /// What was wrong first. Nothing is taken after it.
+    fault: Option<Error>,
+}
+
+impl<'a> ArrivingPieces<'a> {
+    fn new(assembly: &'a mut Assembly, due: Vec<PieceId>) -> Self {
+        ArrivingPieces {
+            assembly,
+            due: due.into_iter(),
+            frames: FrameReader::default(),
+            fault: None,
+        }
+    }
+
+    fn take(&mut self, arrival: Arrival) {
+        let Arrival::Body(bytes) = arrival else {
+            return;
+        };
+        self.frames.push(&bytes);
+        while self.fault.is_none() {
+            match self.take_next() {
+                Ok(true) => {}
+                Ok(false) => return,
+                Err(fault) => self.fault = Some(fault),
+            }
+        }
+    }
+
+    /// Whether a piece had arrived.
+    fn take_next(&mut self) -> Result<bool> {
+        let Some(packed) = self.frames.next_piece()? else {
+            return Ok(false);
+        };
+        let Some(id) = self.due.next() else {
+            return Err(Error::Document("more pieces than asked for".to_owned()));
+        };
+        if !packed.is_empty() {
+            self.assembly.take(id, packed)?;
+        }
+        Ok(true)
+    }
+}
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -22,6 +22,7 @@
 
 use crate::clock::Time;
 use crate::event::EventCode;
+use crate::gateway::configfetch;
 use crate::gateway::datagram::DATAGRAM_BYTES_MAX;
 use crate::gateway::datagram::Datagram;
 use crate::gateway::datagram::ToldLoads;
@@ -29,7 +30,6 @@
 use crate::gateway::datagram::encode;
 use crate::gateway::loads::Teller;
 use crate::gateway::peerfetch;
-use crate::gateway::peerfetch::Lacking;
 use crate::gateway::peers::Acquaintance;
 use crate::gateway::peers::Recipients;
 use crate::gateway::protocol::Topic;
@@ -313,12 +313,11 @@
     if let Some((teller, loads)) = told {
         shared.loads().with(|board| board.hear(now, teller, loads));
     }
-    let lacking = Lacking {
-        configuration: newer_config,
-        upstreams: newer_upstreams,
-    };
-    if newer_config || newer_upstreams {
-        fetch_soon(shared, peer, lacking);
+    if newer_config {
+        configfetch::fetch_soon(shared, fetch_wait(shared));
+    }
+    if newer_upstreams {
+        peerfetch::fetch_soon(shared, peer, fetch_wait(shared));
     }
     acquaintance
         .is_stranger
@@ -365,18 +364,15 @@
     !same && !datagram.has_more_changes
 }
 
-/// Gives the own reading of the log, or the next datagram, a moment; then asks a peer. Hosts that
+/// Gives the own reading of the log, or the next datagram, a moment before a peer is asked. Hosts that
 /// only listen spread their questions, so that the readers are not asked by all at once; one that
 /// can't serve yet asks at once.
-fn fetch_soon(shared: &Shared, peer: SocketAddr, lacking: Lacking) {
-    let wait = if shared.is_reading(Topic::Operator) {
+fn fetch_wait(shared: &Shared) -> Duration {
+    if shared.is_reading(Topic::Operator) {
         OWN_READING_FIRST
     } else if shared.is_ready() {
         LISTENER_SPREAD.mul_f64(rand::random())
     } else {
         Duration::ZERO
-    };
-    if shared.peers(|peers| peers.begin_fetch()) {
-        actix_rt::spawn(peerfetch::fetch(shared.clone(), peer, lacking, wait));
     }
 }
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -22,6 +22,7 @@
 use crate::clock::wall_ms;
 use crate::error::Result;
 use crate::event::EventCode;
+use crate::gateway::configfetch;
 use crate::gateway::decisions::DecisionLog;
 use crate::gateway::follow;
 use crate::gateway::gossip;
@@ -245,10 +246,11 @@
         return HttpResponse::Ok().body(metrics_page(&shared, &telemetry));
     }
     match http.path() {
-        peerfetch::CONFIGURATION_PATH => match web::Query::from_query(http.query_string()) {
-            Ok(query) => peerfetch::serve_configuration(&shared, &query).await,
+        configfetch::CONFIGURATION_PATH => match web::Query::from_query(http.query_string()) {
+            Ok(query) => configfetch::serve_manifest(&shared, &query).await,
             Err(error) => HttpResponse::BadRequest().body(error.to_string()),
         },
+        configfetch::PIECES_PATH => configfetch::serve_pieces(&shared, payload).await,
         peerfetch::UPSTREAMS_PATH => match web::Query::from_query(http.query_string()) {
             Ok(query) => peerfetch::serve_upstreams(&shared, &query).await,
             Err(error) => HttpResponse::BadRequest().body(error.to_string()),
@@ -271,6 +273,8 @@
             telemetry::set_log_age(topic.name(), age);
         }
     }
+    telemetry::set_config_version(shared.config_version(), shared.newest_version_heard());
+    telemetry::set_config_behind(shared.behind_for().unwrap_or_default());
     telemetry.render()
 }
 
@@ -283,6 +287,7 @@
         let gone = shared.directory(|directory| directory.lapse(now));
         shared.note_lapsed(gone);
         shared.look_for_cut();
+        shared.look_for_newer();
     }
 }
 
--- a/src/gateway/joining.rs
+++ b/src/gateway/joining.rs
@@ -13,8 +13,11 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::error::Result;
 use crate::event::EventCode;
+use crate::gateway::configfetch;
 use crate::gateway::peerfetch;
+use crate::gateway::peers::Fetch;
 use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
 
@@ -105,12 +108,22 @@
         if shared.is_ready() {
             return;
         }
-        if let Err(error) = peerfetch::fetch_from_seed(shared, *seed).await {
+        if let Err(error) = ask_seed(shared, *seed).await {
             log::debug!("seed {seed}: {error}");
         }
     }
 }
 
+/// Asks a seed for what is in force, unless it is being fetched from another host already.
+async fn ask_seed(shared: &Shared, seed: SocketAddr) -> Result<()> {
+    if shared.peers(|peers| peers.begin_fetch(Fetch::Configuration)) {
+        let fetched = configfetch::fetch_from_seed(shared, seed).await;
+        shared.peers(|peers| peers.end_fetch(Fetch::Configuration));
+        fetched?;
+    }
+    peerfetch::fetch_from_seed(shared, seed).await
+}
+
 /// Keeps a request of a caller who gives it `timeout` while the host has just started and knows
 /// nothing yet.
 pub(crate) async fn wait_until_informed(shared: &Shared, timeout: Duration) {
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -1,11 +1,10 @@
-//! What a host serves to peers that can't read the log, and how it fetches the same from them.
+//! How a host that doesn't read the log gets the upstreams from its peers, and serves them.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix_web::HttpResponse;
 use bytes::Bytes;
-use rand::seq::SliceRandom;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -15,11 +14,10 @@
 use crate::gateway::directory::Change;
 use crate::gateway::directory::Upstream;
 use crate::gateway::ownclient::OwnClient;
+use crate::gateway::peers::Fetch;
 use crate::gateway::protocol::OwnCall;
 use crate::gateway::shared::Shared;
 
-/// Path of the configuration.
-pub const CONFIGURATION_PATH: &str = "/peer/configuration";
 /// Path of the upstreams.
 pub const UPSTREAMS_PATH: &str = "/peer/upstreams";
 /// Each call to a seed of a host that starts: dozens ask the same seed of a tenth of a core.
@@ -27,15 +25,6 @@
 /// Each call to a peer otherwise. 72 hosts had fetched a version 0.26 s after its reader had it, of which
 /// up to 0.25 s is the spread of their questions (lines of one play).
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
-/// Peers that are asked one after another, until one answers.
-const FETCH_TRIES: usize = 3;
-
-/// A configuration as a peer tells it.
-#[derive(Debug, Serialize, Deserialize)]
-struct ConfigurationPage {
-    key: String,
-    document: String,
-}
 
 /// The upstreams as a peer knows them, or what changed of them.
 #[derive(Debug, Serialize, Deserialize)]
@@ -61,25 +50,6 @@
     changed_from: Option<u64>,
 }
 
-/// Which configuration is asked for.
-#[derive(Debug, Deserialize)]
-pub struct ConfigurationQuery {
-    newer_than: u64,
-}
-
-/// Serves the configuration in force, or 404 while it is not newer.
-pub async fn serve_configuration(shared: &Shared, query: &ConfigurationQuery) -> HttpResponse {
-    match shared.in_force() {
-        Some(held) if held.configuration.version > query.newer_than => {
-            HttpResponse::Ok().json(ConfigurationPage {
-                key: held.key,
-                document: String::from_utf8_lossy(&held.document).into_owned(),
-            })
-        }
-        Some(_) | None => HttpResponse::NotFound().finish(),
-    }
-}
-
 /// Serves the list of upstreams, or what changed of it.
 pub async fn serve_upstreams(shared: &Shared, query: &UpstreamsQuery) -> HttpResponse {
     HttpResponse::Ok().json(shared.directory(|directory| UpstreamsPage {
@@ -92,96 +62,43 @@
     }))
 }
 
-/// What a host lacks. Each is asked for by itself: the list of 141 upstreams is some 25 KB, and 294 hosts
-/// that fetched both with each new configuration made most of the bytes between data centres.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Lacking {
-    /// The configuration in force.
-    pub configuration: bool,
-    /// The upstreams.
-    pub upstreams: bool,
-}
-
-impl Lacking {
-    const ALL: Lacking = Lacking {
-        configuration: true,
-        upstreams: true,
-    };
+/// Begins to fetch the upstreams from `peer`, `wait` from now, unless that is under way.
+pub(crate) fn fetch_soon(shared: &Shared, peer: SocketAddr, wait: Duration) {
+    if shared.peers(|peers| peers.begin_fetch(Fetch::Upstreams)) {
+        let shared = shared.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep(wait).await;
+            fetch(&shared, peer).await;
+            shared.peers(|peers| peers.end_fetch(Fetch::Upstreams));
+        });
+    }
 }
 
-/// Fetches what `peer`, or by then another host, has newer, after `wait`. A peer that doesn't answer
-/// costs its timeout only, not the wait for the next word of news.
-pub async fn fetch(shared: Shared, peer: SocketAddr, lacking: Lacking, wait: Duration) {
-    tokio::time::sleep(wait).await;
-    for peer in sources(&shared, peer, lacking)
-        .into_iter()
-        .take(FETCH_TRIES)
-    {
-        let Err(error) = fetch_from(&shared, peer, lacking, FETCH_TIMEOUT).await else {
-            break;
-        };
+async fn fetch(shared: &Shared, peer: SocketAddr) {
+    if let Err(error) = fetch_from(shared, peer, FETCH_TIMEOUT).await {
         let line = shared.log().line(EventCode::PeerSuspected);
         line.with("peer", peer.to_string())
             .with("reason", error.to_string())
             .write();
     }
-    shared.peers(|peers| peers.end_fetch());
 }
 
-/// Whom to ask in turn: those that are known to have it, and whoever told of it.
-fn sources(shared: &Shared, teller: SocketAddr, lacking: Lacking) -> Vec<SocketAddr> {
-    let now = shared.now();
-    let mut sources = match lacking.configuration {
-        true => shared.peers(|peers| peers.holders(now, shared.config_version())),
-        false => Vec::new(),
-    };
-    sources.shuffle(&mut rand::rng());
-    if sources.is_empty() {
-        sources.push(teller);
-    }
-    sources
-}
-
-/// Fetches both pages from a seed, as a host does that starts.
+/// Fetches the upstreams from a seed, as a host does that starts.
 ///
 /// # Errors
 ///
 /// [`Error::Remote`] if the seed doesn't answer.
-pub async fn fetch_from_seed(shared: &Shared, seed: SocketAddr) -> Result<()> {
-    fetch_from(shared, seed, Lacking::ALL, SEED_TIMEOUT).await
+pub(crate) async fn fetch_from_seed(shared: &Shared, seed: SocketAddr) -> Result<()> {
+    fetch_from(shared, seed, SEED_TIMEOUT).await
 }
 
-async fn fetch_from(
-    shared: &Shared,
-    peer: SocketAddr,
-    lacking: Lacking,
-    timeout: Duration,
-) -> Result<()> {
+async fn fetch_from(shared: &Shared, peer: SocketAddr, timeout: Duration) -> Result<()> {
     let mut client = PeerClient {
         client: OwnClient::new(peer),
         peer,
         timeout,
     };
-    if lacking.configuration {
-        fetch_configuration(shared, &mut client).await?;
-    }
-    if lacking.upstreams {
-        fetch_upstreams(shared, &mut client).await?;
-    }
-    Ok(())
-}
-
-async fn fetch_configuration(shared: &Shared, client: &mut PeerClient) -> Result<()> {
-    let path = format!(
-        "{CONFIGURATION_PATH}?newer_than={}",
-        shared.config_version()
-    );
-    if let Some(body) = client.get(&path).await? {
-        let page: ConfigurationPage = serde_json::from_slice(&body)?;
-        let document = Bytes::from(page.document);
-        shared.offer_configuration(&page.key, &document, &client.peer.to_string());
-    }
-    Ok(())
+    fetch_upstreams(shared, &mut client).await
 }
 
 /// Fetches what has changed since this host last knew all; if it then still knows other upstreams than the
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -4,6 +4,7 @@
 //! a few hosts at a time, whose words stand for their data centre ([`crate::gateway::gossip`]).
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,6 +12,8 @@
 use crate::clock::Time;
 use crate::gateway::datagram::Datagram;
 use crate::gateway::datagram::Topics;
+use crate::gateway::document::catchup::Distance;
+use crate::gateway::document::catchup::Holder;
 use crate::id::DataCentre;
 use crate::id::HostId;
 
@@ -24,6 +27,15 @@
 
 pub use self::partners::Recipients;
 
+/// What a host fetches from peers. A long transfer of one doesn't hold up the other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Fetch {
+    /// A newer configuration.
+    Configuration,
+    /// The list of upstreams, or its changes.
+    Upstreams,
+}
+
 /// What is known of another host.
 #[derive(Debug, Clone)]
 struct Peer {
@@ -91,7 +103,7 @@
     words: BTreeMap<DataCentre, DataCentreWord>,
     turn: usize,
     far_turn: usize,
-    fetching: bool,
+    fetching: BTreeSet<Fetch>,
 }
 
 impl Peers {
@@ -110,7 +122,7 @@
             words: BTreeMap::new(),
             turn: 0,
             far_turn: usize::from(own.port()) ^ address_number(own),
-            fetching: false,
+            fetching: BTreeSet::new(),
         }
     }
 
@@ -198,22 +210,21 @@
             .count()
     }
 
-    /// Where hosts that have a configuration newer than `version` serve it: those of the own data centre
-    /// that were heard a moment ago, else others heard then, else any.
-    pub fn holders(&self, now: Time, version: u64) -> Vec<SocketAddr> {
-        let holders: Vec<&Heard> = self
-            .live_hosts(now)
-            .filter(|heard| heard.config > version)
-            .collect();
+    /// The hosts that have a configuration newer than `version`.
+    pub fn holders(&self, now: Time, version: u64) -> Vec<Holder> {
         let silent_for = self.reader_silent_for(now);
-        let is_recent = |heard: &&&Heard| now.since(heard.at) < silent_for;
-        let recent: Vec<&Heard> = holders.iter().filter(is_recent).copied().collect();
-        let is_near = |heard: &&&Heard| heard.data_centre == self.data_centre;
-        let near: Vec<&Heard> = recent.iter().filter(is_near).copied().collect();
-        let chosen = [near, recent, holders];
-        let chosen = chosen.into_iter().find(|hosts| !hosts.is_empty());
-        let chosen = chosen.unwrap_or_default();
-        chosen.iter().map(|heard| heard.peer_address).collect()
+        let distance = |heard: &Heard| match now.since(heard.at) < silent_for {
+            true if heard.data_centre == self.data_centre => Distance::Near,
+            true => Distance::Far,
+            false => Distance::Silent,
+        };
+        let newer = self.live_hosts(now).filter(|heard| heard.config > version);
+        let holder = |heard: &Heard| Holder {
+            address: heard.peer_address,
+            version: heard.config,
+            distance: distance(heard),
+        };
+        newer.map(holder).collect()
     }
 
     /// The newest version of the configuration that a live host has in force; 0 if none is heard.
@@ -237,14 +248,14 @@
         heard.values().sum()
     }
 
-    /// Begins to fetch what a peer has newer; false while another fetch is under way.
-    pub fn begin_fetch(&mut self) -> bool {
-        !std::mem::replace(&mut self.fetching, true)
+    /// Begins to fetch something from peers; false while that is under way.
+    pub(crate) fn begin_fetch(&mut self, fetch: Fetch) -> bool {
+        self.fetching.insert(fetch)
     }
 
     /// The fetch has ended.
-    pub fn end_fetch(&mut self) {
-        self.fetching = false;
+    pub(crate) fn end_fetch(&mut self, fetch: Fetch) {
+        self.fetching.remove(&fetch);
     }
 }
 
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -15,6 +15,7 @@
 use crate::gateway::directory::News;
 use crate::gateway::directory::Upstream;
 use crate::gateway::directory::UpstreamState;
+use crate::gateway::document::catchup::Holder;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::loads::Load;
 use crate::gateway::protocol::Topic;
@@ -226,14 +227,23 @@
     assert_eq!(silence, Some(Duration::from_millis(400)));
 }
 
+/// The holders that are asked before all others.
+fn nearest(holders: &[Holder]) -> Vec<std::net::SocketAddr> {
+    let first = holders.iter().map(|holder| holder.distance).min();
+    let nearest = holders
+        .iter()
+        .filter(|holder| Some(holder.distance) == first);
+    nearest.map(|holder| holder.address).collect()
+}
+
 #[test]
 fn holders_that_were_heard_a_moment_ago_are_asked_first() {
     let mut peers = peers();
     let later = Time::from_ms(1_500);
     peers.hear(later, address(3), &datagram(3, "south"));
 
-    let recent = peers.holders(later, 2);
-    let only_older = self::peers().holders(later, 2);
+    let recent = nearest(&peers.holders(later, 2));
+    let only_older = nearest(&self::peers().holders(later, 2));
 
     assert_eq!(recent, [std::net::SocketAddr::new(address(3).ip(), 8000)]);
     assert_eq!(only_older.len(), 20);
@@ -396,7 +406,7 @@
         peers.hear(Time::from_ms(10), address(index), &newer);
     }
 
-    let holders = peers.holders(Time::from_ms(20), 3);
+    let holders = nearest(&peers.holders(Time::from_ms(20), 3));
 
     assert_eq!(holders, ["10.0.0.0:8000".parse().unwrap()]);
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -22,6 +22,9 @@
 use crate::gateway::cutoff::CutOff;
 use crate::gateway::decisions::DecisionLog;
 use crate::gateway::directory::Directory;
+use crate::gateway::document::assembly::Assembly;
+use crate::gateway::document::catchup::CatchUp;
+use crate::gateway::document::transfers::Transfers;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::joining::Seeds;
 use crate::gateway::line::LineBoard;
@@ -41,6 +44,7 @@
 mod health;
 mod inforce;
 mod logreading;
+mod newer;
 
 pub use self::inforce::InForce;
 
@@ -71,6 +75,9 @@
     seeds: Mutex<Seeds>,
     cut_off: Mutex<CutOff>,
     config_version: AtomicU64,
+    catch_up: Mutex<CatchUp>,
+    assembly: Mutex<Option<Assembly>>,
+    transfers: Mutex<Transfers>,
 }
 
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -109,6 +116,9 @@
             seeds: Mutex::new(Seeds::Unknown),
             cut_off: Mutex::default(),
             config_version: AtomicU64::new(0),
+            catch_up: Mutex::new(CatchUp::new(rand::random())),
+            assembly: Mutex::default(),
+            transfers: Mutex::default(),
         }))
     }
 
--- a/src/gateway/shared/inforce.rs
+++ b/src/gateway/shared/inforce.rs
@@ -1,24 +1,46 @@
 //! The configuration that a host has in force: versions only rise.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::Ordering;
 
 use bytes::Bytes;
 
 use super::Shared;
+use crate::error::Error;
+use crate::error::Result;
 use crate::event::EventCode;
 use crate::gateway::configuration::Configuration;
+use crate::gateway::document::CutDocument;
+use crate::gateway::document::DOCUMENT_BYTES_MAX;
 
-/// A configuration with the document it was read from, which peers may fetch.
+/// A configuration with the document it was read from, of which peers may fetch pieces.
 #[derive(Debug, Clone)]
 pub struct InForce {
     /// What is in force.
     pub configuration: Arc<Configuration>,
-    /// The record's key.
-    pub key: String,
-    /// The record's value.
-    pub document: Bytes,
+    source: Arc<Source>,
+}
+
+/// The record that a configuration was read from.
+#[derive(Debug)]
+struct Source {
+    key: String,
+    version: u64,
+    document: Bytes,
+    /// Cut when the first peer asks: hosts that read the log for themselves need no pieces.
+    cut: OnceLock<CutDocument>,
+}
+
+impl InForce {
+    /// The document in pieces.
+    pub fn cut(&self) -> &CutDocument {
+        let source = &self.source;
+        source
+            .cut
+            .get_or_init(|| CutDocument::cut(&source.key, source.version, source.document.clone()))
+    }
 }
 
 impl Shared {
@@ -43,18 +65,57 @@
     /// Takes a configuration document, unless one as new is in force. `source` says where it came
     /// from.
     pub fn offer_configuration(&self, key: &str, document: &Bytes, source: &str) {
-        let configuration = match self.protocol().configuration(key, document) {
-            Ok(Some(configuration)) => configuration,
-            Ok(None) => return,
-            Err(error) => {
-                let line = self.log().line(EventCode::RecordSkipped);
-                line.with("source", source)
-                    .with("key", key)
-                    .with("reason", error.to_string())
-                    .write();
-                return;
+        match self.decode(key, document) {
+            Ok(Some(configuration)) => {
+                self.put_in_force(configuration, key, document, OnceLock::new(), source);
             }
+            Ok(None) => {}
+            Err(error) => self.skip_configuration(key, source, &error),
+        }
+    }
+
+    /// The same for a document that peers told in pieces.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with it.
+    pub(crate) fn offer_cut(&self, cut: CutDocument, source: &str) -> Result<()> {
+        let key = cut.manifest().key.clone();
+        let document = cut.document().clone();
+        let told = cut.manifest().version;
+        let configuration = match self.decode(&key, &document)? {
+            Some(configuration) if configuration.version == told => configuration,
+            Some(_) => return Err(Error::Document(format!("it is not version {told}"))),
+            None => return Err(Error::Document(format!("{key} names no configuration"))),
         };
+        self.put_in_force(configuration, &key, &document, OnceLock::from(cut), source);
+        Ok(())
+    }
+
+    fn decode(&self, key: &str, document: &Bytes) -> Result<Option<Configuration>> {
+        let bytes = document.len() as u64;
+        if bytes > DOCUMENT_BYTES_MAX {
+            return Err(Error::Document(format!("{bytes} bytes are too many")));
+        }
+        self.protocol().configuration(key, document)
+    }
+
+    fn skip_configuration(&self, key: &str, source: &str, error: &Error) {
+        let line = self.log().line(EventCode::RecordSkipped);
+        line.with("source", source)
+            .with("key", key)
+            .with("reason", error.to_string())
+            .write();
+    }
+
+    fn put_in_force(
+        &self,
+        configuration: Configuration,
+        key: &str,
+        document: &Bytes,
+        cut: OnceLock<CutDocument>,
+        source: &str,
+    ) {
         let version = configuration.version;
         {
             let in_force = self.0.in_force.write();
@@ -63,17 +124,24 @@
             if current.is_some_and(|current| current >= version) {
                 return;
             }
-            *in_force = Some(InForce {
-                configuration: Arc::new(configuration),
+            let source = Source {
                 key: key.to_owned(),
+                version,
                 document: document.clone(),
+                cut,
+            };
+            *in_force = Some(InForce {
+                configuration: Arc::new(configuration),
+                source: Arc::new(source),
             });
             self.0.config_version.store(version, Ordering::Relaxed);
         }
+        let behind = self.look_for_newer();
         let line = self.log().line(EventCode::ConfigReady);
         line.with("version", version)
             .with("bytes", document.len())
             .with("source", source)
+            .with_some("behind_ms", behind.map(|behind| behind.as_millis() as u64))
             .write();
         self.tell_news();
     }
--- a/src/gateway/shared/logreading.rs
+++ b/src/gateway/shared/logreading.rs
@@ -81,7 +81,9 @@
     /// Whether this host leaves the reading of a topic to others.
     pub(crate) fn leaves_reading(&self, topic: Topic) -> bool {
         let now = self.now();
-        !self.is_reader(topic) && self.peers(|peers| peers.awaits_reader(now, topic))
+        !self.is_reader(topic)
+            && !self.is_overdue(topic)
+            && self.peers(|peers| peers.awaits_reader(now, topic))
     }
 
     /// Whether the configuration that this host believes to be in force may be stale.
@@ -89,13 +91,6 @@
         !self.hears_log(Topic::Operator) || self.is_behind()
     }
 
-    /// Whether another host has told of a newer version than the one in force here. 378 callers of a day
-    /// were answered 404 for routes of a version that their hosts had heard of and could not fetch.
-    pub(crate) fn is_behind(&self) -> bool {
-        let now = self.now();
-        self.peers(|peers| peers.newest_version(now)) > self.config_version()
-    }
-
     fn audience(&self) -> Audience {
         match self.is_small_fleet() {
             true => Audience::Itself,
--- /dev/null
+++ b/src/gateway/shared/newer.rs
@@ -0,0 +1,69 @@
+//! What a host knows of newer configurations than the one it has in force.
+
+use std::time::Duration;
+
+use super::Shared;
+use super::locked;
+use crate::gateway::document::assembly::Assembly;
+use crate::gateway::document::catchup::CatchUp;
+use crate::gateway::document::transfers::Transfers;
+use crate::gateway::protocol::Topic;
+
+impl Shared {
+    /// Whether another host has told of a newer version than the one in force here. 378 callers of a day
+    /// were answered 404 for routes of a version that their hosts had heard of and could not fetch.
+    pub(crate) fn is_behind(&self) -> bool {
+        self.newest_version_heard() > self.config_version()
+    }
+
+    /// The newest version that a live host has told of; 0 if none has.
+    pub(crate) fn newest_version_heard(&self) -> u64 {
+        let now = self.now();
+        self.peers(|peers| peers.newest_version(now))
+    }
+
+    /// Notes whether a newer version is known of. Tells for how long one was until now.
+    pub(crate) fn look_for_newer(&self) -> Option<Duration> {
+        let now = self.now();
+        let is_behind = self.is_behind();
+        self.catch_up(|catch_up| {
+            let behind = catch_up.behind_for(now);
+            catch_up.look(now, is_behind);
+            behind
+        })
+    }
+
+    /// For how long a newer version than the one in force has been known of.
+    pub(crate) fn behind_for(&self) -> Option<Duration> {
+        let now = self.now();
+        self.catch_up(|catch_up| catch_up.behind_for(now))
+    }
+
+    /// Whether this host has known of something newer for so long, without getting it from its peers, that
+    /// it shall read the topic itself.
+    pub(crate) fn is_overdue(&self, topic: Topic) -> bool {
+        let now = self.now();
+        let bound = self.settings().staleness_max;
+        topic == Topic::Operator && self.catch_up(|catch_up| catch_up.is_overdue(now, bound))
+    }
+
+    /// Runs `use_catch_up` on the way to the newest version.
+    pub(crate) fn catch_up<T>(&self, use_catch_up: impl FnOnce(&mut CatchUp) -> T) -> T {
+        use_catch_up(&mut locked(&self.0.catch_up))
+    }
+
+    /// Runs `use_transfers` on the transfers to other hosts.
+    pub(crate) fn transfers<T>(&self, use_transfers: impl FnOnce(&mut Transfers) -> T) -> T {
+        use_transfers(&mut locked(&self.0.transfers))
+    }
+
+    /// Takes the document that is being put together.
+    pub(crate) fn take_assembly(&self) -> Option<Assembly> {
+        locked(&self.0.assembly).take()
+    }
+
+    /// Keeps what has arrived of a document for the next transfer.
+    pub(crate) fn keep_assembly(&self, assembly: Option<Assembly>) {
+        *locked(&self.0.assembly) = assembly;
+    }
+}
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -131,6 +131,16 @@
         "Lines of the gateway's log that were dropped because their reader was too slow.",
     LogAgeMs Gauge "cedargauge_log_age_ms" "topic"
         "Time since the platform's log last answered this host's own read of a topic.",
+    ConfigVersion Gauge "cedargauge_config_version" ""
+        "Version of the configuration that the gateway has in force.",
+    ConfigNewestVersion Gauge "cedargauge_config_newest_version" ""
+        "Newest version that another host has told of.",
+    ConfigBehindMs Gauge "cedargauge_config_behind_ms" ""
+        "Time since a newer version than the one in force is known of; 0 while none is.",
+    PieceBytesServedTotal Counter "cedargauge_piece_bytes_served_total" ""
+        "Bytes of pieces of configurations that the host has sent to others.",
+    BadDocumentsTotal Counter "cedargauge_bad_documents_total" ""
+        "Documents, or pieces of them, of other hosts that were passed over as wrong.",
     ForeignRecordsTotal Counter "cedargauge_foreign_records_total" ""
         "Records in the list of upstreams that name no upstream: other writers', or unreadable.",
     PeerMessagesDroppedTotal Counter "cedargauge_peer_messages_dropped_total" ""
@@ -312,8 +322,13 @@
 
 /// Counts an event of a counter without labels.
 pub fn count(metric: Metric) {
+    count_by(metric, 1);
+}
+
+/// Counts several at once.
+pub fn count_by(metric: Metric, number: u64) {
     debug_assert!(metric.kind() == Kind::Counter && metric.labels().is_empty());
-    metrics::counter!(metric.name()).increment(1);
+    metrics::counter!(metric.name()).increment(number);
 }
 
 /// Raises a counter without labels to a total that is kept elsewhere.
@@ -334,6 +349,17 @@
     metrics::gauge!(Metric::LogAgeMs.name(), "topic" => topic).set(ms);
 }
 
+/// Sets the version in force, and the newest that is known of.
+pub fn set_config_version(in_force: u64, newest: u64) {
+    metrics::gauge!(Metric::ConfigVersion.name()).set(in_force as f64);
+    metrics::gauge!(Metric::ConfigNewestVersion.name()).set(newest.max(in_force) as f64);
+}
+
+/// Sets for how long a newer version than the one in force has been known of.
+pub fn set_config_behind(behind: Duration) {
+    metrics::gauge!(Metric::ConfigBehindMs.name()).set(behind.as_secs_f64() * 1_000.0);
+}
+
 fn elapsed_ms(from: Time, to: Time) -> f64 {
     to.since(from).as_secs_f64() * 1_000.0
 }
--- a/src/telemetry/tests.rs
+++ b/src/telemetry/tests.rs
@@ -79,7 +79,7 @@
     for metric in Metric::ALL {
         let name = metric.name();
         let counted = [
-            "_total", "_open", "_offset", "_waiting", "_active", "_lapsed",
+            "_total", "_open", "_offset", "_version", "_waiting", "_active", "_lapsed",
         ];
 
         let has_unit = name.ends_with("_ms") || counted.iter().any(|end| name.ends_with(end));
