--- a/src/gateway/configfetch.rs
+++ b/src/gateway/configfetch.rs
@@ -169,6 +169,8 @@
     Taken,
     /// The source serves as many as it can.
     Busy,
+    /// The source has nothing newer: it has started again since it told, or this host has caught up.
+    NothingNewer,
 }
 
 async fn ask(shared: &Shared, source: Holder) {
@@ -185,7 +187,7 @@
     let now = shared.now();
     match outcome {
         Ok(Outcome::Taken) => {}
-        Ok(Outcome::Busy) => shared.catch_up(|catch_up| {
+        Ok(Outcome::Busy | Outcome::NothingNewer) => shared.catch_up(|catch_up| {
             catch_up.was_busy(now, source.address, rand::random::<f64>());
         }),
         Err(error) => {
@@ -220,7 +222,7 @@
     let outcome = fetching.run(None).await;
     shared.keep_assembly(fetching.assembly.take());
     match outcome? {
-        Outcome::Taken => Ok(()),
+        Outcome::Taken | Outcome::NothingNewer => Ok(()),
         Outcome::Busy => Err(fetching.remote("it serves others")),
     }
 }
@@ -242,10 +244,10 @@
         let mut has_manifest = known.is_some() && known == version;
         for _ in 0..VERSIONS_MAX {
             if !has_manifest {
-                let Some(manifest) = self.fetch_manifest().await? else {
-                    return Ok(Outcome::Taken);
-                };
-                self.begin(manifest);
+                match self.fetch_manifest().await? {
+                    Some(manifest) => self.begin(manifest),
+                    None => return Ok(Outcome::NothingNewer),
+                }
             }
             if let Outcome::Busy = self.fetch_pieces().await? {
                 return Ok(Outcome::Busy);
--- a/src/gateway/shared/inforce.rs
+++ b/src/gateway/shared/inforce.rs
@@ -143,6 +143,7 @@
             });
             self.0.config_version.store(version, Ordering::Relaxed);
         }
+        self.drop_assembly_of(version);
         let behind = self.look_for_newer();
         let line = self.log().line(EventCode::ConfigReady);
         line.with("version", version)
--- a/src/gateway/shared/newer.rs
+++ b/src/gateway/shared/newer.rs
@@ -66,4 +66,12 @@
     pub(crate) fn keep_assembly(&self, assembly: Option<Assembly>) {
         *locked(&self.0.assembly) = assembly;
     }
+
+    /// Drops what has arrived of `version` or an older one, which is of no use once that is in force.
+    pub(crate) fn drop_assembly_of(&self, version: u64) {
+        let mut assembly = locked(&self.0.assembly);
+        *assembly = assembly
+            .take()
+            .filter(|assembly| assembly.manifest().version > version);
+    }
 }
