--- a/src/link.rs
+++ b/src/link.rs
@@ -229,3 +229,6 @@
     let client = connect(address, call_timeout).await?;
     client.config_tail(next).await
 }
+
+#[cfg(test)]
+mod tests;
