Ask a seed for the upstreams also while it serves its configuration to others

Found by reading: a host that starts got the upstreams from a seed only after the configuration, which a seed serves to two hosts at once; the others went on to the next seed without the list. Both are asked for now. The timeouts of fetches stand once.

--- a/src/gateway/configfetch.rs
+++ b/src/gateway/configfetch.rs
@@ -34,6 +34,8 @@
 use crate::gateway::document::transfers::Ticket;
 use crate::gateway::ownclient::Arrival;
 use crate::gateway::ownclient::OwnClient;
+use crate::gateway::peerfetch::FETCH_TIMEOUT;
+use crate::gateway::peerfetch::SEED_TIMEOUT;
 use crate::gateway::peers::Fetch;
 use crate::gateway::protocol::OwnCall;
 use crate::gateway::shared::Shared;
@@ -44,9 +46,6 @@
 pub const CONFIGURATION_PATH: &str = "/peer/configuration";
 /// Path of pieces.
 pub const PIECES_PATH: &str = "/peer/pieces";
-/// A source's answer to each call begins within this time, a seed's of a tenth of a core within the second.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(500);
-const SEED_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// A source that takes a newer version while it is asked is asked once more.
 const VERSIONS_MAX: usize = 2;
 /// No host asks for more pieces than the largest document has.
@@ -180,7 +179,7 @@
         shared,
         source: source.address,
         client: OwnClient::new(source.address),
-        timeout: ANSWER_TIMEOUT,
+        timeout: FETCH_TIMEOUT,
         assembly: kept,
     };
     let outcome = fetching.run(Some(source.version)).await;
--- a/src/gateway/joining.rs
+++ b/src/gateway/joining.rs
@@ -114,14 +114,22 @@
     }
 }
 
-/// Asks a seed for what is in force, unless it is being fetched from another host already.
+/// Asks a seed for what is in force. A seed that serves its configuration to others tells of the upstreams
+/// all the same.
 async fn ask_seed(shared: &Shared, seed: SocketAddr) -> Result<()> {
-    if shared.peers(|peers| peers.begin_fetch(Fetch::Configuration)) {
-        let fetched = configfetch::fetch_from_seed(shared, seed).await;
-        shared.peers(|peers| peers.end_fetch(Fetch::Configuration));
-        fetched?;
+    let configuration = ask_seed_for_configuration(shared, seed).await;
+    peerfetch::fetch_from_seed(shared, seed).await?;
+    configuration
+}
+
+/// Nothing is done while the configuration is being fetched from another host.
+async fn ask_seed_for_configuration(shared: &Shared, seed: SocketAddr) -> Result<()> {
+    if !shared.peers(|peers| peers.begin_fetch(Fetch::Configuration)) {
+        return Ok(());
     }
-    peerfetch::fetch_from_seed(shared, seed).await
+    let fetched = configfetch::fetch_from_seed(shared, seed).await;
+    shared.peers(|peers| peers.end_fetch(Fetch::Configuration));
+    fetched
 }
 
 /// Keeps a request of a caller who gives it `timeout` while the host has just started and knows
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -20,11 +20,12 @@
 
 /// Path of the upstreams.
 pub const UPSTREAMS_PATH: &str = "/peer/upstreams";
-/// Each call to a seed of a host that starts: dozens ask the same seed of a tenth of a core.
-const SEED_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Each call to a peer otherwise. 72 hosts had fetched a version 0.26 s after its reader had it, of which
-/// up to 0.25 s is the spread of their questions (lines of one play).
-const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+/// A seed's answer to a host that starts begins within this time: dozens ask the same seed of a tenth of a
+/// core.
+pub(crate) const SEED_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Any other peer's answer begins within this time: some round trips of the farthest data centre, and one host
+/// that is asked by a few others.
+pub(crate) const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The upstreams as a peer knows them, or what changed of them.
 #[derive(Debug, Serialize, Deserialize)]
