--- a/src/gateway/document/tests.rs
+++ b/src/gateway/document/tests.rs
@@ -1,4 +1,5 @@
 mod fleet;
+mod spread;
 
 use bytes::Bytes;
 use rand::RngExt;
--- a/src/gateway/document/tests/fleet.rs
+++ b/src/gateway/document/tests/fleet.rs
@@ -14,32 +14,31 @@
 use crate::gateway::document::catchup::Fault;
 use crate::gateway::document::catchup::Holder;
 use crate::gateway::document::catchup::Step;
-use crate::gateway::document::transfers::TRANSFERS_MAX;
 use crate::gateway::document::transfers::Ticket;
 use crate::gateway::document::transfers::Transfers;
 
 const TICK: Duration = Duration::from_millis(5);
 /// Both ways of each host's link: 10 Mbit/s.
-const LINK_BYTES_PER_S: f64 = 1_250_000.0;
+pub(super) const LINK_BYTES_PER_S: f64 = 1_250_000.0;
 /// A manifest and a request for pieces, there and back.
-const ROUND_TRIP: Duration = Duration::from_millis(5);
+pub(super) const ROUND_TRIP: Duration = Duration::from_millis(5);
 /// Nothing arrives for so long before a source is left.
-const STALL: Duration = Duration::from_millis(500);
+pub(super) const STALL: Duration = Duration::from_millis(500);
 /// A host's word that it has a version is heard at once, or, where the datagram is lost, with the next
 /// round.
 const LOSS: f64 = 0.1;
-const ROUND: Duration = Duration::from_millis(900);
+pub(super) const ROUND: Duration = Duration::from_millis(900);
 /// A reader that is frozen or dead is replaced after this time.
-const READER_REPLACED: Duration = Duration::from_millis(1_000);
+pub(super) const READER_REPLACED: Duration = Duration::from_millis(1_000);
 /// Hosts that only listen spread their first questions over this time.
-const SPREAD: Duration = Duration::from_millis(250);
+pub(super) const SPREAD: Duration = Duration::from_millis(250);
 const STALENESS_MAX: Duration = Duration::from_millis(9_000);
 
 /// A version: when it appears, and what a host that has the one before lacks of it, as it travels.
 #[derive(Debug, Clone, Copy)]
-struct Version {
-    at: Time,
-    lacking_bytes: u32,
+pub(super) struct Version {
+    pub(super) at: Time,
+    pub(super) lacking_bytes: u32,
 }
 
 /// What happens to a host from one time to another.
@@ -70,22 +69,22 @@
     version: usize,
 }
 
-struct Host {
+pub(super) struct Host {
     /// Number of the versions that are in force; the newest of them counts.
     in_force: usize,
     /// When it came into force here.
     since: Time,
     /// What has arrived of what is lacking.
     got_bytes: f64,
-    received_bytes: f64,
+    pub(super) received_bytes: f64,
     catch_up: CatchUp,
     transfers: Transfers,
     fetch: Option<Fetch>,
     asks_from: Time,
 }
 
-struct Fleet {
-    hosts: Vec<Host>,
+pub(super) struct Fleet {
+    pub(super) hosts: Vec<Host>,
     a_data_centre: usize,
     versions: Vec<Version>,
     spells: Vec<Spell>,
@@ -100,7 +99,12 @@
 }
 
 impl Fleet {
-    fn new(count: usize, a_data_centre: usize, versions: Vec<Version>, seed: u64) -> Self {
+    pub(super) fn new(
+        count: usize,
+        a_data_centre: usize,
+        versions: Vec<Version>,
+        seed: u64,
+    ) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let hosts = (0..count).map(|_| Host {
             in_force: 0,
@@ -124,7 +128,7 @@
     }
 
     /// Strikes `share` of the hosts between the first version and `until`, for up to a second each.
-    fn strike(&mut self, share: f64, until: Time) {
+    pub(super) fn strike(&mut self, share: f64, until: Time) {
         for host in 0..self.hosts.len() {
             if !self.random.random_bool(share) {
                 continue;
@@ -213,7 +217,7 @@
     }
 
     /// Runs until all hosts have all versions and no fault is left, or the time is over.
-    fn run_until(&mut self, ends: Time) {
+    pub(super) fn run_until(&mut self, ends: Time) {
         while self.now < ends && !self.is_settled() {
             self.now = self.now + TICK;
             self.note_troubles();
@@ -385,99 +389,9 @@
     }
 
     /// When the last host came to have all versions; none if some host never did.
-    fn all_since(&self) -> Option<Time> {
+    pub(super) fn all_since(&self) -> Option<Time> {
         let all = self.versions.len();
         let have_all = self.hosts.iter().all(|host| host.in_force == all);
         have_all.then(|| self.hosts.iter().map(|host| host.since).max())?
     }
 }
-
-/// The bound of the design note for hosts without faults, after a version has appeared: the reader's
-/// read, a datagram, lost once, the spread of the questions, and for each generation of hosts the
-/// transfers that a source serves at once, with a pause before one that was busy is asked again.
-fn bound(a_data_centre: usize, lacking_bytes: f64) -> Duration {
-    let generations = (a_data_centre as f64).ln() / ((TRANSFERS_MAX + 1) as f64).ln();
-    let transfer = TRANSFERS_MAX as f64 * lacking_bytes / LINK_BYTES_PER_S;
-    let generation = Duration::from_secs_f64(transfer) + Duration::from_millis(70) + ROUND_TRIP;
-    Duration::from_millis(50) + ROUND + SPREAD + generation.mul_f64(generations.ceil() + 1.0)
-}
-
-fn one_version(lacking_bytes: u32) -> Vec<Version> {
-    vec![Version {
-        at: Time::from_ms(100),
-        lacking_bytes,
-    }]
-}
-
-#[test]
-fn all_hosts_have_a_change_within_the_bound_whatever_the_size_of_the_fleet() {
-    for (count, a_data_centre) in [(30, 10), (300, 60), (1_100, 74)] {
-        for lacking_bytes in [2_000, 30_000, 400_000] {
-            let mut fleet = Fleet::new(count, a_data_centre, one_version(lacking_bytes), 1);
-
-            fleet.run_until(Time::from_ms(9_000));
-
-            let took = fleet.all_since().map(|at| at.since(Time::from_ms(100)));
-            let bound = bound(a_data_centre, f64::from(lacking_bytes));
-            assert!(
-                took.is_some_and(|took| took <= bound),
-                "{count} hosts, {lacking_bytes} bytes: {took:?} of {bound:?}"
-            );
-        }
-    }
-}
-
-#[test]
-fn a_storm_of_versions_costs_no_more_than_its_changes() {
-    let versions = (0..12).map(|index| Version {
-        at: Time::from_ms(100 + 300 * index),
-        lacking_bytes: 30_000,
-    });
-    let mut fleet = Fleet::new(300, 60, versions.collect(), 2);
-
-    fleet.run_until(Time::from_ms(9_000));
-
-    let last = Time::from_ms(100 + 300 * 11);
-    let took = fleet.all_since().map(|at| at.since(last));
-    assert!(
-        took.is_some_and(|took| took <= bound(60, 30_000.0)),
-        "{took:?}"
-    );
-    let most = fleet.hosts.iter().map(|host| host.received_bytes);
-    assert!(most.fold(0.0, f64::max) <= 2.0 * 12.0 * 30_000.0);
-}
-
-#[test]
-fn hosts_that_are_frozen_killed_or_mute_hold_up_the_others_for_no_longer_than_the_faults_last() {
-    for seed in 0..12 {
-        let mut fleet = Fleet::new(150, 50, one_version(120_000), seed);
-        let last_fault = Time::from_ms(3_000);
-        fleet.strike(0.4, last_fault);
-
-        fleet.run_until(Time::from_ms(12_000));
-
-        let took = fleet.all_since().map(|at| at.since(last_fault));
-        // Each of two sources in a row may have failed just before.
-        let allowed = bound(50, 120_000.0) + READER_REPLACED + 2 * STALL;
-        assert!(
-            took.is_some_and(|took| took <= allowed),
-            "seed {seed}: {took:?} of {allowed:?}"
-        );
-        let most = fleet.hosts.iter().map(|host| host.received_bytes);
-        assert!(most.fold(0.0, f64::max) <= 2.0 * 120_000.0, "seed {seed}");
-    }
-}
-
-#[test]
-fn a_document_of_many_megabytes_reaches_all_within_its_bound() {
-    // 800 KB as it travels are 7.2 MB as it stands: 0.64 s of a link alone.
-    let mut fleet = Fleet::new(300, 60, one_version(800_000), 3);
-
-    fleet.run_until(Time::from_ms(20_000));
-
-    let took = fleet.all_since().map(|at| at.since(Time::from_ms(100)));
-    assert!(
-        took.is_some_and(|took| took <= bound(60, 800_000.0)),
-        "{took:?}"
-    );
-}
