Ask peers for pages, and run fetches, by one piece of code for configurations and upstreams

Found on reading the whole change again: a fetch of a configuration had its own copy of what PeerClient does (client, address, timeout, statuses), a seed's fetch and another's built the same state in two ways, and both kinds of fetch began, waited and ended by the same lines. Now PeerClient and fetch_later serve both, and Fetching::new builds the state.

--- a/src/gateway/configfetch.rs
+++ b/src/gateway/configfetch.rs
@@ -33,9 +33,10 @@
 use crate::gateway::document::frames::FrameReader;
 use crate::gateway::document::transfers::Ticket;
 use crate::gateway::ownclient::Arrival;
-use crate::gateway::ownclient::OwnClient;
 use crate::gateway::peerfetch::FETCH_TIMEOUT;
+use crate::gateway::peerfetch::PeerClient;
 use crate::gateway::peerfetch::SEED_TIMEOUT;
+use crate::gateway::peerfetch::fetch_later;
 use crate::gateway::peers::Fetch;
 use crate::gateway::protocol::OwnCall;
 use crate::gateway::shared::Shared;
@@ -138,14 +139,10 @@
 /// Begins to fetch the newest version that is known of, `wait` from now, unless that is under way.
 pub(crate) fn fetch_soon(shared: &Shared, wait: Duration) {
     shared.look_for_newer();
-    if shared.peers(|peers| peers.begin_fetch(Fetch::Configuration)) {
-        let shared = shared.clone();
-        actix_rt::spawn(async move {
-            tokio::time::sleep(wait).await;
-            catch_up(&shared).await;
-            shared.peers(|peers| peers.end_fetch(Fetch::Configuration));
-        });
-    }
+    let fetching = shared.clone();
+    fetch_later(shared, Fetch::Configuration, wait, async move {
+        catch_up(&fetching).await;
+    });
 }
 
 /// Asks one source after another until no newer version is known of, or nobody answers who has one.
@@ -173,15 +170,7 @@
 }
 
 async fn ask(shared: &Shared, source: Holder) {
-    let kept = shared.take_assembly();
-    let kept = kept.filter(|assembly| assembly.manifest().version > shared.config_version());
-    let mut fetching = Fetching {
-        shared,
-        source: source.address,
-        client: OwnClient::new(source.address),
-        timeout: FETCH_TIMEOUT,
-        assembly: kept,
-    };
+    let mut fetching = Fetching::new(shared, source.address, FETCH_TIMEOUT);
     let outcome = fetching.run(Some(source.version)).await;
     let now = shared.now();
     match outcome {
@@ -211,32 +200,34 @@
 ///
 /// [`Error::Remote`] if the seed doesn't answer or is busy, [`Error::Document`] if what it tells is wrong.
 pub(crate) async fn fetch_from_seed(shared: &Shared, seed: SocketAddr) -> Result<()> {
-    let mut fetching = Fetching {
-        shared,
-        source: seed,
-        client: OwnClient::new(seed),
-        timeout: SEED_TIMEOUT,
-        assembly: shared.take_assembly(),
-    };
+    let mut fetching = Fetching::new(shared, seed, SEED_TIMEOUT);
     let outcome = fetching.run(None).await;
     shared.keep_assembly(fetching.assembly.take());
     match outcome? {
         Outcome::Taken | Outcome::NothingNewer => Ok(()),
-        Outcome::Busy => Err(fetching.remote("it serves others")),
+        Outcome::Busy => Err(fetching.source.error("it serves others")),
     }
 }
 
 /// A fetch from one source.
 struct Fetching<'s> {
     shared: &'s Shared,
-    source: SocketAddr,
-    client: OwnClient,
-    timeout: Duration,
+    source: PeerClient,
     /// What is there of the document, from other sources too.
     assembly: Option<Assembly>,
 }
 
-impl Fetching<'_> {
+impl<'s> Fetching<'s> {
+    /// Goes on with what has arrived of a version that is still newer than the one in force.
+    fn new(shared: &'s Shared, source: SocketAddr, timeout: Duration) -> Self {
+        let kept = shared.take_assembly();
+        Fetching {
+            shared,
+            source: PeerClient::new(source, timeout),
+            assembly: kept.filter(|assembly| assembly.manifest().version > shared.config_version()),
+        }
+    }
+
     /// Fetches what is missing of `version`, or of whatever newer one the source has.
     async fn run(&mut self, version: Option<u64>) -> Result<Outcome> {
         let known = self.assembly.as_ref().map(|known| known.manifest().version);
@@ -257,19 +248,16 @@
             // The source has a newer version by now.
             has_manifest = false;
         }
-        Err(self.remote("it lacks pieces of the version that it tells"))
+        let reason = "it lacks pieces of the version that it tells";
+        Err(self.source.error(reason))
     }
 
     /// The source's manifest, if its version is newer than the one in force here.
     async fn fetch_manifest(&mut self) -> Result<Option<Manifest>> {
         let newer_than = self.shared.config_version();
-        let call = OwnCall::get(format!("{CONFIGURATION_PATH}?newer_than={newer_than}"));
-        let body = match self.client.call(&call, self.timeout).await? {
-            (200, body) => body,
-            (404, _) => return Ok(None),
-            (status, _) => return Err(self.remote(&format!("status {status}"))),
-        };
-        Manifest::decode(&body).map(Some)
+        let path = format!("{CONFIGURATION_PATH}?newer_than={newer_than}");
+        let body = self.source.get(&path).await?;
+        body.map(|body| Manifest::decode(&body)).transpose()
     }
 
     /// Goes on with what has arrived of another version.
@@ -297,12 +285,12 @@
         };
         let mut arriving = ArrivingPieces::new(assembly, missing);
         let watch = |arrival| arriving.take(arrival);
-        let status = self.client.call_watched(&call, self.timeout, watch).await;
+        let status = self.source.call_watched(&call, watch).await;
         match (status, arriving.fault) {
             (Ok(200), None) => Ok(Outcome::Taken),
             (Ok(503), _) => Ok(Outcome::Busy),
             (Ok(200), Some(fault)) => Err(fault),
-            (Ok(status), _) => Err(self.remote(&format!("status {status}"))),
+            (Ok(status), _) => Err(self.source.refused(status, PIECES_PATH)),
             (Err(error), _) => Err(error),
         }
     }
@@ -310,7 +298,8 @@
     async fn finish(&mut self) -> Result<Outcome> {
         if let Some(assembly) = self.assembly.take() {
             let cut = assembly.finish()?;
-            self.shared.offer_cut(cut, &self.source.to_string()).await?;
+            let source = self.source.peer.to_string();
+            self.shared.offer_cut(cut, &source).await?;
         }
         Ok(Outcome::Taken)
     }
@@ -321,20 +310,13 @@
         }
         let assembly = self.assembly.as_ref();
         let line = self.shared.log().line(EventCode::PeerSuspected);
-        line.with("peer", self.source.to_string())
+        line.with("peer", self.source.peer.to_string())
             .with("reason", error.to_string())
             .with_some("version", assembly.map(|known| known.manifest().version))
             .with_some("got_bytes", assembly.map(Assembly::got_bytes))
             .with_some("of_bytes", assembly.map(|known| known.manifest().bytes()))
             .write();
     }
-
-    fn remote(&self, reason: &str) -> Error {
-        Error::Remote {
-            peer: self.source.to_string(),
-            reason: reason.to_owned(),
-        }
-    }
 }
 
 /// Puts pieces where they belong as they arrive.
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -13,6 +13,7 @@
 use crate::event::EventCode;
 use crate::gateway::directory::Change;
 use crate::gateway::directory::Upstream;
+use crate::gateway::ownclient::Arrival;
 use crate::gateway::ownclient::OwnClient;
 use crate::gateway::peers::Fetch;
 use crate::gateway::protocol::OwnCall;
@@ -65,12 +66,25 @@
 
 /// Begins to fetch the upstreams from `peer`, `wait` from now, unless that is under way.
 pub(crate) fn fetch_soon(shared: &Shared, peer: SocketAddr, wait: Duration) {
-    if shared.peers(|peers| peers.begin_fetch(Fetch::Upstreams)) {
+    let fetching = shared.clone();
+    fetch_later(shared, Fetch::Upstreams, wait, async move {
+        fetch(&fetching, peer).await;
+    });
+}
+
+/// Runs a fetch, `wait` from now, unless one of the same is under way.
+pub(crate) fn fetch_later(
+    shared: &Shared,
+    what: Fetch,
+    wait: Duration,
+    fetch: impl Future<Output = ()> + 'static,
+) {
+    if shared.peers(|peers| peers.begin_fetch(what)) {
         let shared = shared.clone();
         actix_rt::spawn(async move {
             tokio::time::sleep(wait).await;
-            fetch(&shared, peer).await;
-            shared.peers(|peers| peers.end_fetch(Fetch::Upstreams));
+            fetch.await;
+            shared.peers(|peers| peers.end_fetch(what));
         });
     }
 }
@@ -94,12 +108,7 @@
 }
 
 async fn fetch_from(shared: &Shared, peer: SocketAddr, timeout: Duration) -> Result<()> {
-    let mut client = PeerClient {
-        client: OwnClient::new(peer),
-        peer,
-        timeout,
-    };
-    fetch_upstreams(shared, &mut client).await
+    fetch_upstreams(shared, &mut PeerClient::new(peer, timeout)).await
 }
 
 /// Fetches what has changed since this host last knew all; if it then still knows other upstreams than the
@@ -145,21 +154,50 @@
 }
 
 /// Asks one peer for pages.
-struct PeerClient {
+pub(crate) struct PeerClient {
     client: OwnClient,
-    peer: SocketAddr,
+    /// Its address.
+    pub(crate) peer: SocketAddr,
+    /// Time for an answer to begin.
     timeout: Duration,
 }
 
 impl PeerClient {
-    async fn get(&mut self, path: &str) -> Result<Option<Bytes>> {
+    pub(crate) fn new(peer: SocketAddr, timeout: Duration) -> Self {
+        PeerClient {
+            client: OwnClient::new(peer),
+            peer,
+            timeout,
+        }
+    }
+
+    /// A page; none if the peer has nothing newer.
+    pub(crate) async fn get(&mut self, path: &str) -> Result<Option<Bytes>> {
         match self.client.call(&OwnCall::get(path), self.timeout).await? {
             (200, body) => Ok(Some(body)),
             (404, _) => Ok(None),
-            (status, _) => Err(Error::Remote {
-                peer: self.peer.to_string(),
-                reason: format!("status {status} for {path}"),
-            }),
+            (status, _) => Err(self.refused(status, path)),
+        }
+    }
+
+    /// Makes a call whose answer is seen as it arrives.
+    pub(crate) async fn call_watched(
+        &mut self,
+        call: &OwnCall,
+        watch: impl FnMut(Arrival),
+    ) -> Result<u16> {
+        self.client.call_watched(call, self.timeout, watch).await
+    }
+
+    /// The peer answered with a status that it should not.
+    pub(crate) fn refused(&self, status: u16, path: &str) -> Error {
+        self.error(format!("status {status} for {path}"))
+    }
+
+    pub(crate) fn error(&self, reason: impl Into<String>) -> Error {
+        Error::Remote {
+            peer: self.peer.to_string(),
+            reason: reason.into(),
         }
     }
 }
