Show a fingerprint of each request's content in its lines

A repeat has a new id, so the lines could not tell whether the streams under which engines were lost ask the same. The fingerprint is of customer, method, host, target and body; it decides nothing.

--- /dev/null
+++ b/src/fingerprint.rs
@@ -0,0 +1,65 @@
+//! Fingerprints of requests by their content: two requests with one fingerprint ask the same of an
+//! upstream for the same customer, whatever ids they bear.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::id::CustomerId;
+
+/// Bytes of a fingerprint. Nobody can make two contents with one fingerprint: that takes 2^64 tries.
+const BYTES: usize = 16;
+/// Bytes of it that logs show, in hexadecimal digits.
+const SHOWN_BYTES: usize = 8;
+
+/// What identifies a request beside its id.
+#[derive(Debug, Clone, Copy)]
+pub struct Content<'a> {
+    /// Whose it is; none where customers are not told apart.
+    pub customer: Option<&'a CustomerId>,
+    /// The method.
+    pub method: &'a str,
+    /// The host that the caller named.
+    pub authority: &'a str,
+    /// Path and query as they came.
+    pub target: &'a str,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+/// A digest of a request's content, from which the content can't be told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Fingerprint([u8; BYTES]);
+
+impl Fingerprint {
+    /// The fingerprint of a request.
+    pub fn of(content: &Content<'_>) -> Self {
+        let mut hasher = blake3::Hasher::new();
+        let customer = content.customer.map_or("", CustomerId::as_str);
+        let head = [customer, content.method, content.authority, content.target];
+        for part in head {
+            // The length keeps the end of one part from being taken for the start of the next.
+            hasher.update(&part.len().to_le_bytes());
+            hasher.update(part.as_bytes());
+        }
+        hasher.update(content.body);
+        let mut bytes = [0; BYTES];
+        hasher.finalize_xof().fill(&mut bytes);
+        Fingerprint(bytes)
+    }
+}
+
+/// Its first digits, as logs show it.
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let shown = self.0.iter().take(SHOWN_BYTES);
+        shown
+            .into_iter()
+            .try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/fingerprint/tests.rs
@@ -0,0 +1,73 @@
+use super::Content;
+use super::Fingerprint;
+use crate::id::CustomerId;
+
+fn content<'a>(customer: &'a CustomerId, target: &'a str, body: &'a [u8]) -> Content<'a> {
+    Content {
+        customer: Some(customer),
+        method: "POST",
+        authority: "a.example",
+        target,
+        body,
+    }
+}
+
+#[test]
+fn the_same_content_has_the_same_fingerprint() {
+    let canton = CustomerId::new("canton");
+
+    let first = Fingerprint::of(&content(&canton, "/nets/7", b"tighten"));
+    let second = Fingerprint::of(&content(&canton, "/nets/7", b"tighten"));
+
+    assert_eq!(first, second);
+}
+
+#[test]
+fn every_part_counts_and_none_runs_into_the_next() {
+    let canton = CustomerId::new("canton");
+    let base = content(&canton, "/nets/7", b"tighten");
+    let other = CustomerId::new("village");
+    let others = [
+        Content {
+            customer: Some(&other),
+            ..base
+        },
+        Content {
+            customer: None,
+            ..base
+        },
+        Content {
+            method: "PUT",
+            ..base
+        },
+        Content {
+            authority: "b.example",
+            ..base
+        },
+        Content {
+            target: "/nets/7t",
+            body: b"ighten",
+            ..base
+        },
+        Content { body: b"", ..base },
+    ];
+
+    let fingerprint = Fingerprint::of(&base);
+
+    for other in others {
+        assert_ne!(Fingerprint::of(&other), fingerprint, "{other:?}");
+    }
+}
+
+#[test]
+fn logs_show_sixteen_digits() {
+    let canton = CustomerId::new("canton");
+
+    let shown = Fingerprint::of(&content(&canton, "/nets/7", b"")).to_string();
+
+    assert_eq!(shown.len(), 16);
+    assert!(
+        shown.bytes().all(|digit| digit.is_ascii_hexdigit()),
+        "{shown}"
+    );
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -13,11 +13,14 @@
 use bytes::BytesMut;
 use futures_util::StreamExt;
 use http::HeaderMap;
+use http::header;
 use tokio::time::Instant;
 
 use crate::clock::Time;
 use crate::clock::request_time;
 use crate::event::EventCode;
+use crate::fingerprint::Content;
+use crate::fingerprint::Fingerprint;
 use crate::gate::Pass;
 use crate::gateway::call;
 use crate::gateway::configuration::Configuration;
@@ -85,6 +88,8 @@
     pub request: CallerRequest,
     /// Its id, for logs.
     pub id: String,
+    /// Of its content, which a repeat under another id shares.
+    pub fingerprint: Fingerprint,
     /// Its route.
     pub route: Arc<Route>,
     /// The service that its route chose.
@@ -116,6 +121,7 @@
         let ms = self.arrived.elapsed().as_secs_f64() * 1_000.0;
         let line = shared.log().line(code);
         line.with("request", self.id.as_str())
+            .with("fingerprint", self.fingerprint.to_string())
             .with("route", self.route.name.as_str())
             .with("kind", self.route.kind.name())
             .with("service", self.service.as_str())
@@ -245,13 +251,16 @@
     let body = read_body(payload, configuration.limits.body_bytes_max)
         .await
         .map_err(reject)?;
+    let request = CallerRequest { body, ..request };
     let timeout = caller_timeout.min(route.timeout);
     let own_priority = customer.as_ref().and_then(|customer| customer.priority);
+    let customer = customer.map(|customer| customer.name.clone());
     Ok(Admitted {
-        request: CallerRequest { body, ..request },
+        fingerprint: fingerprint_of(&request, customer.as_ref()),
+        request,
         id,
         engine: configuration.engine(&service).cloned(),
-        customer: customer.map(|customer| customer.name.clone()),
+        customer,
         priority: own_priority.unwrap_or(route.priority),
         service,
         route,
@@ -262,6 +271,16 @@
     })
 }
 
+fn fingerprint_of(request: &CallerRequest, customer: Option<&CustomerId>) -> Fingerprint {
+    Fingerprint::of(&Content {
+        customer,
+        method: request.method.as_str(),
+        authority: request.text(&header::HOST).unwrap_or(""),
+        target: &request.target,
+        body: &request.body,
+    })
+}
+
 /// Bytes of all headers as they are written: name, colon, space, value and line end.
 fn header_bytes(headers: &HeaderMap) -> usize {
     let headers = headers.iter();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 pub mod faults;
 pub mod faultscript;
 pub mod figures;
+pub mod fingerprint;
 pub mod fold;
 pub mod follower;
 mod following;
