Keep what is known of requests that crash upstreams in the log

Cause: the evidence lived in the hosts' memory and went by their datagrams alone, so it ended with the last host and stopped at a cut between data centres whose hosts all reach the platform. Change: a host that sees a second crash under a content (the first while another data centre is silent) writes what it knows to a keyed topic, under a key of its own; hosts that read what operators publish read the topic once they have started, and every 2 s while another data centre is silent.

--- a/src/error.rs
+++ b/src/error.rs
@@ -24,6 +24,9 @@
     /// A datagram of another host could not be decoded.
     #[error("bad datagram: {0}")]
     Datagram(String),
+    /// A text is no fingerprint of a request.
+    #[error("{0:?} is no fingerprint")]
+    Fingerprint(String),
     /// A document or a piece of it that another host sent is not what it should be.
     #[error("bad document: {0}")]
     Document(String),
--- a/src/fingerprint.rs
+++ b/src/fingerprint.rs
@@ -2,10 +2,13 @@
 //! upstream for the same customer, whatever ids they bear.
 
 use std::fmt;
+use std::str::FromStr;
 
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::error::Error;
+use crate::error::Result;
 use crate::id::CustomerId;
 
 /// Bytes of a fingerprint. Nobody can make two contents with one fingerprint: that takes 2^64 tries.
@@ -37,6 +40,12 @@
     /// The first one in their order.
     pub const MIN: Fingerprint = Fingerprint([0; BYTES]);
 
+    /// All of its digits, in hexadecimal.
+    pub fn to_hex(self) -> String {
+        let bytes = self.0.iter();
+        bytes.map(|byte| format!("{byte:02x}")).collect()
+    }
+
     /// The fingerprint of a request.
     pub fn of(content: &Content<'_>) -> Self {
         let mut hasher = blake3::Hasher::new();
@@ -64,5 +73,25 @@
     }
 }
 
+/// From all of its digits.
+impl FromStr for Fingerprint {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let digits = text.as_bytes().chunks(2);
+        let bytes: Option<Vec<u8>> = digits.map(byte_of).collect();
+        let bytes = bytes.and_then(|bytes| bytes.try_into().ok());
+        bytes
+            .map(Fingerprint)
+            .ok_or_else(|| Error::Fingerprint(text.to_owned()))
+    }
+}
+
+fn byte_of(digits: &[u8]) -> Option<u8> {
+    let [high, low] = digits else { return None };
+    let value = |digit: &u8| char::from(*digit).to_digit(16);
+    u8::try_from(value(high)? << 4 | value(low)?).ok()
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/fingerprint/tests.rs
+++ b/src/fingerprint/tests.rs
@@ -71,3 +71,21 @@
         "{shown}"
     );
 }
+
+#[test]
+fn its_digits_name_it_and_nothing_else_does() {
+    let canton = CustomerId::new("canton");
+    let fingerprint = Fingerprint::of(&content(&canton, "/nets/7", b"tighten"));
+    let digits = fingerprint.to_hex();
+
+    assert_eq!(digits.parse::<Fingerprint>().ok(), Some(fingerprint));
+    for wrong in [
+        "",
+        "0",
+        &digits[2..],
+        &format!("{digits}00"),
+        &digits.replace(|_| true, "x"),
+    ] {
+        assert!(wrong.parse::<Fingerprint>().is_err(), "{wrong}");
+    }
+}
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -47,6 +47,7 @@
 pub mod settings;
 pub mod shared;
 pub mod stream;
+pub(crate) mod suspectlog;
 pub mod suspects;
 pub(crate) mod tries;
 pub mod turns;
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -43,7 +43,7 @@
         match topic {
             Topic::Operator => self.operator,
             Topic::Upstreams => self.upstreams,
-            Topic::Hosts => false,
+            Topic::Hosts | Topic::Suspects => false,
         }
     }
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -225,7 +225,7 @@
         match self.topic {
             Topic::Operator => self.take_operator(&records).await,
             Topic::Upstreams => self.take_all_upstreams(&records, end),
-            Topic::Hosts => {}
+            Topic::Hosts | Topic::Suspects => {}
         }
         self.next = Some(end);
         Ok(())
@@ -255,7 +255,7 @@
         match self.topic {
             Topic::Operator => self.take_operator(&batch.records).await,
             Topic::Upstreams => self.take_upstreams(&batch.records, batch.next),
-            Topic::Hosts => {}
+            Topic::Hosts | Topic::Suspects => {}
         }
         self.next = Some(batch.next);
         Ok(())
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -36,6 +36,7 @@
 use crate::gateway::serve::Front;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::shared::Shared;
+use crate::gateway::suspectlog;
 use crate::id::Incarnation;
 use crate::telemetry;
 use crate::telemetry::Metric;
@@ -115,6 +116,7 @@
         actix_rt::spawn(follow::follow(shared.clone(), Topic::Operator));
         actix_rt::spawn(follow::follow(shared.clone(), Topic::Upstreams));
         actix_rt::spawn(hostlisting::run(shared.clone()));
+        actix_rt::spawn(suspectlog::run(shared.clone()));
         actix_rt::spawn(gossip::run(shared.clone(), socket));
         actix_rt::spawn(joining::ask_seeds(shared.clone()));
         actix_rt::spawn(ownword::ask_while_blind(shared.clone()));
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -195,6 +195,13 @@
         outside.map(|(_, word)| now.since(word.at)).min()
     }
 
+    /// For how long the most silent of the other data centres was not heard; none if there is none.
+    pub(crate) fn longest_silence_outside(&self, now: Time) -> Option<Duration> {
+        let words = self.words.iter();
+        let outside = words.filter(|(other, _)| **other != self.data_centre);
+        outside.map(|(_, word)| now.since(word.at)).max()
+    }
+
     /// The live hosts of the own data centre.
     pub(crate) fn live_near(&self, now: Time) -> Vec<HostId> {
         let live = self.live_hosts(now);
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -23,6 +23,8 @@
     Upstreams,
     /// Entry hosts list themselves.
     Hosts,
+    /// Requests under which upstreams crashed.
+    Suspects,
 }
 
 impl Topic {
@@ -32,6 +34,7 @@
             Topic::Operator => "operator",
             Topic::Upstreams => "upstreams",
             Topic::Hosts => "hosts",
+            Topic::Suspects => "suspects",
         }
     }
 }
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -70,6 +70,8 @@
     witnessed_at: Option<Time>,
     /// Datagrams that will tell of its last change.
     tellings_left: u8,
+    /// Whether this host saw something that may have to be written to the platform's log.
+    is_unwritten: bool,
 }
 
 /// What is believed of a request's content.
@@ -132,6 +134,7 @@
         if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
             suspect.witnessed_at = Some(now);
             suspect.tellings_left = OWN_TELLINGS;
+            suspect.is_unwritten = true;
         }
         Some(standing)
     }
@@ -140,6 +143,11 @@
     pub fn answered(&mut self, now: Time, fingerprint: Fingerprint) -> Option<Standing> {
         let before = self.standing(now, fingerprint);
         self.clear(now, fingerprint, now);
+        if before.is_some_and(|before| before.crashes > 1)
+            && let Some(suspect) = self.suspects.get_mut(&fingerprint)
+        {
+            suspect.is_unwritten = true;
+        }
         before
     }
 
@@ -246,6 +254,20 @@
             .collect()
     }
 
+    /// What this host saw of contents under which at least `crashes_min` upstreams crashed, or that were
+    /// cleared of that, since the last call.
+    pub fn take_unwritten(&mut self, crashes_min: usize) -> Vec<Fingerprint> {
+        let mut taken = Vec::new();
+        for (fingerprint, suspect) in &mut self.suspects {
+            let is_cleared = suspect.crashes.is_empty() && suspect.answered_at.is_some();
+            if suspect.is_unwritten && (is_cleared || suspect.crashes.len() >= crashes_min) {
+                suspect.is_unwritten = false;
+                taken.push(*fingerprint);
+            }
+        }
+        taken
+    }
+
     /// Forgets what is too old to matter.
     pub fn lapse(&mut self, now: Time) {
         self.suspects
@@ -384,7 +406,8 @@
             .collect()
     }
 
-    fn told(&self, now: Time, fingerprint: Fingerprint) -> Option<ToldSuspect> {
+    /// What this host knows of a content, for others.
+    pub fn told(&self, now: Time, fingerprint: Fingerprint) -> Option<ToldSuspect> {
         let suspect = self.suspects.get(&fingerprint)?;
         let crashes = suspect.crashes.iter();
         Some(ToldSuspect {
