--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -277,6 +277,9 @@
     }
     telemetry::set_config_version(shared.config_version(), shared.newest_version_heard());
     telemetry::set_config_behind(shared.behind_for().unwrap_or_default());
+    let now = shared.now();
+    let (held_back, known) = shared.suspects(|suspects| suspects.count(now));
+    telemetry::set_suspects(held_back, known);
     telemetry.render()
 }
 
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -127,6 +127,10 @@
         "Streams that the gateway continued at another engine.",
     StreamsLostTotal Counter "cedargauge_streams_lost_total" "service"
         "Streams that the gateway broke off before their last event.",
+    SuspectsHeldBack Gauge "cedargauge_suspects_held_back" ""
+        "Contents of requests that are not sent because upstreams crashed under them.",
+    SuspectsKnown Gauge "cedargauge_suspects_known" ""
+        "Contents of requests under which an upstream was lost and that were not answered since.",
     LogLinesDroppedTotal Counter "cedargauge_log_lines_dropped_total" ""
         "Lines of the gateway's log that were dropped because their reader was too slow.",
     LogAgeMs Gauge "cedargauge_log_age_ms" "topic"
@@ -360,6 +364,12 @@
     metrics::gauge!(Metric::ConfigBehindMs.name()).set(behind.as_secs_f64() * 1_000.0);
 }
 
+/// Sets how many contents of requests are held back, and how many are remembered as suspects.
+pub fn set_suspects(held_back: usize, known: usize) {
+    metrics::gauge!(Metric::SuspectsHeldBack.name()).set(held_back as f64);
+    metrics::gauge!(Metric::SuspectsKnown.name()).set(known as f64);
+}
+
 fn elapsed_ms(from: Time, to: Time) -> f64 {
     to.since(from).as_secs_f64() * 1_000.0
 }
