Order what the log tells by its era, and read anew when it returns from an older copy

Cause: positions were offsets, and offsets are given out again when the log returns from a copy. A read that went on skipped what was written under an offset that it had passed; entries of the new history counted as older.

Change: a position is an era and an offset, one ordered type in directory, changes, datagrams, pages and the follower; the era is decoded from each answer of the log, refusals too. A later one, from the log or a host, voids positions: what is listed is read anew, missing entries have 2 s to list themselves, an instance that left or was removed in the era before stays so though the copy shows it ready (and hosts that start then are told). Hosts and suspects that were written are written again. Answers of an earlier era are dropped; an unreadable one is named and counted.

--- a/src/event.rs
+++ b/src/event.rs
@@ -95,6 +95,7 @@
     408 ConfigFromPeer "Configuration was taken from a peer.",
     409 ConfigLogUnreachable "A topic of the platform's log cannot be read; the host goes on with what it has.",
     410 ConfigLogReachable "A topic of the platform's log can be read again.",
+    411 LogReturned "The platform's log tells a later era: it returned from an older copy, and positions of before are void.",
     500 ClaimWon "The request holds its idempotency key: it may be sent once.",
     501 ClaimLost "Another request holds the idempotency key.",
     502 ClaimRefused "The claim was not made: key expired or from the future, or no log.",
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -36,6 +36,7 @@
 pub mod peers;
 pub mod place;
 pub mod pool;
+pub mod position;
 pub mod protocol;
 pub mod reach;
 pub(crate) mod reading;
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -14,6 +14,8 @@
 use crate::gateway::instance::InstanceId;
 use crate::gateway::instance::InstanceKey;
 use crate::gateway::loads::Load;
+use crate::gateway::position::Era;
+use crate::gateway::position::Position;
 use crate::gateway::protocol::Topic;
 use crate::gateway::suspects::ToldSuspect;
 use crate::gateway::turns::ToMove;
@@ -75,8 +77,10 @@
     pub host: HostId,
     /// The version of the configuration that it has in force; 0 for none.
     pub config: u64,
-    /// The log's offset up to which it has read the upstreams.
-    pub upstreams: u64,
+    /// The latest history of the log that it knows.
+    pub log_era: Era,
+    /// The log's position up to which it has read the upstreams.
+    pub upstreams: Position,
     /// Where it serves what others lack.
     pub peer_port: u16,
     /// Its data centre.
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -22,6 +22,7 @@
 use self::entry::is_notice;
 use crate::clock::Time;
 use crate::gateway::instance::InstanceId;
+use crate::gateway::position::Position;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 
@@ -42,6 +43,13 @@
 /// Removals are remembered for this long, so that a peer's older list brings none back.
 const REMOVAL_REMEMBERED: Duration = Duration::from_secs(120);
 
+/// A copy of the log from which it returns is no older than this: "some seconds" by the platform's word. What
+/// was removed longer ago than that, and is listed again, has listed itself.
+const COPY_AGE_MAX: Duration = Duration::from_secs(30);
+
+/// Spreads eras over the seeds of a digest (2^64 over the golden ratio).
+const ERA_SEED: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// Changes are told again for this long, so that a datagram lost is made good: three rounds of a reader
 /// of 295 hosts.
 const CHANGES_TOLD_FOR: Duration = Duration::from_millis(1_800);
@@ -51,27 +59,32 @@
 /// The upstreams as one host knows them.
 #[derive(Debug, Default)]
 pub struct Directory {
-    offset: u64,
+    position: Position,
     entries: BTreeMap<UpstreamId, Entry>,
     removed: BTreeMap<UpstreamId, Removal>,
     /// Instances that answered at their address with another id, or refused as leaving.
     witnessed: BTreeMap<InstanceId, Time>,
-    /// Keys whose newest record names no upstream, with the record's offset.
-    foreign: BTreeMap<UpstreamId, u64>,
+    /// Keys whose newest record names no upstream, with the record's position.
+    foreign: BTreeMap<UpstreamId, Position>,
     away: bool,
     returned_at: Option<Time>,
     recent: VecDeque<(Time, Change)>,
 }
 
 impl Directory {
-    /// The log's offset up to which this directory was read.
-    pub fn offset(&self) -> u64 {
-        self.offset
+    /// The log's position up to which this directory was read.
+    pub fn position(&self) -> Position {
+        self.position
+    }
+
+    /// The log up to `position` was read, here or by a peer.
+    pub fn advance(&mut self, position: impl Into<Position>) {
+        self.position = self.position.max(position.into());
     }
 
-    /// The log up to `offset` was read, here or by a peer.
-    pub fn advance(&mut self, offset: u64) {
-        self.offset = self.offset.max(offset);
+    /// The log returned from an older copy: entries written since are gone until they are written again.
+    pub fn log_returned(&mut self, now: Time) {
+        self.returned_at = Some(now);
     }
 
     /// The log cannot be read.
@@ -92,16 +105,17 @@
         now: Time,
         id: &UpstreamId,
         upstream: Option<Upstream>,
-        offset: u64,
+        position: impl Into<Position>,
     ) -> Option<Applied> {
-        let known = self.entries.get(id).map(|entry| entry.offset);
-        let removed = self.removed.get(id).map(|removal| removal.offset);
-        if known.max(removed).is_some_and(|newest| newest > offset) {
+        let position = position.into();
+        let known = self.entries.get(id).map(|entry| entry.position);
+        let removed = self.removed.get(id).map(|removal| removal.position);
+        if known.max(removed).is_some_and(|newest| newest > position) {
             return None;
         }
         match upstream {
-            Some(upstream) => self.list(now, upstream, offset),
-            None => self.remove(now, id, offset),
+            Some(upstream) => self.list(now, upstream, position),
+            None => self.remove(now, id, position),
         }
     }
 
@@ -112,7 +126,7 @@
         listed.or(removed).and_then(InstanceId::born_ms)
     }
 
-    fn list(&mut self, now: Time, mut upstream: Upstream, offset: u64) -> Option<Applied> {
+    fn list(&mut self, now: Time, mut upstream: Upstream, position: Position) -> Option<Applied> {
         let name = upstream.id.upstream().clone();
         let latest = self.latest_born_ms(&name);
         let born_ms = upstream.id.born_ms().or(latest);
@@ -120,6 +134,9 @@
             return None;
         }
         upstream.id = InstanceId::new(name.clone(), born_ms);
+        if self.is_shown_again(now, &upstream, position) {
+            self.witness(now, &upstream.id);
+        }
         self.removed.remove(&name);
         self.foreign.remove(&name);
         let old = self.entries.remove(&name);
@@ -134,10 +151,10 @@
             true => News::Leaving(upstream.id.clone()),
             false => News::Listed(upstream.clone()),
         };
-        self.remember(now, offset, news);
+        self.remember(now, position, news);
         let entry = Entry {
             upstream: upstream.clone(),
-            offset,
+            position,
             gone_at: None,
             leaving_since: is_leaving.then(|| leaving_since.unwrap_or(now)),
         };
@@ -150,12 +167,29 @@
         })
     }
 
-    fn remove(&mut self, now: Time, id: &UpstreamId, offset: u64) -> Option<Applied> {
+    /// Whether a record shows an instance ready of which an earlier history of the log said that it leaves or
+    /// is gone: the copy from which the log returned is older than that.
+    fn is_shown_again(&self, now: Time, upstream: &Upstream, position: Position) -> bool {
+        let name = upstream.id.upstream();
+        let left = self.entries.get(name).is_some_and(|entry| {
+            entry.upstream.id == upstream.id
+                && entry.upstream.state == UpstreamState::Leaving
+                && entry.position.era < position.era
+        });
+        let was_removed = self.removed.get(name).is_some_and(|removal| {
+            removal.instance == upstream.id
+                && removal.position.era < position.era
+                && now.since(removal.at) < COPY_AGE_MAX
+        });
+        upstream.state == UpstreamState::Ready && (left || was_removed)
+    }
+
+    fn remove(&mut self, now: Time, id: &UpstreamId, position: Position) -> Option<Applied> {
         let entry = self.entries.get_mut(id)?;
         let grace_ends = self.returned_at.map(|returned| returned + RETURN_GRACE);
         let ready = entry.upstream.state == UpstreamState::Ready;
         if let Some(ends) = grace_ends.filter(|ends| *ends > now && ready) {
-            entry.offset = offset;
+            entry.position = position;
             entry.gone_at = Some(ends);
             return Some(Applied {
                 id: entry.upstream.id.clone(),
@@ -163,18 +197,18 @@
                 ended: None,
             });
         }
-        self.drop_entry(now, id, offset)
+        self.drop_entry(now, id, position)
     }
 
-    fn drop_entry(&mut self, now: Time, id: &UpstreamId, offset: u64) -> Option<Applied> {
+    fn drop_entry(&mut self, now: Time, id: &UpstreamId, position: Position) -> Option<Applied> {
         let instance = self.entries.remove(id)?.upstream.id.clone();
         let removal = Removal {
-            offset,
+            position,
             at: now,
             instance: instance.clone(),
         };
         self.removed.insert(id.clone(), removal);
-        self.remember(now, offset, News::Removed(instance.clone()));
+        self.remember(now, position, News::Removed(instance.clone()));
         Some(Applied {
             id: instance.clone(),
             change: DirectoryChange::Removed,
@@ -183,18 +217,18 @@
     }
 
     /// The newest record of a key names no upstream. True if this is news.
-    pub fn note_foreign(&mut self, id: &UpstreamId, offset: u64) -> bool {
-        self.foreign.insert(id.clone(), offset) != Some(offset)
+    pub fn note_foreign(&mut self, id: &UpstreamId, position: Position) -> bool {
+        self.foreign.insert(id.clone(), position) != Some(position)
     }
 
-    fn remember(&mut self, now: Time, offset: u64, news: News) {
+    fn remember(&mut self, now: Time, position: Position, news: News) {
         let name = news.id().upstream();
         self.recent
             .retain(|(_, change)| change.news.id().upstream() != name);
         if self.recent.len() == RECENT_CHANGES_MAX {
             self.recent.pop_front();
         }
-        self.recent.push_back((now, Change { offset, news }));
+        self.recent.push_back((now, Change { position, news }));
     }
 
     /// Takes a change that another host tells.
@@ -208,7 +242,7 @@
                 Some(upstream)
             }
         };
-        self.apply(now, change.news.id().upstream(), upstream, change.offset)
+        self.apply(now, change.news.id().upstream(), upstream, change.position)
     }
 
     /// The last changes, for other hosts.
@@ -220,18 +254,21 @@
             .collect()
     }
 
-    /// What changed by records from `offset` on, as far back as removals are remembered.
-    pub fn changed_from(&self, offset: u64) -> Vec<Change> {
+    /// What changed by records from `position` on, as far back as removals are remembered.
+    pub fn changed_from(&self, position: impl Into<Position>) -> Vec<Change> {
+        let position = position.into();
         let listed = self.entries.values().map(|entry| Change {
-            offset: entry.offset,
+            position: entry.position,
             news: News::Listed(entry.upstream.clone()),
         });
         let removed = self.removed.values().map(|removal| Change {
-            offset: removal.offset,
+            position: removal.position,
             news: News::Removed(removal.instance.clone()),
         });
         let changes = listed.chain(removed);
-        changes.filter(|change| change.offset >= offset).collect()
+        changes
+            .filter(|change| change.position >= position)
+            .collect()
     }
 
     /// A hash over what is listed; hosts that list the same have the same.
@@ -240,19 +277,22 @@
         entries
             .map(|(id, entry)| {
                 let leaving = entry.upstream.state == UpstreamState::Leaving;
-                let seed = entry.offset.wrapping_mul(2) + u64::from(leaving);
+                let Position { era, offset } = entry.position;
+                let history = era.number().wrapping_mul(ERA_SEED);
+                let seed = history ^ offset.wrapping_mul(2).wrapping_add(u64::from(leaving));
                 xxh3_64_with_seed(id.as_str().as_bytes(), seed)
             })
             .fold(0, |sum, hash| sum ^ hash)
     }
 
-    /// Takes a whole list as of `offset`: what it lacks was removed.
+    /// Takes a whole list as of `position`: what it lacks was removed.
     pub fn replace(
         &mut self,
         now: Time,
-        listed: Vec<(Upstream, u64)>,
-        offset: u64,
+        listed: Vec<(Upstream, Position)>,
+        position: impl Into<Position>,
     ) -> Vec<Applied> {
+        let position = position.into();
         let present: BTreeSet<UpstreamId> = listed
             .iter()
             .map(|(upstream, _)| upstream.id.upstream().clone())
@@ -260,7 +300,7 @@
         let lacking: Vec<UpstreamId> = self
             .entries
             .iter()
-            .filter(|(id, entry)| !present.contains(*id) && entry.offset < offset)
+            .filter(|(id, entry)| !present.contains(*id) && entry.position < position)
             .filter(|(_, entry)| entry.gone_at.is_none())
             .map(|(id, _)| id.clone())
             .collect();
@@ -270,26 +310,26 @@
             changes.extend(self.apply(now, &id, Some(upstream), at));
         }
         for id in lacking {
-            changes.extend(self.remove(now, &id, offset.saturating_sub(1)));
+            changes.extend(self.remove(now, &id, position.before()));
         }
-        self.advance(offset);
+        self.advance(position);
         changes
     }
 
     /// Drops what is missing and whose grace is over, and old memories.
     pub fn lapse(&mut self, now: Time) -> Vec<Applied> {
-        let gone: Vec<(UpstreamId, u64)> = self
+        let gone: Vec<(UpstreamId, Position)> = self
             .entries
             .iter()
             .filter(|(_, entry)| entry.gone_at.is_some_and(|at| at <= now))
-            .map(|(id, entry)| (id.clone(), entry.offset))
+            .map(|(id, entry)| (id.clone(), entry.position))
             .collect();
         let recent = |at: Time| now.since(at) < REMOVAL_REMEMBERED;
         self.removed.retain(|_, removal| recent(removal.at));
         self.witnessed.retain(|_, at| recent(*at));
         let dropped = gone.iter();
         dropped
-            .filter_map(|(id, offset)| self.drop_entry(now, id, *offset))
+            .filter_map(|(id, position)| self.drop_entry(now, id, *position))
             .collect()
     }
 
@@ -373,11 +413,11 @@
         upstream.filter(|upstream| upstream.id == *id)
     }
 
-    /// The whole list with each entry's offset, for a peer.
-    pub fn list_all(&self) -> Vec<(Upstream, u64)> {
+    /// The whole list with each entry's position, for a peer.
+    pub fn list_all(&self) -> Vec<(Upstream, Position)> {
         let entries = self.entries.values();
         entries
-            .map(|entry| ((*entry.upstream).clone(), entry.offset))
+            .map(|entry| ((*entry.upstream).clone(), entry.position))
             .collect()
     }
 
--- a/src/gateway/directory/entry.rs
+++ b/src/gateway/directory/entry.rs
@@ -7,12 +7,13 @@
 use super::UpstreamState;
 use crate::clock::Time;
 use crate::gateway::instance::InstanceId;
+use crate::gateway::position::Position;
 
 /// A listed upstream and what this host knows beside.
 #[derive(Debug, Clone)]
 pub(super) struct Entry {
     pub(super) upstream: Arc<Upstream>,
-    pub(super) offset: u64,
+    pub(super) position: Position,
     pub(super) gone_at: Option<Time>,
     pub(super) leaving_since: Option<Time>,
 }
@@ -20,7 +21,7 @@
 /// What is remembered of an upstream that is not listed.
 #[derive(Debug, Clone)]
 pub(super) struct Removal {
-    pub(super) offset: u64,
+    pub(super) position: Position,
     pub(super) at: Time,
     pub(super) instance: InstanceId,
 }
--- a/src/gateway/directory/tests.rs
+++ b/src/gateway/directory/tests.rs
@@ -8,6 +8,8 @@
 use super::UpstreamState;
 use crate::clock::Time;
 use crate::gateway::instance::InstanceId;
+use crate::gateway::position::Era;
+use crate::gateway::position::Position;
 use crate::id::DataCentre;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
@@ -72,7 +74,11 @@
     let mut directory = directory_of(&["a", "b"]);
     directory.apply(Time::ZERO, &UpstreamId::new("a"), None, 9);
 
-    directory.replace(Time::ZERO, vec![(ready("a"), 0), (ready("b"), 1)], 2);
+    directory.replace(
+        Time::ZERO,
+        vec![(ready("a"), 0.into()), (ready("b"), 1.into())],
+        2,
+    );
 
     assert_eq!(ready_ids(&directory), ["b"]);
 }
@@ -130,14 +136,18 @@
 fn a_whole_list_removes_what_it_lacks() {
     let mut directory = directory_of(&["a", "b"]);
 
-    let changes = directory.replace(Time::ZERO, vec![(ready("b"), 1), (ready("c"), 5)], 6);
+    let changes = directory.replace(
+        Time::ZERO,
+        vec![(ready("b"), 1.into()), (ready("c"), 5.into())],
+        6,
+    );
 
     assert_eq!(ready_ids(&directory), ["b", "c"]);
     let removed = |applied: &Applied| {
         applied.id == instance("a") && applied.change == DirectoryChange::Removed
     };
     assert!(changes.iter().any(removed));
-    assert_eq!(directory.offset(), 6);
+    assert_eq!(directory.position(), Position::from(6));
 }
 
 #[test]
@@ -304,7 +314,7 @@
     let taken = directory.take(
         Time::ZERO,
         &Change {
-            offset: 7,
+            position: 7.into(),
             news: News::Leaving(earlier),
         },
     );
@@ -318,7 +328,7 @@
     let mut directory = Directory::default();
     let id = UpstreamId::new("a");
 
-    let news = [4, 4, 6].map(|offset| directory.note_foreign(&id, offset));
+    let news = [4, 4, 6].map(|offset| directory.note_foreign(&id, offset.into()));
 
     assert_eq!(news, [true, false, true]);
 }
@@ -358,11 +368,16 @@
 fn what_changed_since_brings_a_host_up_to_date() {
     let mut reader = directory_of(&["a", "b", "c"]);
     let mut listener = directory_of(&["a", "b", "c"]);
-    let known = listener.offset();
+    let known = listener.position();
     reader.apply(Time::ZERO, &UpstreamId::new("d"), Some(ready("d")), known);
     let leaving = upstream("a", UpstreamState::Leaving);
-    reader.apply(Time::ZERO, &UpstreamId::new("a"), Some(leaving), known + 1);
-    reader.apply(Time::ZERO, &UpstreamId::new("b"), None, known + 2);
+    reader.apply(
+        Time::ZERO,
+        &UpstreamId::new("a"),
+        Some(leaving),
+        known.offset + 1,
+    );
+    reader.apply(Time::ZERO, &UpstreamId::new("b"), None, known.offset + 2);
 
     let changes = reader.changed_from(known);
     for change in &changes {
@@ -383,3 +398,71 @@
     assert_eq!(told, [1, 1, 0]);
     assert_eq!(directory.recent(Time::from_ms(1_900)).len(), 1);
 }
+
+/// A directory that read `ids` in the first era, and the position of an offset in the second.
+fn returned(ids: &[&str]) -> (Directory, impl Fn(u64) -> Position) {
+    let mut directory = directory_of(ids);
+    directory.log_returned(Time::from_ms(1_000));
+    (directory, |offset| Position::new(Era::new(2), offset))
+}
+
+#[test]
+fn a_record_of_a_later_era_is_newer_whatever_its_offset() {
+    let (mut directory, second) = returned(&["a", "b", "c", "d"]);
+    let leaving = Some(upstream("d", UpstreamState::Leaving));
+
+    directory.apply(
+        Time::from_ms(1_500),
+        &UpstreamId::new("d"),
+        leaving,
+        second(0),
+    );
+
+    assert_eq!(ready_ids(&directory), ["a", "b", "c"]);
+}
+
+#[test]
+fn what_the_copy_lacks_has_time_to_list_itself_again_and_is_gone_after_it() {
+    let (mut directory, second) = returned(&["a", "b", "c"]);
+    let now = Time::from_ms(1_100);
+
+    directory.replace(now, vec![(ready("a"), second(0))], second(1));
+    directory.apply(now, &UpstreamId::new("b"), Some(ready("b")), second(1));
+    let in_grace = ready_ids(&directory);
+    directory.lapse(Time::from_ms(1_000) + RETURN_GRACE);
+
+    assert_eq!(in_grace, ["a", "b", "c"]);
+    assert_eq!(ready_ids(&directory), ["a", "b"]);
+}
+
+#[test]
+fn what_left_or_was_removed_takes_no_work_though_the_copy_shows_it_ready() {
+    let mut directory = directory_of(&["a", "b", "c"]);
+    let now = Time::from_ms(900);
+    let leaving = Some(upstream("a", UpstreamState::Leaving));
+    directory.apply(now, &UpstreamId::new("a"), leaving, 3);
+    directory.apply(now, &UpstreamId::new("b"), None, 4);
+    directory.log_returned(Time::from_ms(1_000));
+    let second = |offset| Position::new(Era::new(2), offset);
+
+    let copy = vec![
+        (ready("a"), second(0)),
+        (ready("b"), second(1)),
+        (ready("c"), second(2)),
+    ];
+    directory.replace(Time::from_ms(1_100), copy, second(3));
+
+    assert_eq!(ready_ids(&directory), ["c"]);
+    assert_eq!(directory.witnessed().count(), 2);
+}
+
+#[test]
+fn hosts_that_read_the_same_records_in_two_eras_have_two_digests() {
+    let first = directory_of(&["a", "b"]);
+    let (mut second, position) = returned(&["a", "b"]);
+
+    let copy = vec![(ready("a"), position(0)), (ready("b"), position(1))];
+    second.replace(Time::from_ms(1_100), copy, position(2));
+
+    assert_ne!(first.digest(), second.digest());
+}
--- a/src/gateway/directory/upstream.rs
+++ b/src/gateway/directory/upstream.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::gateway::instance::InstanceId;
+use crate::gateway::position::Position;
 use crate::id::DataCentre;
 use crate::id::ServiceId;
 
@@ -81,8 +82,8 @@
 /// A change as hosts tell it to each other.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
-    /// The offset of its record.
-    pub offset: u64,
+    /// The position of its record.
+    pub position: Position,
     /// What became of an upstream.
     pub news: News,
 }
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -5,8 +5,8 @@
 use backon::BackoffBuilder;
 use backon::ExponentialBackoff;
 use backon::ExponentialBuilder;
-use bytes::Bytes;
 use bytes::BytesMut;
+use http::HeaderMap;
 use tokio::time::Instant;
 
 use crate::clock::Time;
@@ -16,10 +16,14 @@
 use crate::gateway::directory::Upstream;
 use crate::gateway::joining::Seeds;
 use crate::gateway::ownclient::Arrival;
+use crate::gateway::ownclient::OwnAnswer;
 use crate::gateway::ownclient::OwnClient;
+use crate::gateway::position::Era;
+use crate::gateway::position::Position;
 use crate::gateway::protocol::OwnCall;
 use crate::gateway::protocol::Record;
 use crate::gateway::protocol::Topic;
+use crate::gateway::shared::Outdated;
 use crate::gateway::shared::Shared;
 use crate::id::UpstreamId;
 use crate::telemetry;
@@ -54,7 +58,7 @@
 /// Why a topic must be read anew or later.
 #[derive(Debug)]
 pub(crate) enum Interrupted {
-    /// Records that were not read are gone.
+    /// Records that were not read are gone, or positions before are void.
     Truncated,
     /// Another host reads again what this one can't.
     ReturnedElsewhere,
@@ -87,9 +91,11 @@
         }
         let began = Instant::now();
         let shared = follower.shared.clone();
+        let next = follower.next;
         let step = tokio::select! {
             step = follower.advance() => step,
             () = return_elsewhere(&shared, topic) => Err(Interrupted::ReturnedElsewhere),
+            () = later_era(&shared, next) => Err(Interrupted::Truncated),
         };
         match step {
             Ok(()) => {
@@ -135,11 +141,22 @@
     }
 }
 
+/// Returns as soon as this host hears of a later history of the log than the one that it reads on in. The
+/// read that it made may wait for a record that was written long ago under another offset.
+async fn later_era(shared: &Shared, next: Option<Position>) {
+    let Some(next) = next else {
+        return std::future::pending().await;
+    };
+    while shared.log_era() <= next.era {
+        tokio::time::sleep(READER_CHECK).await;
+    }
+}
+
 struct Follower {
     shared: Shared,
     client: OwnClient,
     topic: Topic,
-    next: Option<u64>,
+    next: Option<Position>,
 }
 
 impl Follower {
@@ -239,45 +256,64 @@
         }
     }
 
-    async fn read_from(&mut self, next: u64) -> Step<()> {
+    async fn read_from(&mut self, next: Position) -> Step<()> {
         let wait = self.shared.next_wait(self.topic);
         let timeout = wait + self.shared.answer_slack(self.topic);
-        let call = self.shared.protocol().read_call(self.topic, next, wait);
-        let (status, body, begun_after) = self.call(&call, timeout).await?;
-        match status {
+        let call = self
+            .shared
+            .protocol()
+            .read_call(self.topic, next.offset, wait);
+        let (answer, begun_after) = self.call(&call, timeout).await?;
+        let era = era_of(&self.shared, &answer.headers)?;
+        if era != next.era {
+            // The same offset names another record, or none.
+            return Err(Interrupted::Truncated);
+        }
+        match answer.status {
             200 => {}
             410 => return Err(Interrupted::Truncated),
-            _ => return Err(Interrupted::Unavailable(format!("status {status}"))),
+            status => return Err(Interrupted::Unavailable(format!("status {status}"))),
         }
-        let batch = self.shared.protocol().decode_read(next, &body)?;
+        let protocol = self.shared.protocol();
+        let batch = protocol.decode_read(next.offset, &answer.body)?;
+        let read_to = Position::new(era, batch.next);
         let delay = begun_after.saturating_sub(wait);
         self.shared.log_answered(self.topic, delay);
         match self.topic {
             Topic::Operator => self.take_operator(&batch.records).await,
-            Topic::Upstreams => self.take_upstreams(&batch.records, batch.next),
+            Topic::Upstreams => self.take_upstreams(&batch.records, read_to),
             Topic::Hosts | Topic::Suspects => {}
         }
-        self.next = Some(batch.next);
+        self.next = Some(read_to);
         Ok(())
     }
 
     /// Makes a call whose answer shows, from its head on, that the log answers: a large document may take
     /// the link longer than an answer may be late. Tells also when the answer began.
-    async fn call(&mut self, call: &OwnCall, timeout: Duration) -> Result<(u16, Bytes, Duration)> {
+    async fn call(&mut self, call: &OwnCall, timeout: Duration) -> Result<(OwnAnswer, Duration)> {
         let began = Instant::now();
         let mut begun_after = Duration::ZERO;
+        let mut headers = HeaderMap::new();
         let mut body = BytesMut::new();
         let shared = &self.shared;
         let topic = self.topic;
         let watch = |arrival| {
             shared.log_progressed(topic);
             match arrival {
-                Arrival::Head => begun_after = began.elapsed(),
+                Arrival::Head(head) => {
+                    begun_after = began.elapsed();
+                    headers = head;
+                }
                 Arrival::Body(bytes) => body.extend_from_slice(&bytes),
             }
         };
         let status = self.client.call_watched(call, timeout, watch).await?;
-        Ok((status, body.freeze(), begun_after))
+        let answer = OwnAnswer {
+            status,
+            headers,
+            body: body.freeze(),
+        };
+        Ok((answer, begun_after))
     }
 
     async fn take_operator(&self, records: &[Record]) {
@@ -289,27 +325,29 @@
         }
     }
 
-    fn take_upstreams(&self, records: &[Record], next: u64) {
+    fn take_upstreams(&self, records: &[Record], next: Position) {
         let now = self.shared.now();
         let mut changes = Vec::new();
         for record in records {
             let id = UpstreamId::new(record.key.as_str());
-            let upstream = listed_upstream(&self.shared, &id, record);
+            let at = Position::new(next.era, record.offset);
+            let upstream = listed_upstream(&self.shared, &id, record, at);
             let change = self
                 .shared
-                .directory(|directory| directory.apply(now, &id, upstream, record.offset));
+                .directory(|directory| directory.apply(now, &id, upstream, at));
             changes.extend(change);
         }
         self.shared.directory(|directory| directory.advance(next));
         self.shared.directory_changes(changes, "log");
     }
 
-    fn take_all_upstreams(&self, records: &[Record], end: u64) {
+    fn take_all_upstreams(&self, records: &[Record], end: Position) {
         let now = self.shared.now();
         let listed = records.iter().filter_map(|record| {
             let id = UpstreamId::new(record.key.as_str());
-            let upstream = listed_upstream(&self.shared, &id, record)?;
-            Some((upstream, record.offset))
+            let at = Position::new(end.era, record.offset);
+            let upstream = listed_upstream(&self.shared, &id, record, at)?;
+            Some((upstream, at))
         });
         let listed = listed.collect();
         let changes = self
@@ -319,24 +357,39 @@
     }
 }
 
-/// The newest record of each key of a topic, and the offset to read from next.
+/// The history of the log that an answer is of.
+fn era_of(shared: &Shared, headers: &HeaderMap) -> Step<Era> {
+    shared.era_of_answer(headers).map_err(|Outdated| {
+        Interrupted::Unavailable("an answer from before the log's return".to_owned())
+    })
+}
+
+/// The newest record of each key of a topic, and the position to read from next. All pages are of one
+/// history of the log.
 pub(crate) async fn newest(
     shared: &Shared,
     client: &mut OwnClient,
     topic: Topic,
     timeout: Duration,
-) -> Step<(Vec<Record>, u64)> {
+) -> Step<(Vec<Record>, Position)> {
     let mut records: Vec<Record> = Vec::new();
     let mut end = None;
     loop {
         let after = records.last().map(|record| record.key.clone());
         let call = shared.protocol().newest_call(topic, after.as_deref());
-        let (status, body) = client.call(&call, timeout).await?;
-        if status != 200 {
-            return Err(Interrupted::Unavailable(format!("status {status}")));
+        let answer = client.call_whole(&call, timeout).await?;
+        let era = era_of(shared, &answer.headers)?;
+        if answer.status != 200 {
+            return Err(Interrupted::Unavailable(format!(
+                "status {}",
+                answer.status
+            )));
+        }
+        let page = shared.protocol().decode_newest(&answer.body)?;
+        let from = *end.get_or_insert(Position::new(era, page.end));
+        if from.era != era {
+            return Err(Interrupted::Truncated);
         }
-        let page = shared.protocol().decode_newest(&body)?;
-        let from = *end.get_or_insert(page.end);
         // A page that ends where the one before did would be asked for again and again.
         let last = page.records.last().map(|record| &record.key);
         let more = page.more && last.is_some() && last != after.as_ref();
@@ -349,20 +402,25 @@
 
 /// The upstream that a record names; none where the key was removed, and where another writer's record
 /// names none: an upstream that it replaces is gone like one removed.
-fn listed_upstream(shared: &Shared, id: &UpstreamId, record: &Record) -> Option<Upstream> {
+fn listed_upstream(
+    shared: &Shared,
+    id: &UpstreamId,
+    record: &Record,
+    at: Position,
+) -> Option<Upstream> {
     let value = record.value.as_ref()?;
     match shared.protocol().upstream(&record.key, value) {
         Ok(upstream) => Some(upstream),
         Err(error) => {
-            note_foreign(shared, id, record.offset, value, &error);
+            note_foreign(shared, id, at, value, &error);
             None
         }
     }
 }
 
 /// Says once of each record that it names no upstream.
-fn note_foreign(shared: &Shared, id: &UpstreamId, offset: u64, value: &[u8], error: &Error) {
-    if !shared.directory(|directory| directory.note_foreign(id, offset)) {
+fn note_foreign(shared: &Shared, id: &UpstreamId, at: Position, value: &[u8], error: &Error) {
+    if !shared.directory(|directory| directory.note_foreign(id, at)) {
         return;
     }
     telemetry::count(Metric::ForeignRecordsTotal);
@@ -370,7 +428,7 @@
     let line = shared.log().line(EventCode::RecordSkipped);
     line.with("source", "upstreams")
         .with("key", id.as_str())
-        .with("offset", offset)
+        .with("position", at.to_string())
         .with("reason", error.to_string())
         .with("bytes", value.len())
         .with("begins", shown.escape_ascii().to_string())
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -32,6 +32,7 @@
 use crate::gateway::peerfetch;
 use crate::gateway::peers::Acquaintance;
 use crate::gateway::peers::Recipients;
+use crate::gateway::position::Position;
 use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
 use crate::gateway::suspects::ToldSuspect;
@@ -150,8 +151,8 @@
     /// All hosts, by a host that reads the upstreams for all.
     last_of_reader: Option<Time>,
     was_moving: bool,
-    /// The log's offset up to which this host had told of upstreams.
-    told_upstreams: u64,
+    /// The log's position up to which this host had told of upstreams.
+    told_upstreams: Position,
     /// Up to when it had told of requests under which it saw upstreams crash.
     told_suspects: Time,
 }
@@ -180,7 +181,7 @@
     /// Whether this host reads the upstreams for all, and the others must hear that it does, or what has
     /// changed.
     fn is_due_of_reader(&mut self, shared: &Shared, now: Time) -> bool {
-        let upstreams = shared.directory(|directory| directory.offset());
+        let upstreams = shared.directory(|directory| directory.position());
         let has_news = std::mem::replace(&mut self.told_upstreams, upstreams) != upstreams;
         if !shared.is_reading(Topic::Upstreams) {
             return false;
@@ -261,7 +262,8 @@
         host: settings.host.clone(),
         data_centre: settings.data_centre.clone(),
         config: shared.config_version(),
-        upstreams: 0,
+        log_era: shared.log_era(),
+        upstreams: Position::default(),
         upstreams_digest: 0,
         changes: Vec::new(),
         has_more_changes: false,
@@ -280,7 +282,7 @@
         stopping: shared.gate().is_shutting_down(),
     };
     shared.directory(|directory| {
-        datagram.upstreams = directory.offset();
+        datagram.upstreams = directory.position();
         datagram.upstreams_digest = directory.digest();
         datagram.leaving = directory.witnessed().cloned().collect();
         if datagram.reading.upstreams {
@@ -309,6 +311,7 @@
             .with("hosts", shared.hosts())
             .write();
     }
+    shared.hear_era(datagram.log_era, datagram.host.as_str());
     for upstream in &datagram.leaving {
         shared.witness_leaving(upstream, datagram.host.as_str());
     }
@@ -362,8 +365,8 @@
 
 /// Takes the changes that a reader tells. True if it must know of more.
 fn take_changes(shared: &Shared, now: Time, datagram: &Datagram) -> bool {
-    let own_offset = shared.directory(|directory| directory.offset());
-    if datagram.upstreams <= own_offset {
+    let own_position = shared.directory(|directory| directory.position());
+    if datagram.upstreams <= own_position {
         return false;
     }
     let mut changes = Vec::new();
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -280,6 +280,7 @@
     let now = shared.now();
     let (held_back, known) = shared.suspects(|suspects| suspects.count(now));
     telemetry::set_suspects(held_back, known);
+    telemetry::set_log_era(shared.log_era().number());
     telemetry.render()
 }
 
--- a/src/gateway/hostlisting.rs
+++ b/src/gateway/hostlisting.rs
@@ -7,6 +7,7 @@
 use crate::gateway::follow::CALL_TIMEOUT;
 use crate::gateway::follow::newest;
 use crate::gateway::ownclient::OwnClient;
+use crate::gateway::position::Era;
 use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
 
@@ -24,13 +25,17 @@
 /// and then one living host in it is enough; so a few hosts list themselves, not all.
 pub async fn run(shared: Shared) {
     let mut client = OwnClient::new(shared.settings().log_address);
-    let mut is_listed = false;
+    let mut listed_in: Option<Era> = None;
     let mut learnt_at: Option<Instant> = None;
     loop {
         tokio::time::sleep(HOSTS_CHECK).await;
         let is_alone = shared.hosts() <= HOSTS_ENOUGH;
-        if !is_listed && (is_alone || shared.is_lookout()) {
-            is_listed = list_host(&shared, &mut client).await;
+        // What was written before the log's return may be lost.
+        let era = shared.log_era();
+        let is_listed = listed_in == Some(era);
+        let lists = is_alone || shared.is_lookout();
+        if !is_listed && lists && list_host(&shared, &mut client).await {
+            listed_in = Some(era);
         }
         let is_due = learnt_at.is_none_or(|at| at.elapsed() >= HOSTS_INTERVAL);
         if is_alone && is_due {
--- a/src/gateway/ownclient.rs
+++ b/src/gateway/ownclient.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use http::HeaderMap;
 use http::Request;
 use http::Response;
 use http::header;
@@ -34,12 +35,23 @@
 /// What arrives of an answer.
 #[derive(Debug)]
 pub(crate) enum Arrival {
-    /// Its head.
-    Head,
+    /// Its headers.
+    Head(HeaderMap),
     /// Bytes of its body, in order.
     Body(Bytes),
 }
 
+/// An answer to a call of our own.
+#[derive(Debug)]
+pub(crate) struct OwnAnswer {
+    /// Its status.
+    pub(crate) status: u16,
+    /// Its headers.
+    pub(crate) headers: HeaderMap,
+    /// Its body.
+    pub(crate) body: Bytes,
+}
+
 /// Makes calls to one address, one at a time, over a connection that is kept.
 #[derive(Debug)]
 pub struct OwnClient {
@@ -62,14 +74,33 @@
     ///
     /// [`Error::Remote`] if no answer begins within `timeout`, or it breaks off or stands still.
     pub async fn call(&mut self, call: &OwnCall, timeout: Duration) -> Result<(u16, Bytes)> {
+        let answer = self.call_whole(call, timeout).await?;
+        Ok((answer.status, answer.body))
+    }
+
+    /// Makes a call; answers with all that came back.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Remote`] if no answer begins within `timeout`, or it breaks off or stands still.
+    pub(crate) async fn call_whole(
+        &mut self,
+        call: &OwnCall,
+        timeout: Duration,
+    ) -> Result<OwnAnswer> {
+        let mut headers = HeaderMap::new();
         let mut body = BytesMut::new();
         let status = self
             .call_watched(call, timeout, |arrival| match arrival {
-                Arrival::Head => {}
+                Arrival::Head(head) => headers = head,
                 Arrival::Body(bytes) => body.extend_from_slice(&bytes),
             })
             .await?;
-        Ok((status, body.freeze()))
+        Ok(OwnAnswer {
+            status,
+            headers,
+            body: body.freeze(),
+        })
     }
 
     /// Makes a call; answers with the status, and has `watch` see what arrives as it does.
@@ -97,7 +128,7 @@
             }
         };
         let status = response.status().as_u16();
-        let arriving = receive(response.into_body(), watch).await;
+        let arriving = receive(response, watch).await;
         arriving.map_err(|reason| self.remote(reason))?;
         self.connection = Some(connection);
         Ok(status)
@@ -133,14 +164,15 @@
 
 /// Receives a body for as long as it makes progress.
 async fn receive(
-    body: Incoming,
+    response: Response<Incoming>,
     mut watch: impl FnMut(Arrival),
 ) -> std::result::Result<(), String> {
     let began = Instant::now();
+    let (head, body) = response.into_parts();
     let mut body = Limited::new(body, ANSWER_BYTES_MAX);
     let due_bytes = body.size_hint().exact();
     let mut got_bytes = 0;
-    watch(Arrival::Head);
+    watch(Arrival::Head(head.headers));
     loop {
         let next = tokio::time::timeout_at(next_is_due(began, got_bytes), body.frame());
         let Ok(frame) = next.await else {
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -16,6 +16,8 @@
 use crate::gateway::ownclient::Arrival;
 use crate::gateway::ownclient::OwnClient;
 use crate::gateway::peers::Fetch;
+use crate::gateway::position::Era;
+use crate::gateway::position::Position;
 use crate::gateway::protocol::OwnCall;
 use crate::gateway::shared::Shared;
 
@@ -31,7 +33,7 @@
 /// The upstreams as a peer knows them, or what changed of them.
 #[derive(Debug, Serialize, Deserialize)]
 struct UpstreamsPage {
-    offset: u64,
+    position: Position,
     /// Of all that is listed.
     digest: u64,
     upstreams: UpstreamsTold,
@@ -39,27 +41,39 @@
 
 #[derive(Debug, Serialize, Deserialize)]
 enum UpstreamsTold {
-    /// All, with the offsets of their records.
-    All(Vec<(Upstream, u64)>),
-    /// What changed from the offset on that was asked for.
+    /// All, with the positions of their records.
+    All(Vec<(Upstream, Position)>),
+    /// What changed from the position on that was asked for.
     Changes(Vec<Change>),
 }
 
 /// Which upstreams are asked for.
 #[derive(Debug, Deserialize)]
 pub struct UpstreamsQuery {
-    /// Only what has changed from this offset of the log on.
+    /// Only what has changed from this offset of the log on,
     changed_from: Option<u64>,
+    /// in this history of it.
+    era: Option<Era>,
+}
+
+impl UpstreamsQuery {
+    fn changed_from(&self) -> Option<Position> {
+        let era = self.era.unwrap_or_default();
+        Some(Position::new(era, self.changed_from?))
+    }
 }
 
 /// Serves the list of upstreams, or what changed of it.
 pub async fn serve_upstreams(shared: &Shared, query: &UpstreamsQuery) -> HttpResponse {
     HttpResponse::Ok().json(shared.directory(|directory| UpstreamsPage {
-        offset: directory.offset(),
+        position: directory.position(),
         digest: directory.digest(),
-        upstreams: match query.changed_from {
-            Some(offset) => UpstreamsTold::Changes(directory.changed_from(offset)),
-            None => UpstreamsTold::All(directory.list_all()),
+        upstreams: match query.changed_from() {
+            Some(from) if from.era == directory.position().era => {
+                UpstreamsTold::Changes(directory.changed_from(from))
+            }
+            // What was removed between two histories of the log has no position.
+            Some(_) | None => UpstreamsTold::All(directory.list_all()),
         },
     }))
 }
@@ -114,9 +128,9 @@
 /// Fetches what has changed since this host last knew all; if it then still knows other upstreams than the
 /// peer does, all of them.
 async fn fetch_upstreams(shared: &Shared, client: &mut PeerClient) -> Result<()> {
-    let offset = shared.directory(|directory| directory.offset());
+    let Position { era, offset } = shared.directory(|directory| directory.position());
     if offset > 0 {
-        let path = format!("{UPSTREAMS_PATH}?changed_from={offset}");
+        let path = format!("{UPSTREAMS_PATH}?changed_from={offset}&era={era}");
         if take_upstreams(shared, client, &path).await? {
             return Ok(());
         }
@@ -133,11 +147,11 @@
     let page: UpstreamsPage = serde_json::from_slice(&body)?;
     let now = shared.now();
     let (changes, is_same) = shared.directory(|directory| {
-        if page.offset <= directory.offset() {
+        if page.position <= directory.position() {
             return (Vec::new(), true);
         }
         let changes = match page.upstreams {
-            UpstreamsTold::All(upstreams) => directory.replace(now, upstreams, page.offset),
+            UpstreamsTold::All(upstreams) => directory.replace(now, upstreams, page.position),
             UpstreamsTold::Changes(told) => told
                 .iter()
                 .filter_map(|change| directory.take(now, change))
@@ -145,7 +159,7 @@
         };
         let is_same = directory.digest() == page.digest;
         if is_same {
-            directory.advance(page.offset);
+            directory.advance(page.position);
         }
         (changes, is_same)
     });
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -18,6 +18,7 @@
 use crate::gateway::document::catchup::Holder;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::loads::Load;
+use crate::gateway::position::Era;
 use crate::gateway::protocol::Topic;
 use crate::id::DataCentre;
 use crate::id::HostId;
@@ -36,7 +37,8 @@
     Datagram {
         host: host(index),
         config: 3,
-        upstreams: 10,
+        log_era: Era::default(),
+        upstreams: 10.into(),
         peer_port: 8000,
         data_centre: DataCentre::new(data_centre),
         reading: Topics::default(),
@@ -424,7 +426,8 @@
     assert!(sizes.max().unwrap() <= 1_400);
     let told = parts.iter().flat_map(|part| &part.changes);
     assert_eq!(
-        told.map(|change| change.offset).collect::<Vec<u64>>(),
+        told.map(|change| change.position.offset)
+            .collect::<Vec<u64>>(),
         (0..45).collect::<Vec<u64>>()
     );
     let (last, before) = parts.split_last().unwrap();
@@ -434,7 +437,7 @@
 fn change(offset: u64) -> Change {
     let id = UpstreamId::new(format!("i-{offset:010}"));
     Change {
-        offset,
+        position: offset.into(),
         news: News::Listed(Arc::new(Upstream {
             id: InstanceId::new(id, Some(1_790_000_000_000)),
             service: ServiceId::new("a-service-name"),
--- /dev/null
+++ b/src/gateway/position/tests.rs
@@ -0,0 +1,35 @@
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+
+use super::Era;
+use super::Position;
+use super::ToldEra;
+
+const NAME: HeaderName = HeaderName::from_static("log-era");
+
+fn told(value: &'static str) -> ToldEra {
+    let mut headers = HeaderMap::new();
+    headers.insert(NAME, HeaderValue::from_static(value));
+    ToldEra::of(&headers, &NAME)
+}
+
+#[test]
+fn what_is_written_in_a_later_era_is_newer_whatever_its_offset() {
+    let old = Position::new(Era::new(1), 900);
+    let new = Position::new(Era::new(2), 3);
+
+    assert!(old < new);
+    assert!(Position::new(Era::new(2), 2) < new);
+    assert_eq!(new.before(), Position::new(Era::new(2), 2));
+    assert_eq!(Position::new(Era::new(2), 0).before().offset, 0);
+}
+
+#[test]
+fn an_era_is_a_number_above_zero() {
+    assert_eq!(told("7"), ToldEra::Era(Era::new(7)));
+    assert_eq!(ToldEra::of(&HeaderMap::new(), &NAME), ToldEra::Nothing);
+    for wrong in ["", "0", "-1", "1.5", "seven", "99999999999999999999"] {
+        assert_eq!(told(wrong), ToldEra::Unreadable, "{wrong}");
+    }
+}
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -143,6 +143,8 @@
     pub continue_from: HeaderName,
     /// The last event that the caller has.
     pub last_event: HeaderName,
+    /// In all answers of the log: the number of its history.
+    pub log_era: HeaderName,
     /// Headers of callers that are the system's to set; never passed on.
     pub reserved: Vec<HeaderName>,
     /// The scheme before a key in the `Authorization` header.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -32,6 +32,7 @@
 use crate::gateway::peers::Peers;
 use crate::gateway::place::FarCounts;
 use crate::gateway::place::View;
+use crate::gateway::position::Era;
 use crate::gateway::protocol::Protocol;
 use crate::gateway::reach::Reach;
 use crate::gateway::reading::ReadingBoard;
@@ -44,11 +45,13 @@
 mod changes;
 mod health;
 mod inforce;
+mod logera;
 mod logreading;
 mod newer;
 mod suspicion;
 
 pub use self::inforce::InForce;
+pub(crate) use self::logera::Outdated;
 
 /// Shared state of a host; clones are handles.
 #[derive(Debug, Clone)]
@@ -71,6 +74,9 @@
     ejector: Mutex<Ejector<InstanceId>>,
     reach: Mutex<Reach>,
     suspects: Mutex<Suspects>,
+    log_era: Mutex<Era>,
+    /// The history of the log in which it last told an era that can't be read.
+    bad_era_in: Mutex<Option<Era>>,
     budgets: Mutex<HashMap<ServiceId, SharedRetryBudget>>,
     reading: Mutex<ReadingBoard>,
     news: watch::Sender<u64>,
@@ -113,6 +119,8 @@
             ejector: Mutex::new(Ejector::new(Default::default())),
             reach: Mutex::default(),
             suspects: Mutex::default(),
+            log_era: Mutex::default(),
+            bad_era_in: Mutex::default(),
             budgets: Mutex::default(),
             reading: Mutex::default(),
             news: watch::channel(0).0,
--- a/src/gateway/shared/changes.rs
+++ b/src/gateway/shared/changes.rs
@@ -28,16 +28,16 @@
                 locked(&self.0.ejector).forget(ended);
                 locked(&self.0.reach).forget(ended);
             }
-            let (address, offset) = self.directory(|directory| {
+            let (address, position) = self.directory(|directory| {
                 let address = directory.get(&id).map(|upstream| upstream.address);
-                (address, directory.offset())
+                (address, directory.position())
             });
             let line = self.log().line(code);
             line.with("upstream", id.as_str())
                 .with_some("born_ms", id.born_ms())
                 .with_some("address", address.map(|address| address.to_string()))
                 .with("change", change.name())
-                .with("offset", offset)
+                .with("position", position.to_string())
                 .with("source", source)
                 .write();
         }
--- /dev/null
+++ b/src/gateway/shared/logera.rs
@@ -0,0 +1,84 @@
+//! Which history of the platform's log this host knows, and what a later one means.
+
+use http::HeaderMap;
+
+use super::Shared;
+use super::locked;
+use crate::event::EventCode;
+use crate::gateway::position::Era;
+use crate::gateway::position::ToldEra;
+use crate::telemetry;
+use crate::telemetry::Metric;
+
+/// An answer of the log from before its return, which arrived after this host heard of the return.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Outdated;
+
+impl Shared {
+    /// The latest history of the log that this host has heard of.
+    pub(crate) fn log_era(&self) -> Era {
+        *locked(&self.0.log_era)
+    }
+
+    /// The history that an answer of the log is of.
+    ///
+    /// # Errors
+    ///
+    /// [`Outdated`] if the log has returned from an older copy since.
+    pub(crate) fn era_of_answer(&self, headers: &HeaderMap) -> Result<Era, Outdated> {
+        let known = self.log_era();
+        match ToldEra::of(headers, &self.protocol().headers().log_era) {
+            ToldEra::Era(era) if era < known => Err(Outdated),
+            ToldEra::Era(era) => {
+                self.hear_era(era, "log");
+                Ok(era)
+            }
+            ToldEra::Nothing => Ok(known),
+            ToldEra::Unreadable => {
+                self.note_bad_era();
+                Ok(known)
+            }
+        }
+    }
+
+    /// The log, or another host, tells of a history. Of a later one than is known all positions before are
+    /// void: what is listed is read anew, and upstreams whose entries were lost have time to list themselves again.
+    pub(crate) fn hear_era(&self, era: Era, source: &str) {
+        let known = {
+            let mut log_era = locked(&self.0.log_era);
+            let known = *log_era;
+            *log_era = known.max(era);
+            known
+        };
+        if era <= known {
+            return;
+        }
+        let is_return = known != Era::default();
+        let line = self.log().line(EventCode::LogReturned);
+        line.with("era", era.number())
+            .with("known", known.number())
+            .with("source", source)
+            .write();
+        if is_return {
+            let now = self.now();
+            self.directory(|directory| directory.log_returned(now));
+            self.suspects(|suspects| suspects.write_again());
+            telemetry::count(Metric::LogReturnsTotal);
+        }
+        self.tell_news();
+    }
+
+    /// Named at most once in a history, and counted.
+    fn note_bad_era(&self) {
+        telemetry::count(Metric::BadErasTotal);
+        let known = self.log_era();
+        if locked(&self.0.bad_era_in).replace(known) == Some(known) {
+            return;
+        }
+        let line = self.log().line(EventCode::RecordSkipped);
+        line.with("source", "log")
+            .with("reason", "the era is not a number above 0")
+            .with("known", known.number())
+            .write();
+    }
+}
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -268,6 +268,13 @@
         taken
     }
 
+    /// What was written to the log may be lost.
+    pub fn write_again(&mut self) {
+        for suspect in self.suspects.values_mut() {
+            suspect.is_unwritten |= suspect.witnessed_at.is_some();
+        }
+    }
+
     /// Forgets what is too old to matter.
     pub fn lapse(&mut self, now: Time) {
         self.suspects
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -127,6 +127,12 @@
         "Streams that the gateway continued at another engine.",
     StreamsLostTotal Counter "cedargauge_streams_lost_total" "service"
         "Streams that the gateway broke off before their last event.",
+    LogReturnsTotal Counter "cedargauge_log_returns_total" ""
+        "Times that the platform's log was heard to have returned from an older copy.",
+    BadErasTotal Counter "cedargauge_bad_eras_total" ""
+        "Answers of the platform's log whose era could not be read.",
+    LogEra Gauge "cedargauge_log_era" ""
+        "Latest era of the platform's log that the host knows.",
     SuspectsHeldBack Gauge "cedargauge_suspects_held_back" ""
         "Contents of requests that are not sent because upstreams crashed under them.",
     SuspectsKnown Gauge "cedargauge_suspects_known" ""
@@ -364,6 +370,11 @@
     metrics::gauge!(Metric::ConfigBehindMs.name()).set(behind.as_secs_f64() * 1_000.0);
 }
 
+/// Sets the latest era of the log that is known.
+pub fn set_log_era(era: u64) {
+    metrics::gauge!(Metric::LogEra.name()).set(era as f64);
+}
+
 /// Sets how many contents of requests are held back, and how many are remembered as suspects.
 pub fn set_suspects(held_back: usize, known: usize) {
     metrics::gauge!(Metric::SuspectsHeldBack.name()).set(held_back as f64);
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -59,6 +59,7 @@
                 priority: name("rank"),
                 continue_from: name("continue-from"),
                 last_event: name("last-event-id"),
+                log_era: name("log-era"),
                 reserved: vec![name("reserved")],
                 key_scheme: "Key",
             },
