--- a/src/clock.rs
+++ b/src/clock.rs
@@ -4,6 +4,8 @@
 //! reading along, so that scenarios and replay can run the same code in virtual time.
 
 use std::ops::Add;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -72,6 +74,8 @@
 #[derive(Debug, Clone, Copy)]
 pub struct SystemClock {
     origin: std::time::Instant,
+    /// Milliseconds for which a test has the host suspended.
+    suspended_ms: Option<&'static AtomicU64>,
 }
 
 impl SystemClock {
@@ -79,12 +83,22 @@
     pub fn new() -> Self {
         SystemClock {
             origin: std::time::Instant::now(),
+            suspended_ms: None,
+        }
+    }
+
+    /// A clock of a host that a test suspends: the time of `suspended_ms` counts as [`SystemClock::now`] tells it.
+    pub fn of_suspended(suspended_ms: &'static AtomicU64) -> Self {
+        SystemClock {
+            suspended_ms: Some(suspended_ms),
+            ..SystemClock::new()
         }
     }
 
     /// The monotonic time since the origin.
     pub fn now(&self) -> Time {
-        Time::ZERO + self.origin.elapsed()
+        let suspended_ms = self.suspended_ms.map_or(0, |ms| ms.load(Ordering::Relaxed));
+        Time::ZERO + self.origin.elapsed() + Duration::from_millis(suspended_ms)
     }
 
     /// Wall-clock milliseconds since the Unix epoch.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,6 +6,7 @@
 mod largedocuments;
 mod logreturns;
 mod silentlog;
+mod suspendedhost;
 
 use std::time::Duration;
 use std::time::Instant;
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::channel;
 use std::thread::JoinHandle;
@@ -85,6 +86,7 @@
 pub struct World {
     pub log: FakeLog,
     pub address: IpAddr,
+    suspended_ms: &'static AtomicU64,
     drain: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
 }
@@ -156,11 +158,12 @@
 
     fn start_host(settings: GatewaySettings, log: FakeLog) -> Self {
         let address = settings.caller_address.ip();
+        let suspended_ms: &'static AtomicU64 = Box::leak(Box::default());
         let (started, ready) = channel();
         let (drain, drained) = oneshot::channel();
         let thread = std::thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
-                let clock = SystemClock::new();
+                let clock = SystemClock::of_suspended(suspended_ms);
                 let lines = DecisionLog::start_with(
                     settings.host.clone(),
                     Incarnation(1),
@@ -186,6 +189,7 @@
         World {
             log,
             address,
+            suspended_ms,
             drain: Some(drain),
             thread: Some(thread),
         }
@@ -208,6 +212,12 @@
             .put("upstreams", upstream.id(), &upstream.entry(state));
     }
 
+    /// The host wakes after it was suspended for so long: clocks that count that time have jumped.
+    pub fn wake_after(&self, suspended: Duration) {
+        let ms = suspended.as_millis() as u64;
+        self.suspended_ms.fetch_add(ms, Ordering::Relaxed);
+    }
+
     /// Where callers connect.
     pub fn callers(&self) -> SocketAddr {
         SocketAddr::new(self.address, CALLER_PORT)
--- /dev/null
+++ b/tests/suspendedhost/mod.rs
@@ -0,0 +1,120 @@
+//! A host that was suspended: its steady clock has not counted that time, and all that it believes is old.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+
+use crate::code;
+use crate::gatewayworld::Behaviour;
+use crate::gatewayworld::Caller;
+use crate::gatewayworld::FakeUpstream;
+use crate::gatewayworld::Silence;
+use crate::gatewayworld::World;
+use crate::gatewayworld::ask;
+use crate::gatewayworld::route;
+use crate::gatewayworld::table;
+use crate::gatewayworld::wait_until;
+use crate::get;
+use crate::ran;
+
+/// Longer than any bound on what a host believes.
+const SUSPENDED: Duration = Duration::from_secs(8);
+/// What a host that wakes finds out by itself, it finds out within this time.
+const FOUND_OUT: Duration = Duration::from_secs(2);
+
+fn status(world: &World) -> u16 {
+    ask(world.callers(), &get("/nets/7", "")).status
+}
+
+/// A host with one leaving upstream whose notice it missed, and a sound one; it has just woken, and its reads of
+/// the log are not answered yet.
+fn woken() -> (World, [FakeUpstream; 2]) {
+    let sound = [Behaviour::Answer(200, "sound")];
+    let upstreams = ["up-0", "up-1"].map(|id| FakeUpstream::start(id, &sound));
+    let world = World::serving(json!([route("once")]), &[&upstreams[0], &upstreams[1]]);
+    world.log.set_silence(Silence::AllCalls);
+    world.list(&upstreams[0], "leaving");
+    world.wake_after(SUSPENDED);
+    (world, upstreams)
+}
+
+// A host that was suspended for 8 s went on by what it believed before: a notice of that time was not known, and of the
+// requests that came before its next read half went to the upstream that had left.
+#[test]
+fn nothing_is_sent_on_the_word_of_before() {
+    let (world, upstreams) = woken();
+
+    let answers: Vec<_> = (0..4)
+        .map(|_| ask(world.callers(), &get("/nets/7", "")))
+        .collect();
+
+    let seen = upstreams[0].seen().len();
+    assert_eq!(seen, 0, "sent to the upstream that left");
+    for answer in answers {
+        let refused = (answer.status, code(&answer), ran(&answer));
+        assert_eq!(refused, (503, "not_ready".to_owned(), "no".to_owned()));
+    }
+}
+
+#[test]
+fn a_host_that_woke_serves_as_soon_as_it_has_read_the_log() {
+    let (world, upstreams) = woken();
+    let was_ready = world.is_ready();
+
+    world.log.set_silence(Silence::None);
+
+    assert!(!was_ready);
+    assert!(wait_until(|| world.is_ready()));
+    for _ in 0..8 {
+        assert_eq!(status(&world), 200);
+    }
+    assert_eq!(upstreams[0].seen().len(), 0);
+}
+
+#[test]
+fn a_host_that_woke_while_the_log_is_away_serves_by_what_it_knows_after_a_while() {
+    let (world, _upstreams) = woken();
+    world.log.set_down(true);
+
+    assert!(wait_until(|| status(&world) == 200));
+}
+
+#[test]
+fn a_stream_whose_callers_time_ran_out_meanwhile_is_ended() {
+    let holding = Behaviour::Events {
+        to: 9,
+        break_after: None,
+        hold_after: Some(2),
+    };
+    let upstream = FakeUpstream::start("up-0", &[holding]);
+    let world = World::serving(json!([route("stream")]), &[&upstream]);
+    let mut caller = Caller::connect(world.callers());
+    caller.send(get("/nets/7", "deadline-ms: 4000\r\n"));
+    assert!(caller.read_until("id: 2"));
+
+    let woke = Instant::now();
+    world.wake_after(SUSPENDED);
+
+    let answer = caller.read();
+    assert!(!answer.whole);
+    assert!(woke.elapsed() < FOUND_OUT, "{:?}", woke.elapsed());
+}
+
+#[test]
+fn time_that_a_request_has_left_is_passed_on_less_the_suspension() {
+    let behaviours = [Behaviour::NotRun, Behaviour::Answer(200, "sound")];
+    let upstream = FakeUpstream::start("up-0", &behaviours);
+    let world = World::serving(json!([route("once")]), &[&upstream]);
+    world.wake_after(SUSPENDED);
+    world
+        .log
+        .put("operator", "table", &table(2, json!([route("once")])));
+    assert!(wait_until(|| world.is_ready() && world.has_version(2)));
+
+    status(&world);
+
+    let seen = &upstream.seen()[0];
+    let left_ms: u64 = seen.header("deadline-ms").unwrap().parse().unwrap();
+    assert!((1..=4_000).contains(&left_ms), "{left_ms}");
+}
