Count suspensions, and confirm what a host believes before it decides after one

Cause: all readings came from the steady clock and tokio's timers, which don't count a suspension, so a host that woke took everything for as fresh as before.

Change: the clock reads CLOCK_BOOTTIME at one place. A difference to the steady clock of 0.3 s and more is a suspension, looked for before each decision on a request, with each datagram and four times a second. Then topics of the log count as unread, reads under way are given up, the host isn't ready and refuses (not run) after 0.4 s until it has read the log, or heard a reader and caught up, or 2.5 s have passed; time left is counted by that clock; calls and streams whose deadline passed meanwhile end.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -10,6 +10,8 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use nix::time::ClockId;
+use nix::time::clock_gettime;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -74,6 +76,8 @@
 #[derive(Debug, Clone, Copy)]
 pub struct SystemClock {
     origin: std::time::Instant,
+    /// The reading of the clock that counts suspensions at the origin; none where there is no such clock.
+    boot_origin: Option<Duration>,
     /// Milliseconds for which a test has the host suspended.
     suspended_ms: Option<&'static AtomicU64>,
 }
@@ -83,11 +87,13 @@
     pub fn new() -> Self {
         SystemClock {
             origin: std::time::Instant::now(),
+            boot_origin: since_boot(),
             suspended_ms: None,
         }
     }
 
-    /// A clock of a host that a test suspends: the time of `suspended_ms` counts as [`SystemClock::now`] tells it.
+    /// A clock of a host that a test suspends: the time of `suspended_ms` counts for [`SystemClock::now`] and not for
+    /// [`SystemClock::steady`].
     pub fn of_suspended(suspended_ms: &'static AtomicU64) -> Self {
         SystemClock {
             suspended_ms: Some(suspended_ms),
@@ -95,10 +101,19 @@
         }
     }
 
-    /// The monotonic time since the origin.
+    /// The monotonic time since the origin, that of suspensions included.
     pub fn now(&self) -> Time {
+        let elapsed = match (self.boot_origin, since_boot()) {
+            (Some(origin), Some(now)) => now.saturating_sub(origin),
+            _ => self.origin.elapsed(),
+        };
         let suspended_ms = self.suspended_ms.map_or(0, |ms| ms.load(Ordering::Relaxed));
-        Time::ZERO + self.origin.elapsed() + Duration::from_millis(suspended_ms)
+        Time::ZERO + elapsed + Duration::from_millis(suspended_ms)
+    }
+
+    /// The time since the origin without that of suspensions, as timers count it.
+    pub fn steady(&self) -> Time {
+        Time::ZERO + self.origin.elapsed()
     }
 
     /// Wall-clock milliseconds since the Unix epoch.
@@ -113,6 +128,14 @@
     }
 }
 
+/// Time since the machine's start, that of suspensions included.
+fn since_boot() -> Option<Duration> {
+    let time = clock_gettime(ClockId::CLOCK_BOOTTIME).ok()?;
+    let seconds = u64::try_from(time.tv_sec()).ok()?;
+    let nanoseconds = u32::try_from(time.tv_nsec()).ok()?;
+    Some(Duration::new(seconds, nanoseconds))
+}
+
 /// Wall-clock milliseconds since the Unix epoch.
 pub fn wall_ms() -> u64 {
     SystemTime::now()
--- a/src/event.rs
+++ b/src/event.rs
@@ -59,6 +59,7 @@
     103 ShutdownForced "A second signal: the streams named were cut.",
     104 SettingsReloaded "SIGHUP arrived: the settings file was read again.",
     105 SeedsTried "A host that starts tried to connect to its seeds.",
+    106 HostSuspended "The host was suspended: what it believed is confirmed before it decides on a request.",
     200 RequestReceived "A caller's request was parsed and its customer identified.",
     201 RequestRefused "A request was refused; it did not run.",
     202 RequestQueued "A request waits at its schedulers.",
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -52,3 +52,4 @@
 pub mod suspects;
 pub(crate) mod tries;
 pub mod turns;
+pub(crate) mod wakefulness;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -156,6 +156,7 @@
     tokio::select! {
         outcome = exchange => outcome,
         () = tokio::time::sleep_until(until) => Attempted::TimedOut,
+        () = shared.deadline_slept_through(admitted.deadline_at) => Attempted::TimedOut,
     }
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -51,6 +51,11 @@
     mut connection: Connection,
     headers: &AttemptHeaders<'_>,
 ) -> Result<Begun, Unanswered> {
+    shared.look_for_suspension();
+    if shared.is_waking() {
+        let reason = "the host was suspended before it was sent".to_owned();
+        return Err(Unanswered::NotRun(reason));
+    }
     if headers.time_left < TIME_LEFT_MIN {
         let reason = "the deadline passed before it was sent".to_owned();
         return Err(Unanswered::NotRun(reason));
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -62,6 +62,8 @@
     Truncated,
     /// Another host reads again what this one can't.
     ReturnedElsewhere,
+    /// The host was suspended while a call was under way: the answer is of before.
+    Suspended,
     /// The log can't be read.
     Unavailable(String),
 }
@@ -92,10 +94,12 @@
         let began = Instant::now();
         let shared = follower.shared.clone();
         let next = follower.next;
+        let mut wakes = shared.wakes();
         let step = tokio::select! {
             step = follower.advance() => step,
             () = return_elsewhere(&shared, topic) => Err(Interrupted::ReturnedElsewhere),
             () = later_era(&shared, next) => Err(Interrupted::Truncated),
+            _ = wakes.changed() => Err(Interrupted::Suspended),
         };
         match step {
             Ok(()) => {
@@ -103,7 +107,7 @@
                 tokio::time::sleep(BATCH_PAUSE).await;
             }
             Err(Interrupted::Truncated) => follower.next = None,
-            Err(Interrupted::ReturnedElsewhere) => {}
+            Err(Interrupted::ReturnedElsewhere | Interrupted::Suspended) => {}
             Err(Interrupted::Unavailable(reason)) => {
                 shared.log_failed(topic, began.elapsed(), &reason);
                 let pause = backoff.next().unwrap_or(BACKOFF_MAX);
@@ -263,7 +267,12 @@
             .shared
             .protocol()
             .read_call(self.topic, next.offset, wait);
+        let wakes = self.shared.wakes();
         let (answer, begun_after) = self.call(&call, timeout).await?;
+        self.shared.look_for_suspension();
+        if wakes.has_changed().unwrap_or(false) {
+            return Err(Interrupted::Suspended);
+        }
         let era = era_of(&self.shared, &answer.headers)?;
         if era != next.era {
             // The same offset names another record, or none.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -64,6 +64,7 @@
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((length, from)) => {
+                    shared.look_for_suspension();
                     if let Some(answer) = receive(&shared, from, &buffer[..length]) {
                         send(&socket, &encode(answer), &[from]).await;
                     }
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -262,6 +262,7 @@
 }
 
 fn ready(shared: &Shared) -> HttpResponse {
+    shared.look_for_suspension();
     match shared.is_ready() {
         true => HttpResponse::Ok().finish(),
         false => HttpResponse::ServiceUnavailable().finish(),
@@ -281,6 +282,7 @@
     let (held_back, known) = shared.suspects(|suspects| suspects.count(now));
     telemetry::set_suspects(held_back, known);
     telemetry::set_log_era(shared.log_era().number());
+    telemetry::set_last_suspension(shared.last_suspension());
     telemetry.render()
 }
 
@@ -288,6 +290,7 @@
 async fn lapse(shared: Shared) {
     loop {
         tokio::time::sleep(LAPSE_INTERVAL).await;
+        shared.look_for_suspension();
         let now = shared.now();
         shared.loads().with(|loads| loads.lapse(now));
         shared.review_suspects();
--- a/src/gateway/joining.rs
+++ b/src/gateway/joining.rs
@@ -39,6 +39,9 @@
 /// and for no more than this part of the time that its caller gives it.
 const START_PATIENCE_SHARE: f64 = 0.25;
 
+/// How often a request that waits looks whether the host knows what changed while it was suspended.
+const WAKING_CHECK: Duration = Duration::from_millis(20);
+
 /// Whether seeds can be connected to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Seeds {
@@ -149,6 +152,16 @@
     }
 }
 
+/// Keeps a request of a caller who gives it `timeout` while the host has just woken from a suspension. Whether it
+/// knows by then what changed meanwhile.
+pub(crate) async fn wait_until_awake(shared: &Shared, timeout: Duration) -> bool {
+    let until = Instant::now() + patience(Duration::ZERO, timeout);
+    while shared.is_waking() && Instant::now() < until {
+        tokio::time::sleep(WAKING_CHECK).await;
+    }
+    !shared.is_waking()
+}
+
 /// How long a request waits at a host of this age.
 fn patience(age: Duration, timeout: Duration) -> Duration {
     let left = START_PATIENCE.saturating_sub(age);
--- a/src/gateway/line.rs
+++ b/src/gateway/line.rs
@@ -205,6 +205,11 @@
         if let Some(refusal) = shared.held_back(admitted.fingerprint) {
             return Err(refusal);
         }
+        shared.look_for_suspension();
+        if shared.is_waking() {
+            tokio::time::sleep(LOOK_INTERVAL).await;
+            continue;
+        }
         let candidates = serve::candidates(shared, &admitted.service, avoid);
         if candidates.is_empty() {
             return Ok(None);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -260,6 +260,11 @@
         self.fetching.insert(fetch)
     }
 
+    /// Whether something is being fetched from peers.
+    pub(crate) fn is_fetching(&self, fetch: Fetch) -> bool {
+        self.fetching.contains(&fetch)
+    }
+
     /// The fetch has ended.
     pub(crate) fn end_fetch(&mut self, fetch: Fetch) {
         self.fetching.remove(&fetch);
--- a/src/gateway/peers/readers.rs
+++ b/src/gateway/peers/readers.rs
@@ -76,7 +76,8 @@
         self.heard_reader_within(now, topic, patience)
     }
 
-    fn heard_reader_within(&self, now: Time, topic: Topic, within: Duration) -> bool {
+    /// Whether such a host was heard within this time.
+    pub(crate) fn heard_reader_within(&self, now: Time, topic: Topic, within: Duration) -> bool {
         self.live_hosts(now)
             .any(|heard| heard.reading.contains(topic) && now.since(heard.at) < within)
     }
--- a/src/gateway/reading.rs
+++ b/src/gateway/reading.rs
@@ -123,6 +123,13 @@
         is_news
     }
 
+    /// Nothing that was read counts any more, as after the host was suspended.
+    pub(crate) fn all_lost(&mut self, now: Time) {
+        for reading in self.topics.values_mut() {
+            reading.lost_at.get_or_insert(now);
+        }
+    }
+
     /// Whether the last read of a topic came to nothing, or none was answered yet.
     pub(crate) fn is_lost(&self, topic: Topic) -> bool {
         self.topic(topic).lost_at.is_some()
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -16,6 +16,7 @@
 use http::header;
 use tokio::time::Instant;
 
+use crate::clock::SystemClock;
 use crate::clock::Time;
 use crate::clock::request_time;
 use crate::event::EventCode;
@@ -102,8 +103,12 @@
     pub priority: u8,
     /// When its head was read.
     pub arrived: Instant,
-    /// When the caller or the route gives up.
+    /// When the caller or the route gives up, for timers,
     pub deadline: Instant,
+    /// and by a clock that counts suspensions.
+    pub deadline_at: Time,
+    /// That clock.
+    pub clock: SystemClock,
     /// The version of the configuration that it is served by.
     pub config_version: u64,
     /// Counts it until it ends.
@@ -113,7 +118,7 @@
 impl Admitted {
     /// What is left of its time.
     pub fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline_at.since(self.clock.now())
     }
 
     /// A log line of this request.
@@ -215,6 +220,7 @@
     payload: web::Payload,
 ) -> Result<Admitted, HttpResponse> {
     let shared = &front.shared;
+    shared.look_for_suspension();
     let arrived = Instant::now();
     let pass = shared.gate().enter(RequestId::generate());
     let headers = forward::headers_of(http);
@@ -229,6 +235,10 @@
     let reject = |refusal: Refusal| reject(shared, &id, &request, &refusal);
     let caller_timeout = caller_timeout(&request, names);
     joining::wait_until_informed(shared, caller_timeout).await;
+    if !joining::wait_until_awake(shared, caller_timeout).await {
+        let refusal = Refusal::not_run(Code::NotReady, "the host has just woken from a suspension");
+        return Err(reject(refusal));
+    }
     let Some(configuration) = shared.configuration() else {
         let refusal = Refusal::not_run(Code::NotReady, "the host has no configuration yet");
         return Err(reject(refusal));
@@ -266,6 +276,8 @@
         route,
         arrived,
         deadline: arrived + timeout,
+        deadline_at: shared.now() + timeout.saturating_sub(arrived.elapsed()),
+        clock: shared.clock(),
         config_version: configuration.version,
         pass,
     })
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -40,6 +40,7 @@
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::suspects::Suspects;
 use crate::gateway::turns::TurnBoard;
+use crate::gateway::wakefulness::Wakefulness;
 use crate::id::ServiceId;
 
 mod changes;
@@ -49,6 +50,7 @@
 mod logreading;
 mod newer;
 mod suspicion;
+mod waking;
 
 pub use self::inforce::InForce;
 pub(crate) use self::logera::Outdated;
@@ -74,6 +76,8 @@
     ejector: Mutex<Ejector<InstanceId>>,
     reach: Mutex<Reach>,
     suspects: Mutex<Suspects>,
+    wakefulness: Mutex<Wakefulness>,
+    wakes: watch::Sender<u64>,
     log_era: Mutex<Era>,
     /// The history of the log in which it last told an era that can't be read.
     bad_era_in: Mutex<Option<Era>>,
@@ -119,6 +123,8 @@
             ejector: Mutex::new(Ejector::new(Default::default())),
             reach: Mutex::default(),
             suspects: Mutex::default(),
+            wakefulness: Mutex::default(),
+            wakes: watch::channel(0).0,
             log_era: Mutex::default(),
             bad_era_in: Mutex::default(),
             budgets: Mutex::default(),
@@ -209,7 +215,8 @@
 
     /// Whether the host can serve requests better than others.
     pub fn is_ready(&self) -> bool {
-        !self.gate().is_shutting_down() && self.is_informed() && !self.is_cut_off()
+        let is_up_to_date = self.is_informed() && !self.is_waking();
+        !self.gate().is_shutting_down() && is_up_to_date && !self.is_cut_off()
     }
 
     /// Whether callers do better with another host, so that their connections are closed after an
--- /dev/null
+++ b/src/gateway/shared/waking.rs
@@ -0,0 +1,98 @@
+//! What a suspension of this host means for what it believes.
+
+use std::time::Duration;
+
+use tokio::sync::watch;
+
+use super::Shared;
+use super::locked;
+use crate::clock::SystemClock;
+use crate::clock::Time;
+use crate::event::EventCode;
+use crate::gateway::peers::Fetch;
+use crate::gateway::protocol::Topic;
+use crate::telemetry;
+use crate::telemetry::Metric;
+
+/// Datagrams that arrived while the host was suspended are read within this time of its waking.
+const OLD_DATAGRAMS_READ: Duration = Duration::from_millis(50);
+
+impl Shared {
+    /// The clock that counts suspensions.
+    pub(crate) fn clock(&self) -> SystemClock {
+        self.0.clock
+    }
+
+    /// Looks whether the host was suspended since it last looked. Then no topic of the log counts as read, reads
+    /// that are under way are given up, and whoever waits for something looks at the time anew.
+    pub(crate) fn look_for_suspension(&self) {
+        let clock = self.clock();
+        let look = |steady| locked(&self.0.wakefulness).look(clock.now(), steady);
+        let Some(suspended) = look(clock.steady()) else {
+            return;
+        };
+        let now = self.now();
+        locked(&self.0.reading).all_lost(now);
+        telemetry::count(Metric::SuspensionsTotal);
+        let line = self.log().line(EventCode::HostSuspended);
+        line.with("suspended_ms", suspended.as_millis() as u64)
+            .with("in_flight", self.gate().in_flight())
+            .write();
+        self.0.wakes.send_modify(|count| *count += 1);
+        self.0.directory_changed.send_modify(|count| *count += 1);
+        self.tell_news();
+    }
+
+    /// Whether the host has woken and neither read the log since nor heard a host that does.
+    pub(crate) fn is_waking(&self) -> bool {
+        let now = self.now();
+        let Some(woken_at) = locked(&self.0.wakefulness).woken_at(now) else {
+            return false;
+        };
+        let topics = [Topic::Operator, Topic::Upstreams];
+        !topics
+            .iter()
+            .all(|topic| self.is_confirmed(now, *topic, woken_at))
+    }
+
+    fn is_confirmed(&self, now: Time, topic: Topic, woken_at: Time) -> bool {
+        let awake_for = now.since(woken_at);
+        let is_read =
+            !self.is_log_lost(topic) && self.log_age(topic).is_some_and(|age| age < awake_for);
+        let heard_within = awake_for.saturating_sub(OLD_DATAGRAMS_READ);
+        is_read || self.has_caught_up(now, topic, heard_within)
+    }
+
+    /// Whether a host that reads a topic was heard within this time, and this one lacks nothing that it told.
+    fn has_caught_up(&self, now: Time, topic: Topic, within: Duration) -> bool {
+        let fetch = match topic {
+            Topic::Operator => Fetch::Configuration,
+            Topic::Upstreams | Topic::Hosts | Topic::Suspects => Fetch::Upstreams,
+        };
+        self.peers(|peers| {
+            peers.heard_reader_within(now, topic, within) && !peers.is_fetching(fetch)
+        })
+    }
+
+    /// How long the last suspension was; zero if there was none.
+    pub(crate) fn last_suspension(&self) -> Duration {
+        locked(&self.0.wakefulness).last_suspension()
+    }
+
+    /// Wakes with the host.
+    pub(crate) fn wakes(&self) -> watch::Receiver<u64> {
+        self.0.wakes.subscribe()
+    }
+
+    /// Returns when the host wakes from a suspension in which `deadline` passed; timers don't count that time.
+    pub(crate) async fn deadline_slept_through(&self, deadline: Time) {
+        let mut wakes = self.wakes();
+        while wakes.changed().await.is_ok() {
+            if self.now() >= deadline {
+                return;
+            }
+        }
+        // The host's state is going; nobody waits for this any more.
+        std::future::pending().await
+    }
+}
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -239,6 +239,7 @@
     tokio::select! {
         opened = opening => opened,
         () = tokio::time::sleep_until(admitted.deadline) => Opened::TimedOut,
+        () = shared.deadline_slept_through(admitted.deadline_at) => Opened::TimedOut,
     }
 }
 
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -86,6 +86,10 @@
     /// The next whole events, or none after the last one.
     pub(super) async fn next(&mut self) -> Option<Result<Bytes, BrokenOff>> {
         loop {
+            // The host may have been suspended since the last event.
+            if self.admitted.time_left().is_zero() {
+                return self.fail("the deadline passed");
+            }
             match self.happened().await {
                 Happened::Frame(Some(Ok(data))) => match self.splitter.push(&data) {
                     Ok(events) if events.is_empty() => {}
@@ -166,6 +170,7 @@
             _ = self.changes.changed() => Happened::DirectoryChanged,
             () = sleep_until(timer) => Happened::Timer,
             () = tokio::time::sleep_until(self.admitted.deadline) => Happened::Deadline,
+            () = self.shared.deadline_slept_through(self.admitted.deadline_at) => Happened::Deadline,
         }
     }
 
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -127,15 +127,19 @@
         "Streams that the gateway continued at another engine.",
     StreamsLostTotal Counter "cedargauge_streams_lost_total" "service"
         "Streams that the gateway broke off before their last event.",
+    SuspensionsTotal Counter "cedargauge_suspensions_total" ""
+        "Times that the host was found to have been suspended.",
+    LastSuspensionMs Gauge "cedargauge_last_suspension_ms" ""
+        "Length of the last suspension; 0 if there was none.",
     LogReturnsTotal Counter "cedargauge_log_returns_total" ""
         "Times that the platform's log was heard to have returned from an older copy.",
     BadErasTotal Counter "cedargauge_bad_eras_total" ""
         "Answers of the platform's log whose era could not be read.",
-    LogEra Gauge "cedargauge_log_era" ""
+    LogEra Gauge "cedargauge_log_era_version" ""
         "Latest era of the platform's log that the host knows.",
-    SuspectsHeldBack Gauge "cedargauge_suspects_held_back" ""
+    SuspectsHeldBack Gauge "cedargauge_held_back_active" ""
         "Contents of requests that are not sent because upstreams crashed under them.",
-    SuspectsKnown Gauge "cedargauge_suspects_known" ""
+    SuspectsKnown Gauge "cedargauge_suspects_active" ""
         "Contents of requests under which an upstream was lost and that were not answered since.",
     LogLinesDroppedTotal Counter "cedargauge_log_lines_dropped_total" ""
         "Lines of the gateway's log that were dropped because their reader was too slow.",
@@ -370,6 +374,11 @@
     metrics::gauge!(Metric::ConfigBehindMs.name()).set(behind.as_secs_f64() * 1_000.0);
 }
 
+/// Sets how long the last suspension was.
+pub fn set_last_suspension(suspension: Duration) {
+    metrics::gauge!(Metric::LastSuspensionMs.name()).set(suspension.as_secs_f64() * 1_000.0);
+}
+
 /// Sets the latest era of the log that is known.
 pub fn set_log_era(era: u64) {
     metrics::gauge!(Metric::LogEra.name()).set(era as f64);
