--- a/tests/logreturns/mod.rs
+++ b/tests/logreturns/mod.rs
@@ -93,6 +93,20 @@
     assert_eq!(requests_after_drain(&hosts, &upstreams[0]), 0);
 }
 
+// From twelve hosts on one of them reads the upstreams for all, and the others go by what it tells.
+#[test]
+fn hosts_that_leave_the_reading_to_others_hear_such_a_notice() {
+    let (hosts, upstreams) = deployment(20);
+    let log = &hosts[0].log;
+    list(log, &upstreams[1], "ready");
+    assert!(wait_until(|| hosts.iter().all(|host| status(host) == 200)));
+
+    log.return_from_copy("upstreams", 1);
+    list(log, &upstreams[0], "leaving");
+
+    assert_eq!(requests_after_drain(&hosts, &upstreams[0]), 0);
+}
+
 #[test]
 fn a_notice_in_a_log_that_is_shorter_than_before_is_heard() {
     let (hosts, upstreams) = deployment(4);
