Try a request that is held back again at one host after a while

Cause, by reading: upstreams lost together (a rack, a data centre) may be all that ran an innocent request that is repeated; held back at once at all hosts for ten minutes, nobody could clear it. Change: held back for 15 s, eight times longer after each further crash, 6 h at most; then the one host that all choose alike sends one as a trial.

each_further_crash_lengthens_the_time_up_to_a_bound failed on its first run: a ninth crash was not kept, so a trial came each 30 s from then on. Of more than eight the latest are kept now.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -83,7 +83,7 @@
         if admitted.time_left() <= DEADLINE_MARGIN {
             return timed_out(shared, &admitted, may_have_run);
         }
-        if let Some(refusal) = shared.held_back(admitted.fingerprint) {
+        if let Some(refusal) = shared.held_back(&admitted) {
             return held_back(shared, &admitted, may_have_run, refusal);
         }
         let Some(candidate) = admitted.place(shared, Need::Slot, tries.upstreams()) else {
--- a/src/gateway/line.rs
+++ b/src/gateway/line.rs
@@ -202,7 +202,7 @@
     let mut waited = None;
     loop {
         // Upstreams may crash under a repeat while this one waits.
-        if let Some(refusal) = shared.held_back(admitted.fingerprint) {
+        if let Some(refusal) = shared.held_back(admitted) {
             return Err(refusal);
         }
         shared.look_for_suspension();
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -9,6 +9,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::clock::Time;
 use crate::gateway::datagram::Datagram;
 use crate::gateway::datagram::Topics;
@@ -210,6 +213,19 @@
             .collect()
     }
 
+    /// Whether of all hosts `host`, this one, is the one to do something once that `what` names: the same data centre
+    /// of those heard of late, and the same host of it, for all who hear the same.
+    pub(crate) fn is_chosen(&self, now: Time, host: &HostId, what: &str) -> bool {
+        let rank = |name: &str| xxh3_64_with_seed(name.as_bytes(), xxh3_64(what.as_bytes()));
+        let own = rank(self.data_centre.as_str());
+        let words = self.words.iter();
+        let mut heard = words.filter(|(_, word)| now.since(word.at) < LIVE_FOR);
+        let is_here = heard.all(|(other, _)| rank(other.as_str()) >= own);
+        let near = self.live_near(now);
+        let mut others = near.iter().filter(|other| *other != host);
+        is_here && others.all(|other| rank(other.as_str()) > rank(host.as_str()))
+    }
+
     /// Number of the live hosts of the own data centre.
     pub(crate) fn count_near(&self, now: Time) -> usize {
         let live = self.live_hosts(now);
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -471,3 +471,29 @@
 fn is_in_north(host: std::net::SocketAddr) -> bool {
     (0..20).step_by(2).map(address).any(|north| north == host)
 }
+
+#[test]
+fn one_host_of_all_is_chosen_and_another_for_something_else() {
+    let hosts: Vec<(usize, &str)> = (0..24)
+        .map(|index| (index, ["north", "south", "west"][index % 3]))
+        .collect();
+    let knows = |own: usize, data_centre: &str| {
+        let mut peers = Peers::new(address(own), DataCentre::new(data_centre), &[]);
+        for (index, data_centre) in hosts.iter().filter(|(index, _)| *index != own) {
+            peers.hear(Time::ZERO, address(*index), &datagram(*index, data_centre));
+        }
+        peers
+    };
+    let chosen = |what: &str| -> Vec<usize> {
+        let chosen = hosts.iter().filter(|(index, data_centre)| {
+            let host = datagram(*index, data_centre).host;
+            knows(*index, data_centre).is_chosen(Time::ZERO, &host, what)
+        });
+        chosen.map(|(index, _)| *index).collect()
+    };
+
+    let each: Vec<Vec<usize>> = (0..20).map(|number| chosen(&format!("{number}"))).collect();
+
+    assert!(each.iter().all(|chosen| chosen.len() == 1), "{each:?}");
+    assert!(each.iter().any(|chosen| *chosen != each[0]));
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -1,5 +1,6 @@
 //! The path of a request: route, identify, read, then call or stream.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -91,6 +92,8 @@
     pub id: String,
     /// Of its content, which a repeat under another id shares.
     pub fingerprint: Fingerprint,
+    /// Whether it is the trial of a content that is held back.
+    pub is_trial: Cell<bool>,
     /// Its route.
     pub route: Arc<Route>,
     /// The service that its route chose.
@@ -269,6 +272,7 @@
         fingerprint: fingerprint_of(&request, customer.as_ref()),
         request,
         id,
+        is_trial: Cell::new(false),
         engine: configuration.engine(&service).cloned(),
         customer,
         priority: own_priority.unwrap_or(route.priority),
--- a/src/gateway/shared/suspicion.rs
+++ b/src/gateway/shared/suspicion.rs
@@ -1,5 +1,7 @@
 //! What this host believes of requests by what became of the upstreams that ran them.
 
+use std::time::Duration;
+
 use super::Shared;
 use super::locked;
 use crate::clock::Time;
@@ -7,24 +9,37 @@
 use crate::fingerprint::Fingerprint;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::protocol::Topic;
+use crate::gateway::serve::Admitted;
 use crate::gateway::suspects::Listed;
 use crate::gateway::suspects::Standing;
 use crate::gateway::suspects::Suspects;
 use crate::gateway::suspects::ToldSuspect;
+use crate::gateway::suspects::Verdict;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 
+/// A request whose content is tried by another host may come back after this time: most generations have
+/// ended by then.
+const TRIED_ELSEWHERE: Duration = Duration::from_secs(5);
+
 impl Shared {
     /// Runs `use_suspects` on what is known of requests under which upstreams crashed.
     pub(crate) fn suspects<T>(&self, use_suspects: impl FnOnce(&mut Suspects) -> T) -> T {
         use_suspects(&mut locked(&self.0.suspects))
     }
 
-    /// The refusal of a request that is held back.
-    pub(crate) fn held_back(&self, fingerprint: Fingerprint) -> Option<Refusal> {
+    /// The refusal of a request that is held back; none for one that may be sent, also as the trial of
+    /// its content.
+    pub(crate) fn held_back(&self, admitted: &Admitted) -> Option<Refusal> {
         let now = self.now();
+        let fingerprint = admitted.fingerprint;
         let standing = self.suspects(|suspects| suspects.standing(now, fingerprint))?;
-        let held_back = standing.held_back?;
+        let held_back = match standing.verdict {
+            Verdict::Sent => return None,
+            Verdict::Tried if self.is_trial(now, admitted) => return None,
+            Verdict::Tried => TRIED_ELSEWHERE,
+            Verdict::HeldBack(left) => left,
+        };
         let message = format!(
             "{} upstreams crashed while they ran this request; this time it was not sent",
             standing.crashes
@@ -34,6 +49,24 @@
         Some(refusal.retry_after_ms(ms))
     }
 
+    /// Whether a request is the trial of its content. One host of all is the one to make it, the same by all
+    /// views that don't differ; the next repeat that it is sent is the trial.
+    fn is_trial(&self, now: Time, admitted: &Admitted) -> bool {
+        if admitted.is_trial.get() {
+            return true;
+        }
+        let host = &self.settings().host;
+        let fingerprint = admitted.fingerprint;
+        let is_ours = self.peers(|peers| peers.is_chosen(now, host, &fingerprint.to_hex()));
+        let begins = is_ours && self.suspects(|suspects| suspects.begin_trial(now, fingerprint));
+        if begins {
+            admitted.is_trial.set(true);
+            let line = admitted.line(self, EventCode::SuspectTried);
+            line.write();
+        }
+        begins
+    }
+
     /// The connection to an upstream broke while it ran a request. One that is leaving ends by itself.
     pub(crate) fn upstream_broke(&self, fingerprint: Fingerprint, upstream: &InstanceId) {
         if self.directory(|directory| directory.leaving_since(upstream).is_some()) {
@@ -100,7 +133,10 @@
         if standing.crashes < 2 {
             return;
         }
-        let held_back_ms = standing.held_back.map(|time| time.as_millis() as u64);
+        let held_back_ms = match standing.verdict {
+            Verdict::HeldBack(left) => Some(left.as_millis() as u64),
+            Verdict::Sent | Verdict::Tried => None,
+        };
         let line = self.log().line(EventCode::RequestSuspected);
         line.with("fingerprint", fingerprint.to_string())
             .with("crashes", standing.crashes)
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -165,7 +165,7 @@
 ) -> Result<Option<Candidate>, Refusal> {
     match need {
         Need::Memory { .. } => line::wait_for_room(shared, admitted, need, avoid).await,
-        Need::Slot | Need::Copy { .. } => match shared.held_back(admitted.fingerprint) {
+        Need::Slot | Need::Copy { .. } => match shared.held_back(admitted) {
             Some(refusal) => Err(refusal),
             None => Ok(admitted.place(shared, need, avoid)),
         },
--- a/src/gateway/suspectlog.rs
+++ b/src/gateway/suspectlog.rs
@@ -41,7 +41,7 @@
 const WRITTEN_FROM: usize = 2;
 /// Contents that are written in one round, so that a burst leaves the log its writes for others.
 const WRITTEN_AT_ONCE: usize = 4;
-/// A record so old holds nothing back any more: eight crashes hold a request back for 5.3 hours.
+/// A record so old holds nothing back any more: a request is held back for 6 hours at most.
 const KEPT: Duration = Duration::from_secs(24 * 60 * 60);
 /// Records that are removed in one reading.
 const REMOVED_AT_ONCE: usize = 4;
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -26,9 +26,15 @@
 /// Crashes after which a request is held back. One or two beside crashes of other causes happen to
 /// requests that callers repeat; three without an answer in between don't.
 pub const CRASHES_MAX: usize = 3;
-/// A request is held back for this long after its last crash, and twice as long for each further one:
-/// long enough that it costs a fleet little, short enough that one whose cause was mended comes through.
-const HELD_BACK_MIN: Duration = Duration::from_secs(600);
+/// A request is held back for this long after its last crash, and then tried by one host. Three upstreams
+/// that ran an innocent request may have been lost together, and nobody runs it any more who could clear it.
+const HELD_BACK_MIN: Duration = Duration::from_secs(15);
+/// So many times longer after each further crash: 15 s, 2 min, 16 min, 2.1 h,
+const HELD_BACK_FACTOR: u32 = 8;
+/// and no longer than this, so that a request whose cause was mended comes through.
+const HELD_BACK_MAX: Duration = Duration::from_secs(6 * 60 * 60);
+/// A trial that neither crashed its upstream nor was answered in this time was none.
+const TRIAL_LASTS: Duration = Duration::from_secs(30);
 /// Evidence is forgotten after this time, if it holds nothing back.
 const REMEMBERED: Duration = Duration::from_secs(600);
 /// An upstream that is listed so long after its connection broke has not crashed: entries lapse after three
@@ -70,6 +76,8 @@
     witnessed_at: Option<Time>,
     /// Datagrams that will tell of its last change.
     tellings_left: u8,
+    /// When this host last let one through as a trial.
+    tried_at: Option<Time>,
     /// Whether this host saw something that may have to be written to the platform's log.
     is_unwritten: bool,
 }
@@ -79,8 +87,19 @@
 pub struct Standing {
     /// Upstreams that crashed under it since it was last answered.
     pub crashes: usize,
-    /// For how long it is still held back; none if it may be sent.
-    pub held_back: Option<Duration>,
+    /// Whether it may be sent.
+    pub verdict: Verdict,
+}
+
+/// Whether requests of one content may be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// They may.
+    Sent,
+    /// They are held back, for so long at least.
+    HeldBack(Duration),
+    /// They were held back for long enough that one of them is tried.
+    Tried,
 }
 
 /// What a host tells of one content.
@@ -194,13 +213,31 @@
     pub fn standing(&self, now: Time, fingerprint: Fingerprint) -> Option<Standing> {
         let suspect = self.suspects.get(&fingerprint)?;
         let last = suspect.last_crash()?;
-        let held_back = suspect.held_back_for().saturating_sub(now.since(last));
+        let left = suspect.held_back_for().saturating_sub(now.since(last));
+        let verdict = match suspect.crashes.len() {
+            ..CRASHES_MAX => Verdict::Sent,
+            _ if left.is_zero() => Verdict::Tried,
+            _ => Verdict::HeldBack(left),
+        };
         Some(Standing {
             crashes: suspect.crashes.len(),
-            held_back: (!held_back.is_zero()).then_some(held_back),
+            verdict,
         })
     }
 
+    /// Begins the trial of a content; false while another one may be under way here.
+    pub fn begin_trial(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+            return false;
+        };
+        let last = suspect.tried_at;
+        let is_free = last.is_none_or(|last| now.since(last) >= TRIAL_LASTS);
+        if is_free {
+            suspect.tried_at = Some(now);
+        }
+        is_free
+    }
+
     /// Takes what another host tells. The contents whose standing it changed.
     pub fn hear(&mut self, now: Time, told: &[ToldSuspect]) -> Vec<(Fingerprint, Standing)> {
         let mut changed = Vec::new();
@@ -291,7 +328,7 @@
         let fingerprints = self.suspects.keys();
         let held_back = fingerprints.filter(|fingerprint| {
             let standing = self.standing(now, **fingerprint);
-            standing.is_some_and(|standing| standing.held_back.is_some())
+            standing.is_some_and(|standing| standing.verdict != Verdict::Sent)
         });
         (held_back.count(), self.suspects.len())
     }
@@ -319,16 +356,8 @@
         if suspect.answered_at.is_some_and(|at| at > crash.at) {
             return;
         }
-        let has_room = suspect.crashes.len() < CRASHES_KEPT;
-        let mut known = suspect.crashes.iter_mut();
-        match known.find(|known| known.upstream == crash.upstream) {
-            // Who hears of it late, or has started meanwhile, takes it for younger than it is.
-            Some(known) => known.at = known.at.min(crash.at),
-            None if has_room => {
-                suspect.crashes.push(crash);
-                suspect.changed_at = now;
-            }
-            None => {}
+        if suspect.note(crash) {
+            suspect.changed_at = now;
         }
     }
 
@@ -361,7 +390,7 @@
             let standing = self.standing(now, fingerprint);
             standing.unwrap_or(Standing {
                 crashes: 0,
-                held_back: None,
+                verdict: Verdict::Sent,
             })
         })
     }
@@ -428,6 +457,22 @@
 }
 
 impl Suspect {
+    /// Keeps the latest crashes. True if this is one that was not known.
+    fn note(&mut self, crash: Crash) -> bool {
+        let mut known = self.crashes.iter_mut();
+        if let Some(known) = known.find(|known| known.upstream == crash.upstream) {
+            // Who hears of it late, or has started meanwhile, takes it for younger than it is.
+            known.at = known.at.min(crash.at);
+            return false;
+        }
+        self.crashes.push(crash);
+        if self.crashes.len() <= CRASHES_KEPT {
+            return true;
+        }
+        self.crashes.sort_by_key(|crash| crash.at);
+        self.crashes.remove(0) != crash
+    }
+
     fn last_crash(&self) -> Option<Time> {
         self.crashes.iter().map(|crash| crash.at).max()
     }
@@ -443,7 +488,8 @@
             return Duration::ZERO;
         };
         let further = u32::try_from(further).unwrap_or(u32::MAX);
-        HELD_BACK_MIN.saturating_mul(2_u32.saturating_pow(further))
+        let longer = HELD_BACK_MIN.saturating_mul(HELD_BACK_FACTOR.saturating_pow(further));
+        longer.min(HELD_BACK_MAX)
     }
 
     /// Once it is let through again, it is remembered for as long as it was held back.
