Split suspects, the directory and the follower by what each part is for

Moves alone: one content's evidence and what hosts tell of it out of suspects, what hosts tell each other out of the directory, the reading of newest records out of the follower.

--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -9,6 +9,7 @@
 use http::HeaderMap;
 use tokio::time::Instant;
 
+use self::newest::era_of;
 use crate::clock::Time;
 use crate::error::Error;
 use crate::error::Result;
@@ -18,17 +19,19 @@
 use crate::gateway::ownclient::Arrival;
 use crate::gateway::ownclient::OwnAnswer;
 use crate::gateway::ownclient::OwnClient;
-use crate::gateway::position::Era;
 use crate::gateway::position::Position;
 use crate::gateway::protocol::OwnCall;
 use crate::gateway::protocol::Record;
 use crate::gateway::protocol::Topic;
-use crate::gateway::shared::Outdated;
 use crate::gateway::shared::Shared;
 use crate::id::UpstreamId;
 use crate::telemetry;
 use crate::telemetry::Metric;
 
+mod newest;
+
+pub(crate) use self::newest::newest;
+
 /// A call that doesn't wait, of a host that knows nothing yet: many start together.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Records that come together are read together: calls are priced, and this is far below the
@@ -366,49 +369,6 @@
     }
 }
 
-/// The history of the log that an answer is of.
-fn era_of(shared: &Shared, headers: &HeaderMap) -> Step<Era> {
-    shared.era_of_answer(headers).map_err(|Outdated| {
-        Interrupted::Unavailable("an answer from before the log's return".to_owned())
-    })
-}
-
-/// The newest record of each key of a topic, and the position to read from next. All pages are of one
-/// history of the log.
-pub(crate) async fn newest(
-    shared: &Shared,
-    client: &mut OwnClient,
-    topic: Topic,
-    timeout: Duration,
-) -> Step<(Vec<Record>, Position)> {
-    let mut records: Vec<Record> = Vec::new();
-    let mut end = None;
-    loop {
-        let after = records.last().map(|record| record.key.clone());
-        let call = shared.protocol().newest_call(topic, after.as_deref());
-        let answer = client.call_whole(&call, timeout).await?;
-        let era = era_of(shared, &answer.headers)?;
-        if answer.status != 200 {
-            return Err(Interrupted::Unavailable(format!(
-                "status {}",
-                answer.status
-            )));
-        }
-        let page = shared.protocol().decode_newest(&answer.body)?;
-        let from = *end.get_or_insert(Position::new(era, page.end));
-        if from.era != era {
-            return Err(Interrupted::Truncated);
-        }
-        // A page that ends where the one before did would be asked for again and again.
-        let last = page.records.last().map(|record| &record.key);
-        let more = page.more && last.is_some() && last != after.as_ref();
-        records.extend(page.records);
-        if !more {
-            return Ok((records, from));
-        }
-    }
-}
-
 /// The upstream that a record names; none where the key was removed, and where another writer's record
 /// names none: an upstream that it replaces is gone like one removed.
 fn listed_upstream(
--- /dev/null
+++ b/src/gateway/suspects/telling.rs
@@ -0,0 +1,121 @@
+//! Which suspects a host tells the others of, and when.
+
+use std::ops::Bound;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Suspects;
+use super::suspect::Suspect;
+use crate::clock::Time;
+use crate::fingerprint::Fingerprint;
+use crate::gateway::instance::InstanceKey;
+
+/// So many datagrams tell of what a host saw itself: one in ten may be lost.
+pub(super) const OWN_TELLINGS: u8 = 5;
+/// So many tell of a repeated crash that it heard of, beside those of the host that saw it.
+pub(super) const HEARD_TELLINGS: u8 = 1;
+/// Such news in one datagram, at most 100 bytes each.
+pub(super) const NEWS_TOLD: usize = 6;
+/// Between two datagrams that tell of older suspects in turn, for hosts that joined or were cut off: hosts
+/// with much to do send a datagram each 10 ms.
+const TURN_INTERVAL: Duration = Duration::from_millis(250);
+/// Older suspects that such a datagram tells of: requests under which several upstreams crashed,
+const REPEATED_TOLD: usize = 3;
+/// and those with a single crash.
+const SINGLE_TOLD: usize = 1;
+
+/// What a host tells of one content.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldSuspect {
+    /// The content.
+    pub fingerprint: Fingerprint,
+    /// The upstreams that crashed, each with the time since then in milliseconds.
+    pub crashes: Vec<(InstanceKey, u32)>,
+    /// Time since it was last answered in whole, in milliseconds.
+    pub answered_ms_ago: Option<u32>,
+}
+
+impl Suspects {
+    /// What this host tells with its next datagram: its news, and from time to time older suspects in turn.
+    pub fn tell(&mut self, now: Time) -> Vec<ToldSuspect> {
+        let mut told: Vec<Fingerprint> = Vec::new();
+        for (fingerprint, suspect) in &mut self.suspects {
+            if suspect.tellings_left > 0 && told.len() < NEWS_TOLD {
+                suspect.tellings_left -= 1;
+                told.push(*fingerprint);
+            }
+        }
+        for fingerprint in self.next_in_turn(now) {
+            if !told.contains(&fingerprint) {
+                told.push(fingerprint);
+            }
+        }
+        let told = told.into_iter();
+        told.filter_map(|fingerprint| self.told(now, fingerprint))
+            .collect()
+    }
+
+    /// The suspects under which this host saw an upstream crash after `since`.
+    pub fn witnessed(&self, now: Time, since: Time) -> Vec<ToldSuspect> {
+        let suspects = self.suspects.iter();
+        let witnessed = suspects
+            .filter(|(_, suspect)| suspect.witnessed_at.is_some_and(|at| at > since))
+            .take(NEWS_TOLD);
+        witnessed
+            .filter_map(|(fingerprint, _)| self.told(now, *fingerprint))
+            .collect()
+    }
+
+    fn next_in_turn(&mut self, now: Time) -> Vec<Fingerprint> {
+        let last = self.told_in_turn_at;
+        if last.is_some_and(|last| now.since(last) < TURN_INTERVAL) {
+            return Vec::new();
+        }
+        self.told_in_turn_at = Some(now);
+        let mut next = self.in_turn(self.told_repeated, REPEATED_TOLD, Suspect::is_repeated);
+        let single = self.in_turn(self.told_single, SINGLE_TOLD, Suspect::is_single);
+        self.told_repeated = next.last().copied().or(self.told_repeated);
+        self.told_single = single.last().copied().or(self.told_single);
+        next.extend(single);
+        next
+    }
+
+    /// The next `count` suspects behind `last` that `is_meant` says, in a circle.
+    fn in_turn(
+        &self,
+        last: Option<Fingerprint>,
+        count: usize,
+        is_meant: impl Fn(&Suspect) -> bool,
+    ) -> Vec<Fingerprint> {
+        let from = last.map_or(Bound::Unbounded, Bound::Excluded);
+        let behind = self.suspects.range((from, Bound::Unbounded));
+        let to = last.map_or(Bound::Excluded(Fingerprint::MIN), Bound::Included);
+        let before = self.suspects.range((Bound::Unbounded, to));
+        let meant = behind
+            .chain(before)
+            .filter(|(_, suspect)| is_meant(suspect));
+        meant
+            .take(count)
+            .map(|(fingerprint, _)| *fingerprint)
+            .collect()
+    }
+
+    /// What this host knows of a content, for others.
+    pub fn told(&self, now: Time, fingerprint: Fingerprint) -> Option<ToldSuspect> {
+        let suspect = self.suspects.get(&fingerprint)?;
+        let crashes = suspect.crashes.iter();
+        Some(ToldSuspect {
+            fingerprint,
+            crashes: crashes
+                .map(|crash| (crash.upstream, ms_since(now, crash.at)))
+                .collect(),
+            answered_ms_ago: suspect.answered_at.map(|at| ms_since(now, at)),
+        })
+    }
+}
+
+fn ms_since(now: Time, at: Time) -> u32 {
+    u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
+}
