--- a/tests/deadlyrequests/mod.rs
+++ b/tests/deadlyrequests/mod.rs
@@ -160,6 +160,13 @@
     }
 }
 
+/// Upstreams that crash under repeats once a request is known for it.
+fn crashes_once_known(kind: &str, behaviour: Behaviour, death: Death) -> usize {
+    let mut deployment = Deployment::start(kind, behaviour, death);
+    deployment.make_known();
+    deployment.crashes_of_repeats()
+}
+
 const SOUND: Behaviour = Behaviour::Answer(200, "sound");
 const SOUND_STREAM: Behaviour = Behaviour::Events {
     to: 3,
@@ -186,30 +193,21 @@
 
 #[test]
 fn a_stream_under_which_upstreams_crash_late_is_held_back() {
-    let mut deployment = Deployment::start("stream", SOUND_STREAM, Death::AfterEvents(2));
-    deployment.make_known();
-
-    let crashes = deployment.crashes_of_repeats();
+    let crashes = crashes_once_known("stream", SOUND_STREAM, Death::AfterEvents(2));
 
     assert!(crashes <= RETRIES_MAX, "{crashes} crashed");
 }
 
 #[test]
 fn a_call_that_may_be_repeated_and_crashes_upstreams_is_held_back() {
-    let mut deployment = Deployment::start("idempotent", SOUND, Death::BeforeAnswer);
-    deployment.make_known();
-
-    let crashes = deployment.crashes_of_repeats();
+    let crashes = crashes_once_known("idempotent", SOUND, Death::BeforeAnswer);
 
     assert!(crashes <= RETRIES_MAX, "{crashes} crashed");
 }
 
 #[test]
 fn a_call_that_runs_once_and_crashes_upstreams_is_held_back() {
-    let mut deployment = Deployment::start("once", SOUND, Death::BeforeAnswer);
-    deployment.make_known();
-
-    let crashes = deployment.crashes_of_repeats();
+    let crashes = crashes_once_known("once", SOUND, Death::BeforeAnswer);
 
     assert!(crashes <= RETRIES_MAX, "{crashes} crashed");
 }
--- a/tests/logreturns/mod.rs
+++ b/tests/logreturns/mod.rs
@@ -51,6 +51,14 @@
     (fleet, upstreams)
 }
 
+/// Lists an upstream so many times more, which changes nothing, until all hosts have gone on serving.
+fn list_again(hosts: &[World], upstream: &FakeUpstream, times: usize) {
+    for _ in 0..times {
+        list(&hosts[0].log, upstream, "ready");
+    }
+    assert!(wait_until(|| hosts.iter().all(|host| status(host) == 200)));
+}
+
 fn publish(log: &FakeLog, version: u64, key: &str) {
     let mut configuration = table(version, json!([route("idempotent")]));
     configuration["keys"] = json!({ key: "canton" });
@@ -84,8 +92,7 @@
 fn a_notice_under_an_offset_given_out_again_is_heard() {
     let (hosts, upstreams) = deployment(4);
     let log = &hosts[0].log;
-    list(log, &upstreams[1], "ready");
-    assert!(wait_until(|| hosts.iter().all(|host| status(host) == 200)));
+    list_again(&hosts, &upstreams[1], 1);
 
     log.return_from_copy("upstreams", 1);
     list(log, &upstreams[0], "leaving");
@@ -98,8 +105,7 @@
 fn hosts_that_leave_the_reading_to_others_hear_such_a_notice() {
     let (hosts, upstreams) = deployment(20);
     let log = &hosts[0].log;
-    list(log, &upstreams[1], "ready");
-    assert!(wait_until(|| hosts.iter().all(|host| status(host) == 200)));
+    list_again(&hosts, &upstreams[1], 1);
 
     log.return_from_copy("upstreams", 1);
     list(log, &upstreams[0], "leaving");
@@ -111,10 +117,7 @@
 fn a_notice_in_a_log_that_is_shorter_than_before_is_heard() {
     let (hosts, upstreams) = deployment(4);
     let log = &hosts[0].log;
-    for _ in 0..6 {
-        list(log, &upstreams[1], "ready");
-    }
-    assert!(wait_until(|| hosts.iter().all(|host| status(host) == 200)));
+    list_again(&hosts, &upstreams[1], 6);
 
     log.return_from_copy("upstreams", 5);
     list(log, &upstreams[0], "leaving");
@@ -170,8 +173,7 @@
 fn two_returns_in_a_row_lose_no_notice() {
     let (hosts, upstreams) = deployment(4);
     let log = &hosts[0].log;
-    list(log, &upstreams[1], "ready");
-    assert!(wait_until(|| hosts.iter().all(|host| status(host) == 200)));
+    list_again(&hosts, &upstreams[1], 1);
 
     log.return_from_copy("upstreams", 1);
     list(log, &upstreams[2], "ready");
@@ -185,8 +187,7 @@
 fn a_host_whose_reads_are_not_answered_hears_of_the_return_from_others() {
     let (hosts, upstreams) = deployment(4);
     let log = &hosts[0].log;
-    list(log, &upstreams[1], "ready");
-    assert!(wait_until(|| hosts.iter().all(|host| status(host) == 200)));
+    list_again(&hosts, &upstreams[1], 1);
     hosts[3].log.set_silence(Silence::AllCalls);
 
     log.return_from_copy("upstreams", 1);
