Step the spreading of suspects in a model of 4 to 1,100 hosts

One datagram in ten lost, a witness that knows four hosts of each other data centre: all hosts hold the request back within 3 s of the third crash.

--- a/src/gateway/suspects/tests.rs
+++ b/src/gateway/suspects/tests.rs
@@ -20,6 +20,8 @@
 use crate::gateway::instance::InstanceId;
 use crate::id::UpstreamId;
 
+mod spread;
+
 const START: Time = Time::from_ms(100_000);
 
 fn at(ms: u64) -> Time {
--- /dev/null
+++ b/src/gateway/suspects/tests/spread.rs
@@ -0,0 +1,141 @@
+//! How long a fleet takes until all of it holds back a request, in virtual time.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::super::CRASHES_MAX;
+use super::super::Suspects;
+use super::super::ToldSuspect;
+use super::at;
+use super::content;
+use super::is_held_back;
+use super::upstream;
+use crate::clock::Time;
+use crate::gateway::gossip::FAR_INTERVAL;
+use crate::gateway::gossip::interval_among;
+
+/// One datagram in ten is lost.
+const LOSS: f64 = 0.1;
+/// Hosts of each other data centre that a host tells in one of its rounds there.
+const FAR_PARTNERS: usize = 3;
+/// Hosts of each other data centre that a host knows at least.
+const KNOWN_FAR: usize = 4;
+/// All hosts know within this time: a host is held to what others know 3 s after the last crash.
+const BOUND: Duration = Duration::from_millis(3_000);
+/// The step of the model's time.
+const STEP: Duration = Duration::from_millis(50);
+
+struct Host {
+    suspects: Suspects,
+    next_near: Time,
+    next_far: Time,
+}
+
+struct Fleet {
+    hosts: Vec<Host>,
+    data_centres: usize,
+    random: ChaCha8Rng,
+}
+
+impl Fleet {
+    fn start(count: usize, data_centres: usize) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(11);
+        let near = interval_among(count / data_centres);
+        let mut part = |whole: Duration| at(0) + whole.mul_f64(random.random());
+        let hosts = (0..count).map(|_| Host {
+            suspects: Suspects::default(),
+            next_near: part(near),
+            next_far: part(FAR_INTERVAL),
+        });
+        Fleet {
+            hosts: hosts.collect(),
+            data_centres,
+            random,
+        }
+    }
+
+    /// The hosts of a data centre: those whose numbers leave the same rest.
+    fn hosts_in(&self, data_centre: usize) -> Vec<usize> {
+        let hosts = 0..self.hosts.len();
+        hosts
+            .filter(|host| host % self.data_centres == data_centre)
+            .collect()
+    }
+
+    fn send(&mut self, now: Time, targets: &[usize], told: &[ToldSuspect]) {
+        for target in targets {
+            if !self.random.random_bool(LOSS) {
+                self.hosts[*target].suspects.hear(now, told);
+            }
+        }
+    }
+
+    /// A host sees an upstream crash and tells all whom it knows at once: its data centre and some of each other.
+    fn witness(&mut self, now: Time, host: usize, crashed: usize) {
+        let suspects = &mut self.hosts[host].suspects;
+        suspects.crashed(now, content(0), &upstream(crashed));
+        let told = suspects.witnessed(now, Time::from_us(now.as_us() - 1));
+        let here = host % self.data_centres;
+        for data_centre in 0..self.data_centres {
+            let mut known = self.hosts_in(data_centre);
+            if data_centre != here {
+                known.truncate(KNOWN_FAR);
+            }
+            self.send(now, &known, &told);
+        }
+    }
+
+    fn round(&mut self, now: Time, host: usize) {
+        let here = host % self.data_centres;
+        let near = self.hosts_in(here);
+        if self.hosts[host].next_near <= now {
+            self.hosts[host].next_near = now + interval_among(near.len());
+            let told = self.hosts[host].suspects.tell(now);
+            self.send(now, &near, &told);
+        }
+        if self.hosts[host].next_far <= now {
+            self.hosts[host].next_far = now + FAR_INTERVAL;
+            let told = self.hosts[host].suspects.tell(now);
+            for data_centre in (0..self.data_centres).filter(|other| *other != here) {
+                let there = self.hosts_in(data_centre);
+                let from = self.random.random_range(0..there.len());
+                let some = there.iter().cycle().skip(from).take(FAR_PARTNERS);
+                let some: Vec<usize> = some.copied().collect();
+                self.send(now, &some, &told);
+            }
+        }
+    }
+
+    /// Time from the last crash until all hosts hold the request back.
+    fn time_until_all_know(&mut self) -> Duration {
+        let count = self.hosts.len();
+        for crashed in 0..CRASHES_MAX {
+            // Each by a host of another data centre.
+            self.witness(at(crashed as u64), crashed % count, crashed);
+        }
+        let last = at(CRASHES_MAX as u64);
+        let mut now = last;
+        while now.since(last) < BOUND * 2 {
+            let hosts = self.hosts.iter();
+            let mut held_back = hosts.map(|host| is_held_back(&host.suspects, now, 0));
+            if held_back.all(|is_held_back| is_held_back) {
+                return now.since(last);
+            }
+            now = now + STEP;
+            (0..count).for_each(|host| self.round(now, host));
+        }
+        now.since(last)
+    }
+}
+
+#[test]
+fn all_hosts_hold_back_in_time_whatever_the_size_of_the_fleet() {
+    for (hosts, data_centres) in [(4, 1), (30, 3), (300, 5), (1_100, 15)] {
+        let time = Fleet::start(hosts, data_centres).time_until_all_know();
+
+        assert!(time < BOUND, "{hosts} hosts: {time:?}");
+    }
+}
