Let a stopped run go on at a host that has just woken, and name what suspects do in plain words

A run that is being moved was stopped at its source; refusing to continue it while the host confirms what it believes would lose it. By reading, no test. Upstreams that are remembered as living are forgotten also once no request is suspected.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -52,7 +52,8 @@
     headers: &AttemptHeaders<'_>,
 ) -> Result<Begun, Unanswered> {
     shared.look_for_suspension();
-    if shared.is_waking() {
+    // A run that was stopped to be moved goes on all the same, or it is lost.
+    if headers.continue_from.is_none() && shared.is_waking() {
         let reason = "the host was suspended before it was sent".to_owned();
         return Err(Unanswered::NotRun(reason));
     }
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -6,7 +6,7 @@
 //! none twice, whoever saw its end.
 //!
 //! An upstream whose connection broke is taken for crashed until it answers a later request, or is still listed
-//! when a crashed one would have lapsed; so a reset connection accuses nobody for long. A content that is
+//! when a crashed one would have lapsed; so a reset connection is held against nobody for long. A content that is
 //! answered in whole is cleared of all crashes before.
 
 use std::collections::BTreeMap;
@@ -44,7 +44,7 @@
 #[derive(Debug, Default)]
 pub struct Suspects {
     suspects: BTreeMap<Fingerprint, Suspect>,
-    /// When upstreams that stand accused were last known to be alive.
+    /// When upstreams that are recorded as crashed were last known to be alive.
     alive: HashMap<InstanceKey, Time>,
     /// The last ones that were told in turn.
     told_repeated: Option<Fingerprint>,
@@ -104,16 +104,16 @@
         }
         let key = upstream.key();
         if self.alive.contains_key(&key) {
-            self.acquit(key, sent_at);
+            self.retract(key, sent_at);
         }
     }
 
-    /// Whether anything is known against any request.
+    /// Whether nothing is remembered, of requests or of upstreams.
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
+        self.suspects.is_empty() && self.alive.is_empty()
     }
 
-    /// Acquits what is listed though it would have lapsed if it had crashed.
+    /// Takes back the crashes of what is listed though it would have lapsed if it had crashed.
     pub fn look_at_listed(&mut self, now: Time, listed: &Listed) {
         let Listed::Fresh(listed) = listed else {
             self.view_fresh_since = None;
@@ -132,7 +132,7 @@
             .into_iter()
             .filter(|upstream| listed.contains(upstream))
         {
-            self.acquit(upstream, lapsed_before);
+            self.retract(upstream, lapsed_before);
         }
     }
 
@@ -205,7 +205,7 @@
         let suspects = &self.suspects;
         self.alive.retain(|upstream, alive_at| {
             now.since(*alive_at) < REMEMBERED
-                || suspects.values().any(|suspect| suspect.accuses(*upstream))
+                || suspects.values().any(|suspect| suspect.names(*upstream))
         });
     }
 
@@ -220,7 +220,7 @@
     }
 
     /// Takes back that `upstream` crashed before `alive_at`.
-    fn acquit(&mut self, upstream: InstanceKey, alive_at: Time) {
+    fn retract(&mut self, upstream: InstanceKey, alive_at: Time) {
         let known = self.alive.entry(upstream).or_insert(alive_at);
         *known = (*known).max(alive_at);
         for suspect in self.suspects.values_mut() {
--- a/src/gateway/suspects/suspect.rs
+++ b/src/gateway/suspects/suspect.rs
@@ -9,7 +9,7 @@
 /// requests that callers repeat; three without an answer in between don't.
 pub const CRASHES_MAX: usize = 3;
 /// A request is held back for this long after its last crash, and then tried by one host. Three upstreams
-/// that ran an innocent request may have been lost together, and nobody runs it any more who could clear it.
+/// that ran a harmless request may have been lost together, and nobody runs it any more who could clear it.
 pub(super) const HELD_BACK_MIN: Duration = Duration::from_secs(15);
 /// So many times longer after each further crash: 15 s, 2 min, 16 min, 2.1 h,
 const HELD_BACK_FACTOR: u32 = 8;
@@ -134,7 +134,7 @@
         self.crashes.is_empty() && self.answered_at.is_none()
     }
 
-    pub(super) fn accuses(&self, upstream: InstanceKey) -> bool {
+    pub(super) fn names(&self, upstream: InstanceKey) -> bool {
         self.crashes.iter().any(|crash| crash.upstream == upstream)
     }
 }
