Call one piece of code for what the change had written again, and do less on each event

Read once more, behaviour as before, tests keep their assertions: - a stream looked at the clock and subscribed to the host's waking on each event; the directory's watch, which a waking bumps already, is enough (a_stream_whose_callers_time_ran_out_meanwhile_is_ended as before); - Directory::ready_instances was all_ready again; the choice of one host was ownword's rendezvous hashing again (both call rendezvous::is_first now; which host makes a trial is another one, as one of all); appending to the log stood in hostlisting and suspectlog; - suspects told a change by a time kept beside it, now by what adding and clearing return; - hexadecimal digits by the standard library; one constant for partners in other data centres; three tests of the log's return by one fixture.

--- a/src/fingerprint.rs
+++ b/src/fingerprint.rs
@@ -42,8 +42,7 @@
 
     /// All of its digits, in hexadecimal.
     pub fn to_hex(self) -> String {
-        let bytes = self.0.iter();
-        bytes.map(|byte| format!("{byte:02x}")).collect()
+        format!("{:032x}", u128::from_be_bytes(self.0))
     }
 
     /// The fingerprint of a request.
@@ -78,20 +77,16 @@
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self> {
-        let digits = text.as_bytes().chunks(2);
-        let bytes: Option<Vec<u8>> = digits.map(byte_of).collect();
-        let bytes = bytes.and_then(|bytes| bytes.try_into().ok());
-        bytes
-            .map(Fingerprint)
+        // The standard library's reader takes a sign as well.
+        let is_digits = text.len() == 2 * BYTES && !text.starts_with('+');
+        let number = u128::from_str_radix(text, 16);
+        number
+            .ok()
+            .filter(|_| is_digits)
+            .map(|number| Fingerprint(number.to_be_bytes()))
             .ok_or_else(|| Error::Fingerprint(text.to_owned()))
     }
 }
 
-fn byte_of(digits: &[u8]) -> Option<u8> {
-    let [high, low] = digits else { return None };
-    let value = |digit: &u8| char::from(*digit).to_digit(16);
-    u8::try_from(value(high)? << 4 | value(low)?).ok()
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -41,6 +41,7 @@
 pub mod reach;
 pub(crate) mod reading;
 pub mod refuse;
+pub(crate) mod rendezvous;
 pub mod rescue;
 pub mod retrybudget;
 pub mod route;
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -307,13 +307,6 @@
             .or_else(|| self.witnessed.get(id).copied())
     }
 
-    /// The instances that take new work, of all services.
-    pub fn ready_instances(&self) -> Vec<InstanceId> {
-        let entries = self.entries.values();
-        let ready = entries.filter(|entry| self.is_ready(&entry.upstream.id));
-        ready.map(|entry| entry.upstream.id.clone()).collect()
-    }
-
     /// The upstreams of a service that take new work.
     pub fn ready(&self, service: &ServiceId) -> Vec<Arc<Upstream>> {
         let entries = self.entries.values();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -9,7 +9,7 @@
 use http::HeaderMap;
 use tokio::time::Instant;
 
-use self::newest::era_of;
+use self::calls::era_of;
 use crate::clock::Time;
 use crate::error::Error;
 use crate::error::Result;
@@ -28,9 +28,10 @@
 use crate::telemetry;
 use crate::telemetry::Metric;
 
-mod newest;
+mod calls;
 
-pub(crate) use self::newest::newest;
+pub(crate) use self::calls::append;
+pub(crate) use self::calls::newest;
 
 /// A call that doesn't wait, of a host that knows nothing yet: many start together.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
--- a/src/gateway/follow/newest.rs
+++ b/src/gateway/follow/calls.rs
@@ -1,11 +1,14 @@
-//! Reads the newest record of each key of a topic.
+//! Calls to the log's keyed topics: the newest record of each key, and one record more.
 
 use std::time::Duration;
 
 use http::HeaderMap;
 
+use super::CALL_TIMEOUT;
 use super::Interrupted;
 use super::Step;
+use crate::error::Error;
+use crate::error::Result;
 use crate::gateway::ownclient::OwnClient;
 use crate::gateway::position::Era;
 use crate::gateway::position::Position;
@@ -56,3 +59,25 @@
         }
     }
 }
+
+/// Appends a record to a topic of the system's own; one without a value removes its key.
+///
+/// # Errors
+///
+/// [`Error::Remote`] if the log doesn't answer, or refuses it.
+pub(crate) async fn append(
+    shared: &Shared,
+    client: &mut OwnClient,
+    topic: Topic,
+    key: &str,
+    value: &[u8],
+) -> Result<()> {
+    let call = shared.protocol().append_call(topic, key, value);
+    match client.call(&call, CALL_TIMEOUT).await? {
+        (200, _) => Ok(()),
+        (status, _) => Err(Error::Remote {
+            peer: "the platform's log".to_owned(),
+            reason: format!("status {status}"),
+        }),
+    }
+}
--- a/src/gateway/hostlisting.rs
+++ b/src/gateway/hostlisting.rs
@@ -5,6 +5,7 @@
 use tokio::time::Instant;
 
 use crate::gateway::follow::CALL_TIMEOUT;
+use crate::gateway::follow::append;
 use crate::gateway::follow::newest;
 use crate::gateway::ownclient::OwnClient;
 use crate::gateway::position::Era;
@@ -50,18 +51,11 @@
 async fn list_host(shared: &Shared, client: &mut OwnClient) -> bool {
     let own = shared.gossip_address().to_string();
     let value = shared.settings().host.as_str().as_bytes();
-    let call = shared.protocol().append_call(Topic::Hosts, &own, value);
-    match client.call(&call, CALL_TIMEOUT).await {
-        Ok((200, _)) => true,
-        Ok((status, _)) => {
-            log::debug!("listing this host: status {status}");
-            false
-        }
-        Err(error) => {
-            log::debug!("listing this host: {error}");
-            false
-        }
+    let appended = append(shared, client, Topic::Hosts, &own, value).await;
+    if let Err(error) = &appended {
+        log::debug!("listing this host: {error}");
     }
+    appended.is_ok()
 }
 
 async fn learn_hosts(shared: &Shared, client: &mut OwnClient) {
--- a/src/gateway/ownword.rs
+++ b/src/gateway/ownword.rs
@@ -10,7 +10,6 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::event::EventCode;
 use crate::gateway::directory::Upstream;
@@ -18,6 +17,7 @@
 use crate::gateway::ownclient::OwnClient;
 use crate::gateway::protocol::EngineReport;
 use crate::gateway::protocol::Topic;
+use crate::gateway::rendezvous;
 use crate::gateway::shared::Shared;
 use crate::id::HostId;
 
@@ -58,12 +58,8 @@
 
 /// Whether `host` asks the engine, and none of `others`.
 fn is_asker(host: &HostId, others: &[HostId], engine: &InstanceId) -> bool {
-    let weight = |host: &HostId| {
-        let seed = xxh3_64_with_seed(host.as_str().as_bytes(), 0);
-        xxh3_64_with_seed(engine.as_str().as_bytes(), seed)
-    };
-    let own = weight(host);
-    others.iter().all(|other| weight(other) <= own)
+    let others = others.iter().map(HostId::as_str);
+    rendezvous::is_first(host.as_str(), others, engine.as_str())
 }
 
 async fn ask(shared: &Shared, engine: &Upstream) {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -9,14 +9,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use crate::clock::Time;
 use crate::gateway::datagram::Datagram;
 use crate::gateway::datagram::Topics;
 use crate::gateway::document::catchup::Distance;
 use crate::gateway::document::catchup::Holder;
+use crate::gateway::rendezvous;
 use crate::id::DataCentre;
 use crate::id::HostId;
 
@@ -28,6 +26,8 @@
 mod partners;
 mod readers;
 
+#[cfg(test)]
+pub(crate) use self::partners::FAR_PARTNERS;
 pub use self::partners::Recipients;
 
 /// What a host fetches from peers. A long transfer of one doesn't hold up the other.
@@ -193,16 +193,18 @@
 
     /// For how long no host of another data centre was heard; none if none ever was.
     pub(crate) fn silence_outside(&self, now: Time) -> Option<Duration> {
-        let words = self.words.iter();
-        let outside = words.filter(|(other, _)| **other != self.data_centre);
-        outside.map(|(_, word)| now.since(word.at)).min()
+        self.silences_outside(now).min()
     }
 
     /// For how long the most silent of the other data centres was not heard; none if there is none.
     pub(crate) fn longest_silence_outside(&self, now: Time) -> Option<Duration> {
+        self.silences_outside(now).max()
+    }
+
+    fn silences_outside(&self, now: Time) -> impl Iterator<Item = Duration> {
         let words = self.words.iter();
         let outside = words.filter(|(other, _)| **other != self.data_centre);
-        outside.map(|(_, word)| now.since(word.at)).max()
+        outside.map(move |(_, word)| now.since(word.at))
     }
 
     /// The live hosts of the own data centre.
@@ -216,14 +218,13 @@
     /// Whether of all hosts `host`, this one, is the one to do something once that `what` names: the same data centre
     /// of those heard of late, and the same host of it, for all who hear the same.
     pub(crate) fn is_chosen(&self, now: Time, host: &HostId, what: &str) -> bool {
-        let rank = |name: &str| xxh3_64_with_seed(name.as_bytes(), xxh3_64(what.as_bytes()));
-        let own = rank(self.data_centre.as_str());
         let words = self.words.iter();
-        let mut heard = words.filter(|(_, word)| now.since(word.at) < LIVE_FOR);
-        let is_here = heard.all(|(other, _)| rank(other.as_str()) >= own);
+        let heard = words.filter(|(_, word)| now.since(word.at) < LIVE_FOR);
+        let data_centres = heard.map(|(data_centre, _)| data_centre.as_str());
         let near = self.live_near(now);
-        let mut others = near.iter().filter(|other| *other != host);
-        is_here && others.all(|other| rank(other.as_str()) > rank(host.as_str()))
+        let hosts = near.iter().map(HostId::as_str);
+        rendezvous::is_first(self.data_centre.as_str(), data_centres, what)
+            && rendezvous::is_first(host.as_str(), hosts, what)
     }
 
     /// Number of the live hosts of the own data centre.
--- a/src/gateway/peers/partners.rs
+++ b/src/gateway/peers/partners.rs
@@ -20,7 +20,7 @@
 /// Hosts of each other data centre that a host of a large fleet tells in one of its rounds. All hosts of
 /// a data centre do, so that each host hears about as many of it: no word within [`LIVE_FOR`], two
 /// rounds and more, is one case in a thousand where as many hosts tell as listen.
-const FAR_PARTNERS: usize = 3;
+pub(crate) const FAR_PARTNERS: usize = 3;
 
 /// Which hosts a round is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/gateway/shared/suspicion.rs
+++ b/src/gateway/shared/suspicion.rs
@@ -114,8 +114,9 @@
         if !self.hears_log(Topic::Upstreams) {
             return Listed::Unknown;
         }
-        let ready = self.directory(|directory| directory.ready_instances());
-        let reachable = ready.iter().filter(|id| !self.is_passed_over(now, id));
+        let ready = self.directory(|directory| directory.all_ready());
+        let instances = ready.iter().map(|upstream| &upstream.id);
+        let reachable = instances.filter(|id| !self.is_passed_over(now, id));
         Listed::Fresh(reachable.map(InstanceId::key).collect())
     }
 
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -86,10 +86,6 @@
     /// The next whole events, or none after the last one.
     pub(super) async fn next(&mut self) -> Option<Result<Bytes, BrokenOff>> {
         loop {
-            // The host may have been suspended since the last event.
-            if self.admitted.time_left().is_zero() {
-                return self.fail("the deadline passed");
-            }
             match self.happened().await {
                 Happened::Frame(Some(Ok(data))) => match self.splitter.push(&data) {
                     Ok(events) if events.is_empty() => {}
@@ -105,6 +101,10 @@
                 }
                 Happened::Frame(None) => self.broken = Some("ended within an event".to_owned()),
                 Happened::Frame(Some(Err(reason))) => self.broken = Some(reason),
+                // Timers don't count a suspension of the host, which is told in the same way.
+                Happened::DirectoryChanged if self.admitted.time_left().is_zero() => {
+                    return self.fail("the deadline passed");
+                }
                 Happened::DirectoryChanged => self.look_at_directory(),
                 Happened::Turn(ticket) => self.begin_move(ticket),
                 Happened::FirstCopied(result) => self.first_copied(result),
@@ -170,7 +170,6 @@
             _ = self.changes.changed() => Happened::DirectoryChanged,
             () = sleep_until(timer) => Happened::Timer,
             () = tokio::time::sleep_until(self.admitted.deadline) => Happened::Deadline,
-            () = self.shared.deadline_slept_through(self.admitted.deadline_at) => Happened::Deadline,
         }
     }
 
--- a/src/gateway/suspectlog.rs
+++ b/src/gateway/suspectlog.rs
@@ -13,11 +13,11 @@
 use tokio::time::Instant;
 
 use crate::clock::wall_ms;
-use crate::error::Error;
 use crate::error::Result;
 use crate::event::EventCode;
 use crate::fingerprint::Fingerprint;
 use crate::gateway::follow::CALL_TIMEOUT;
+use crate::gateway::follow::append;
 use crate::gateway::follow::newest;
 use crate::gateway::instance::InstanceKey;
 use crate::gateway::ownclient::OwnClient;
@@ -166,18 +166,7 @@
     let host = &shared.settings().host;
     let key = format!("{}@{host}", suspect.fingerprint.to_hex());
     let value = serde_json::to_vec(&StoredSuspect::new(suspect, wall_ms()))?;
-    append(shared, client, &key, &value).await
-}
-
-async fn append(shared: &Shared, client: &mut OwnClient, key: &str, value: &[u8]) -> Result<()> {
-    let call = shared.protocol().append_call(Topic::Suspects, key, value);
-    match client.call(&call, CALL_TIMEOUT).await? {
-        (200, _) => Ok(()),
-        (status, _) => Err(Error::Remote {
-            peer: "the platform's log".to_owned(),
-            reason: format!("status {status}"),
-        }),
-    }
+    append(shared, client, Topic::Suspects, &key, &value).await
 }
 
 /// Takes what other hosts have written, and removes what is old; whether the log answered.
@@ -212,7 +201,7 @@
     }
     shared.hear_suspects("log", &told);
     for key in old.into_iter().take(REMOVED_AT_ONCE) {
-        if let Err(error) = append(shared, client, key, &[]).await {
+        if let Err(error) = append(shared, client, Topic::Suspects, key, &[]).await {
             log::debug!("removing a suspect: {error}");
         }
     }
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -76,20 +76,21 @@
             upstream: upstream.key(),
             at: now,
         };
-        self.add(now, fingerprint, crash);
-        let standing = self.standing_if_changed(now, fingerprint)?;
+        if !self.add(fingerprint, crash) {
+            return None;
+        }
         if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
             suspect.witnessed_at = Some(now);
             suspect.tellings_left = OWN_TELLINGS;
             suspect.is_unwritten = true;
         }
-        Some(standing)
+        self.standing(now, fingerprint)
     }
 
     /// An upstream answered such a request in whole. Its standing before, if it was a suspect.
     pub fn answered(&mut self, now: Time, fingerprint: Fingerprint) -> Option<Standing> {
         let before = self.standing(now, fingerprint);
-        self.clear(now, fingerprint, now);
+        self.clear(fingerprint, now);
         if before.is_some_and(|before| before.crashes > 1)
             && let Some(suspect) = self.suspects.get_mut(&fingerprint)
         {
@@ -160,19 +161,19 @@
         let mut changed = Vec::new();
         for suspect in told {
             let fingerprint = suspect.fingerprint;
-            if let Some(ms) = suspect.answered_ms_ago {
-                self.clear(now, fingerprint, ago(now, ms));
-            }
+            let answered_at = suspect.answered_ms_ago.map(|ms| ago(now, ms));
+            let mut is_news = answered_at.is_some_and(|at| self.clear(fingerprint, at));
             for (upstream, ms) in suspect.crashes.iter().take(CRASHES_KEPT) {
                 let crash = Crash {
                     upstream: *upstream,
                     at: ago(now, *ms),
                 };
-                self.add(now, fingerprint, crash);
+                is_news |= self.add(fingerprint, crash);
             }
-            if let Some(standing) = self.standing_if_changed(now, fingerprint) {
+            if is_news {
                 self.tell_on(fingerprint);
-                changed.push((fingerprint, standing));
+                let standing = self.standing(now, fingerprint);
+                changed.extend(standing.map(|standing| (fingerprint, standing)));
             }
         }
         changed
@@ -231,21 +232,20 @@
         self.suspects.retain(|_, suspect| !suspect.is_void());
     }
 
-    fn add(&mut self, now: Time, fingerprint: Fingerprint, crash: Crash) {
+    /// Adds a crash to what is known; true if it is news.
+    fn add(&mut self, fingerprint: Fingerprint, crash: Crash) -> bool {
         let alive_at = *self.alive.entry(crash.upstream).or_insert(Time::ZERO);
         if alive_at > crash.at {
-            return;
+            return false;
         }
         if !self.suspects.contains_key(&fingerprint) {
             self.make_room();
         }
         let suspect = self.suspects.entry(fingerprint).or_default();
         if suspect.answered_at.is_some_and(|at| at > crash.at) {
-            return;
-        }
-        if suspect.note(crash) {
-            suspect.changed_at = now;
+            return false;
         }
+        suspect.note(crash)
     }
 
     /// Tells on what was heard, if it matters to whoever is sent the next repeat.
@@ -257,29 +257,19 @@
         }
     }
 
-    fn clear(&mut self, now: Time, fingerprint: Fingerprint, answered_at: Time) {
+    /// Takes back all crashes before an answer; true if there were any.
+    fn clear(&mut self, fingerprint: Fingerprint, answered_at: Time) -> bool {
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
-            return;
+            return false;
         };
         let known = suspect.crashes.len();
         suspect.crashes.retain(|crash| crash.at >= answered_at);
         suspect.answered_at = suspect.answered_at.max(Some(answered_at));
-        if suspect.crashes.len() < known {
-            suspect.changed_at = now;
+        let is_news = suspect.crashes.len() < known;
+        if is_news {
             suspect.tellings_left = HEARD_TELLINGS;
         }
-    }
-
-    /// The standing of a content that changed just now.
-    fn standing_if_changed(&self, now: Time, fingerprint: Fingerprint) -> Option<Standing> {
-        let suspect = self.suspects.get(&fingerprint)?;
-        (suspect.changed_at == now).then(|| {
-            let standing = self.standing(now, fingerprint);
-            standing.unwrap_or(Standing {
-                crashes: 0,
-                verdict: Verdict::Sent,
-            })
-        })
+        is_news
     }
 
     fn make_room(&mut self) {
--- a/src/gateway/suspects/suspect.rs
+++ b/src/gateway/suspects/suspect.rs
@@ -34,7 +34,6 @@
 pub(super) struct Suspect {
     pub(super) crashes: Vec<Crash>,
     pub(super) answered_at: Option<Time>,
-    pub(super) changed_at: Time,
     /// When this host last saw an upstream crash under it.
     pub(super) witnessed_at: Option<Time>,
     /// Datagrams that will tell of its last change.
--- a/src/gateway/suspects/tests/spread.rs
+++ b/src/gateway/suspects/tests/spread.rs
@@ -16,11 +16,10 @@
 use crate::clock::Time;
 use crate::gateway::gossip::FAR_INTERVAL;
 use crate::gateway::gossip::interval_among;
+use crate::gateway::peers::FAR_PARTNERS;
 
 /// One datagram in ten is lost.
 const LOSS: f64 = 0.1;
-/// Hosts of each other data centre that a host tells in one of its rounds there.
-const FAR_PARTNERS: usize = 3;
 /// Hosts of each other data centre that a host knows at least.
 const KNOWN_FAR: usize = 4;
 /// All hosts know within this time: a host is held to what others know 3 s after the last crash.
--- a/tests/logreturns/mod.rs
+++ b/tests/logreturns/mod.rs
@@ -69,19 +69,32 @@
     ask(host.callers(), &post("/nets/7", "", "tighten")).status
 }
 
+fn ask_once(host: &World) {
+    status(host);
+}
+
+/// [`requests_after_drain`] of an upstream whose notice is the first record after the log's return from a copy that lacks the
+/// last `lost` of its records; `times` of them change nothing.
+fn requests_after_notice(hosts: usize, times: usize, lost: usize) -> usize {
+    let (hosts, upstreams) = deployment(hosts);
+    let log = &hosts[0].log;
+    list_again(&hosts, &upstreams[1], times);
+
+    log.return_from_copy("upstreams", lost);
+    list(log, &upstreams[0], "leaving");
+
+    requests_after_drain(&hosts, &upstreams[0])
+}
+
 /// Requests that reach `upstream` of those that the hosts are sent, [`DRAIN`] from now on.
 fn requests_after_drain(hosts: &[World], upstream: &FakeUpstream) -> usize {
     let drained = Instant::now() + DRAIN;
     while Instant::now() < drained {
-        hosts.iter().for_each(|host| {
-            status(host);
-        });
+        hosts.iter().for_each(ask_once);
     }
     let before = upstream.seen().len();
     for _ in 0..REQUESTS {
-        hosts.iter().for_each(|host| {
-            status(host);
-        });
+        hosts.iter().for_each(ask_once);
     }
     upstream.seen().len() - before
 }
@@ -90,39 +103,18 @@
 // had read already, so it was skipped: 7 s later it got 8 to 13 of 80 requests.
 #[test]
 fn a_notice_under_an_offset_given_out_again_is_heard() {
-    let (hosts, upstreams) = deployment(4);
-    let log = &hosts[0].log;
-    list_again(&hosts, &upstreams[1], 1);
-
-    log.return_from_copy("upstreams", 1);
-    list(log, &upstreams[0], "leaving");
-
-    assert_eq!(requests_after_drain(&hosts, &upstreams[0]), 0);
+    assert_eq!(requests_after_notice(4, 1, 1), 0);
 }
 
 // From twelve hosts on one of them reads the upstreams for all, and the others go by what it tells.
 #[test]
 fn hosts_that_leave_the_reading_to_others_hear_such_a_notice() {
-    let (hosts, upstreams) = deployment(20);
-    let log = &hosts[0].log;
-    list_again(&hosts, &upstreams[1], 1);
-
-    log.return_from_copy("upstreams", 1);
-    list(log, &upstreams[0], "leaving");
-
-    assert_eq!(requests_after_drain(&hosts, &upstreams[0]), 0);
+    assert_eq!(requests_after_notice(20, 1, 1), 0);
 }
 
 #[test]
 fn a_notice_in_a_log_that_is_shorter_than_before_is_heard() {
-    let (hosts, upstreams) = deployment(4);
-    let log = &hosts[0].log;
-    list_again(&hosts, &upstreams[1], 6);
-
-    log.return_from_copy("upstreams", 5);
-    list(log, &upstreams[0], "leaving");
-
-    assert_eq!(requests_after_drain(&hosts, &upstreams[0]), 0);
+    assert_eq!(requests_after_notice(4, 6, 5), 0);
 }
 
 #[test]
