--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,6 +1,7 @@
 //! The gateway between raw callers and upstreams that misbehave, without any platform.
 
 mod deadlyrequests;
+mod evacuation;
 mod gatewayworld;
 mod instances;
 mod largedocuments;
--- a/tests/gatewayworld/upstream.rs
+++ b/tests/gatewayworld/upstream.rs
@@ -108,6 +108,7 @@
     id: String,
     service: &'static str,
     address: SocketAddr,
+    data_centre: &'static str,
     state: Arc<Mutex<State>>,
 }
 
@@ -124,6 +125,7 @@
             id: id.to_owned(),
             service,
             address: listener.local_addr().unwrap(),
+            data_centre: "north",
             state: Arc::default(),
         };
         upstream.with(|state| state.behaviours = behaviours.iter().cloned().collect());
@@ -141,6 +143,14 @@
         upstream
     }
 
+    /// The same in another data centre than the hosts'.
+    pub fn in_data_centre(self, data_centre: &'static str) -> Self {
+        FakeUpstream {
+            data_centre,
+            ..self
+        }
+    }
+
     /// An upstream of the service `nets` whose process ends under a request with this body.
     pub fn mortal(id: &str, behaviour: Behaviour, body: &'static str, death: Death) -> Self {
         let upstream = FakeUpstream::start(id, &[behaviour]);
@@ -173,6 +183,7 @@
             id: id.to_owned(),
             service: "nets",
             address: listener.local_addr().unwrap(),
+            data_centre: "north",
             state: Arc::default(),
         }
     }
@@ -185,7 +196,7 @@
     pub fn entry(&self, state: &str) -> Value {
         let state = if state == "ready" { "Ready" } else { "Leaving" };
         json!({"id": self.id, "service": self.service, "address": self.address,
-               "data_centre": "north", "state": state, "slots": 4})
+               "data_centre": self.data_centre, "state": state, "slots": 4})
     }
 
     fn with<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
