Obey the operators' word that a data centre is evacuated

Change: what is evacuated is a belief as of a position of the topic. Hosts tell each other all of it in each datagram and with the list of upstreams, the later position goes before; a host that doesn't know yet isn't ready. The directory alone decides who takes work, so first sends, repeats, moves and their copies and the engines' reports that are asked for obey alike. A log that returned from an older copy may lack an evacuation: what was in force is kept for 10 s unless the later history tells of it. A run that was stopped to be moved isn't continued in an evacuated data centre. Where nothing else is left callers are refused at once with a second to come back. Runs stay where they are; a move that finds no destination looks again each 100 ms in place of six times in 150 ms.

Weighed: records as changes told by readers (a lost one must be fetched again), a list with a version of its own (two writers of versions), the whole word by position (kept: a few names, no order to keep, loss is harmless).

Before: the 12 tests of tests/evacuation failed.

--- a/src/event.rs
+++ b/src/event.rs
@@ -98,6 +98,8 @@
     409 ConfigLogUnreachable "A topic of the platform's log cannot be read; the host goes on with what it has.",
     410 ConfigLogReachable "A topic of the platform's log can be read again.",
     411 LogReturned "The platform's log tells a later era: it returned from an older copy, and positions of before are void.",
+    412 DataCentreEvacuated "Operators evacuated a data centre: its upstreams get no new work.",
+    413 DataCentreTakenBack "An evacuation is over: the data centre's upstreams get work again.",
     500 ClaimWon "The request holds its idempotency key: it may be sent once.",
     501 ClaimLost "Another request holds the idempotency key.",
     502 ClaimRefused "The claim was not made: key expired or from the future, or no log.",
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -16,6 +16,7 @@
 pub(crate) mod destinations;
 pub mod directory;
 pub mod document;
+pub mod evacuations;
 pub mod events;
 pub(crate) mod exchange;
 pub mod follow;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -305,10 +305,13 @@
     if let Some((upstream, answer)) = failure {
         return pass_on(shared, admitted, &upstream, answer, tries);
     }
-    let message = format!("no upstream left after {tries} tries");
+    let reason = "no upstream is left";
     let refusal = match may_have_run {
-        0 => Refusal::not_run(Code::NoUpstream, message),
-        _ => Refusal::unknown(Code::UpstreamFailed, message),
+        0 => admitted.no_upstream(shared, tries, reason),
+        _ => Refusal::unknown(
+            Code::UpstreamFailed,
+            format!("{reason} after {tries} tries"),
+        ),
     };
     admitted.refuse(shared, &refusal)
 }
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -11,6 +11,7 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::gateway::directory::Change;
+use crate::gateway::evacuations::ToldEvacuations;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::instance::InstanceKey;
 use crate::gateway::loads::Load;
@@ -28,7 +29,7 @@
 const PART_CHANGES: usize = 10;
 /// First byte of a datagram; rises with each change of its fields, so that hosts of two releases
 /// side by side don't misread each other.
-const FORMAT: u8 = 7;
+const FORMAT: u8 = 8;
 
 /// Topics of the log.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -79,6 +80,8 @@
     pub config: u64,
     /// The latest history of the log that it knows.
     pub log_era: Era,
+    /// The data centres that operators have evacuated.
+    pub evacuations: ToldEvacuations,
     /// The log's position up to which it has read the upstreams.
     pub upstreams: Position,
     /// Where it serves what others lack.
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -19,8 +19,10 @@
 use self::entry::change_of;
 use self::entry::is_notice;
 use crate::clock::Time;
+use crate::gateway::evacuations::Evacuations;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::position::Position;
+use crate::id::DataCentre;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 
@@ -59,6 +61,7 @@
     witnessed: BTreeMap<InstanceId, Time>,
     /// Keys whose newest record names no upstream, with the record's position.
     foreign: BTreeMap<UpstreamId, Position>,
+    evacuations: Evacuations,
     away: bool,
     returned_at: Option<Time>,
     recent: VecDeque<(Time, Change)>,
@@ -282,12 +285,30 @@
         self.witnessed.keys()
     }
 
+    /// What operators have evacuated.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// The same, to be changed.
+    pub fn evacuations_mut(&mut self) -> &mut Evacuations {
+        &mut self.evacuations
+    }
+
     /// Whether an instance takes new work.
     pub fn is_ready(&self, id: &InstanceId) -> bool {
-        !self.witnessed.contains_key(id)
-            && self
-                .get(id)
-                .is_some_and(|upstream| upstream.state == UpstreamState::Ready)
+        self.get(id)
+            .is_some_and(|upstream| self.takes_work(upstream))
+    }
+
+    /// Whether a listed upstream takes new work, where operators let it.
+    fn takes_work(&self, upstream: &Upstream) -> bool {
+        self.is_sound(upstream) && !self.evacuations.contains(&upstream.data_centre)
+    }
+
+    /// Whether a listed upstream is neither leaving nor gone.
+    fn is_sound(&self, upstream: &Upstream) -> bool {
+        upstream.state == UpstreamState::Ready && !self.witnessed.contains_key(&upstream.id)
     }
 
     /// Since when an instance is known to be leaving or gone; none while it takes new work, and once a
@@ -312,8 +333,7 @@
         let entries = self.entries.values();
         entries
             .filter(|entry| entry.upstream.service == *service)
-            .filter(|entry| entry.upstream.state == UpstreamState::Ready)
-            .filter(|entry| !self.witnessed.contains_key(&entry.upstream.id))
+            .filter(|entry| self.takes_work(&entry.upstream))
             .map(|entry| entry.upstream.clone())
             .collect()
     }
@@ -321,10 +341,34 @@
     /// All upstreams that take new work.
     pub fn all_ready(&self) -> Vec<Arc<Upstream>> {
         let upstreams = self.entries.values().map(|entry| &entry.upstream);
-        let ready = upstreams.filter(|upstream| self.is_ready(&upstream.id));
+        let ready = upstreams.filter(|upstream| self.takes_work(upstream));
         ready.cloned().collect()
     }
 
+    /// All upstreams that are neither leaving nor gone, also those that operators give no work.
+    pub fn all_sound(&self) -> Vec<Arc<Upstream>> {
+        let upstreams = self.entries.values().map(|entry| &entry.upstream);
+        let sound = upstreams.filter(|upstream| self.is_sound(upstream));
+        sound.cloned().collect()
+    }
+
+    /// Whether a service has upstreams, and only an evacuation keeps all of them from new work.
+    pub fn is_evacuated(&self, service: &ServiceId) -> bool {
+        let upstreams = self.entries.values().map(|entry| &entry.upstream);
+        let mut sound = upstreams
+            .filter(|upstream| upstream.service == *service && self.is_sound(upstream))
+            .peekable();
+        sound.peek().is_some() && sound.all(|upstream| !self.takes_work(upstream))
+    }
+
+    /// Number of listed upstreams in a data centre.
+    pub fn count_in(&self, data_centre: &DataCentre) -> usize {
+        let upstreams = self.entries.values().map(|entry| &entry.upstream);
+        upstreams
+            .filter(|upstream| upstream.data_centre == *data_centre)
+            .count()
+    }
+
     /// The listed upstreams of a service that were seen leaving less than `within` ago, by id.
     pub fn leaving(&self, now: Time, service: &ServiceId, within: Duration) -> Vec<Arc<Upstream>> {
         let entries = self.entries.values();
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -246,6 +246,9 @@
         let timeout = self.newest_timeout();
         let began = Instant::now();
         let (records, end) = newest(&self.shared, &mut self.client, self.topic, timeout).await?;
+        if self.topic == Topic::Operator {
+            self.shared.read_all_evacuations(&records, end);
+        }
         self.shared.log_answered(self.topic, began.elapsed());
         match self.topic {
             Topic::Operator => self.take_operator(&records).await,
@@ -291,6 +294,9 @@
         let batch = protocol.decode_read(next.offset, &answer.body)?;
         let read_to = Position::new(era, batch.next);
         let delay = begun_after.saturating_sub(wait);
+        if self.topic == Topic::Operator {
+            self.shared.read_evacuations(&batch.records, read_to);
+        }
         self.shared.log_answered(self.topic, delay);
         match self.topic {
             Topic::Operator => self.take_operator(&batch.records).await,
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -264,6 +264,7 @@
         data_centre: settings.data_centre.clone(),
         config: shared.config_version(),
         log_era: shared.log_era(),
+        evacuations: shared.told_evacuations(),
         upstreams: Position::default(),
         upstreams_digest: 0,
         changes: Vec::new(),
@@ -313,6 +314,7 @@
             .write();
     }
     shared.hear_era(datagram.log_era, datagram.host.as_str());
+    shared.hear_evacuations(&datagram.evacuations, datagram.host.as_str());
     for upstream in &datagram.leaving {
         shared.witness_leaving(upstream, datagram.host.as_str());
     }
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -282,6 +282,7 @@
     let (held_back, known) = shared.suspects(|suspects| suspects.count(now));
     telemetry::set_suspects(held_back, known);
     telemetry::set_log_era(shared.log_era().number());
+    telemetry::set_evacuated(shared.directory(|directory| directory.evacuations().all().len()));
     telemetry::set_last_suspension(shared.last_suspension());
     telemetry.render()
 }
@@ -296,6 +297,7 @@
         shared.review_suspects();
         let gone = shared.directory(|directory| directory.lapse(now));
         shared.note_lapsed(gone);
+        shared.lapse_evacuations();
         shared.look_for_cut();
         shared.look_for_newer();
     }
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -13,6 +13,7 @@
 use crate::event::EventCode;
 use crate::gateway::directory::Change;
 use crate::gateway::directory::Upstream;
+use crate::gateway::evacuations::ToldEvacuations;
 use crate::gateway::ownclient::Arrival;
 use crate::gateway::ownclient::OwnClient;
 use crate::gateway::peers::Fetch;
@@ -37,6 +38,8 @@
     /// Of all that is listed.
     digest: u64,
     upstreams: UpstreamsTold,
+    /// Which of them get no new work because operators have evacuated their data centres.
+    evacuations: ToldEvacuations,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -65,7 +68,9 @@
 
 /// Serves the list of upstreams, or what changed of it.
 pub async fn serve_upstreams(shared: &Shared, query: &UpstreamsQuery) -> HttpResponse {
+    let evacuations = shared.told_evacuations();
     HttpResponse::Ok().json(shared.directory(|directory| UpstreamsPage {
+        evacuations,
         position: directory.position(),
         digest: directory.digest(),
         upstreams: match query.changed_from() {
@@ -146,6 +151,7 @@
     };
     let page: UpstreamsPage = serde_json::from_slice(&body)?;
     let now = shared.now();
+    shared.hear_evacuations(&page.evacuations, &client.peer.to_string());
     let (changes, is_same) = shared.directory(|directory| {
         if page.position <= directory.position() {
             return (Vec::new(), true);
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -16,6 +16,7 @@
 use crate::gateway::directory::Upstream;
 use crate::gateway::directory::UpstreamState;
 use crate::gateway::document::catchup::Holder;
+use crate::gateway::evacuations::ToldEvacuations;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::loads::Load;
 use crate::gateway::position::Era;
@@ -38,6 +39,7 @@
         host: host(index),
         config: 3,
         log_era: Era::default(),
+        evacuations: ToldEvacuations::default(),
         upstreams: 10.into(),
         peer_port: 8000,
         data_centre: DataCentre::new(data_centre),
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -13,6 +13,7 @@
 use crate::error::Result;
 use crate::gateway::configuration::Configuration;
 use crate::gateway::directory::Upstream;
+use crate::gateway::evacuations::EvacuationRecord;
 
 /// The keyed topics of the log that the gateway uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -187,6 +188,10 @@
     /// If it is a configuration but can't be read.
     fn configuration(&self, key: &str, value: &[u8]) -> Result<Option<Configuration>>;
 
+    /// What a record of [`Topic::Operator`] says of a data centre's evacuation, or none where it is about something
+    /// else. One without a value takes the data centre back.
+    fn evacuation(&self, key: &str, value: Option<&[u8]>) -> Option<EvacuationRecord>;
+
     /// The upstream in a record of [`Topic::Upstreams`].
     ///
     /// # Errors
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -61,6 +61,10 @@
     output_tokens_hint: None,
 };
 
+/// A caller whose service is evacuated everywhere may come back after this time, in milliseconds: an evacuation
+/// that has ended meanwhile is over on all hosts by then.
+const EVACUATED_RETRY_AFTER_MS: u64 = 1_000;
+
 /// So many upstreams of another data centre that can't be connected to are taken for a cut.
 const CUT_UPSTREAMS: usize = 2;
 
@@ -148,6 +152,17 @@
         refuse::answer(refusal, shared.sends_callers_away())
     }
 
+    /// The refusal of a request for which no upstream is left after `tries`; it has not run.
+    pub fn no_upstream(&self, shared: &Shared, tries: usize, reason: &str) -> Refusal {
+        if shared.directory(|directory| directory.is_evacuated(&self.service)) {
+            let message = format!("not run after {tries} tries: its data centres are evacuated");
+            let refusal = Refusal::not_run(Code::NoUpstream, message);
+            return refusal.retry_after_ms(EVACUATED_RETRY_AFTER_MS);
+        }
+        let message = format!("not run after {tries} tries: {reason}");
+        Refusal::not_run(Code::NoUpstream, message)
+    }
+
     /// What the caller says of the generation's size.
     pub fn size(&self, shared: &Shared) -> GenerationSize {
         let size = shared.protocol().generation_size(&self.request.headers);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -44,6 +44,7 @@
 use crate::id::ServiceId;
 
 mod changes;
+mod evacuating;
 mod health;
 mod inforce;
 mod logera;
@@ -225,9 +226,11 @@
         self.gate().is_shutting_down() || self.is_cut_off()
     }
 
-    /// Whether the host has a configuration and upstreams.
+    /// Whether the host has a configuration and upstreams, and knows which of them are evacuated.
     pub(crate) fn is_informed(&self) -> bool {
-        self.configuration().is_some() && self.directory(|directory| !directory.is_empty())
+        let knows_upstreams =
+            |directory: &mut Directory| !directory.is_empty() && directory.evacuations().is_known();
+        self.configuration().is_some() && self.directory(knows_upstreams)
     }
 
     /// Whether the seeds could be connected to when the host started.
--- a/src/gateway/shared/suspicion.rs
+++ b/src/gateway/shared/suspicion.rs
@@ -114,8 +114,8 @@
         if !self.hears_log(Topic::Upstreams) {
             return Listed::Unknown;
         }
-        let ready = self.directory(|directory| directory.all_ready());
-        let instances = ready.iter().map(|upstream| &upstream.id);
+        let sound = self.directory(|directory| directory.all_sound());
+        let instances = sound.iter().map(|upstream| &upstream.id);
         let reachable = instances.filter(|id| !self.is_passed_over(now, id));
         Listed::Fresh(reachable.map(InstanceId::key).collect())
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -197,8 +197,7 @@
     tries: usize,
     reason: &str,
 ) -> HttpResponse {
-    let message = format!("not run after {tries} tries: {reason}");
-    admitted.refuse(shared, &Refusal::not_run(Code::NoUpstream, message))
+    admitted.refuse(shared, &admitted.no_upstream(shared, tries, reason))
 }
 
 /// The memory that a generation is predicted to need.
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -40,6 +40,9 @@
 const SHORT_RUN_WAIT: Duration = Duration::from_millis(600);
 /// How often it is looked whether such a run has ended.
 const SHORT_RUN_PAUSE: Duration = Duration::from_millis(150);
+/// Where no engine takes a run, one may be listed or taken back while the run's own engine lives; it is looked for
+/// again after this time.
+const DESTINATION_PAUSE: Duration = Duration::from_millis(100);
 /// A copy that met another one under way is tried again after this time.
 const BUSY_PAUSE: Duration = Duration::from_millis(25);
 /// Moves of one run that may fail before its fate is left to its engine.
@@ -126,14 +129,14 @@
 
     /// Starts to copy the run's memory to the engine with the most room.
     pub(super) fn begin_move(&mut self, ticket: Ticket) {
-        self.moves += 1;
         self.avoid.push(self.running.upstream.id.clone());
         let Some(to) = self.destination() else {
             self.note_move("no destination", None);
             self.avoid.clear();
-            self.pause();
+            self.pause_for(DESTINATION_PAUSE);
             return;
         };
+        self.moves += 1;
         ticket.goes_to(&to.id);
         self.note_move("copying", Some(&to));
         let size = self.admitted.size(&self.shared);
@@ -286,7 +289,7 @@
             Err(CopyFailure::NoRoom(Some(handle))) => {
                 self.note_move("no room after the stop", Some(&to));
                 self.avoid.push(to.id.clone());
-                self.continue_at(&source, &source, &handle).await?;
+                self.continue_at_source(&source, &handle).await?;
                 self.look_at_directory();
                 Ok(())
             }
@@ -347,7 +350,7 @@
             }
             Opened::NotRun(reason) | Opened::Unreachable(reason) if to.id != source.id => {
                 self.note_move(&format!("not continued: {reason}"), Some(to));
-                Box::pin(self.continue_at(source, source, handle)).await
+                Box::pin(self.continue_at_source(source, handle)).await
             }
             Opened::Unreachable(reason) | Opened::NotRun(reason) | Opened::Unknown(reason) => {
                 Err(reason)
@@ -357,6 +360,23 @@
         }
     }
 
+    /// Continues the run where it was stopped, unless that is new work which operators forbid there.
+    async fn continue_at_source(
+        &mut self,
+        source: &Arc<Upstream>,
+        handle: &str,
+    ) -> Result<(), String> {
+        let data_centre = &source.data_centre;
+        let is_evacuated = self
+            .shared
+            .directory(|directory| directory.evacuations().contains(data_centre));
+        if is_evacuated {
+            self.note_move("not continued: its data centre is evacuated", Some(source));
+            return Err("its data centre is evacuated and no other engine took it".to_owned());
+        }
+        self.continue_at(source, source, handle).await
+    }
+
     pub(super) fn note_move(&self, outcome: &str, to: Option<&Arc<Upstream>>) {
         let since = self.leaving_since.map(|since| since.elapsed().as_millis());
         let line = self.admitted.line(&self.shared, EventCode::StreamMoved);
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -137,6 +137,8 @@
         "Answers of the platform's log whose era could not be read.",
     LogEra Gauge "cedargauge_log_era_version" ""
         "Latest era of the platform's log that the host knows.",
+    DataCentresEvacuated Gauge "cedargauge_evacuated_active" ""
+        "Data centres whose upstreams get no new work because operators evacuated them.",
     SuspectsHeldBack Gauge "cedargauge_held_back_active" ""
         "Contents of requests that are not sent because upstreams crashed under them.",
     SuspectsKnown Gauge "cedargauge_suspects_active" ""
@@ -384,6 +386,11 @@
     metrics::gauge!(Metric::LogEra.name()).set(era as f64);
 }
 
+/// Sets how many data centres are evacuated.
+pub fn set_evacuated(data_centres: usize) {
+    metrics::gauge!(Metric::DataCentresEvacuated.name()).set(data_centres as f64);
+}
+
 /// Sets how many contents of requests are held back, and how many are remembered as suspects.
 pub fn set_suspects(held_back: usize, known: usize) {
     metrics::gauge!(Metric::SuspectsHeldBack.name()).set(held_back as f64);
--- a/tests/evacuation/mod.rs
+++ b/tests/evacuation/mod.rs
@@ -281,10 +281,16 @@
     };
     let engine = FakeUpstream::of("reports", "engine-0", &[held]);
     let other = FakeUpstream::of("reports", "engine-9", &[sound]).in_data_centre("south");
-    let host = World::serving(json!([route_to("stream", "reports")]), &[&engine]);
+    let host = World::start();
     evacuate(&host.log, "south");
+    host.list(&engine, "ready");
+    host.log.put(
+        "operator",
+        "table",
+        &table(1, json!([route_to("stream", "reports")])),
+    );
+    assert!(wait_until(|| host.is_ready()));
     host.list(&other, "ready");
-    ask_for(std::slice::from_ref(&host), Duration::from_millis(500));
     let mut caller = Caller::connect(host.callers());
     caller.send(post("/nets/7", "tokens: 40\r\n", "report"));
     assert!(caller.read_until("id: 7\n"));
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -21,6 +21,7 @@
 use cedargauge::gateway::configuration::EngineSpec;
 use cedargauge::gateway::configuration::ServiceSpec;
 use cedargauge::gateway::directory::Upstream;
+use cedargauge::gateway::evacuations::EvacuationRecord;
 use cedargauge::gateway::instance::InstanceId;
 use cedargauge::gateway::protocol::CopyDone;
 use cedargauge::gateway::protocol::EngineReport;
@@ -37,6 +38,7 @@
 use cedargauge::gateway::route::RouteTable;
 use cedargauge::gateway::route::Target;
 use cedargauge::id::CustomerId;
+use cedargauge::id::DataCentre;
 use cedargauge::id::ServiceId;
 use cedargauge::id::UpstreamId;
 
@@ -169,6 +171,18 @@
         }))
     }
 
+    fn evacuation(&self, key: &str, value: Option<&[u8]>) -> Option<EvacuationRecord> {
+        let name = key
+            .strip_prefix("evacuate/")
+            .filter(|name| !name.is_empty())?;
+        let is_object = value.is_none_or(|value| value.starts_with(b"{"));
+        Some(EvacuationRecord {
+            data_centre: DataCentre::new(name),
+            is_evacuated: value.is_some(),
+            flaw: (!is_object).then(|| "not an object".to_owned()),
+        })
+    }
+
     fn upstream(&self, key: &str, value: &[u8]) -> Result<Upstream> {
         let entry: Value = serde_json::from_slice(value)?;
         let id = UpstreamId::new(key);
