--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,5 +1,6 @@
 //! The gateway between raw callers and upstreams that misbehave, without any platform.
 
+mod coldupstreams;
 mod deadlyrequests;
 mod evacuation;
 mod gatewayworld;
--- a/tests/gatewayworld/upstream.rs
+++ b/tests/gatewayworld/upstream.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::Value;
 use serde_json::json;
@@ -55,6 +56,7 @@
     pub head: String,
     pub body: Vec<u8>,
     pub connection: usize,
+    pub at: Instant,
 }
 
 impl Seen {
@@ -262,6 +264,7 @@
                 head: head.clone(),
                 body,
                 connection,
+                at: Instant::now(),
             };
             let deadly = self.with(|state| state.deadly);
             let deadly = deadly.filter(|deadly| deadly.body.as_bytes() == seen.body);
