Share out among hosts what a cold upstream bears

Cause: hosts did not know that an upstream is cold; twenty that found one empty sent 458 and 626 requests in a second, of 12 that it bears.

Change: the entry's time for which an upstream stays cold is a typed field with its age, told with the upstreams. Which hosts send to a cold upstream follows from rendezvous hashing over the live hosts of its data centre: as many as it may get requests a second, one each, or all with an equal part where they are fewer. Nobody asks anybody in the path of a request; a host that has started less than 2 s ago sends it nothing, nor do hosts elsewhere. A crash of a cold upstream is not held against the request.

Other ways: an equal part for each of 62 hosts is 0.4 a second, so either nothing or one each at once, 62; lending needs a word between hosts within the second that the cold lasts; a slow start by answers seen is each host's own and adds up over hosts. These follow from arithmetic and were not built.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -207,6 +207,7 @@
             data_centre: DataCentre::new("north"),
             state: UpstreamState::Ready,
             slots: 24,
+            cold_left_ms: 0,
         }),
         load: Load {
             requests: 8,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,6 +7,7 @@
 
 pub mod admit;
 pub mod call;
+pub mod cold;
 pub mod configfetch;
 pub mod configuration;
 pub mod connection;
--- a/src/gateway/admit/tests.rs
+++ b/src/gateway/admit/tests.rs
@@ -38,6 +38,7 @@
             data_centre: DataCentre::new("north"),
             state: UpstreamState::Ready,
             slots: 24,
+            cold_left_ms: 0,
         }),
         load,
         doubtful: false,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -146,6 +146,7 @@
 /// Sends the request to one upstream.
 async fn attempt(front: &Front, admitted: &Admitted, upstream: &Upstream, last: bool) -> Attempted {
     let shared = &front.shared;
+    shared.sends_to(upstream);
     let _occupied = shared.loads().occupy(&upstream.id, 0, 0);
     let mut limit = admitted.time_left().saturating_sub(DEADLINE_MARGIN);
     if !last {
--- /dev/null
+++ b/src/gateway/cold/tests.rs
@@ -0,0 +1,179 @@
+use std::time::Duration;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::Cold;
+use super::ColdBudget;
+use super::Sender;
+use super::WINDOW;
+use super::share;
+use crate::clock::Time;
+use crate::gateway::instance::InstanceId;
+use crate::id::DataCentre;
+use crate::id::HostId;
+use crate::id::UpstreamId;
+
+/// What a cold upstream tolerates in a second, and the bound beyond which it is broken.
+const TOLERATED_PER_S: f64 = 25.0;
+const BOUND: usize = 42;
+/// Older than a host that has just started.
+const OLD: Duration = Duration::from_secs(60);
+/// Seconds that are drawn for each size of a data centre.
+const SECONDS: usize = 1_000;
+/// Of the hosts of its data centre a host doesn't hear one in so many.
+const UNHEARD_ONE_IN: u32 = 20;
+/// A request arrives within this time of its sending.
+const UNDER_WAY_MAX: Duration = Duration::from_millis(50);
+
+fn hosts(count: usize) -> Vec<HostId> {
+    let names = (0..count).map(|index| HostId::new(format!("host-{index:04}")));
+    names.collect()
+}
+
+fn instance(index: usize) -> InstanceId {
+    InstanceId::from(UpstreamId::new(format!("up-{index}")))
+}
+
+fn north() -> DataCentre {
+    DataCentre::new("north")
+}
+
+/// What each of `hosts` may send to an upstream, of whom each hears those that `hears` lets it hear.
+fn shares(hosts: &[HostId], upstream: &InstanceId, mut hears: impl FnMut() -> bool) -> Vec<usize> {
+    let cold = Cold {
+        upstream,
+        data_centre: &north(),
+        requests_per_s: TOLERATED_PER_S,
+    };
+    let of_host = |host: &HostId| {
+        let others = hosts.iter().filter(|other| *other != host);
+        let near: Vec<HostId> = others.filter(|_| hears()).cloned().collect();
+        let sender = Sender {
+            host,
+            data_centre: &north(),
+            near: &near,
+            age: OLD,
+        };
+        share(&sender, &cold)
+    };
+    hosts.iter().map(of_host).collect()
+}
+
+/// The most requests that arrive in a second where each host sends all that it may as soon as it may, from some
+/// moment of the first second on.
+fn most_in_a_second(shares: &[usize], random: &mut ChaCha8Rng) -> usize {
+    let mut arrivals = Vec::new();
+    for share in shares {
+        let begins = Time::ZERO + Duration::from_millis(random.random_range(0..1_000));
+        for window in 0..3 {
+            let sent = begins + WINDOW * window;
+            let under_way = || UNDER_WAY_MAX.mul_f64(random.random());
+            arrivals.extend(
+                std::iter::repeat_with(under_way)
+                    .take(*share)
+                    .map(|time| sent + time),
+            );
+        }
+    }
+    arrivals.sort();
+    let within = |from: &Time| {
+        let second = arrivals.iter().filter(|at| **at >= *from);
+        second
+            .take_while(|at| at.since(*from) < Duration::from_secs(1))
+            .count()
+    };
+    arrivals.iter().map(within).max().unwrap_or(0)
+}
+
+#[test]
+fn hosts_of_a_data_centre_keep_the_bound_whatever_their_number_though_some_do_not_hear_others() {
+    for count in [1, 3, 21, 74, 100] {
+        let hosts = hosts(count);
+        let mut random = ChaCha8Rng::seed_from_u64(count as u64);
+        let mut most = 0;
+        for second in 0..SECONDS {
+            let mut unheard = ChaCha8Rng::seed_from_u64(second as u64);
+            let hears = || !unheard.random_ratio(1, UNHEARD_ONE_IN);
+            let shares = shares(&hosts, &instance(second), hears);
+            most = most.max(most_in_a_second(&shares, &mut random));
+        }
+
+        assert!((1..=BOUND).contains(&most), "{count} hosts: {most}");
+    }
+}
+
+#[test]
+fn two_halves_of_a_data_centre_that_do_not_hear_each_other_keep_it_together() {
+    let hosts = hosts(60);
+    let mut random = ChaCha8Rng::seed_from_u64(3);
+
+    for second in 0..SECONDS {
+        let upstream = instance(second);
+        let halves = hosts
+            .chunks(30)
+            .map(|half| shares(half, &upstream, || true));
+        let shares: Vec<usize> = halves.flatten().collect();
+        let most = most_in_a_second(&shares, &mut random);
+
+        assert!(most <= BOUND, "{most}");
+    }
+}
+
+#[test]
+fn hosts_elsewhere_and_hosts_that_have_just_started_send_nothing() {
+    let upstream = instance(0);
+    let south = DataCentre::new("south");
+    let cold = Cold {
+        upstream: &upstream,
+        data_centre: &north(),
+        requests_per_s: TOLERATED_PER_S,
+    };
+    let host = HostId::new("host");
+    let old = Sender {
+        host: &host,
+        data_centre: &south,
+        near: &[],
+        age: OLD,
+    };
+    let young = Sender {
+        data_centre: &north(),
+        age: Duration::from_secs(1),
+        ..old
+    };
+
+    assert_eq!((share(&old, &cold), share(&young, &cold)), (0, 0));
+}
+
+#[test]
+fn a_host_sends_its_part_once_in_each_window() {
+    let upstream = instance(0);
+    let host = HostId::new("host");
+    let sender = Sender {
+        host: &host,
+        data_centre: &north(),
+        near: &[],
+        age: OLD,
+    };
+    let cold = Cold {
+        upstream: &upstream,
+        data_centre: &north(),
+        requests_per_s: 2.5,
+    };
+    let mut budget = ColdBudget::default();
+
+    let taken = (0..10).filter(|_| {
+        let allows = budget.allows(Time::ZERO, &sender, &cold);
+        if allows {
+            budget.spend(Time::ZERO, &upstream);
+        }
+        allows
+    });
+    let taken = taken.count();
+    let later = Time::ZERO + WINDOW;
+    budget.lapse(later);
+
+    assert_eq!(taken, 2);
+    assert!(budget.allows(later, &sender, &cold));
+}
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -26,6 +26,9 @@
 pub struct ServiceSpec {
     /// Connections that one upstream accepts from all callers together.
     pub connections_max: u32,
+    /// Requests that one upstream bears in a second while it is cold, of all callers together; none where
+    /// there is no bound.
+    pub cold_requests_per_s: Option<f64>,
     /// Present where the service runs generations.
     pub engine: Option<EngineSpec>,
 }
@@ -68,6 +71,11 @@
     pub fn engine(&self, service: &ServiceId) -> Option<&EngineSpec> {
         self.services.get(service)?.engine.as_ref()
     }
+
+    /// Requests that one upstream of a service bears in a second while it is cold, if there is a bound.
+    pub fn cold_requests_per_s(&self, service: &ServiceId) -> Option<f64> {
+        self.services.get(service)?.cold_requests_per_s
+    }
 }
 
 /// Default timeout of a route that names none. Long enough for any call of a plain service.
--- a/src/gateway/destinations/tests.rs
+++ b/src/gateway/destinations/tests.rs
@@ -18,6 +18,7 @@
         data_centre: DataCentre::new(data_centre),
         state: UpstreamState::Ready,
         slots: 8,
+        cold_left_ms: 0,
     })
 }
 
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -62,6 +62,8 @@
     /// Keys whose newest record names no upstream, with the record's position.
     foreign: BTreeMap<UpstreamId, Position>,
     evacuations: Evacuations,
+    /// Until when upstreams that listed themselves as cold are so.
+    cold_until: BTreeMap<InstanceId, Time>,
     away: bool,
     returned_at: Option<Time>,
     recent: VecDeque<(Time, Change)>,
@@ -140,6 +142,9 @@
             .as_ref()
             .filter(|old| old.upstream.id == upstream.id)
             .and_then(|old| old.leaving_since);
+        if old.as_ref().is_none_or(|old| old.position < position) {
+            self.note_cold(now, &upstream);
+        }
         let upstream = Arc::new(upstream);
         let is_leaving = upstream.state == UpstreamState::Leaving;
         let change = change_of(old.as_ref(), &upstream);
@@ -163,6 +168,22 @@
         })
     }
 
+    fn note_cold(&mut self, now: Time, upstream: &Upstream) {
+        match upstream.cold_left_ms {
+            0 => self.cold_until.remove(&upstream.id),
+            left_ms => {
+                let until = now + Duration::from_millis(u64::from(left_ms));
+                self.cold_until.insert(upstream.id.clone(), until)
+            }
+        };
+    }
+
+    /// Whether an upstream is cold: it bears few requests a second. Taken from when this host learnt that it
+    /// is, so it is warm before rather than after the host takes it for warm.
+    pub fn is_cold(&self, now: Time, id: &InstanceId) -> bool {
+        self.cold_until.get(id).is_some_and(|until| *until > now)
+    }
+
     /// Whether a record shows an instance ready of which an earlier history of the log said that it leaves or
     /// is gone: the copy from which the log returned is older than that.
     fn is_shown_again(&self, now: Time, upstream: &Upstream, position: Position) -> bool {
@@ -269,6 +290,7 @@
         let recent = |at: Time| now.since(at) < REMOVAL_REMEMBERED;
         self.removed.retain(|_, removal| recent(removal.at));
         self.witnessed.retain(|_, at| recent(*at));
+        self.cold_until.retain(|_, until| *until > now);
         let dropped = gone.iter();
         dropped
             .filter_map(|(id, position)| self.drop_entry(now, id, *position))
--- a/src/gateway/directory/entry.rs
+++ b/src/gateway/directory/entry.rs
@@ -37,8 +37,9 @@
     if old.upstream.id != new.id {
         return Some(DirectoryChange::Restarted);
     }
-    if old.upstream == *new && old.gone_at.is_none() {
-        return None;
+    if old.upstream.is_same_but_for_cold(new) && old.gone_at.is_none() {
+        let is_cold_again = old.upstream.cold_left_ms == 0 && new.cold_left_ms > 0;
+        return is_cold_again.then_some(DirectoryChange::Cold);
     }
     match is_notice(Some(old), new) {
         true => Some(DirectoryChange::Leaving),
--- a/src/gateway/directory/tests.rs
+++ b/src/gateway/directory/tests.rs
@@ -26,6 +26,7 @@
         data_centre: DataCentre::new("north"),
         state,
         slots: 4,
+        cold_left_ms: 0,
     }
 }
 
--- a/src/gateway/directory/upstream.rs
+++ b/src/gateway/directory/upstream.rs
@@ -35,6 +35,20 @@
     pub state: UpstreamState,
     /// Requests that run at once.
     pub slots: u32,
+    /// How long it stays cold from when it listed itself like this, in milliseconds; 0 if it is warm.
+    pub cold_left_ms: u32,
+}
+
+impl Upstream {
+    /// Whether two entries say the same but for how long the upstream stays cold, which passes by itself.
+    pub(super) fn is_same_but_for_cold(&self, other: &Upstream) -> bool {
+        let cold_left_ms = self.cold_left_ms;
+        *self
+            == Upstream {
+                cold_left_ms,
+                ..other.clone()
+            }
+    }
 }
 
 /// What a change of the directory was.
@@ -46,6 +60,8 @@
     Restarted,
     /// It takes work again or changed otherwise.
     Changed,
+    /// It has become cold.
+    Cold,
     /// It takes no new work.
     Leaving,
     /// It was removed.
@@ -61,6 +77,7 @@
             DirectoryChange::Added => "added",
             DirectoryChange::Restarted => "restarted",
             DirectoryChange::Changed => "changed",
+            DirectoryChange::Cold => "cold",
             DirectoryChange::Leaving => "leaving",
             DirectoryChange::Removed => "removed",
             DirectoryChange::Missing => "missing",
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -298,6 +298,7 @@
         let gone = shared.directory(|directory| directory.lapse(now));
         shared.note_lapsed(gone);
         shared.lapse_evacuations();
+        shared.lapse_cold();
         shared.look_for_cut();
         shared.look_for_newer();
     }
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -447,6 +447,7 @@
             data_centre: DataCentre::new("a-data-centre-of-some-name"),
             state: UpstreamState::Ready,
             slots: 24,
+            cold_left_ms: 0,
         })),
     }
 }
--- a/src/gateway/place/tests.rs
+++ b/src/gateway/place/tests.rs
@@ -22,6 +22,7 @@
             data_centre: DataCentre::new(data_centre),
             state: UpstreamState::Ready,
             slots: 10,
+            cold_left_ms: 0,
         }),
         load,
         doubtful: false,
--- a/src/gateway/rendezvous.rs
+++ b/src/gateway/rendezvous.rs
@@ -3,16 +3,27 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+/// How many of `others`, among whom `own` may be itself, come before `own` in doing what `what` names.
+pub(crate) fn count_before<'a>(
+    own: &str,
+    others: impl Iterator<Item = &'a str>,
+    what: &str,
+) -> usize {
+    let own = weight(own, what);
+    others.filter(|other| weight(other, what) > own).count()
+}
+
+fn weight(name: &str, what: &str) -> u64 {
+    let seed = xxh3_64_with_seed(name.as_bytes(), 0);
+    xxh3_64_with_seed(what.as_bytes(), seed)
+}
+
 /// Whether `own` does what `what` names, and none of `others`, among whom it may be itself.
 pub(crate) fn is_first<'a>(
     own: &str,
     mut others: impl Iterator<Item = &'a str>,
     what: &str,
 ) -> bool {
-    let weight = |name: &str| {
-        let seed = xxh3_64_with_seed(name.as_bytes(), 0);
-        xxh3_64_with_seed(what.as_bytes(), seed)
-    };
-    let own = weight(own);
-    others.all(|other| weight(other) <= own)
+    let own = weight(own, what);
+    others.all(|other| weight(other, what) <= own)
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -191,6 +191,7 @@
     ready
         .into_iter()
         .filter(|upstream| !avoid.contains(&upstream.id))
+        .filter(|upstream| shared.may_send(now, upstream))
         .map(|upstream| Candidate {
             load: loads.with(|loads| loads.at(&upstream.id)),
             doubtful: shared.is_doubtful(now, &upstream.id) || cut.contains(&upstream.data_centre),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -19,6 +19,7 @@
 use crate::clock::Time;
 use crate::ejection::Ejector;
 use crate::gate::Gate;
+use crate::gateway::cold::ColdBudget;
 use crate::gateway::cutoff::CutOff;
 use crate::gateway::decisions::DecisionLog;
 use crate::gateway::directory::Directory;
@@ -44,6 +45,7 @@
 use crate::id::ServiceId;
 
 mod changes;
+mod coldness;
 mod evacuating;
 mod health;
 mod inforce;
@@ -76,6 +78,7 @@
     peers: Mutex<Peers>,
     ejector: Mutex<Ejector<InstanceId>>,
     reach: Mutex<Reach>,
+    cold_budget: Mutex<ColdBudget>,
     suspects: Mutex<Suspects>,
     wakefulness: Mutex<Wakefulness>,
     wakes: watch::Sender<u64>,
@@ -123,6 +126,7 @@
             peers: Mutex::new(peers),
             ejector: Mutex::new(Ejector::new(Default::default())),
             reach: Mutex::default(),
+            cold_budget: Mutex::default(),
             suspects: Mutex::default(),
             wakefulness: Mutex::default(),
             wakes: watch::channel(0).0,
--- a/src/gateway/shared/changes.rs
+++ b/src/gateway/shared/changes.rs
@@ -20,23 +20,27 @@
             let code = match change {
                 DirectoryChange::Leaving | DirectoryChange::Removed => EventCode::UpstreamLeaving,
                 DirectoryChange::Missing => EventCode::UpstreamLost,
-                DirectoryChange::Added | DirectoryChange::Restarted | DirectoryChange::Changed => {
-                    EventCode::UpstreamListed
-                }
+                DirectoryChange::Added
+                | DirectoryChange::Restarted
+                | DirectoryChange::Changed
+                | DirectoryChange::Cold => EventCode::UpstreamListed,
             };
             if let Some(ended) = &ended {
                 locked(&self.0.ejector).forget(ended);
                 locked(&self.0.reach).forget(ended);
             }
-            let (address, position) = self.directory(|directory| {
-                let address = directory.get(&id).map(|upstream| upstream.address);
-                (address, directory.position())
-            });
+            let (upstream, position) =
+                self.directory(|directory| (directory.get(&id).cloned(), directory.position()));
+            let address = upstream.as_ref().map(|upstream| upstream.address);
+            let cold_left_ms = upstream
+                .map(|upstream| upstream.cold_left_ms)
+                .filter(|ms| *ms > 0);
             let line = self.log().line(code);
             line.with("upstream", id.as_str())
                 .with_some("born_ms", id.born_ms())
                 .with_some("address", address.map(|address| address.to_string()))
                 .with("change", change.name())
+                .with_some("cold_left_ms", cold_left_ms)
                 .with("position", position.to_string())
                 .with("source", source)
                 .write();
--- a/src/gateway/shared/suspicion.rs
+++ b/src/gateway/shared/suspicion.rs
@@ -7,6 +7,7 @@
 use crate::clock::Time;
 use crate::event::EventCode;
 use crate::fingerprint::Fingerprint;
+use crate::gateway::directory::Directory;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::protocol::Topic;
 use crate::gateway::serve::Admitted;
@@ -67,12 +68,16 @@
         begins
     }
 
-    /// The connection to an upstream broke while it ran a request. One that is leaving ends by itself.
+    /// The connection to an upstream broke while it ran a request. One that is leaving ends by itself, and a cold
+    /// one crashes under many sound requests.
     pub(crate) fn upstream_broke(&self, fingerprint: Fingerprint, upstream: &InstanceId) {
-        if self.directory(|directory| directory.leaving_since(upstream).is_some()) {
+        let now = self.now();
+        let has_own_cause = |directory: &mut Directory| {
+            directory.leaving_since(upstream).is_some() || directory.is_cold(now, upstream)
+        };
+        if self.directory(has_own_cause) {
             return;
         }
-        let now = self.now();
         let standing = self.suspects(|suspects| suspects.crashed(now, fingerprint, upstream));
         if let Some(standing) = standing {
             self.note_suspect(fingerprint, standing, upstream.as_str());
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -225,6 +225,7 @@
         None if admitted.engine.is_some() => admitted.size(shared).prompt_tokens,
         _ => 0,
     };
+    shared.sends_to(upstream);
     let occupied = shared.loads().occupy(&upstream.id, tokens, unread_tokens);
     let load = shared.loads().with(|loads| loads.at(&upstream.id));
     shared.tell_news();
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -138,6 +138,8 @@
         };
         self.moves += 1;
         ticket.goes_to(&to.id);
+        // Reserves what the run will need when it goes on there.
+        self.shared.sends_to(&to);
         self.note_move("copying", Some(&to));
         let size = self.admitted.size(&self.shared);
         let tokens = size.prompt_tokens + output_planned(size);
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -154,6 +154,7 @@
         };
         let service = |engine: Option<EngineSpec>| ServiceSpec {
             connections_max: 100,
+            cold_requests_per_s: Some(5.0),
             engine,
         };
         Ok(Some(Configuration {
@@ -193,6 +194,7 @@
             data_centre: serde_json::from_value(entry["data_centre"].clone())?,
             state: serde_json::from_value(entry["state"].clone())?,
             slots: serde_json::from_value(entry["slots"].clone())?,
+            cold_left_ms: entry["cold_left_ms"].as_u64().unwrap_or(0) as u32,
         })
     }
 
