--- a/src/event.rs
+++ b/src/event.rs
@@ -85,6 +85,7 @@
     306 UpstreamListed "An upstream is listed, or its entry changed.",
     307 ServiceOutOfReach "A cut keeps the host from all upstreams of a service; it says that it is not ready.",
     308 ServiceInReach "Other data centres are heard again; the host is ready as before.",
+    309 UpstreamsChanged "Upstreams changed by the word of other hosts, which tell of each: how many in what way, and the first of them.",
     310 OwnerDecided "An owner decided on a request: granted, refused or to be moved, with the figures.",
     400 ConfigReady "The host has a configuration and serves by it.",
     401 EditApplied "An edit of the table is in force on this host.",
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -23,6 +23,7 @@
 pub mod follow;
 pub mod forward;
 pub mod gossip;
+pub mod hearsay;
 pub mod host;
 pub(crate) mod hostlisting;
 pub mod identity;
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -24,6 +24,7 @@
 use crate::gateway::protocol::Record;
 use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
+use crate::gateway::shared::ToldBy;
 use crate::id::UpstreamId;
 use crate::telemetry;
 use crate::telemetry::Metric;
@@ -357,7 +358,7 @@
             changes.extend(change);
         }
         self.shared.directory(|directory| directory.advance(next));
-        self.shared.directory_changes(changes, "log");
+        self.shared.directory_changes(changes, ToldBy::Own("log"));
     }
 
     fn take_all_upstreams(&self, records: &[Record], end: Position) {
@@ -372,7 +373,7 @@
         let changes = self
             .shared
             .directory(|directory| directory.replace(now, listed, end));
-        self.shared.directory_changes(changes, "log");
+        self.shared.directory_changes(changes, ToldBy::Own("log"));
     }
 }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -35,6 +35,7 @@
 use crate::gateway::position::Position;
 use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
+use crate::gateway::shared::ToldBy;
 use crate::gateway::suspects::ToldSuspect;
 use crate::id::DataCentre;
 
@@ -384,7 +385,7 @@
         }
         same
     });
-    shared.directory_changes(changes, datagram.host.as_str());
+    shared.directory_changes(changes, ToldBy::Host(datagram.host.as_str()));
     !same && !datagram.has_more_changes
 }
 
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -21,6 +21,7 @@
 use crate::gateway::position::Position;
 use crate::gateway::protocol::OwnCall;
 use crate::gateway::shared::Shared;
+use crate::gateway::shared::ToldBy;
 
 /// Path of the upstreams.
 pub const UPSTREAMS_PATH: &str = "/peer/upstreams";
@@ -169,7 +170,7 @@
         }
         (changes, is_same)
     });
-    shared.directory_changes(changes, &client.peer.to_string());
+    shared.directory_changes(changes, ToldBy::Host(&client.peer.to_string()));
     Ok(is_same)
 }
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -26,6 +26,7 @@
 use crate::gateway::document::assembly::Assembly;
 use crate::gateway::document::catchup::CatchUp;
 use crate::gateway::document::transfers::Transfers;
+use crate::gateway::hearsay::Hearsay;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::joining::Seeds;
 use crate::gateway::line::LineBoard;
@@ -55,6 +56,7 @@
 mod suspicion;
 mod waking;
 
+pub(crate) use self::changes::ToldBy;
 pub use self::inforce::InForce;
 pub(crate) use self::logera::Outdated;
 
@@ -75,6 +77,7 @@
     in_force: RwLock<Option<InForce>>,
     directory: Mutex<Directory>,
     directory_changed: watch::Sender<u64>,
+    hearsay: Mutex<Hearsay>,
     peers: Mutex<Peers>,
     ejector: Mutex<Ejector<InstanceId>>,
     reach: Mutex<Reach>,
@@ -123,6 +126,7 @@
             in_force: RwLock::new(None),
             directory: Mutex::default(),
             directory_changed: watch::channel(0).0,
+            hearsay: Mutex::default(),
             peers: Mutex::new(peers),
             ejector: Mutex::new(Ejector::new(Default::default())),
             reach: Mutex::default(),
