Plan the memory of generations by hints in part, and grow plans with what runs produce

Cause: an engine's promised memory rested on callers' hints, which are right at the median and far off now and then. A run that had passed its hint counted as planned for the rest of its life, so engines that looked half empty preempted streams.

Change: what is planned is the geometric mean of the hint and a quarter of the most that may be produced (weights 0.6 and 0.4), with the same margin; a run that has produced what was planned is planned for half as much again. A stopping host goes by the longer of that and the hint.

--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -208,6 +208,17 @@
 }
 
 impl Occupied {
+    /// The request turns out to need this much memory.
+    pub fn grow_to(&mut self, tokens: u32) {
+        let more = Load {
+            tokens: tokens.saturating_sub(self.load.tokens),
+            ..Load::default()
+        };
+        self.load.add(more);
+        let upstream = &self.upstream;
+        self.board.with(|loads| loads.start(upstream, more));
+    }
+
     /// The upstream has read the request's prompt.
     pub fn prompt_read(&mut self) {
         let read = Load {
--- a/src/gateway/loads/tests.rs
+++ b/src/gateway/loads/tests.rs
@@ -50,6 +50,20 @@
     assert_eq!(board.with(|loads| loads.at(&upstream())), Load::default());
 }
 
+#[test]
+fn work_that_grows_counts_as_what_it_has_grown_to_and_ends_whole() {
+    let board = LoadBoard::default();
+    let mut work = board.occupy(&upstream(), 300, 0);
+
+    work.grow_to(500);
+    work.grow_to(400);
+    let grown = board.with(|loads| loads.at(&upstream()));
+    drop(work);
+
+    assert_eq!(grown, load(1, 500, 0));
+    assert_eq!(board.with(|loads| loads.at(&upstream())), Load::default());
+}
+
 #[test]
 fn peers_count_until_they_are_silent() {
     let board = LoadBoard::default();
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -44,11 +44,21 @@
 mod moving;
 mod relay;
 mod stopping;
+#[cfg(test)]
+mod tests;
 
 /// Upstreams' lowest rank. Ranks of routes and customers go from 0.
 const PRIORITY_MAX: u8 = 9;
-/// A caller's hint is right at the median; this much longer is planned for.
+/// What is planned for is this much longer than expected.
 const HINT_MARGIN: f64 = 1.25;
+/// A caller's hint is right at the median and far off now and then: a short one is rather too short, a long one too
+/// long. Its weight in the geometric mean with a typical length,
+const HINT_WEIGHT: f64 = 0.6;
+/// which is this part of the most that the request may produce.
+const TYPICAL_OUTPUT_SHARE: f64 = 0.25;
+/// A generation that has produced what was planned is planned to produce this much more of it: hints are far off now
+/// and then, and one that has passed its hint goes on for long.
+const OVERRUN_FACTOR: f64 = 1.5;
 /// Time of one token at an engine with usual company; 8 to 11 ms were measured.
 const TOKEN_TIME: Duration = Duration::from_millis(11);
 /// Time for a generation's prompt, beside that of its tokens.
@@ -181,16 +191,35 @@
     START_ALLOWANCE + TOKEN_TIME * output_tokens
 }
 
+/// Tokens that a generation produces by its caller's hint, with a margin; 0 where there is none.
+fn hinted(size: GenerationSize) -> u32 {
+    let hint = size.output_tokens_hint.unwrap_or(0);
+    (f64::from(hint) * HINT_MARGIN) as u32
+}
+
 /// Tokens that a generation is expected to produce.
 fn output_planned(size: GenerationSize) -> u32 {
-    let planned = size
-        .output_tokens_hint
-        .map(|hint| (f64::from(hint) * HINT_MARGIN) as u32);
+    let planned = size.output_tokens_hint.map(|hint| {
+        let typical = (f64::from(size.output_tokens_max) * TYPICAL_OUTPUT_SHARE).max(1.0);
+        let hint = f64::from(hint.max(1));
+        let expected = hint.powf(HINT_WEIGHT) * typical.powf(1.0 - HINT_WEIGHT);
+        (expected * HINT_MARGIN) as u32
+    });
     planned.map_or(size.output_tokens_max, |planned| {
         planned.min(size.output_tokens_max)
     })
 }
 
+/// Tokens that a generation is expected to produce which has produced so many.
+fn output_expected(size: GenerationSize, produced: u32) -> u32 {
+    let planned = output_planned(size);
+    if produced < planned {
+        return planned;
+    }
+    let longer = (f64::from(produced) * OVERRUN_FACTOR) as u32;
+    longer.min(size.output_tokens_max).max(produced)
+}
+
 fn refuse_unplaced(
     shared: &Shared,
     admitted: &Admitted,
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -172,11 +172,10 @@
 
     /// Whether the run is expected to end by itself before its engine does.
     fn ends_soon(&self) -> bool {
-        let Some(engine) = &self.admitted.engine else {
+        if self.admitted.engine.is_none() {
             return true;
-        };
-        let produced = self.splitter.passed() * u64::from(engine.tokens_per_event);
-        let produced = u32::try_from(produced).unwrap_or(u32::MAX);
+        }
+        let produced = self.produced_tokens();
         let planned = output_planned(self.admitted.size(&self.shared));
         TOKEN_TIME * planned.saturating_sub(produced) < SHORT_RUN && produced < planned
     }
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -12,6 +12,8 @@
 use super::moving::CopyResult;
 use super::moving::Move;
 use super::moving::copied;
+use super::output_expected;
+use super::output_planned;
 use crate::event::EventCode;
 use crate::gateway::events::EventSplitter;
 use crate::gateway::instance::InstanceId;
@@ -39,6 +41,8 @@
     pub(super) avoid: Vec<InstanceId>,
     pub(super) meter: StreamMeter,
     pub(super) first_ms: Option<f64>,
+    /// Tokens that it is expected to produce.
+    expected_tokens: u32,
     pub(super) last_at: Instant,
     pub(super) gap_max: Duration,
     pub(super) ended: bool,
@@ -63,6 +67,7 @@
         let meter = StreamMeter::start(shared.now(), &admitted.service, &class);
         let mut changes = shared.directory_watch();
         changes.mark_changed();
+        let expected_tokens = output_planned(admitted.size(&shared));
         Relay {
             changes,
             meter,
@@ -75,6 +80,7 @@
             moves: 0,
             avoid: Vec::new(),
             first_ms: None,
+            expected_tokens,
             last_at: Instant::now(),
             gap_max: Duration::ZERO,
             ended: false,
@@ -131,6 +137,7 @@
     fn passed(&mut self) {
         self.meter.token(self.shared.now());
         self.running.occupied.prompt_read();
+        self.look_at_length();
         let now = Instant::now();
         match self.first_ms {
             None => self.first_passed(),
@@ -139,12 +146,36 @@
         self.last_at = now;
     }
 
+    /// Counts more memory for a run that has produced what was planned. Ten long answers whose hints are short would
+    /// else fill an engine that looks half empty.
+    fn look_at_length(&mut self) {
+        let produced = self.produced_tokens();
+        if produced < self.expected_tokens {
+            return;
+        }
+        let size = self.admitted.size(&self.shared);
+        self.expected_tokens = output_expected(size, produced).max(produced + 1);
+        let tokens = size.prompt_tokens.saturating_add(self.expected_tokens);
+        self.running.occupied.grow_to(tokens);
+    }
+
+    /// Tokens of the events that went out to the caller.
+    pub(super) fn produced_tokens(&self) -> u32 {
+        let engine = self.admitted.engine.as_ref();
+        let of_event = engine.map_or(1, |engine| engine.tokens_per_event);
+        let produced = self.splitter.passed() * u64::from(of_event);
+        u32::try_from(produced).unwrap_or(u32::MAX)
+    }
+
     fn first_passed(&mut self) {
         self.first_ms = Some(self.admitted.arrived.elapsed().as_secs_f64() * 1_000.0);
         let time = self.running.sent_at.elapsed();
         let tokens = self.running.unread_tokens;
-        let lines = self.shared.lines();
-        lines.with(|lines| lines.pace.first_event(tokens, time));
+        let in_time = self.admitted.arrived.elapsed() <= self.admitted.route.objective;
+        self.shared.lines().with(|lines| {
+            lines.pace.first_event(tokens, time);
+            lines.pace.came(in_time);
+        });
     }
 
     /// Where the stream has broken off, whether a move is under way that will continue it.
--- a/src/gateway/stream/stopping.rs
+++ b/src/gateway/stream/stopping.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use super::hinted;
 use super::output_planned;
 use super::run_time;
 use crate::gateway::protocol::GenerationSize;
@@ -31,11 +32,18 @@
 /// and then.
 fn finishes(size: GenerationSize, stopping_for: Duration, left: Duration) -> bool {
     let output_tokens = match stopping_for < UNNOTICED {
-        true => output_planned(size),
+        true => output_cautious(size),
         false => size.output_tokens_max,
     };
     run_time(output_tokens) < left
 }
 
+/// The longer of what is planned and of what the hint says: a stream that outlasts the grace is cut.
+fn output_cautious(size: GenerationSize) -> u32 {
+    let planned = output_planned(size);
+    let hinted = hinted(size).min(size.output_tokens_max);
+    planned.max(hinted)
+}
+
 #[cfg(test)]
 mod tests;
