Ask at most three data centres at once, and look for cold upstreams only where there are any

Cause: read once more: a host that would spill asked two hosts of each other data centre, 28 at fifteen data centres, and each look for an upstream locked the directory once for each of them.

--- a/src/gateway/directory/taking.rs
+++ b/src/gateway/directory/taking.rs
@@ -78,6 +78,7 @@
         upstreams.filter(|upstream| upstream.data_centre == *data_centre)
     }
 
+    /// Notes how long an upstream stays cold from now on, as its entry says.
     pub(super) fn note_cold(&mut self, now: Time, upstream: &Upstream) {
         match upstream.cold_left_ms {
             0 => self.cold_until.remove(&upstream.id),
@@ -88,6 +89,11 @@
         };
     }
 
+    /// Whether any upstream is cold.
+    pub fn any_cold(&self, now: Time) -> bool {
+        self.cold_until.values().any(|until| *until > now)
+    }
+
     /// Whether an upstream is cold: it bears few requests a second. Taken from when this host learnt that it
     /// is, so it is warm before rather than after the host takes it for warm.
     pub fn is_cold(&self, now: Time, id: &InstanceId) -> bool {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -185,13 +185,14 @@
 /// to, a cut is likelier than two failures, and all of it is in doubt.
 pub fn candidates(shared: &Shared, service: &ServiceId, avoid: &[InstanceId]) -> Vec<Candidate> {
     let now = shared.now();
-    let ready = shared.directory(|directory| directory.ready(service));
+    let (ready, any_cold) =
+        shared.directory(|directory| (directory.ready(service), directory.any_cold(now)));
     let cut = cut_data_centres(shared, now, &ready);
     let loads = shared.loads();
     ready
         .into_iter()
         .filter(|upstream| !avoid.contains(&upstream.id))
-        .filter(|upstream| shared.may_send(now, upstream))
+        .filter(|upstream| !any_cold || shared.may_send(now, upstream))
         .map(|upstream| Candidate {
             load: loads.with(|loads| loads.at(&upstream.id)),
             doubtful: shared.is_doubtful(now, &upstream.id) || cut.contains(&upstream.data_centre),
--- a/src/gateway/shared/farloads.rs
+++ b/src/gateway/shared/farloads.rs
@@ -4,6 +4,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use rand::seq::SliceRandom;
 use tokio::sync::watch;
 
 use super::Shared;
@@ -17,6 +18,8 @@
 /// An answer comes within this time: two round trips of the farthest data centre, and a host that has no processor
 /// time at first.
 const ANSWER_WAIT: Duration = Duration::from_millis(20);
+/// Data centres that are asked at once, so that the cost of a host doesn't grow with their number.
+const ASKED_MAX: usize = 3;
 
 impl Shared {
     /// What runs at the upstreams of this data centre, but for what hosts of `receiver` run there.
@@ -41,7 +44,7 @@
         visits
     }
 
-    /// The other data centres whose last word is not fresh.
+    /// Other data centres whose last word is not fresh, a few of them.
     pub(crate) fn data_centres_to_ask(&self, now: Time) -> Vec<DataCentre> {
         if self.is_small_fleet() {
             return Vec::new();
@@ -53,6 +56,8 @@
                 age.is_none_or(|age| age > FRESH)
             });
         });
+        data_centres.shuffle(&mut rand::rng());
+        data_centres.truncate(ASKED_MAX);
         data_centres
     }
 
