--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -31,8 +31,8 @@
 const PATIENCE_OBJECTIVES_MAX: f64 = 0.5;
 /// and no more than this one while many first events come late.
 const PATIENCE_OBJECTIVES_CAUTIOUS: f64 = 0.25;
-/// So many hosts at most are taken to wait for what becomes free. With all of 62 counted hardly any generation waited:
-/// 123 of 124 that found no room were refused at once, where most would have had it within a tenth of a second.
+/// So many hosts at most are taken to wait for what becomes free. Were all of a large fleet counted, generations that
+/// would have room in a moment were refused.
 const HOSTS_WAITING_MAX: usize = 3;
 /// A refused caller is told to come back within the last part of the time in which its answer could
 /// still come whole: its objective is lost already, later there is more room, and callers that were
--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -19,7 +19,7 @@
 use crate::id::DataCentre;
 use crate::id::HostId;
 
-/// Part of what an upstream may get that is shared out. The rest is for hosts that count some of the others as gone.
+/// Part of what an upstream bears that is shared out. The rest is for hosts that count some of the others as gone.
 const SHARED_OUT: f64 = 0.8;
 /// What is allowed in a second is counted over this time, as requests of different hosts are under way for different
 /// times.
@@ -56,7 +56,8 @@
     if sender.age < KNOWS_OTHERS_AFTER || sender.data_centre != cold.data_centre {
         return 0;
     }
-    let shared_out = (cold.requests_per_s * SHARED_OUT) as usize;
+    // One that bears a single request may get it.
+    let shared_out = ((cold.requests_per_s * SHARED_OUT) as usize).max(1);
     let hosts = sender.near.len() + 1;
     if hosts <= shared_out {
         return shared_out / hosts;
--- a/src/gateway/hearsay.rs
+++ b/src/gateway/hearsay.rs
@@ -1,7 +1,7 @@
 //! Changes of upstreams that a host heard of from another host, gathered for one line of its log.
 //!
-//! A host that reads the log writes a line for each change. With a line of each of 62 hosts for each upstream the
-//! changes of upstreams were more than half of all lines.
+//! A host that reads the log writes a line for each change. Would all hosts of a large fleet, most of their lines were
+//! the same few changes.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/src/gateway/line.rs
+++ b/src/gateway/line.rs
@@ -285,8 +285,7 @@
 }
 
 /// Whether a verdict rests on what was heard of other data centres a while ago: to start there, or to start nowhere.
-/// On words that were 0.6 s old on average a third of the generations that left their data centre met another one
-/// whose prompt was not read yet, and their first events took 0.75 s in place of 0.44 s.
+/// Hosts that go by old words meet each other at one engine, where each waits for the other's prompt.
 fn rests_on_old_words(shared: &Shared, verdict: &Verdict) -> bool {
     let leaves_home = match verdict {
         Verdict::Start(candidate) => {
