Tell only loads in what is told about loads between data centres

Found by reading: what visitors tell, what asks and what answers carried the lists of leaving and unreachable upstreams and the log's position, and who hears of a later position without its changes fetches them from the teller, here from another data centre.

--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -167,16 +167,32 @@
 
     /// Tells of what its host runs in the data centre that it is for.
     pub(crate) fn of_visitor(&self, loads: Vec<(InstanceKey, Load)>) -> Datagram {
-        Datagram {
-            loads: ToldLoads::OfVisitor(loads),
-            ..self.of_turns_only()
-        }
+        self.of_loads_only(ToldLoads::OfVisitor(loads))
     }
 
     /// Asks for what runs at the upstreams of the data centre that it is for.
     pub(crate) fn that_asks(&self) -> Datagram {
         Datagram {
             asks: true,
+            ..self.of_loads_only(ToldLoads::Nothing)
+        }
+    }
+
+    /// The answer to one that asks.
+    pub(crate) fn that_answers(&self, loads: Vec<(InstanceKey, Load)>) -> Datagram {
+        self.of_loads_only(ToldLoads::OfDataCentre(loads))
+    }
+
+    /// Tells of loads, and of turns, which each datagram tells whole. Lists of upstreams that are leaving or can't be
+    /// connected to grow with the fleet, and are told in rounds. So is how much of the log was read: who hears of news
+    /// without the news would fetch it, over the link between data centres.
+    fn of_loads_only(&self, loads: ToldLoads) -> Datagram {
+        Datagram {
+            loads,
+            upstreams: Position::default(),
+            upstreams_digest: 0,
+            leaving: Vec::new(),
+            unreachable: Vec::new(),
             ..self.of_turns_only()
         }
     }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -282,7 +282,7 @@
     }
     if datagram.asks {
         let loads = shared.home_loads(&data_centre);
-        return Some(own_datagram(shared, now).of_data_centre(loads));
+        return Some(own_datagram(shared, now).that_answers(loads));
     }
     acquaintance
         .is_stranger
