--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -21,6 +21,7 @@
 use crate::gateway::instance::InstanceId;
 use crate::gateway::loads::Load;
 use crate::gateway::position::Era;
+use crate::gateway::position::Position;
 use crate::gateway::protocol::Topic;
 use crate::id::DataCentre;
 use crate::id::HostId;
@@ -505,3 +506,20 @@
     assert!(each.iter().all(|chosen| chosen.len() == 1), "{each:?}");
     assert!(each.iter().any(|chosen| *chosen != each[0]));
 }
+
+// Hosts of other data centres took what was told of loads for news of the log without the news, and fetched that.
+#[test]
+fn what_is_told_of_loads_claims_nothing_of_the_log() {
+    let told = datagram(1, "north");
+
+    let of_loads = [
+        told.of_visitor(Vec::new()),
+        told.that_asks(),
+        told.that_answers(Vec::new()),
+    ];
+
+    for datagram in of_loads {
+        assert_eq!(datagram.upstreams, Position::default());
+        assert!(datagram.leaving.is_empty() && datagram.unreachable.is_empty());
+    }
+}
