--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -3,8 +3,8 @@
 //!
 //! The hosts of a data centre all tell each other; the interval grows with their number, so that what
 //! a host sends and gets stays bounded. In a small fleet that goes for all hosts. In a large one each host
-//! tells a few of each other data centre in turn what its whole data centre runs and how many it counts,
-//! so that the cost of a host doesn't grow with the fleet, and who hears any of a data centre knows all
+//! tells a few of each other data centre in turn what its own one's upstreams run and how many hosts it counts,
+//! and those of a data centre in which it runs something that it does, so that the cost of a host doesn't grow with the fleet, and who hears any of a data centre knows all
 //! of it. A datagram lost is made good by the next one. A host that has just started is told at once
 //! whom it shall hear.
 //!
