Tell in E207 what the retry budget held and why a request goes nowhere else

The lines did not tell refusals for want of budget from the fourth send or the end of the caller's patience, nor how much of the budget the ratio gave. Behaviour is unchanged.

--- a/src/gateway/retrybudget.rs
+++ b/src/gateway/retrybudget.rs
@@ -20,6 +20,24 @@
     pub window: Duration,
 }
 
+/// What a budget holds at one moment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Balance {
+    /// Requests in the window.
+    pub requests: usize,
+    /// Retries in the window.
+    pub retries: usize,
+    /// Retries that may be made in the window.
+    pub allowed: f64,
+}
+
+impl Balance {
+    /// Whether one retry more is allowed.
+    pub fn has_room(&self) -> bool {
+        self.retries as f64 + 1.0 <= self.allowed
+    }
+}
+
 /// The budget of one service on one host.
 #[derive(Debug)]
 pub struct SharedRetryBudget {
@@ -49,16 +67,25 @@
         self.retries.push_back(now);
     }
 
-    /// Takes one retry, if `hosts` hosts that share the allowance leave this one any.
-    pub fn try_retry(&mut self, now: Time, hosts: usize) -> bool {
+    /// What the budget holds if `hosts` hosts share the allowance.
+    pub fn balance(&mut self, now: Time, hosts: usize) -> Balance {
         self.forget(now);
         let part = self.options.allowance / hosts.max(1) as f64;
-        let allowed = self.options.ratio * self.requests.len() as f64 + part;
-        let free = (self.retries.len() as f64) + 1.0 <= allowed * USED_SHARE;
-        if free {
+        let earned = self.options.ratio * self.requests.len() as f64;
+        Balance {
+            requests: self.requests.len(),
+            retries: self.retries.len(),
+            allowed: (earned + part) * USED_SHARE,
+        }
+    }
+
+    /// Takes one retry, if `hosts` hosts that share the allowance leave this one any.
+    pub fn try_retry(&mut self, now: Time, hosts: usize) -> bool {
+        let has_room = self.balance(now, hosts).has_room();
+        if has_room {
             self.retries.push_back(now);
         }
-        free
+        has_room
     }
 
     fn forget(&mut self, now: Time) {
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -345,7 +345,7 @@
                 self.broken = None;
                 self.splitter.restart();
                 self.leaving_since = None;
-                telemetry::count_stream(Metric::StreamMovesTotal, &service);
+                telemetry::count_of_service(Metric::StreamMovesTotal, &service);
                 self.note_move("continued", Some(to));
                 Ok(())
             }
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -224,7 +224,7 @@
         let id = self.running.upstream.id.clone();
         self.shared
             .upstream_failed(&self.admitted.service, &id, reason);
-        telemetry::count_stream(Metric::StreamsLostTotal, &self.admitted.service);
+        telemetry::count_of_service(Metric::StreamsLostTotal, &self.admitted.service);
         let line = self.admitted.line(&self.shared, EventCode::RequestFailed);
         line.with("upstream", id.as_str())
             .with("reason", reason)
--- a/src/gateway/tries.rs
+++ b/src/gateway/tries.rs
@@ -8,8 +8,11 @@
 
 use crate::event::EventCode;
 use crate::gateway::instance::InstanceId;
+use crate::gateway::retrybudget::Balance;
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
+use crate::id::ServiceId;
+use crate::telemetry;
 
 /// Upstreams that a request is sent to, however many of them certainly did not run it.
 const SENDS_MAX: usize = 4;
@@ -26,6 +29,30 @@
     Unreachable,
 }
 
+/// Whether a request goes to another upstream after a failed try.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Verdict {
+    /// It does.
+    GoesOn,
+    /// It was sent as often as a request may be.
+    SentOften,
+    /// The retry budget of its service has no room.
+    NoBudget,
+    /// It would be answered late.
+    TooLate,
+}
+
+impl Verdict {
+    fn name(self) -> &'static str {
+        match self {
+            Verdict::GoesOn => "goes_on",
+            Verdict::SentOften => "sent_often",
+            Verdict::NoBudget => "no_budget",
+            Verdict::TooLate => "too_late",
+        }
+    }
+}
+
 /// The tries of one request.
 #[derive(Debug, Default)]
 pub(crate) struct Tries {
@@ -59,18 +86,9 @@
         reason: &str,
     ) -> bool {
         let hosts = shared.hosts();
-        let goes_on = match reached {
-            Reached::Unreachable => {
-                let patience = admitted.route.objective.mul_f64(LOOK_OBJECTIVES);
-                self.may_look_further(admitted.arrived.elapsed(), patience)
-            }
-            Reached::Sent => {
-                self.sent += 1;
-                self.sent < SENDS_MAX
-                    && shared.budget(&admitted.service, |budget| {
-                        budget.try_retry(shared.now(), hosts)
-                    })
-            }
+        let (verdict, balance) = match reached {
+            Reached::Unreachable => (self.look_further(admitted), None),
+            Reached::Sent => self.send_again(shared, &admitted.service, hosts),
         };
         let line = admitted.line(shared, EventCode::RequestRestarted);
         line.with_some("upstream", self.upstreams.last().map(InstanceId::as_str))
@@ -78,9 +96,44 @@
             .with("tries", self.len())
             .with("sent", self.sent)
             .with("hosts", hosts)
-            .with("retried", goes_on)
+            .with_some("budget_requests", balance.map(|balance| balance.requests))
+            .with_some("budget_retries", balance.map(|balance| balance.retries))
+            .with_some("budget_allowed", balance.map(|balance| balance.allowed))
+            .with("verdict", verdict.name())
+            .with("retried", verdict == Verdict::GoesOn)
             .write();
-        goes_on
+        verdict == Verdict::GoesOn
+    }
+
+    fn look_further(&self, admitted: &Admitted) -> Verdict {
+        let patience = admitted.route.objective.mul_f64(LOOK_OBJECTIVES);
+        match self.may_look_further(admitted.arrived.elapsed(), patience) {
+            true => Verdict::GoesOn,
+            false => Verdict::TooLate,
+        }
+    }
+
+    /// Also what the budget held before, if it was asked.
+    fn send_again(
+        &mut self,
+        shared: &Shared,
+        service: &ServiceId,
+        hosts: usize,
+    ) -> (Verdict, Option<Balance>) {
+        self.sent += 1;
+        if self.sent >= SENDS_MAX {
+            return (Verdict::SentOften, None);
+        }
+        let now = shared.now();
+        let (balance, is_allowed) = shared.budget(service, |budget| {
+            (budget.balance(now, hosts), budget.try_retry(now, hosts))
+        });
+        telemetry::count_retry(service, is_allowed);
+        let verdict = match is_allowed {
+            true => Verdict::GoesOn,
+            false => Verdict::NoBudget,
+        };
+        (verdict, Some(balance))
     }
 
     fn may_look_further(&self, elapsed: Duration, patience: Duration) -> bool {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -127,6 +127,10 @@
         "Streams that the gateway continued at another engine.",
     StreamsLostTotal Counter "cedargauge_streams_lost_total" "service"
         "Streams that the gateway broke off before their last event.",
+    RetriesTotal Counter "cedargauge_retries_total" "service"
+        "Requests that the gateway sent to a further upstream, after one that they had reached.",
+    RetriesRefusedTotal Counter "cedargauge_retries_refused_total" "service"
+        "Requests that were not sent to a further upstream because the retry budget had no room.",
     SuspensionsTotal Counter "cedargauge_suspensions_total" ""
         "Times that the host was found to have been suspended.",
     LastSuspensionMs Gauge "cedargauge_last_suspension_ms" ""
@@ -329,13 +333,22 @@
     metrics::histogram!(Metric::CallMs.name(), &labels).record(ms);
 }
 
-/// Counts a stream's event of a counter that is labelled by service.
-pub fn count_stream(metric: Metric, service: &ServiceId) {
+/// Counts an event of a counter that is labelled by service.
+pub fn count_of_service(metric: Metric, service: &ServiceId) {
     debug_assert!(metric.kind() == Kind::Counter && metric.labels() == "service");
     let labels = [("service", service.as_str().to_owned())];
     metrics::counter!(metric.name(), &labels).increment(1);
 }
 
+/// Counts a retry that the budget of its service allowed, or not.
+pub fn count_retry(service: &ServiceId, is_allowed: bool) {
+    let metric = match is_allowed {
+        true => Metric::RetriesTotal,
+        false => Metric::RetriesRefusedTotal,
+    };
+    count_of_service(metric, service);
+}
+
 /// Counts an event of a counter without labels.
 pub fn count(metric: Metric) {
     count_by(metric, 1);
