--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -7,6 +7,7 @@
 mod instances;
 mod largedocuments;
 mod logreturns;
+mod retrybudget;
 mod silentlog;
 mod suspendedhost;
 
--- /dev/null
+++ b/tests/retrybudget/mod.rs
@@ -0,0 +1,145 @@
+//! Retries of hosts that start and stop while upstreams turn everything away.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+
+use crate::gatewayworld::Behaviour;
+use crate::gatewayworld::FakeLog;
+use crate::gatewayworld::FakeUpstream;
+use crate::gatewayworld::World;
+use crate::gatewayworld::ask;
+use crate::gatewayworld::route;
+use crate::gatewayworld::table;
+use crate::gatewayworld::wait_until;
+
+const HOSTS: usize = 6;
+const UPSTREAMS: usize = 8;
+/// What the hosts are told of the budget.
+const RATIO: f64 = 0.2;
+const ALLOWANCE: f64 = 50.0;
+const WINDOW: Duration = Duration::from_secs(10);
+/// Lives of each host.
+const LIVES: usize = 5;
+/// Requests that spend a host's part of the budget.
+const REQUESTS: usize = 6;
+/// Requests that spend the whole budget.
+const REQUESTS_FOR_ALL: usize = 24;
+/// A host that was not heard for so long counts as gone.
+const SILENT: Duration = Duration::from_millis(4_500);
+
+/// Upstreams that run nothing, and the requests sent so far.
+struct Pool {
+    log: FakeLog,
+    upstreams: Vec<FakeUpstream>,
+    sent: usize,
+}
+
+impl Pool {
+    fn start(log: &FakeLog) -> Self {
+        let upstreams: Vec<FakeUpstream> = (0..UPSTREAMS)
+            .map(|index| FakeUpstream::start(&format!("up-{index}"), &[Behaviour::NotRun]))
+            .collect();
+        for upstream in &upstreams {
+            log.put("upstreams", upstream.id(), &upstream.entry("ready"));
+        }
+        log.put("operator", "table", &table(1, json!([route("once")])));
+        Pool {
+            log: log.clone(),
+            upstreams,
+            sent: 0,
+        }
+    }
+
+    fn wait_for(hosts: &[World]) {
+        for host in hosts {
+            assert!(wait_until(|| host.is_ready()), "a host is not ready");
+        }
+    }
+
+    /// Sends so many requests to each of `hosts` in turn.
+    fn press(&mut self, hosts: &[World], requests: usize) {
+        for _ in 0..requests {
+            for host in hosts {
+                self.sent += 1;
+                let id = self.sent;
+                let request = format!(
+                    "POST /nets/7 HTTP/1.1\r\nhost: a.example\r\nauthorization: Key key-1\r\nrequest-id: r-{id}\r\ncontent-length: 0\r\n\r\n"
+                );
+                ask(host.callers(), &request);
+            }
+        }
+    }
+
+    /// When each retry reached an upstream: arrivals beyond the first of each request.
+    fn retries(&self) -> Vec<Instant> {
+        let mut arrivals: BTreeMap<String, Vec<Instant>> = BTreeMap::new();
+        for seen in self.upstreams.iter().flat_map(FakeUpstream::seen) {
+            let id = seen.header("request-id").unwrap_or("").to_owned();
+            arrivals.entry(id).or_default().push(seen.at);
+        }
+        let mut retries = Vec::new();
+        for mut of_request in arrivals.into_values() {
+            of_request.sort();
+            retries.extend(of_request.into_iter().skip(1));
+        }
+        retries.sort();
+        retries
+    }
+
+    /// The most retries in any window.
+    fn most_retries(&self) -> usize {
+        let retries = self.retries();
+        let from = |first: &Instant| {
+            let window = retries.iter().filter(|at| *at >= first);
+            window
+                .take_while(|at| at.duration_since(*first) <= WINDOW)
+                .count()
+        };
+        retries.iter().map(from).max().unwrap_or(0)
+    }
+
+    fn allowed(&self) -> usize {
+        (RATIO * self.sent as f64 + ALLOWANCE) as usize
+    }
+}
+
+// A host that starts must not spend again what its last process spent of the budget.
+#[test]
+fn hosts_that_start_again_and_again_spend_one_retry_budget() {
+    let mut hosts = World::start_fleet(HOSTS);
+    let mut pool = Pool::start(&hosts[0].log);
+    Pool::wait_for(&hosts);
+    pool.press(&hosts, REQUESTS);
+
+    for _ in 1..LIVES {
+        hosts.clear();
+        hosts = World::start_fleet_at(&pool.log, HOSTS);
+        Pool::wait_for(&hosts);
+        pool.press(&hosts, REQUESTS);
+    }
+
+    let (most, allowed) = (pool.most_retries(), pool.allowed());
+    assert!(most <= allowed, "{most} retries, {allowed} allowed");
+}
+
+// What hosts that are gone have spent still counts, so the one that is left must not take their parts at once.
+#[test]
+fn a_host_whose_peers_are_gone_does_not_take_their_retry_budget() {
+    let mut hosts = World::start_fleet(HOSTS);
+    let mut pool = Pool::start(&hosts[0].log);
+    Pool::wait_for(&hosts);
+    pool.press(&hosts, REQUESTS);
+
+    let mut others = hosts.split_off(1);
+    others.iter_mut().for_each(World::drain);
+    others.iter_mut().for_each(World::wait_ended);
+    let gone = Instant::now();
+    assert!(wait_until(|| gone.elapsed() > SILENT));
+    pool.press(&hosts, REQUESTS_FOR_ALL);
+
+    let (most, allowed) = (pool.most_retries(), pool.allowed());
+    assert!(most <= allowed, "{most} retries, {allowed} allowed");
+}
