Divide the retry budget among the most hosts of late, not those heard now

Callers saw upstreams that turn requests away pressed on with more repeats than operators allow: a host that lost sight of the others (stopping, dead or beyond a cut) took their parts of the fixed allowance at once, though what they had spent still counted and stopping hosts went on spending.

Each host now remembers the most hosts that it has counted, for 10 to 20 minutes, and tells it; one that has just started learns the fleet's size from the first datagram it hears. What is told is not told on, so a fleet that shrinks is counted anew.

--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -29,7 +29,7 @@
 const PART_CHANGES: usize = 10;
 /// First byte of a datagram; rises with each change of its fields, so that hosts of two releases
 /// side by side don't misread each other.
-const FORMAT: u8 = 8;
+const FORMAT: u8 = 9;
 
 /// Topics of the log.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -121,6 +121,8 @@
     pub hears: u32,
     /// How many of them are of its data centre.
     pub hears_near: u32,
+    /// The most hosts that it has counted of late, itself included.
+    pub counted: u32,
     /// Whether it is shutting down and counts no more.
     pub stopping: bool,
     /// Whether it asks what runs at the upstreams of the receiver's data centre.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -154,7 +154,10 @@
         true => Recipients::All,
         false => Recipients::Near,
     };
-    let targets = shared.peers(|peers| peers.targets(now, recipients));
+    let targets = shared.peers(|peers| {
+        peers.count(now);
+        peers.targets(now, recipients)
+    });
     let datagram = own_datagram(shared, now);
     if !is_small {
         far::send_far(shared, socket, far, &datagram).await;
@@ -205,6 +208,7 @@
         introduced: Vec::new(),
         hears: u32::try_from(shared.peers(|peers| peers.live(now))).unwrap_or(u32::MAX),
         hears_near: u32::try_from(shared.peers(|peers| peers.count_near(now))).unwrap_or(u32::MAX),
+        counted: u32::try_from(shared.peers(|peers| peers.counted(now))).unwrap_or(u32::MAX),
         stopping: shared.gate().is_shutting_down(),
         asks: false,
     };
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -23,9 +23,11 @@
 /// Who knows so many of another data centre, of whom each tells others in turn, needs no introduction.
 const KNOWN_ENOUGH: usize = 8;
 
+mod fleetsize;
 mod partners;
 mod readers;
 
+use self::fleetsize::FleetSize;
 #[cfg(test)]
 pub(crate) use self::partners::FAR_PARTNERS;
 pub use self::partners::Recipients;
@@ -104,6 +106,7 @@
     peers: BTreeMap<SocketAddr, Peer>,
     /// What was last heard of each data centre.
     words: BTreeMap<DataCentre, DataCentreWord>,
+    size: FleetSize,
     turn: usize,
     far_turn: usize,
     fetching: BTreeSet<Fetch>,
@@ -123,6 +126,7 @@
             seeds,
             peers: BTreeMap::new(),
             words: BTreeMap::new(),
+            size: FleetSize::default(),
             turn: 0,
             far_turn: usize::from(own.port()) ^ address_number(own),
             fetching: BTreeSet::new(),
@@ -152,6 +156,8 @@
             others: others.saturating_add(usize::from(!is_near && !datagram.stopping)),
         };
         self.words.insert(datagram.data_centre.clone(), word);
+        let counted = usize::try_from(datagram.counted).unwrap_or(usize::MAX);
+        self.size.hear(now, counted);
         self.peers.insert(
             address,
             Peer {
@@ -272,6 +278,24 @@
         heard.values().sum()
     }
 
+    /// Counts the live hosts; to be called in each round.
+    pub(crate) fn count(&mut self, now: Time) {
+        let live = self.live(now) + 1;
+        self.size.count(now, live);
+    }
+
+    /// The most hosts that this one has counted of late, itself included.
+    pub(crate) fn counted(&self, now: Time) -> usize {
+        self.size.counted(now)
+    }
+
+    /// The hosts among which bounds of the fleet are divided: the most that are known to have been live of late, and at least
+    /// the seeds.
+    pub(crate) fn sharing(&self, now: Time) -> usize {
+        let others = self.live(now).max(self.seeds.len());
+        self.size.most(now).max(others + 1)
+    }
+
     /// Begins to fetch something from peers; false while that is under way.
     pub(crate) fn begin_fetch(&mut self, fetch: Fetch) -> bool {
         self.fetching.insert(fetch)
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -59,6 +59,7 @@
         introduced: Vec::new(),
         hears: 0,
         hears_near: 0,
+        counted: 0,
         stopping: false,
         asks: false,
     }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -256,12 +256,18 @@
         *locked(&self.0.seeds) = seeds;
     }
 
-    /// Hosts that share bounds, this one among them.
+    /// Live hosts, this one among them.
     pub fn hosts(&self) -> usize {
         let now = self.now();
         self.peers(|peers| peers.live(now)) + 1
     }
 
+    /// Hosts among which bounds of the fleet are divided, this one among them.
+    pub fn sharing_hosts(&self) -> usize {
+        let now = self.now();
+        self.peers(|peers| peers.sharing(now))
+    }
+
     /// Whether hosts are so few that each tells all others all, and reads the log for itself.
     pub(crate) fn is_small_fleet(&self) -> bool {
         let now = self.now();
--- a/src/gateway/tries.rs
+++ b/src/gateway/tries.rs
@@ -85,7 +85,7 @@
         reached: Reached,
         reason: &str,
     ) -> bool {
-        let hosts = shared.hosts();
+        let hosts = shared.sharing_hosts();
         let (verdict, balance) = match reached {
             Reached::Unreachable => (self.look_further(admitted), None),
             Reached::Sent => self.send_again(shared, &admitted.service, hosts),
