Have processes in their first window retry by what their age has earned

Callers saw upstreams that turn requests away pressed on with more repeats than operators allow: a process that starts took its host's whole part of the fixed allowance, though what the process before it had spent still counted in the window.

A process in its first window now gets 0.4 of what its requests earn and of the part that its age has earned, and 0.6 of requests and part from then on. In any window a host has at most one process older than a window and younger ones whose ages add up to at most one window, so all together stay within the host's part, however often it starts.

Not built: telling a process what the one before had spent, by its peers; what was spent in the last round before a kill is unknown to them.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -80,6 +80,8 @@
     boot_origin: Option<Duration>,
     /// Milliseconds for which a test has the host suspended.
     suspended_ms: Option<&'static AtomicU64>,
+    /// Time for which a test has the host run before the origin.
+    age: Duration,
 }
 
 impl SystemClock {
@@ -89,9 +91,15 @@
             origin: std::time::Instant::now(),
             boot_origin: since_boot(),
             suspended_ms: None,
+            age: Duration::ZERO,
         }
     }
 
+    /// The clock of a host that has run for `age`.
+    pub fn aged(self, age: Duration) -> Self {
+        SystemClock { age, ..self }
+    }
+
     /// A clock of a host that a test suspends: the time of `suspended_ms` counts for [`SystemClock::now`] and not for
     /// [`SystemClock::steady`].
     pub fn of_suspended(suspended_ms: &'static AtomicU64) -> Self {
@@ -108,12 +116,12 @@
             _ => self.origin.elapsed(),
         };
         let suspended_ms = self.suspended_ms.map_or(0, |ms| ms.load(Ordering::Relaxed));
-        Time::ZERO + elapsed + Duration::from_millis(suspended_ms)
+        Time::ZERO + self.age + elapsed + Duration::from_millis(suspended_ms)
     }
 
     /// The time since the origin without that of suspensions, as timers count it.
     pub fn steady(&self) -> Time {
-        Time::ZERO + self.origin.elapsed()
+        Time::ZERO + self.age + self.origin.elapsed()
     }
 
     /// Wall-clock milliseconds since the Unix epoch.
--- a/src/gateway/retrybudget.rs
+++ b/src/gateway/retrybudget.rs
@@ -1,13 +1,19 @@
-//! A retry budget that all hosts share without talking: each takes its part of the fixed
+//! A retry budget that all hosts share without asking each other: each takes its part of the fixed
 //! allowance and a ratio of its own requests, over a sliding window.
+//!
+//! A process knows what it has spent and not what the one before it has, so hosts that start again in series would
+//! spend their part in each life. In its first window a process takes the rest that older ones leave, and of the fixed
+//! allowance only what its age has earned: all processes of a host together then stay within its part.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::clock::Time;
 
-/// Share of the budget that is used, so that uneven parts of the hosts stay within the whole.
-const USED_SHARE: f64 = 0.7;
+/// Share of the budget that a process uses once it has run for a window.
+const USED_SHARE: f64 = 0.6;
+/// Share of it that processes use in their first window.
+const USED_SHARE_AT_START: f64 = 1.0 - USED_SHARE;
 
 /// Bounds of the budget over all hosts.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -67,15 +73,20 @@
         self.retries.push_back(now);
     }
 
-    /// What the budget holds if `hosts` hosts share the allowance.
+    /// What the budget holds if `hosts` hosts share the allowance. `now` counts from the start of the process.
     pub fn balance(&mut self, now: Time, hosts: usize) -> Balance {
         self.forget(now);
         let part = self.options.allowance / hosts.max(1) as f64;
         let earned = self.options.ratio * self.requests.len() as f64;
+        let age = now.since(Time::ZERO).div_duration_f64(self.options.window);
+        let allowed = match age < 1.0 {
+            true => (earned + part * age) * USED_SHARE_AT_START,
+            false => (earned + part) * USED_SHARE,
+        };
         Balance {
             requests: self.requests.len(),
             retries: self.retries.len(),
-            allowed: (earned + part) * USED_SHARE,
+            allowed,
         }
     }
 
--- a/src/gateway/retrybudget/tests.rs
+++ b/src/gateway/retrybudget/tests.rs
@@ -1,3 +1,5 @@
+mod fleet;
+
 use std::time::Duration;
 
 use super::RetryBudgetOptions;
@@ -10,6 +12,9 @@
     window: Duration::from_secs(10),
 };
 
+/// The process has run for longer than a window.
+const NOW: Time = Time::from_ms(60_000);
+
 fn retries(budget: &mut SharedRetryBudget, now: Time, hosts: usize) -> usize {
     (0..1_000)
         .take_while(|_| budget.try_retry(now, hosts))
@@ -24,9 +29,9 @@
     for _ in 0..hosts {
         let mut budget = SharedRetryBudget::new(OPTIONS);
         for _ in 0..requests {
-            budget.requested(Time::ZERO);
+            budget.requested(NOW);
         }
-        sum += retries(&mut budget, Time::from_ms(1), hosts);
+        sum += retries(&mut budget, NOW + Duration::from_millis(1), hosts);
     }
 
     let whole = OPTIONS.ratio * (hosts * requests) as f64 + OPTIONS.allowance;
@@ -37,10 +42,10 @@
 #[test]
 fn the_window_slides() {
     let mut budget = SharedRetryBudget::new(OPTIONS);
-    let first = retries(&mut budget, Time::ZERO, 1);
+    let first = retries(&mut budget, NOW, 1);
 
-    let soon = retries(&mut budget, Time::from_ms(9_000), 1);
-    let later = retries(&mut budget, Time::from_ms(10_001), 1);
+    let soon = retries(&mut budget, NOW + Duration::from_millis(9_000), 1);
+    let later = retries(&mut budget, NOW + Duration::from_millis(10_001), 1);
 
     assert_eq!(soon, 0);
     assert_eq!(later, first);
@@ -50,8 +55,28 @@
 fn what_is_charged_leaves_less() {
     let mut budget = SharedRetryBudget::new(OPTIONS);
     for _ in 0..1_000 {
-        budget.charge(Time::ZERO);
+        budget.charge(NOW);
+    }
+
+    assert!(!budget.try_retry(NOW, 1));
+}
+
+#[test]
+fn a_process_that_has_just_started_takes_nothing_of_the_allowance() {
+    let mut budget = SharedRetryBudget::new(OPTIONS);
+
+    assert_eq!(retries(&mut budget, Time::ZERO, 1), 0);
+}
+
+#[test]
+fn a_process_in_its_first_window_retries_by_its_requests_and_its_age() {
+    let mut budget = SharedRetryBudget::new(OPTIONS);
+    let half = Time::ZERO + OPTIONS.window / 2;
+    for _ in 0..100 {
+        budget.requested(half);
     }
 
-    assert!(!budget.try_retry(Time::ZERO, 1));
+    let taken = retries(&mut budget, half, 1);
+
+    assert_eq!(taken, (0.4 * (0.2 * 100.0 + 40.0 / 2.0)) as usize);
 }
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -47,6 +47,9 @@
 pub use upstream::Death;
 pub use upstream::FakeUpstream;
 
+/// Hosts have run for this time, longer than any window of a bound, where a test doesn't say that they have just started.
+const HAS_RUN: Duration = Duration::from_secs(60);
+
 /// What must happen happens within this time.
 pub const BOUND: Duration = Duration::from_secs(10);
 
@@ -96,7 +99,7 @@
     pub fn start() -> Self {
         let address = own_address();
         let log = FakeLog::start(address);
-        World::start_host(settings(address, log.address()), log)
+        World::start_host(settings(address, log.address()), log, HAS_RUN)
     }
 
     /// Starts `count` hosts of one data centre, each with an address of its own to one log. The first
@@ -110,21 +113,22 @@
         World::start_fleet_behind(links.len(), Some(links))
     }
 
-    /// The same at a log that is there already, each by a door of its own.
+    /// Hosts that have just started at a log that is there already, each by a door of its own.
     pub fn start_fleet_at(log: &FakeLog, count: usize) -> Vec<Self> {
         let addresses: Vec<IpAddr> = (0..count).map(|_| own_address()).collect();
-        World::start_fleet_of(&addresses, &log.another_door(), None)
+        World::start_fleet_of(&addresses, &log.another_door(), None, Duration::ZERO)
     }
 
     fn start_fleet_behind(count: usize, links: Option<&[Link]>) -> Vec<Self> {
         let addresses: Vec<IpAddr> = (0..count).map(|_| own_address()).collect();
-        World::start_fleet_of(&addresses, &FakeLog::start(addresses[0]), links)
+        World::start_fleet_of(&addresses, &FakeLog::start(addresses[0]), links, HAS_RUN)
     }
 
     fn start_fleet_of(
         addresses: &[IpAddr],
         first_door: &FakeLog,
         links: Option<&[Link]>,
+        age: Duration,
     ) -> Vec<Self> {
         let seed = SocketAddr::new(addresses[0], PEER_PORT);
         let doors = (0..addresses.len()).map(|index| match index {
@@ -142,28 +146,28 @@
                     settings.peer_address.set_ip(inner_address(*address));
                     links[index].connect(outside, settings.peer_address);
                 }
-                World::start_host(settings, door)
+                World::start_host(settings, door, age)
             })
             .collect()
     }
 
-    /// Starts a host more beside the first one of a fleet, which is its seed.
+    /// Starts a host more beside the first one of a fleet, which is its seed; it has just started.
     pub fn join(first: &World) -> Self {
         let address = own_address();
         let mut settings = settings(address, first.log.address());
         settings.host = HostId::new(format!("host-{address}"));
         settings.seeds = vec![SocketAddr::new(first.address, PEER_PORT)];
-        World::start_host(settings, first.log.clone())
+        World::start_host(settings, first.log.clone(), Duration::ZERO)
     }
 
-    fn start_host(settings: GatewaySettings, log: FakeLog) -> Self {
+    fn start_host(settings: GatewaySettings, log: FakeLog, age: Duration) -> Self {
         let address = settings.caller_address.ip();
         let suspended_ms: &'static AtomicU64 = Box::leak(Box::default());
         let (started, ready) = channel();
         let (drain, drained) = oneshot::channel();
         let thread = std::thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
-                let clock = SystemClock::of_suspended(suspended_ms);
+                let clock = SystemClock::of_suspended(suspended_ms).aged(age);
                 let lines = DecisionLog::start_with(
                     settings.host.clone(),
                     Incarnation(1),
