Count a continued run as a retry only where it was turned away

What callers saw: after a wave of leaving engines a request that no engine had run was told 503, though another engine had room: each run that was moved had drawn on the retry budget.

Cause: a continuation was charged before it was sent. Those turned away at their destination, or of which nothing is known, are charged as before.

runs_that_were_moved_leave_the_retry_budget_to_others failed before (503 after 45 moved runs) and passes.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -94,6 +94,16 @@
     TimedOut,
 }
 
+impl Opened {
+    /// Whether a continuation that came to this may be a repeat for upstreams. One that runs is the same run.
+    fn may_count_as_retry(&self) -> bool {
+        match self {
+            Opened::Running(_) | Opened::Unreachable(_) => false,
+            Opened::Answered(_) | Opened::NotRun(_) | Opened::Unknown(_) | Opened::TimedOut => true,
+        }
+    }
+}
+
 /// A request on its way to an engine.
 struct Sending<'a> {
     upstream: &'a Arc<Upstream>,
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -319,9 +319,7 @@
         source: &Arc<Upstream>,
         handle: &str,
     ) -> Result<(), String> {
-        let now = self.shared.now();
         let service = self.admitted.service.clone();
-        self.shared.budget(&service, |budget| budget.charge(now));
         let continuation = Continuation {
             copy: self
                 .shared
@@ -337,8 +335,13 @@
             to,
             tokens,
             Some(&continuation),
-        );
-        match opened.await {
+        )
+        .await;
+        if opened.may_count_as_retry() {
+            let now = self.shared.now();
+            self.shared.budget(&service, |budget| budget.charge(now));
+        }
+        match opened {
             Opened::Running(running) => {
                 self.moving = Move::None;
                 self.running = *running;
--- a/tests/retrybudget/mod.rs
+++ b/tests/retrybudget/mod.rs
@@ -7,6 +7,7 @@
 use serde_json::json;
 
 use crate::gatewayworld::Behaviour;
+use crate::gatewayworld::Caller;
 use crate::gatewayworld::FakeLog;
 use crate::gatewayworld::FakeUpstream;
 use crate::gatewayworld::World;
@@ -27,9 +28,19 @@
 const REQUESTS: usize = 6;
 /// Requests that spend the whole budget.
 const REQUESTS_FOR_ALL: usize = 24;
+/// Runs that are moved, more than a host may make retries.
+const RUNS: usize = 45;
+/// Engines that have room for them all.
+const ENGINES: usize = 12;
 /// A host that was not heard for so long counts as gone.
 const SILENT: Duration = Duration::from_millis(4_500);
 
+fn request(id: usize) -> String {
+    format!(
+        "POST /nets/7 HTTP/1.1\r\nhost: a.example\r\nauthorization: Key key-1\r\nrequest-id: r-{id}\r\ntokens: 40\r\ncontent-length: 0\r\n\r\n"
+    )
+}
+
 /// Upstreams that run nothing, and the requests sent so far.
 struct Pool {
     log: FakeLog,
@@ -64,11 +75,7 @@
         for _ in 0..requests {
             for host in hosts {
                 self.sent += 1;
-                let id = self.sent;
-                let request = format!(
-                    "POST /nets/7 HTTP/1.1\r\nhost: a.example\r\nauthorization: Key key-1\r\nrequest-id: r-{id}\r\ncontent-length: 0\r\n\r\n"
-                );
-                ask(host.callers(), &request);
+                ask(host.callers(), &request(self.sent));
             }
         }
     }
@@ -143,3 +150,42 @@
     let (most, allowed) = (pool.most_retries(), pool.allowed());
     assert!(most <= allowed, "{most} retries, {allowed} allowed");
 }
+
+// A run that goes on from a copy of its memory is the same run, not a repeat: waves of leaving engines must not use up the
+// budget of requests that were turned away.
+#[test]
+fn runs_that_were_moved_leave_the_retry_budget_to_others() {
+    let held = Behaviour::Events {
+        to: 8,
+        break_after: None,
+        hold_after: Some(7),
+    };
+    let (world, engines) = crate::engines(&vec![held; ENGINES]);
+    let run = |id| {
+        let mut caller = Caller::connect(world.callers());
+        caller.send(request(id));
+        assert!(caller.read_until("id: 7\n"), "run {id}");
+        caller
+    };
+    let callers: Vec<Caller> = (0..RUNS).map(run).collect();
+    let others: Vec<FakeUpstream> = (0..ENGINES)
+        .map(|index| FakeUpstream::of("reports", &format!("other-{index}"), &[crate::events(8)]))
+        .collect();
+    others.iter().for_each(|other| world.list(other, "ready"));
+    engines
+        .iter()
+        .for_each(|engine| world.list(engine, "leaving"));
+    for mut caller in callers {
+        assert!(caller.read().whole, "a run was not moved");
+    }
+
+    let full = FakeUpstream::of("reports", "full", &[Behaviour::NotRun]);
+    world.list(&full, "ready");
+    let was_turned_away = wait_until(|| {
+        let answer = ask(world.callers(), &request(RUNS));
+        assert_eq!(answer.status, 200);
+        !full.seen().is_empty()
+    });
+
+    assert!(was_turned_away);
+}
