Tell a missing upstream as of the record that listed it

Cause, by the lines: a host behind a cut missed the removal of the upstream, which the others had read at 8.66 s. When the log was back for it (11.11 s) it gave the upstream the grace in which living ones list themselves again, and noted the position where the log lacked it. Its changes then told the upstream as listed there, later than its removal, so the other hosts listed it again; told back, their word ended the grace, and nobody dropped it. Class: a belief told on under a position that its evidence doesn't have.

Ruled out: reads of the log that hang after the reset connections (the host read on, positions 0.73 to 0.102); a notice that was not taken (no line, since the log had no entry of it any more).

An entry now keeps the position of its record while it is missing, and where the log lacks it apart.

--- a/src/gateway/cold/tests.rs
+++ b/src/gateway/cold/tests.rs
@@ -177,3 +177,28 @@
     assert_eq!(taken, 2);
     assert!(budget.allows(later, &sender, &cold));
 }
+
+/// What is sent to an upstream within one window if all of `hosts` spend their shares, those after `left` then end, and the
+/// others spend what their new shares leave them.
+fn sent_around_an_end(hosts: &[HostId], left: usize, upstream: &InstanceId) -> usize {
+    let before = shares(hosts, upstream, || true);
+    let after = shares(&hosts[..left], upstream, || true);
+    let more = after.iter().zip(&before);
+    let more = more.map(|(after, before)| after.saturating_sub(*before));
+    before.iter().sum::<usize>() + more.sum::<usize>()
+}
+
+// Hosts that are left take the shares of those that end, which have spent them in the same second.
+#[test]
+fn hosts_that_end_together_and_those_that_are_left_keep_the_bound() {
+    for count in [2, 3, 6, 21, 74, 100] {
+        let hosts = hosts(count);
+        for second in 0..SECONDS / 10 {
+            let left = 1 + second % count;
+
+            let sent = sent_around_an_end(&hosts, left, &instance(second));
+
+            assert!(sent <= BOUND, "{left} of {count} hosts are left: {sent}");
+        }
+    }
+}
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -15,6 +15,7 @@
 use std::time::Duration;
 
 use self::entry::Entry;
+use self::entry::Missing;
 use self::entry::Removal;
 use self::entry::change_of;
 use self::entry::is_notice;
@@ -106,7 +107,7 @@
         position: impl Into<Position>,
     ) -> Option<Applied> {
         let position = position.into();
-        let known = self.entries.get(id).map(|entry| entry.position);
+        let known = self.entries.get(id).map(Entry::known_to);
         let removed = self.removed.get(id).map(|removal| removal.position);
         if known.max(removed).is_some_and(|newest| newest > position) {
             return None;
@@ -156,7 +157,7 @@
         let entry = Entry {
             upstream: upstream.clone(),
             position,
-            gone_at: None,
+            missing: None,
             leaving_since: is_leaving.then(|| leaving_since.unwrap_or(now)),
         };
         self.entries.insert(name, entry);
@@ -190,8 +191,10 @@
         let grace_ends = self.returned_at.map(|returned| returned + RETURN_GRACE);
         let ready = entry.upstream.state == UpstreamState::Ready;
         if let Some(ends) = grace_ends.filter(|ends| *ends > now && ready) {
-            entry.position = position;
-            entry.gone_at = Some(ends);
+            entry.missing = Some(Missing {
+                position,
+                until: ends,
+            });
             return Some(Applied {
                 id: entry.upstream.id.clone(),
                 change: DirectoryChange::Missing,
@@ -248,7 +251,7 @@
             .entries
             .iter()
             .filter(|(id, entry)| !present.contains(*id) && entry.position < position)
-            .filter(|(_, entry)| entry.gone_at.is_none())
+            .filter(|(_, entry)| entry.missing.is_none())
             .map(|(id, _)| id.clone())
             .collect();
         let mut changes = Vec::new();
@@ -268,8 +271,9 @@
         let gone: Vec<(UpstreamId, Position)> = self
             .entries
             .iter()
-            .filter(|(_, entry)| entry.gone_at.is_some_and(|at| at <= now))
-            .map(|(id, entry)| (id.clone(), entry.position))
+            .filter_map(|(id, entry)| Some((id, entry.missing?)))
+            .filter(|(_, missing)| missing.until <= now)
+            .map(|(id, missing)| (id.clone(), missing.position))
             .collect();
         let recent = |at: Time| now.since(at) < REMOVAL_REMEMBERED;
         self.removed.retain(|_, removal| recent(removal.at));
--- a/src/gateway/directory/entry.rs
+++ b/src/gateway/directory/entry.rs
@@ -13,11 +13,29 @@
 #[derive(Debug, Clone)]
 pub(super) struct Entry {
     pub(super) upstream: Arc<Upstream>,
+    /// Of the record that lists it; other hosts are told this one also while it is missing.
     pub(super) position: Position,
-    pub(super) gone_at: Option<Time>,
+    pub(super) missing: Option<Missing>,
     pub(super) leaving_since: Option<Time>,
 }
 
+impl Entry {
+    /// Up to where of the log this is what the log says.
+    pub(super) fn known_to(&self) -> Position {
+        let missing = self.missing.as_ref();
+        missing.map_or(self.position, |missing| missing.position)
+    }
+}
+
+/// An upstream that the log lacks since its return and that may still list itself again.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Missing {
+    /// Where the log lacks it.
+    pub(super) position: Position,
+    /// When it counts as gone.
+    pub(super) until: Time,
+}
+
 /// What is remembered of an upstream that is not listed.
 #[derive(Debug, Clone)]
 pub(super) struct Removal {
@@ -37,7 +55,7 @@
     if old.upstream.id != new.id {
         return Some(DirectoryChange::Restarted);
     }
-    if old.upstream.is_same_but_for_cold(new) && old.gone_at.is_none() {
+    if old.upstream.is_same_but_for_cold(new) && old.missing.is_none() {
         let is_cold_again = old.upstream.cold_left_ms == 0 && new.cold_left_ms > 0;
         return is_cold_again.then_some(DirectoryChange::Cold);
     }
--- a/src/gateway/directory/tests.rs
+++ b/src/gateway/directory/tests.rs
@@ -1,3 +1,5 @@
+mod missing;
+
 use super::Applied;
 use super::Change;
 use super::Directory;
