--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -38,6 +38,7 @@
 use crate::gateway::shared::Shared;
 use crate::gateway::shared::ToldBy;
 use crate::id::DataCentre;
+use crate::id::HostId;
 
 mod far;
 
@@ -206,9 +207,9 @@
         suspects: shared.suspects(|suspects| suspects.tell(now)),
         hosts: shared.peers(|peers| peers.some(now)),
         introduced: Vec::new(),
-        hears: u32::try_from(shared.peers(|peers| peers.live(now))).unwrap_or(u32::MAX),
-        hears_near: u32::try_from(shared.peers(|peers| peers.count_near(now))).unwrap_or(u32::MAX),
-        counted: u32::try_from(shared.peers(|peers| peers.counted(now))).unwrap_or(u32::MAX),
+        hears: told_count(shared.peers(|peers| peers.live(now))),
+        hears_near: told_count(shared.peers(|peers| peers.count_near(now))),
+        counted: told_count(shared.peers(|peers| peers.counted(now))),
         stopping: shared.gate().is_shutting_down(),
         asks: false,
     };
@@ -223,6 +224,11 @@
     datagram
 }
 
+/// A number of hosts as datagrams carry it.
+fn told_count(hosts: usize) -> u32 {
+    u32::try_from(hosts).unwrap_or(u32::MAX)
+}
+
 /// Takes a datagram; returns the answer to a host that was not known.
 fn receive(shared: &Shared, from: SocketAddr, bytes: &[u8]) -> Option<Datagram> {
     let datagram = match decode(bytes) {
@@ -258,26 +264,7 @@
         .turns()
         .with(|turns| turns.hear(now, &datagram.host, datagram.moving));
     let data_centre = datagram.data_centre;
-    let mut has_word = false;
-    let told = match datagram.loads {
-        ToldLoads::Nothing => None,
-        ToldLoads::OfHost(loads) => Some((Teller::Host(datagram.host), loads)),
-        ToldLoads::OfVisitor(loads) => {
-            let host = datagram.host;
-            let data_centre = data_centre.clone();
-            Some((Teller::Visitor { host, data_centre }, loads))
-        }
-        ToldLoads::OfDataCentre(loads) => {
-            has_word = true;
-            Some((Teller::DataCentre(data_centre.clone()), loads))
-        }
-    };
-    if let Some((teller, loads)) = told {
-        shared.loads().with(|board| board.hear(now, teller, loads));
-    }
-    if has_word {
-        shared.word_heard();
-    }
+    take_loads(shared, now, datagram.host, &data_centre, datagram.loads);
     if newer_config {
         configfetch::fetch_soon(shared, fetch_wait(shared));
     }
@@ -293,6 +280,22 @@
         .then(|| answer(shared, now, &data_centre, acquaintance))
 }
 
+/// Takes what `host` of `data_centre` tells of what runs where.
+fn take_loads(shared: &Shared, now: Time, host: HostId, data_centre: &DataCentre, told: ToldLoads) {
+    let data_centre = data_centre.clone();
+    let (teller, loads) = match told {
+        ToldLoads::Nothing => return,
+        ToldLoads::OfHost(loads) => (Teller::Host(host), loads),
+        ToldLoads::OfVisitor(loads) => (Teller::Visitor { host, data_centre }, loads),
+        ToldLoads::OfDataCentre(loads) => (Teller::DataCentre(data_centre), loads),
+    };
+    let is_word = matches!(teller, Teller::DataCentre(_));
+    shared.loads().with(|board| board.hear(now, teller, loads));
+    if is_word {
+        shared.word_heard();
+    }
+}
+
 /// What a host of `data_centre` that was not known is told at once: who reads the log, some hosts of the
 /// other data centres, and, if it has just started, those of its own.
 fn answer(
--- a/src/gateway/gossip/far.rs
+++ b/src/gateway/gossip/far.rs
@@ -146,8 +146,12 @@
 /// Asks other data centres whose words are old what runs at their upstreams.
 pub(super) async fn ask(shared: &Shared, socket: &UdpSocket) {
     let now = shared.now();
+    let data_centres = shared.data_centres_to_ask(now);
+    if data_centres.is_empty() {
+        return;
+    }
     let asking = encode(own_datagram(shared, now).that_asks());
-    for data_centre in shared.data_centres_to_ask(now) {
+    for data_centre in data_centres {
         let asked = shared.peers(|peers| peers.hosts_asked(now, &data_centre));
         send(socket, &asking, &asked).await;
     }
