Let hosts of the tests on cold upstreams have just started, as before

Since fleets of tests count as having run for a minute, these hosts no longer waited until they knew each other before they sent to a cold upstream; on a slow machine the bound could have been missed for that alone. Comments say more plainly what a clock, a position and a try are.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -95,7 +95,7 @@
         }
     }
 
-    /// The clock of a host that has run for `age`.
+    /// The clock of a test's host that has run for `age`.
     pub fn aged(self, age: Duration) -> Self {
         SystemClock { age, ..self }
     }
--- a/src/gateway/directory/entry.rs
+++ b/src/gateway/directory/entry.rs
@@ -20,7 +20,7 @@
 }
 
 impl Entry {
-    /// Up to where of the log this is what the log says.
+    /// The last position of the log that says what is known of it.
     pub(super) fn known_to(&self) -> Position {
         let missing = self.missing.as_ref();
         missing.map_or(self.position, |missing| missing.position)
--- a/src/gateway/retrybudget.rs
+++ b/src/gateway/retrybudget.rs
@@ -2,7 +2,7 @@
 //! allowance and a ratio of its own requests, over a sliding window.
 //!
 //! A process knows what it has spent and not what the one before it has, so hosts that start again in series would
-//! spend their part in each life. In its first window a process takes the rest that older ones leave, and of the fixed
+//! spend their part each time. In its first window a process uses the share that older ones leave, and of the fixed
 //! allowance only what its age has earned: all processes of a host together then stay within its part.
 
 use std::collections::VecDeque;
--- a/src/gateway/tries.rs
+++ b/src/gateway/tries.rs
@@ -113,7 +113,7 @@
         }
     }
 
-    /// Also what the budget held before, if it was asked.
+    /// Takes a retry out of the budget. Tells also what the budget held before, if it was asked.
     fn send_again(
         &mut self,
         shared: &Shared,
--- a/tests/coldupstreams/mod.rs
+++ b/tests/coldupstreams/mod.rs
@@ -26,7 +26,7 @@
 
 /// Hosts with a warm upstream in another data centre than their own.
 fn deployment() -> (Vec<World>, FakeUpstream) {
-    let hosts = World::start_fleet(HOSTS);
+    let hosts = World::start_new_fleet(HOSTS);
     let sound = [Behaviour::Answer(200, "sound")];
     let warm = FakeUpstream::start("up-south", &sound).in_data_centre("south");
     hosts[0].list(&warm, "ready");
@@ -109,7 +109,7 @@
 // Three cold upstreams that crash would else have a sound request held back as one that crashes what runs it.
 #[test]
 fn a_crash_of_a_cold_upstream_is_not_held_against_the_request() {
-    let hosts = World::start_fleet(1);
+    let hosts = World::start_new_fleet(1);
     let death = Death::BeforeAnswer;
     let mortal = ["up-0", "up-1", "up-2"].map(|id| {
         let sound = Behaviour::Answer(200, "sound");
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -105,12 +105,17 @@
     /// Starts `count` hosts of one data centre, each with an address of its own to one log. The first
     /// by name is the seed of all.
     pub fn start_fleet(count: usize) -> Vec<Self> {
-        World::start_fleet_behind(count, None)
+        World::start_fleet_behind(count, None, HAS_RUN)
+    }
+
+    /// The same with hosts that have just started.
+    pub fn start_new_fleet(count: usize) -> Vec<Self> {
+        World::start_fleet_behind(count, None, Duration::ZERO)
     }
 
     /// The same with `links`, one a host, between each host and those who fetch from it.
     pub fn start_linked_fleet(links: &[Link]) -> Vec<Self> {
-        World::start_fleet_behind(links.len(), Some(links))
+        World::start_fleet_behind(links.len(), Some(links), HAS_RUN)
     }
 
     /// Hosts that have just started at a log that is there already, each by a door of its own.
@@ -119,9 +124,9 @@
         World::start_fleet_of(&addresses, &log.another_door(), None, Duration::ZERO)
     }
 
-    fn start_fleet_behind(count: usize, links: Option<&[Link]>) -> Vec<Self> {
+    fn start_fleet_behind(count: usize, links: Option<&[Link]>, age: Duration) -> Vec<Self> {
         let addresses: Vec<IpAddr> = (0..count).map(|_| own_address()).collect();
-        World::start_fleet_of(&addresses, &FakeLog::start(addresses[0]), links, HAS_RUN)
+        World::start_fleet_of(&addresses, &FakeLog::start(addresses[0]), links, age)
     }
 
     fn start_fleet_of(
