--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -30,6 +30,7 @@
 use cedargauge::id::DataCentre;
 use cedargauge::id::RequestId;
 use cedargauge::id::UpstreamId;
+use cedargauge::id::VersionId;
 use cedargauge::schedule::Action;
 use cedargauge::schedule::Ending;
 use cedargauge::schedule::Input;
@@ -208,6 +209,7 @@
             state: UpstreamState::Ready,
             slots: 24,
             cold_left_ms: 0,
+            version: VersionId::new("v1"),
         }),
         load: Load {
             requests: 8,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -47,6 +47,8 @@
 pub(crate) mod rendezvous;
 pub mod rescue;
 pub mod retrybudget;
+pub mod rollouts;
+pub(crate) mod rolloutstatus;
 pub mod route;
 pub mod serve;
 pub mod settings;
--- a/src/gateway/admit/tests.rs
+++ b/src/gateway/admit/tests.rs
@@ -23,6 +23,7 @@
 use crate::id::DataCentre;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
+use crate::id::VersionId;
 
 mod crowd;
 
@@ -39,6 +40,7 @@
             state: UpstreamState::Ready,
             slots: 24,
             cold_left_ms: 0,
+            version: VersionId::new("v1"),
         }),
         load,
         doubtful: false,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -23,6 +23,8 @@
 use crate::gateway::forward::AttemptHeaders;
 use crate::gateway::place::Need;
 use crate::gateway::refuse;
+use crate::gateway::rollouts::evidence::Measure;
+use crate::gateway::rollouts::evidence::Outcome;
 use crate::gateway::route::RouteKind;
 use crate::gateway::serve::Admitted;
 use crate::gateway::serve::Front;
@@ -68,6 +70,20 @@
     TimedOut,
 }
 
+impl Attempted {
+    /// What it says of the upstream's version, after `time`.
+    fn as_tried(&self, time: Duration) -> Option<Outcome> {
+        match self {
+            Attempted::Answered(answer) if answer.head.status.is_server_error() => {
+                Some(Outcome::Failed)
+            }
+            Attempted::Answered(_) => Some(Outcome::Took(time)),
+            Attempted::Unknown(_) | Attempted::TimedOut => Some(Outcome::Failed),
+            Attempted::Unreachable(_) | Attempted::NotRun(_) => None,
+        }
+    }
+}
+
 /// Calls upstreams until one answers.
 pub async fn run(front: &Front, admitted: Admitted) -> HttpResponse {
     let shared = &front.shared;
@@ -93,8 +109,12 @@
         tries.begin(&upstream.id);
         let _trial = shared.trial(&upstream.id);
         let last = is_last(&admitted, may_have_run);
+        let sent_at = Instant::now();
         let outcome = attempt(front, &admitted, &upstream, last).await;
         note_health(shared, &admitted, &upstream, &outcome);
+        if let Some(tried) = outcome.as_tried(sent_at.elapsed()) {
+            shared.note_tried(&admitted, &upstream, Measure::Whole, tried);
+        }
         let reached = match outcome {
             Attempted::Unreachable(_) => Reached::Unreachable,
             _ => Reached::Sent,
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -1,11 +1,13 @@
 //! A whole configuration, as the platform's operators publish it.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::gateway::route::RouteTable;
 use crate::id::CustomerId;
+use crate::id::RegionId;
 use crate::id::ServiceId;
 
 /// What is known of the engines of a service.
@@ -49,6 +51,8 @@
     pub name: CustomerId,
     /// Its rank, which goes before the route's.
     pub priority: Option<u8>,
+    /// The regions in which its requests may run; none where they may run anywhere.
+    pub regions: Option<BTreeSet<RegionId>>,
 }
 
 /// One version of the configuration. Never changed once it is in force.
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -18,6 +18,8 @@
 use crate::gateway::position::Era;
 use crate::gateway::position::Position;
 use crate::gateway::protocol::Topic;
+use crate::gateway::rollouts::ToldRollout;
+use crate::gateway::rollouts::evidence::ToldEvidence;
 use crate::gateway::suspects::ToldSuspect;
 use crate::gateway::turns::ToMove;
 use crate::id::DataCentre;
@@ -29,7 +31,7 @@
 const PART_CHANGES: usize = 10;
 /// First byte of a datagram; rises with each change of its fields, so that hosts of two releases
 /// side by side don't misread each other.
-const FORMAT: u8 = 9;
+const FORMAT: u8 = 10;
 
 /// Topics of the log.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -46,7 +48,7 @@
         match topic {
             Topic::Operator => self.operator,
             Topic::Upstreams => self.upstreams,
-            Topic::Hosts | Topic::Suspects => false,
+            Topic::Hosts | Topic::Suspects | Topic::Status => false,
         }
     }
 }
@@ -64,6 +66,17 @@
     OfDataCentre(Vec<(InstanceKey, Load)>),
 }
 
+/// What a datagram tells of versions that are tried.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ToldEvidences {
+    /// Nothing.
+    Nothing,
+    /// What its host saw.
+    OfHost(Vec<ToldEvidence>),
+    /// What the hosts of its data centre saw.
+    OfDataCentre(Vec<ToldEvidence>),
+}
+
 impl ToldLoads {
     fn listed(&mut self) -> Option<&mut Vec<(InstanceKey, Load)>> {
         match self {
@@ -86,6 +99,10 @@
     pub log_era: Era,
     /// The data centres that operators have evacuated.
     pub evacuations: ToldEvacuations,
+    /// The newest order to roll a version out of each service.
+    pub rollouts: Vec<ToldRollout>,
+    /// What was seen of the versions that are tried.
+    pub evidence: ToldEvidences,
     /// The log's position up to which it has read the upstreams.
     pub upstreams: Position,
     /// Where it serves what others lack.
@@ -152,6 +169,7 @@
     /// Tells of the log alone.
     pub(crate) fn of_the_log_only(&self) -> Datagram {
         Datagram {
+            evidence: ToldEvidences::Nothing,
             loads: ToldLoads::Nothing,
             hosts: Vec::new(),
             ..self.clone()
@@ -159,8 +177,13 @@
     }
 
     /// Tells of what runs at the upstreams of its data centre.
-    pub(crate) fn of_data_centre(&self, loads: Vec<(InstanceKey, Load)>) -> Datagram {
+    pub(crate) fn of_data_centre(
+        &self,
+        loads: Vec<(InstanceKey, Load)>,
+        evidence: Vec<ToldEvidence>,
+    ) -> Datagram {
         Datagram {
+            evidence: ToldEvidences::OfDataCentre(evidence),
             loads: ToldLoads::OfDataCentre(loads),
             hosts: Vec::new(),
             ..self.clone()
@@ -209,6 +232,7 @@
         Datagram {
             changes: Vec::new(),
             loads: ToldLoads::Nothing,
+            evidence: ToldEvidences::Nothing,
             hosts: Vec::new(),
             suspects,
             ..self.clone()
--- a/src/gateway/destinations/tests.rs
+++ b/src/gateway/destinations/tests.rs
@@ -9,6 +9,7 @@
 use crate::id::DataCentre;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
+use crate::id::VersionId;
 
 fn engine(id: &str, data_centre: &str) -> Arc<Upstream> {
     Arc::new(Upstream {
@@ -19,6 +20,7 @@
         state: UpstreamState::Ready,
         slots: 8,
         cold_left_ms: 0,
+        version: VersionId::new("v1"),
     })
 }
 
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -23,6 +23,7 @@
 use crate::gateway::evacuations::Evacuations;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::position::Position;
+use crate::gateway::rollouts::Rollouts;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 
@@ -63,6 +64,7 @@
     /// Keys whose newest record names no upstream, with the record's position.
     foreign: BTreeMap<UpstreamId, Position>,
     evacuations: Evacuations,
+    rollouts: Rollouts,
     /// Until when upstreams that listed themselves as cold are so.
     cold_until: BTreeMap<InstanceId, Time>,
     away: bool,
@@ -305,6 +307,7 @@
             return None;
         }
         let listed = entry.and_then(|entry| entry.leaving_since);
+        let listed = listed.or_else(|| self.replaced_since(&entry?.upstream));
         let removed = self.removed.get(name);
         let removed = removed.filter(|removal| removal.instance == *id);
         listed
--- a/src/gateway/directory/taking.rs
+++ b/src/gateway/directory/taking.rs
@@ -1,5 +1,6 @@
 //! Which of the listed upstreams take new work, and which of them little.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,8 +10,16 @@
 use crate::clock::Time;
 use crate::gateway::evacuations::Evacuations;
 use crate::gateway::instance::InstanceId;
+use crate::gateway::rollouts::Rollouts;
+use crate::gateway::rollouts::Track;
 use crate::id::DataCentre;
 use crate::id::ServiceId;
+use crate::id::VersionId;
+
+/// A version that is tried gets its share at few upstreams, so that each of them bears what it will bear later,
+const TRIED_PART: f64 = 0.08;
+/// and at so many of each data centre at least: one that is ill says nothing of its version.
+const TRIED_MIN: usize = 3;
 
 impl Directory {
     /// What operators have evacuated.
@@ -23,6 +32,60 @@
         &mut self.evacuations
     }
 
+    /// What operators have ordered to be rolled out.
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.rollouts
+    }
+
+    /// The same, to be changed.
+    pub fn rollouts_mut(&mut self) -> &mut Rollouts {
+        &mut self.rollouts
+    }
+
+    /// Since when new work goes to another version than an upstream's, if it does.
+    pub(super) fn replaced_since(&self, upstream: &Upstream) -> Option<Time> {
+        let rollout = self.rollouts.get(&upstream.service)?;
+        let is_replaced = upstream.version != *rollout.to();
+        rollout.shifted_since().filter(|_| is_replaced)
+    }
+
+    /// The upstreams of a service that take new work on `track`. Where operators have ordered a version and nothing else
+    /// is listed, that one takes it.
+    pub fn ready_for(&self, service: &ServiceId, track: Track) -> Vec<Arc<Upstream>> {
+        let ready = self.ready(service);
+        let Some(rollout) = self.rollouts.get(service) else {
+            return ready;
+        };
+        let allows = |upstream: &Upstream, track| rollout.allows(&upstream.version, track);
+        let chosen: Vec<_> = ready
+            .iter()
+            .filter(|up| allows(up, track))
+            .cloned()
+            .collect();
+        match (track, chosen.is_empty()) {
+            (Track::Tried, false) => first_of_each_data_centre(chosen),
+            (Track::Tried, true) => self.ready_for(service, Track::Proved),
+            (Track::Proved, false) => chosen,
+            (Track::Proved, true) if self.lists_any(service, |up| allows(up, track)) => chosen,
+            (Track::Proved, true) => {
+                let allowed = ready.into_iter().filter(|up| allows(up, Track::Tried));
+                allowed.collect()
+            }
+        }
+    }
+
+    fn lists_any(&self, service: &ServiceId, is_meant: impl Fn(&Upstream) -> bool) -> bool {
+        let listed = self.entries.values().map(|entry| &entry.upstream);
+        let mut of_service = listed.filter(|upstream| upstream.service == *service);
+        of_service.any(|upstream| is_meant(upstream))
+    }
+
+    /// Upstreams of a version that take work, as far as they themselves say.
+    pub fn count_of_version(&self, service: &ServiceId, version: &VersionId) -> usize {
+        let ready = self.ready(service);
+        ready.iter().filter(|up| up.version == *version).count()
+    }
+
     /// Whether an instance takes new work.
     pub fn is_ready(&self, id: &InstanceId) -> bool {
         self.get(id)
@@ -100,3 +163,17 @@
         self.cold_until.get(id).is_some_and(|until| *until > now)
     }
 }
+
+/// The first few of each data centre, the same for all hosts that list the same.
+fn first_of_each_data_centre(upstreams: Vec<Arc<Upstream>>) -> Vec<Arc<Upstream>> {
+    let mut by_place: BTreeMap<DataCentre, Vec<Arc<Upstream>>> = BTreeMap::new();
+    for upstream in upstreams {
+        let place = upstream.data_centre.clone();
+        by_place.entry(place).or_default().push(upstream);
+    }
+    let first = by_place.into_values().flat_map(|there| {
+        let part = (there.len() as f64 * TRIED_PART).ceil() as usize;
+        there.into_iter().take(part.max(TRIED_MIN))
+    });
+    first.collect()
+}
--- a/src/gateway/directory/tests.rs
+++ b/src/gateway/directory/tests.rs
@@ -14,6 +14,7 @@
 use crate::id::DataCentre;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
+use crate::id::VersionId;
 
 fn instance(id: &str) -> InstanceId {
     InstanceId::from(UpstreamId::new(id))
@@ -28,6 +29,7 @@
         state,
         slots: 4,
         cold_left_ms: 0,
+        version: VersionId::new("v1"),
     }
 }
 
--- a/src/gateway/directory/upstream.rs
+++ b/src/gateway/directory/upstream.rs
@@ -10,6 +10,7 @@
 use crate::gateway::position::Position;
 use crate::id::DataCentre;
 use crate::id::ServiceId;
+use crate::id::VersionId;
 
 /// Whether an upstream takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,6 +38,8 @@
     pub slots: u32,
     /// How long it stays cold from when it listed itself like this, in milliseconds; 0 if it is warm.
     pub cold_left_ms: u32,
+    /// The version of its software.
+    pub version: VersionId,
 }
 
 impl Upstream {
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -23,6 +23,7 @@
 use crate::gateway::protocol::OwnCall;
 use crate::gateway::protocol::Record;
 use crate::gateway::protocol::Topic;
+use crate::gateway::shared::Freshness;
 use crate::gateway::shared::Shared;
 use crate::gateway::shared::ToldBy;
 use crate::id::UpstreamId;
@@ -32,6 +33,7 @@
 mod calls;
 
 pub(crate) use self::calls::append;
+pub(crate) use self::calls::append_only_at;
 pub(crate) use self::calls::newest;
 
 /// A call that doesn't wait, of a host that knows nothing yet: many start together.
@@ -249,12 +251,14 @@
         let (records, end) = newest(&self.shared, &mut self.client, self.topic, timeout).await?;
         if self.topic == Topic::Operator {
             self.shared.read_all_evacuations(&records, end);
+            self.shared
+                .read_rollouts(&records, end.era, Freshness::Unknown);
         }
         self.shared.log_answered(self.topic, began.elapsed());
         match self.topic {
             Topic::Operator => self.take_operator(&records).await,
             Topic::Upstreams => self.take_all_upstreams(&records, end),
-            Topic::Hosts | Topic::Suspects => {}
+            Topic::Hosts | Topic::Suspects | Topic::Status => {}
         }
         self.next = Some(end);
         Ok(())
@@ -297,12 +301,14 @@
         let delay = begun_after.saturating_sub(wait);
         if self.topic == Topic::Operator {
             self.shared.read_evacuations(&batch.records, read_to);
+            self.shared
+                .read_rollouts(&batch.records, era, Freshness::Fresh);
         }
         self.shared.log_answered(self.topic, delay);
         match self.topic {
             Topic::Operator => self.take_operator(&batch.records).await,
             Topic::Upstreams => self.take_upstreams(&batch.records, read_to),
-            Topic::Hosts | Topic::Suspects => {}
+            Topic::Hosts | Topic::Suspects | Topic::Status => {}
         }
         self.next = Some(read_to);
         Ok(())
--- a/src/gateway/follow/calls.rs
+++ b/src/gateway/follow/calls.rs
@@ -17,6 +17,9 @@
 use crate::gateway::shared::Outdated;
 use crate::gateway::shared::Shared;
 
+/// The status of an append under a condition that doesn't hold (RFC 9110, section 15.5.13).
+const CONDITION_FAILED: u16 = 412;
+
 /// The history of the log that an answer is of.
 pub(super) fn era_of(shared: &Shared, headers: &HeaderMap) -> Step<Era> {
     shared.era_of_answer(headers).map_err(|Outdated| {
@@ -72,12 +75,37 @@
     key: &str,
     value: &[u8],
 ) -> Result<()> {
-    let call = shared.protocol().append_call(topic, key, value);
+    let call = shared.protocol().append_call(topic, key, value, None);
     match client.call(&call, CALL_TIMEOUT).await? {
         (200, _) => Ok(()),
-        (status, _) => Err(Error::Remote {
-            peer: "the platform's log".to_owned(),
-            reason: format!("status {status}"),
-        }),
+        (status, _) => Err(refused(status)),
+    }
+}
+
+/// Appends a record to a topic of the system's own if that ends at `end`; whether it did.
+///
+/// # Errors
+///
+/// [`Error::Remote`] if the log doesn't answer, or refuses it.
+pub(crate) async fn append_only_at(
+    shared: &Shared,
+    client: &mut OwnClient,
+    topic: Topic,
+    (key, value): (&str, &[u8]),
+    end: Position,
+) -> Result<bool> {
+    let protocol = shared.protocol();
+    let call = protocol.append_call(topic, key, value, Some(end.offset));
+    match client.call(&call, CALL_TIMEOUT).await? {
+        (200, _) => Ok(true),
+        (CONDITION_FAILED, _) => Ok(false),
+        (status, _) => Err(refused(status)),
+    }
+}
+
+fn refused(status: u16) -> Error {
+    Error::Remote {
+        peer: "the platform's log".to_owned(),
+        reason: format!("status {status}"),
     }
 }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -26,6 +26,7 @@
 use crate::gateway::configfetch;
 use crate::gateway::datagram::DATAGRAM_BYTES_MAX;
 use crate::gateway::datagram::Datagram;
+use crate::gateway::datagram::ToldEvidences;
 use crate::gateway::datagram::ToldLoads;
 use crate::gateway::datagram::decode;
 use crate::gateway::datagram::encode;
@@ -193,6 +194,8 @@
         config: shared.config_version(),
         log_era: shared.log_era(),
         evacuations: shared.told_evacuations(),
+        rollouts: shared.told_rollouts(),
+        evidence: ToldEvidences::OfHost(shared.evidences(|evidences| evidences.own(now))),
         upstreams: Position::default(),
         upstreams_digest: 0,
         changes: Vec::new(),
@@ -250,6 +253,7 @@
     }
     shared.hear_era(datagram.log_era, datagram.host.as_str());
     shared.hear_evacuations(&datagram.evacuations, datagram.host.as_str());
+    shared.hear_rollouts(&datagram.rollouts, datagram.host.as_str());
     for upstream in &datagram.leaving {
         shared.witness_leaving(upstream, datagram.host.as_str());
     }
@@ -264,6 +268,7 @@
         .turns()
         .with(|turns| turns.hear(now, &datagram.host, datagram.moving));
     let data_centre = datagram.data_centre;
+    take_evidence(shared, now, &datagram.host, &data_centre, datagram.evidence);
     take_loads(shared, now, datagram.host, &data_centre, datagram.loads);
     if newer_config {
         configfetch::fetch_soon(shared, fetch_wait(shared));
@@ -296,6 +301,24 @@
     }
 }
 
+/// Takes what `host` of `data_centre` tells of versions that are tried.
+fn take_evidence(
+    shared: &Shared,
+    now: Time,
+    host: &HostId,
+    data_centre: &DataCentre,
+    told: ToldEvidences,
+) {
+    let (teller, told) = match told {
+        ToldEvidences::Nothing => return,
+        ToldEvidences::OfHost(told) => (Teller::Host(host.clone()), told),
+        ToldEvidences::OfDataCentre(told) => (Teller::DataCentre(data_centre.clone()), told),
+    };
+    if !told.is_empty() {
+        shared.evidences(|evidences| evidences.hear(now, teller, told));
+    }
+}
+
 /// What a host of `data_centre` that was not known is told at once: who reads the log, some hosts of the
 /// other data centres, and, if it has just started, those of its own.
 fn answer(
--- a/src/gateway/gossip/far.rs
+++ b/src/gateway/gossip/far.rs
@@ -39,6 +39,8 @@
     told_visits: BTreeMap<DataCentre, (Time, Vec<(InstanceKey, Load)>)>,
     /// Up to when it had told of requests under which it saw upstreams crash.
     told_suspects: Time,
+    /// What it had told of roll-outs.
+    told_rollouts: u64,
 }
 
 impl FarRounds {
@@ -56,6 +58,12 @@
         std::mem::replace(&mut self.was_moving, is_moving) || is_moving
     }
 
+    /// Whether this host learnt something of roll-outs since the round before that no other host has told.
+    fn tells_rollouts(&mut self, shared: &Shared) -> bool {
+        let news = shared.directory(|directory| directory.rollouts().own_news());
+        std::mem::replace(&mut self.told_rollouts, news) != news
+    }
+
     /// What is to be told to other data centres of what this host runs there: what changed, what was told a while
     /// ago, and once that nothing is left.
     fn visits_due(
@@ -126,6 +134,10 @@
         let all = shared.peers(|peers| peers.all_outside());
         send(socket, &encode(datagram.of_suspects_only(suspects)), &all).await;
     }
+    if far.tells_rollouts(shared) {
+        let all = shared.peers(|peers| peers.all_outside());
+        send(socket, &encode(datagram.of_turns_only()), &all).await;
+    }
     if far.is_due_of_reader(shared, now) {
         let all = shared.peers(|peers| peers.all_outside());
         send_parts(socket, datagram.of_the_log_only(), &all).await;
@@ -138,7 +150,9 @@
         let partners = shared.peers(|peers| peers.far_partners(now));
         for (data_centre, partners) in partners {
             let loads = shared.home_loads(&data_centre);
-            send(socket, &encode(datagram.of_data_centre(loads)), &partners).await;
+            let evidence = shared.evidences(|evidences| evidences.data_centre(now));
+            let datagram = datagram.of_data_centre(loads, evidence);
+            send(socket, &encode(datagram), &partners).await;
         }
     }
 }
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -32,6 +32,7 @@
 use crate::gateway::peerfetch;
 use crate::gateway::protocol::Protocol;
 use crate::gateway::protocol::Topic;
+use crate::gateway::rolloutstatus;
 use crate::gateway::serve;
 use crate::gateway::serve::Front;
 use crate::gateway::settings::GatewaySettings;
@@ -117,6 +118,7 @@
         actix_rt::spawn(follow::follow(shared.clone(), Topic::Upstreams));
         actix_rt::spawn(hostlisting::run(shared.clone()));
         actix_rt::spawn(suspectlog::run(shared.clone()));
+        actix_rt::spawn(rolloutstatus::run(shared.clone()));
         actix_rt::spawn(gossip::run(shared.clone(), socket));
         actix_rt::spawn(joining::ask_seeds(shared.clone()));
         actix_rt::spawn(ownword::ask_while_blind(shared.clone()));
@@ -295,6 +297,7 @@
         let now = shared.now();
         shared.loads().with(|loads| loads.lapse(now));
         shared.review_suspects();
+        shared.review_rollouts();
         let gone = shared.directory(|directory| directory.lapse(now));
         shared.note_lapsed(gone);
         shared.lapse_evacuations();
--- a/src/gateway/identity/tests.rs
+++ b/src/gateway/identity/tests.rs
@@ -28,6 +28,7 @@
         targets: Vec::new(),
         attempts: 1,
         public,
+        regions: None,
     }
 }
 
@@ -35,6 +36,7 @@
     Arc::new(Customer {
         name: CustomerId::new("canton"),
         priority: Some(1),
+        regions: None,
     })
 }
 
--- a/src/gateway/line.rs
+++ b/src/gateway/line.rs
@@ -22,6 +22,7 @@
 use crate::gateway::place;
 use crate::gateway::place::Candidate;
 use crate::gateway::place::Need;
+use crate::gateway::rollouts::Track;
 use crate::gateway::serve;
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
@@ -213,7 +214,7 @@
             tokio::time::sleep(LOOK_INTERVAL).await;
             continue;
         }
-        let mut candidates = serve::candidates(shared, &admitted.service, avoid);
+        let mut candidates = serve::candidates(shared, admitted, avoid);
         if candidates.is_empty() {
             return Ok(None);
         }
@@ -232,6 +233,11 @@
             shared.ask_far_loads().await;
             continue;
         }
+        // A version that is tried is no reason to wait.
+        let is_start = matches!(verdict, Verdict::Start(_));
+        if !is_start && admitted.track.replace(Track::Proved) == Track::Tried {
+            continue;
+        }
         match verdict {
             Verdict::Start(candidate) => return Ok(Some(candidate)),
             Verdict::Wait => {
--- a/src/gateway/line/tests.rs
+++ b/src/gateway/line/tests.rs
@@ -13,6 +13,7 @@
 use crate::id::DataCentre;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
+use crate::id::VersionId;
 
 fn engine() -> InstanceId {
     InstanceId::from(UpstreamId::new("engine"))
@@ -28,6 +29,7 @@
         state: UpstreamState::Ready,
         slots: 4,
         cold_left_ms: 0,
+        version: VersionId::new("v1"),
     };
     Candidate {
         load: board.with(|loads| loads.at(&upstream.id)),
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -20,6 +20,7 @@
 use crate::gateway::position::Era;
 use crate::gateway::position::Position;
 use crate::gateway::protocol::OwnCall;
+use crate::gateway::rollouts::ToldRollout;
 use crate::gateway::shared::Shared;
 use crate::gateway::shared::ToldBy;
 
@@ -41,6 +42,8 @@
     upstreams: UpstreamsTold,
     /// Which of them get no new work because operators have evacuated their data centres.
     evacuations: ToldEvacuations,
+    /// What operators have ordered to be rolled out.
+    rollouts: Vec<ToldRollout>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -70,8 +73,10 @@
 /// Serves the list of upstreams, or what changed of it.
 pub async fn serve_upstreams(shared: &Shared, query: &UpstreamsQuery) -> HttpResponse {
     let evacuations = shared.told_evacuations();
+    let rollouts = shared.told_rollouts();
     HttpResponse::Ok().json(shared.directory(|directory| UpstreamsPage {
         evacuations,
+        rollouts,
         position: directory.position(),
         digest: directory.digest(),
         upstreams: match query.changed_from() {
@@ -153,6 +158,7 @@
     let page: UpstreamsPage = serde_json::from_slice(&body)?;
     let now = shared.now();
     shared.hear_evacuations(&page.evacuations, &client.peer.to_string());
+    shared.hear_rollouts(&page.rollouts, &client.peer.to_string());
     let (changes, is_same) = shared.directory(|directory| {
         if page.position <= directory.position() {
             return (Vec::new(), true);
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -233,6 +233,19 @@
             && rendezvous::is_first(host.as_str(), hosts, what)
     }
 
+    /// How many hosts come before `host`, this one, in doing what `what` names: of a small fleet all, else one of each data
+    /// centre.
+    pub(crate) fn rank(&self, now: Time, host: &HostId, what: &str) -> usize {
+        if self.is_small(now) {
+            let others = self.live_hosts(now).map(|heard| heard.host.as_str());
+            return rendezvous::count_before(host.as_str(), others, what);
+        }
+        let words = self.words.iter();
+        let heard = words.filter(|(_, word)| now.since(word.at) < LIVE_FOR);
+        let data_centres = heard.map(|(data_centre, _)| data_centre.as_str());
+        rendezvous::count_before(self.data_centre.as_str(), data_centres, what)
+    }
+
     /// Number of the live hosts of the own data centre.
     pub(crate) fn count_near(&self, now: Time) -> usize {
         let live = self.live_hosts(now);
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -8,6 +8,7 @@
 use super::Recipients;
 use crate::clock::Time;
 use crate::gateway::datagram::Datagram;
+use crate::gateway::datagram::ToldEvidences;
 use crate::gateway::datagram::ToldLoads;
 use crate::gateway::datagram::Topics;
 use crate::gateway::datagram::decode;
@@ -27,6 +28,7 @@
 use crate::id::HostId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
+use crate::id::VersionId;
 
 fn address(index: usize) -> std::net::SocketAddr {
     format!("10.0.0.{index}:7200").parse().unwrap()
@@ -42,6 +44,8 @@
         config: 3,
         log_era: Era::default(),
         evacuations: ToldEvacuations::default(),
+        rollouts: Vec::new(),
+        evidence: ToldEvidences::Nothing,
         upstreams: 10.into(),
         peer_port: 8000,
         data_centre: DataCentre::new(data_centre),
@@ -455,6 +459,7 @@
             state: UpstreamState::Ready,
             slots: 24,
             cold_left_ms: 0,
+            version: VersionId::new("v1"),
         })),
     }
 }
--- a/src/gateway/place/tests.rs
+++ b/src/gateway/place/tests.rs
@@ -12,6 +12,7 @@
 use crate::id::DataCentre;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
+use crate::id::VersionId;
 
 fn candidate(id: &str, data_centre: &str, load: Load) -> Candidate {
     Candidate {
@@ -23,6 +24,7 @@
             state: UpstreamState::Ready,
             slots: 10,
             cold_left_ms: 0,
+            version: VersionId::new("v1"),
         }),
         load,
         doubtful: false,
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -14,6 +14,9 @@
 use crate::gateway::configuration::Configuration;
 use crate::gateway::directory::Upstream;
 use crate::gateway::evacuations::EvacuationRecord;
+use crate::gateway::rollouts::RolloutRecord;
+use crate::id::ServiceId;
+use crate::id::VersionId;
 
 /// The keyed topics of the log that the gateway uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -26,6 +29,8 @@
     Hosts,
     /// Requests under which upstreams crashed.
     Suspects,
+    /// What operators are told.
+    Status,
 }
 
 impl Topic {
@@ -36,6 +41,7 @@
             Topic::Upstreams => "upstreams",
             Topic::Hosts => "hosts",
             Topic::Suspects => "suspects",
+            Topic::Status => "status",
         }
     }
 }
@@ -116,6 +122,17 @@
     pub events: u64,
 }
 
+/// How far a roll-out is, as operators are told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RolloutState {
+    /// It has begun.
+    Running,
+    /// All traffic goes to the new version; the old one may be stopped.
+    Complete,
+    /// The new version gets no traffic any more.
+    Reverted,
+}
+
 /// What an engine tells of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EngineReport {
@@ -177,8 +194,9 @@
     /// If it isn't one.
     fn decode_read(&self, from: u64, body: &Bytes) -> Result<ReadBatch>;
 
-    /// Appends one record to a keyed topic of the system's own.
-    fn append_call(&self, topic: Topic, key: &str, value: &[u8]) -> OwnCall;
+    /// Appends one record to a keyed topic of the system's own; with `only_at` only if the topic ends at that offset.
+    /// One that ends elsewhere answers with status 412.
+    fn append_call(&self, topic: Topic, key: &str, value: &[u8], only_at: Option<u64>) -> OwnCall;
 
     /// The configuration in a record of [`Topic::Operator`], or none where the record is something
     /// else.
@@ -192,6 +210,22 @@
     /// else. One without a value takes the data centre back.
     fn evacuation(&self, key: &str, value: Option<&[u8]>) -> Option<EvacuationRecord>;
 
+    /// What a record of [`Topic::Operator`] says of a service's roll-out, or none where it is about something else.
+    fn rollout(&self, key: &str, value: Option<&[u8]>) -> Option<RolloutRecord>;
+
+    /// The key of [`Topic::Status`] under which operators find how far a service's roll-out is.
+    fn rollout_status_key(&self, service: &ServiceId) -> String;
+
+    /// What stands there.
+    fn rollout_status(&self, to: &VersionId, state: RolloutState) -> Vec<u8>;
+
+    /// The answer to [`Protocol::rollout_status`].
+    ///
+    /// # Errors
+    ///
+    /// If it isn't one.
+    fn decode_rollout_status(&self, value: &[u8]) -> Result<(VersionId, RolloutState)>;
+
     /// The upstream in a record of [`Topic::Upstreams`].
     ///
     /// # Errors
--- /dev/null
+++ b/src/gateway/rollouts/evidence.rs
@@ -0,0 +1,412 @@
+//! What a version's upstreams answer, beside what the others answer to the same routes at the same time.
+//!
+//! An answer is bad if it is a failure, or took several times as long as those of the other upstreams do on its
+//! route. Upstreams of both versions fail, and are slow in a surge; a version is bad where it fails far more often
+//! than chance allows by the others' rate. One upstream that is ill is no bad version, so bad answers must come from
+//! several.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::fmt;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::clock::Time;
+use crate::gateway::instance::InstanceKey;
+use crate::gateway::loads::Teller;
+use crate::gateway::position::Position;
+
+/// Answers of so long are judged together.
+const WINDOW: Duration = Duration::from_secs(10);
+/// They are counted in parts of it.
+const BUCKET: Duration = Duration::from_secs(1);
+/// What another host tells of its window counts for so long.
+const TOLD_LASTS: Duration = Duration::from_millis(4_000);
+/// An answer that takes so many times as long as the others' mean is bad.
+const SLOW_FACTOR: f64 = 2.5;
+/// The mean is known from so many answers of all hosts on.
+const MEAN_FROM: u32 = 6;
+/// A version is bad if its bad answers would come by chance in fewer cases than this.
+const CHANCE_MAX: f64 = 1e-5;
+/// and in doubt below this one.
+const CHANCE_IN_DOUBT: f64 = 0.002;
+/// A route with this part of the others' answers has to be tried,
+const ROUTE_PART_MIN: f64 = 0.08;
+/// by so many answers of the version.
+const ROUTE_ANSWERS_MIN: u32 = 8;
+/// Rate of bad answers that no version is reverted for.
+const RATE_MIN: f64 = 0.05;
+/// A version that fails more often than this is bad whatever is known of the others.
+const RATE_MAX: f64 = 0.5;
+/// The others' rate is taken for so many standard deviations higher than it was seen.
+const RATE_DEVIATIONS: f64 = 2.0;
+/// Bad answers come from so many upstreams, if there are as many.
+const BAD_UPSTREAMS_MIN: usize = 3;
+/// Upstreams with bad answers that a host tells of.
+const BAD_UPSTREAMS_TOLD: usize = 4;
+
+/// Whether an upstream is of the version that is tried.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Side {
+    /// It isn't.
+    Old,
+    /// It is.
+    New,
+}
+
+/// What of an answer was timed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Measure {
+    /// A whole answer.
+    Whole,
+    /// The first event of a stream.
+    FirstEvent,
+    /// The time between its first events.
+    Pace,
+}
+
+/// What came of a request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Outcome {
+    /// It was answered after this time.
+    Took(Duration),
+    /// It failed.
+    Failed,
+}
+
+/// An answer to a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Answer<'a> {
+    /// The request's route.
+    pub route: &'a str,
+    /// The upstream.
+    pub upstream: InstanceKey,
+    /// Its version.
+    pub side: Side,
+    /// What was timed.
+    pub measure: Measure,
+    /// What came of it.
+    pub outcome: Outcome,
+}
+
+/// Answers of one side on one route.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    answers: u32,
+    bad: u32,
+}
+
+impl Tally {
+    fn add(&mut self, other: Tally) {
+        self.answers += other.answers;
+        self.bad += other.bad;
+    }
+}
+
+/// Answers of both sides on one route.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteTally {
+    old: Tally,
+    new: Tally,
+}
+
+/// How long answers of the other upstreams took together.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Times {
+    answers: u32,
+    sum_us: u64,
+}
+
+impl Times {
+    fn add(&mut self, other: Times) {
+        self.answers += other.answers;
+        self.sum_us += other.sum_us;
+    }
+
+    fn is_slow(&self, time: Duration) -> bool {
+        let mean_us = self.sum_us as f64 / f64::from(self.answers.max(1));
+        self.answers >= MEAN_FROM && time.as_micros() as f64 > mean_us * SLOW_FACTOR
+    }
+}
+
+/// What was seen in a window.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    requests: u32,
+    /// By a hash of the route's name.
+    routes: BTreeMap<u32, RouteTally>,
+    times: BTreeMap<(u32, Measure), Times>,
+    bad_upstreams: BTreeSet<InstanceKey>,
+}
+
+impl Evidence {
+    fn add(&mut self, other: &Evidence) {
+        self.requests = self.requests.saturating_add(other.requests);
+        for (route, tally) in &other.routes {
+            let sum = self.routes.entry(*route).or_default();
+            sum.old.add(tally.old);
+            sum.new.add(tally.new);
+        }
+        for (measure, times) in &other.times {
+            self.times.entry(*measure).or_default().add(*times);
+        }
+        self.bad_upstreams.extend(&other.bad_upstreams);
+    }
+
+    /// Answers of the new version.
+    pub fn new_answers(&self) -> u32 {
+        self.routes.values().map(|tally| tally.new.answers).sum()
+    }
+
+    /// Requests for the service in a second.
+    pub fn requests_per_s(&self) -> f64 {
+        f64::from(self.requests) / WINDOW.as_secs_f64()
+    }
+
+    /// Whether the version is bad, on one route or on all. `new_upstreams` is the number of its upstreams.
+    pub fn judge(&self, new_upstreams: usize) -> Option<Judgement> {
+        if self.bad_upstreams.len() < BAD_UPSTREAMS_MIN.min(new_upstreams).max(1) {
+            return None;
+        }
+        let least_likely = self.least_likely();
+        least_likely.filter(|judgement| judgement.chance < CHANCE_MAX)
+    }
+
+    /// Whether the version may be bad, by what was seen so far.
+    pub fn is_in_doubt(&self) -> bool {
+        let least_likely = self.least_likely();
+        least_likely.is_some_and(|judgement| judgement.chance < CHANCE_IN_DOUBT)
+    }
+
+    /// Whether all routes that get a good part of the requests were tried.
+    pub fn has_tried_all_routes(&self) -> bool {
+        let all = self.all_routes();
+        let part_min = f64::from(all.old.answers) * ROUTE_PART_MIN;
+        let mut busy = self
+            .routes
+            .values()
+            .filter(|it| f64::from(it.old.answers) >= part_min);
+        busy.all(|tally| tally.new.answers >= ROUTE_ANSWERS_MIN)
+    }
+
+    fn all_routes(&self) -> RouteTally {
+        let mut all = RouteTally::default();
+        for tally in self.routes.values() {
+            all.old.add(tally.old);
+            all.new.add(tally.new);
+        }
+        all
+    }
+
+    /// What would come by chance most rarely, on one route or on all.
+    fn least_likely(&self) -> Option<Judgement> {
+        let all = self.all_routes();
+        let tallies = self.routes.values().chain([&all]);
+        tallies
+            .map(judge_tally)
+            .min_by(|one, other| one.chance.total_cmp(&other.chance))
+    }
+}
+
+fn judge_tally(tally: &RouteTally) -> Judgement {
+    let RouteTally { old, new } = *tally;
+    let old_bad = f64::from(old.bad) + 1.0;
+    let old_bad = old_bad + RATE_DEVIATIONS * old_bad.sqrt();
+    let expected = (old_bad / (f64::from(old.answers) + 1.0)).clamp(RATE_MIN, RATE_MAX);
+    let chance = chance_of_at_least(new.bad, new.answers, expected);
+    Judgement { old, new, chance }
+}
+
+/// The chance of at least `hits` in `tries`, each with the chance `p`.
+fn chance_of_at_least(hits: u32, tries: u32, p: f64) -> f64 {
+    if hits == 0 || p >= 1.0 {
+        return 1.0;
+    }
+    let tries_f = f64::from(tries);
+    let mut ln_term = tries_f * (1.0 - p).ln();
+    let mut below = 0.0;
+    for hit in 0..hits.min(tries) {
+        below += ln_term.exp();
+        let hit = f64::from(hit);
+        ln_term += ((tries_f - hit) / (hit + 1.0)).ln() + (p / (1.0 - p)).ln();
+    }
+    (1.0_f64 - below).max(0.0)
+}
+
+/// Why a version is bad.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Judgement {
+    old: Tally,
+    new: Tally,
+    chance: f64,
+}
+
+impl fmt::Display for Judgement {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} of {} answers of the version are bad, {} of {} of the others",
+            self.new.bad, self.new.answers, self.old.bad, self.old.answers
+        )
+    }
+}
+
+/// What a host tells of one order.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldEvidence {
+    /// The position of the order's record.
+    pub ordered_at: Position,
+    /// What it saw.
+    pub evidence: Evidence,
+}
+
+/// What this host saw of one order.
+#[derive(Debug, Default)]
+struct Seen {
+    buckets: VecDeque<(Time, Evidence)>,
+    /// Of all hosts, as of when they were last looked at together.
+    times: BTreeMap<(u32, Measure), Times>,
+}
+
+impl Seen {
+    fn bucket(&mut self, now: Time) -> &mut Evidence {
+        let is_current = |bucket: &(Time, Evidence)| now.since(bucket.0) < BUCKET;
+        if !self.buckets.back().is_some_and(is_current) {
+            self.buckets.push_back((now, Evidence::default()));
+            while self
+                .buckets
+                .front()
+                .is_some_and(|(began, _)| now.since(*began) >= WINDOW)
+            {
+                self.buckets.pop_front();
+            }
+        }
+        let (_, evidence) = self.buckets.back_mut().expect("one was just added");
+        evidence
+    }
+
+    fn sum(&self, now: Time) -> Evidence {
+        let mut sum = Evidence::default();
+        let recent = self.buckets.iter();
+        for (_, evidence) in recent.filter(|(began, _)| now.since(*began) < WINDOW) {
+            sum.add(evidence);
+        }
+        sum
+    }
+}
+
+/// What this host saw of each order, and what others tell.
+#[derive(Debug, Default)]
+pub struct Evidences {
+    own: BTreeMap<Position, Seen>,
+    told: HashMap<Teller, (Time, Vec<ToldEvidence>)>,
+}
+
+impl Evidences {
+    /// A request for the order's service arrived.
+    pub fn requested(&mut self, now: Time, order: Position) {
+        self.own.entry(order).or_default().bucket(now).requests += 1;
+    }
+
+    /// A request for the order's service was answered.
+    pub fn answered(&mut self, now: Time, order: Position, answer: &Answer<'_>) {
+        let seen = self.own.entry(order).or_default();
+        let route = xxh3_64(answer.route.as_bytes()) as u32;
+        let is_bad = match answer.outcome {
+            Outcome::Failed => true,
+            Outcome::Took(time) => {
+                let times = seen.times.get(&(route, answer.measure));
+                times.is_some_and(|times| times.is_slow(time))
+            }
+        };
+        let bucket = seen.bucket(now);
+        if let (Outcome::Took(time), Side::Old) = (answer.outcome, answer.side) {
+            let times = bucket.times.entry((route, answer.measure)).or_default();
+            times.add(Times {
+                answers: 1,
+                sum_us: u64::try_from(time.as_micros()).unwrap_or(u64::MAX),
+            });
+        }
+        let tally = bucket.routes.entry(route).or_default();
+        let tally = match answer.side {
+            Side::Old => &mut tally.old,
+            Side::New => &mut tally.new,
+        };
+        tally.add(Tally {
+            answers: 1,
+            bad: u32::from(is_bad),
+        });
+        if is_bad && answer.side == Side::New {
+            bucket.bad_upstreams.insert(answer.upstream);
+        }
+    }
+
+    /// What this host saw, for others.
+    pub fn own(&self, now: Time) -> Vec<ToldEvidence> {
+        let own = self.own.iter().map(|(order, seen)| ToldEvidence {
+            ordered_at: *order,
+            evidence: shortened(seen.sum(now)),
+        });
+        own.collect()
+    }
+
+    /// What the hosts of this data centre saw, for others.
+    pub fn data_centre(&self, now: Time) -> Vec<ToldEvidence> {
+        let is_near = |teller: &Teller| matches!(teller, Teller::Host(_));
+        let own = self.own.keys().map(|order| ToldEvidence {
+            ordered_at: *order,
+            evidence: shortened(self.sum(now, *order, is_near)),
+        });
+        own.collect()
+    }
+
+    /// Another host tells what it, or its data centre, saw.
+    pub fn hear(&mut self, now: Time, teller: Teller, told: Vec<ToldEvidence>) {
+        self.told.insert(teller, (now, told));
+    }
+
+    /// What all hosts saw that are heard. From now on answers are slow beside the others of all these hosts.
+    pub fn all(&mut self, now: Time, order: Position) -> Evidence {
+        let all = self.sum(now, order, |_| true);
+        if let Some(seen) = self.own.get_mut(&order) {
+            seen.times.clone_from(&all.times);
+        }
+        all
+    }
+
+    fn sum(&self, now: Time, order: Position, is_counted: impl Fn(&Teller) -> bool) -> Evidence {
+        let own = self.own.get(&order);
+        let mut sum = own.map(|seen| seen.sum(now)).unwrap_or_default();
+        for (teller, (at, told)) in &self.told {
+            if now.since(*at) >= TOLD_LASTS || !is_counted(teller) {
+                continue;
+            }
+            for told in told.iter().filter(|told| told.ordered_at == order) {
+                sum.add(&told.evidence);
+            }
+        }
+        sum
+    }
+
+    /// Forgets all orders but those that `is_open` names.
+    pub fn retain(&mut self, now: Time, is_open: impl Fn(Position) -> bool) {
+        self.own.retain(|order, _| is_open(*order));
+        self.told.retain(|_, (at, _)| now.since(*at) < TOLD_LASTS);
+    }
+}
+
+/// Datagrams have room for a few names.
+fn shortened(mut evidence: Evidence) -> Evidence {
+    while evidence.bad_upstreams.len() > BAD_UPSTREAMS_TOLD {
+        evidence.bad_upstreams.pop_last();
+    }
+    evidence
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/rolloutstatus.rs
@@ -0,0 +1,170 @@
+//! Takes the steps of roll-outs that one host takes for all, and tells operators in the platform's log.
+//!
+//! The hosts that read what operators publish may take a step; the first of them by rendezvous does, and the others only
+//! if it didn't. What operators are told is written under the condition that nothing was written since this host looked,
+//! so that an order ends once, however many hosts try.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::event::EventCode;
+use crate::gateway::follow::CALL_TIMEOUT;
+use crate::gateway::follow::Interrupted;
+use crate::gateway::follow::append_only_at;
+use crate::gateway::follow::newest;
+use crate::gateway::ownclient::OwnClient;
+use crate::gateway::position::Position;
+use crate::gateway::protocol::RolloutState;
+use crate::gateway::protocol::Topic;
+use crate::gateway::rollouts::Due;
+use crate::gateway::rollouts::Stage;
+use crate::gateway::shared::OpenRollout;
+use crate::gateway::shared::Shared;
+
+/// How often it is looked whether a step is due.
+const CHECK: Duration = Duration::from_millis(100);
+/// Hosts that read what operators publish have told them by then that an order is running.
+const BEGUN_WITHIN: Duration = Duration::from_secs(3);
+/// A call that failed is made again after this time.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// A step that one host takes for all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Step {
+    Begin,
+    Shift,
+    Complete,
+    Revert,
+}
+
+/// Takes steps for ever.
+pub async fn run(shared: Shared) {
+    let mut status = Status {
+        client: OwnClient::new(shared.settings().log_address),
+        shared: shared.clone(),
+        begun: BTreeMap::new(),
+        due_since: BTreeMap::new(),
+    };
+    loop {
+        tokio::time::sleep(CHECK).await;
+        if shared.directory(|directory| directory.rollouts().open().next().is_none()) {
+            continue;
+        }
+        if !shared.is_reading(Topic::Operator) {
+            continue;
+        }
+        for rollout in shared.open_rollouts() {
+            if let Err(reason) = status.look_at(&rollout).await {
+                log::debug!("roll-out of {}: {reason:?}", rollout.service);
+                tokio::time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+struct Status {
+    shared: Shared,
+    client: OwnClient,
+    /// Orders of which operators were told that they are running, or more.
+    begun: BTreeMap<Position, RolloutState>,
+    due_since: BTreeMap<(Position, Step), Instant>,
+}
+
+impl Status {
+    async fn look_at(&mut self, rollout: &OpenRollout) -> Result<(), Interrupted> {
+        let step = match &rollout.due {
+            _ if !self.begun.contains_key(&rollout.ordered_at) => Step::Begin,
+            Due::Nothing => return Ok(()),
+            Due::Shift => Step::Shift,
+            Due::Complete => Step::Complete,
+            Due::Revert(_) | Due::GiveUp(_) => Step::Revert,
+        };
+        let key = (rollout.ordered_at, step);
+        let due_since = *self.due_since.entry(key).or_insert_with(Instant::now);
+        if due_since.elapsed() < self.shared.leaves_step_for(&rollout.service) {
+            return Ok(());
+        }
+        match step {
+            Step::Begin => self.tell(rollout, RolloutState::Running).await,
+            Step::Shift => {
+                let reason = "it answers as the others do";
+                self.shared.rollout_rises(rollout, Stage::Shift, reason);
+                Ok(())
+            }
+            Step::Complete => self.tell(rollout, RolloutState::Complete).await,
+            Step::Revert => {
+                if let Due::GiveUp(reason) = &rollout.due {
+                    self.shared.rollout_rises(rollout, Stage::Reverting, reason);
+                }
+                self.tell(rollout, RolloutState::Reverted).await
+            }
+        }
+    }
+
+    /// Tells operators that an order has come so far, unless they were told more.
+    async fn tell(
+        &mut self,
+        rollout: &OpenRollout,
+        state: RolloutState,
+    ) -> Result<(), Interrupted> {
+        let shared = self.shared.clone();
+        let key = shared.protocol().rollout_status_key(&rollout.service);
+        let newest = newest(&shared, &mut self.client, Topic::Status, CALL_TIMEOUT).await;
+        let (records, end) = newest?;
+        let told = records.iter().find(|record| record.key == key);
+        let told = told.and_then(|record| record.value.as_deref());
+        let told = told.and_then(|value| shared.protocol().decode_rollout_status(value).ok());
+        let told = told.filter(|(to, _)| *to == rollout.to);
+        let told = told.map(|(_, state)| state);
+        if let Some(told) = told.filter(|told| self.is_of_order(rollout, *told)) {
+            self.begun.insert(rollout.ordered_at, told);
+            self.rise(rollout, told, "operators were told");
+            return Ok(());
+        }
+        let value = shared.protocol().rollout_status(&rollout.to, state);
+        let written = append_only_at(
+            &shared,
+            &mut self.client,
+            Topic::Status,
+            (&key, &value),
+            end,
+        );
+        let is_written = written.await?;
+        let line = shared.log().line(EventCode::RolloutTold);
+        line.with("service", rollout.service.as_str())
+            .with("to", rollout.to.as_str())
+            .with("order", rollout.ordered_at.to_string())
+            .with("state", format!("{state:?}"))
+            .with("written", is_written)
+            .with("end", end.to_string())
+            .write();
+        if is_written {
+            self.begun.insert(rollout.ordered_at, state);
+            self.rise(rollout, state, "told operators");
+        }
+        Ok(())
+    }
+
+    /// Whether what operators were told is of this order, and not of an earlier one to the same version. A host that saw the
+    /// order come knows that it has not ended until somebody says so of it.
+    fn is_of_order(&self, rollout: &OpenRollout, told: RolloutState) -> bool {
+        match told {
+            RolloutState::Running => !self.begun.contains_key(&rollout.ordered_at),
+            RolloutState::Complete | RolloutState::Reverted => {
+                let has_begun = self.begun.contains_key(&rollout.ordered_at);
+                !rollout.is_dated || has_begun || rollout.age > BEGUN_WITHIN
+            }
+        }
+    }
+
+    fn rise(&self, rollout: &OpenRollout, state: RolloutState, reason: &str) {
+        let stage = match state {
+            RolloutState::Running => return,
+            RolloutState::Complete => Stage::Complete,
+            RolloutState::Reverted => Stage::Reverted,
+        };
+        self.shared.rollout_rises(rollout, stage, reason);
+    }
+}
--- a/src/gateway/route.rs
+++ b/src/gateway/route.rs
@@ -1,9 +1,11 @@
 //! Routes: which service a request goes to, by host and longest path prefix.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::id::RegionId;
 use crate::id::ServiceId;
 
 /// What may be repeated of a route's requests, and how they are answered.
@@ -60,6 +62,8 @@
     pub attempts: u32,
     /// Whether requests need no key.
     pub public: bool,
+    /// The regions in which its requests may run; none where they may run anywhere.
+    pub regions: Option<BTreeSet<RegionId>>,
 }
 
 impl Route {
--- a/src/gateway/route/tests.rs
+++ b/src/gateway/route/tests.rs
@@ -18,6 +18,7 @@
         targets: vec![target("nets", 3), target("rakes", 1)],
         attempts: 1,
         public: false,
+        regions: None,
     }
 }
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,6 +27,7 @@
 use crate::gate::Pass;
 use crate::gateway::call;
 use crate::gateway::configuration::Configuration;
+use crate::gateway::configuration::Customer;
 use crate::gateway::configuration::EngineSpec;
 use crate::gateway::decisions::Line;
 use crate::gateway::directory::Upstream;
@@ -42,12 +44,14 @@
 use crate::gateway::protocol::GenerationSize;
 use crate::gateway::protocol::HeaderNames;
 use crate::gateway::refuse;
+use crate::gateway::rollouts::Track;
 use crate::gateway::route::Route;
 use crate::gateway::route::RouteKind;
 use crate::gateway::shared::Shared;
 use crate::gateway::stream;
 use crate::id::CustomerId;
 use crate::id::DataCentre;
+use crate::id::RegionId;
 use crate::id::RequestId;
 use crate::id::ServiceId;
 use crate::refusal::Code;
@@ -116,6 +120,10 @@
     pub deadline_at: Time,
     /// That clock.
     pub clock: SystemClock,
+    /// Which upstreams it may go to while a version is tried.
+    pub track: Cell<Track>,
+    /// The regions in which it may run; none where it may run anywhere.
+    pub regions: Option<BTreeSet<RegionId>>,
     /// The version of the configuration that it is served by.
     pub config_version: u64,
     /// Counts it until it ends.
@@ -171,7 +179,7 @@
 
     /// Chooses an upstream for `need`, but none of `avoid`.
     pub fn place(&self, shared: &Shared, need: Need, avoid: &[InstanceId]) -> Option<Candidate> {
-        let candidates = candidates(shared, &self.service, avoid);
+        let candidates = candidates(shared, self, avoid);
         choose(shared, need, &candidates)
     }
 }
@@ -181,12 +189,18 @@
     place::choose(need, candidates, shared.view(), rand::random::<f64>)
 }
 
-/// The upstreams of a service that may be chosen. Where two of another data centre can't be connected
+/// The upstreams that a request may go to. Where two of another data centre can't be connected
 /// to, a cut is likelier than two failures, and all of it is in doubt.
-pub fn candidates(shared: &Shared, service: &ServiceId, avoid: &[InstanceId]) -> Vec<Candidate> {
+pub fn candidates(shared: &Shared, admitted: &Admitted, avoid: &[InstanceId]) -> Vec<Candidate> {
     let now = shared.now();
-    let (ready, any_cold) =
-        shared.directory(|directory| (directory.ready(service), directory.any_cold(now)));
+    let track = admitted.track.get();
+    let (mut ready, any_cold) = shared.directory(|directory| {
+        let ready = directory.ready_for(&admitted.service, track);
+        (ready, directory.any_cold(now))
+    });
+    if let Some(regions) = &admitted.regions {
+        ready.retain(|upstream| is_within(shared, &upstream.data_centre, regions));
+    }
     let cut = cut_data_centres(shared, now, &ready);
     let loads = shared.loads();
     ready
@@ -201,6 +215,21 @@
         .collect()
 }
 
+/// Whether a data centre lies in one of `regions`. One whose region isn't known lies in none.
+fn is_within(shared: &Shared, data_centre: &DataCentre, regions: &BTreeSet<RegionId>) -> bool {
+    let region = shared.settings().regions.get(data_centre);
+    region.is_some_and(|region| regions.contains(region))
+}
+
+/// Where requests of a route and a customer may run: where both allow.
+fn allowed_regions(route: &Route, customer: Option<&Customer>) -> Option<BTreeSet<RegionId>> {
+    let of_customer = customer.and_then(|customer| customer.regions.as_ref());
+    match (route.regions.as_ref(), of_customer) {
+        (Some(route), Some(customer)) => Some(route & customer),
+        (one, other) => one.or(other).cloned(),
+    }
+}
+
 /// Other data centres of which at least [`CUT_UPSTREAMS`] upstreams can't be connected to.
 fn cut_data_centres(shared: &Shared, now: Time, ready: &[Arc<Upstream>]) -> Vec<DataCentre> {
     let here = &shared.settings().data_centre;
@@ -283,6 +312,8 @@
         .map_err(reject)?;
     let request = CallerRequest { body, ..request };
     let timeout = caller_timeout.min(route.timeout);
+    let regions = allowed_regions(&route, customer.as_deref());
+    let track = shared.draw_track(&service);
     let own_priority = customer.as_ref().and_then(|customer| customer.priority);
     let customer = customer.map(|customer| customer.name.clone());
     Ok(Admitted {
@@ -299,6 +330,8 @@
         deadline: arrived + timeout,
         deadline_at: shared.now() + timeout.saturating_sub(arrived.elapsed()),
         clock: shared.clock(),
+        track: Cell::new(track),
+        regions,
         config_version: configuration.version,
         pass,
     })
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,13 +1,16 @@
 //! Settings of a gateway host.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use derive_builder::Builder;
 
 use crate::gateway::retrybudget::RetryBudgetOptions;
+use crate::gateway::rollouts::ExposureBound;
 use crate::id::DataCentre;
 use crate::id::HostId;
+use crate::id::RegionId;
 
 /// What a gateway host is told at its start.
 #[derive(Debug, Clone, PartialEq, Builder)]
@@ -37,4 +40,10 @@
     pub staleness_max: Duration,
     /// Time between SIGTERM and the kill that follows.
     pub grace: Duration,
+    /// The region of each data centre.
+    #[builder(default)]
+    pub regions: HashMap<DataCentre, RegionId>,
+    /// How many requests a bad version may get of all hosts together.
+    #[builder(default)]
+    pub exposure: ExposureBound,
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -39,6 +39,7 @@
 use crate::gateway::reach::Reach;
 use crate::gateway::reading::ReadingBoard;
 use crate::gateway::retrybudget::SharedRetryBudget;
+use crate::gateway::rollouts::evidence::Evidences;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::suspects::Suspects;
 use crate::gateway::turns::TurnBoard;
@@ -54,12 +55,15 @@
 mod logera;
 mod logreading;
 mod newer;
+mod rolling;
 mod suspicion;
 mod waking;
 
 pub(crate) use self::changes::ToldBy;
 pub use self::inforce::InForce;
 pub(crate) use self::logera::Outdated;
+pub(crate) use self::rolling::Freshness;
+pub(crate) use self::rolling::OpenRollout;
 
 /// Shared state of a host; clones are handles.
 #[derive(Debug, Clone)]
@@ -86,6 +90,7 @@
     reach: Mutex<Reach>,
     cold_budget: Mutex<ColdBudget>,
     suspects: Mutex<Suspects>,
+    evidences: Mutex<Evidences>,
     wakefulness: Mutex<Wakefulness>,
     wakes: watch::Sender<u64>,
     log_era: Mutex<Era>,
@@ -137,6 +142,7 @@
             reach: Mutex::default(),
             cold_budget: Mutex::default(),
             suspects: Mutex::default(),
+            evidences: Mutex::default(),
             wakefulness: Mutex::default(),
             wakes: watch::channel(0).0,
             log_era: Mutex::default(),
--- a/src/gateway/shared/evacuating.rs
+++ b/src/gateway/shared/evacuating.rs
@@ -67,7 +67,7 @@
         decoded.collect()
     }
 
-    fn note_flaw(&self, key: &str, flaw: &str) {
+    pub(super) fn note_flaw(&self, key: &str, flaw: &str) {
         let line = self.log().line(EventCode::RecordSkipped);
         line.with("source", "log")
             .with("key", key)
--- a/src/gateway/shared/waking.rs
+++ b/src/gateway/shared/waking.rs
@@ -67,7 +67,7 @@
     fn has_caught_up(&self, now: Time, topic: Topic, within: Duration) -> bool {
         let fetch = match topic {
             Topic::Operator => Fetch::Configuration,
-            Topic::Upstreams | Topic::Hosts | Topic::Suspects => Fetch::Upstreams,
+            Topic::Upstreams | Topic::Hosts | Topic::Suspects | Topic::Status => Fetch::Upstreams,
         };
         self.peers(|peers| {
             peers.heard_reader_within(now, topic, within) && !peers.is_fetching(fetch)
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -32,6 +32,8 @@
 use crate::gateway::place::Need;
 use crate::gateway::place::tokens;
 use crate::gateway::protocol::GenerationSize;
+use crate::gateway::rollouts::evidence::Measure;
+use crate::gateway::rollouts::evidence::Outcome;
 use crate::gateway::serve::Admitted;
 use crate::gateway::serve::Front;
 use crate::gateway::shared::Shared;
@@ -154,12 +156,14 @@
             Opened::Running(running) => return respond(shared.clone(), admitted, *running, share),
             Opened::Answered(answer) => return pass_on(shared, &admitted, &upstream, answer),
             Opened::TimedOut => {
+                shared.note_tried(&admitted, &upstream, Measure::FirstEvent, Outcome::Failed);
                 shared.upstream_failed(&admitted.service, &upstream.id, "no answer in time");
                 let refusal =
                     Refusal::unknown(Code::DeadlineExceeded, "no answer before the deadline");
                 return admitted.refuse(shared, &refusal);
             }
             Opened::Unknown(reason) => {
+                shared.note_tried(&admitted, &upstream, Measure::FirstEvent, Outcome::Failed);
                 shared.upstream_failed(&admitted.service, &upstream.id, &reason);
                 let message = format!("{}: {reason}", upstream.id);
                 return admitted.refuse(shared, &Refusal::unknown(Code::UpstreamFailed, message));
@@ -347,6 +351,7 @@
     answer: WholeAnswer,
 ) -> HttpResponse {
     let status = answer.head.status.as_u16();
+    shared.note_tried(admitted, upstream, Measure::FirstEvent, Outcome::Failed);
     shared.upstream_failed(&admitted.service, &upstream.id, &format!("status {status}"));
     call::pass_on(shared, admitted, upstream, answer, 1)
 }
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -191,7 +191,7 @@
             tokens,
             memory_tokens: engine.memory_tokens,
         };
-        let candidates = serve::candidates(&self.shared, &self.admitted.service, &self.avoid);
+        let candidates = serve::candidates(&self.shared, &self.admitted, &self.avoid);
         let room = f64::from(engine.memory_tokens) * DESTINATION_MEMORY_SHARE_MAX;
         let of_share = |among: Among| -> Vec<Candidate> {
             let own = self.own_destinations(among);
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -18,6 +18,8 @@
 use crate::gateway::events::EventSplitter;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::line::Share;
+use crate::gateway::rollouts::evidence::Measure;
+use crate::gateway::rollouts::evidence::Outcome;
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
 use crate::gateway::turns::Ticket;
@@ -26,6 +28,9 @@
 use crate::telemetry::Metric;
 use crate::telemetry::StreamMeter;
 
+/// The pace of a stream is that of so many events.
+const PACE_EVENTS: u64 = 8;
+
 /// One stream on its way to its caller.
 pub(super) struct Relay {
     pub(super) shared: Shared,
@@ -41,6 +46,9 @@
     pub(super) avoid: Vec<InstanceId>,
     pub(super) meter: StreamMeter,
     pub(super) first_ms: Option<f64>,
+    first_at: Option<Instant>,
+    /// Whether its pace was told.
+    has_pace: bool,
     /// Tokens that it is expected to produce.
     expected_tokens: u32,
     pub(super) last_at: Instant,
@@ -80,6 +88,8 @@
             moves: 0,
             avoid: Vec::new(),
             first_ms: None,
+            first_at: None,
+            has_pace: false,
             expected_tokens,
             last_at: Instant::now(),
             gap_max: Duration::ZERO,
@@ -143,6 +153,7 @@
             None => self.first_passed(),
             Some(_) => self.gap_max = self.gap_max.max(now - self.last_at),
         }
+        self.look_at_pace(now);
         self.last_at = now;
     }
 
@@ -167,9 +178,29 @@
         u32::try_from(produced).unwrap_or(u32::MAX)
     }
 
+    /// Tells how fast the stream is once it has passed some events.
+    fn look_at_pace(&mut self, now: Instant) {
+        let Some(first_at) = self.first_at else {
+            return;
+        };
+        if !self.has_pace && self.splitter.passed() >= PACE_EVENTS {
+            self.has_pace = true;
+            let time = now - first_at;
+            self.note_tried(Measure::Pace, Outcome::Took(time));
+        }
+    }
+
+    fn note_tried(&self, measure: Measure, outcome: Outcome) {
+        let upstream = &self.running.upstream;
+        self.shared
+            .note_tried(&self.admitted, upstream, measure, outcome);
+    }
+
     fn first_passed(&mut self) {
+        self.first_at = Some(Instant::now());
         self.first_ms = Some(self.admitted.arrived.elapsed().as_secs_f64() * 1_000.0);
         let time = self.running.sent_at.elapsed();
+        self.note_tried(Measure::FirstEvent, Outcome::Took(time));
         let tokens = self.running.unread_tokens;
         let in_time = self.admitted.arrived.elapsed() <= self.admitted.route.objective;
         self.shared.lines().with(|lines| {
@@ -222,6 +253,7 @@
     fn fail(&mut self, reason: &str) -> Option<Result<Bytes, BrokenOff>> {
         self.ended = true;
         let id = self.running.upstream.id.clone();
+        self.note_tried(Measure::Pace, Outcome::Failed);
         self.shared
             .upstream_failed(&self.admitted.service, &id, reason);
         telemetry::count_of_service(Metric::StreamsLostTotal, &self.admitted.service);
--- a/src/gateway/tries.rs
+++ b/src/gateway/tries.rs
@@ -9,6 +9,7 @@
 use crate::event::EventCode;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::retrybudget::Balance;
+use crate::gateway::rollouts::Track;
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
 use crate::id::ServiceId;
@@ -102,6 +103,8 @@
             .with("verdict", verdict.name())
             .with("retried", verdict == Verdict::GoesOn)
             .write();
+        // A further try is for the request's sake alone.
+        admitted.track.set(Track::Proved);
         verdict == Verdict::GoesOn
     }
 
--- a/src/id.rs
+++ b/src/id.rs
@@ -100,6 +100,14 @@
     /// An upstream, by its `address:port`.
     UpstreamId
 }
+name_type! {
+    /// A version of the software that upstreams run.
+    VersionId
+}
+name_type! {
+    /// A region, which holds data centres.
+    RegionId
+}
 uuid_type! {
     /// A caller's request, chosen by the entry host that received it.
     RequestId
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -7,7 +7,9 @@
 mod instances;
 mod largedocuments;
 mod logreturns;
+mod regions;
 mod retrybudget;
+mod rollouts;
 mod silentlog;
 mod suspendedhost;
 
--- a/tests/gatewayworld/fakelog.rs
+++ b/tests/gatewayworld/fakelog.rs
@@ -116,6 +116,27 @@
         });
     }
 
+    /// Appends a record if the topic ends there; whether it did.
+    fn put_only_at(&self, topic: &str, key: &str, value: &Value, end: usize) -> bool {
+        self.with(|state| {
+            let topic = state.topics.entry(topic.to_owned()).or_default();
+            let is_there = topic.records.len() == end;
+            if is_there {
+                topic.records.push((key.to_owned(), value.clone()));
+            }
+            is_there
+        })
+    }
+
+    /// All values that were written under a key of a topic, in order.
+    pub fn written(&self, topic: &str, key: &str) -> Vec<Value> {
+        self.with(|state| {
+            let topic = state.topics.entry(topic.to_owned()).or_default();
+            let of_key = topic.records.iter().filter(|(other, _)| other == key);
+            of_key.map(|(_, value)| value.clone()).collect()
+        })
+    }
+
     /// From now on every call is refused, or no longer.
     pub fn set_down(&self, down: bool) {
         self.with(|state| state.doors[self.door].down = down);
@@ -238,6 +259,13 @@
                 let wait = Duration::from_millis(wait_ms.parse().unwrap());
                 self.read(topic, from.parse().unwrap(), wait)
             }
+            ["append", topic, key, end] => {
+                let value = serde_json::from_slice(body).unwrap();
+                match self.put_only_at(topic, key, &value, end.parse().unwrap()) {
+                    true => (200, json!({})),
+                    false => (412, json!({})),
+                }
+            }
             ["append", topic, key] => {
                 // A record without a value removes its key; hosts list themselves by their bare names.
                 let value = match body {
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -9,6 +9,7 @@
 mod protocol;
 mod upstream;
 
+use std::collections::HashMap;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
@@ -34,6 +35,7 @@
 use cedargauge::id::DataCentre;
 use cedargauge::id::HostId;
 use cedargauge::id::Incarnation;
+use cedargauge::id::RegionId;
 
 pub use caller::Answer;
 pub use caller::Caller;
@@ -287,10 +289,18 @@
         })
         .staleness_max(Duration::from_secs(2))
         .grace(Duration::from_secs(4))
+        .regions(regions())
         .build()
         .unwrap()
 }
 
+/// The data centres `north` and `east` lie in one region, `south` in another.
+fn regions() -> HashMap<DataCentre, RegionId> {
+    let places = [("north", "valley"), ("east", "valley"), ("south", "coast")];
+    let places = places.map(|(place, region)| (DataCentre::new(place), RegionId::new(region)));
+    HashMap::from(places)
+}
+
 /// A configuration with one customer.
 pub fn table(version: u64, routes: Value) -> Value {
     json!({"version": version, "routes": routes, "keys": {"key-1": "canton"}})
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -1,5 +1,6 @@
 //! The stand-ins' protocol: JSON throughout, and header names in the product's words.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,15 +33,20 @@
 use cedargauge::gateway::protocol::Protocol;
 use cedargauge::gateway::protocol::ReadBatch;
 use cedargauge::gateway::protocol::Record;
+use cedargauge::gateway::protocol::RolloutState;
 use cedargauge::gateway::protocol::Topic;
+use cedargauge::gateway::rollouts::RolloutOrder;
+use cedargauge::gateway::rollouts::RolloutRecord;
 use cedargauge::gateway::route::Route;
 use cedargauge::gateway::route::RouteKind;
 use cedargauge::gateway::route::RouteTable;
 use cedargauge::gateway::route::Target;
 use cedargauge::id::CustomerId;
 use cedargauge::id::DataCentre;
+use cedargauge::id::RegionId;
 use cedargauge::id::ServiceId;
 use cedargauge::id::UpstreamId;
+use cedargauge::id::VersionId;
 
 /// Speaks with the stand-ins of these tests.
 #[derive(Debug)]
@@ -117,10 +123,13 @@
         })
     }
 
-    fn append_call(&self, topic: Topic, key: &str, value: &[u8]) -> OwnCall {
+    fn append_call(&self, topic: Topic, key: &str, value: &[u8], only_at: Option<u64>) -> OwnCall {
+        // Keys name one part of the path.
+        let key = key.replace('/', "-");
+        let path = format!("/append/{}/{key}", topic.name());
         OwnCall {
             method: Method::POST,
-            path: format!("/append/{}/{key}", topic.name()),
+            path: only_at.map_or(path.clone(), |end| format!("{path}/{end}")),
             body: Bytes::copy_from_slice(value),
             content_type: None,
         }
@@ -143,6 +152,7 @@
             let customer = Customer {
                 name: CustomerId::new(name.as_str().unwrap()),
                 priority: None,
+                regions: regions(&document["customer_regions"]),
             };
             (key.clone(), Arc::new(customer))
         });
@@ -184,6 +194,44 @@
         })
     }
 
+    fn rollout(&self, key: &str, value: Option<&[u8]>) -> Option<RolloutRecord> {
+        let service = key.strip_prefix("rollout/")?;
+        let order: Option<Value> = value.and_then(|value| serde_json::from_slice(value).ok());
+        let order = order.map(|order| RolloutOrder {
+            to: VersionId::new(order["to"].as_str().unwrap()),
+            duration: Duration::from_millis(order["duration_ms"].as_u64().unwrap()),
+        });
+        Some(RolloutRecord {
+            service: ServiceId::new(service),
+            order,
+            flaw: None,
+        })
+    }
+
+    fn rollout_status_key(&self, service: &ServiceId) -> String {
+        format!("rollout-{service}")
+    }
+
+    fn rollout_status(&self, to: &VersionId, state: RolloutState) -> Vec<u8> {
+        let state = match state {
+            RolloutState::Running => "running",
+            RolloutState::Complete => "complete",
+            RolloutState::Reverted => "reverted",
+        };
+        json!({"to": to, "state": state}).to_string().into_bytes()
+    }
+
+    fn decode_rollout_status(&self, value: &[u8]) -> Result<(VersionId, RolloutState)> {
+        let status: Value = serde_json::from_slice(value)?;
+        let state = match status["state"].as_str() {
+            Some("running") => RolloutState::Running,
+            Some("complete") => RolloutState::Complete,
+            Some("reverted") => RolloutState::Reverted,
+            _ => return Err(bad("state")),
+        };
+        Ok((serde_json::from_value(status["to"].clone())?, state))
+    }
+
     fn upstream(&self, key: &str, value: &[u8]) -> Result<Upstream> {
         let entry: Value = serde_json::from_slice(value)?;
         let id = UpstreamId::new(key);
@@ -195,6 +243,7 @@
             state: serde_json::from_value(entry["state"].clone())?,
             slots: serde_json::from_value(entry["slots"].clone())?,
             cold_left_ms: entry["cold_left_ms"].as_u64().unwrap_or(0) as u32,
+            version: VersionId::new(entry["version"].as_str().unwrap_or("v1")),
         })
     }
 
@@ -245,6 +294,11 @@
     }
 }
 
+fn regions(value: &Value) -> Option<BTreeSet<RegionId>> {
+    let names = value.as_array()?.iter().map(|name| name.as_str().unwrap());
+    Some(names.map(RegionId::new).collect())
+}
+
 fn route(value: &Value) -> Route {
     let ms = |name: &str| Duration::from_millis(value[name].as_u64().unwrap());
     Route {
@@ -265,5 +319,6 @@
         }],
         attempts: value["attempts"].as_u64().unwrap() as u32,
         public: false,
+        regions: regions(&value["regions"]),
     }
 }
--- a/tests/gatewayworld/upstream.rs
+++ b/tests/gatewayworld/upstream.rs
@@ -111,6 +111,7 @@
     service: &'static str,
     address: SocketAddr,
     data_centre: &'static str,
+    version: &'static str,
     state: Arc<Mutex<State>>,
 }
 
@@ -128,6 +129,7 @@
             service,
             address: listener.local_addr().unwrap(),
             data_centre: "north",
+            version: "v1",
             state: Arc::default(),
         };
         upstream.with(|state| state.behaviours = behaviours.iter().cloned().collect());
@@ -153,6 +155,11 @@
         }
     }
 
+    /// The same with another version of its software.
+    pub fn of_version(self, version: &'static str) -> Self {
+        FakeUpstream { version, ..self }
+    }
+
     /// An upstream of the service `nets` whose process ends under a request with this body.
     pub fn mortal(id: &str, behaviour: Behaviour, body: &'static str, death: Death) -> Self {
         let upstream = FakeUpstream::start(id, &[behaviour]);
@@ -186,6 +193,7 @@
             service: "nets",
             address: listener.local_addr().unwrap(),
             data_centre: "north",
+            version: "v1",
             state: Arc::default(),
         }
     }
@@ -198,7 +206,8 @@
     pub fn entry(&self, state: &str) -> Value {
         let state = if state == "ready" { "Ready" } else { "Leaving" };
         json!({"id": self.id, "service": self.service, "address": self.address,
-               "data_centre": self.data_centre, "state": state, "slots": 4})
+               "data_centre": self.data_centre, "state": state, "slots": 4,
+               "version": self.version})
     }
 
     fn with<T>(&self, change: impl FnOnce(&mut State) -> T) -> T {
