--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -56,6 +56,7 @@
 pub mod stream;
 pub(crate) mod suspectlog;
 pub mod suspects;
+pub(crate) mod ticks;
 pub(crate) mod tries;
 pub mod turns;
 pub(crate) mod wakefulness;
--- a/src/gateway/configfetch.rs
+++ b/src/gateway/configfetch.rs
@@ -49,6 +49,8 @@
 pub const PIECES_PATH: &str = "/peer/pieces";
 /// A source that takes a newer version while it is asked is asked once more.
 const VERSIONS_MAX: usize = 2;
+/// A refusal of pieces costs a source little, however many hosts ask.
+const RIVALS: usize = 0;
 /// No host asks for more pieces than the largest document has.
 const IDS_BYTES_MAX: usize = DOCUMENT_BYTES_MAX as usize / PIECE_BYTES_MIN as usize * PieceId::LEN;
 
@@ -176,7 +178,7 @@
     match outcome {
         Ok(Outcome::Taken) => {}
         Ok(Outcome::Busy | Outcome::NothingNewer) => shared.catch_up(|catch_up| {
-            catch_up.was_busy(now, source.address, rand::random::<f64>());
+            catch_up.was_busy(now, source.address, RIVALS, rand::random::<f64>());
         }),
         Err(error) => {
             let fault = fault_of(&error);
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -28,10 +28,12 @@
 /// Largest datagram that crosses a network whole.
 pub(crate) const DATAGRAM_BYTES_MAX: usize = 1_400;
 /// Changes of upstreams in one datagram, at most 90 bytes each, so that the rest has room beside them.
-const PART_CHANGES: usize = 10;
+pub(crate) const PART_CHANGES: usize = 10;
 /// First byte of a datagram; rises with each change of its fields, so that hosts of two releases
 /// side by side don't misread each other.
 const FORMAT: u8 = 10;
+/// The same of one that tells changes alone.
+const CHANGES_FORMAT: u8 = 0x80 | FORMAT;
 
 /// Topics of the log.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -240,6 +242,42 @@
     }
 }
 
+/// Changes of the upstreams on their way over a large fleet.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct ToldChanges {
+    /// The host from which they go over the data centre of the receiver, by the address of its datagrams.
+    pub(crate) root: SocketAddr,
+    /// How many times more they may be passed on.
+    pub(crate) hops_left: u8,
+    /// Who read them.
+    pub(crate) host: HostId,
+    /// The history of the log that it knew.
+    pub(crate) log_era: Era,
+    /// The log's position up to which it had read.
+    pub(crate) position: Position,
+    /// A hash over the upstreams that it listed.
+    pub(crate) digest: u64,
+    /// The changes.
+    pub(crate) changes: Vec<Change>,
+    /// Whether further changes up to that position follow in another datagram.
+    pub(crate) has_more_changes: bool,
+}
+
+impl ToldChanges {
+    /// As it travels.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        postcard::to_extend(self, vec![CHANGES_FORMAT]).unwrap_or_default()
+    }
+
+    /// What a datagram tells; none if it is of another kind.
+    pub(crate) fn decode(bytes: &[u8]) -> Option<Self> {
+        let (&CHANGES_FORMAT, fields) = bytes.split_first()? else {
+            return None;
+        };
+        postcard::from_bytes(fields).ok()
+    }
+}
+
 /// A datagram that is too large loses its oldest changes, then its smallest loads, then suspects.
 pub fn encode(mut datagram: Datagram) -> Vec<u8> {
     if let Some(loads) = datagram.loads.listed() {
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -19,6 +19,7 @@
 use self::entry::Removal;
 use self::entry::change_of;
 use self::entry::is_notice;
+use self::listing::Listing;
 use crate::clock::Time;
 use crate::gateway::evacuations::Evacuations;
 use crate::gateway::instance::InstanceId;
@@ -28,6 +29,7 @@
 use crate::id::UpstreamId;
 
 mod entry;
+mod listing;
 mod taking;
 mod telling;
 mod upstream;
@@ -38,6 +40,7 @@
 pub use self::upstream::News;
 pub use self::upstream::Upstream;
 pub use self::upstream::UpstreamState;
+pub(crate) use self::upstream::share_names;
 
 /// After the log's return, living upstreams list themselves again within this time (the platform
 /// says about two seconds).
@@ -57,7 +60,7 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     position: Position,
-    entries: BTreeMap<UpstreamId, Entry>,
+    entries: Listing,
     removed: BTreeMap<UpstreamId, Removal>,
     /// Instances that answered at their address with another id, or refused as leaving.
     witnessed: BTreeMap<InstanceId, Time>,
@@ -189,19 +192,18 @@
     }
 
     fn remove(&mut self, now: Time, id: &UpstreamId, position: Position) -> Option<Applied> {
-        let entry = self.entries.get_mut(id)?;
+        let entry = self.entries.get(id)?;
         let grace_ends = self.returned_at.map(|returned| returned + RETURN_GRACE);
         let ready = entry.upstream.state == UpstreamState::Ready;
         if let Some(ends) = grace_ends.filter(|ends| *ends > now && ready) {
-            entry.missing = Some(Missing {
-                position,
-                until: ends,
-            });
-            return Some(Applied {
+            let applied = Applied {
                 id: entry.upstream.id.clone(),
                 change: DirectoryChange::Missing,
                 ended: None,
-            });
+            };
+            let until = ends;
+            self.entries.set_missing(id, Missing { position, until });
+            return Some(applied);
         }
         self.drop_entry(now, id, position)
     }
@@ -272,8 +274,7 @@
     pub fn lapse(&mut self, now: Time) -> Vec<Applied> {
         let gone: Vec<(UpstreamId, Position)> = self
             .entries
-            .iter()
-            .filter_map(|(id, entry)| Some((id, entry.missing?)))
+            .missing()
             .filter(|(_, missing)| missing.until <= now)
             .map(|(id, missing)| (id.clone(), missing.position))
             .collect();
--- /dev/null
+++ b/src/gateway/directory/listing.rs
@@ -0,0 +1,131 @@
+//! The entries of a directory, with what is derived from them kept as they change: with ten thousand upstreams nothing
+//! that is asked for each datagram or request may walk them all.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::Upstream;
+use super::UpstreamState;
+use super::entry::Entry;
+use super::entry::Missing;
+use crate::gateway::instance::InstanceKey;
+use crate::gateway::position::Position;
+use crate::id::DataCentre;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
+
+/// Spreads eras over the seeds of a digest (2^64 over the golden ratio).
+const ERA_SEED: u64 = 0x9e37_79b9_7f4a_7c15;
+
+type Place = (ServiceId, DataCentre);
+
+/// Listed upstreams by id.
+#[derive(Debug, Default)]
+pub(super) struct Listing {
+    entries: BTreeMap<UpstreamId, Entry>,
+    digest: u64,
+    places: BTreeMap<Place, BTreeMap<UpstreamId, Arc<Upstream>>>,
+    data_centres: HashMap<InstanceKey, DataCentre>,
+    missing: BTreeSet<UpstreamId>,
+}
+
+impl Listing {
+    pub(super) fn get(&self, id: &UpstreamId) -> Option<&Entry> {
+        self.entries.get(id)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = (&UpstreamId, &Entry)> {
+        self.entries.iter()
+    }
+
+    pub(super) fn values(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// A hash over all entries.
+    pub(super) fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// The upstreams of a service in a data centre, by id.
+    pub(super) fn in_place(
+        &self,
+        service: &ServiceId,
+        data_centre: &DataCentre,
+    ) -> impl Iterator<Item = &Arc<Upstream>> {
+        let place = (service.clone(), data_centre.clone());
+        let there = self.places.get(&place).into_iter();
+        there.flat_map(BTreeMap::values)
+    }
+
+    /// Where the instance of a key stands.
+    pub(super) fn data_centre_of(&self, key: InstanceKey) -> Option<&DataCentre> {
+        self.data_centres.get(&key)
+    }
+
+    /// The entries that the log lacks since its return.
+    pub(super) fn missing(&self) -> impl Iterator<Item = (&UpstreamId, Missing)> {
+        let missing = self.missing.iter();
+        missing.filter_map(|id| Some((id, self.entries.get(id)?.missing?)))
+    }
+
+    pub(super) fn set_missing(&mut self, id: &UpstreamId, missing: Missing) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.missing = Some(missing);
+            self.missing.insert(id.clone());
+        }
+    }
+
+    /// Lists an upstream; its id must not be listed.
+    pub(super) fn insert(&mut self, id: UpstreamId, entry: Entry) {
+        self.digest ^= digest_of(&id, &entry);
+        if entry.missing.is_some() {
+            self.missing.insert(id.clone());
+        }
+        let upstream = entry.upstream.clone();
+        self.data_centres
+            .insert(upstream.id.key(), upstream.data_centre.clone());
+        let there = self.places.entry(place_of(&upstream)).or_default();
+        there.insert(id.clone(), upstream);
+        self.entries.insert(id, entry);
+    }
+
+    pub(super) fn remove(&mut self, id: &UpstreamId) -> Option<Entry> {
+        let entry = self.entries.remove(id)?;
+        self.digest ^= digest_of(id, &entry);
+        self.missing.remove(id);
+        self.data_centres.remove(&entry.upstream.id.key());
+        let place = place_of(&entry.upstream);
+        if let Some(there) = self.places.get_mut(&place) {
+            there.remove(id);
+            if there.is_empty() {
+                self.places.remove(&place);
+            }
+        }
+        Some(entry)
+    }
+}
+
+fn place_of(upstream: &Upstream) -> Place {
+    (upstream.service.clone(), upstream.data_centre.clone())
+}
+
+fn digest_of(id: &UpstreamId, entry: &Entry) -> u64 {
+    let leaving = entry.upstream.state == UpstreamState::Leaving;
+    let Position { era, offset } = entry.position;
+    let history = era.number().wrapping_mul(ERA_SEED);
+    let seed = history ^ offset.wrapping_mul(2).wrapping_add(u64::from(leaving));
+    xxh3_64_with_seed(id.as_str().as_bytes(), seed)
+}
--- a/src/gateway/directory/taking.rs
+++ b/src/gateway/directory/taking.rs
@@ -10,6 +10,7 @@
 use crate::clock::Time;
 use crate::gateway::evacuations::Evacuations;
 use crate::gateway::instance::InstanceId;
+use crate::gateway::instance::InstanceKey;
 use crate::gateway::rollouts::Rollouts;
 use crate::gateway::rollouts::Track;
 use crate::id::DataCentre;
@@ -49,10 +50,18 @@
         rollout.shifted_since().filter(|_| is_replaced)
     }
 
-    /// The upstreams of a service that take new work on `track`. Where operators have ordered a version and nothing else
-    /// is listed, that one takes it.
-    pub fn ready_for(&self, service: &ServiceId, track: Track) -> Vec<Arc<Upstream>> {
-        let ready = self.ready(service);
+    /// The upstreams of a service that take new work on `track`, of one data centre or of all. Where operators have
+    /// ordered a version and nothing else is listed, that one takes it.
+    pub fn ready_for(
+        &self,
+        service: &ServiceId,
+        track: Track,
+        within: Option<&DataCentre>,
+    ) -> Vec<Arc<Upstream>> {
+        let ready = match within {
+            Some(data_centre) => self.ready_in(service, data_centre),
+            None => self.ready(service),
+        };
         let Some(rollout) = self.rollouts.get(service) else {
             return ready;
         };
@@ -64,7 +73,7 @@
             .collect();
         match (track, chosen.is_empty()) {
             (Track::Tried, false) => first_of_each_data_centre(chosen),
-            (Track::Tried, true) => self.ready_for(service, Track::Proved),
+            (Track::Tried, true) => self.ready_for(service, Track::Proved, within),
             (Track::Proved, false) => chosen,
             (Track::Proved, true) if self.lists_any(service, |up| allows(up, track)) => chosen,
             (Track::Proved, true) => {
@@ -112,6 +121,23 @@
             .collect()
     }
 
+    /// The same, of one data centre.
+    pub fn ready_in(&self, service: &ServiceId, data_centre: &DataCentre) -> Vec<Arc<Upstream>> {
+        let there = self.entries.in_place(service, data_centre);
+        let ready = there.filter(|upstream| self.takes_work(upstream));
+        ready.cloned().collect()
+    }
+
+    /// How many upstreams of a service a data centre lists.
+    pub fn count_in(&self, service: &ServiceId, data_centre: &DataCentre) -> usize {
+        self.entries.in_place(service, data_centre).count()
+    }
+
+    /// Where the listed instance of a key stands.
+    pub fn data_centre_of(&self, key: InstanceKey) -> Option<&DataCentre> {
+        self.entries.data_centre_of(key)
+    }
+
     /// All upstreams that take new work.
     pub fn all_ready(&self) -> Vec<Arc<Upstream>> {
         let upstreams = self.entries.values().map(|entry| &entry.upstream);
--- a/src/gateway/directory/telling.rs
+++ b/src/gateway/directory/telling.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use xxhash_rust::xxh3::xxh3_64_with_seed;
-
 use super::Applied;
 use super::Change;
 use super::Directory;
@@ -16,8 +14,6 @@
 /// Changes are told again for this long, so that a datagram lost is made good: three rounds of a reader
 /// of 295 hosts.
 const CHANGES_TOLD_FOR: Duration = Duration::from_millis(1_800);
-/// Spreads eras over the seeds of a digest (2^64 over the golden ratio).
-const ERA_SEED: u64 = 0x9e37_79b9_7f4a_7c15;
 
 impl Directory {
     /// Takes a change that another host tells.
@@ -62,16 +58,7 @@
 
     /// A hash over what is listed; hosts that list the same have the same.
     pub fn digest(&self) -> u64 {
-        let entries = self.entries.iter();
-        entries
-            .map(|(id, entry)| {
-                let leaving = entry.upstream.state == UpstreamState::Leaving;
-                let Position { era, offset } = entry.position;
-                let history = era.number().wrapping_mul(ERA_SEED);
-                let seed = history ^ offset.wrapping_mul(2).wrapping_add(u64::from(leaving));
-                xxh3_64_with_seed(id.as_str().as_bytes(), seed)
-            })
-            .fold(0, |sum, hash| sum ^ hash)
+        self.entries.digest()
     }
 
     /// The whole list with each entry's position, for a peer.
--- a/src/gateway/directory/upstream.rs
+++ b/src/gateway/directory/upstream.rs
@@ -1,5 +1,7 @@
 //! Upstreams as they list themselves, and their changes as hosts tell them to each other.
 
+use std::collections::HashSet;
+use std::hash::Hash;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -54,6 +56,28 @@
     }
 }
 
+/// Has upstreams share the text of names that many of them have.
+pub(crate) fn share_names(list: &mut [(Upstream, Position)]) {
+    let mut services: HashSet<ServiceId> = HashSet::new();
+    let mut data_centres: HashSet<DataCentre> = HashSet::new();
+    let mut versions: HashSet<VersionId> = HashSet::new();
+    for (upstream, _) in list {
+        upstream.service = shared(&mut services, &upstream.service);
+        upstream.data_centre = shared(&mut data_centres, &upstream.data_centre);
+        upstream.version = shared(&mut versions, &upstream.version);
+    }
+}
+
+fn shared<T: Clone + Eq + Hash>(known: &mut HashSet<T>, name: &T) -> T {
+    match known.get(name) {
+        Some(name) => name.clone(),
+        None => {
+            known.insert(name.clone());
+            name.clone()
+        }
+    }
+}
+
 /// What a change of the directory was.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum DirectoryChange {
--- a/src/gateway/document/catchup.rs
+++ b/src/gateway/document/catchup.rs
@@ -10,7 +10,9 @@
 /// link of 10 Mbit/s,
 const BUSY_FOR_MS: u64 = 30;
 /// and up to so much more, by chance, so that those who wait don't come back together.
-const BUSY_SPREAD_MS: u64 = 40;
+const BUSY_SPREAD_MS: f64 = 40.0;
+/// and longer where many wait, so that a source is asked some 500 times a second however many there are.
+const BUSY_SPREAD_PER_RIVAL_MS: f64 = 2.0;
 /// A source that failed is left for others for this time: as long as a host that is frozen or cut off is
 /// still heard of.
 const UNANSWERED_FOR: Duration = Duration::from_millis(1_000);
@@ -116,10 +118,10 @@
         self.behind_for(now).is_some_and(|behind| behind > bound)
     }
 
-    /// A source serves as many as it can.
-    pub fn was_busy(&mut self, now: Time, source: SocketAddr, chance: f64) {
-        let spread = (BUSY_SPREAD_MS as f64 * chance) as u64;
-        let pause = Duration::from_millis(BUSY_FOR_MS + spread);
+    /// A source serves as many as it can. `rivals` is how many hosts may be asking it.
+    pub fn was_busy(&mut self, now: Time, source: SocketAddr, rivals: usize, chance: f64) {
+        let spread_ms = BUSY_SPREAD_MS.max(BUSY_SPREAD_PER_RIVAL_MS * rivals as f64);
+        let pause = Duration::from_millis(BUSY_FOR_MS + (spread_ms * chance) as u64);
         self.busy_until.insert(source, now + pause);
     }
 
--- a/src/gateway/document/catchup/tests.rs
+++ b/src/gateway/document/catchup/tests.rs
@@ -48,7 +48,7 @@
 fn busy_hosts_of_the_own_data_centre_are_waited_for() {
     let holders = [holder(1, 8, Distance::Near), holder(2, 8, Distance::Far)];
     let mut catch_up = CatchUp::new(0.5);
-    catch_up.was_busy(Time::ZERO, address(1), 0.5);
+    catch_up.was_busy(Time::ZERO, address(1), 1, 0.5);
 
     let waits = catch_up.next(Time::ZERO, &holders, 0.5);
     let asks = catch_up.next(Time::from_ms(100), &holders, 0.5);
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -26,6 +26,7 @@
 use crate::gateway::shared::Freshness;
 use crate::gateway::shared::Shared;
 use crate::gateway::shared::ToldBy;
+use crate::gateway::ticks::tick;
 use crate::id::UpstreamId;
 use crate::telemetry;
 use crate::telemetry::Metric;
@@ -58,6 +59,10 @@
 /// log only then: hundreds that start together would all read all of it. With 0.4 s most of 78 did, as
 /// their seeds, of a tenth of a core, could not answer all by then.
 const JOIN_WAIT: Duration = Duration::from_millis(1_000);
+/// and so much longer for each host that they tell of.
+const JOIN_WAIT_PER_HOST: Duration = Duration::from_millis(1);
+/// While it hears others that know, a host leaves the log alone for this time.
+const SERVED_WAIT: Duration = Duration::from_secs(6);
 
 /// So much of a record that can't be used is shown in the log.
 const SHOWN_BYTES: usize = 48;
@@ -95,7 +100,7 @@
     let mut backoff = new_backoff();
     loop {
         if follower.is_fresh_elsewhere() {
-            tokio::time::sleep(follower.check_pause()).await;
+            tick(follower.check_pause()).await;
             continue;
         }
         let began = Instant::now();
@@ -143,7 +148,7 @@
     }
     let mut was_read = shared.hears_reader(topic);
     loop {
-        tokio::time::sleep(READER_CHECK).await;
+        tick(READER_CHECK).await;
         let is_read = shared.hears_reader(topic);
         if is_read && !was_read {
             return;
@@ -159,7 +164,7 @@
         return std::future::pending().await;
     };
     while shared.log_era() <= next.era {
-        tokio::time::sleep(READER_CHECK).await;
+        tick(READER_CHECK).await;
     }
 }
 
@@ -178,7 +183,7 @@
         let begun = self.next.is_some() || self.shared.is_ready();
         let elsewhere = match begun {
             true => self.shared.leaves_reading(self.topic) || self.awaits_first_word(),
-            false => self.is_joining(),
+            false => self.is_joining() || self.is_served_by_others(),
         };
         if elsewhere {
             self.next = None;
@@ -193,17 +198,28 @@
         }
     }
 
+    /// Whether this host knows nothing yet and has others to ask that do: of hundreds that start together each gets the
+    /// list when its turn comes.
+    fn is_served_by_others(&self) -> bool {
+        let now = self.shared.now();
+        let hears_holder = self
+            .shared
+            .peers(|peers| peers.hears_holder(now, self.topic));
+        hears_holder && self.is_younger_than(SERVED_WAIT)
+    }
+
     /// Whether this host has just started and others may know what it lacks. Seeds read at once, and
     /// so does a host that can't connect to any.
     fn is_joining(&self) -> bool {
-        self.is_younger_than(JOIN_WAIT)
+        let told = self.shared.told_hosts();
+        self.is_younger_than(JOIN_WAIT + JOIN_WAIT_PER_HOST * told)
     }
 
     /// Whether this host knows from a seed what is in force, and hasn't heard yet who reads the log.
     fn awaits_first_word(&self) -> bool {
         self.next.is_none()
             && !self.shared.hears_reader(self.topic)
-            && self.is_younger_than(FIRST_WORD_WAIT)
+            && self.is_younger_than(FIRST_WORD_WAIT.max(self.shared.reader_interval() * 2))
     }
 
     fn is_younger_than(&self, age: Duration) -> bool {
@@ -232,7 +248,7 @@
             && !self.shared.is_lookout()
             && !self.shared.leaves_reading(self.topic)
         {
-            tokio::time::sleep(READER_CHECK).await;
+            tick(READER_CHECK).await;
         }
     }
 
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -21,15 +21,18 @@
 use tokio::time::Instant;
 
 use self::far::FarRounds;
+use self::spread::Spread;
 use crate::clock::Time;
 use crate::event::EventCode;
 use crate::gateway::configfetch;
 use crate::gateway::datagram::DATAGRAM_BYTES_MAX;
 use crate::gateway::datagram::Datagram;
+use crate::gateway::datagram::ToldChanges;
 use crate::gateway::datagram::ToldEvidences;
 use crate::gateway::datagram::ToldLoads;
 use crate::gateway::datagram::decode;
 use crate::gateway::datagram::encode;
+use crate::gateway::directory::Change;
 use crate::gateway::loads::Teller;
 use crate::gateway::peerfetch;
 use crate::gateway::peers::Acquaintance;
@@ -42,6 +45,7 @@
 use crate::id::HostId;
 
 mod far;
+mod spread;
 
 #[cfg(test)]
 pub(crate) use self::far::FAR_INTERVAL;
@@ -53,8 +57,16 @@
 /// Added for each host of the data centre: bounds datagrams to 83 a second each way, a few percent of a
 /// tenth of a core.
 const INTERVAL_PER_HOST: Duration = Duration::from_millis(12);
+/// Datagrams are read as they arrive in data centres of up to so many other hosts,
+const GATHERED_FROM: usize = 100;
+/// and gathered for so much longer for each further one,
+const GATHERED_PER_HOST: Duration = Duration::from_micros(500);
+/// up to this time, which passes at each of a few hops that a change takes.
+const GATHERED_MAX: Duration = Duration::from_millis(100);
 /// A host whose own reading works gives it this time before it asks a peer for news.
 const OWN_READING_FIRST: Duration = Duration::from_millis(300);
+/// Hosts that know nothing yet ask within this time for each other one of their data centre.
+const START_SPREAD_PER_HOST: Duration = Duration::from_millis(1);
 /// Hosts that only listen fetch within this time of the first word.
 const LISTENER_SPREAD: Duration = Duration::from_millis(250);
 
@@ -62,21 +74,32 @@
 pub async fn run(shared: Shared, socket: UdpSocket) {
     let mut news = shared.news_watch();
     let mut asks = shared.asks_watch();
+    let mut changes_read = shared.changes_read_watch();
+    let mut spread = Spread::default();
     let mut buffer = vec![0; 2 * DATAGRAM_BYTES_MAX];
     let mut rounds = Rounds::new();
+    let mut receives_at = Instant::now();
     loop {
         tokio::select! {
-            received = socket.recv_from(&mut buffer) => match received {
-                Ok((length, from)) => {
-                    shared.look_for_suspension();
-                    if let Some(answer) = receive(&shared, from, &buffer[..length]) {
-                        send(&socket, &encode(answer), &[from]).await;
+            received = receive_from(&socket, receives_at, &mut buffer) => {
+                shared.look_for_suspension();
+                let mut received = Some(received);
+                while let Some(datagram) = received {
+                    match datagram {
+                        Ok((length, from)) => {
+                            take(&shared, &socket, from, &buffer[..length]).await;
+                        }
+                        // A datagram sent to a host that is gone comes back as an error here.
+                        Err(error) => log::debug!("datagram: {error}"),
                     }
+                    received = waiting(&socket, &mut buffer);
                 }
-                // A datagram sent to a host that is gone comes back as an error here.
-                Err(error) => log::debug!("datagram: {error}"),
+                receives_at = Instant::now() + receive_pause(&shared);
             },
             _ = news.changed() => rounds.hasten(),
+            _ = changes_read.changed() => if !spread.send_new(&shared, &socket).await {
+                rounds.hasten();
+            },
             _ = asks.changed() => far::ask(&shared, &socket).await,
             () = tokio::time::sleep_until(rounds.next) => {
                 let is_full = rounds.is_full(&shared);
@@ -87,6 +110,41 @@
     }
 }
 
+/// The next datagram, not before `receives_at`.
+async fn receive_from(
+    socket: &UdpSocket,
+    receives_at: Instant,
+    buffer: &mut [u8],
+) -> std::io::Result<(usize, SocketAddr)> {
+    tokio::time::sleep_until(receives_at).await;
+    socket.recv_from(buffer).await
+}
+
+/// A datagram that has arrived already.
+fn waiting(socket: &UdpSocket, buffer: &mut [u8]) -> Option<std::io::Result<(usize, SocketAddr)>> {
+    match socket.try_recv_from(buffer) {
+        Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => None,
+        received => Some(received),
+    }
+}
+
+/// How long a host of a large data centre lets datagrams gather: each would else wake it, a hundred times a second.
+fn receive_pause(shared: &Shared) -> Duration {
+    let now = shared.now();
+    let near = shared.peers(|peers| peers.count_near(now));
+    let many = u32::try_from(near.saturating_sub(GATHERED_FROM)).unwrap_or(u32::MAX);
+    GATHERED_PER_HOST.saturating_mul(many).min(GATHERED_MAX)
+}
+
+/// Takes one datagram, and answers it if it is to be answered.
+async fn take(shared: &Shared, socket: &UdpSocket, from: SocketAddr, bytes: &[u8]) {
+    if let Some(told) = ToldChanges::decode(bytes) {
+        take_spread(shared, socket, &told).await;
+    } else if let Some(answer) = receive(shared, from, bytes) {
+        send(socket, &encode(answer), &[from]).await;
+    }
+}
+
 /// When this host sends, and whether it tells everything then.
 #[derive(Debug)]
 struct Rounds {
@@ -160,7 +218,10 @@
         peers.count(now);
         peers.targets(now, recipients)
     });
-    let datagram = own_datagram(shared, now);
+    let mut datagram = own_datagram(shared, now);
+    if spread::is_much(shared, &datagram) {
+        datagram.changes.clear();
+    }
     if !is_small {
         far::send_far(shared, socket, far, &datagram).await;
     }
@@ -261,9 +322,16 @@
         shared.hear_unreachable(&datagram.host, &datagram.unreachable);
     }
     shared.hear_suspects(datagram.host.as_str(), &datagram.suspects);
-    let newer_upstreams = take_changes(shared, now, &datagram);
+    let told = ToldPosition {
+        host: &datagram.host,
+        position: datagram.upstreams,
+        digest: datagram.upstreams_digest,
+        changes: &datagram.changes,
+        has_more_changes: datagram.has_more_changes,
+    };
+    let newer_upstreams = take_changes(shared, now, told);
+    let upstreams = datagram.upstreams;
     let newer_config = datagram.config > shared.config_version();
-    let peer = SocketAddr::new(from.ip(), datagram.peer_port);
     shared
         .turns()
         .with(|turns| turns.hear(now, &datagram.host, datagram.moving));
@@ -274,17 +342,40 @@
         configfetch::fetch_soon(shared, fetch_wait(shared));
     }
     if newer_upstreams {
-        peerfetch::fetch_soon(shared, peer, fetch_wait(shared));
+        peerfetch::fetch_soon(shared, upstreams, fetch_wait(shared));
     }
     if datagram.asks {
         let loads = shared.home_loads(&data_centre);
         return Some(own_datagram(shared, now).that_answers(loads));
     }
-    acquaintance
-        .is_stranger
+    // Near ones hear each other all the same.
+    let is_near = data_centre == shared.settings().data_centre;
+    let lacks_something = !is_near || acquaintance.has_started;
+    (acquaintance.is_stranger && lacks_something)
         .then(|| answer(shared, now, &data_centre, acquaintance))
 }
 
+/// Takes changes that came over others, and passes on what was new.
+async fn take_spread(shared: &Shared, socket: &UdpSocket, told: &ToldChanges) {
+    let now = shared.now();
+    shared.hear_era(told.log_era, told.host.as_str());
+    let is_new = told.position > shared.directory(|directory| directory.position());
+    if !is_new {
+        return;
+    }
+    spread::pass_on(shared, now, socket, told).await;
+    let told = ToldPosition {
+        host: &told.host,
+        position: told.position,
+        digest: told.digest,
+        changes: &told.changes,
+        has_more_changes: told.has_more_changes,
+    };
+    if take_changes(shared, now, told) {
+        peerfetch::fetch_soon(shared, told.position, fetch_wait(shared));
+    }
+}
+
 /// Takes what `host` of `data_centre` tells of what runs where.
 fn take_loads(shared: &Shared, now: Time, host: HostId, data_centre: &DataCentre, told: ToldLoads) {
     let data_centre = data_centre.clone();
@@ -337,26 +428,36 @@
     datagram
 }
 
+/// How far a host has read the upstreams, and what changed of late.
+#[derive(Clone, Copy)]
+struct ToldPosition<'a> {
+    host: &'a HostId,
+    position: Position,
+    digest: u64,
+    changes: &'a [Change],
+    has_more_changes: bool,
+}
+
 /// Takes the changes that a reader tells. True if it must know of more.
-fn take_changes(shared: &Shared, now: Time, datagram: &Datagram) -> bool {
+fn take_changes(shared: &Shared, now: Time, told: ToldPosition<'_>) -> bool {
     let own_position = shared.directory(|directory| directory.position());
-    if datagram.upstreams <= own_position {
+    if told.position <= own_position {
         return false;
     }
     let mut changes = Vec::new();
     let same = shared.directory(|directory| {
-        for change in &datagram.changes {
+        for change in told.changes {
             let taken = directory.take(now, change);
             changes.extend(taken);
         }
-        let same = directory.digest() == datagram.upstreams_digest;
+        let same = directory.digest() == told.digest;
         if same {
-            directory.advance(datagram.upstreams);
+            directory.advance(told.position);
         }
         same
     });
-    shared.directory_changes(changes, ToldBy::Host(datagram.host.as_str()));
-    !same && !datagram.has_more_changes
+    shared.directory_changes(changes, ToldBy::Host(told.host.as_str()));
+    !same && !told.has_more_changes
 }
 
 /// Gives the own reading of the log, or the next datagram, a moment before a peer is asked. Hosts that
@@ -368,6 +469,9 @@
     } else if shared.is_ready() {
         LISTENER_SPREAD.mul_f64(rand::random())
     } else {
-        Duration::ZERO
+        let now = shared.now();
+        let near = shared.peers(|peers| peers.count_near(now));
+        let spread = START_SPREAD_PER_HOST * u32::try_from(near).unwrap_or(u32::MAX);
+        spread.mul_f64(rand::random())
     }
 }
--- a/src/gateway/gossip/far.rs
+++ b/src/gateway/gossip/far.rs
@@ -99,9 +99,10 @@
 
     /// Whether this host reads the upstreams for all, and the others must hear that it does, or what has
     /// changed.
-    fn is_due_of_reader(&mut self, shared: &Shared, now: Time) -> bool {
-        let upstreams = shared.directory(|directory| directory.position());
-        let has_news = std::mem::replace(&mut self.told_upstreams, upstreams) != upstreams;
+    fn is_due_of_reader(&mut self, shared: &Shared, now: Time, datagram: &Datagram) -> bool {
+        let upstreams = datagram.upstreams;
+        let is_later = std::mem::replace(&mut self.told_upstreams, upstreams) != upstreams;
+        let has_news = is_later && !datagram.changes.is_empty();
         if !shared.is_reading(Topic::Upstreams) {
             return false;
         }
@@ -138,7 +139,7 @@
         let all = shared.peers(|peers| peers.all_outside());
         send(socket, &encode(datagram.of_turns_only()), &all).await;
     }
-    if far.is_due_of_reader(shared, now) {
+    if far.is_due_of_reader(shared, now, datagram) {
         let all = shared.peers(|peers| peers.all_outside());
         send_parts(socket, datagram.of_the_log_only(), &all).await;
     }
--- /dev/null
+++ b/src/gateway/gossip/spread.rs
@@ -0,0 +1,96 @@
+//! Spreads changes of the upstreams over a large fleet.
+//!
+//! The load that this answers: hundreds of upstreams change in a second and each change concerns a thousand hosts. One
+//! host that told all would send tens of thousands of datagrams a second. So beyond some hundred datagrams a
+//! reader sends to a few, who pass on: in each data centre along a tree over the hosts there, so that nobody
+//! sends to more than a few. Of each other data centre two hosts are told, in turn, as one may be gone. Who
+//! misses something hears of the newer position with its neighbours' next datagrams, and asks them.
+
+use std::net::SocketAddr;
+
+use tokio::net::UdpSocket;
+
+use super::own_datagram;
+use super::send;
+use crate::clock::Time;
+use crate::gateway::datagram::Datagram;
+use crate::gateway::datagram::PART_CHANGES;
+use crate::gateway::datagram::ToldChanges;
+use crate::gateway::position::Position;
+use crate::gateway::shared::Shared;
+
+/// Datagrams that a reader sends at once.
+const DIRECT_MAX: usize = 300;
+/// A tree over more hosts than any data centre has is no deeper.
+const HOPS_MAX: u8 = 8;
+
+/// What this host has sent along trees.
+#[derive(Debug, Default)]
+pub(super) struct Spread {
+    told: Position,
+}
+
+impl Spread {
+    /// Sends what changed since it last did, if it is more than this host tells all by itself. Whether it was.
+    pub(super) async fn send_new(&mut self, shared: &Shared, socket: &UdpSocket) -> bool {
+        let now = shared.now();
+        let mut datagram = own_datagram(shared, now);
+        if !is_much(shared, &datagram) {
+            return false;
+        }
+        let told = std::mem::replace(&mut self.told, datagram.upstreams);
+        datagram.changes.retain(|change| change.position >= told);
+        let roots = shared.peers(|peers| peers.relay_roots(now));
+        let own = shared.gossip_address();
+        for part in parts(&datagram) {
+            let near = ToldChanges {
+                root: own,
+                ..part.clone()
+            };
+            pass_on(shared, now, socket, &near).await;
+            for root in &roots {
+                let far = ToldChanges {
+                    root: *root,
+                    ..part.clone()
+                };
+                send(socket, &far.encode(), &[*root]).await;
+            }
+        }
+        true
+    }
+}
+
+/// Whether what a datagram tells of changes is too much for one host to tell all others.
+pub(super) fn is_much(shared: &Shared, datagram: &Datagram) -> bool {
+    let parts = datagram.changes.len().div_ceil(PART_CHANGES);
+    parts * shared.hosts() > DIRECT_MAX
+}
+
+fn parts(datagram: &Datagram) -> Vec<ToldChanges> {
+    let chunks = datagram.changes.chunks(PART_CHANGES);
+    let count = chunks.len();
+    let part = |(index, changes): (usize, &[_])| ToldChanges {
+        root: SocketAddr::from(([0, 0, 0, 0], 0)),
+        hops_left: HOPS_MAX,
+        host: datagram.host.clone(),
+        log_era: datagram.log_era,
+        position: datagram.upstreams,
+        digest: datagram.upstreams_digest,
+        changes: changes.to_vec(),
+        has_more_changes: index + 1 < count,
+    };
+    chunks.enumerate().map(part).collect()
+}
+
+/// Sends changes to the hosts behind this one in the tree of its data centre.
+pub(super) async fn pass_on(shared: &Shared, now: Time, socket: &UdpSocket, told: &ToldChanges) {
+    let Some(hops_left) = told.hops_left.checked_sub(1) else {
+        return;
+    };
+    let behind = shared.peers(|peers| peers.behind(now, told.root));
+    let told = ToldChanges {
+        hops_left,
+        ..told.clone()
+    };
+    send(socket, &told.encode(), &behind).await;
+}
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -38,6 +38,7 @@
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::shared::Shared;
 use crate::gateway::suspectlog;
+use crate::gateway::ticks::tick;
 use crate::id::Incarnation;
 use crate::telemetry;
 use crate::telemetry::Metric;
@@ -292,7 +293,7 @@
 /// Drops beliefs whose time is over.
 async fn lapse(shared: Shared) {
     loop {
-        tokio::time::sleep(LAPSE_INTERVAL).await;
+        tick(LAPSE_INTERVAL).await;
         shared.look_for_suspension();
         let now = shared.now();
         shared.loads().with(|loads| loads.lapse(now));
@@ -310,7 +311,7 @@
 
 async fn close_idle(front: Front) {
     loop {
-        tokio::time::sleep(LAPSE_INTERVAL).await;
+        tick(LAPSE_INTERVAL).await;
         front.pool.borrow_mut().close_idle();
     }
 }
--- a/src/gateway/joining.rs
+++ b/src/gateway/joining.rs
@@ -25,6 +25,8 @@
 const SEED_PAUSE: Duration = Duration::from_millis(300);
 /// Before the first such round: seeds that start at the same time have read the log by then.
 const SEED_FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Seeds are asked within this time for each host that is told of.
+const SEED_SPREAD_PER_HOST: Duration = Duration::from_millis(1);
 /// Between two tries to connect to seeds.
 const REACH_PAUSE: Duration = Duration::from_millis(40);
 /// Tries after which seeds that can't be connected to count as away: those that start with this host
@@ -79,13 +81,23 @@
         .write();
     tokio::time::sleep_until(asks_from).await;
     while !shared.is_ready() {
-        if !shared.is_reading(Topic::Operator) {
+        // The more hosts there are, the later each asks, and those that others have told by then don't.
+        let spread = SEED_SPREAD_PER_HOST * shared.told_hosts();
+        tokio::time::sleep(spread.mul_f64(rand::random())).await;
+        if !shared.is_reading(Topic::Operator) && !hears_all(&shared) {
             ask_each(&shared, &seeds).await;
         }
         tokio::time::sleep(SEED_PAUSE).await;
     }
 }
 
+/// Whether hosts are heard that know all that a host needs.
+fn hears_all(shared: &Shared) -> bool {
+    let now = shared.now();
+    let topics = [Topic::Operator, Topic::Upstreams];
+    shared.peers(|peers| topics.iter().all(|topic| peers.hears_holder(now, *topic)))
+}
+
 async fn reach(seeds: &[SocketAddr]) -> Seeds {
     for _ in 0..REACH_TRIES {
         tokio::time::sleep(REACH_PAUSE).await;
--- a/src/gateway/line.rs
+++ b/src/gateway/line.rs
@@ -25,6 +25,7 @@
 use crate::gateway::rollouts::Track;
 use crate::gateway::serve;
 use crate::gateway::serve::Admitted;
+use crate::gateway::serve::Breadth;
 use crate::gateway::shared::Shared;
 use crate::gateway::stream;
 use crate::id::CustomerId;
@@ -203,6 +204,7 @@
     let ticket = Ticket::join(shared, admitted, tokens);
     let mut waited = None;
     let mut has_asked = false;
+    let mut breadth = Breadth::Few;
     let mut reserved: Option<Reserved> = None;
     loop {
         // Upstreams may crash under a repeat while this one waits.
@@ -214,9 +216,12 @@
             tokio::time::sleep(LOOK_INTERVAL).await;
             continue;
         }
-        let mut candidates = serve::candidates(shared, admitted, avoid);
+        let mut candidates = serve::candidates(shared, admitted, avoid, breadth);
         if candidates.is_empty() {
-            return Ok(None);
+            match std::mem::replace(&mut breadth, Breadth::All) {
+                Breadth::Few => continue,
+                Breadth::All => return Ok(None),
+            }
         }
         if let Some(reserved) = &reserved {
             reserved.leave_out(&mut candidates);
@@ -228,6 +233,10 @@
         };
         let believed = Believed::new(shared, &ticket, &candidates);
         let verdict = believed.decide(shared, &demand, &candidates);
+        let is_sound = matches!(&verdict, Verdict::Start(candidate) if !candidate.doubtful);
+        if !is_sound && std::mem::replace(&mut breadth, Breadth::All) == Breadth::Few {
+            continue;
+        }
         if !has_asked && rests_on_old_words(shared, &verdict) {
             has_asked = true;
             shared.ask_far_loads().await;
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -7,7 +7,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -78,30 +77,45 @@
 pub struct Loads {
     own: BTreeMap<InstanceId, Load>,
     peers: HashMap<Teller, PeerLoads>,
+    /// Of what all peers tell.
+    sums: HashMap<InstanceKey, Load>,
 }
 
 impl Loads {
     /// Takes a peer's counts.
     pub fn hear(&mut self, now: Time, teller: Teller, loads: Vec<(InstanceKey, Load)>) {
-        let loads = loads.into_iter().collect();
-        self.peers.insert(teller, PeerLoads { at: now, loads });
+        let loads: HashMap<InstanceKey, Load> = loads.into_iter().collect();
+        for (key, load) in &loads {
+            self.sums.entry(*key).or_default().add(*load);
+        }
+        let before = self.peers.insert(teller, PeerLoads { at: now, loads });
+        self.forget(before.as_slice());
+    }
+
+    fn forget(&mut self, told: &[PeerLoads]) {
+        for (key, load) in told.iter().flat_map(|told| &told.loads) {
+            let Some(sum) = self.sums.get_mut(key) else {
+                continue;
+            };
+            sum.subtract(*load);
+            if *sum == Load::default() {
+                self.sums.remove(key);
+            }
+        }
     }
 
     /// Forgets peers that are silent.
     pub fn lapse(&mut self, now: Time) {
-        self.peers
-            .retain(|_, peer| now.since(peer.at) < PEER_COUNT_LASTS);
+        let is_silent = |peer: &PeerLoads| now.since(peer.at) >= PEER_COUNT_LASTS;
+        let silent = self.peers.extract_if(|_, peer| is_silent(peer));
+        let silent: Vec<PeerLoads> = silent.map(|(_, peer)| peer).collect();
+        self.forget(&silent);
     }
 
     /// All that runs at an upstream.
     pub fn at(&self, upstream: &InstanceId) -> Load {
         let mut sum = self.own.get(upstream).copied().unwrap_or_default();
-        let key = upstream.key();
-        for peer in self.peers.values() {
-            if let Some(load) = peer.loads.get(&key) {
-                sum.add(*load);
-            }
-        }
+        sum.add(self.sums.get(&upstream.key()).copied().unwrap_or_default());
         sum
     }
 
@@ -112,10 +126,10 @@
             .collect()
     }
 
-    /// What runs at the upstreams `home` of this data centre, but for what hosts of `receiver` run there, for these.
+    /// What runs at the upstreams of this data centre, as `is_home` tells, but for what hosts of `receiver` run there, for these.
     pub fn data_centre(
         &self,
-        home: &HashSet<InstanceKey>,
+        is_home: impl Fn(InstanceKey) -> bool,
         receiver: &DataCentre,
     ) -> Vec<(InstanceKey, Load)> {
         let is_told = |teller: &Teller| match teller {
@@ -127,7 +141,7 @@
         let told = told.flat_map(|(_, told)| told.loads.iter().map(|(key, load)| (*key, *load)));
         let mut sums: BTreeMap<InstanceKey, Load> = BTreeMap::new();
         for (key, load) in self.own().into_iter().chain(told) {
-            if home.contains(&key) {
+            if is_home(key) {
                 sums.entry(key).or_default().add(load);
             }
         }
--- a/src/gateway/loads/tests.rs
+++ b/src/gateway/loads/tests.rs
@@ -119,7 +119,9 @@
         board.with(|loads| loads.hear(Time::ZERO, teller, told));
     }
     let home = HashSet::from([upstream().key()]);
-    let told = |to: &str| board.with(|loads| loads.data_centre(&home, &DataCentre::new(to)));
+    let told = |to: &str| {
+        board.with(|loads| loads.data_centre(|key| home.contains(&key), &DataCentre::new(to)))
+    };
 
     // Its own, a neighbour's, and those of the visitors from elsewhere.
     assert_eq!(told("south"), [(upstream().key(), load(5, 190, 10))]);
--- a/src/gateway/ownword.rs
+++ b/src/gateway/ownword.rs
@@ -19,6 +19,7 @@
 use crate::gateway::protocol::Topic;
 use crate::gateway::rendezvous;
 use crate::gateway::shared::Shared;
+use crate::gateway::ticks::tick;
 use crate::id::HostId;
 
 /// Between two rounds: engines give at least 1.5 s of notice and their word is half a second old,
@@ -30,7 +31,7 @@
 /// Asks for ever, while there is need.
 pub async fn ask_while_blind(shared: Shared) {
     loop {
-        tokio::time::sleep(ASK_INTERVAL).await;
+        tick(ASK_INTERVAL).await;
         if !shared.hears_log(Topic::Upstreams) {
             let engines = engines_to_ask(&shared);
             join_all(engines.iter().map(|engine| ask(&shared, engine))).await;
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -1,18 +1,30 @@
 //! How a host that doesn't read the log gets the upstreams from its peers, and serves them.
+//!
+//! The load that this answers: a thousand hosts that start together want a list of ten thousand upstreams. It is packed
+//! once and sent to a few at a time; the others are sent away, ask again at a rate that doesn't grow with their
+//! number, and find those that have it by then.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_web::HttpResponse;
 use bytes::Bytes;
+use futures_util::stream;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::error::Error;
 use crate::error::Result;
 use crate::event::EventCode;
+use crate::gateway::directory;
 use crate::gateway::directory::Change;
+use crate::gateway::directory::Directory;
 use crate::gateway::directory::Upstream;
+use crate::gateway::document::catchup::Fault;
+use crate::gateway::document::catchup::Holder;
+use crate::gateway::document::catchup::Step;
+use crate::gateway::document::transfers::Ticket;
 use crate::gateway::evacuations::ToldEvacuations;
 use crate::gateway::ownclient::Arrival;
 use crate::gateway::ownclient::OwnClient;
@@ -24,6 +36,12 @@
 use crate::gateway::shared::Shared;
 use crate::gateway::shared::ToldBy;
 
+/// zstd's level at which a list of ten thousand upstreams takes a host milliseconds.
+const LEVEL: i32 = 1;
+/// A list of more bytes is none.
+const LIST_BYTES_MAX: u32 = 32 << 20;
+/// A transfer of a list counts as under way while its receiver takes parts of this size.
+const PART_BYTES: usize = 16 << 10;
 /// Path of the upstreams.
 pub const UPSTREAMS_PATH: &str = "/peer/upstreams";
 /// A seed's answer to a host that starts begins within this time: dozens ask the same seed of a tenth of a
@@ -48,12 +66,63 @@
 
 #[derive(Debug, Serialize, Deserialize)]
 enum UpstreamsTold {
-    /// All, with the positions of their records.
-    All(Vec<(Upstream, Position)>),
+    /// All, packed.
+    All(PackedList),
     /// What changed from the position on that was asked for.
     Changes(Vec<Change>),
 }
 
+/// The whole list, each upstream with the position of its record, as it travels.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct PackedList {
+    bytes: u32,
+    packed: Arc<[u8]>,
+}
+
+impl PackedList {
+    fn of(list: &[(Upstream, Position)]) -> Result<Self> {
+        let bytes = postcard::to_allocvec(list).map_err(unreadable)?;
+        let packed = zstd::bulk::compress(&bytes, LEVEL).map_err(unreadable)?;
+        Ok(PackedList {
+            bytes: u32::try_from(bytes.len()).map_err(unreadable)?,
+            packed: Arc::from(packed),
+        })
+    }
+
+    fn unpack(&self) -> Result<Vec<(Upstream, Position)>> {
+        let bytes = self.bytes.min(LIST_BYTES_MAX) as usize;
+        let bytes = zstd::bulk::decompress(&self.packed, bytes).map_err(unreadable)?;
+        let mut list: Vec<(Upstream, Position)> =
+            postcard::from_bytes(&bytes).map_err(unreadable)?;
+        directory::share_names(&mut list);
+        Ok(list)
+    }
+}
+
+fn unreadable(error: impl std::fmt::Display) -> Error {
+    Error::Document(format!("a list of upstreams: {error}"))
+}
+
+/// A whole list that was packed for one peer serves all that ask before it changes.
+#[derive(Debug, Default)]
+pub(crate) struct ListCache {
+    packed: Option<(Position, u64, PackedList)>,
+}
+
+impl ListCache {
+    fn get(&mut self, directory: &Directory) -> Result<PackedList> {
+        let (position, digest) = (directory.position(), directory.digest());
+        if let Some((of, listed, packed)) = &self.packed
+            && (*of, *listed) == (position, digest)
+        {
+            return Ok(packed.clone());
+        }
+        let packed = PackedList::of(&directory.list_all())?;
+        self.packed = Some((position, digest, packed.clone()));
+        Ok(packed)
+    }
+}
+
 /// Which upstreams are asked for.
 #[derive(Debug, Deserialize)]
 pub struct UpstreamsQuery {
@@ -70,30 +139,94 @@
     }
 }
 
-/// Serves the list of upstreams, or what changed of it.
+/// Serves the list of upstreams, or what changed of it; 503 while enough other hosts are being served.
 pub async fn serve_upstreams(shared: &Shared, query: &UpstreamsQuery) -> HttpResponse {
+    let position = shared.directory(|directory| directory.position());
+    let changed_from = query.changed_from();
+    let serving = match changed_from {
+        // What was removed between two histories of the log has no position.
+        Some(from) if from.era == position.era => None,
+        Some(_) | None => {
+            let now = shared.now();
+            match shared.list_transfers(|transfers| transfers.begin(now)) {
+                Some(ticket) => Some(ListServing {
+                    shared: shared.clone(),
+                    ticket,
+                }),
+                None => return HttpResponse::ServiceUnavailable().finish(),
+            }
+        }
+    };
+    let is_whole = serving.is_some();
+    match page(shared, changed_from.filter(|_| !is_whole)) {
+        Ok(page) => stream_page(page, serving),
+        Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+    }
+}
+
+fn page(shared: &Shared, changed_from: Option<Position>) -> Result<Bytes> {
     let evacuations = shared.told_evacuations();
     let rollouts = shared.told_rollouts();
-    HttpResponse::Ok().json(shared.directory(|directory| UpstreamsPage {
-        evacuations,
-        rollouts,
-        position: directory.position(),
-        digest: directory.digest(),
-        upstreams: match query.changed_from() {
-            Some(from) if from.era == directory.position().era => {
-                UpstreamsTold::Changes(directory.changed_from(from))
-            }
-            // What was removed between two histories of the log has no position.
-            Some(_) | None => UpstreamsTold::All(directory.list_all()),
-        },
-    }))
+    let page = shared.directory(|directory| -> Result<UpstreamsPage> {
+        Ok(UpstreamsPage {
+            evacuations,
+            rollouts,
+            position: directory.position(),
+            digest: directory.digest(),
+            upstreams: match changed_from {
+                Some(from) => UpstreamsTold::Changes(directory.changed_from(from)),
+                None => UpstreamsTold::All(shared.list_cache(|cache| cache.get(directory))?),
+            },
+        })
+    })?;
+    let page = postcard::to_allocvec(&page).map_err(unreadable)?;
+    Ok(Bytes::from(page))
+}
+
+/// A transfer of the whole list that ends when it is dropped, be it that its receiver is gone.
+struct ListServing {
+    shared: Shared,
+    ticket: Ticket,
 }
 
-/// Begins to fetch the upstreams from `peer`, `wait` from now, unless that is under way.
-pub(crate) fn fetch_soon(shared: &Shared, peer: SocketAddr, wait: Duration) {
+impl ListServing {
+    fn progressed(&self) {
+        let now = self.shared.now();
+        self.shared
+            .list_transfers(|transfers| transfers.progressed(now, self.ticket));
+    }
+}
+
+impl Drop for ListServing {
+    fn drop(&mut self) {
+        self.shared
+            .list_transfers(|transfers| transfers.end(self.ticket));
+    }
+}
+
+fn stream_page(page: Bytes, serving: Option<ListServing>) -> HttpResponse {
+    let Some(serving) = serving else {
+        return HttpResponse::Ok().body(page);
+    };
+    let bytes = page.len();
+    let parts = (0..bytes).step_by(PART_BYTES).map(move |from| {
+        serving.progressed();
+        let to = bytes.min(from + PART_BYTES);
+        Ok::<Bytes, actix_web::Error>(page.slice(from..to))
+    });
+    HttpResponse::Ok()
+        .no_chunking(bytes as u64)
+        .streaming(stream::iter(parts))
+}
+
+/// Begins to fetch the upstreams from peers that know more, `wait` from now, unless that is under way, or this host knows
+/// them as of `told` by then.
+pub(crate) fn fetch_soon(shared: &Shared, told: Position, wait: Duration) {
     let fetching = shared.clone();
     fetch_later(shared, Fetch::Upstreams, wait, async move {
-        fetch(&fetching, peer).await;
+        if fetching.directory(|directory| directory.position()) < told {
+            catch_up(&fetching).await;
+        }
     });
 }
 
@@ -114,12 +247,58 @@
     }
 }
 
-async fn fetch(shared: &Shared, peer: SocketAddr) {
-    if let Err(error) = fetch_from(shared, peer, FETCH_TIMEOUT).await {
-        let line = shared.log().line(EventCode::PeerSuspected);
-        line.with("peer", peer.to_string())
-            .with("reason", error.to_string())
-            .write();
+/// What asking a peer came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Outcome {
+    /// This host knows what the peer knows, or more.
+    Taken,
+    /// It still knows other upstreams.
+    Differs,
+    /// The peer serves as many as it can.
+    Busy,
+}
+
+/// Asks one peer after another that knows more, until one has told, or none answers.
+async fn catch_up(shared: &Shared) {
+    loop {
+        let now = shared.now();
+        let position = shared.directory(|directory| directory.position());
+        let holders = shared.peers(|peers| peers.holders_of_upstreams(now, position));
+        let step = shared.list_catch_up(|catch_up| catch_up.next(now, &holders, rand::random()));
+        match step {
+            Step::Ask(source) => {
+                if ask(shared, source, holders.len()).await == Outcome::Taken {
+                    return;
+                }
+            }
+            Step::Wait(pause) => tokio::time::sleep(pause).await,
+            Step::Stop => return,
+        }
+    }
+}
+
+async fn ask(shared: &Shared, source: Holder, holders: usize) -> Outcome {
+    let fetched = fetch_from(shared, source.address, FETCH_TIMEOUT).await;
+    let now = shared.now();
+    match fetched {
+        Ok(Outcome::Busy) => {
+            let rivals = shared.peers(|peers| peers.count_near(now)) / holders.max(1);
+            shared.list_catch_up(|catch_up| {
+                catch_up.was_busy(now, source.address, rivals, rand::random());
+            });
+            Outcome::Busy
+        }
+        Ok(outcome) => outcome,
+        Err(error) => {
+            shared.list_catch_up(|catch_up| {
+                catch_up.has_failed(now, source.address, Fault::Unanswered);
+            });
+            let line = shared.log().line(EventCode::PeerSuspected);
+            line.with("peer", source.address.to_string())
+                .with("reason", error.to_string())
+                .write();
+            Outcome::Differs
+        }
     }
 }
 
@@ -127,35 +306,44 @@
 ///
 /// # Errors
 ///
-/// [`Error::Remote`] if the seed doesn't answer.
+/// [`Error::Remote`] if the seed doesn't answer or is busy.
 pub(crate) async fn fetch_from_seed(shared: &Shared, seed: SocketAddr) -> Result<()> {
-    fetch_from(shared, seed, SEED_TIMEOUT).await
-}
-
-async fn fetch_from(shared: &Shared, peer: SocketAddr, timeout: Duration) -> Result<()> {
-    fetch_upstreams(shared, &mut PeerClient::new(peer, timeout)).await
+    match fetch_from(shared, seed, SEED_TIMEOUT).await? {
+        Outcome::Taken | Outcome::Differs => Ok(()),
+        Outcome::Busy => Err(Error::Remote {
+            peer: seed.to_string(),
+            reason: "it serves others".to_owned(),
+        }),
+    }
 }
 
 /// Fetches what has changed since this host last knew all; if it then still knows other upstreams than the
 /// peer does, all of them.
-async fn fetch_upstreams(shared: &Shared, client: &mut PeerClient) -> Result<()> {
+async fn fetch_from(shared: &Shared, peer: SocketAddr, timeout: Duration) -> Result<Outcome> {
+    let mut client = PeerClient::new(peer, timeout);
     let Position { era, offset } = shared.directory(|directory| directory.position());
     if offset > 0 {
         let path = format!("{UPSTREAMS_PATH}?changed_from={offset}&era={era}");
-        if take_upstreams(shared, client, &path).await? {
-            return Ok(());
+        let outcome = take_upstreams(shared, &mut client, &path).await?;
+        if outcome != Outcome::Differs {
+            return Ok(outcome);
         }
     }
-    take_upstreams(shared, client, UPSTREAMS_PATH).await?;
-    Ok(())
+    take_upstreams(shared, &mut client, UPSTREAMS_PATH).await
 }
 
-/// Whether this host then knows what the peer knows, or more.
-async fn take_upstreams(shared: &Shared, client: &mut PeerClient, path: &str) -> Result<bool> {
-    let Some(body) = client.get(path).await? else {
-        return Ok(true);
+async fn take_upstreams(shared: &Shared, client: &mut PeerClient, path: &str) -> Result<Outcome> {
+    let (status, body) = client.call(path).await?;
+    match status {
+        200 => {}
+        503 => return Ok(Outcome::Busy),
+        status => return Err(client.refused(status, path)),
+    }
+    let page: UpstreamsPage = postcard::from_bytes(&body).map_err(unreadable)?;
+    let all = match &page.upstreams {
+        UpstreamsTold::All(packed) => packed.unpack()?,
+        UpstreamsTold::Changes(_) => Vec::new(),
     };
-    let page: UpstreamsPage = serde_json::from_slice(&body)?;
     let now = shared.now();
     shared.hear_evacuations(&page.evacuations, &client.peer.to_string());
     shared.hear_rollouts(&page.rollouts, &client.peer.to_string());
@@ -164,7 +352,7 @@
             return (Vec::new(), true);
         }
         let changes = match page.upstreams {
-            UpstreamsTold::All(upstreams) => directory.replace(now, upstreams, page.position),
+            UpstreamsTold::All(_) => directory.replace(now, all, page.position),
             UpstreamsTold::Changes(told) => told
                 .iter()
                 .filter_map(|change| directory.take(now, change))
@@ -177,7 +365,10 @@
         (changes, is_same)
     });
     shared.directory_changes(changes, ToldBy::Host(&client.peer.to_string()));
-    Ok(is_same)
+    Ok(match is_same {
+        true => Outcome::Taken,
+        false => Outcome::Differs,
+    })
 }
 
 /// Asks one peer for pages.
@@ -198,9 +389,14 @@
         }
     }
 
+    /// Status and body of a page.
+    async fn call(&mut self, path: &str) -> Result<(u16, Bytes)> {
+        self.client.call(&OwnCall::get(path), self.timeout).await
+    }
+
     /// A page; none if the peer has nothing newer.
     pub(crate) async fn get(&mut self, path: &str) -> Result<Option<Bytes>> {
-        match self.client.call(&OwnCall::get(path), self.timeout).await? {
+        match self.call(path).await? {
             (200, body) => Ok(Some(body)),
             (404, _) => Ok(None),
             (status, _) => Err(self.refused(status, path)),
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -3,6 +3,7 @@
 //! The hosts of a data centre all hear each other. Of other data centres a host of a large fleet hears
 //! a few hosts at a time, whose words stand for their data centre ([`crate::gateway::gossip`]).
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::IpAddr;
@@ -14,6 +15,8 @@
 use crate::gateway::datagram::Topics;
 use crate::gateway::document::catchup::Distance;
 use crate::gateway::document::catchup::Holder;
+use crate::gateway::position::Position;
+use crate::gateway::protocol::Topic;
 use crate::gateway::rendezvous;
 use crate::id::DataCentre;
 use crate::id::HostId;
@@ -23,10 +26,12 @@
 /// Who knows so many of another data centre, of whom each tells others in turn, needs no introduction.
 const KNOWN_ENOUGH: usize = 8;
 
+mod census;
 mod fleetsize;
 mod partners;
 mod readers;
 
+use self::census::Census;
 use self::fleetsize::FleetSize;
 #[cfg(test)]
 pub(crate) use self::partners::FAR_PARTNERS;
@@ -56,6 +61,7 @@
     data_centre: DataCentre,
     peer_address: SocketAddr,
     config: u64,
+    upstreams: Position,
     reading: Topics,
     unreadable: Topics,
     hears: u32,
@@ -63,6 +69,10 @@
 }
 
 impl Heard {
+    fn is_live(&self, now: Time) -> bool {
+        now.since(self.at) < LIVE_FOR && !self.stopping
+    }
+
     fn of(now: Time, address: SocketAddr, datagram: &Datagram) -> Self {
         Heard {
             at: now,
@@ -70,6 +80,7 @@
             data_centre: datagram.data_centre.clone(),
             peer_address: SocketAddr::new(address.ip(), datagram.peer_port),
             config: datagram.config,
+            upstreams: datagram.upstreams,
             reading: datagram.reading,
             unreadable: datagram.unreadable,
             hears: datagram.hears,
@@ -104,11 +115,17 @@
     data_centre: DataCentre,
     seeds: Vec<SocketAddr>,
     peers: BTreeMap<SocketAddr, Peer>,
+    /// Those of `peers` that were heard, by data centre.
+    places: BTreeMap<DataCentre, BTreeSet<SocketAddr>>,
+    /// Those of `peers` that read the log.
+    readers: BTreeSet<SocketAddr>,
+    census: RefCell<Option<Census>>,
     /// What was last heard of each data centre.
     words: BTreeMap<DataCentre, DataCentreWord>,
     size: FleetSize,
     turn: usize,
     far_turn: usize,
+    relay_turn: usize,
     fetching: BTreeSet<Fetch>,
 }
 
@@ -125,9 +142,13 @@
             data_centre,
             seeds,
             peers: BTreeMap::new(),
+            places: BTreeMap::new(),
+            readers: BTreeSet::new(),
+            census: RefCell::default(),
             words: BTreeMap::new(),
             size: FleetSize::default(),
             turn: 0,
+            relay_turn: 0,
             far_turn: usize::from(own.port()) ^ address_number(own),
             fetching: BTreeSet::new(),
         }
@@ -158,13 +179,7 @@
         self.words.insert(datagram.data_centre.clone(), word);
         let counted = usize::try_from(datagram.counted).unwrap_or(usize::MAX);
         self.size.hear(now, counted);
-        self.peers.insert(
-            address,
-            Peer {
-                learnt_at: now,
-                heard: Some(Heard::of(now, address, datagram)),
-            },
-        );
+        self.enter(now, address, Heard::of(now, address, datagram));
         let hosts = datagram.hosts.iter().copied();
         self.learn(now, hosts.filter(|host| host.port() == address.port()));
         for (data_centre, host) in &datagram.introduced {
@@ -176,6 +191,87 @@
         acquaintance
     }
 
+    /// Takes what a host says of itself.
+    fn enter(&mut self, now: Time, address: SocketAddr, heard: Heard) {
+        if heard.reading == Topics::default() {
+            self.readers.remove(&address);
+        } else {
+            self.readers.insert(address);
+        }
+        if let Some(census) = self.census.get_mut() {
+            census.newest_version = census.newest_version.max(heard.config);
+            census.hears_most = census.hears_most.max(heard.hears);
+            census.knows_upstreams |= heard.upstreams > Position::default();
+            if !heard.stopping {
+                census.add(&heard.data_centre);
+            }
+        }
+        let data_centre = heard.data_centre.clone();
+        let (config, hears) = (heard.config, heard.hears);
+        let peer = Peer {
+            learnt_at: now,
+            heard: Some(heard),
+        };
+        let before = self.peers.insert(address, peer);
+        let before = before.and_then(|peer| peer.heard);
+        if let Some(before) = &before {
+            let fewer = before.hears > hears || before.config > config;
+            match self.census.get_mut() {
+                // It may have been the one with the most.
+                census if fewer => *census = None,
+                Some(census) if before.is_live(now) => census.take_off(&before.data_centre),
+                Some(_) | None => {}
+            }
+            if before.data_centre == data_centre {
+                return;
+            }
+            self.leave_place(address, &before.data_centre.clone());
+        }
+        self.places.entry(data_centre).or_default().insert(address);
+    }
+
+    fn leave_place(&mut self, address: SocketAddr, data_centre: &DataCentre) {
+        if let Some(there) = self.places.get_mut(data_centre) {
+            there.remove(&address);
+        }
+    }
+
+    /// Forgets hosts of which nothing was heard for so long.
+    fn forget_silent(&mut self, now: Time, silence: Duration) {
+        let last = |peer: &Peer| peer.heard.as_ref().map_or(peer.learnt_at, |heard| heard.at);
+        let is_silent = |peer: &Peer| now.since(last(peer)) >= silence;
+        let silent = self.peers.iter().filter(|(_, peer)| is_silent(peer));
+        let silent: Vec<SocketAddr> = silent.map(|(address, _)| *address).collect();
+        for address in silent {
+            self.readers.remove(&address);
+            let heard = self.peers.remove(&address).and_then(|peer| peer.heard);
+            if let Some(heard) = heard {
+                self.leave_place(address, &heard.data_centre);
+            }
+        }
+    }
+
+    /// Runs `use_census` on a count that still holds.
+    fn census<T>(&self, now: Time, use_census: impl FnOnce(&Census) -> T) -> T {
+        let mut census = self.census.borrow_mut();
+        let census = match census.as_mut() {
+            Some(census) if census.holds(now) => census,
+            _ => census.insert(self.take_census(now)),
+        };
+        use_census(census)
+    }
+
+    fn take_census(&self, now: Time) -> Census {
+        let mut census = Census::new(now);
+        for heard in self.live_hosts(now) {
+            census.add(&heard.data_centre);
+            census.newest_version = census.newest_version.max(heard.config);
+            census.hears_most = census.hears_most.max(heard.hears);
+            census.knows_upstreams |= heard.upstreams > Position::default();
+        }
+        census
+    }
+
     /// What a datagram shows of its sender, before it is taken.
     fn acquaint(&self, now: Time, address: SocketAddr, datagram: &Datagram) -> Acquaintance {
         let known = self.peers.get(&address);
@@ -194,7 +290,18 @@
 
     fn live_hosts(&self, now: Time) -> impl Iterator<Item = &Heard> {
         let heard = self.peers.values().filter_map(|peer| peer.heard.as_ref());
-        heard.filter(move |heard| now.since(heard.at) < LIVE_FOR && !heard.stopping)
+        heard.filter(move |heard| heard.is_live(now))
+    }
+
+    /// The live hosts of a data centre.
+    fn live_hosts_in(&self, now: Time, data_centre: &DataCentre) -> impl Iterator<Item = &Heard> {
+        let there = self.places.get(data_centre).into_iter().flatten();
+        let heard = there.filter_map(|address| self.heard(address));
+        heard.filter(move |heard| heard.is_live(now))
+    }
+
+    fn heard(&self, address: &SocketAddr) -> Option<&Heard> {
+        self.peers.get(address)?.heard.as_ref()
     }
 
     /// For how long no host of another data centre was heard; none if none ever was.
@@ -215,10 +322,8 @@
 
     /// The live hosts of the own data centre.
     pub(crate) fn live_near(&self, now: Time) -> Vec<HostId> {
-        let live = self.live_hosts(now);
-        live.filter(|heard| heard.data_centre == self.data_centre)
-            .map(|heard| heard.host.clone())
-            .collect()
+        let live = self.live_hosts_in(now, &self.data_centre);
+        live.map(|heard| heard.host.clone()).collect()
     }
 
     /// Whether of all hosts `host`, this one, is the one to do something once that `what` names: the same data centre
@@ -248,9 +353,7 @@
 
     /// Number of the live hosts of the own data centre.
     pub(crate) fn count_near(&self, now: Time) -> usize {
-        let live = self.live_hosts(now);
-        live.filter(|heard| heard.data_centre == self.data_centre)
-            .count()
+        self.census(now, |census| census.heard_in(&self.data_centre))
     }
 
     /// The hosts that have a configuration newer than `version`.
@@ -270,25 +373,58 @@
         newer.map(holder).collect()
     }
 
+    /// The hosts that know the upstreams as of a later position.
+    pub(crate) fn holders_of_upstreams(&self, now: Time, position: Position) -> Vec<Holder> {
+        let knows_more = self
+            .live_hosts(now)
+            .filter(|heard| heard.upstreams > position);
+        // Those that know most are few, and not to be asked by all.
+        let holder = |heard: &Heard| Holder {
+            address: heard.peer_address,
+            version: 0,
+            distance: match heard.data_centre == self.data_centre {
+                true => Distance::Near,
+                false => Distance::Far,
+            },
+        };
+        knows_more.map(holder).collect()
+    }
+
+    /// Whether a live host knows what a topic of the log tells.
+    pub(crate) fn hears_holder(&self, now: Time, topic: Topic) -> bool {
+        self.census(now, |census| match topic {
+            Topic::Operator => census.newest_version > 0,
+            Topic::Upstreams => census.knows_upstreams,
+            Topic::Hosts | Topic::Suspects | Topic::Status => false,
+        })
+    }
+
     /// The newest version of the configuration that a live host has in force; 0 if none is heard.
     pub(crate) fn newest_version(&self, now: Time) -> u64 {
-        let versions = self.live_hosts(now).map(|heard| heard.config);
-        versions.max().unwrap_or(0)
+        self.census(now, |census| census.newest_version)
     }
 
     /// Number of other hosts that are live and not stopping: of each data centre those heard of late, or
     /// as many as the last one heard there knows.
     pub fn live(&self, now: Time) -> usize {
-        let mut heard: BTreeMap<&DataCentre, usize> = BTreeMap::new();
-        for host in self.live_hosts(now) {
-            *heard.entry(&host.data_centre).or_default() += 1;
-        }
-        let fresh = |word: &DataCentreWord| now.since(word.at) < LIVE_FOR;
-        for (data_centre, word) in self.words.iter().filter(|(_, word)| fresh(word)) {
-            let known = heard.entry(data_centre).or_default();
-            *known = (*known).max(word.others);
-        }
-        heard.values().sum()
+        self.census(now, |census| {
+            let fresh = |word: &&DataCentreWord| now.since(word.at) < LIVE_FOR;
+            let told = |data_centre: &DataCentre| {
+                let word = self.words.get(data_centre).filter(fresh);
+                word.map_or(0, |word| word.others)
+            };
+            let heard = census.heard().iter();
+            let heard = heard.map(|(data_centre, heard)| told(data_centre).max(*heard));
+            let unheard = self.words.iter().filter(|(_, word)| fresh(word));
+            let unheard = unheard.filter(|(place, _)| !census.heard().contains_key(*place));
+            heard.sum::<usize>() + unheard.map(|(_, word)| word.others).sum::<usize>()
+        })
+    }
+
+    /// The most live hosts that this one counts, or another one tells that it hears.
+    pub(crate) fn told(&self, now: Time) -> u32 {
+        let live = u32::try_from(self.live(now)).unwrap_or(u32::MAX);
+        self.census(now, |census| census.hears_most).max(live)
     }
 
     /// Counts the live hosts; to be called in each round.
--- a/src/gateway/peers/partners.rs
+++ b/src/gateway/peers/partners.rs
@@ -27,6 +27,11 @@
 /// Hosts of a data centre that are asked at once: one may be gone, or have no processor time for a tenth of a second.
 const ASKED: usize = 2;
 
+/// Hosts of another data centre from which changes go over it: one may be gone.
+const RELAY_ROOTS: usize = 2;
+/// Hosts to which each host of a data centre passes changes on.
+const RELAY_CHILDREN: usize = 4;
+
 /// Which hosts a round is for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Recipients {
@@ -40,10 +45,7 @@
     /// Whom to send to in this round, beside hosts that are known by their address alone. Forgets hosts
     /// that are silent; seeds are always tried.
     pub fn targets(&mut self, now: Time, recipients: Recipients) -> Vec<SocketAddr> {
-        self.peers.retain(|_, peer| {
-            let last = peer.heard.as_ref().map_or(peer.learnt_at, |heard| heard.at);
-            now.since(last) < TRIED_FOR
-        });
+        self.forget_silent(now, TRIED_FOR);
         let is_meant = |peer: &Peer| match (recipients, &peer.heard) {
             (Recipients::Near, Some(heard)) => heard.data_centre == self.data_centre,
             (Recipients::All, _) | (_, None) => true,
@@ -60,12 +62,12 @@
 
     /// The hosts of another data centre that are known.
     pub(super) fn known_in(&self, data_centre: &DataCentre) -> Vec<SocketAddr> {
-        let is_there = |peer: &Peer| {
-            let heard = peer.heard.as_ref();
-            heard.is_some_and(|heard| heard.data_centre == *data_centre && !heard.stopping)
-        };
-        let there = self.peers.iter().filter(|(_, peer)| is_there(peer));
-        there.map(|(address, _)| *address).collect()
+        let there = self.places.get(data_centre).into_iter().flatten();
+        let is_stopping = |address: &SocketAddr| self.heard(address).is_none_or(|it| it.stopping);
+        there
+            .filter(|address| !is_stopping(address))
+            .copied()
+            .collect()
     }
 
     fn other_data_centres(&self) -> impl Iterator<Item = &DataCentre> {
@@ -119,14 +121,45 @@
         partners
     }
 
+    /// Those of each other data centre from which changes go over it, in turn.
+    pub(crate) fn relay_roots(&mut self, now: Time) -> Vec<SocketAddr> {
+        self.relay_turn = self.relay_turn.wrapping_add(1);
+        let roots_in = |data_centre: &DataCentre| {
+            in_turn(
+                &self.live_in(now, data_centre),
+                self.relay_turn,
+                RELAY_ROOTS,
+            )
+        };
+        self.other_data_centres().flat_map(roots_in).collect()
+    }
+
+    /// To whom this host passes on what comes over its data centre from `root`: its children in a tree over the live hosts
+    /// there in the order of their addresses, beginning with `root`.
+    pub(crate) fn behind(&self, now: Time, root: SocketAddr) -> Vec<SocketAddr> {
+        let mut hosts = self.live_in(now, &self.data_centre);
+        hosts.extend([self.own, root]);
+        hosts.sort();
+        hosts.dedup();
+        let index_of = |address| hosts.binary_search(&address).unwrap_or(0);
+        let count = hosts.len();
+        let own = (index_of(self.own) + count - index_of(root)) % count;
+        let children = (1..=RELAY_CHILDREN).map(|child| own * RELAY_CHILDREN + child);
+        let children = children.take_while(|child| *child < count);
+        children
+            .map(|child| hosts[(index_of(root) + child) % count])
+            .collect()
+    }
+
     /// The live hosts that read the upstreams for all.
     fn readers_for_all(&self, now: Time) -> Vec<SocketAddr> {
-        let reads = |peer: &Peer| {
-            let heard = peer.heard.as_ref();
-            peer.is_live(now) && heard.is_some_and(|heard| heard.reading.upstreams)
+        let reads = |address: &SocketAddr| {
+            let peer = self.peers.get(address).filter(|peer| peer.is_live(now));
+            let heard = peer.and_then(|peer| peer.heard.as_ref());
+            heard.is_some_and(|heard| heard.reading.upstreams)
         };
-        let readers = self.peers.iter().filter(|(_, peer)| reads(peer));
-        readers.map(|(address, _)| *address).collect()
+        let readers = self.readers.iter().filter(|address| reads(address));
+        readers.copied().collect()
     }
 
     /// A few live hosts to tell of, in turn; in a large fleet those of the own data centre, and who reads
--- a/src/gateway/peers/readers.rs
+++ b/src/gateway/peers/readers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use super::Heard;
 use super::Peers;
 use crate::clock::Time;
 use crate::gateway::protocol::Topic;
@@ -48,21 +49,20 @@
             return true;
         }
         let silent_for = self.reader_silent_for(now);
-        let before = self
-            .live_hosts(now)
-            .filter(|heard| heard.host < *host && now.since(heard.at) < silent_for);
-        let mut candidates = 0;
-        for heard in before {
+        let is_before = |heard: &Heard| heard.host < *host && now.since(heard.at) < silent_for;
+        let reads_for_all = |heard: &Heard| {
             let is_near = heard.data_centre == *data_centre;
-            let reads_for_all = is_near || topic == Topic::Upstreams;
-            if reads_for_all && heard.reading.contains(topic) {
-                return false;
-            }
-            if is_near && !heard.unreadable.contains(topic) {
-                candidates += 1;
-            }
+            (is_near || topic == Topic::Upstreams) && heard.reading.contains(topic)
+        };
+        if self
+            .live_readers(now)
+            .any(|heard| is_before(heard) && reads_for_all(heard))
+        {
+            return false;
         }
-        candidates < CANDIDATES
+        let near = self.live_hosts_in(now, data_centre);
+        let candidates = near.filter(|heard| is_before(heard) && !heard.unreadable.contains(topic));
+        candidates.take(CANDIDATES).count() < CANDIDATES
     }
 
     /// Whether a host that reads a topic of the log was heard a moment ago.
@@ -78,10 +78,16 @@
 
     /// Whether such a host was heard within this time.
     pub(crate) fn heard_reader_within(&self, now: Time, topic: Topic, within: Duration) -> bool {
-        self.live_hosts(now)
+        self.live_readers(now)
             .any(|heard| heard.reading.contains(topic) && now.since(heard.at) < within)
     }
 
+    fn live_readers(&self, now: Time) -> impl Iterator<Item = &Heard> {
+        let readers = self.readers.iter();
+        let heard = readers.filter_map(|address| self.heard(address));
+        heard.filter(move |heard| heard.is_live(now))
+    }
+
     /// How often a host that reads the log for others sends to them.
     pub(crate) fn reader_interval(&self, now: Time) -> Duration {
         let hosts = u32::try_from(self.live(now)).unwrap_or(u32::MAX);
@@ -100,18 +106,17 @@
         if self.is_small(now) {
             return true;
         }
-        let before = self
-            .live_hosts(now)
-            .filter(|heard| heard.data_centre == *data_centre && heard.host < *host);
-        before.count() < LOOKOUTS
+        let near = self.live_hosts_in(now, data_centre);
+        let before = near.filter(|heard| heard.host < *host);
+        before.take(LOOKOUTS).count() < LOOKOUTS
     }
 
     /// Whether hosts are so few that each reads the log for itself. A host that has just started hears
     /// few others at first, so what these hear counts too: hundreds that start together would each follow
     /// the whole log for seconds (7,492 calls of 295 hosts by second 6 of one play, of 10,152 in all).
     pub(crate) fn is_small(&self, now: Time) -> bool {
-        let told = self.live_hosts(now).map(|heard| heard.hears).max();
-        let told = usize::try_from(told.unwrap_or(0)).unwrap_or(usize::MAX);
+        let told = self.census(now, |census| census.hears_most);
+        let told = usize::try_from(told).unwrap_or(usize::MAX);
         self.live(now).max(told) < READERS_ONLY_FROM
     }
 }
--- a/src/gateway/rolloutstatus.rs
+++ b/src/gateway/rolloutstatus.rs
@@ -22,6 +22,7 @@
 use crate::gateway::rollouts::Stage;
 use crate::gateway::shared::OpenRollout;
 use crate::gateway::shared::Shared;
+use crate::gateway::ticks::tick;
 
 /// How often it is looked whether a step is due.
 const CHECK: Duration = Duration::from_millis(100);
@@ -48,7 +49,7 @@
         due_since: BTreeMap::new(),
     };
     loop {
-        tokio::time::sleep(CHECK).await;
+        tick(CHECK).await;
         if shared.directory(|directory| directory.rollouts().open().next().is_none()) {
             continue;
         }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -17,6 +17,7 @@
 use http::HeaderMap;
 use http::header;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::SystemClock;
 use crate::clock::Time;
@@ -72,6 +73,19 @@
 /// So many upstreams of another data centre that can't be connected to are taken for a cut.
 const CUT_UPSTREAMS: usize = 2;
 
+/// Upstreams of its data centre that a host looks at before all others. With thousands a look at each costs more than
+/// it finds: that the least loaded of so many is full is rare before nearly all are.
+const FEW: usize = 64;
+
+/// At which upstreams a request looks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Breadth {
+    /// A few of the own data centre, where there are many.
+    Few,
+    /// All.
+    All,
+}
+
 /// What one worker's handlers use.
 #[derive(Debug, Clone)]
 pub struct Front {
@@ -179,8 +193,9 @@
 
     /// Chooses an upstream for `need`, but none of `avoid`.
     pub fn place(&self, shared: &Shared, need: Need, avoid: &[InstanceId]) -> Option<Candidate> {
-        let candidates = candidates(shared, self, avoid);
-        choose(shared, need, &candidates)
+        let few = candidates(shared, self, avoid, Breadth::Few);
+        let chosen = choose(shared, need, &few).filter(|candidate| !candidate.doubtful);
+        chosen.or_else(|| choose(shared, need, &candidates(shared, self, avoid, Breadth::All)))
     }
 }
 
@@ -191,11 +206,24 @@
 
 /// The upstreams that a request may go to. Where two of another data centre can't be connected
 /// to, a cut is likelier than two failures, and all of it is in doubt.
-pub fn candidates(shared: &Shared, admitted: &Admitted, avoid: &[InstanceId]) -> Vec<Candidate> {
+pub fn candidates(
+    shared: &Shared,
+    admitted: &Admitted,
+    avoid: &[InstanceId],
+    breadth: Breadth,
+) -> Vec<Candidate> {
     let now = shared.now();
     let track = admitted.track.get();
+    let service = &admitted.service;
+    let here = &shared.settings().data_centre;
     let (mut ready, any_cold) = shared.directory(|directory| {
-        let ready = directory.ready_for(&admitted.service, track);
+        let is_long = directory.count_in(service, here) > FEW;
+        let within = (is_long && breadth == Breadth::Few).then_some(here);
+        let ready = directory.ready_for(service, track, within);
+        let ready = match within {
+            Some(_) => part_of(ready, shared.settings().host.as_str()),
+            None => ready,
+        };
         (ready, directory.any_cold(now))
     });
     if let Some(regions) = &admitted.regions {
@@ -215,6 +243,17 @@
         .collect()
 }
 
+/// The part of a long list that one host looks at first: the same from one request to the next.
+fn part_of(mut list: Vec<Arc<Upstream>>, host: &str) -> Vec<Arc<Upstream>> {
+    let length = list.len();
+    if length > FEW {
+        let from = xxh3_64(host.as_bytes()) % length as u64;
+        list.rotate_left(usize::try_from(from).unwrap_or(0));
+        list.truncate(FEW);
+    }
+    list
+}
+
 /// Whether a data centre lies in one of `regions`. One whose region isn't known lies in none.
 fn is_within(shared: &Shared, data_centre: &DataCentre, regions: &BTreeSet<RegionId>) -> bool {
     let region = shared.settings().regions.get(data_centre);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -31,6 +31,7 @@
 use crate::gateway::joining::Seeds;
 use crate::gateway::line::LineBoard;
 use crate::gateway::loads::LoadBoard;
+use crate::gateway::peerfetch::ListCache;
 use crate::gateway::peers::Peers;
 use crate::gateway::place::FarCounts;
 use crate::gateway::place::View;
@@ -99,6 +100,7 @@
     budgets: Mutex<HashMap<ServiceId, SharedRetryBudget>>,
     reading: Mutex<ReadingBoard>,
     news: watch::Sender<u64>,
+    changes_read: watch::Sender<u64>,
     stops_at: OnceLock<Instant>,
     seeds: Mutex<Seeds>,
     cut_off: Mutex<CutOff>,
@@ -106,6 +108,9 @@
     catch_up: Mutex<CatchUp>,
     assembly: Mutex<Option<Assembly>>,
     transfers: Mutex<Transfers>,
+    list_catch_up: Mutex<CatchUp>,
+    list_transfers: Mutex<Transfers>,
+    list_cache: Mutex<ListCache>,
 }
 
 fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -150,6 +155,7 @@
             budgets: Mutex::default(),
             reading: Mutex::default(),
             news: watch::channel(0).0,
+            changes_read: watch::channel(0).0,
             stops_at: OnceLock::new(),
             seeds: Mutex::new(Seeds::Unknown),
             cut_off: Mutex::default(),
@@ -157,6 +163,9 @@
             catch_up: Mutex::new(CatchUp::new(rand::random())),
             assembly: Mutex::default(),
             transfers: Mutex::default(),
+            list_catch_up: Mutex::new(CatchUp::new(rand::random())),
+            list_transfers: Mutex::default(),
+            list_cache: Mutex::default(),
         }))
     }
 
@@ -268,6 +277,13 @@
         self.peers(|peers| peers.live(now)) + 1
     }
 
+    /// The most hosts that others tell of, or that this one counts; bounded to what a fleet may have.
+    pub(crate) fn told_hosts(&self) -> u32 {
+        const HOSTS_MAX: u32 = 4_000;
+        let now = self.now();
+        self.peers(|peers| peers.told(now)).min(HOSTS_MAX)
+    }
+
     /// Hosts among which bounds of the fleet are divided, this one among them.
     pub fn sharing_hosts(&self) -> usize {
         let now = self.now();
--- a/src/gateway/shared/changes.rs
+++ b/src/gateway/shared/changes.rs
@@ -42,7 +42,7 @@
         // Those that only listen have nothing to tell that the others don't hear themselves: with a round
         // of each at each change 295 hosts sent 286 datagrams a second each.
         if self.is_reading(Topic::Upstreams) {
-            self.tell_news();
+            self.0.changes_read.send_modify(|count| *count += 1);
         }
     }
 
@@ -107,6 +107,11 @@
         self.tell_news();
     }
 
+    /// Wakes at changes of the directory that this host has read for others.
+    pub(crate) fn changes_read_watch(&self) -> watch::Receiver<u64> {
+        self.0.changes_read.subscribe()
+    }
+
     /// Wakes at each change of the directory.
     pub fn directory_watch(&self) -> watch::Receiver<u64> {
         self.0.directory_changed.subscribe()
--- a/src/gateway/shared/farloads.rs
+++ b/src/gateway/shared/farloads.rs
@@ -1,7 +1,6 @@
 //! What runs at upstreams of other data centres, as hosts there tell.
 
 use std::collections::BTreeMap;
-use std::collections::HashSet;
 use std::time::Duration;
 
 use rand::seq::SliceRandom;
@@ -25,12 +24,11 @@
     /// What runs at the upstreams of this data centre, but for what hosts of `receiver` run there.
     pub(crate) fn home_loads(&self, receiver: &DataCentre) -> Vec<(InstanceKey, Load)> {
         let here = &self.settings().data_centre;
-        let home: HashSet<InstanceKey> = self.directory(|directory| {
-            let home = directory.listed_in(here);
-            home.map(|upstream| upstream.id.key()).collect()
-        });
-        self.loads()
-            .with(|loads| loads.data_centre(&home, receiver))
+        self.directory(|directory| {
+            let is_home = |key| directory.data_centre_of(key) == Some(here);
+            self.loads()
+                .with(|loads| loads.data_centre(is_home, receiver))
+        })
     }
 
     /// What this host runs in other data centres.
--- a/src/gateway/shared/newer.rs
+++ b/src/gateway/shared/newer.rs
@@ -7,6 +7,7 @@
 use crate::gateway::document::assembly::Assembly;
 use crate::gateway::document::catchup::CatchUp;
 use crate::gateway::document::transfers::Transfers;
+use crate::gateway::peerfetch::ListCache;
 use crate::gateway::protocol::Topic;
 
 impl Shared {
@@ -57,6 +58,21 @@
         use_transfers(&mut locked(&self.0.transfers))
     }
 
+    /// The same for the list of upstreams.
+    pub(crate) fn list_catch_up<T>(&self, use_catch_up: impl FnOnce(&mut CatchUp) -> T) -> T {
+        use_catch_up(&mut locked(&self.0.list_catch_up))
+    }
+
+    /// Runs `use_transfers` on the transfers of the list of upstreams to other hosts.
+    pub(crate) fn list_transfers<T>(&self, use_transfers: impl FnOnce(&mut Transfers) -> T) -> T {
+        use_transfers(&mut locked(&self.0.list_transfers))
+    }
+
+    /// Runs `use_cache` on the list of upstreams as it was last packed.
+    pub(crate) fn list_cache<T>(&self, use_cache: impl FnOnce(&mut ListCache) -> T) -> T {
+        use_cache(&mut locked(&self.0.list_cache))
+    }
+
     /// Takes the document that is being put together.
     pub(crate) fn take_assembly(&self) -> Option<Assembly> {
         locked(&self.0.assembly).take()
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -26,6 +26,7 @@
 use crate::gateway::rescue;
 use crate::gateway::rescue::CopyFailure;
 use crate::gateway::serve;
+use crate::gateway::serve::Breadth;
 use crate::gateway::turns::Ticket;
 use crate::telemetry;
 use crate::telemetry::Metric;
@@ -191,7 +192,7 @@
             tokens,
             memory_tokens: engine.memory_tokens,
         };
-        let candidates = serve::candidates(&self.shared, &self.admitted, &self.avoid);
+        let candidates = serve::candidates(&self.shared, &self.admitted, &self.avoid, Breadth::All);
         let room = f64::from(engine.memory_tokens) * DESTINATION_MEMORY_SHARE_MAX;
         let of_share = |among: Among| -> Vec<Candidate> {
             let own = self.own_destinations(among);
--- a/src/gateway/suspectlog.rs
+++ b/src/gateway/suspectlog.rs
@@ -25,6 +25,7 @@
 use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
 use crate::gateway::suspects::ToldSuspect;
+use crate::gateway::ticks::tick;
 
 /// How often it is looked whether there is something to write or to read.
 const CHECK: Duration = Duration::from_millis(200);
@@ -101,7 +102,7 @@
             let is_read = read_all(&shared, &mut client).await;
             reading.tried(Instant::now(), is_read);
         }
-        tokio::time::sleep(CHECK).await;
+        tick(CHECK).await;
     }
 }
 
