Take what is listed already as known, and let large fleets fetch what comes in bursts

Cause: at the start of the whole fleet 10,001 upstreams list themselves within seconds. Each of them was pushed to 986 hosts, records that a host had were taken out and listed anew, and what it then still lacked it fetched eight times a second (perf beside the play: Directory::list, apply and the searches below them were most of our hosts' time).

Change: a record that an entry rests on changes nothing; a reader pushes 200 additions a second at most, what leaves always; a host of a large fleet fetches within 0.75 ms for each host; sets of over 100 changes count as transfers.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -216,6 +216,7 @@
             tokens: 32_000,
             unread_tokens: 0,
         },
+        reported: None,
         doubtful: false,
     }
 }
--- a/benches/slopes/main.rs
+++ b/benches/slopes/main.rs
@@ -6,6 +6,7 @@
 mod claims;
 mod configuration;
 mod fit;
+mod fleet;
 mod limit;
 mod membership;
 mod scheduling;
@@ -21,6 +22,7 @@
 fn main() {
     claims::measure();
     configuration::measure();
+    fleet::measure();
     limit::measure();
     membership::measure();
     scheduling::measure();
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -45,6 +45,7 @@
 pub(crate) mod reading;
 pub mod refuse;
 pub(crate) mod rendezvous;
+pub mod reportedloads;
 pub mod rescue;
 pub mod retrybudget;
 pub mod rollouts;
--- a/src/gateway/admit/tests.rs
+++ b/src/gateway/admit/tests.rs
@@ -43,6 +43,7 @@
             version: VersionId::new("v1"),
         }),
         load,
+        reported: None,
         doubtful: false,
     }
 }
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -117,12 +117,29 @@
         if known.max(removed).is_some_and(|newest| newest > position) {
             return None;
         }
+        if upstream
+            .as_ref()
+            .is_some_and(|it| self.is_listed_so(it, position))
+        {
+            return None;
+        }
         match upstream {
             Some(upstream) => self.list(now, upstream, position),
             None => self.remove(now, id, position),
         }
     }
 
+    /// Whether an upstream is listed by this record already. Hosts tell each other the same many times.
+    fn is_listed_so(&self, upstream: &Upstream, position: Position) -> bool {
+        let entry = self.entries.get(upstream.id.upstream());
+        entry.is_some_and(|entry| {
+            entry.position == position
+                && entry.missing.is_none()
+                && entry.upstream.state == upstream.state
+                && entry.upstream.id == upstream.id
+        })
+    }
+
     /// The latest start that is known of an upstream.
     fn latest_born_ms(&self, id: &UpstreamId) -> Option<u64> {
         let listed = self.entries.get(id).map(|entry| &entry.upstream.id);
--- a/src/gateway/directory/tests.rs
+++ b/src/gateway/directory/tests.rs
@@ -1,5 +1,6 @@
 mod eras;
 mod instances;
+mod listing;
 mod missing;
 
 use super::Applied;
--- a/src/gateway/document/catchup/tests.rs
+++ b/src/gateway/document/catchup/tests.rs
@@ -101,3 +101,26 @@
     );
     assert!(!catch_up.is_overdue(Time::from_ms(2_500), STALENESS_MAX));
 }
+
+// Two hundred hosts that wait for one source would ask it thousands of times a second.
+#[test]
+fn a_source_is_asked_no_more_often_the_more_hosts_wait() {
+    let holders = [holder(1, 8, Distance::Near)];
+    for rivals in [100, 200, 1_000] {
+        let pause = |chance: f64| {
+            let mut catch_up = CatchUp::new(0.5);
+            catch_up.was_busy(Time::ZERO, address(1), rivals, chance);
+            match catch_up.next(Time::ZERO, &holders, 0.5) {
+                Step::Wait(pause) => pause.as_secs_f64(),
+                Step::Ask(_) | Step::Stop => 0.0,
+            }
+        };
+        let pauses: f64 = (0..10).map(|tenth| pause(f64::from(tenth) / 10.0)).sum();
+
+        let asks_per_s = rivals as f64 / (pauses / 10.0);
+        assert!(
+            asks_per_s < 1_200.0,
+            "{rivals} rivals: {asks_per_s} a second"
+        );
+    }
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -75,6 +75,7 @@
     };
     let (head, body) = response.into_parts();
     if head.status.as_u16() != OTHER_INSTANCE {
+        shared.note_reported_load(upstream, &head.headers);
         shared.upstream_answered(sent_at, upstream);
     }
     if !is_answer_to(shared, admitted, &head.headers) {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -69,6 +69,10 @@
 const START_SPREAD_PER_HOST: Duration = Duration::from_millis(1);
 /// Hosts that only listen fetch within this time of the first word.
 const LISTENER_SPREAD: Duration = Duration::from_millis(250);
+/// and in large fleets within so much for each host, as changes then come faster than a host can fetch them one by one,
+const LISTENER_SPREAD_PER_HOST: Duration = Duration::from_micros(750);
+/// up to a part of the bounds on what must be known.
+const LISTENER_SPREAD_MAX: Duration = Duration::from_millis(1_000);
 
 /// Sends and receives datagrams for ever.
 pub async fn run(shared: Shared, socket: UdpSocket) {
@@ -467,7 +471,9 @@
     if shared.is_reading(Topic::Operator) {
         OWN_READING_FIRST
     } else if shared.is_ready() {
-        LISTENER_SPREAD.mul_f64(rand::random())
+        let hosts = u32::try_from(shared.hosts()).unwrap_or(u32::MAX);
+        let spread = LISTENER_SPREAD.max(LISTENER_SPREAD_PER_HOST.saturating_mul(hosts));
+        spread.min(LISTENER_SPREAD_MAX).mul_f64(rand::random())
     } else {
         let now = shared.now();
         let near = shared.peers(|peers| peers.count_near(now));
--- a/src/gateway/gossip/spread.rs
+++ b/src/gateway/gossip/spread.rs
@@ -7,6 +7,7 @@
 //! misses something hears of the newer position with its neighbours' next datagrams, and asks them.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use tokio::net::UdpSocket;
 
@@ -16,11 +17,17 @@
 use crate::gateway::datagram::Datagram;
 use crate::gateway::datagram::PART_CHANGES;
 use crate::gateway::datagram::ToldChanges;
+use crate::gateway::directory::Change;
+use crate::gateway::directory::News;
 use crate::gateway::position::Position;
 use crate::gateway::shared::Shared;
 
 /// Datagrams that a reader sends at once.
 const DIRECT_MAX: usize = 300;
+/// Upstreams that came of which a reader tells along trees
+const LISTED_MAX: usize = 200;
+/// in this time.
+const COUNTED_FOR: Duration = Duration::from_secs(1);
 /// A tree over more hosts than any data centre has is no deeper.
 const HOPS_MAX: u8 = 8;
 
@@ -28,9 +35,29 @@
 #[derive(Debug, Default)]
 pub(super) struct Spread {
     told: Position,
+    /// When it began to count what it sent of upstreams that came,
+    counted_from: Time,
+    /// and how many that were.
+    listed: usize,
 }
 
 impl Spread {
+    /// Keeps what leaves, and of what comes as much as a second has room for. Who hears of a position without the changes
+    /// fetches them, hundreds at once.
+    fn leave_out_listed(&mut self, now: Time, changes: &mut Vec<Change>) {
+        if now.since(self.counted_from) >= COUNTED_FOR {
+            self.counted_from = now;
+            self.listed = 0;
+        }
+        changes.retain(|change| match change.news {
+            News::Leaving(_) | News::Removed(_) => true,
+            News::Listed(_) => {
+                self.listed += 1;
+                self.listed <= LISTED_MAX
+            }
+        });
+    }
+
     /// Sends what changed since it last did, if it is more than this host tells all by itself. Whether it was.
     pub(super) async fn send_new(&mut self, shared: &Shared, socket: &UdpSocket) -> bool {
         let now = shared.now();
@@ -40,6 +67,7 @@
         }
         let told = std::mem::replace(&mut self.told, datagram.upstreams);
         datagram.changes.retain(|change| change.position >= told);
+        self.leave_out_listed(now, &mut datagram.changes);
         let roots = shared.peers(|peers| peers.relay_roots(now));
         let own = shared.gossip_address();
         for part in parts(&datagram) {
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -303,6 +303,7 @@
         shared.note_lapsed(gone);
         shared.lapse_evacuations();
         shared.lapse_cold();
+        shared.lapse_reported_loads();
         shared.note_hearsay();
         shared.look_for_cut();
         shared.look_for_newer();
--- a/src/gateway/line/tests.rs
+++ b/src/gateway/line/tests.rs
@@ -33,6 +33,7 @@
     };
     Candidate {
         load: board.with(|loads| loads.at(&upstream.id)),
+        reported: None,
         doubtful: false,
         upstream: Arc::new(upstream),
     }
--- a/src/gateway/loads/tests.rs
+++ b/src/gateway/loads/tests.rs
@@ -144,3 +144,29 @@
     let south = &by_place[&DataCentre::new("south")];
     assert_eq!(south, &[(elsewhere.key(), load(1, 20, 4))]);
 }
+
+// A look at one upstream walked all hosts.
+#[test]
+fn sums_kept_as_peers_tell_are_those_of_what_they_told_last() {
+    let board = LoadBoard::default();
+    let host = |index: u32| Teller::Host(HostId::new(format!("host-{index}")));
+    let key = upstream().key();
+    for index in 0..30 {
+        let told = vec![(key, load(index, 10, 0))];
+        board.with(|loads| loads.hear(Time::ZERO, host(index), told));
+    }
+    for index in 0..10 {
+        let told = vec![(key, load(1, 7, 3))];
+        board.with(|loads| loads.hear(Time::from_ms(3_000), host(index), told));
+    }
+    board.with(|loads| loads.hear(Time::from_ms(3_000), host(10), Vec::new()));
+
+    let all = board.with(|loads| loads.at(&upstream()));
+    let left = board.with(|loads| {
+        loads.lapse(Time::from_ms(4_500));
+        loads.at(&upstream())
+    });
+
+    assert_eq!(all, load(10 + (11..30).sum::<u32>(), 10 * 7 + 19 * 10, 30));
+    assert_eq!(left, load(10, 70, 30));
+}
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -40,6 +40,8 @@
 const LEVEL: i32 = 1;
 /// A list of more bytes is none.
 const LIST_BYTES_MAX: u32 = 32 << 20;
+/// So many records of the log are told to all that ask at once.
+const SMALL_CHANGES: u64 = 100;
 /// A transfer of a list counts as under way while its receiver takes parts of this size.
 const PART_BYTES: usize = 16 << 10;
 /// Path of the upstreams.
@@ -143,10 +145,13 @@
 pub async fn serve_upstreams(shared: &Shared, query: &UpstreamsQuery) -> HttpResponse {
     let position = shared.directory(|directory| directory.position());
     let changed_from = query.changed_from();
-    let serving = match changed_from {
-        // What was removed between two histories of the log has no position.
-        Some(from) if from.era == position.era => None,
-        Some(_) | None => {
+    // What was removed between two histories of the log has no position.
+    let changed_from = changed_from.filter(|from| from.era == position.era);
+    let offset = changed_from.map_or(0, |from| from.offset);
+    let is_small = position.offset.saturating_sub(offset) <= SMALL_CHANGES;
+    let serving = match is_small {
+        true => None,
+        false => {
             let now = shared.now();
             match shared.list_transfers(|transfers| transfers.begin(now)) {
                 Some(ticket) => Some(ListServing {
@@ -157,8 +162,7 @@
             }
         }
     };
-    let is_whole = serving.is_some();
-    match page(shared, changed_from.filter(|_| !is_whole)) {
+    match page(shared, changed_from) {
         Ok(page) => stream_page(page, serving),
         Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
     }
@@ -424,3 +428,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -1,4 +1,6 @@
+mod census;
 mod fleet;
+mod relays;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- /dev/null
+++ b/src/gateway/peers/tests/census.rs
@@ -0,0 +1,49 @@
+//! Counts that are kept as hosts come and go.
+
+use std::collections::BTreeMap;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use super::address;
+use super::datagram;
+use super::zone;
+use crate::clock::Time;
+use crate::gateway::peers::LIVE_FOR;
+use crate::gateway::peers::Peers;
+use crate::id::DataCentre;
+
+// Each datagram walked all hosts, so a host paid hosts times datagrams.
+#[test]
+fn counts_kept_as_hosts_come_stop_and_fall_silent_are_those_of_a_walk() {
+    let mut random = ChaCha8Rng::seed_from_u64(11);
+    let mut peers = Peers::new(address(200), DataCentre::new("north"), &[]);
+    let mut known: BTreeMap<usize, (Time, bool, u64)> = BTreeMap::new();
+    for step in 0..4_000 {
+        let now = Time::from_ms(20 * step);
+        let index = random.random_range(0..150);
+        let mut datagram = datagram(index, zone(index));
+        datagram.stopping = random.random_bool(0.2);
+        datagram.config = random.random_range(0..50);
+        known.insert(index, (now, datagram.stopping, datagram.config));
+        peers.hear(now, address(index), &datagram);
+        if !step.is_multiple_of(7) {
+            continue;
+        }
+
+        let live: Vec<_> = known
+            .iter()
+            .filter(|(_, (at, stopping, _))| now.since(*at) < LIVE_FOR && !stopping)
+            .collect();
+        let near = live.iter().filter(|(index, _)| zone(**index) == "north");
+        let newest = live.iter().map(|(_, (_, _, config))| *config).max();
+        assert_eq!(peers.live(now), live.len(), "step {step}");
+        assert_eq!(peers.count_near(now), near.count(), "step {step}");
+        assert_eq!(
+            peers.newest_version(now),
+            newest.unwrap_or(0),
+            "step {step}"
+        );
+    }
+}
--- a/src/gateway/place.rs
+++ b/src/gateway/place.rs
@@ -2,9 +2,13 @@
 
 use std::sync::Arc;
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::gateway::directory::Upstream;
 use crate::gateway::loads::Load;
+use crate::gateway::reportedloads::ReportedLoad;
 use crate::id::DataCentre;
+use crate::id::HostId;
 
 /// Cost of leaving the data centre, as a share of an upstream's room. Calls of plain services are
 /// short: a round trip weighs as much as about one request of six that runs there.
@@ -38,6 +42,10 @@
 /// and no more unread tokens than these: 0.6 s at 7 tokens a millisecond.
 const NEAR_UNREAD_TOKENS_MAX: u32 = 4_500;
 
+/// Upstreams of its data centre that a host looks at before all others. With thousands a look at each costs more than
+/// it finds: that the least loaded of so many is full is rare before nearly all are.
+pub(crate) const FEW: usize = 64;
+
 /// How old this host's counts of what runs in other data centres are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FarCounts {
@@ -96,6 +104,8 @@
     pub upstream: Arc<Upstream>,
     /// What runs there.
     pub load: Load,
+    /// What it said of itself a moment ago.
+    pub reported: Option<ReportedLoad>,
     /// Whether its recent failures speak against it.
     pub doubtful: bool,
 }
@@ -104,10 +114,9 @@
 fn score(need: Need, candidate: &Candidate, here: &DataCentre) -> f64 {
     let away = candidate.upstream.data_centre != *here;
     let distance = if away { 1.0 } else { 0.0 };
-    let slots = f64::from(candidate.upstream.slots.max(1));
     let requests = f64::from(candidate.load.requests);
     match need {
-        Need::Slot => (requests + 1.0) / slots + distance * PLAIN_DISTANCE,
+        Need::Slot => slots_taken(candidate) + distance * PLAIN_DISTANCE,
         Need::Memory {
             tokens,
             prompt_tokens,
@@ -131,6 +140,17 @@
     }
 }
 
+/// The part of its slots that a plain service's upstream would have taken, longer work counting for more.
+fn slots_taken(candidate: &Candidate) -> f64 {
+    let slots = f64::from(candidate.upstream.slots.max(1));
+    let (told, slowness) = match candidate.reported {
+        Some(reported) => (reported.requests(), reported.slowness),
+        None => (0, 1.0),
+    };
+    let requests = f64::from(candidate.load.requests.max(told));
+    (requests + 1.0) / slots * slowness
+}
+
 fn memory_share(candidate: &Candidate, tokens: u32, memory_tokens: u32) -> f64 {
     f64::from(candidate.load.tokens + tokens) / f64::from(memory_tokens.max(1))
 }
@@ -150,6 +170,18 @@
     }
 }
 
+/// The part of a long list that one host looks at first: the same from one request to the next, and another one for each
+/// host.
+pub(crate) fn part_of(mut upstreams: Vec<Arc<Upstream>>, host: &HostId) -> Vec<Arc<Upstream>> {
+    let length = upstreams.len();
+    if length > FEW {
+        let from = xxh3_64(host.as_str().as_bytes()) % length as u64;
+        upstreams.rotate_left(usize::try_from(from).unwrap_or(0));
+        upstreams.truncate(FEW);
+    }
+    upstreams
+}
+
 /// Tokens of memory that a request is predicted to need.
 pub fn tokens(need: Need) -> u32 {
     match need {
--- a/src/gateway/place/tests.rs
+++ b/src/gateway/place/tests.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use super::Candidate;
@@ -9,7 +10,9 @@
 use crate::gateway::directory::UpstreamState;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::loads::Load;
+use crate::gateway::reportedloads::ReportedLoad;
 use crate::id::DataCentre;
+use crate::id::HostId;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
 use crate::id::VersionId;
@@ -27,6 +30,7 @@
             version: VersionId::new("v1"),
         }),
         load,
+        reported: None,
         doubtful: false,
     }
 }
@@ -177,3 +181,50 @@
     assert_eq!(chosen(GENERATION, &[near, far]), Some("near".into()));
     assert_eq!(chosen(GENERATION, &[crowded, empty]), Some("empty".into()));
 }
+
+// A look at each of thousands of upstreams took a host of a tenth of a core 40 ms a request.
+#[test]
+fn each_host_looks_at_a_part_of_a_long_list_and_all_hosts_at_all_of_it() {
+    let listed: Vec<Arc<Upstream>> = (0..1_844)
+        .map(|index| candidate(&format!("up-{index:04}"), "north", Load::default()).upstream)
+        .collect();
+    let parts = (0..200).map(|host| {
+        let host = HostId::new(format!("host-{host}"));
+        super::part_of(listed.clone(), &host)
+    });
+
+    let mut looked_at = BTreeMap::new();
+    for part in parts {
+        assert_eq!(part.len(), super::FEW);
+        for upstream in part {
+            *looked_at.entry(upstream.id.clone()).or_insert(0) += 1;
+        }
+    }
+
+    let most = looked_at.values().max().copied().unwrap_or(0);
+    assert!(looked_at.len() > 1_800, "{} looked at", looked_at.len());
+    assert!(most <= 25, "{most} hosts look at one");
+}
+
+// Upstreams share their machines with others, and hosts hear of each other's calls late.
+#[test]
+fn an_upstream_that_says_it_is_full_or_slow_now_gets_calls_last() {
+    let mut full = candidate("full", "north", Load::default());
+    full.reported = Some(ReportedLoad {
+        running: 8,
+        waiting: 4,
+        slowness: 1.0,
+    });
+    let mut slow = candidate("slow", "north", Load::default());
+    slow.reported = Some(ReportedLoad {
+        running: 1,
+        waiting: 0,
+        slowness: 6.0,
+    });
+    let usual = candidate("usual", "north", load(4, 0, 0));
+
+    assert_eq!(
+        chosen(Need::Slot, &[full, slow, usual]).as_deref(),
+        Some("usual")
+    );
+}
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -14,6 +14,7 @@
 use crate::gateway::configuration::Configuration;
 use crate::gateway::directory::Upstream;
 use crate::gateway::evacuations::EvacuationRecord;
+use crate::gateway::reportedloads::ReportedLoad;
 use crate::gateway::rollouts::RolloutRecord;
 use crate::id::ServiceId;
 use crate::id::VersionId;
@@ -233,6 +234,9 @@
     /// Why the record names no upstream: another writer's, or one that can't be read.
     fn upstream(&self, key: &str, value: &[u8]) -> Result<Upstream>;
 
+    /// What an upstream says of its load in the headers of an answer.
+    fn reported_load(&self, headers: &HeaderMap) -> Option<ReportedLoad>;
+
     /// The size of the generation that a request asks for.
     fn generation_size(&self, headers: &HeaderMap) -> Option<GenerationSize>;
 
--- /dev/null
+++ b/src/gateway/reportedloads/tests.rs
@@ -0,0 +1,23 @@
+use super::ReportedLoad;
+use super::ReportedLoads;
+use crate::clock::Time;
+use crate::gateway::instance::InstanceId;
+use crate::id::UpstreamId;
+
+// Loads change many times a second, and an old word would send requests away from an upstream for long.
+#[test]
+fn a_word_counts_for_a_moment_only() {
+    let upstream = InstanceId::from(UpstreamId::new("up-1")).key();
+    let reported = ReportedLoad {
+        running: 3,
+        waiting: 2,
+        slowness: 4.0,
+    };
+    let mut loads = ReportedLoads::default();
+    loads.note(Time::from_ms(1_000), upstream, reported);
+
+    assert_eq!(loads.fresh(Time::from_ms(1_100), upstream), Some(reported));
+    assert_eq!(loads.fresh(Time::from_ms(1_150), upstream), None);
+    loads.lapse(Time::from_ms(1_150));
+    assert!(loads.is_empty());
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -17,7 +17,6 @@
 use http::HeaderMap;
 use http::header;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::SystemClock;
 use crate::clock::Time;
@@ -73,10 +72,6 @@
 /// So many upstreams of another data centre that can't be connected to are taken for a cut.
 const CUT_UPSTREAMS: usize = 2;
 
-/// Upstreams of its data centre that a host looks at before all others. With thousands a look at each costs more than
-/// it finds: that the least loaded of so many is full is rare before nearly all are.
-const FEW: usize = 64;
-
 /// At which upstreams a request looks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Breadth {
@@ -217,11 +212,11 @@
     let service = &admitted.service;
     let here = &shared.settings().data_centre;
     let (mut ready, any_cold) = shared.directory(|directory| {
-        let is_long = directory.count_in(service, here) > FEW;
+        let is_long = directory.count_in(service, here) > place::FEW;
         let within = (is_long && breadth == Breadth::Few).then_some(here);
         let ready = directory.ready_for(service, track, within);
         let ready = match within {
-            Some(_) => part_of(ready, shared.settings().host.as_str()),
+            Some(_) => place::part_of(ready, &shared.settings().host),
             None => ready,
         };
         (ready, directory.any_cold(now))
@@ -237,23 +232,13 @@
         .filter(|upstream| !any_cold || shared.may_send(now, upstream))
         .map(|upstream| Candidate {
             load: loads.with(|loads| loads.at(&upstream.id)),
+            reported: shared.reported_load(now, &upstream.id),
             doubtful: shared.is_doubtful(now, &upstream.id) || cut.contains(&upstream.data_centre),
             upstream,
         })
         .collect()
 }
 
-/// The part of a long list that one host looks at first: the same from one request to the next.
-fn part_of(mut list: Vec<Arc<Upstream>>, host: &str) -> Vec<Arc<Upstream>> {
-    let length = list.len();
-    if length > FEW {
-        let from = xxh3_64(host.as_bytes()) % length as u64;
-        list.rotate_left(usize::try_from(from).unwrap_or(0));
-        list.truncate(FEW);
-    }
-    list
-}
-
 /// Whether a data centre lies in one of `regions`. One whose region isn't known lies in none.
 fn is_within(shared: &Shared, data_centre: &DataCentre, regions: &BTreeSet<RegionId>) -> bool {
     let region = shared.settings().regions.get(data_centre);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -39,6 +39,7 @@
 use crate::gateway::protocol::Protocol;
 use crate::gateway::reach::Reach;
 use crate::gateway::reading::ReadingBoard;
+use crate::gateway::reportedloads::ReportedLoads;
 use crate::gateway::retrybudget::SharedRetryBudget;
 use crate::gateway::rollouts::evidence::Evidences;
 use crate::gateway::settings::GatewaySettings;
@@ -89,6 +90,7 @@
     peers: Mutex<Peers>,
     ejector: Mutex<Ejector<InstanceId>>,
     reach: Mutex<Reach>,
+    reported_loads: Mutex<ReportedLoads>,
     cold_budget: Mutex<ColdBudget>,
     suspects: Mutex<Suspects>,
     evidences: Mutex<Evidences>,
@@ -145,6 +147,7 @@
             peers: Mutex::new(peers),
             ejector: Mutex::new(Ejector::new(Default::default())),
             reach: Mutex::default(),
+            reported_loads: Mutex::default(),
             cold_budget: Mutex::default(),
             suspects: Mutex::default(),
             evidences: Mutex::default(),
--- a/src/gateway/shared/health.rs
+++ b/src/gateway/shared/health.rs
@@ -1,5 +1,7 @@
 //! What this host believes of upstreams by what became of requests and connections to them.
 
+use http::HeaderMap;
+
 use super::Shared;
 use super::locked;
 use crate::clock::Time;
@@ -8,6 +10,7 @@
 use crate::event::EventCode;
 use crate::gateway::cutoff::Change;
 use crate::gateway::instance::InstanceId;
+use crate::gateway::reportedloads::ReportedLoad;
 use crate::id::HostId;
 use crate::id::ServiceId;
 
@@ -50,6 +53,29 @@
         locked(&self.0.reach).first_hand(self.now())
     }
 
+    /// An upstream may say what it holds.
+    pub(crate) fn note_reported_load(&self, upstream: &InstanceId, headers: &HeaderMap) {
+        if let Some(reported) = self.protocol().reported_load(headers) {
+            let now = self.now();
+            locked(&self.0.reported_loads).note(now, upstream.key(), reported);
+        }
+    }
+
+    /// What an upstream said of itself a moment ago.
+    pub(crate) fn reported_load(&self, now: Time, upstream: &InstanceId) -> Option<ReportedLoad> {
+        let reported = locked(&self.0.reported_loads);
+        match reported.is_empty() {
+            true => None,
+            false => reported.fresh(now, upstream.key()),
+        }
+    }
+
+    /// Forgets what upstreams said of themselves a while ago.
+    pub(crate) fn lapse_reported_loads(&self) {
+        let now = self.now();
+        locked(&self.0.reported_loads).lapse(now);
+    }
+
     /// A connection to an upstream was established.
     pub fn upstream_reached(&self, upstream: &InstanceId) {
         if locked(&self.0.reach).reached(self.now(), upstream) {
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -14,7 +14,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU16;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::channel;
@@ -70,10 +70,12 @@
 
 /// A loopback address of its own for each world, so that its fixed ports meet nobody else's.
 fn own_address() -> IpAddr {
-    static NEXT: AtomicU8 = AtomicU8::new(1);
+    static NEXT: AtomicU16 = AtomicU16::new(1);
     let pid = std::process::id().to_be_bytes();
-    let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    IpAddr::V4(Ipv4Addr::new(127, 10 + pid[2] % 200, pid[3], number))
+    // The tests of one process start more worlds than one byte counts.
+    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let second = 10 + pid[2].wrapping_add(high.wrapping_mul(97)) % 200;
+    IpAddr::V4(Ipv4Addr::new(127, second, pid[3], low))
 }
 
 /// Where the host of `address` serves its peers if a link stands before it.
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -35,6 +35,7 @@
 use cedargauge::gateway::protocol::Record;
 use cedargauge::gateway::protocol::RolloutState;
 use cedargauge::gateway::protocol::Topic;
+use cedargauge::gateway::reportedloads::ReportedLoad;
 use cedargauge::gateway::rollouts::RolloutOrder;
 use cedargauge::gateway::rollouts::RolloutRecord;
 use cedargauge::gateway::route::Route;
@@ -247,6 +248,10 @@
         })
     }
 
+    fn reported_load(&self, _headers: &HeaderMap) -> Option<ReportedLoad> {
+        None
+    }
+
     fn generation_size(&self, headers: &HeaderMap) -> Option<GenerationSize> {
         let tokens = headers.get("tokens")?.to_str().ok()?.parse().ok()?;
         Some(GenerationSize {
