--- a/benches/slopes/fleet.rs
+++ b/benches/slopes/fleet.rs
@@ -2,6 +2,9 @@
 
 use std::net::SocketAddr;
 
+use crate::fit::Series;
+use crate::fit::bytes_held;
+use crate::fit::nanos_each;
 use cedargauge::clock::Time;
 use cedargauge::gateway::datagram::Datagram;
 use cedargauge::gateway::datagram::ToldEvidences;
@@ -23,10 +26,6 @@
 use cedargauge::id::HostId;
 use cedargauge::id::UpstreamId;
 
-use crate::fit::Series;
-use crate::fit::bytes_held;
-use crate::fit::nanos_each;
-
 const HOSTS: [usize; 3] = [30, 300, 1_000];
 const UPSTREAMS: [usize; 3] = [1_000, 3_000, 10_000];
 const DATA_CENTRES: usize = 5;
