Tell a later record heard alone from a wrong list, and fetch what changed in place of all

Cause: while upstreams list themselves a host hears of some records before those between. Its hash then differs from that of any peer it asks, however right its list is, so each fetch of what changed was followed by one of the whole list: 10,001 records taken again, at each host several times a second through the start of the fleet.

Change: a host that knows of records past a peer's position takes what changed up to there without comparing hashes; the next fetch with nothing beyond compares them again.

--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -60,6 +60,8 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     position: Position,
+    /// The latest record that was taken, be it that some before it are not known.
+    newest_record: Position,
     entries: Listing,
     removed: BTreeMap<UpstreamId, Removal>,
     /// Instances that answered at their address with another id, or refused as leaving.
@@ -81,6 +83,11 @@
         self.position
     }
 
+    /// Whether any record at `position` or after it is known.
+    pub fn knows_from(&self, position: Position) -> bool {
+        self.newest_record >= position
+    }
+
     /// The log up to `position` was read, here or by a peer.
     pub fn advance(&mut self, position: impl Into<Position>) {
         self.position = self.position.max(position.into());
@@ -117,6 +124,7 @@
         if known.max(removed).is_some_and(|newest| newest > position) {
             return None;
         }
+        self.newest_record = self.newest_record.max(position);
         if upstream
             .as_ref()
             .is_some_and(|it| self.is_listed_so(it, position))
--- a/src/gateway/directory/tests/listing.rs
+++ b/src/gateway/directory/tests/listing.rs
@@ -47,3 +47,20 @@
         );
     }
 }
+
+// A host that had heard of a later record alone took its list for wrong at each fetch, and fetched all of it.
+#[test]
+fn a_later_record_heard_alone_is_told_apart_from_a_wrong_list() {
+    let mut directory = Directory::default();
+    let first = upstream("up-1", UpstreamState::Ready);
+    directory.apply(Time::ZERO, &UpstreamId::new("up-1"), Some(first), 3);
+    directory.advance(4);
+
+    let before = directory.knows_from(4.into());
+    let later = upstream("up-2", UpstreamState::Ready);
+    directory.apply(Time::ZERO, &UpstreamId::new("up-2"), Some(later), 9);
+
+    assert!(!before);
+    assert!(directory.knows_from(4.into()) && directory.knows_from(9.into()));
+    assert!(!directory.knows_from(10.into()));
+}
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -362,7 +362,8 @@
                 .filter_map(|change| directory.take(now, change))
                 .collect(),
         };
-        let is_same = directory.digest() == page.digest;
+        // What this host has heard of later records alone is not in the peer's hash.
+        let is_same = directory.digest() == page.digest || directory.knows_from(page.position);
         if is_same {
             directory.advance(page.position);
         }
