--- a/benches/slopes/fleet.rs
+++ b/benches/slopes/fleet.rs
@@ -7,8 +7,8 @@
 use crate::fit::nanos_each;
 use cedargauge::clock::Time;
 use cedargauge::gateway::datagram::Datagram;
-use cedargauge::gateway::datagram::ToldEvidences;
 use cedargauge::gateway::datagram::ToldLoads;
+use cedargauge::gateway::datagram::ToldTrials;
 use cedargauge::gateway::datagram::Topics;
 use cedargauge::gateway::directory::Directory;
 use cedargauge::gateway::directory::Upstream;
@@ -101,7 +101,7 @@
         log_era: Era::default(),
         evacuations: ToldEvacuations::default(),
         rollouts: Vec::new(),
-        evidence: ToldEvidences::Nothing,
+        evidence: ToldTrials::Nothing,
         upstreams: Position::from(10),
         peer_port: 8_000,
         data_centre: place(index),
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -70,7 +70,7 @@
 
 /// What a datagram tells of versions that are tried.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub enum ToldEvidences {
+pub enum ToldTrials {
     /// Nothing.
     Nothing,
     /// What its host saw.
@@ -104,7 +104,7 @@
     /// The newest order to roll a version out of each service.
     pub rollouts: Vec<ToldRollout>,
     /// What was seen of the versions that are tried.
-    pub evidence: ToldEvidences,
+    pub evidence: ToldTrials,
     /// The log's position up to which it has read the upstreams.
     pub upstreams: Position,
     /// Where it serves what others lack.
@@ -171,7 +171,7 @@
     /// Tells of the log alone.
     pub(crate) fn of_the_log_only(&self) -> Datagram {
         Datagram {
-            evidence: ToldEvidences::Nothing,
+            evidence: ToldTrials::Nothing,
             loads: ToldLoads::Nothing,
             hosts: Vec::new(),
             ..self.clone()
@@ -185,7 +185,7 @@
         evidence: Vec<ToldEvidence>,
     ) -> Datagram {
         Datagram {
-            evidence: ToldEvidences::OfDataCentre(evidence),
+            evidence: ToldTrials::OfDataCentre(evidence),
             loads: ToldLoads::OfDataCentre(loads),
             hosts: Vec::new(),
             ..self.clone()
@@ -234,7 +234,7 @@
         Datagram {
             changes: Vec::new(),
             loads: ToldLoads::Nothing,
-            evidence: ToldEvidences::Nothing,
+            evidence: ToldTrials::Nothing,
             hosts: Vec::new(),
             suspects,
             ..self.clone()
--- /dev/null
+++ b/src/gateway/gossip/receiving.rs
@@ -0,0 +1,234 @@
+//! What a host takes from the datagrams of others, and what it answers.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::net::UdpSocket;
+
+use super::own_datagram;
+use super::send;
+use super::spread;
+use crate::clock::Time;
+use crate::event::EventCode;
+use crate::gateway::configfetch;
+use crate::gateway::datagram::Datagram;
+use crate::gateway::datagram::ToldChanges;
+use crate::gateway::datagram::ToldLoads;
+use crate::gateway::datagram::ToldTrials;
+use crate::gateway::datagram::decode;
+use crate::gateway::datagram::encode;
+use crate::gateway::directory::Change;
+use crate::gateway::loads::Teller;
+use crate::gateway::peerfetch;
+use crate::gateway::peers::Acquaintance;
+use crate::gateway::position::Position;
+use crate::gateway::protocol::Topic;
+use crate::gateway::shared::Shared;
+use crate::gateway::shared::ToldBy;
+use crate::id::DataCentre;
+use crate::id::HostId;
+
+/// A host whose own reading works gives it this time before it asks a peer for news.
+const OWN_READING_FIRST: Duration = Duration::from_millis(300);
+/// Hosts that know nothing yet ask within this time for each other one of their data centre.
+const START_SPREAD_PER_HOST: Duration = Duration::from_millis(1);
+/// Hosts that only listen fetch within this time of the first word.
+const LISTENER_SPREAD: Duration = Duration::from_millis(250);
+/// and in large fleets within so much for each host, as changes then come faster than a host can fetch them one by one,
+const LISTENER_SPREAD_PER_HOST: Duration = Duration::from_micros(750);
+/// up to a part of the bounds on what must be known.
+const LISTENER_SPREAD_MAX: Duration = Duration::from_millis(1_000);
+
+/// Takes one datagram, and answers it if it is to be answered.
+pub(super) async fn take(shared: &Shared, socket: &UdpSocket, from: SocketAddr, bytes: &[u8]) {
+    if let Some(told) = ToldChanges::decode(bytes) {
+        take_spread(shared, socket, &told).await;
+    } else if let Some(answer) = receive(shared, from, bytes) {
+        send(socket, &encode(answer), &[from]).await;
+    }
+}
+
+/// Takes a datagram; returns the answer to a host that was not known.
+fn receive(shared: &Shared, from: SocketAddr, bytes: &[u8]) -> Option<Datagram> {
+    let datagram = match decode(bytes) {
+        Ok(datagram) => datagram,
+        Err(error) => {
+            log::debug!("a datagram from {from}: {error}");
+            return None;
+        }
+    };
+    let now = shared.now();
+    let acquaintance = shared.peers(|peers| peers.hear(now, from, &datagram));
+    if acquaintance.is_news {
+        let line = shared.log().line(EventCode::PeerJoined);
+        line.with("peer", datagram.host.as_str())
+            .with("address", from.to_string())
+            .with("data_centre", datagram.data_centre.as_str())
+            .with("hosts", shared.hosts())
+            .write();
+    }
+    shared.hear_era(datagram.log_era, datagram.host.as_str());
+    shared.hear_evacuations(&datagram.evacuations, datagram.host.as_str());
+    shared.hear_rollouts(&datagram.rollouts, datagram.host.as_str());
+    for upstream in &datagram.leaving {
+        shared.witness_leaving(upstream, datagram.host.as_str());
+    }
+    if datagram.data_centre == shared.settings().data_centre {
+        shared.hear_unreachable(&datagram.host, &datagram.unreachable);
+    }
+    shared.hear_suspects(datagram.host.as_str(), &datagram.suspects);
+    let told = ToldPosition {
+        host: &datagram.host,
+        position: datagram.upstreams,
+        digest: datagram.upstreams_digest,
+        changes: &datagram.changes,
+        has_more_changes: datagram.has_more_changes,
+    };
+    let newer_upstreams = take_changes(shared, now, told);
+    let upstreams = datagram.upstreams;
+    let newer_config = datagram.config > shared.config_version();
+    shared
+        .turns()
+        .with(|turns| turns.hear(now, &datagram.host, datagram.moving));
+    let data_centre = datagram.data_centre;
+    take_evidence(shared, now, &datagram.host, &data_centre, datagram.evidence);
+    take_loads(shared, now, datagram.host, &data_centre, datagram.loads);
+    if newer_config {
+        configfetch::fetch_soon(shared, fetch_wait(shared));
+    }
+    if newer_upstreams {
+        peerfetch::fetch_soon(shared, upstreams, fetch_wait(shared));
+    }
+    if datagram.asks {
+        let loads = shared.home_loads(&data_centre);
+        return Some(own_datagram(shared, now).that_answers(loads));
+    }
+    // Near ones hear each other all the same.
+    let is_near = data_centre == shared.settings().data_centre;
+    let lacks_something = !is_near || acquaintance.has_started;
+    (acquaintance.is_stranger && lacks_something)
+        .then(|| answer(shared, now, &data_centre, acquaintance))
+}
+
+/// Takes changes that came over others, and passes on what was new.
+async fn take_spread(shared: &Shared, socket: &UdpSocket, told: &ToldChanges) {
+    let now = shared.now();
+    shared.hear_era(told.log_era, told.host.as_str());
+    let is_new = told.position > shared.directory(|directory| directory.position());
+    if !is_new {
+        return;
+    }
+    spread::pass_on(shared, now, socket, told).await;
+    let told = ToldPosition {
+        host: &told.host,
+        position: told.position,
+        digest: told.digest,
+        changes: &told.changes,
+        has_more_changes: told.has_more_changes,
+    };
+    if take_changes(shared, now, told) {
+        peerfetch::fetch_soon(shared, told.position, fetch_wait(shared));
+    }
+}
+
+/// Takes what `host` of `data_centre` tells of what runs where.
+fn take_loads(shared: &Shared, now: Time, host: HostId, data_centre: &DataCentre, told: ToldLoads) {
+    let data_centre = data_centre.clone();
+    let (teller, loads) = match told {
+        ToldLoads::Nothing => return,
+        ToldLoads::OfHost(loads) => (Teller::Host(host), loads),
+        ToldLoads::OfVisitor(loads) => (Teller::Visitor { host, data_centre }, loads),
+        ToldLoads::OfDataCentre(loads) => (Teller::DataCentre(data_centre), loads),
+    };
+    let is_word = matches!(teller, Teller::DataCentre(_));
+    shared.loads().with(|board| board.hear(now, teller, loads));
+    if is_word {
+        shared.word_heard();
+    }
+}
+
+/// Takes what `host` of `data_centre` tells of versions that are tried.
+fn take_evidence(
+    shared: &Shared,
+    now: Time,
+    host: &HostId,
+    data_centre: &DataCentre,
+    told: ToldTrials,
+) {
+    let (teller, told) = match told {
+        ToldTrials::Nothing => return,
+        ToldTrials::OfHost(told) => (Teller::Host(host.clone()), told),
+        ToldTrials::OfDataCentre(told) => (Teller::DataCentre(data_centre.clone()), told),
+    };
+    if !told.is_empty() {
+        shared.evidences(|evidences| evidences.hear(now, teller, told));
+    }
+}
+
+/// What a host of `data_centre` that was not known is told at once: who reads the log, some hosts of the
+/// other data centres, and, if it has just started, those of its own.
+fn answer(
+    shared: &Shared,
+    now: Time,
+    data_centre: &DataCentre,
+    acquaintance: Acquaintance,
+) -> Datagram {
+    let mut datagram = own_datagram(shared, now).of_the_log_only();
+    shared.peers(|peers| {
+        datagram.introduced = peers.introductions(now, data_centre);
+        if acquaintance.has_started {
+            datagram.hosts = peers.neighbours_of(now, data_centre);
+        }
+    });
+    datagram
+}
+
+/// How far a host has read the upstreams, and what changed of late.
+#[derive(Clone, Copy)]
+struct ToldPosition<'a> {
+    host: &'a HostId,
+    position: Position,
+    digest: u64,
+    changes: &'a [Change],
+    has_more_changes: bool,
+}
+
+/// Takes the changes that a reader tells. True if it must know of more.
+fn take_changes(shared: &Shared, now: Time, told: ToldPosition<'_>) -> bool {
+    let own_position = shared.directory(|directory| directory.position());
+    if told.position <= own_position {
+        return false;
+    }
+    let mut changes = Vec::new();
+    let same = shared.directory(|directory| {
+        for change in told.changes {
+            let taken = directory.take(now, change);
+            changes.extend(taken);
+        }
+        let same = directory.digest() == told.digest;
+        if same {
+            directory.advance(told.position);
+        }
+        same
+    });
+    shared.directory_changes(changes, ToldBy::Host(told.host.as_str()));
+    !same && !told.has_more_changes
+}
+
+/// Gives the own reading of the log, or the next datagram, a moment before a peer is asked. Hosts that
+/// only listen spread their questions, so that the readers are not asked by all at once; one that
+/// can't serve yet asks at once.
+fn fetch_wait(shared: &Shared) -> Duration {
+    if shared.is_reading(Topic::Operator) {
+        OWN_READING_FIRST
+    } else if shared.is_ready() {
+        let hosts = u32::try_from(shared.hosts()).unwrap_or(u32::MAX);
+        let spread = LISTENER_SPREAD.max(LISTENER_SPREAD_PER_HOST.saturating_mul(hosts));
+        spread.min(LISTENER_SPREAD_MAX).mul_f64(rand::random())
+    } else {
+        let now = shared.now();
+        let near = shared.peers(|peers| peers.count_near(now));
+        let spread = START_SPREAD_PER_HOST * u32::try_from(near).unwrap_or(u32::MAX);
+        spread.mul_f64(rand::random())
+    }
+}
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -10,8 +10,8 @@
 use super::Recipients;
 use crate::clock::Time;
 use crate::gateway::datagram::Datagram;
-use crate::gateway::datagram::ToldEvidences;
 use crate::gateway::datagram::ToldLoads;
+use crate::gateway::datagram::ToldTrials;
 use crate::gateway::datagram::Topics;
 use crate::gateway::datagram::decode;
 use crate::gateway::datagram::encode;
@@ -47,7 +47,7 @@
         log_era: Era::default(),
         evacuations: ToldEvacuations::default(),
         rollouts: Vec::new(),
-        evidence: ToldEvidences::Nothing,
+        evidence: ToldTrials::Nothing,
         upstreams: 10.into(),
         peer_port: 8000,
         data_centre: DataCentre::new(data_centre),
--- a/src/gateway/rollouts/evidence.rs
+++ b/src/gateway/rollouts/evidence.rs
@@ -302,12 +302,12 @@
 
 /// What this host saw of each order, and what others tell.
 #[derive(Debug, Default)]
-pub struct Evidences {
+pub struct EvidenceBoard {
     own: BTreeMap<Position, Seen>,
     told: HashMap<Teller, (Time, Vec<ToldEvidence>)>,
 }
 
-impl Evidences {
+impl EvidenceBoard {
     /// A request for the order's service arrived.
     pub fn requested(&mut self, now: Time, order: Position) {
         self.own.entry(order).or_default().bucket(now).requests += 1;
--- a/src/gateway/rollouts/evidence/tests.rs
+++ b/src/gateway/rollouts/evidence/tests.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use super::Answer;
-use super::Evidences;
+use super::EvidenceBoard;
 use super::Measure;
 use super::Outcome;
 use super::Side;
@@ -24,7 +24,7 @@
 }
 
 /// Has `outcomes` come from so many upstreams in turn.
-fn note(evidences: &mut Evidences, side: Side, upstreams: usize, outcomes: &[Outcome]) {
+fn note(evidences: &mut EvidenceBoard, side: Side, upstreams: usize, outcomes: &[Outcome]) {
     for (index, outcome) in outcomes.iter().enumerate() {
         let answer = Answer {
             route: "lookups",
@@ -55,7 +55,7 @@
 
 /// Whether a version is judged bad whose answers are `new`, beside `old` ones.
 fn is_bad(old: &[Outcome], new: &[Outcome], new_upstreams: usize) -> bool {
-    let mut evidences = Evidences::default();
+    let mut evidences = EvidenceBoard::default();
     note(&mut evidences, Side::Old, 20, old);
     evidences.all(NOW, order());
     note(&mut evidences, Side::New, new_upstreams, new);
@@ -85,7 +85,7 @@
 // One upstream that is ill would else have its version reverted.
 #[test]
 fn bad_answers_of_one_upstream_of_many_say_nothing_of_its_version() {
-    let mut evidences = Evidences::default();
+    let mut evidences = EvidenceBoard::default();
     note(&mut evidences, Side::Old, 20, &failing(0, 200));
     note(&mut evidences, Side::New, 1, &failing(20, 20));
 
@@ -97,9 +97,9 @@
 
 #[test]
 fn what_hosts_saw_counts_together_and_lapses() {
-    let mut own = Evidences::default();
+    let mut own = EvidenceBoard::default();
     for index in 0..6 {
-        let mut other = Evidences::default();
+        let mut other = EvidenceBoard::default();
         note(&mut other, Side::New, 3, &failing(3, 3));
         let host = Teller::Host(HostId::new(format!("host-{index}")));
         own.hear(NOW, host, other.own(NOW));
@@ -115,7 +115,7 @@
 
 #[test]
 fn old_answers_count_no_more() {
-    let mut evidences = Evidences::default();
+    let mut evidences = EvidenceBoard::default();
     note(&mut evidences, Side::New, 3, &failing(9, 9));
 
     assert_eq!(
--- a/src/gateway/rollouts/tests/model.rs
+++ b/src/gateway/rollouts/tests/model.rs
@@ -20,7 +20,7 @@
 use crate::gateway::rollouts::Rollouts;
 use crate::gateway::rollouts::Stage;
 use crate::gateway::rollouts::evidence::Answer;
-use crate::gateway::rollouts::evidence::Evidences;
+use crate::gateway::rollouts::evidence::EvidenceBoard;
 use crate::gateway::rollouts::evidence::Measure;
 use crate::gateway::rollouts::evidence::Outcome;
 use crate::gateway::rollouts::evidence::Side;
@@ -52,7 +52,7 @@
 #[derive(Default)]
 struct Host {
     rollouts: Rollouts,
-    evidences: Evidences,
+    evidences: EvidenceBoard,
     started_ms: u64,
     cut_until_ms: u64,
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -41,7 +41,7 @@
 use crate::gateway::reading::ReadingBoard;
 use crate::gateway::reportedloads::ReportedLoads;
 use crate::gateway::retrybudget::SharedRetryBudget;
-use crate::gateway::rollouts::evidence::Evidences;
+use crate::gateway::rollouts::evidence::EvidenceBoard;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::suspects::Suspects;
 use crate::gateway::turns::TurnBoard;
@@ -93,7 +93,7 @@
     reported_loads: Mutex<ReportedLoads>,
     cold_budget: Mutex<ColdBudget>,
     suspects: Mutex<Suspects>,
-    evidences: Mutex<Evidences>,
+    evidences: Mutex<EvidenceBoard>,
     wakefulness: Mutex<Wakefulness>,
     wakes: watch::Sender<u64>,
     log_era: Mutex<Era>,
--- a/src/gateway/shared/rolling.rs
+++ b/src/gateway/shared/rolling.rs
@@ -17,7 +17,7 @@
 use crate::gateway::rollouts::Track;
 use crate::gateway::rollouts::TrialShare;
 use crate::gateway::rollouts::evidence::Answer;
-use crate::gateway::rollouts::evidence::Evidences;
+use crate::gateway::rollouts::evidence::EvidenceBoard;
 use crate::gateway::rollouts::evidence::Measure;
 use crate::gateway::rollouts::evidence::Outcome;
 use crate::gateway::rollouts::evidence::Side;
@@ -47,7 +47,7 @@
 
 impl Shared {
     /// Runs `use_evidences` on what was seen of versions that are tried.
-    pub(crate) fn evidences<T>(&self, use_evidences: impl FnOnce(&mut Evidences) -> T) -> T {
+    pub(crate) fn evidences<T>(&self, use_evidences: impl FnOnce(&mut EvidenceBoard) -> T) -> T {
         use_evidences(&mut locked(&self.0.evidences))
     }
 
