Call one piece of code for transfers to other hosts, and look at short lists once

Found on reading the change: the guard of a transfer stood twice, for configurations and for lists of upstreams; what a host says of itself was taken into the census at two places; and where a data centre lists no more than 64 upstreams of a service, a request whose first choice was none looked at the same candidates again, at each look of its wait. How many a data centre lists was counted by walking them, for each request.

Change: gateway/serving holds the guard, Census::note takes what a host says, Breadth::at_first says whether there is a part to look at first, and the count is kept by its map. Behaviour stays but for the random draws of that second look.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -52,6 +52,7 @@
 pub(crate) mod rolloutstatus;
 pub mod route;
 pub mod serve;
+pub(crate) mod serving;
 pub mod settings;
 pub mod shared;
 pub mod stream;
--- a/src/gateway/configfetch.rs
+++ b/src/gateway/configfetch.rs
@@ -31,7 +31,6 @@
 use crate::gateway::document::catchup::Step;
 use crate::gateway::document::frames;
 use crate::gateway::document::frames::FrameReader;
-use crate::gateway::document::transfers::Ticket;
 use crate::gateway::ownclient::Arrival;
 use crate::gateway::peerfetch::FETCH_TIMEOUT;
 use crate::gateway::peerfetch::PeerClient;
@@ -39,6 +38,7 @@
 use crate::gateway::peerfetch::fetch_later;
 use crate::gateway::peers::Fetch;
 use crate::gateway::protocol::OwnCall;
+use crate::gateway::serving::Serving;
 use crate::gateway::shared::Shared;
 use crate::telemetry;
 use crate::telemetry::Metric;
@@ -80,42 +80,15 @@
         Ok(Err(error)) => return HttpResponse::BadRequest().body(error.to_string()),
         Err(_) => return HttpResponse::PayloadTooLarge().finish(),
     };
-    let now = shared.now();
-    let Some(ticket) = shared.transfers(|transfers| transfers.begin(now)) else {
+    let Some(serving) = Serving::begin(shared, Fetch::Configuration) else {
         return HttpResponse::ServiceUnavailable().finish();
     };
-    let serving = Serving {
-        shared: shared.clone(),
-        ticket,
-    };
     match frames_of(shared, &ids) {
         Ok(frames) => stream_frames(frames, serving),
         Err(error) => HttpResponse::BadRequest().body(error.to_string()),
     }
 }
 
-/// A transfer that ends when it is dropped, be it that its receiver is gone.
-struct Serving {
-    shared: Shared,
-    ticket: Ticket,
-}
-
-impl Serving {
-    /// The receiver took what was sent before.
-    fn progressed(&self) {
-        let now = self.shared.now();
-        self.shared
-            .transfers(|transfers| transfers.progressed(now, self.ticket));
-    }
-}
-
-impl Drop for Serving {
-    fn drop(&mut self) {
-        self.shared
-            .transfers(|transfers| transfers.end(self.ticket));
-    }
-}
-
 fn frames_of(shared: &Shared, ids: &[u8]) -> Result<Vec<Bytes>> {
     let in_force = shared.in_force();
     let cut = in_force.as_ref().map(|held| held.cut());
--- a/src/gateway/directory/listing.rs
+++ b/src/gateway/directory/listing.rs
@@ -70,6 +70,12 @@
         there.flat_map(BTreeMap::values)
     }
 
+    /// How many these are.
+    pub(super) fn count_in_place(&self, service: &ServiceId, data_centre: &DataCentre) -> usize {
+        let place = (service.clone(), data_centre.clone());
+        self.places.get(&place).map_or(0, BTreeMap::len)
+    }
+
     /// Where the instance of a key stands.
     pub(super) fn data_centre_of(&self, key: InstanceKey) -> Option<&DataCentre> {
         self.data_centres.get(&key)
--- a/src/gateway/directory/taking.rs
+++ b/src/gateway/directory/taking.rs
@@ -130,7 +130,7 @@
 
     /// How many upstreams of a service a data centre lists.
     pub fn count_in(&self, service: &ServiceId, data_centre: &DataCentre) -> usize {
-        self.entries.in_place(service, data_centre).count()
+        self.entries.count_in_place(service, data_centre)
     }
 
     /// Where the listed instance of a key stands.
--- a/src/gateway/line.rs
+++ b/src/gateway/line.rs
@@ -204,7 +204,7 @@
     let ticket = Ticket::join(shared, admitted, tokens);
     let mut waited = None;
     let mut has_asked = false;
-    let mut breadth = Breadth::Few;
+    let mut breadth = Breadth::at_first(shared, &admitted.service);
     let mut reserved: Option<Reserved> = None;
     loop {
         // Upstreams may crash under a repeat while this one waits.
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -24,7 +24,6 @@
 use crate::gateway::document::catchup::Fault;
 use crate::gateway::document::catchup::Holder;
 use crate::gateway::document::catchup::Step;
-use crate::gateway::document::transfers::Ticket;
 use crate::gateway::evacuations::ToldEvacuations;
 use crate::gateway::ownclient::Arrival;
 use crate::gateway::ownclient::OwnClient;
@@ -33,6 +32,7 @@
 use crate::gateway::position::Position;
 use crate::gateway::protocol::OwnCall;
 use crate::gateway::rollouts::ToldRollout;
+use crate::gateway::serving::Serving;
 use crate::gateway::shared::Shared;
 use crate::gateway::shared::ToldBy;
 
@@ -151,16 +151,10 @@
     let is_small = position.offset.saturating_sub(offset) <= SMALL_CHANGES;
     let serving = match is_small {
         true => None,
-        false => {
-            let now = shared.now();
-            match shared.list_transfers(|transfers| transfers.begin(now)) {
-                Some(ticket) => Some(ListServing {
-                    shared: shared.clone(),
-                    ticket,
-                }),
-                None => return HttpResponse::ServiceUnavailable().finish(),
-            }
-        }
+        false => match Serving::begin(shared, Fetch::Upstreams) {
+            Some(serving) => Some(serving),
+            None => return HttpResponse::ServiceUnavailable().finish(),
+        },
     };
     match page(shared, changed_from) {
         Ok(page) => stream_page(page, serving),
@@ -187,28 +181,7 @@
     Ok(Bytes::from(page))
 }
 
-/// A transfer of the whole list that ends when it is dropped, be it that its receiver is gone.
-struct ListServing {
-    shared: Shared,
-    ticket: Ticket,
-}
-
-impl ListServing {
-    fn progressed(&self) {
-        let now = self.shared.now();
-        self.shared
-            .list_transfers(|transfers| transfers.progressed(now, self.ticket));
-    }
-}
-
-impl Drop for ListServing {
-    fn drop(&mut self) {
-        self.shared
-            .list_transfers(|transfers| transfers.end(self.ticket));
-    }
-}
-
-fn stream_page(page: Bytes, serving: Option<ListServing>) -> HttpResponse {
+fn stream_page(page: Bytes, serving: Option<Serving>) -> HttpResponse {
     let Some(serving) = serving else {
         return HttpResponse::Ok().body(page);
     };
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -199,9 +199,7 @@
             self.readers.insert(address);
         }
         if let Some(census) = self.census.get_mut() {
-            census.newest_version = census.newest_version.max(heard.config);
-            census.hears_most = census.hears_most.max(heard.hears);
-            census.knows_upstreams |= heard.upstreams > Position::default();
+            census.note(&heard);
             if !heard.stopping {
                 census.add(&heard.data_centre);
             }
@@ -225,7 +223,7 @@
             if before.data_centre == data_centre {
                 return;
             }
-            self.leave_place(address, &before.data_centre.clone());
+            self.leave_place(address, &before.data_centre);
         }
         self.places.entry(data_centre).or_default().insert(address);
     }
@@ -264,10 +262,8 @@
     fn take_census(&self, now: Time) -> Census {
         let mut census = Census::new(now);
         for heard in self.live_hosts(now) {
+            census.note(heard);
             census.add(&heard.data_centre);
-            census.newest_version = census.newest_version.max(heard.config);
-            census.hears_most = census.hears_most.max(heard.hears);
-            census.knows_upstreams |= heard.upstreams > Position::default();
         }
         census
     }
--- a/src/gateway/peers/census.rs
+++ b/src/gateway/peers/census.rs
@@ -7,7 +7,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::Heard;
 use crate::clock::Time;
+use crate::gateway::position::Position;
 use crate::id::DataCentre;
 
 /// Between two counts, for each host that was counted: silence is noticed so much later, 0.1 s of a thousand hosts.
@@ -45,6 +47,13 @@
         now >= self.at && now.since(self.at) < interval
     }
 
+    /// Takes what a host knows.
+    pub(super) fn note(&mut self, heard: &Heard) {
+        self.newest_version = self.newest_version.max(heard.config);
+        self.hears_most = self.hears_most.max(heard.hears);
+        self.knows_upstreams |= heard.upstreams > Position::default();
+    }
+
     pub(super) fn heard(&self) -> &BTreeMap<DataCentre, usize> {
         &self.heard
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -81,6 +81,17 @@
     All,
 }
 
+impl Breadth {
+    /// At which upstreams of a service a request looks at first.
+    pub fn at_first(shared: &Shared, service: &ServiceId) -> Self {
+        let here = &shared.settings().data_centre;
+        match shared.directory(|directory| directory.count_in(service, here)) > place::FEW {
+            true => Breadth::Few,
+            false => Breadth::All,
+        }
+    }
+}
+
 /// What one worker's handlers use.
 #[derive(Debug, Clone)]
 pub struct Front {
@@ -188,9 +199,13 @@
 
     /// Chooses an upstream for `need`, but none of `avoid`.
     pub fn place(&self, shared: &Shared, need: Need, avoid: &[InstanceId]) -> Option<Candidate> {
-        let few = candidates(shared, self, avoid, Breadth::Few);
-        let chosen = choose(shared, need, &few).filter(|candidate| !candidate.doubtful);
-        chosen.or_else(|| choose(shared, need, &candidates(shared, self, avoid, Breadth::All)))
+        let chosen = |breadth| choose(shared, need, &candidates(shared, self, avoid, breadth));
+        match Breadth::at_first(shared, &self.service) {
+            Breadth::All => chosen(Breadth::All),
+            Breadth::Few => chosen(Breadth::Few)
+                .filter(|candidate| !candidate.doubtful)
+                .or_else(|| chosen(Breadth::All)),
+        }
     }
 }
 
@@ -212,8 +227,7 @@
     let service = &admitted.service;
     let here = &shared.settings().data_centre;
     let (mut ready, any_cold) = shared.directory(|directory| {
-        let is_long = directory.count_in(service, here) > place::FEW;
-        let within = (is_long && breadth == Breadth::Few).then_some(here);
+        let within = (breadth == Breadth::Few).then_some(here);
         let ready = directory.ready_for(service, track, within);
         let ready = match within {
             Some(_) => place::part_of(ready, &shared.settings().host),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -1,6 +1,7 @@
 //! What all parts of a gateway host share: the configuration in force, the upstreams, the peers,
 //! the loads, and the log of decisions.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -32,6 +33,7 @@
 use crate::gateway::line::LineBoard;
 use crate::gateway::loads::LoadBoard;
 use crate::gateway::peerfetch::ListCache;
+use crate::gateway::peers::Fetch;
 use crate::gateway::peers::Peers;
 use crate::gateway::place::FarCounts;
 use crate::gateway::place::View;
@@ -109,9 +111,8 @@
     config_version: AtomicU64,
     catch_up: Mutex<CatchUp>,
     assembly: Mutex<Option<Assembly>>,
-    transfers: Mutex<Transfers>,
+    transfers: Mutex<BTreeMap<Fetch, Transfers>>,
     list_catch_up: Mutex<CatchUp>,
-    list_transfers: Mutex<Transfers>,
     list_cache: Mutex<ListCache>,
 }
 
@@ -167,7 +168,6 @@
             assembly: Mutex::default(),
             transfers: Mutex::default(),
             list_catch_up: Mutex::new(CatchUp::new(rand::random())),
-            list_transfers: Mutex::default(),
             list_cache: Mutex::default(),
         }))
     }
--- a/src/gateway/shared/newer.rs
+++ b/src/gateway/shared/newer.rs
@@ -8,6 +8,7 @@
 use crate::gateway::document::catchup::CatchUp;
 use crate::gateway::document::transfers::Transfers;
 use crate::gateway::peerfetch::ListCache;
+use crate::gateway::peers::Fetch;
 use crate::gateway::protocol::Topic;
 
 impl Shared {
@@ -53,9 +54,13 @@
         use_catch_up(&mut locked(&self.0.catch_up))
     }
 
-    /// Runs `use_transfers` on the transfers to other hosts.
-    pub(crate) fn transfers<T>(&self, use_transfers: impl FnOnce(&mut Transfers) -> T) -> T {
-        use_transfers(&mut locked(&self.0.transfers))
+    /// Runs `use_transfers` on the transfers of `what` to other hosts.
+    pub(crate) fn transfers<T>(
+        &self,
+        what: Fetch,
+        use_transfers: impl FnOnce(&mut Transfers) -> T,
+    ) -> T {
+        use_transfers(locked(&self.0.transfers).entry(what).or_default())
     }
 
     /// The same for the list of upstreams.
@@ -63,11 +68,6 @@
         use_catch_up(&mut locked(&self.0.list_catch_up))
     }
 
-    /// Runs `use_transfers` on the transfers of the list of upstreams to other hosts.
-    pub(crate) fn list_transfers<T>(&self, use_transfers: impl FnOnce(&mut Transfers) -> T) -> T {
-        use_transfers(&mut locked(&self.0.list_transfers))
-    }
-
     /// Runs `use_cache` on the list of upstreams as it was last packed.
     pub(crate) fn list_cache<T>(&self, use_cache: impl FnOnce(&mut ListCache) -> T) -> T {
         use_cache(&mut locked(&self.0.list_cache))
