Name the order in what operators are told, so that its end is not taken for another's

A bad version was reverted 1 s after its order; a host that came to the order only then read 'reverted' of that version, took it for the end of an earlier order to the same version, since this one was younger than 3 s, and told operators that it runs. Ruled out: the condition on the append, which held: the host had read the end. Change: the status names the position of the order's record. A host compares it with its own order; one that is replaced leaves alone what was told of the later one. Where no position is told, or one of another history of the log, the age decides as before. Before: tests/rollouts fails with the end told before a host looks, and two unit tests. After: they pass. Conclusion: states of an order are told once, also by hosts that come late.

--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -14,6 +14,7 @@
 use crate::gateway::configuration::Configuration;
 use crate::gateway::directory::Upstream;
 use crate::gateway::evacuations::EvacuationRecord;
+use crate::gateway::position::Position;
 use crate::gateway::reportedloads::ReportedLoad;
 use crate::gateway::rollouts::RolloutRecord;
 use crate::id::ServiceId;
@@ -134,6 +135,17 @@
     Reverted,
 }
 
+/// What operators are told of a roll-out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RolloutStatus {
+    /// The version that is rolled out.
+    pub to: VersionId,
+    /// How far it is.
+    pub state: RolloutState,
+    /// The position of the order's record; none in what others wrote.
+    pub ordered_at: Option<Position>,
+}
+
 /// What an engine tells of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct EngineReport {
@@ -218,14 +230,14 @@
     fn rollout_status_key(&self, service: &ServiceId) -> String;
 
     /// What stands there.
-    fn rollout_status(&self, to: &VersionId, state: RolloutState) -> Vec<u8>;
+    fn rollout_status(&self, status: &RolloutStatus) -> Vec<u8>;
 
     /// The answer to [`Protocol::rollout_status`].
     ///
     /// # Errors
     ///
     /// If it isn't one.
-    fn decode_rollout_status(&self, value: &[u8]) -> Result<(VersionId, RolloutState)>;
+    fn decode_rollout_status(&self, value: &[u8]) -> Result<RolloutStatus>;
 
     /// The upstream in a record of [`Topic::Upstreams`].
     ///
--- a/src/gateway/rolloutstatus.rs
+++ b/src/gateway/rolloutstatus.rs
@@ -4,6 +4,7 @@
 //! if it didn't. What operators are told is written under the condition that nothing was written since this host looked,
 //! so that an order ends once, however many hosts try.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use crate::gateway::ownclient::OwnClient;
 use crate::gateway::position::Position;
 use crate::gateway::protocol::RolloutState;
+use crate::gateway::protocol::RolloutStatus;
 use crate::gateway::protocol::Topic;
 use crate::gateway::rollouts::Due;
 use crate::gateway::rollouts::Stage;
@@ -117,14 +119,22 @@
         let told = records.iter().find(|record| record.key == key);
         let told = told.and_then(|record| record.value.as_deref());
         let told = told.and_then(|value| shared.protocol().decode_rollout_status(value).ok());
-        let told = told.filter(|(to, _)| *to == rollout.to);
-        let told = told.map(|(_, state)| state);
-        if let Some(told) = told.filter(|told| self.is_of_order(rollout, *told)) {
-            self.begun.insert(rollout.ordered_at, told);
-            self.rise(rollout, told, "operators were told");
-            return Ok(());
+        let has_begun = self.begun.contains_key(&rollout.ordered_at);
+        match told.map_or(Told::Nothing, |told| told_of(rollout, &told, has_begun)) {
+            Told::Nothing => {}
+            Told::LaterOrder => return Ok(()),
+            Told::State(told) => {
+                self.begun.insert(rollout.ordered_at, told);
+                self.rise(rollout, told, "operators were told");
+                return Ok(());
+            }
         }
-        let value = shared.protocol().rollout_status(&rollout.to, state);
+        let status = RolloutStatus {
+            to: rollout.to.clone(),
+            state,
+            ordered_at: Some(rollout.ordered_at),
+        };
+        let value = shared.protocol().rollout_status(&status);
         let written = append_only_at(
             &shared,
             &mut self.client,
@@ -148,18 +158,6 @@
         Ok(())
     }
 
-    /// Whether what operators were told is of this order, and not of an earlier one to the same version. A host that saw the
-    /// order come knows that it has not ended until somebody says so of it.
-    fn is_of_order(&self, rollout: &OpenRollout, told: RolloutState) -> bool {
-        match told {
-            RolloutState::Running => !self.begun.contains_key(&rollout.ordered_at),
-            RolloutState::Complete | RolloutState::Reverted => {
-                let has_begun = self.begun.contains_key(&rollout.ordered_at);
-                !rollout.is_dated || has_begun || rollout.age > BEGUN_WITHIN
-            }
-        }
-    }
-
     fn rise(&self, rollout: &OpenRollout, state: RolloutState, reason: &str) {
         let stage = match state {
             RolloutState::Running => return,
@@ -169,3 +167,38 @@
         self.shared.rollout_rises(rollout, stage, reason);
     }
 }
+
+/// What operators were told last, as seen from one order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Told {
+    /// Nothing of it that this host doesn't know.
+    Nothing,
+    /// That it has come so far.
+    State(RolloutState),
+    /// Something of an order that replaces it.
+    LaterOrder,
+}
+
+/// What `told` says of an order. `has_begun` tells whether this host knows that operators were told of it.
+fn told_of(rollout: &OpenRollout, told: &RolloutStatus, has_begun: bool) -> Told {
+    let is_news = told.state != RolloutState::Running || !has_begun;
+    let era = rollout.ordered_at.era;
+    let named = told.ordered_at.filter(|order| order.era == era);
+    let is_of_order = match named.map(|order| order.cmp(&rollout.ordered_at)) {
+        Some(Ordering::Greater) => return Told::LaterOrder,
+        Some(Ordering::Equal) => true,
+        Some(Ordering::Less) => false,
+        // A host that saw the order come knows that it has not ended until somebody says so of it.
+        None => {
+            let may_have_ended = !rollout.is_dated || has_begun || rollout.age > BEGUN_WITHIN;
+            told.to == rollout.to && (told.state == RolloutState::Running || may_have_ended)
+        }
+    };
+    match is_of_order && is_news {
+        true => Told::State(told.state),
+        false => Told::Nothing,
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -34,6 +34,7 @@
 use cedargauge::gateway::protocol::ReadBatch;
 use cedargauge::gateway::protocol::Record;
 use cedargauge::gateway::protocol::RolloutState;
+use cedargauge::gateway::protocol::RolloutStatus;
 use cedargauge::gateway::protocol::Topic;
 use cedargauge::gateway::reportedloads::ReportedLoad;
 use cedargauge::gateway::rollouts::RolloutOrder;
@@ -213,16 +214,17 @@
         format!("rollout-{service}")
     }
 
-    fn rollout_status(&self, to: &VersionId, state: RolloutState) -> Vec<u8> {
-        let state = match state {
+    fn rollout_status(&self, status: &RolloutStatus) -> Vec<u8> {
+        let state = match status.state {
             RolloutState::Running => "running",
             RolloutState::Complete => "complete",
             RolloutState::Reverted => "reverted",
         };
-        json!({"to": to, "state": state}).to_string().into_bytes()
+        let status = json!({"to": status.to, "state": state, "order": status.ordered_at});
+        status.to_string().into_bytes()
     }
 
-    fn decode_rollout_status(&self, value: &[u8]) -> Result<(VersionId, RolloutState)> {
+    fn decode_rollout_status(&self, value: &[u8]) -> Result<RolloutStatus> {
         let status: Value = serde_json::from_slice(value)?;
         let state = match status["state"].as_str() {
             Some("running") => RolloutState::Running,
@@ -230,7 +232,11 @@
             Some("reverted") => RolloutState::Reverted,
             _ => return Err(bad("state")),
         };
-        Ok((serde_json::from_value(status["to"].clone())?, state))
+        Ok(RolloutStatus {
+            to: serde_json::from_value(status["to"].clone())?,
+            state,
+            ordered_at: serde_json::from_value(status["order"].clone())?,
+        })
     }
 
     fn upstream(&self, key: &str, value: &[u8]) -> Result<Upstream> {
--- a/tests/rollouts/mod.rs
+++ b/tests/rollouts/mod.rs
@@ -125,3 +125,20 @@
     assert_eq!(told, ["running", "complete"]);
     assert_eq!(deployment.seen_by_new() - before, 60);
 }
+
+// A host that looked only after another had told the end told operators again that the order runs.
+#[test]
+fn a_late_host_does_not_tell_an_ended_order_anew() {
+    let deployment = Deployment::start(&Behaviour::Answer(200, "new"));
+    let ended = json!({"to": "v2", "state": "complete", "order": {"era": 1, "offset": 1}});
+    deployment.log().put("status", "rollout-nets", &ended);
+
+    deployment.order();
+    let ends_here = wait_until(|| {
+        let answers = (0..20).map(|_| ask(deployment.hosts[0].callers(), &get("/nets/7", "")));
+        answers.into_iter().all(|answer| answer.body == b"new")
+    });
+
+    assert!(ends_here);
+    assert_eq!(deployment.told(), ["complete"]);
+}
