Let hosts whose part of the retry budget is less than one take a retry by lot

Rounding down loses nothing while hosts are few, and everything at a thousand. Ruled out: the route's attempts (2), the upstreams' state (none was cold or full). Change: such a host takes one by lot, drawn once a process and service, after its first window. Where a part is one or more nothing changes. Left: a host without the lot doesn't retry; lending between hosts would reach it.

--- a/src/gateway/retrybudget.rs
+++ b/src/gateway/retrybudget.rs
@@ -4,6 +4,9 @@
 //! A process knows what it has spent and not what the one before it has, so hosts that start again in series would
 //! spend their part each time. In its first window a process uses the share that older ones leave, and of the fixed
 //! allowance only what its age has earned: all processes of a host together then stay within its part.
+//!
+//! Where hosts are so many that the part of one is less than a retry, a host that has run for a window takes one by lot:
+//! as many hosts do as their parts make together.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -48,15 +51,17 @@
 #[derive(Debug)]
 pub struct SharedRetryBudget {
     options: RetryBudgetOptions,
+    lot: f64,
     requests: VecDeque<Time>,
     retries: VecDeque<Time>,
 }
 
 impl SharedRetryBudget {
-    /// A budget that nothing was taken from.
-    pub fn new(options: RetryBudgetOptions) -> Self {
+    /// A budget that nothing was taken from. `lot` is drawn from 0 to 1.
+    pub fn new(options: RetryBudgetOptions, lot: f64) -> Self {
         SharedRetryBudget {
             options,
+            lot,
             requests: VecDeque::new(),
             retries: VecDeque::new(),
         }
@@ -81,7 +86,7 @@
         let age = now.since(Time::ZERO).div_duration_f64(self.options.window);
         let allowed = match age < 1.0 {
             true => (earned + part * age) * USED_SHARE_AT_START,
-            false => (earned + part) * USED_SHARE,
+            false => self.one_by_lot((earned + part) * USED_SHARE),
         };
         Balance {
             requests: self.requests.len(),
@@ -90,6 +95,13 @@
         }
     }
 
+    fn one_by_lot(&self, allowed: f64) -> f64 {
+        match allowed < 1.0 && self.lot < allowed {
+            true => 1.0,
+            false => allowed,
+        }
+    }
+
     /// Takes one retry, if `hosts` hosts that share the allowance leave this one any.
     pub fn try_retry(&mut self, now: Time, hosts: usize) -> bool {
         let has_room = self.balance(now, hosts).has_room();
--- a/src/gateway/retrybudget/tests.rs
+++ b/src/gateway/retrybudget/tests.rs
@@ -12,6 +12,9 @@
     window: Duration::from_secs(10),
 };
 
+/// Draws nothing.
+const NO_LOT: f64 = 1.0;
+
 /// The process has run for longer than a window.
 const NOW: Time = Time::from_ms(60_000);
 
@@ -27,7 +30,7 @@
     let requests = 100;
     let mut sum = 0;
     for _ in 0..hosts {
-        let mut budget = SharedRetryBudget::new(OPTIONS);
+        let mut budget = SharedRetryBudget::new(OPTIONS, NO_LOT);
         for _ in 0..requests {
             budget.requested(NOW);
         }
@@ -41,7 +44,7 @@
 
 #[test]
 fn the_window_slides() {
-    let mut budget = SharedRetryBudget::new(OPTIONS);
+    let mut budget = SharedRetryBudget::new(OPTIONS, NO_LOT);
     let first = retries(&mut budget, NOW, 1);
 
     let soon = retries(&mut budget, NOW + Duration::from_millis(9_000), 1);
@@ -53,7 +56,7 @@
 
 #[test]
 fn what_is_charged_leaves_less() {
-    let mut budget = SharedRetryBudget::new(OPTIONS);
+    let mut budget = SharedRetryBudget::new(OPTIONS, NO_LOT);
     for _ in 0..1_000 {
         budget.charge(NOW);
     }
@@ -63,14 +66,14 @@
 
 #[test]
 fn a_process_that_has_just_started_takes_nothing_of_the_allowance() {
-    let mut budget = SharedRetryBudget::new(OPTIONS);
+    let mut budget = SharedRetryBudget::new(OPTIONS, NO_LOT);
 
     assert_eq!(retries(&mut budget, Time::ZERO, 1), 0);
 }
 
 #[test]
 fn a_process_in_its_first_window_retries_by_its_requests_and_its_age() {
-    let mut budget = SharedRetryBudget::new(OPTIONS);
+    let mut budget = SharedRetryBudget::new(OPTIONS, NO_LOT);
     let half = Time::ZERO + OPTIONS.window / 2;
     for _ in 0..100 {
         budget.requested(half);
--- a/src/gateway/retrybudget/tests/fleet.rs
+++ b/src/gateway/retrybudget/tests/fleet.rs
@@ -8,6 +8,7 @@
 
 use super::OPTIONS;
 use crate::clock::Time;
+use crate::gateway::retrybudget::RetryBudgetOptions;
 use crate::gateway::retrybudget::SharedRetryBudget;
 
 const STEP: Duration = Duration::from_millis(50);
@@ -39,20 +40,22 @@
 
 struct Fleet {
     random: ChaCha8Rng,
+    options: RetryBudgetOptions,
     lives: Lives,
     hosts: Vec<Host>,
 }
 
 impl Fleet {
     /// Hosts that have run for a long time when the first step begins.
-    fn start(seed: u64, count: usize, lives: Lives) -> Self {
+    fn start(seed: u64, count: usize, options: RetryBudgetOptions, lives: Lives) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let hosts = (0..count).map(|_| Host {
-            budget: Some((SharedRetryBudget::new(OPTIONS), 0)),
+            budget: Some((SharedRetryBudget::new(options, random.random()), 0)),
             changes_at: 4 * HALF + random.random_range(0..=lives.longest),
         });
         Fleet {
             hosts: hosts.collect(),
+            options,
             lives,
             random,
         }
@@ -67,7 +70,10 @@
                 (host.budget, host.changes_at) = match host.budget {
                     Some(_) => (None, now + self.random.random_range(1..=PAUSE_MAX)),
                     None => (
-                        Some((SharedRetryBudget::new(OPTIONS), now)),
+                        Some((
+                            SharedRetryBudget::new(self.options, self.random.random()),
+                            now,
+                        )),
                         now + self.random.random_range(shortest..=longest),
                     ),
                 };
@@ -101,7 +107,7 @@
 
 /// The window in which retries exceed what is allowed by most, and by how much: negative where none does. Allowed is the
 /// ratio of the requests in that window, the one before or the one half a window before, whichever has most.
-fn worst_excess(steps: &[Step]) -> f64 {
+fn worst_excess(steps: &[Step], options: RetryBudgetOptions) -> f64 {
     let requests = |from: usize| -> usize {
         let window = steps[from..from + 2 * HALF].iter();
         window.map(|step| step.requests).sum()
@@ -111,18 +117,28 @@
         let retries: usize = window.map(|step| step.retries).sum();
         let most = [from, from - HALF, from - 2 * HALF].map(requests);
         let most = most.into_iter().max().unwrap_or(0);
-        retries as f64 - OPTIONS.ratio * most as f64 - OPTIONS.allowance
+        retries as f64 - options.ratio * most as f64 - options.allowance
     };
     let windows = 2 * HALF..=steps.len() - 2 * HALF;
     windows.map(excess).fold(f64::NEG_INFINITY, f64::max)
 }
 
 fn play(seed: u64, count: usize, lives: Lives, requests: impl Fn(usize) -> usize) -> f64 {
-    let mut fleet = Fleet::start(seed, count, lives);
+    play_with(OPTIONS, seed, count, lives, requests)
+}
+
+fn play_with(
+    options: RetryBudgetOptions,
+    seed: u64,
+    count: usize,
+    lives: Lives,
+    requests: impl Fn(usize) -> usize,
+) -> f64 {
+    let mut fleet = Fleet::start(seed, count, options, lives);
     let steps: Vec<Step> = (0..STEPS)
         .map(|now| fleet.step(now, requests(now)))
         .collect();
-    worst_excess(&steps)
+    worst_excess(&steps, options)
 }
 
 const SHORT: Lives = Lives {
@@ -179,3 +195,28 @@
         "{excess} of {allowed}"
     );
 }
+
+// A thousand hosts of which each might make 0.6 retries made none.
+#[test]
+fn hosts_whose_part_is_less_than_one_retry_use_most_of_the_budget_together() {
+    let options = RetryBudgetOptions {
+        allowance: 1_040.0,
+        ..OPTIONS
+    };
+    let lasting = Lives {
+        shortest: STEPS,
+        longest: STEPS,
+    };
+    let few = |_: usize| 7;
+
+    for seed in 0..3 {
+        let excess = play_with(options, seed, 986, lasting, few);
+        let in_series = play_with(options, seed, 986, MIXED, few);
+
+        assert!(
+            excess <= 0.0 && excess > -options.allowance / 2.0,
+            "{excess}"
+        );
+        assert!(in_series <= 0.0, "{in_series}");
+    }
+}
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -323,7 +323,7 @@
     ) -> T {
         let mut budgets = locked(&self.0.budgets);
         if !budgets.contains_key(service) {
-            let budget = SharedRetryBudget::new(self.settings().retries);
+            let budget = SharedRetryBudget::new(self.settings().retries, rand::random());
             budgets.insert(service.clone(), budget);
         }
         let budget = budgets
