--- /dev/null
+++ b/src/gateway/peers/tests/reading.rs
@@ -0,0 +1,173 @@
+//! Who reads the log, and who leaves it to others.
+
+use super::address;
+use super::datagram;
+use super::host;
+use super::peers;
+use super::zone;
+use crate::clock::Time;
+use crate::gateway::peers::Peers;
+use crate::gateway::protocol::Topic;
+use crate::id::DataCentre;
+use crate::id::HostId;
+
+fn is_reader_in(peers: &Peers, now: Time, index: usize, data_centre: &str) -> bool {
+    let data_centre = DataCentre::new(data_centre);
+    peers.is_reader(now, &host(index), &data_centre, Topic::Operator)
+}
+
+fn is_reader(peers: &Peers, now: Time, index: usize) -> bool {
+    is_reader_in(peers, now, index, zone(index))
+}
+
+#[test]
+fn the_first_host_of_a_data_centre_reads() {
+    let mut peers = Peers::new(address(0), DataCentre::new("north"), &[]);
+    for index in 1..20 {
+        peers.hear(Time::ZERO, address(index), &datagram(index, zone(index)));
+    }
+
+    assert!(is_reader(&peers, Time::ZERO, 0));
+    assert!(!is_reader(&super::peers(), Time::ZERO, 20));
+}
+
+#[test]
+fn a_reader_that_falls_silent_is_replaced() {
+    let mut peers = peers();
+    let later = Time::from_ms(1_200);
+    for index in 1..20 {
+        peers.hear(later, address(index), &datagram(index, zone(index)));
+    }
+
+    // Of the north, host 0 is silent and host 2 would be next.
+    assert!(!is_reader(&peers, later, 20));
+    assert!(is_reader_in(&peers, later, 1, "north"));
+}
+
+#[test]
+fn a_reader_whom_the_log_turns_away_is_replaced() {
+    let mut peers = peers();
+    let mut turned_away = datagram(0, "north");
+    turned_away.unreadable.operator = true;
+    peers.hear(Time::ZERO, address(0), &turned_away);
+
+    assert!(is_reader_in(&peers, Time::ZERO, 1, "north"));
+}
+
+#[test]
+fn one_host_reads_the_upstreams_for_all_data_centres() {
+    let mut peers = peers();
+    let south = DataCentre::new("south");
+    let reads = |peers: &Peers, now: Time| peers.is_reader(now, &host(1), &south, Topic::Upstreams);
+    // Host 1 is the first of the south, and host 0 reads in the north.
+    assert!(reads(&peers, Time::ZERO));
+    let mut reading = datagram(0, "north");
+    reading.reading.upstreams = true;
+    peers.hear(Time::ZERO, address(0), &reading);
+
+    assert!(!reads(&peers, Time::from_ms(999)));
+    assert!(peers.hears_reader(Time::from_ms(999), Topic::Upstreams));
+    assert!(is_reader_in(&peers, Time::from_ms(999), 1, "south"));
+    // Behind a cut it isn't heard any more.
+    assert!(reads(&peers, Time::from_ms(1_000)));
+}
+
+#[test]
+fn two_hosts_of_a_data_centre_look_out_for_a_log_that_is_away() {
+    let peers = peers();
+    let is_lookout =
+        |index: usize| peers.is_lookout(Time::ZERO, &host(index), &DataCentre::new(zone(index)));
+
+    let lookouts: Vec<usize> = (0..20).filter(|index| is_lookout(*index)).collect();
+
+    assert_eq!(lookouts, [0, 1, 2, 3]);
+}
+
+#[test]
+fn a_few_hosts_read_each_for_itself() {
+    let mut peers = Peers::new(address(20), DataCentre::new("north"), &[]);
+    for index in 0..8 {
+        peers.hear(Time::ZERO, address(index), &datagram(index, "north"));
+    }
+
+    assert!(is_reader(&peers, Time::ZERO, 20));
+}
+
+fn fleet_of(count: u16) -> Peers {
+    let mut peers = Peers::new(address(0), DataCentre::new("north"), &[]);
+    for index in 1..count {
+        let [high, low] = index.to_be_bytes();
+        let address = std::net::SocketAddr::from(([10, 1, high, low], 7200));
+        let mut datagram = datagram(usize::from(index), "north");
+        datagram.host = HostId::new(format!("host-{index:04}"));
+        datagram.reading.operator = index == 1;
+        peers.hear(Time::ZERO, address, &datagram);
+    }
+    peers
+}
+
+// At 295 hosts rounds came 1.18 s apart, and each host took the reader for silent after 1 s: 29,385 calls
+// to the log in a minute, nearly all of hosts that were no readers.
+#[test]
+fn a_reader_is_not_replaced_for_one_lost_datagram_whatever_the_size_of_the_fleet() {
+    let north = DataCentre::new("north");
+    for count in [13, 78, 295, 600] {
+        let peers = fleet_of(count);
+        let two_rounds = Time::ZERO + peers.reader_interval(Time::ZERO) * 2;
+        let last = HostId::new("host-9999");
+
+        assert!(peers.hears_reader(two_rounds, Topic::Operator), "{count}");
+        assert!(!peers.is_reader(two_rounds, &last, &north, Topic::Operator));
+    }
+}
+
+#[test]
+fn a_host_that_is_no_candidate_waits_longer_for_a_readers_word() {
+    let peers = fleet_of(78);
+    let silent = Time::from_ms(1_500);
+
+    assert!(!peers.hears_reader(silent, Topic::Operator));
+    assert!(peers.awaits_reader(silent, Topic::Operator));
+    assert!(!peers.awaits_reader(Time::from_ms(2_000), Topic::Operator));
+}
+
+// 295 hosts that started together made 7,492 calls to the log in 20 s: each followed it until it had heard
+// twelve others by itself.
+#[test]
+fn a_host_that_has_just_started_leaves_reading_to_a_fleet_that_one_other_hears() {
+    let mut peers = Peers::new(address(20), DataCentre::new("north"), &[]);
+    let mut seed = datagram(1, "north");
+    seed.hears = 200;
+    seed.reading.operator = true;
+    peers.hear(Time::ZERO, address(1), &seed);
+    let mut later = seed.clone();
+    later.hears = 3;
+
+    assert!(!is_reader_in(&peers, Time::ZERO, 20, "north"));
+    // After a cut those that are left count for themselves.
+    peers.hear(Time::ZERO, address(1), &later);
+    assert!(is_reader_in(&peers, Time::ZERO, 20, "north"));
+}
+
+// A reader that not all have heard goes on reading beside the one before it by name, and neither hears
+// of the other: hosts of a large fleet know a part of the other data centres only.
+#[test]
+fn in_a_large_fleet_neighbours_tell_each_other_who_reads_for_all() {
+    let mut peers = peers();
+    let mut reader = datagram(40, "south");
+    reader.reading.upstreams = true;
+    peers.hear(Time::ZERO, address(40), &reader);
+
+    let told = [0, 1, 2].map(|_| peers.some(Time::ZERO));
+
+    assert!(told.iter().all(|told| told.contains(&address(40))));
+    assert!(
+        told.iter()
+            .flatten()
+            .all(|host| *host == address(40) || is_in_north(*host))
+    );
+}
+
+fn is_in_north(host: std::net::SocketAddr) -> bool {
+    (0..20).step_by(2).map(address).any(|north| north == host)
+}
