Read what is spread along trees from the directory, without a datagram

Each batch of changes that a reader took had it build a whole datagram, with loads, suspects and hosts to tell of, to see whether the changes are many; the round that follows built it again. Parts had a root that was no host's until it was replaced. Now the changes, position and digest are read alone, and each part is built with its root. What is sent is the same.

--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -195,7 +195,7 @@
         targets.partition::<Vec<_>, _>(|target| peers.is_unheard(target))
     });
     let mut datagram = own_datagram(shared, now);
-    if spread::is_much(shared, &datagram) {
+    if spread::is_much(shared, &datagram.changes) {
         datagram.changes.clear();
     }
     if !is_small {
--- a/src/gateway/gossip/spread.rs
+++ b/src/gateway/gossip/spread.rs
@@ -6,20 +6,18 @@
 //! sends to more than a few. Of each other data centre two hosts are told, in turn, as one may be gone. Who
 //! misses something hears of the newer position with its neighbours' next datagrams, and asks them.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
 
-use super::own_datagram;
 use super::send;
 use crate::clock::Time;
-use crate::gateway::datagram::Datagram;
 use crate::gateway::datagram::PART_CHANGES;
 use crate::gateway::datagram::ToldChanges;
 use crate::gateway::directory::Change;
 use crate::gateway::directory::News;
 use crate::gateway::position::Position;
+use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
 
 /// Datagrams that a reader sends at once.
@@ -60,26 +58,39 @@
 
     /// Sends what changed since it last did, if it is more than this host tells all by itself. Whether it was.
     pub(super) async fn send_new(&mut self, shared: &Shared, socket: &UdpSocket) -> bool {
+        if !shared.is_reading(Topic::Upstreams) {
+            return false;
+        }
         let now = shared.now();
-        let mut datagram = own_datagram(shared, now);
-        if !is_much(shared, &datagram) {
+        let (position, digest, mut changes) = shared.directory(|directory| {
+            let changes = directory.recent(now);
+            (directory.position(), directory.digest(), changes)
+        });
+        if !is_much(shared, &changes) {
             return false;
         }
-        let told = std::mem::replace(&mut self.told, datagram.upstreams);
-        datagram.changes.retain(|change| change.position >= told);
-        self.leave_out_listed(now, &mut datagram.changes);
+        let told = std::mem::replace(&mut self.told, position);
+        changes.retain(|change| change.position >= told);
+        self.leave_out_listed(now, &mut changes);
         let roots = shared.peers(|peers| peers.relay_roots(now));
-        let own = shared.gossip_address();
-        for part in parts(&datagram) {
+        let chunks = changes.chunks(PART_CHANGES);
+        let count = chunks.len();
+        for (index, changes) in chunks.enumerate() {
             let near = ToldChanges {
-                root: own,
-                ..part.clone()
+                root: shared.gossip_address(),
+                hops_left: HOPS_MAX,
+                host: shared.settings().host.clone(),
+                log_era: shared.log_era(),
+                position,
+                digest,
+                changes: changes.to_vec(),
+                has_more_changes: index + 1 < count,
             };
             pass_on(shared, now, socket, &near).await;
             for root in &roots {
                 let far = ToldChanges {
                     root: *root,
-                    ..part.clone()
+                    ..near.clone()
                 };
                 send(socket, &far.encode(), &[*root]).await;
             }
@@ -88,28 +99,12 @@
     }
 }
 
-/// Whether what a datagram tells of changes is too much for one host to tell all others.
-pub(super) fn is_much(shared: &Shared, datagram: &Datagram) -> bool {
-    let parts = datagram.changes.len().div_ceil(PART_CHANGES);
+/// Whether changes are too many for one host to tell all others.
+pub(super) fn is_much(shared: &Shared, changes: &[Change]) -> bool {
+    let parts = changes.len().div_ceil(PART_CHANGES);
     parts * shared.hosts() > DIRECT_MAX
 }
 
-fn parts(datagram: &Datagram) -> Vec<ToldChanges> {
-    let chunks = datagram.changes.chunks(PART_CHANGES);
-    let count = chunks.len();
-    let part = |(index, changes): (usize, &[_])| ToldChanges {
-        root: SocketAddr::from(([0, 0, 0, 0], 0)),
-        hops_left: HOPS_MAX,
-        host: datagram.host.clone(),
-        log_era: datagram.log_era,
-        position: datagram.upstreams,
-        digest: datagram.upstreams_digest,
-        changes: changes.to_vec(),
-        has_more_changes: index + 1 < count,
-    };
-    chunks.enumerate().map(part).collect()
-}
-
 /// Sends changes to the hosts behind this one in the tree of its data centre.
 pub(super) async fn pass_on(shared: &Shared, now: Time, socket: &UdpSocket, told: &ToldChanges) {
     let Some(hops_left) = told.hops_left.checked_sub(1) else {
