List the other and the heard data centres in one place each

Three walks over the words of data centres picked those heard of late, and whether a host lacks others listed the other data centres beside the function that does. Both now call one. Behaviour is the same.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -288,9 +288,8 @@
 
     /// Whether this host knows few hosts of another data centre, or none of any.
     pub(crate) fn lacks_hosts(&self) -> bool {
-        let mut others = self.words.keys().filter(|it| **it != self.data_centre);
-        let knows_none = others.clone().next().is_none();
-        knows_none || others.any(|data_centre| !self.knows_enough_in(data_centre))
+        let others: Vec<&DataCentre> = self.other_data_centres().collect();
+        others.is_empty() || others.iter().any(|other| !self.knows_enough_in(other))
     }
 
     fn live_hosts(&self, now: Time) -> impl Iterator<Item = &Heard> {
@@ -338,12 +337,17 @@
         live.map(|heard| heard.host.clone()).collect()
     }
 
+    /// The data centres of which a host was heard of late.
+    fn heard_data_centres(&self, now: Time) -> impl Iterator<Item = &DataCentre> {
+        let words = self.words.iter();
+        let heard = words.filter(move |(_, word)| now.since(word.at) < LIVE_FOR);
+        heard.map(|(data_centre, _)| data_centre)
+    }
+
     /// Whether of all hosts `host`, this one, is the one to do something once that `what` names: the same data centre
     /// of those heard of late, and the same host of it, for all who hear the same.
     pub(crate) fn is_chosen(&self, now: Time, host: &HostId, what: &str) -> bool {
-        let words = self.words.iter();
-        let heard = words.filter(|(_, word)| now.since(word.at) < LIVE_FOR);
-        let data_centres = heard.map(|(data_centre, _)| data_centre.as_str());
+        let data_centres = self.heard_data_centres(now).map(DataCentre::as_str);
         let near = self.live_near(now);
         let hosts = near.iter().map(HostId::as_str);
         rendezvous::is_first(self.data_centre.as_str(), data_centres, what)
@@ -357,9 +361,7 @@
             let others = self.live_hosts(now).map(|heard| heard.host.as_str());
             return rendezvous::count_before(host.as_str(), others, what);
         }
-        let words = self.words.iter();
-        let heard = words.filter(|(_, word)| now.since(word.at) < LIVE_FOR);
-        let data_centres = heard.map(|(data_centre, _)| data_centre.as_str());
+        let data_centres = self.heard_data_centres(now).map(DataCentre::as_str);
         rendezvous::count_before(self.data_centre.as_str(), data_centres, what)
     }
 
--- a/src/gateway/peers/partners.rs
+++ b/src/gateway/peers/partners.rs
@@ -70,7 +70,7 @@
         there.filter(move |address| !is_stopping(address)).copied()
     }
 
-    fn other_data_centres(&self) -> impl Iterator<Item = &DataCentre> {
+    pub(super) fn other_data_centres(&self) -> impl Iterator<Item = &DataCentre> {
         let heard = self.words.keys();
         heard.filter(|other| **other != self.data_centre)
     }
@@ -90,11 +90,9 @@
 
     /// The other data centres of which a host was heard of late.
     pub(crate) fn live_data_centres(&self, now: Time) -> Vec<DataCentre> {
-        let words = self.words.iter();
-        let live = words.filter(|(_, word)| now.since(word.at) < super::LIVE_FOR);
-        live.map(|(data_centre, _)| data_centre.clone())
-            .filter(|data_centre| *data_centre != self.data_centre)
-            .collect()
+        let heard = self.heard_data_centres(now);
+        let others = heard.filter(|other| **other != self.data_centre);
+        others.cloned().collect()
     }
 
     /// All known hosts of other data centres.
