Build a datagram that tells nothing in one place

The product, the tests of peers and the fleet's bench each wrote out its 27 fields; a new field had to be entered in all. Datagram::of is the one that tells only whose it is, and they set what they tell. No test's value or assertion is changed.

--- a/benches/slopes/fleet.rs
+++ b/benches/slopes/fleet.rs
@@ -8,18 +8,15 @@
 use cedargauge::clock::Time;
 use cedargauge::gateway::datagram::Datagram;
 use cedargauge::gateway::datagram::ToldLoads;
-use cedargauge::gateway::datagram::ToldTrials;
 use cedargauge::gateway::datagram::Topics;
 use cedargauge::gateway::directory::Directory;
 use cedargauge::gateway::directory::Upstream;
 use cedargauge::gateway::directory::UpstreamState;
-use cedargauge::gateway::evacuations::ToldEvacuations;
 use cedargauge::gateway::instance::InstanceId;
 use cedargauge::gateway::loads::Load;
 use cedargauge::gateway::loads::Loads;
 use cedargauge::gateway::loads::Teller;
 use cedargauge::gateway::peers::Peers;
-use cedargauge::gateway::position::Era;
 use cedargauge::gateway::position::Position;
 use cedargauge::gateway::protocol::Topic;
 use cedargauge::id::DataCentre;
@@ -96,36 +93,15 @@
 
 fn datagram(index: usize) -> Datagram {
     Datagram {
-        host: HostId::new(format!("host-{index:04}")),
         config: 3,
-        log_era: Era::default(),
-        evacuations: ToldEvacuations::default(),
-        rollouts: Vec::new(),
-        evidence: ToldTrials::Nothing,
         upstreams: Position::from(10),
         peer_port: 8_000,
-        data_centre: place(index),
         reading: Topics {
             operator: index < DATA_CENTRES,
             upstreams: index == 0,
         },
-        unreadable: Topics::default(),
-        upstreams_digest: 0,
-        changes: Vec::new(),
-        has_more_changes: false,
         loads: ToldLoads::OfHost(Vec::new()),
-        moving: Vec::new(),
-        leaving: Vec::new(),
-        unreachable: Vec::new(),
-        suspects: Vec::new(),
-        hosts: Vec::new(),
-        introduced: Vec::new(),
-        lacks_hosts: false,
-        hears: 0,
-        hears_near: 0,
-        counted: 0,
-        stopping: false,
-        asks: false,
+        ..Datagram::of(HostId::new(format!("host-{index:04}")), place(index))
     }
 }
 
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -151,6 +151,39 @@
 }
 
 impl Datagram {
+    /// Tells only whose it is.
+    pub fn of(host: HostId, data_centre: DataCentre) -> Self {
+        Datagram {
+            host,
+            config: 0,
+            log_era: Era::default(),
+            evacuations: ToldEvacuations::default(),
+            rollouts: Vec::new(),
+            evidence: ToldTrials::Nothing,
+            upstreams: Position::default(),
+            peer_port: 0,
+            data_centre,
+            reading: Topics::default(),
+            unreadable: Topics::default(),
+            upstreams_digest: 0,
+            changes: Vec::new(),
+            has_more_changes: false,
+            loads: ToldLoads::Nothing,
+            moving: Vec::new(),
+            leaving: Vec::new(),
+            unreachable: Vec::new(),
+            suspects: Vec::new(),
+            hosts: Vec::new(),
+            introduced: Vec::new(),
+            lacks_hosts: false,
+            hears: 0,
+            hears_near: 0,
+            counted: 0,
+            stopping: false,
+            asks: false,
+        }
+    }
+
     /// The datagram with the last of its changes, and before it others with the rest: dozens of upstreams
     /// may leave in one moment, and a host that misses one change fetches the whole list.
     pub(crate) fn into_parts(mut self) -> Vec<Datagram> {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -30,7 +30,6 @@
 use crate::gateway::datagram::ToldTrials;
 use crate::gateway::datagram::encode;
 use crate::gateway::peers::Recipients;
-use crate::gateway::position::Position;
 use crate::gateway::shared::Shared;
 
 mod far;
@@ -229,33 +228,25 @@
 fn own_datagram(shared: &Shared, now: Time) -> Datagram {
     let settings = shared.settings();
     let mut datagram = Datagram {
-        host: settings.host.clone(),
-        data_centre: settings.data_centre.clone(),
         config: shared.config_version(),
         log_era: shared.log_era(),
         evacuations: shared.told_evacuations(),
         rollouts: shared.told_rollouts(),
         evidence: ToldTrials::OfHost(shared.evidences(|evidences| evidences.own(now))),
-        upstreams: Position::default(),
-        upstreams_digest: 0,
-        changes: Vec::new(),
-        has_more_changes: false,
         reading: shared.reading(),
         unreadable: shared.unreadable(),
         peer_port: settings.peer_address.port(),
         loads: ToldLoads::OfHost(shared.loads().with(|loads| loads.own())),
         moving: shared.turns().with(|turns| turns.own()),
-        leaving: Vec::new(),
         unreachable: shared.unreachable(),
         suspects: shared.suspects(|suspects| suspects.tell(now)),
         hosts: shared.peers(|peers| peers.some(now)),
-        introduced: Vec::new(),
         lacks_hosts: shared.peers(|peers| peers.lacks_hosts()),
         hears: told_count(shared.peers(|peers| peers.live(now))),
         hears_near: told_count(shared.peers(|peers| peers.count_near(now))),
         counted: told_count(shared.peers(|peers| peers.counted(now))),
         stopping: shared.gate().is_shutting_down(),
-        asks: false,
+        ..Datagram::of(settings.host.clone(), settings.data_centre.clone())
     };
     shared.directory(|directory| {
         datagram.upstreams = directory.position();
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -14,8 +14,6 @@
 use crate::clock::Time;
 use crate::gateway::datagram::Datagram;
 use crate::gateway::datagram::ToldLoads;
-use crate::gateway::datagram::ToldTrials;
-use crate::gateway::datagram::Topics;
 use crate::gateway::datagram::decode;
 use crate::gateway::datagram::encode;
 use crate::gateway::directory::Change;
@@ -23,10 +21,8 @@
 use crate::gateway::directory::Upstream;
 use crate::gateway::directory::UpstreamState;
 use crate::gateway::document::catchup::Holder;
-use crate::gateway::evacuations::ToldEvacuations;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::loads::Load;
-use crate::gateway::position::Era;
 use crate::gateway::position::Position;
 use crate::id::DataCentre;
 use crate::id::HostId;
@@ -44,33 +40,11 @@
 
 fn datagram(index: usize, data_centre: &str) -> Datagram {
     Datagram {
-        host: host(index),
         config: 3,
-        log_era: Era::default(),
-        evacuations: ToldEvacuations::default(),
-        rollouts: Vec::new(),
-        evidence: ToldTrials::Nothing,
         upstreams: 10.into(),
         peer_port: 8000,
-        data_centre: DataCentre::new(data_centre),
-        reading: Topics::default(),
-        unreadable: Topics::default(),
-        upstreams_digest: 0,
-        changes: Vec::new(),
-        has_more_changes: false,
         loads: ToldLoads::OfHost(Vec::new()),
-        moving: Vec::new(),
-        leaving: Vec::new(),
-        unreachable: Vec::new(),
-        suspects: Vec::new(),
-        hosts: Vec::new(),
-        introduced: Vec::new(),
-        lacks_hosts: false,
-        hears: 0,
-        hears_near: 0,
-        counted: 0,
-        stopping: false,
-        asks: false,
+        ..Datagram::of(host(index), DataCentre::new(data_centre))
     }
 }
 
