Log the request rates that upstreams name in their answers

The record of the incident can't tell whether hosts don't know a limit or know it and don't share it: no line or metric names a limit.

Requests go where they went before.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -62,3 +62,4 @@
 pub(crate) mod suspension;
 pub(crate) mod ticks;
 pub(crate) mod transferguard;
+pub(crate) mod upstreamlimits;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -83,6 +83,9 @@
         let reason = "an answer to another request".to_owned();
         return Err(SendError::Unknown(reason));
     }
+    if head.status.as_u16() != MISDIRECTED_REQUEST {
+        shared.record_limit(upstream, &head.headers);
+    }
     Ok(OpenResponse {
         connection,
         head,
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -308,6 +308,7 @@
         shared.expire_evacuations();
         shared.expire_cold_sends();
         shared.expire_reported_loads();
+        shared.expire_limits();
         shared.log_relayed_changes();
         shared.check_partition();
         shared.track_newer_version();
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -254,6 +254,10 @@
     /// Reads an upstream's load from the headers of a response, if they report it.
     fn reported_load(&self, headers: &HeaderMap) -> Option<ReportedLoad>;
 
+    /// Reads the request rate that an upstream takes from all hosts together, in requests a second, from the
+    /// headers of a response. Returns `None` if they name no limit.
+    fn request_limit(&self, headers: &HeaderMap) -> Option<f64>;
+
     /// Reads the size of the requested generation from the request headers, if they state it.
     fn generation_size(&self, headers: &HeaderMap) -> Option<GenerationSize>;
 
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -48,6 +48,7 @@
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::suspects::Suspects;
 use crate::gateway::suspension::SuspensionDetector;
+use crate::gateway::upstreamlimits::UpstreamLimits;
 use crate::id::ServiceId;
 
 mod activeconfig;
@@ -56,6 +57,7 @@
 mod cold;
 mod evacuations;
 mod health;
+mod limits;
 mod logera;
 mod logreads;
 mod remoteloads;
@@ -94,6 +96,7 @@
     reachability: Mutex<Reachability>,
     reported_loads: Mutex<ReportedLoads>,
     cold_budget: Mutex<ColdBudget>,
+    upstream_limits: Mutex<UpstreamLimits>,
     suspects: Mutex<Suspects>,
     evidence: Mutex<EvidenceStore>,
     suspension: Mutex<SuspensionDetector>,
@@ -150,6 +153,7 @@
             reachability: Mutex::default(),
             reported_loads: Mutex::default(),
             cold_budget: Mutex::default(),
+            upstream_limits: Mutex::default(),
             suspects: Mutex::default(),
             evidence: Mutex::default(),
             suspension: Mutex::default(),
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -143,6 +143,8 @@
         "Latest era of the platform's log that the host knows.",
     DataCentresEvacuated Gauge "cedargauge_evacuated_active" ""
         "Data centres whose upstreams get no new work because operators evacuated them.",
+    UpstreamsLimited Gauge "cedargauge_limited_upstreams_active" ""
+        "Upstreams whose answers name a limit on the request rate of all hosts together.",
     SuspectsHeldBack Gauge "cedargauge_held_back_active" ""
         "Contents of requests that are not sent because upstreams crashed under them.",
     SuspectsKnown Gauge "cedargauge_suspects_active" ""
@@ -404,6 +406,11 @@
     metrics::gauge!(Metric::DataCentresEvacuated.name()).set(data_centres as f64);
 }
 
+/// Sets how many upstreams name a limit on the request rate.
+pub fn set_upstreams_limited(upstreams: usize) {
+    metrics::gauge!(Metric::UpstreamsLimited.name()).set(upstreams as f64);
+}
+
 /// Sets how many contents of requests are held back, and how many are remembered as suspects.
 pub fn set_suspects(held_back: usize, known: usize) {
     metrics::gauge!(Metric::SuspectsHeldBack.name()).set(held_back as f64);
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -264,6 +264,10 @@
         None
     }
 
+    fn request_limit(&self, headers: &HeaderMap) -> Option<f64> {
+        headers.get("request-limit")?.to_str().ok()?.parse().ok()
+    }
+
     fn generation_size(&self, headers: &HeaderMap) -> Option<GenerationSize> {
         let tokens = headers.get("tokens")?.to_str().ok()?.parse().ok()?;
         Some(GenerationSize {
