Add a failing test for the request rate that an upstream names

Eight hosts before two upstreams, of which one names a limit of 3.4 requests a second: it got 6,267 requests in 4 s, 3 s after naming it (allowed: 25).

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -13,6 +13,7 @@
 mod rollouts;
 mod silentlog;
 mod suspendedhost;
+mod upstreamlimits;
 
 use std::time::Duration;
 use std::time::Instant;
--- a/tests/gatewayworld/upstream.rs
+++ b/tests/gatewayworld/upstream.rs
@@ -100,6 +100,8 @@
     leaving: bool,
     connections: usize,
     deadly: Option<Deadly>,
+    /// Requests a second that its answers name as its limit.
+    limit_per_s: Option<f64>,
     dead: bool,
     /// Its open connections, which end with it.
     streams: Vec<TcpStream>,
@@ -240,6 +242,17 @@
         self.with(|state| state.leaving = true);
     }
 
+    /// From now on its answers name this limit on the requests a second of all hosts, or none.
+    pub fn name_limit(&self, requests_per_s: Option<f64>) {
+        self.with(|state| state.limit_per_s = requests_per_s);
+    }
+
+    /// The header lines in which its answers tell its state.
+    fn state_headers(&self) -> String {
+        let limit = self.with(|state| state.limit_per_s);
+        limit.map_or(String::new(), |limit| format!("request-limit: {limit}\r\n"))
+    }
+
     fn serve(&self, mut stream: TcpStream) {
         let connection = self.with(|state| {
             state.connections += 1;
@@ -321,7 +334,10 @@
             }
             Behaviour::NotRun => write(
                 stream,
-                "HTTP/1.1 503 X\r\nnot-run: 1\r\ncontent-length: 0\r\n\r\n",
+                &format!(
+                    "HTTP/1.1 503 X\r\nnot-run: 1\r\n{}content-length: 0\r\n\r\n",
+                    self.state_headers()
+                ),
             ),
             Behaviour::OtherInstance => {
                 write(stream, "HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n")
@@ -370,8 +386,9 @@
         let id = header(head, "request-id").unwrap_or("");
         let length = text.len();
         format!(
-            "HTTP/1.1 {status} X\r\nrequest-id: {id}\r\nsignature: {}-{id}\r\ncontent-length: {length}\r\n\r\n{text}",
-            self.id
+            "HTTP/1.1 {status} X\r\nrequest-id: {id}\r\nsignature: {}-{id}\r\n{}content-length: {length}\r\n\r\n{text}",
+            self.id,
+            self.state_headers()
         )
     }
 
@@ -394,7 +411,10 @@
         let after = header(head, "last-event-id").and_then(|text| text.parse().ok());
         write(
             stream,
-            &format!("HTTP/1.1 200 X\r\nrequest-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n"),
+            &format!(
+                "HTTP/1.1 200 X\r\nrequest-id: {id}\r\n{}transfer-encoding: chunked\r\n\r\n",
+                self.state_headers()
+            ),
         );
         if break_after == Some(0) {
             return false;
