Keep the request rate that an upstream names, over all hosts together

Callers' requests overloaded an upstream that had asked for fewer: it named 3.9 requests a second and got 40 in 4 s.

Cause: no host knew of the limit. Placement went by load alone, and a host sends each upstream only about one request a second, so a limit that each host kept by itself would have been exceeded as well.

The hosts of the upstream's data centre share the limit, at most as many as it takes requests a second, each at its part of the rate with one request in advance. Hosts tell each other of limits and of their end, with the age of the answer, so that hosts that learn late, start or have no share go by them, too. Calls, streams, queued generations, second tries, destinations of moves and polls of engines all ask for room. Requests that no upstream takes are refused at once, with the time until the next may be sent.

The rule on who shares a rate was part of the limit for cold upstreams; both use it from one module now.

--- a/src/gateway/cold.rs
+++ b/src/gateway/cold.rs
@@ -4,11 +4,9 @@
 //! reports that are some hundred milliseconds old, and all send to it at once. An upstream that has just
 //! started crashes under such a load, with every request it was given.
 //!
-//! Hosts don't coordinate on the request path. Each knows the live hosts of its data centre and computes
-//! by rendezvous hashing which of them may send to a cold upstream: as many hosts as its allowed requests
-//! a second, one request each, or all hosts with equal quotas if there are fewer. Hosts of other data
-//! centres don't send until it is warm, so that a partition between data centres leaves one group of
-//! senders, not two. A host that has just started doesn't know its peers yet and sends nothing.
+//! As many hosts of its data centre send to a cold upstream as its allowed requests a second, one request
+//! each, or all hosts with equal quotas if there are fewer ([`Sender`]). Hosts of other data centres don't
+//! send until it is warm, so that a partition between data centres leaves one group of senders, not two.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -16,9 +14,8 @@
 
 use crate::clock::Time;
 use crate::gateway::instance::InstanceId;
-use crate::gateway::rendezvous;
+use crate::gateway::senders::Sender;
 use crate::id::DataCentre;
-use crate::id::HostId;
 
 /// Share of the tolerated rate that is divided among hosts. The rest covers hosts that wrongly count some
 /// of their peers as gone and so take a larger quota.
@@ -26,22 +23,6 @@
 /// Time over which a quota for one second is counted. The excess over a second allows for differences in
 /// network latency between hosts.
 const WINDOW: Duration = Duration::from_millis(1_100);
-/// Time after its start within which a host knows the other hosts of its data centre.
-const PEER_DISCOVERY_TIME: Duration = Duration::from_secs(2);
-
-/// The sending host and what it knows of its peers.
-#[derive(Debug, Clone, Copy)]
-pub struct Sender<'a> {
-    /// The host.
-    pub host: &'a HostId,
-    /// Its data centre.
-    pub data_centre: &'a DataCentre,
-    /// The other live hosts of its data centre.
-    pub peers: &'a [HostId],
-    /// Time since its start.
-    pub uptime: Duration,
-}
-
 /// A cold upstream.
 #[derive(Debug, Clone, Copy)]
 pub struct ColdUpstream<'a> {
@@ -55,18 +36,13 @@
 
 /// Requests that a host may send to a cold upstream in [`WINDOW`].
 pub fn quota(sender: &Sender<'_>, cold: &ColdUpstream<'_>) -> usize {
-    if sender.uptime < PEER_DISCOVERY_TIME || sender.data_centre != cold.data_centre {
+    if sender.data_centre != cold.data_centre {
         return 0;
     }
     // An upstream that tolerates a single request a second may still get that one.
     let allocated = ((cold.requests_per_s * ALLOCATED_SHARE) as usize).max(1);
-    let hosts = sender.peers.len() + 1;
-    if hosts <= allocated {
-        return allocated / hosts;
-    }
-    let others = sender.peers.iter().map(HostId::as_str);
-    let ahead = rendezvous::rank(sender.host.as_str(), others, cold.upstream.as_str());
-    usize::from(ahead < allocated)
+    let hosts = sender.count_sharing(cold.upstream, allocated);
+    hosts.map_or(0, |hosts| allocated / hosts)
 }
 
 /// Recent requests of this host to cold upstreams.
--- a/src/gateway/cold/tests.rs
+++ b/src/gateway/cold/tests.rs
@@ -6,11 +6,11 @@
 
 use super::ColdBudget;
 use super::ColdUpstream;
-use super::Sender;
 use super::WINDOW;
 use super::quota;
 use crate::clock::Time;
 use crate::gateway::instance::InstanceId;
+use crate::gateway::senders::Sender;
 use crate::id::DataCentre;
 use crate::id::HostId;
 use crate::id::UpstreamId;
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -22,6 +22,7 @@
 use crate::gateway::rollouts::AnnouncedRollout;
 use crate::gateway::rollouts::evidence::AnnouncedEvidence;
 use crate::gateway::suspects::AnnouncedSuspect;
+use crate::gateway::upstreamlimits::AnnouncedLimit;
 use crate::id::DataCentre;
 use crate::id::HostId;
 
@@ -31,7 +32,7 @@
 pub(crate) const PART_CHANGES_MAX: usize = 10;
 /// First byte of a datagram. Incremented whenever the fields change, so that hosts of different
 /// releases don't misinterpret each other's datagrams.
-const FORMAT: u8 = 11;
+const FORMAT: u8 = 12;
 /// First byte of a datagram with [`AnnouncedChanges`].
 const CHANGES_FORMAT: u8 = 0x80 | FORMAT;
 
@@ -131,6 +132,8 @@
     pub leaving: Vec<InstanceId>,
     /// Upstreams that the sender currently can't connect to.
     pub unreachable: Vec<InstanceId>,
+    /// Limits that upstreams name, or no longer name.
+    pub limits: Vec<AnnouncedLimit>,
     /// Requests during which upstreams crashed.
     pub suspects: Vec<AnnouncedSuspect>,
     /// Addresses of some other hosts.
@@ -174,6 +177,7 @@
             moving: Vec::new(),
             leaving: Vec::new(),
             unreachable: Vec::new(),
+            limits: Vec::new(),
             suspects: Vec::new(),
             hosts: Vec::new(),
             introduced: Vec::new(),
@@ -213,11 +217,12 @@
         }
     }
 
-    /// A copy without loads, evidence and host addresses.
+    /// A copy without loads, limits, evidence and host addresses.
     pub(crate) fn log_only(&self) -> Datagram {
         Datagram {
             evidence: AnnouncedTrials::Nothing,
             loads: AnnouncedLoads::Nothing,
+            limits: Vec::new(),
             hosts: Vec::new(),
             ..self.clone()
         }
@@ -270,7 +275,7 @@
         }
     }
 
-    /// A copy with the pending moves, without changes, loads, evidence, hosts and suspects.
+    /// A copy with the pending moves, without changes, loads, limits, evidence, hosts and suspects.
     pub(crate) fn moves_only(&self) -> Datagram {
         self.suspects_only(Vec::new())
     }
@@ -280,6 +285,7 @@
         Datagram {
             changes: Vec::new(),
             loads: AnnouncedLoads::Nothing,
+            limits: Vec::new(),
             evidence: AnnouncedTrials::Nothing,
             hosts: Vec::new(),
             suspects,
@@ -324,8 +330,8 @@
     }
 }
 
-/// Encodes a datagram. One that is too large loses its oldest changes, then its smallest loads, then
-/// suspects.
+/// Encodes a datagram. One that is too large loses its oldest changes, then its smallest loads, then the
+/// oldest limits, then suspects.
 pub fn encode(mut datagram: Datagram) -> Vec<u8> {
     if let Some(loads) = datagram.loads.entries_mut() {
         loads.sort_by_key(|(_, load)| std::cmp::Reverse(load.tokens));
@@ -361,6 +367,6 @@
             loads.truncate(loads.len() * 3 / 4);
             true
         }
-        Some(_) | None => datagram.suspects.pop().is_some(),
+        Some(_) | None => datagram.limits.pop().is_some() || datagram.suspects.pop().is_some(),
     }
 }
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -23,6 +23,7 @@
 use crate::clock::Time;
 use crate::gateway::evacuations::Evacuations;
 use crate::gateway::instance::InstanceId;
+use crate::gateway::instance::InstanceKey;
 use crate::gateway::position::Position;
 use crate::gateway::rollouts::Rollouts;
 use crate::id::ServiceId;
@@ -384,6 +385,12 @@
         upstream.filter(|upstream| upstream.id == *id)
     }
 
+    /// The listed upstream whose instance has this key.
+    pub(crate) fn find_by_key(&self, key: InstanceKey) -> Option<&Arc<Upstream>> {
+        let mut listed = self.entries.values().map(|entry| &entry.upstream);
+        listed.find(|upstream| upstream.id.key() == key)
+    }
+
     /// Number of listed upstreams.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/src/gateway/enginepoll.rs
+++ b/src/gateway/enginepoll.rs
@@ -54,6 +54,7 @@
         .filter(|upstream| configuration.engine(&upstream.service).is_some())
         .filter(|upstream| shared.loads().with(|loads| loads.at(&upstream.id)).requests > 0)
         .filter(|upstream| is_poller(&settings.host, &hosts, &upstream.id))
+        .filter(|upstream| shared.has_limit_room(now, upstream))
         .collect()
 }
 
@@ -64,6 +65,7 @@
 }
 
 async fn poll(shared: &Shared, engine: &Upstream) {
+    shared.record_poll(engine);
     let call = shared.protocol().report_request();
     let mut client = InternalClient::new(engine.address);
     match client.call(&call, POLL_TIMEOUT).await {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -69,6 +69,10 @@
 /// within this time that an evacuation has ended.
 const EVACUATED_RETRY_AFTER_MS: u64 = 1_000;
 
+/// Factor by which the retry delay of callers is spread while upstreams take no more requests. All would
+/// otherwise come back for the same next request that may be sent.
+const LIMITED_RETRY_SPREAD: f64 = 2.0;
+
 /// Unreachable upstreams from which another data centre counts as unreachable.
 const UNREACHABLE_UPSTREAMS_MIN: usize = 2;
 
@@ -191,6 +195,14 @@
             let refusal = Refusal::not_run(Code::NoUpstream, message);
             return refusal.retry_after_ms(EVACUATED_RETRY_AFTER_MS);
         }
+        if let Some(room) = shared.limited_service(&self.service) {
+            let message = format!("not run after {attempts} tries: its upstreams take no more now");
+            let refusal = Refusal::not_run(Code::Overloaded, message);
+            return match room {
+                Some(wait) => refusal.retry_after_ms(limited_retry_after_ms(wait, rand::random())),
+                None => refusal,
+            };
+        }
         let message = format!("not run after {attempts} tries: {reason}");
         Refusal::not_run(Code::NoUpstream, message)
     }
@@ -223,6 +235,12 @@
     placement::choose(need, candidates, shared.view(), rand::random::<f64>)
 }
 
+/// Retry delay in milliseconds of a caller while upstreams take no more requests for `wait`.
+fn limited_retry_after_ms(wait: Duration, draw: f64) -> u64 {
+    let wait = wait.mul_f64(1.0 + draw * (LIMITED_RETRY_SPREAD - 1.0));
+    u64::try_from(wait.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// The upstreams that a request may go to. If [`UNREACHABLE_UPSTREAMS_MIN`] of another data centre are
 /// unreachable, a partition is likelier than as many failures, so all its upstreams count as unhealthy.
 pub fn candidates(
@@ -235,14 +253,14 @@
     let track = admitted.track.get();
     let service = &admitted.service;
     let here = &shared.settings().data_centre;
-    let (mut ready, any_cold) = shared.directory(|directory| {
+    let any_limited = shared.has_limited_upstreams(now);
+    let mut ready = shared.directory(|directory| {
         let local = (set == CandidateSet::Subset).then_some(here);
         let ready = directory.ready_for(service, track, local);
-        let ready = match local {
+        match local {
             Some(_) => placement::subset(ready, &shared.settings().host),
             None => ready,
-        };
-        (ready, directory.has_cold(now))
+        }
     });
     if let Some(regions) = &admitted.regions {
         ready.retain(|upstream| is_in_regions(shared, &upstream.data_centre, regions));
@@ -252,7 +270,7 @@
     ready
         .into_iter()
         .filter(|upstream| !avoid.contains(&upstream.id))
-        .filter(|upstream| !any_cold || shared.may_send(now, upstream))
+        .filter(|upstream| !any_limited || shared.may_send(now, upstream))
         .map(|upstream| Candidate {
             load: loads.with(|loads| loads.at(&upstream.id)),
             reported: shared.reported_load(now, &upstream.id),
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -54,7 +54,6 @@
 mod activeconfig;
 mod catchup;
 mod changes;
-mod cold;
 mod evacuations;
 mod health;
 mod limits;
@@ -153,7 +152,7 @@
             reachability: Mutex::default(),
             reported_loads: Mutex::default(),
             cold_budget: Mutex::default(),
-            upstream_limits: Mutex::default(),
+            upstream_limits: Mutex::new(UpstreamLimits::new(rand::random())),
             suspects: Mutex::default(),
             evidence: Mutex::default(),
             suspension: Mutex::default(),
--- a/src/gateway/shared/limits.rs
+++ b/src/gateway/shared/limits.rs
@@ -1,14 +1,136 @@
-//! Request rates that upstreams take from all hosts together.
+//! Limits on the requests that this host sends to cold upstreams and to those that name a limit.
+
+use std::time::Duration;
 
 use http::HeaderMap;
 
 use super::Shared;
 use super::lock;
+use crate::clock::Time;
 use crate::event::EventCode;
+use crate::gateway::cold::ColdUpstream;
+use crate::gateway::directory::Upstream;
 use crate::gateway::instance::InstanceId;
+use crate::gateway::senders::Sender;
+use crate::gateway::upstreamlimits;
+use crate::gateway::upstreamlimits::AnnouncedLimit;
+use crate::gateway::upstreamlimits::LimitedUpstream;
+use crate::id::ServiceId;
 use crate::telemetry;
 
 impl Shared {
+    /// Whether this host may send one more request to an upstream now.
+    pub(crate) fn may_send(&self, now: Time, upstream: &Upstream) -> bool {
+        self.allows_cold(now, upstream) && self.has_limit_room(now, upstream)
+    }
+
+    /// Whether any upstream is limited, so that callers can skip [`Self::may_send`] otherwise.
+    pub(crate) fn has_limited_upstreams(&self, now: Time) -> bool {
+        self.directory(|directory| directory.has_cold(now))
+            || !lock(&self.0.upstream_limits).is_empty()
+    }
+
+    /// Records a request sent to an upstream.
+    pub(crate) fn record_send(&self, upstream: &Upstream) {
+        let now = self.now();
+        if self.directory(|directory| directory.is_cold(now, &upstream.id)) {
+            lock(&self.0.cold_budget).spend(now, &upstream.id);
+        }
+        self.record_poll(upstream);
+    }
+
+    /// Records a call to an upstream that counts for the limit that it names, and not as work for a cold one.
+    pub(crate) fn record_poll(&self, upstream: &Upstream) {
+        let now = self.now();
+        if let Some(host_per_s) = self.limit_share(now, upstream) {
+            lock(&self.0.upstream_limits).spend(now, upstream.id.key(), host_per_s);
+        }
+    }
+
+    /// Forgets requests to cold upstreams that are outside the limit's time window.
+    pub(crate) fn expire_cold_sends(&self) {
+        let now = self.now();
+        lock(&self.0.cold_budget).prune(now);
+    }
+
+    /// Whether an upstream isn't cold or tolerates one more request of this host.
+    fn allows_cold(&self, now: Time, upstream: &Upstream) -> bool {
+        if !self.directory(|directory| directory.is_cold(now, &upstream.id)) {
+            return true;
+        }
+        let Some(requests_per_s) = self
+            .configuration()
+            .and_then(|configuration| configuration.cold_requests_per_s(&upstream.service))
+        else {
+            return true;
+        };
+        let cold = ColdUpstream {
+            upstream: &upstream.id,
+            data_centre: &upstream.data_centre,
+            requests_per_s,
+        };
+        self.with_sender(now, |sender| {
+            lock(&self.0.cold_budget).allows(now, sender, &cold)
+        })
+    }
+
+    /// Whether an upstream names no limit or this host's share of it has room.
+    pub(crate) fn has_limit_room(&self, now: Time, upstream: &Upstream) -> bool {
+        match self.limit_share(now, upstream) {
+            None => true,
+            Some(_) => self.limit_wait(now, upstream) == Some(Duration::ZERO),
+        }
+    }
+
+    /// This host's share in the limit that an upstream names, in requests a second.
+    fn limit_share(&self, now: Time, upstream: &Upstream) -> Option<f64> {
+        let requests_per_s = lock(&self.0.upstream_limits).get(upstream.id.key())?;
+        let limited = LimitedUpstream {
+            id: &upstream.id,
+            data_centre: &upstream.data_centre,
+            requests_per_s,
+        };
+        let live = self.peers(|peers| peers.live_data_centres(now));
+        let share = |sender: &Sender<'_>| upstreamlimits::host_rate(sender, &live, &limited);
+        Some(self.with_sender(now, share))
+    }
+
+    /// Time until this host's share of an upstream's limit has room; `None` if it has no share, or the
+    /// upstream names no limit.
+    fn limit_wait(&self, now: Time, upstream: &Upstream) -> Option<Duration> {
+        let host_per_s = self.limit_share(now, upstream)?;
+        lock(&self.0.upstream_limits).wait(now, upstream.id.key(), host_per_s)
+    }
+
+    fn with_sender<T>(&self, now: Time, use_sender: impl FnOnce(&Sender<'_>) -> T) -> T {
+        let settings = self.settings();
+        let peers = self.peers(|peers| peers.live_local(now));
+        use_sender(&Sender {
+            host: &settings.host,
+            data_centre: &settings.data_centre,
+            peers: &peers,
+            uptime: Duration::from_micros(now.as_us()),
+        })
+    }
+
+    /// Whether upstreams of a service get no request of this host because of the limits that they name, and
+    /// the shortest time until one of them may, if one may.
+    pub(crate) fn limited_service(&self, service: &ServiceId) -> Option<Option<Duration>> {
+        let now = self.now();
+        if lock(&self.0.upstream_limits).is_empty() {
+            return None;
+        }
+        let ready = self.directory(|directory| directory.ready(service));
+        let limited: Vec<_> = ready
+            .iter()
+            .filter(|upstream| !self.has_limit_room(now, upstream))
+            .collect();
+        let waits = limited
+            .iter()
+            .filter_map(|upstream| self.limit_wait(now, upstream));
+        (!limited.is_empty()).then(|| waits.min())
+    }
+
     /// Records the limit that an upstream names in the headers of an answer, or that it names none.
     pub(crate) fn record_limit(&self, upstream: &InstanceId, headers: &HeaderMap) {
         let requests_per_s = self.protocol().request_limit(headers);
@@ -23,14 +145,44 @@
                 .with_some("limit_per_s", requests_per_s)
                 .with("source", "answer")
                 .write();
+            self.announce_now();
         }
     }
 
+    /// Applies the limits that another host announces.
+    pub(crate) fn receive_limits(&self, host: &str, announced: &[AnnouncedLimit]) {
+        let now = self.now();
+        for announced in announced {
+            let change = lock(&self.0.upstream_limits).receive(now, announced);
+            let Some(change) = change else {
+                continue;
+            };
+            let upstream =
+                self.directory(|directory| directory.find_by_key(announced.upstream).cloned());
+            let entry = self.log().entry(EventCode::UpstreamLimited);
+            entry
+                .with_some(
+                    "upstream",
+                    upstream.as_ref().map(|upstream| upstream.id.as_str()),
+                )
+                .with("change", change.name())
+                .with_some("limit_per_s", announced.requests_per_s)
+                .with("source", host)
+                .with("age_ms", announced.age_ms)
+                .write();
+        }
+    }
+
+    /// The limits to announce to other hosts.
+    pub(crate) fn announced_limits(&self, now: Time) -> Vec<AnnouncedLimit> {
+        lock(&self.0.upstream_limits).announce(now)
+    }
+
     /// Forgets limits that upstreams have not named for long, and publishes how many are known.
     pub(crate) fn expire_limits(&self) {
         let now = self.now();
         let mut limits = lock(&self.0.upstream_limits);
         limits.expire(now);
-        telemetry::set_upstreams_limited(limits.len());
+        telemetry::set_upstreams_limited(limits.count());
     }
 }
--- a/src/gateway/upstreamlimits.rs
+++ b/src/gateway/upstreamlimits.rs
@@ -1,15 +1,54 @@
 //! Request rates that overloaded upstreams name in their answers, for all hosts together.
+//!
+//! As many hosts of the upstream's data centre share its limit as it takes requests a second, or all of
+//! them if there are fewer ([`Sender`]); the other hosts send elsewhere. A host sends at its share of the
+//! rate with at most one request in advance, so together the hosts exceed the limit by at most one second's
+//! requests, in any time span. If no host of the upstream's data centre is live, those of one other data
+//! centre take their place.
+//!
+//! Hosts tell each other of limits: one that hasn't had an answer yet would send at its full rate, and one
+//! that may not send would never learn that a limit has ended.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::clock::Time;
+use crate::gateway::instance::InstanceId;
 use crate::gateway::instance::InstanceKey;
+use crate::gateway::rendezvous;
+use crate::gateway::senders::Sender;
+use crate::id::DataCentre;
+
+/// Shortest time after its last mention for which a limit is believed to hold.
+const LIMIT_TTL_MIN: Duration = Duration::from_secs(10);
+/// Longest time for which it is believed to hold. Each host draws its own, so that the first one that tries
+/// the upstream again tells the others whether the limit has ended.
+const LIMIT_TTL_MAX: Duration = Duration::from_secs(20);
+/// Time for which a mention is announced, and for which the end of a limit is remembered.
+const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(4);
+/// Limits in one datagram.
+const ANNOUNCED_MAX: usize = 16;
+/// A limit counts as ended by the word of another host only if it was last named this long before: ages of
+/// announcements don't include the time that they travel or wait to be read.
+const LIFT_MARGIN: Duration = Duration::from_secs(1);
 
-/// Time after its last mention for which a limit is believed to hold.
-const LIMIT_TTL: Duration = Duration::from_secs(10);
+/// The last mention of an upstream's limit, or of its end, as hosts announce it to each other.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct AnnouncedLimit {
+    /// The upstream.
+    pub upstream: InstanceKey,
+    /// Requests a second that it takes from all hosts together; `None` if it no longer names a limit.
+    pub requests_per_s: Option<f64>,
+    /// Time since the answer that told so, in milliseconds.
+    pub age_ms: u32,
+    /// Whether the answer went to another host than the sender.
+    pub is_relayed: bool,
+}
 
-/// How an answer changes the known limit of its upstream.
+/// How an observation changes what is believed of an upstream's limit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LimitChange {
     /// The upstream names a limit and named none before.
@@ -29,22 +68,117 @@
             LimitChange::Lifted => "lifted",
         }
     }
+
+    fn between(before: Option<f64>, after: Option<f64>) -> Option<Self> {
+        match (before, after) {
+            (None, Some(_)) => Some(LimitChange::Named),
+            (Some(_), None) => Some(LimitChange::Lifted),
+            (Some(before), Some(after)) if before != after => Some(LimitChange::Changed),
+            (Some(_), Some(_)) | (None, None) => None,
+        }
+    }
 }
 
-/// The last mention of a limit.
+/// From where a host knows of a limit. Only the first two are announced: with each step the age becomes
+/// less exact.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// An answer to a request of this host.
+    Answer,
+    /// The host that got the answer.
+    Peer,
+    /// A host that was told by that host.
+    Relay,
+}
+
+/// The last mention of a limit or of its end.
 #[derive(Debug, Clone, Copy)]
 struct Observation {
     at: Time,
-    requests_per_s: f64,
+    requests_per_s: Option<f64>,
+    source: Source,
+}
+
+/// Requests sent in advance of a rate.
+#[derive(Debug, Clone, Copy)]
+struct Advance {
+    at: Time,
+    requests: f64,
+}
+
+impl Advance {
+    fn after(self, now: Time, requests_per_s: f64) -> Self {
+        let earned = now.since(self.at).as_secs_f64() * requests_per_s;
+        Advance {
+            at: now,
+            requests: (self.requests - earned).max(0.0),
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    last: Observation,
+    advance: Advance,
+}
+
+/// An upstream whose limit is shared.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LimitedUpstream<'a> {
+    /// The upstream.
+    pub(crate) id: &'a InstanceId,
+    /// Its data centre.
+    pub(crate) data_centre: &'a DataCentre,
+    /// Requests a second that it takes from all hosts together.
+    pub(crate) requests_per_s: f64,
+}
+
+/// The share of `sender` in the limit of an upstream, in requests a second. `live_data_centres` are those of
+/// which hosts are heard.
+pub(crate) fn host_rate(
+    sender: &Sender<'_>,
+    live_data_centres: &[DataCentre],
+    upstream: &LimitedUpstream<'_>,
+) -> f64 {
+    if !is_sending_data_centre(sender.data_centre, live_data_centres, upstream) {
+        return 0.0;
+    }
+    let hosts_max = (upstream.requests_per_s as usize).max(1);
+    let hosts = sender.count_sharing(upstream.id, hosts_max);
+    hosts.map_or(0.0, |hosts| upstream.requests_per_s / hosts as f64)
+}
+
+/// Whether the hosts of data centre `own` share the limit: it is the upstream's, or no host of the upstream's
+/// is live and `own` ranks first among the others.
+fn is_sending_data_centre(
+    own: &DataCentre,
+    live: &[DataCentre],
+    upstream: &LimitedUpstream<'_>,
+) -> bool {
+    if own == upstream.data_centre {
+        return true;
+    }
+    let others = live.iter().map(DataCentre::as_str);
+    !live.contains(upstream.data_centre)
+        && rendezvous::is_first(own.as_str(), others, upstream.id.as_str())
 }
 
-/// The limits of all upstreams that name one.
-#[derive(Debug, Default)]
+/// The limits of all upstreams that name one, and the use that this host makes of its shares.
+#[derive(Debug)]
 pub(crate) struct UpstreamLimits {
-    latest: HashMap<InstanceKey, Observation>,
+    entries: HashMap<InstanceKey, Entry>,
+    ttl: Duration,
 }
 
 impl UpstreamLimits {
+    /// Knows no limits yet. `draw` is a random number from 0 to 1.
+    pub(crate) fn new(draw: f64) -> Self {
+        UpstreamLimits {
+            entries: HashMap::new(),
+            ttl: LIMIT_TTL_MIN + (LIMIT_TTL_MAX - LIMIT_TTL_MIN).mul_f64(draw),
+        }
+    }
+
     /// Records the limit that an answer names, if any. Returns the change, if it is one.
     pub(crate) fn record_answer(
         &mut self,
@@ -52,29 +186,136 @@
         upstream: InstanceKey,
         requests_per_s: Option<f64>,
     ) -> Option<LimitChange> {
-        let Some(requests_per_s) = requests_per_s else {
-            return self.latest.remove(&upstream).map(|_| LimitChange::Lifted);
-        };
         let observation = Observation {
             at: now,
             requests_per_s,
+            source: Source::Answer,
+        };
+        self.apply(upstream, observation)
+    }
+
+    /// Applies what another host announces, unless this host knows something newer.
+    pub(crate) fn receive(&mut self, now: Time, announced: &AnnouncedLimit) -> Option<LimitChange> {
+        let age = Duration::from_millis(announced.age_ms.into());
+        let age_us = u64::from(announced.age_ms) * 1_000;
+        let observation = Observation {
+            at: Time::from_us(now.as_us().saturating_sub(age_us)),
+            requests_per_s: announced.requests_per_s,
+            source: match announced.is_relayed {
+                false => Source::Peer,
+                true => Source::Relay,
+            },
+        };
+        let known = self
+            .entries
+            .get(&announced.upstream)
+            .map(|entry| entry.last);
+        let is_newer = match (known, announced.requests_per_s) {
+            (None, _) => true,
+            (Some(known), Some(_)) => observation.at > known.at,
+            (Some(known), None) => observation.at.since(known.at) > LIFT_MARGIN,
         };
-        match self.latest.insert(upstream, observation) {
-            None => Some(LimitChange::Named),
-            Some(before) => {
-                (before.requests_per_s != requests_per_s).then_some(LimitChange::Changed)
+        match is_newer && age < self.ttl {
+            true => self.apply(announced.upstream, observation),
+            false => None,
+        }
+    }
+
+    fn apply(&mut self, upstream: InstanceKey, observation: Observation) -> Option<LimitChange> {
+        match self.entries.get_mut(&upstream) {
+            Some(entry) => {
+                let before = std::mem::replace(&mut entry.last, observation);
+                LimitChange::between(before.requests_per_s, observation.requests_per_s)
+            }
+            None => {
+                observation.requests_per_s?;
+                let entry = Entry {
+                    last: observation,
+                    advance: Advance {
+                        at: observation.at,
+                        requests: 0.0,
+                    },
+                };
+                self.entries.insert(upstream, entry);
+                Some(LimitChange::Named)
             }
         }
     }
 
+    /// The newest mentions, for other hosts.
+    pub(crate) fn announce(&self, now: Time) -> Vec<AnnouncedLimit> {
+        let entries = self.entries.iter();
+        let mut recent: Vec<(&InstanceKey, &Observation)> = entries
+            .map(|(upstream, entry)| (upstream, &entry.last))
+            .filter(|(_, last)| last.source != Source::Relay)
+            .filter(|(_, last)| now.since(last.at) < ANNOUNCEMENT_TTL)
+            .collect();
+        recent.sort_by_key(|(upstream, last)| (std::cmp::Reverse(last.at), **upstream));
+        recent.truncate(ANNOUNCED_MAX);
+        let announced = recent.into_iter().map(|(upstream, last)| AnnouncedLimit {
+            upstream: *upstream,
+            requests_per_s: last.requests_per_s,
+            age_ms: u32::try_from(now.since(last.at).as_millis()).unwrap_or(u32::MAX),
+            is_relayed: last.source != Source::Answer,
+        });
+        announced.collect()
+    }
+
+    /// Requests a second that an upstream takes from all hosts together, if it names a limit.
+    pub(crate) fn get(&self, upstream: InstanceKey) -> Option<f64> {
+        self.entries.get(&upstream)?.last.requests_per_s
+    }
+
+    /// Time until this host may send to a limited upstream at a rate of `host_per_s`; zero if it may now, and
+    /// `None` if it has no share.
+    pub(crate) fn wait(
+        &self,
+        now: Time,
+        upstream: InstanceKey,
+        host_per_s: f64,
+    ) -> Option<Duration> {
+        if host_per_s <= 0.0 {
+            return None;
+        }
+        let entry = self.entries.get(&upstream);
+        let advance = entry.map(|entry| entry.advance.after(now, host_per_s));
+        let seconds = advance.map_or(0.0, |advance| advance.requests / host_per_s);
+        Some(Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX))
+    }
+
+    /// Counts a request sent to a limited upstream by a host with a share of `host_per_s`.
+    pub(crate) fn spend(&mut self, now: Time, upstream: InstanceKey, host_per_s: f64) {
+        if let Some(entry) = self.entries.get_mut(&upstream) {
+            entry.advance = entry.advance.after(now, host_per_s);
+            entry.advance.requests += 1.0;
+        }
+    }
+
     /// Number of upstreams that name a limit.
-    pub(crate) fn len(&self) -> usize {
-        self.latest.len()
+    pub(crate) fn count(&self) -> usize {
+        let limits = self.entries.values();
+        limits
+            .filter(|entry| entry.last.requests_per_s.is_some())
+            .count()
     }
 
-    /// Removes limits that were not mentioned for [`LIMIT_TTL`].
+    /// Whether no upstream names a limit, so that callers can skip the look-ups.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Forgets limits that were not mentioned for long, and those that ended some time ago.
     pub(crate) fn expire(&mut self, now: Time) {
-        self.latest
-            .retain(|_, limit| now.since(limit.at) < LIMIT_TTL);
+        let ttl = self.ttl;
+        self.entries.retain(|_, entry| {
+            let ttl = match entry.last.requests_per_s {
+                Some(_) => ttl,
+                None => ANNOUNCEMENT_TTL,
+            };
+            now.since(entry.last.at) < ttl
+        });
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/upstreamlimits/mod.rs
+++ b/tests/upstreamlimits/mod.rs
@@ -5,6 +5,7 @@
 
 use serde_json::json;
 
+use crate::gatewayworld::Answer;
 use crate::gatewayworld::Behaviour;
 use crate::gatewayworld::FakeUpstream;
 use crate::gatewayworld::World;
@@ -19,6 +20,10 @@
 const LIMIT_PER_S: f64 = 3.4;
 /// Time after the limit was first named from which the hosts together have to keep it.
 const LEARNING_TIME: Duration = Duration::from_secs(3);
+/// A refusal takes no longer than this.
+const REFUSED_WITHIN: Duration = Duration::from_millis(500);
+/// Time between two requests to a host.
+const ROUND_INTERVAL: Duration = Duration::from_millis(100);
 /// Span over which requests are counted, and share and number by which they may exceed the limit.
 const WINDOW: Duration = Duration::from_secs(4);
 const EXCESS_SHARE: f64 = 1.5;
@@ -45,18 +50,28 @@
     FakeUpstream::start(id, &[Behaviour::Answer(200, "sound")])
 }
 
-/// Sends requests to all hosts in turn for `time` and returns the statuses of the answers.
+fn ask_one(host: &World) -> Answer {
+    ask(host.callers(), &post("/nets/7", "", "tighten"))
+}
+
+/// Sends requests to all hosts in turn for `time`, many times as many as the limit, and returns the statuses
+/// of the answers.
 fn ask_all(hosts: &[World], time: Duration) -> Vec<u16> {
-    let ends = Instant::now() + time;
+    let started = Instant::now();
     let mut statuses = Vec::new();
-    while Instant::now() < ends {
-        for host in hosts {
-            statuses.push(ask(host.callers(), &post("/nets/7", "", "tighten")).status);
-        }
+    while started.elapsed() < time {
+        let round_ends = Instant::now() + ROUND_INTERVAL;
+        statuses.extend(hosts.iter().map(|host| ask_one(host).status));
+        std::thread::sleep(round_ends.saturating_duration_since(Instant::now()));
     }
     statuses
 }
 
+fn not_served(statuses: &[u16]) -> Vec<u16> {
+    let failed = statuses.iter().copied().filter(|status| *status != 200);
+    failed.collect()
+}
+
 /// The most requests that reached an upstream within a [`WINDOW`], from `start` on.
 fn most_in_window(upstream: &FakeUpstream, start: Instant) -> usize {
     let arrivals: Vec<Instant> = upstream.seen().iter().map(|seen| seen.at).collect();
@@ -84,5 +99,116 @@
         (1..=allowed_in_window(LIMIT_PER_S)).contains(&most),
         "{most}"
     );
-    assert!(statuses.iter().all(|status| *status == 200));
+    assert_eq!(not_served(&statuses), Vec::<u16>::new());
+}
+
+// Guards against an overload: streams are placed by another path than calls.
+#[test]
+fn streams_keep_the_rate_that_an_upstream_names() {
+    let events = [crate::events(3)];
+    let limited = FakeUpstream::start("up-limited", &events);
+    let other = FakeUpstream::start("up-other", &events);
+    let hosts = start_fleet("stream", &[&limited, &other]);
+    limited.name_limit(Some(LIMIT_PER_S));
+    let named_at = Instant::now();
+
+    let statuses = ask_all(&hosts, LEARNING_TIME + WINDOW);
+
+    let most = most_in_window(&limited, named_at + LEARNING_TIME);
+    assert!(
+        (1..=allowed_in_window(LIMIT_PER_S)).contains(&most),
+        "{most}"
+    );
+    assert_eq!(not_served(&statuses), Vec::<u16>::new());
+}
+
+// Guards against an overload: generations wait for engine memory and are placed by their queue.
+#[test]
+fn generations_keep_the_rate_that_an_engine_names() {
+    let (world, engines) = crate::engines(&[crate::events(3), crate::events(3)]);
+    let hosts = [world];
+    engines[0].name_limit(Some(LIMIT_PER_S));
+    let named_at = Instant::now();
+
+    let statuses = ask_all(&hosts, LEARNING_TIME + WINDOW);
+
+    let most = most_in_window(&engines[0], named_at + LEARNING_TIME);
+    assert!(
+        (1..=allowed_in_window(LIMIT_PER_S)).contains(&most),
+        "{most}"
+    );
+    assert_eq!(not_served(&statuses), Vec::<u16>::new());
+}
+
+// Guards against an overload: second tries go to the upstreams that are left.
+#[test]
+fn second_tries_keep_the_rate_that_an_upstream_names() {
+    let limited = start_upstream("up-limited");
+    let failing = FakeUpstream::start("up-failing", &[Behaviour::Answer(500, "failed")]);
+    let hosts = start_fleet("idempotent", &[&limited, &failing]);
+    limited.name_limit(Some(LIMIT_PER_S));
+    let named_at = Instant::now();
+
+    ask_all(&hosts, LEARNING_TIME + WINDOW);
+
+    let most = most_in_window(&limited, named_at + LEARNING_TIME);
+    assert!(most <= allowed_in_window(LIMIT_PER_S), "{most}");
+}
+
+// Guards against an overload: a process that starts knows neither the limit nor who shares it.
+#[test]
+fn hosts_that_start_keep_the_rate_that_an_upstream_names() {
+    let limited = start_upstream("up-limited");
+    let other = start_upstream("up-other");
+    let mut hosts = start_fleet("idempotent", &[&limited, &other]);
+    limited.name_limit(Some(LIMIT_PER_S));
+    ask_all(&hosts, LEARNING_TIME);
+    let known_at = Instant::now();
+
+    for _ in 0..3 {
+        let late = World::join(&hosts[0]);
+        assert!(wait_until(|| late.is_ready()));
+        hosts.push(late);
+        ask_all(&hosts, WINDOW / 2);
+    }
+
+    let most = most_in_window(&limited, known_at);
+    assert!(
+        (1..=allowed_in_window(LIMIT_PER_S)).contains(&most),
+        "{most}"
+    );
+}
+
+#[test]
+fn requests_beyond_the_only_upstreams_limit_are_refused_at_once() {
+    let limited = start_upstream("up-limited");
+    limited.name_limit(Some(LIMIT_PER_S));
+    let hosts = start_fleet("once", &[&limited]);
+    assert!(wait_until(|| ask_one(&hosts[0]).status == 503));
+
+    let asked_at = Instant::now();
+    let answer = ask_one(&hosts[0]);
+
+    assert!(asked_at.elapsed() < REFUSED_WITHIN);
+    assert_eq!(answer.status, 503);
+    assert_eq!(crate::code(&answer), "overloaded");
+    assert_eq!(crate::ran(&answer), "no");
+    assert!(answer.header("retry-after").is_some());
+}
+
+// Hosts without a share get no answers of the upstream, and would never send to it again.
+#[test]
+fn an_upstream_that_no_longer_names_a_limit_is_used_by_all_hosts() {
+    let limited = start_upstream("up-limited");
+    let hosts = start_fleet("idempotent", &[&limited]);
+    limited.name_limit(Some(LIMIT_PER_S));
+    ask_all(&hosts, LEARNING_TIME);
+    limited.name_limit(None);
+
+    let all_served = || {
+        let statuses: Vec<u16> = hosts.iter().map(|host| ask_one(host).status).collect();
+        statuses == [200; HOSTS]
+    };
+
+    assert!(wait_until(all_served));
 }
