End a named limit only by an answer well after its last mention

Answers overtake each other, and an upstream may not name its limit in all kinds of answers: one that lacks it right after one that names it lifted the limit at once, and all hosts sent what they had. It now ends with an answer that lacks it a second or more after the last mention, for the word of other hosts and for a host's own answers alike.

--- a/src/gateway/upstreamlimits.rs
+++ b/src/gateway/upstreamlimits.rs
@@ -31,8 +31,8 @@
 const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(4);
 /// Limits in one datagram.
 const ANNOUNCED_MAX: usize = 16;
-/// A limit counts as ended by the word of another host only if it was last named this long before: ages of
-/// announcements don't include the time that they travel or wait to be read.
+/// A limit ends with an answer that doesn't name it, given at least this long after the last one that did.
+/// Answers overtake each other, and ages of announcements don't include the time that they travel.
 const LIFT_MARGIN: Duration = Duration::from_secs(1);
 
 /// The last mention of an upstream's limit, or of its end, as hosts announce it to each other.
@@ -206,26 +206,27 @@
                 true => Source::Relay,
             },
         };
-        let known = self
-            .entries
-            .get(&announced.upstream)
-            .map(|entry| entry.last);
-        let is_newer = match (known, announced.requests_per_s) {
-            (None, _) => true,
-            (Some(known), Some(_)) => observation.at > known.at,
-            (Some(known), None) => observation.at.since(known.at) > LIFT_MARGIN,
-        };
+        let known = self.entries.get(&announced.upstream);
+        let is_newer = known.is_none_or(|known| observation.at > known.last.at);
         match is_newer && age < self.ttl {
             true => self.apply(announced.upstream, observation),
             false => None,
         }
     }
 
+    /// Applies an observation that isn't older than the last one.
     fn apply(&mut self, upstream: InstanceKey, observation: Observation) -> Option<LimitChange> {
         match self.entries.get_mut(&upstream) {
             Some(entry) => {
-                let before = std::mem::replace(&mut entry.last, observation);
-                LimitChange::between(before.requests_per_s, observation.requests_per_s)
+                let before = entry.last;
+                let change =
+                    LimitChange::between(before.requests_per_s, observation.requests_per_s);
+                let is_recent = observation.at.since(before.at) < LIFT_MARGIN;
+                if change == Some(LimitChange::Lifted) && is_recent {
+                    return None;
+                }
+                entry.last = observation;
+                change
             }
             None => {
                 observation.requests_per_s?;
--- a/src/gateway/upstreamlimits/tests.rs
+++ b/src/gateway/upstreamlimits/tests.rs
@@ -144,8 +144,8 @@
 // Guards against an overload: hosts that start, end and hear of each other late use a share that others use, too.
 #[test]
 fn hosts_that_come_and_go_stay_within_the_limit() {
-    for count in [2, 8, 60, 300] {
-        for seed in 0..4 {
+    for (count, seeds) in [(2, 8), (8, 8), (60, 4), (300, 1)] {
+        for seed in 0..seeds {
             let most = Fleet::new(count, seed).most_in_window();
 
             let allowed = LIMIT_PER_S * WINDOW.as_secs_f64() * EXCESS_SHARE + EXCESS_REQUESTS;
@@ -274,9 +274,12 @@
 #[test]
 fn answers_name_change_and_lift_a_limit() {
     let mut limits = UpstreamLimits::new(0.0);
-    let mut record = |limit| limits.record_answer(seconds(60), key(), limit);
+    let answers = [None, Some(2.0), Some(2.0), Some(3.0), None, None];
 
-    let changes = [None, Some(2.0), Some(2.0), Some(3.0), None, None].map(&mut record);
+    let changes: Vec<Option<LimitChange>> = (60..)
+        .zip(answers)
+        .map(|(at, limit)| limits.record_answer(seconds(at), key(), limit))
+        .collect();
 
     let expected = [
         None,
@@ -290,6 +293,16 @@
     assert_eq!(limits.get(key()), None);
 }
 
+#[test]
+fn an_answer_that_was_overtaken_does_not_lift_a_limit() {
+    let mut limits = named(seconds(60));
+
+    let change = limits.record_answer(Time::from_ms(60_900), key(), None);
+
+    assert_eq!(change, None);
+    assert_eq!(limits.get(key()), Some(LIMIT_PER_S));
+}
+
 #[test]
 fn a_host_takes_over_limits_that_others_were_told() {
     let teller = named(seconds(60));
