--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -7,6 +7,7 @@
 mod gatewayworld;
 mod instances;
 mod largedocuments;
+mod leavinganswers;
 mod logreturns;
 mod regions;
 mod retrybudget;
--- a/tests/gatewayworld/upstream.rs
+++ b/tests/gatewayworld/upstream.rs
@@ -249,8 +249,10 @@
 
     /// The header lines in which its answers tell its state.
     fn state_headers(&self) -> String {
-        let limit = self.with(|state| state.limit_per_s);
-        limit.map_or(String::new(), |limit| format!("request-limit: {limit}\r\n"))
+        let (limit, leaving) = self.with(|state| (state.limit_per_s, state.leaving));
+        let limit = limit.map_or(String::new(), |limit| format!("request-limit: {limit}\r\n"));
+        let leaving = if leaving { "leaving: 1\r\n" } else { "" };
+        limit + leaving
     }
 
     fn serve(&self, mut stream: TcpStream) {
