Stop announcing departed upstreams, and keep when a departure was first seen

Hosts told each other of each upstream that they had observed leaving, and each mention renewed it: it never expired while two hosts ran. Datagrams grew with every departure that was witnessed, and the time from which moves are due was moved forward four times a second. Only upstreams whose address had answered as another, or whose report told it while the log was away, were concerned; once answers count, all that leave would be.

The first observation's time is kept. An observation is announced for ten seconds and as long as the upstream is listed as ready, and forgotten two minutes after it, not before the listing ends.

Both new unit tests fail with the renewal and the unbounded announcement put back: [1, 1] hosts still announce an upstream 250 s after its removal.

--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -50,6 +50,10 @@
 /// How long removals are kept, so that a peer's older list does not restore a removed upstream.
 const REMOVAL_TTL: Duration = Duration::from_secs(120);
 
+/// How long an observation that an instance leaves is announced once it is no longer listed as ready. It is
+/// shorter than [`REMOVAL_TTL`], as hosts would otherwise announce it to each other for ever.
+const LEAVING_ANNOUNCEMENT_TTL: Duration = Duration::from_secs(10);
+
 /// Maximum age of the copy from which the log is restored; the platform documents "some seconds". An
 /// upstream that was removed longer ago and is listed again has listed itself.
 const COPY_AGE_MAX: Duration = Duration::from_secs(30);
@@ -327,7 +331,13 @@
             .collect();
         let recent = |at: Time| now.since(at) < REMOVAL_TTL;
         self.removed.retain(|_, removal| recent(removal.at));
-        self.observed_leaving.retain(|_, at| recent(*at));
+        let entries = &self.entries;
+        let is_listed = |id: &InstanceId| {
+            let entry = entries.get(id.upstream());
+            entry.is_some_and(|entry| entry.upstream.id == *id)
+        };
+        self.observed_leaving
+            .retain(|id, at| recent(*at) || is_listed(id));
         self.cold_until.retain(|_, until| *until > now);
         let dropped = gone.iter();
         dropped
@@ -338,12 +348,24 @@
     /// Records that an answer or a peer showed the instance to be leaving or gone. Returns whether this was
     /// not known before.
     pub fn observe_leaving(&mut self, now: Time, id: &InstanceId) -> bool {
-        self.observed_leaving.insert(id.clone(), now).is_none()
+        let is_new = !self.observed_leaving.contains_key(id);
+        if is_new {
+            self.observed_leaving.insert(id.clone(), now);
+        }
+        is_new
     }
 
-    /// Instances that were observed leaving, regardless of what the log lists.
-    pub fn observed_leaving(&self) -> impl Iterator<Item = &InstanceId> {
-        self.observed_leaving.keys()
+    /// Instances that were observed leaving and that other hosts may still send to: recently observed ones,
+    /// and those that are still listed as ready.
+    pub fn announced_leaving(&self, now: Time) -> impl Iterator<Item = &InstanceId> {
+        let observed = self.observed_leaving.iter();
+        let announced = observed.filter(move |(id, at)| {
+            let is_ready = self
+                .get(id)
+                .is_some_and(|upstream| upstream.state == UpstreamState::Ready);
+            now.since(**at) < LEAVING_ANNOUNCEMENT_TTL || is_ready
+        });
+        announced.map(|(id, _)| id)
     }
 
     /// When an instance became known to be leaving or gone. `None` while it takes new work, and once a later
--- a/src/gateway/directory/tests.rs
+++ b/src/gateway/directory/tests.rs
@@ -167,6 +167,54 @@
     assert!(directory.leaving_since(&instance("a")).is_some());
 }
 
+#[test]
+fn an_observed_departure_keeps_the_time_of_its_first_observation() {
+    let mut directory = directory_of(&["a"]);
+    directory.observe_leaving(Time::from_ms(3), &instance("a"));
+
+    directory.observe_leaving(Time::from_ms(900), &instance("a"));
+
+    assert_eq!(
+        directory.leaving_since(&instance("a")),
+        Some(Time::from_ms(3))
+    );
+}
+
+// Two hosts told each other of every departure for ever, and their datagrams grew with each.
+#[test]
+fn hosts_stop_telling_each_other_of_a_departure_once_the_log_lists_it() {
+    let mut hosts = [directory_of(&["a"]), directory_of(&["a"])];
+    hosts[0].observe_leaving(Time::ZERO, &instance("a"));
+    let mut ms = 0;
+    let mut run = |hosts: &mut [Directory; 2], rounds: u64| {
+        for _ in 0..rounds {
+            ms += 250;
+            let now = Time::from_ms(ms);
+            for (from, to) in [(0, 1), (1, 0)] {
+                let told: Vec<InstanceId> = hosts[from].announced_leaving(now).cloned().collect();
+                for id in &told {
+                    hosts[to].observe_leaving(now, id);
+                }
+                hosts[to].expire(now);
+            }
+        }
+        let now = Time::from_ms(ms);
+        hosts
+            .each_ref()
+            .map(|host| host.announced_leaving(now).count())
+    };
+
+    let while_listed = run(&mut hosts, 1_000);
+    for host in &mut hosts {
+        host.apply(Time::from_ms(250_000), &UpstreamId::new("a"), None, 4);
+    }
+    let after_removal = run(&mut hosts, 1_000);
+
+    assert_eq!(while_listed, [1, 1]);
+    assert_eq!(after_removal, [0, 0]);
+    assert!(hosts.iter().all(|host| host.observed_leaving.is_empty()));
+}
+
 #[test]
 fn later_records_keep_the_time_of_the_leaving_notice() {
     let mut directory = directory_of(&["a"]);
--- a/src/gateway/directory/tests/eras.rs
+++ b/src/gateway/directory/tests/eras.rs
@@ -67,7 +67,7 @@
     directory.replace(Time::from_ms(1_100), copy, second(3));
 
     assert_eq!(ready_ids(&directory), ["c"]);
-    assert_eq!(directory.observed_leaving().count(), 2);
+    assert_eq!(directory.announced_leaving(Time::from_ms(1_100)).count(), 2);
 }
 
 #[test]
