Send no new work to an upstream that says in its answers that it leaves

Callers' requests went to an upstream for 12 s after its answers had said that it leaves, while the log was away and couldn't take its notice: only the log's record and an answer of another instance at the address counted.

The adapter decodes the header; each answer that carries it, of a call or a stream, is an observation as good as these two: no new work, runs are moved off, other hosts are told. Answers of another instance or to another request don't count.

--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -70,8 +70,8 @@
     newest_record: Position,
     entries: Listing,
     removed: BTreeMap<UpstreamId, Removal>,
-    /// Instances whose address answered with another id, or that refused a request because they are
-    /// leaving, with the time of the observation.
+    /// Instances whose address answered with another id, or whose answers or reports said that they leave, with
+    /// the time of the first observation.
     observed_leaving: BTreeMap<InstanceId, Time>,
     /// Keys whose newest record does not describe an upstream, with the position of that record.
     foreign: BTreeMap<UpstreamId, Position>,
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -85,6 +85,9 @@
     }
     if head.status.as_u16() != MISDIRECTED_REQUEST {
         shared.record_limit(upstream, &head.headers);
+        if shared.protocol().says_leaving(&head.headers) {
+            shared.observe_leaving(upstream, "its answer");
+        }
     }
     Ok(OpenResponse {
         connection,
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -258,6 +258,9 @@
     /// headers of a response. Returns `None` if they name no limit.
     fn request_limit(&self, headers: &HeaderMap) -> Option<f64>;
 
+    /// Whether the headers of a response say that the upstream is leaving.
+    fn says_leaving(&self, headers: &HeaderMap) -> bool;
+
     /// Reads the size of the requested generation from the request headers, if they state it.
     fn generation_size(&self, headers: &HeaderMap) -> Option<GenerationSize>;
 
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -264,6 +264,10 @@
         None
     }
 
+    fn says_leaving(&self, headers: &HeaderMap) -> bool {
+        headers.contains_key("leaving")
+    }
+
     fn request_limit(&self, headers: &HeaderMap) -> Option<f64> {
         headers.get("request-limit")?.to_str().ok()?.parse().ok()
     }
--- a/tests/gatewayworld/upstream.rs
+++ b/tests/gatewayworld/upstream.rs
@@ -237,6 +237,11 @@
         self.with(|state| state.stopped.clone())
     }
 
+    /// From now on it does this with each request.
+    pub fn behave_as(&self, behaviour: Behaviour) {
+        self.with(|state| state.behaviours = VecDeque::from([behaviour]));
+    }
+
     /// From now on it says of itself that it is leaving.
     pub fn leave(&self) {
         self.with(|state| state.leaving = true);
--- a/tests/leavinganswers/mod.rs
+++ b/tests/leavinganswers/mod.rs
@@ -7,6 +7,7 @@
 
 use crate::gatewayworld::Answer;
 use crate::gatewayworld::Behaviour;
+use crate::gatewayworld::Caller;
 use crate::gatewayworld::FakeUpstream;
 use crate::gatewayworld::World;
 use crate::gatewayworld::ask;
@@ -71,3 +72,70 @@
         assert_eq!(requests_to(&leaving, &hosts), 0, "{kind}");
     }
 }
+
+// Guards against lost requests: streams are sent by another path than calls.
+#[test]
+fn an_upstream_whose_answers_say_that_it_leaves_gets_no_new_streams() {
+    let (hosts, [leaving, _]) = start("stream", 1, crate::events(3));
+    wait_told(&hosts[0], &leaving);
+    let told_at = Instant::now();
+
+    assert!(wait_until(|| told_at.elapsed() > DRAIN_BOUND));
+
+    assert_eq!(requests_to(&leaving, &hosts), 0);
+}
+
+// Guards against lost requests: a host that gets no answer of the upstream learns of it from the others.
+#[test]
+fn other_hosts_are_told_that_an_upstream_leaves() {
+    let (mut hosts, [leaving, _]) = start("idempotent", 3, Behaviour::Answer(200, "sound"));
+    wait_told(&hosts[0], &leaving);
+    let late = World::join(&hosts[0]);
+    assert!(wait_until(|| late.is_ready()));
+    hosts.push(late);
+    let told_at = Instant::now();
+
+    assert!(wait_until(|| told_at.elapsed() > DRAIN_BOUND));
+
+    assert_eq!(requests_to(&leaving, &hosts), 0);
+}
+
+// Guards against lost requests: the log lists the upstream as ready until it takes the notice.
+#[test]
+fn a_listing_as_ready_does_not_take_back_what_answers_say() {
+    let (hosts, [leaving, _]) = start("idempotent", 1, Behaviour::Answer(200, "sound"));
+    wait_told(&hosts[0], &leaving);
+
+    let told_at = Instant::now();
+    hosts[0].list(&leaving, "ready");
+    assert!(wait_until(|| told_at.elapsed() > DRAIN_BOUND));
+
+    assert_eq!(requests_to(&leaving, &hosts), 0);
+}
+
+#[test]
+fn runs_of_an_engine_that_says_in_an_answer_that_it_leaves_are_moved() {
+    let held = Behaviour::Events {
+        to: 8,
+        break_after: None,
+        hold_after: Some(4),
+    };
+    let (world, engines) = crate::engines(&[held]);
+    let mut caller = Caller::connect(world.callers());
+    caller.send(crate::post("/nets/7", "tokens: 400\r\n", ""));
+    assert!(caller.read_until("id: 4\n"));
+    let other = FakeUpstream::of("reports", "engine-other", &[crate::events(8)]);
+
+    engines[0].behave_as(Behaviour::NotRun);
+    engines[0].leave();
+    world.list(&other, "ready");
+    let is_told = || {
+        ask_one(&world);
+        engines[0].seen().len() > 1
+    };
+    assert!(wait_until(is_told));
+    let answer = caller.read();
+
+    assert!(answer.whole);
+    assert_eq!(engines[0].stopped().len(), 1);
+}
