Add a failing test for upstreams that ask a host for rest

An upstream that turned a request away with a Retry-After of 3 s got another one between 0.5 s later and the end of that time; none is wanted.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -15,6 +15,7 @@
 mod silentlog;
 mod suspendedhost;
 mod upstreamlimits;
+mod upstreamrest;
 
 use std::time::Duration;
 use std::time::Instant;
--- a/tests/gatewayworld/upstream.rs
+++ b/tests/gatewayworld/upstream.rs
@@ -27,6 +27,8 @@
     AnswerOfAnother(&'static str),
     /// Says that it did not run the request.
     NotRun,
+    /// The same, and asks for this many seconds without requests.
+    NotRunFor(&'static str),
     /// Another instance listens here.
     OtherInstance,
     /// Reads the request and closes.
@@ -339,13 +341,10 @@
                 let other = format!("X / HTTP/1.1\r\nrequest-id: other-{id}\r\n");
                 self.answer(stream, &other, 200, text)
             }
-            Behaviour::NotRun => write(
-                stream,
-                &format!(
-                    "HTTP/1.1 503 X\r\nnot-run: 1\r\n{}content-length: 0\r\n\r\n",
-                    self.state_headers()
-                ),
-            ),
+            Behaviour::NotRun => self.turn_away(stream, ""),
+            Behaviour::NotRunFor(seconds) => {
+                self.turn_away(stream, &format!("retry-after: {seconds}\r\n"))
+            }
             Behaviour::OtherInstance => {
                 write(stream, "HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n")
             }
@@ -385,6 +384,12 @@
         }
     }
 
+    fn turn_away(&self, stream: &TcpStream, headers: &str) -> bool {
+        let state = self.state_headers();
+        let head = "HTTP/1.1 503 X\r\nnot-run: 1\r\ncontent-length: 0\r\n";
+        write(stream, &format!("{head}{headers}{state}\r\n"))
+    }
+
     fn answer(&self, stream: &TcpStream, head: &str, status: u16, text: &str) -> bool {
         write(stream, &self.answer_text(head, status, text))
     }
