Send nothing to an upstream while it rests from this host

Repeats piled up at an upstream that had turned a host away and asked it for 3 s without requests: it got two within a tenth of a second and a third from the trial of its ejection. The time stood in a header of the refusal that no host read; a refusal was a failure like any other.

The adapter decodes the time, of refusals with 503 alone. Until it is over the upstream is no candidate for calls, streams, second tries, moves and polls of this host, and a run that was being copied there goes on at its source. Hosts don't tell each other: an upstream asks each by itself. With no other upstream requests are refused at once, with the time that is left, one second at most, since other hosts may be allowed sooner. What is held back by a limit or a rest is one question now (Hold).

Without the check before a continuation its test fails: the engine gets two requests.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -49,6 +49,7 @@
 pub mod relayedchanges;
 pub(crate) mod rendezvous;
 pub mod reportedloads;
+pub(crate) mod rests;
 pub mod retrybudget;
 pub mod rollouts;
 pub(crate) mod rolloutstatus;
--- a/src/gateway/enginepoll.rs
+++ b/src/gateway/enginepoll.rs
@@ -54,7 +54,7 @@
         .filter(|upstream| configuration.engine(&upstream.service).is_some())
         .filter(|upstream| shared.loads().with(|loads| loads.at(&upstream.id)).requests > 0)
         .filter(|upstream| is_poller(&settings.host, &hosts, &upstream.id))
-        .filter(|upstream| shared.has_limit_room(now, upstream))
+        .filter(|upstream| shared.hold(now, upstream).is_none())
         .collect()
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -76,19 +76,13 @@
     };
     let (head, body) = response.into_parts();
     if head.status.as_u16() != MISDIRECTED_REQUEST {
-        shared.record_reported_load(upstream, &head.headers);
+        shared.record_answer(upstream, &head);
         shared.record_alive(sent_at, upstream);
     }
     if !is_response_to(shared, admitted, &head.headers) {
         let reason = "an answer to another request".to_owned();
         return Err(SendError::Unknown(reason));
     }
-    if head.status.as_u16() != MISDIRECTED_REQUEST {
-        shared.record_limit(upstream, &head.headers);
-        if shared.protocol().says_leaving(&head.headers) {
-            shared.observe_leaving(upstream, "its answer");
-        }
-    }
     Ok(OpenResponse {
         connection,
         head,
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -9,6 +9,7 @@
 use http::HeaderName;
 use http::HeaderValue;
 use http::Method;
+use http::StatusCode;
 
 use crate::error::Result;
 use crate::gateway::configuration::Configuration;
@@ -258,6 +259,9 @@
     /// headers of a response. Returns `None` if they name no limit.
     fn request_limit(&self, headers: &HeaderMap) -> Option<f64>;
 
+    /// Reads for how long an upstream that turns a request away wants no other one from this host.
+    fn requested_rest(&self, status: StatusCode, headers: &HeaderMap) -> Option<Duration>;
+
     /// Whether the headers of a response say that the upstream is leaving.
     fn says_leaving(&self, headers: &HeaderMap) -> bool;
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -47,6 +47,7 @@
 use crate::gateway::rollouts::Track;
 use crate::gateway::route::Route;
 use crate::gateway::route::RouteKind;
+use crate::gateway::shared::Hold;
 use crate::gateway::shared::Shared;
 use crate::gateway::stream;
 use crate::id::CustomerId;
@@ -71,7 +72,10 @@
 
 /// Factor by which the retry delay of callers is spread while upstreams take no more requests. All would
 /// otherwise come back for the same next request that may be sent.
-const LIMITED_RETRY_SPREAD: f64 = 2.0;
+const HOLD_RETRY_SPREAD: f64 = 2.0;
+/// Longest retry delay while upstreams take no more requests, before it is spread: the load balancer sends the
+/// retry to another host, which may be allowed to send sooner.
+const HOLD_RETRY_AFTER_MAX: Duration = Duration::from_secs(1);
 
 /// Unreachable upstreams from which another data centre counts as unreachable.
 const UNREACHABLE_UPSTREAMS_MIN: usize = 2;
@@ -195,12 +199,14 @@
             let refusal = Refusal::not_run(Code::NoUpstream, message);
             return refusal.retry_after_ms(EVACUATED_RETRY_AFTER_MS);
         }
-        if let Some(room) = shared.limited_service(&self.service) {
+        if let Some(hold) = shared.service_hold(&self.service) {
             let message = format!("not run after {attempts} tries: its upstreams take no more now");
             let refusal = Refusal::not_run(Code::Overloaded, message);
-            return match room {
-                Some(wait) => refusal.retry_after_ms(limited_retry_after_ms(wait, rand::random())),
-                None => refusal,
+            return match hold {
+                Hold::For(time) => {
+                    refusal.retry_after_ms(hold_retry_after_ms(time, rand::random()))
+                }
+                Hold::NoShare => refusal,
             };
         }
         let message = format!("not run after {attempts} tries: {reason}");
@@ -235,10 +241,11 @@
     placement::choose(need, candidates, shared.view(), rand::random::<f64>)
 }
 
-/// Retry delay in milliseconds of a caller while upstreams take no more requests for `wait`.
-fn limited_retry_after_ms(wait: Duration, draw: f64) -> u64 {
-    let wait = wait.mul_f64(1.0 + draw * (LIMITED_RETRY_SPREAD - 1.0));
-    u64::try_from(wait.as_millis()).unwrap_or(u64::MAX)
+/// Retry delay in milliseconds of a caller while upstreams take no request of this host for `hold`.
+fn hold_retry_after_ms(hold: Duration, draw: f64) -> u64 {
+    let delay = hold.min(HOLD_RETRY_AFTER_MAX);
+    let delay = delay.mul_f64(1.0 + draw * (HOLD_RETRY_SPREAD - 1.0));
+    u64::try_from(delay.as_millis()).unwrap_or(u64::MAX)
 }
 
 /// The upstreams that a request may go to. If [`UNREACHABLE_UPSTREAMS_MIN`] of another data centre are
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -43,6 +43,7 @@
 use crate::gateway::reachability::Reachability;
 use crate::gateway::relayedchanges::RelayedChanges;
 use crate::gateway::reportedloads::ReportedLoads;
+use crate::gateway::rests::Rests;
 use crate::gateway::retrybudget::SharedRetryBudget;
 use crate::gateway::rollouts::evidence::EvidenceStore;
 use crate::gateway::settings::GatewaySettings;
@@ -66,6 +67,7 @@
 
 pub use self::activeconfig::ActiveConfig;
 pub(crate) use self::changes::ChangeSource;
+pub(crate) use self::limits::Hold;
 pub(crate) use self::logera::StaleAnswer;
 pub(crate) use self::rollouts::Freshness;
 pub(crate) use self::rollouts::OpenRollout;
@@ -96,6 +98,7 @@
     reported_loads: Mutex<ReportedLoads>,
     cold_budget: Mutex<ColdBudget>,
     upstream_limits: Mutex<UpstreamLimits>,
+    rests: Mutex<Rests>,
     suspects: Mutex<Suspects>,
     evidence: Mutex<EvidenceStore>,
     suspension: Mutex<SuspensionDetector>,
@@ -153,6 +156,7 @@
             reported_loads: Mutex::default(),
             cold_budget: Mutex::default(),
             upstream_limits: Mutex::new(UpstreamLimits::new(rand::random())),
+            rests: Mutex::default(),
             suspects: Mutex::default(),
             evidence: Mutex::default(),
             suspension: Mutex::default(),
--- a/src/gateway/shared/limits.rs
+++ b/src/gateway/shared/limits.rs
@@ -1,8 +1,10 @@
-//! Limits on the requests that this host sends to cold upstreams and to those that name a limit.
+//! Limits on the requests that this host sends to cold upstreams, to those that name a limit and to those that
+//! asked for rest.
 
 use std::time::Duration;
 
 use http::HeaderMap;
+use http::response::Parts;
 
 use super::Shared;
 use super::lock;
@@ -18,16 +20,28 @@
 use crate::id::ServiceId;
 use crate::telemetry;
 
+/// Why an upstream that is ready gets no request of this host for now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Hold {
+    /// It may get the next one after this time.
+    For(Duration),
+    /// Other hosts share the limit that it names.
+    NoShare,
+}
+
 impl Shared {
     /// Whether this host may send one more request to an upstream now.
     pub(crate) fn may_send(&self, now: Time, upstream: &Upstream) -> bool {
-        self.allows_cold(now, upstream) && self.has_limit_room(now, upstream)
+        self.allows_cold(now, upstream) && self.hold(now, upstream).is_none()
     }
 
     /// Whether any upstream is limited, so that callers can skip [`Self::may_send`] otherwise.
     pub(crate) fn has_limited_upstreams(&self, now: Time) -> bool {
-        self.directory(|directory| directory.has_cold(now))
-            || !lock(&self.0.upstream_limits).is_empty()
+        self.directory(|directory| directory.has_cold(now)) || self.has_holds()
+    }
+
+    fn has_holds(&self) -> bool {
+        !lock(&self.0.upstream_limits).is_empty() || !lock(&self.0.rests).is_empty()
     }
 
     /// Records a request sent to an upstream.
@@ -74,11 +88,59 @@
         })
     }
 
-    /// Whether an upstream names no limit or this host's share of it has room.
-    pub(crate) fn has_limit_room(&self, now: Time, upstream: &Upstream) -> bool {
-        match self.limit_share(now, upstream) {
-            None => true,
-            Some(_) => self.limit_wait(now, upstream) == Some(Duration::ZERO),
+    /// Whether an upstream gets no request of this host for now: it asked for rest, or this host's share of the
+    /// limit that it names has no room.
+    pub(crate) fn hold(&self, now: Time, upstream: &Upstream) -> Option<Hold> {
+        let rest = lock(&self.0.rests).remaining(now, &upstream.id);
+        let Some(host_per_s) = self.limit_share(now, upstream) else {
+            return rest.map(Hold::For);
+        };
+        let limits = lock(&self.0.upstream_limits);
+        let Some(wait) = limits.wait(now, upstream.id.key(), host_per_s) else {
+            return Some(Hold::NoShare);
+        };
+        let wait = Some(wait).filter(|wait| !wait.is_zero());
+        rest.max(wait).map(Hold::For)
+    }
+
+    /// The shortest hold of a ready upstream of a service, if any is held.
+    pub(crate) fn service_hold(&self, service: &ServiceId) -> Option<Hold> {
+        if !self.has_holds() {
+            return None;
+        }
+        let now = self.now();
+        let ready = self.directory(|directory| directory.ready(service));
+        let holds = ready.iter().filter_map(|upstream| self.hold(now, upstream));
+        holds.min()
+    }
+
+    /// Whether an upstream asked this host for rest.
+    pub(crate) fn is_resting(&self, upstream: &InstanceId) -> bool {
+        let now = self.now();
+        lock(&self.0.rests).remaining(now, upstream).is_some()
+    }
+
+    /// Records what an answer of an upstream says of the upstream itself.
+    pub(crate) fn record_answer(&self, upstream: &InstanceId, head: &Parts) {
+        self.record_reported_load(upstream, &head.headers);
+        self.record_limit(upstream, &head.headers);
+        if self.protocol().says_leaving(&head.headers) {
+            self.observe_leaving(upstream, "its answer");
+        }
+        if let Some(rest) = self.protocol().requested_rest(head.status, &head.headers) {
+            self.record_rest(upstream, rest);
+        }
+    }
+
+    /// Records that an upstream asked this host for a time without requests.
+    fn record_rest(&self, upstream: &InstanceId, rest: Duration) {
+        let now = self.now();
+        if lock(&self.0.rests).record(now, upstream, rest) {
+            let entry = self.log().entry(EventCode::UpstreamRests);
+            entry
+                .with("upstream", upstream.as_str())
+                .with("rest_ms", rest.as_millis() as u64)
+                .write();
         }
     }
 
@@ -95,13 +157,6 @@
         Some(self.with_sender(now, share))
     }
 
-    /// Time until this host's share of an upstream's limit has room; `None` if it has no share, or the
-    /// upstream names no limit.
-    fn limit_wait(&self, now: Time, upstream: &Upstream) -> Option<Duration> {
-        let host_per_s = self.limit_share(now, upstream)?;
-        lock(&self.0.upstream_limits).wait(now, upstream.id.key(), host_per_s)
-    }
-
     fn with_sender<T>(&self, now: Time, use_sender: impl FnOnce(&Sender<'_>) -> T) -> T {
         let settings = self.settings();
         let peers = self.peers(|peers| peers.live_local(now));
@@ -113,26 +168,8 @@
         })
     }
 
-    /// Whether upstreams of a service get no request of this host because of the limits that they name, and
-    /// the shortest time until one of them may, if one may.
-    pub(crate) fn limited_service(&self, service: &ServiceId) -> Option<Option<Duration>> {
-        let now = self.now();
-        if lock(&self.0.upstream_limits).is_empty() {
-            return None;
-        }
-        let ready = self.directory(|directory| directory.ready(service));
-        let limited: Vec<_> = ready
-            .iter()
-            .filter(|upstream| !self.has_limit_room(now, upstream))
-            .collect();
-        let waits = limited
-            .iter()
-            .filter_map(|upstream| self.limit_wait(now, upstream));
-        (!limited.is_empty()).then(|| waits.min())
-    }
-
     /// Records the limit that an upstream names in the headers of an answer, or that it names none.
-    pub(crate) fn record_limit(&self, upstream: &InstanceId, headers: &HeaderMap) {
+    fn record_limit(&self, upstream: &InstanceId, headers: &HeaderMap) {
         let requests_per_s = self.protocol().request_limit(headers);
         let now = self.now();
         let change =
@@ -178,11 +215,13 @@
         lock(&self.0.upstream_limits).announce(now)
     }
 
-    /// Forgets limits that upstreams have not named for long, and publishes how many are known.
+    /// Forgets limits that upstreams have not named for long and rests that have ended, and publishes how many
+    /// limits are known.
     pub(crate) fn expire_limits(&self) {
         let now = self.now();
         let mut limits = lock(&self.0.upstream_limits);
         limits.expire(now);
+        lock(&self.0.rests).expire(now);
         telemetry::set_upstreams_limited(limits.count());
     }
 }
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -303,7 +303,14 @@
                 self.log_move(&format!("stopped at event {}", done.events), Some(&to));
                 // Frees the link for the next run.
                 drop(guards);
-                self.continue_at(&to, &source, &done.handle).await
+                match self.shared.is_resting(&to.id) {
+                    true => {
+                        self.log_move("not continued: the engine asked for rest", Some(&to));
+                        self.avoid.push(to.id.clone());
+                        self.continue_at_source(&source, &done.handle).await
+                    }
+                    false => self.continue_at(&to, &source, &done.handle).await,
+                }
             }
             Err(CopyFailure::NoRoom(Some(handle))) => {
                 self.log_move("no room after the stop", Some(&to));
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -11,6 +11,7 @@
 use http::HeaderName;
 use http::HeaderValue;
 use http::Method;
+use http::StatusCode;
 use serde_json::Value;
 use serde_json::json;
 
@@ -264,6 +265,11 @@
         None
     }
 
+    fn requested_rest(&self, status: StatusCode, headers: &HeaderMap) -> Option<Duration> {
+        let seconds = headers.get("retry-after")?.to_str().ok()?.parse().ok()?;
+        (status == StatusCode::SERVICE_UNAVAILABLE).then_some(Duration::from_secs_f64(seconds))
+    }
+
     fn says_leaving(&self, headers: &HeaderMap) -> bool {
         headers.contains_key("leaving")
     }
--- a/tests/gatewayworld/upstream.rs
+++ b/tests/gatewayworld/upstream.rs
@@ -99,6 +99,8 @@
     closed_by_gateway: usize,
     events_sent: usize,
     stopped: Vec<String>,
+    copy_time: Duration,
+    copies_begun: usize,
     leaving: bool,
     connections: usize,
     deadly: Option<Deadly>,
@@ -234,11 +236,21 @@
         self.with(|state| state.events_sent)
     }
 
+    /// Copies of runs that were asked for.
+    pub fn copies_begun(&self) -> usize {
+        self.with(|state| state.copies_begun)
+    }
+
     /// Runs that were stopped to be moved.
     pub fn stopped(&self) -> Vec<String> {
         self.with(|state| state.stopped.clone())
     }
 
+    /// From now on it takes so long to copy a run.
+    pub fn copy_for(&self, time: Duration) {
+        self.with(|state| state.copy_time = time);
+    }
+
     /// From now on it does this with each request.
     pub fn behave_as(&self, behaviour: Behaviour) {
         self.with(|state| state.behaviours = VecDeque::from([behaviour]));
@@ -470,6 +482,11 @@
     fn copy(&self, stream: &TcpStream, body: &[u8]) {
         let call: Value = serde_json::from_slice(body).unwrap();
         let run = call["run"].as_str().unwrap().to_owned();
+        let copy_time = self.with(|state| {
+            state.copies_begun += 1;
+            state.copy_time
+        });
+        std::thread::sleep(copy_time);
         if call["last"] == true {
             self.with(|state| state.stopped.push(run.clone()));
         }
