Announce a limit only by the hosts that upstreams told

Every host repeated the limits that it knew in each round, 18 bytes each: with 100 hosts of a data centre and 16 limited upstreams 24 KB a second in each direction. Within a data centre only the hosts that got the answer announce it now, about as many as share the limit; summaries for other data centres carry what all hosts of the data centre got.

A limit that differs by less than a tenth isn't logged as changed. One test more: hosts of another data centre share the limit of an upstream that has no hosts beside it.

--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -228,15 +228,17 @@
         }
     }
 
-    /// A copy with the combined loads and evidence of the sender's data centre.
+    /// A copy with the combined loads, evidence and limits of the sender's data centre.
     pub(crate) fn with_summary(
         &self,
         loads: Vec<(InstanceKey, Load)>,
         evidence: Vec<AnnouncedEvidence>,
+        limits: Vec<AnnouncedLimit>,
     ) -> Datagram {
         Datagram {
             evidence: AnnouncedTrials::OfDataCentre(evidence),
             loads: AnnouncedLoads::OfDataCentre(loads),
+            limits,
             hosts: Vec::new(),
             ..self.clone()
         }
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -250,7 +250,7 @@
             .move_queues()
             .with(|move_queues| move_queues.pending()),
         unreachable: shared.unreachable_upstreams(),
-        limits: shared.announced_limits(now),
+        limits: shared.upstream_limits(|limits| limits.announce_host(now)),
         suspects: shared.suspects(|suspects| suspects.announce(now)),
         hosts: shared.peers(|peers| peers.announced_hosts(now)),
         lacks_hosts: shared.peers(|peers| peers.lacks_hosts()),
--- a/src/gateway/shared/limits.rs
+++ b/src/gateway/shared/limits.rs
@@ -17,6 +17,7 @@
 use crate::gateway::upstreamlimits;
 use crate::gateway::upstreamlimits::AnnouncedLimit;
 use crate::gateway::upstreamlimits::LimitedUpstream;
+use crate::gateway::upstreamlimits::UpstreamLimits;
 use crate::id::ServiceId;
 use crate::telemetry;
 
@@ -210,9 +211,9 @@
         }
     }
 
-    /// The limits to announce to other hosts.
-    pub(crate) fn announced_limits(&self, now: Time) -> Vec<AnnouncedLimit> {
-        lock(&self.0.upstream_limits).announce(now)
+    /// Runs `use_limits` on the locked limits that upstreams name.
+    pub(crate) fn upstream_limits<T>(&self, use_limits: impl FnOnce(&UpstreamLimits) -> T) -> T {
+        use_limits(&lock(&self.0.upstream_limits))
     }
 
     /// Forgets limits that upstreams have not named for long and rests that have ended, and publishes how many
--- a/src/gateway/upstreamlimits.rs
+++ b/src/gateway/upstreamlimits.rs
@@ -27,6 +27,8 @@
 /// Longest time for which it is believed to hold. Each host draws its own, so that the first one that tries
 /// the upstream again tells the others whether the limit has ended.
 const LIMIT_TTL_MAX: Duration = Duration::from_secs(20);
+/// Smallest share by which a limit has to differ from the one before to count as changed.
+const CHANGE_SHARE_MIN: f64 = 0.1;
 /// Time for which a mention is announced, and for which the end of a limit is remembered.
 const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(4);
 /// Limits in one datagram.
@@ -73,7 +75,9 @@
         match (before, after) {
             (None, Some(_)) => Some(LimitChange::Named),
             (Some(_), None) => Some(LimitChange::Lifted),
-            (Some(before), Some(after)) if before != after => Some(LimitChange::Changed),
+            (Some(before), Some(after)) if (after - before).abs() > before * CHANGE_SHARE_MIN => {
+                Some(LimitChange::Changed)
+            }
             (Some(_), Some(_)) | (None, None) => None,
         }
     }
@@ -243,12 +247,21 @@
         }
     }
 
-    /// The newest mentions, for other hosts.
-    pub(crate) fn announce(&self, now: Time) -> Vec<AnnouncedLimit> {
+    /// The newest mentions in answers to this host, for the other hosts of its data centre.
+    pub(crate) fn announce_host(&self, now: Time) -> Vec<AnnouncedLimit> {
+        self.announce(now, |source| source == Source::Answer)
+    }
+
+    /// The newest mentions that the hosts of this data centre got, for other data centres.
+    pub(crate) fn announce_data_centre(&self, now: Time) -> Vec<AnnouncedLimit> {
+        self.announce(now, |source| source != Source::Relay)
+    }
+
+    fn announce(&self, now: Time, includes: impl Fn(Source) -> bool) -> Vec<AnnouncedLimit> {
         let entries = self.entries.iter();
         let mut recent: Vec<(&InstanceKey, &Observation)> = entries
             .map(|(upstream, entry)| (upstream, &entry.last))
-            .filter(|(_, last)| last.source != Source::Relay)
+            .filter(|(_, last)| includes(last.source))
             .filter(|(_, last)| now.since(last.at) < ANNOUNCEMENT_TTL)
             .collect();
         recent.sort_by_key(|(upstream, last)| (std::cmp::Reverse(last.at), **upstream));
--- a/tests/upstreamlimits/mod.rs
+++ b/tests/upstreamlimits/mod.rs
@@ -212,3 +212,21 @@
 
     assert!(wait_until(all_served));
 }
+
+// No host is in the upstream's data centre: the whole limit would be left unused.
+#[test]
+fn hosts_share_the_limit_of_an_upstream_whose_data_centre_has_no_hosts() {
+    let limited = start_upstream("up-limited").in_data_centre("south");
+    let hosts = start_fleet("idempotent", &[&limited]);
+    limited.name_limit(Some(LIMIT_PER_S));
+    let named_at = Instant::now();
+
+    ask_all(&hosts, LEARNING_TIME + WINDOW);
+
+    let most = most_in_window(&limited, named_at + LEARNING_TIME);
+    let least = (LIMIT_PER_S * WINDOW.as_secs_f64() / 2.0) as usize;
+    assert!(
+        (least..=allowed_in_window(LIMIT_PER_S)).contains(&most),
+        "{most}"
+    );
+}
