--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -1,5 +1,5 @@
-//! Calls of plain services: the whole answer is read before any of it is passed on, so that one
-//! which breaks can be replaced by another attempt or a clean failure.
+//! Calls of plain services. The whole answer is read before any of it is passed on, so that a broken answer can
+//! be replaced by that of another attempt or by an error.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,15 +35,15 @@
 use crate::refusal::Refusal;
 use crate::telemetry;
 
-/// A connection that isn't established within this time was not written to: a few round trips of
-/// the farthest data centre, and well before the system sends a lost opening packet again (1 s).
+/// Timeout of connecting to an upstream: a few round trips to the farthest data centre, and less than the time
+/// after which the system sends a lost SYN again (1 s). Nothing was sent on a connection that timed out.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// An attempt that may be repeated elsewhere is given up after this multiple of the objective.
+/// Timeout of an attempt that may be repeated elsewhere, as a multiple of the objective.
 const ATTEMPT_OBJECTIVES: u32 = 2;
-/// A stopping host takes no call so shortly before the end of its grace: most take 0.06 s, the
-/// longest half a second, and twice as long with a second attempt.
+/// Time before the end of the grace period from which a host that shuts down refuses calls. The longest calls
+/// take half a second, and twice as long with a second attempt.
 const LAST_CALLS: Duration = Duration::from_millis(1_500);
-/// The answer of our own goes out this long before the deadline.
+/// Time before the deadline at which the gateway answers by itself.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 
 /// An upstream's whole answer.
@@ -71,8 +71,8 @@
 }
 
 impl Attempted {
-    /// What it says of the upstream's version, after `time`.
-    fn as_tried(&self, time: Duration) -> Option<Outcome> {
+    /// The evidence that it gives on the upstream's version, after `time`.
+    fn rollout_outcome(&self, time: Duration) -> Option<Outcome> {
         match self {
             Attempted::Answered(answer) if answer.head.status.is_server_error() => {
                 Some(Outcome::Failed)
@@ -116,7 +116,7 @@
         let sent_at = Instant::now();
         let outcome = attempt(front, &admitted, &upstream, last).await;
         note_health(shared, &admitted, &upstream, &outcome);
-        if let Some(tried) = outcome.as_tried(sent_at.elapsed()) {
+        if let Some(tried) = outcome.rollout_outcome(sent_at.elapsed()) {
             shared.record_rollout_outcome(&admitted, &upstream, Measure::Whole, tried);
         }
         let reached = match outcome {
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -1,4 +1,4 @@
-//! Composes a gateway host and runs it from its start to its end.
+//! Starts the parts of a gateway host, serves its addresses and shuts it down.
 
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -45,36 +45,37 @@
 use crate::telemetry::Telemetry;
 use crate::telemetry::UPKEEP_INTERVAL_MS;
 
-/// Idle connections of callers are kept for this long: longer than any caller keeps one, since a
-/// close that crosses a request costs the caller a retry.
-const CALLER_IDLE: Duration = Duration::from_secs(120);
-/// Timeout of a request's head. A host that was frozen answers what arrived meanwhile with a bare
-/// 408 once this is over, so it is longer than any freeze.
+/// Idle timeout of callers' connections. It is longer than that of any caller, since a close that crosses a
+/// request costs the caller a retry.
+const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(120);
+/// Timeout for reading a request's head. After a suspension longer than this, the server answers requests that
+/// arrived meanwhile with a bare 408.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
-/// What is held of an answer that its caller doesn't read, beside its last piece.
+/// Bytes of a response that are buffered for a caller that doesn't read, besides the last chunk.
 const CALLER_BUFFER_BYTES: usize = 4 * 1_024;
-/// The balancer asks once a second and takes a host out after two misses.
-const BALANCER_NOTICES: Duration = Duration::from_millis(2_800);
-/// What still runs is cut this long before the kill, so that the last lines are written.
+/// Time within which the load balancer stops sending new connections to a host that isn't ready: it checks
+/// readiness once a second and tolerates one failure.
+const READINESS_NOTICE_TIME: Duration = Duration::from_millis(2_800);
+/// Time between aborting the remaining requests and the end of the grace period, for the last log lines.
 const EXIT_MARGIN: Duration = Duration::from_millis(150);
-/// How often it is looked whether all requests have ended.
-const DRAIN_POLL: Duration = Duration::from_millis(20);
-/// How often beliefs that lapse by time are looked at.
-const LAPSE_INTERVAL: Duration = Duration::from_millis(250);
+/// How often a host that shuts down checks whether all requests have ended.
+const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// How often state that expires is checked.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Reads the settings again; none if they can't be read.
+/// Reads the settings again. Returns `None` if they can't be read.
 pub type Reload = Box<dyn Fn() -> Option<GatewaySettings>>;
 
-/// How the host ended.
+/// How a shutdown ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ended {
-    /// Everything in flight ended.
+    /// All requests ended.
     Drained,
-    /// The grace ended first.
+    /// The grace period ended before all requests did.
     Cut,
 }
 
-/// A gateway host that serves.
+/// A running gateway host.
 pub struct GatewayHost {
     shared: Shared,
     reload: Reload,
@@ -101,7 +102,7 @@
         GatewayHost::start_with(settings, protocol, reload, clock, log).await
     }
 
-    /// The same with a log of the caller's.
+    /// Like [`GatewayHost::start`], with the given clock and decision log.
     ///
     /// # Errors
     ///
@@ -125,8 +126,8 @@
         actix_rt::spawn(gossip::run(shared.clone(), socket));
         actix_rt::spawn(joining::query_seeds(shared.clone()));
         actix_rt::spawn(enginepoll::run(shared.clone()));
-        actix_rt::spawn(lapse(shared.clone()));
-        actix_rt::spawn(keep_up(telemetry));
+        actix_rt::spawn(expire_state(shared.clone()));
+        actix_rt::spawn(run_upkeep(telemetry));
         let settings = shared.settings();
         let line = shared.log().entry(EventCode::ProcessStarted);
         line.with("callers", settings.caller_address.to_string())
@@ -147,20 +148,20 @@
         &self.shared
     }
 
-    /// Serves until a signal, then until everything in flight has ended or the grace is over.
+    /// Serves until a termination signal arrives, then drains.
     pub async fn run(mut self) -> Ended {
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => break,
                 _ = self.interrupt.recv() => break,
-                _ = self.hangup.recv() => self.read_settings_again(),
+                _ = self.hangup.recv() => self.reload_settings(),
             }
         }
         self.drain().await
     }
 
-    /// Only the seeds may change while the host runs.
-    fn read_settings_again(&self) {
+    /// Reads the settings again and applies the seeds, the only setting that may change at run time.
+    fn reload_settings(&self) {
         let settings = (self.reload)();
         let line = self.shared.log().entry(EventCode::SettingsReloaded);
         line.with("read", settings.is_some()).write();
@@ -174,7 +175,8 @@
         }
     }
 
-    /// Not ready at once, but what still arrives is taken until the balancer has noticed.
+    /// Shuts down: reports not ready at once, accepts requests until the load balancer has noticed, and waits for
+    /// the running ones until the grace period ends.
     pub async fn drain(self) -> Ended {
         let began = Instant::now();
         let gate = self.shared.gate().clone();
@@ -182,10 +184,10 @@
         self.shared.begin_shutdown(cut_at);
         let line = self.shared.log().entry(EventCode::ShutdownBegan);
         line.with("in_flight", gate.in_flight()).write();
-        let quiet_from = (began + BALANCER_NOTICES).min(cut_at);
+        let quiet_from = (began + READINESS_NOTICE_TIME).min(cut_at);
         tokio::time::sleep_until(quiet_from).await;
         while gate.in_flight() > 0 && Instant::now() < cut_at {
-            tokio::time::sleep(DRAIN_POLL).await;
+            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         let in_flight = gate.in_flight();
         let (code, ended) = match in_flight {
@@ -199,7 +201,7 @@
     }
 }
 
-/// One server for all addresses; the port that a request came in by says what it is for.
+/// Starts one server for all addresses. Requests are dispatched by the port that they arrive at.
 fn serve_all(shared: &Shared, telemetry: &Telemetry) -> Result<ServerHandle> {
     let settings = shared.settings().clone();
     let shared = shared.clone();
@@ -211,7 +213,7 @@
             .app_data(web::Data::new(front))
             .app_data(web::Data::new(shared.clone()))
             .app_data(web::Data::new(telemetry.clone()))
-            .default_service(web::to(by_port))
+            .default_service(web::to(dispatch_by_port))
     };
     let addresses = [
         settings.caller_address,
@@ -222,7 +224,7 @@
     let mut server = HttpServer::new(factory)
         .workers(1)
         .disable_signals()
-        .keep_alive(KeepAlive::Timeout(CALLER_IDLE))
+        .keep_alive(KeepAlive::Timeout(CALLER_IDLE_TIMEOUT))
         .client_request_timeout(HEAD_TIMEOUT)
         .tcp_nodelay(true)
         .h1_write_buffer_size(CALLER_BUFFER_BYTES)
@@ -236,7 +238,7 @@
     Ok(handle)
 }
 
-async fn by_port(
+async fn dispatch_by_port(
     front: web::Data<WorkerState>,
     shared: web::Data<Shared>,
     telemetry: web::Data<Telemetry>,
@@ -288,16 +290,17 @@
     let now = shared.now();
     let (held_back, known) = shared.suspects(|suspects| suspects.count(now));
     telemetry::set_suspects(held_back, known);
+    telemetry::set_upstreams_limited(shared.upstream_limits(|limits| limits.count()));
     telemetry::set_log_era(shared.log_era().number());
     telemetry::set_evacuated(shared.directory(|directory| directory.evacuations().all().len()));
     telemetry::set_last_suspension(shared.last_suspension());
     telemetry.render()
 }
 
-/// Drops beliefs whose time is over.
-async fn lapse(shared: Shared) {
+/// Removes expired state at an interval. Never returns.
+async fn expire_state(shared: Shared) {
     loop {
-        tick(LAPSE_INTERVAL).await;
+        tick(EXPIRY_INTERVAL).await;
         shared.check_suspension();
         let now = shared.now();
         shared.loads().with(|loads| loads.expire(now));
@@ -315,15 +318,16 @@
     }
 }
 
+/// Closes idle connections to upstreams at an interval. Never returns.
 async fn close_idle(front: WorkerState) {
     loop {
-        tick(LAPSE_INTERVAL).await;
+        tick(EXPIRY_INTERVAL).await;
         front.pool.borrow_mut().close_expired();
     }
 }
 
-/// Keeps the memory of metrics bounded.
-async fn keep_up(telemetry: Telemetry) {
+/// Runs the upkeep of metrics at an interval, which bounds their memory. Never returns.
+async fn run_upkeep(telemetry: Telemetry) {
     loop {
         tokio::time::sleep(Duration::from_millis(UPKEEP_INTERVAL_MS)).await;
         telemetry.upkeep();
--- a/src/gateway/hostlisting.rs
+++ b/src/gateway/hostlisting.rs
@@ -1,4 +1,4 @@
-//! The keyed topic in which hosts list themselves for those whose seeds are gone.
+//! Lists hosts in a keyed topic of the log, for hosts whose seeds are gone.
 
 use std::time::Duration;
 
@@ -12,42 +12,42 @@
 use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
 
-/// How often it is looked whether this host must list itself or learn of others; hosts that start
-/// together have heard each other by then.
-const HOSTS_CHECK: Duration = Duration::from_millis(1_500);
-/// How often a host that knows too few reads the list again; peers tell of others in between.
-const HOSTS_INTERVAL: Duration = Duration::from_secs(20);
-/// A host that hears more than this many others learns of the rest from them.
-const HOSTS_ENOUGH: usize = 3;
+/// How often a host checks whether it must list itself or look up others. Hosts that start together know each
+/// other by then.
+const CHECK_INTERVAL: Duration = Duration::from_millis(1_500);
+/// How often a host that knows too few others reads the list. Its peers announce others in between.
+const LOOKUP_INTERVAL: Duration = Duration::from_secs(20);
+/// Number of live hosts up to which a host reads the list. With more it learns of the rest from them.
+const FEW_HOSTS: usize = 3;
 
-/// Lists this host where others must find it, and learns of others where it knows too few.
+/// Lists this host if others may need it, and looks up others if this host knows too few. Never returns.
 ///
-/// Hosts that start find the others by their seeds. Only if those are gone do they need the list,
-/// and then one living host in it is enough; so a few hosts list themselves, not all.
+/// Starting hosts find the others by their seeds. They need the list only if the seeds are gone, and then one
+/// live host in it is enough, so only a few hosts list themselves.
 pub async fn run(shared: Shared) {
     let mut client = InternalClient::new(shared.settings().log_address);
     let mut listed_in: Option<Era> = None;
-    let mut learnt_at: Option<Instant> = None;
+    let mut looked_up_at: Option<Instant> = None;
     loop {
-        tokio::time::sleep(HOSTS_CHECK).await;
-        let is_alone = shared.live_hosts() <= HOSTS_ENOUGH;
-        // What was written before the log's return may be lost.
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        let is_alone = shared.live_hosts() <= FEW_HOSTS;
+        // A log that was restored from an older copy may have lost the record.
         let era = shared.log_era();
         let is_listed = listed_in == Some(era);
         let lists = is_alone || shared.is_log_prober();
         if !is_listed && lists && list_host(&shared, &mut client).await {
             listed_in = Some(era);
         }
-        let is_due = learnt_at.is_none_or(|at| at.elapsed() >= HOSTS_INTERVAL);
+        let is_due = looked_up_at.is_none_or(|at| at.elapsed() >= LOOKUP_INTERVAL);
         if is_alone && is_due {
-            learn_hosts(&shared, &mut client).await;
-            learnt_at = Some(Instant::now());
+            look_up_hosts(&shared, &mut client).await;
+            looked_up_at = Some(Instant::now());
         }
     }
 }
 
-/// Whether the log took this host's record. Appending it twice is harmless: the newest of a key
-/// counts.
+/// Appends this host's record and returns whether the log took it. Appending it twice is harmless, as the topic
+/// is keyed.
 async fn list_host(shared: &Shared, client: &mut InternalClient) -> bool {
     let own = shared.gossip_address().to_string();
     let value = shared.settings().host.as_str().as_bytes();
@@ -58,7 +58,8 @@
     appended.is_ok()
 }
 
-async fn learn_hosts(shared: &Shared, client: &mut InternalClient) {
+/// Adds the listed hosts to the known ones.
+async fn look_up_hosts(shared: &Shared, client: &mut InternalClient) {
     match read_newest(shared, client, Topic::Hosts, CALL_TIMEOUT).await {
         Ok((records, _)) => {
             let listed = records.iter().filter(|record| record.value.is_some());
--- a/src/gateway/shared/limits.rs
+++ b/src/gateway/shared/limits.rs
@@ -19,7 +19,6 @@
 use crate::gateway::upstreamlimits::LimitedUpstream;
 use crate::gateway::upstreamlimits::UpstreamLimits;
 use crate::id::ServiceId;
-use crate::telemetry;
 
 /// Why an upstream that is ready gets no request of this host for now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -216,13 +215,10 @@
         use_limits(&lock(&self.0.upstream_limits))
     }
 
-    /// Forgets limits that upstreams have not named for long and rests that have ended, and publishes how many
-    /// limits are known.
+    /// Forgets limits that upstreams have not named for long and rests that have ended.
     pub(crate) fn expire_limits(&self) {
         let now = self.now();
-        let mut limits = lock(&self.0.upstream_limits);
-        limits.expire(now);
+        lock(&self.0.upstream_limits).expire(now);
         lock(&self.0.rests).expire(now);
-        telemetry::set_upstreams_limited(limits.count());
     }
 }
