--- a/src/gateway/enginepoll.rs
+++ b/src/gateway/enginepoll.rs
@@ -65,7 +65,7 @@
 }
 
 async fn poll(shared: &Shared, engine: &Upstream) {
-    shared.record_poll(engine);
+    shared.spend_limit(engine);
     let call = shared.protocol().report_request();
     let mut client = InternalClient::new(engine.address);
     match client.call(&call, POLL_TIMEOUT).await {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -200,14 +200,7 @@
             return refusal.retry_after_ms(EVACUATED_RETRY_AFTER_MS);
         }
         if let Some(hold) = shared.service_hold(&self.service) {
-            let message = format!("not run after {attempts} tries: its upstreams take no more now");
-            let refusal = Refusal::not_run(Code::Overloaded, message);
-            return match hold {
-                Hold::For(time) => {
-                    refusal.retry_after_ms(hold_retry_after_ms(time, rand::random()))
-                }
-                Hold::NoShare => refusal,
-            };
+            return held_refusal(attempts, hold);
         }
         let message = format!("not run after {attempts} tries: {reason}");
         Refusal::not_run(Code::NoUpstream, message)
@@ -241,6 +234,19 @@
     placement::choose(need, candidates, shared.view(), rand::random::<f64>)
 }
 
+/// The refusal of a request that its upstreams take from this host only after `hold`.
+fn held_refusal(attempts: usize, hold: Hold) -> Refusal {
+    let refusal = |reason: String| {
+        let message = format!("not run after {attempts} tries: its upstreams take {reason}");
+        Refusal::not_run(Code::Overloaded, message)
+    };
+    match hold {
+        Hold::For(time) => refusal(format!("no more for {} ms", time.as_millis()))
+            .retry_after_ms(hold_retry_after_ms(time, rand::random())),
+        Hold::NoShare => refusal("no more from this host".to_owned()),
+    }
+}
+
 /// Retry delay in milliseconds of a caller while upstreams take no request of this host for `hold`.
 fn hold_retry_after_ms(hold: Duration, draw: f64) -> u64 {
     let delay = hold.min(HOLD_RETRY_AFTER_MAX);
--- a/src/gateway/shared/limits.rs
+++ b/src/gateway/shared/limits.rs
@@ -50,11 +50,11 @@
         if self.directory(|directory| directory.is_cold(now, &upstream.id)) {
             lock(&self.0.cold_budget).spend(now, &upstream.id);
         }
-        self.record_poll(upstream);
+        self.spend_limit(upstream);
     }
 
-    /// Records a call to an upstream that counts for the limit that it names, and not as work for a cold one.
-    pub(crate) fn record_poll(&self, upstream: &Upstream) {
+    /// Counts a request or a poll for the limit that an upstream names.
+    pub(crate) fn spend_limit(&self, upstream: &Upstream) {
         let now = self.now();
         if let Some(host_per_s) = self.limit_share(now, upstream) {
             lock(&self.0.upstream_limits).spend(now, upstream.id.key(), host_per_s);
