Keep datagrams small when many upstreams leave or name limits

A datagram that was too large lost changes of upstreams first, and hosts that miss one fetch the whole list; limits, which each round repeats, go first now. Leaving upstreams were never cut: 300 of them made a datagram of 14 KB.

--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -332,8 +332,8 @@
     }
 }
 
-/// Encodes a datagram. One that is too large loses its oldest changes, then its smallest loads, then the
-/// oldest limits, then suspects.
+/// Encodes a datagram. One that is too large loses its oldest limits, which the next round repeats, then its oldest
+/// changes, its smallest loads, suspects and leaving upstreams.
 pub fn encode(mut datagram: Datagram) -> Vec<u8> {
     if let Some(loads) = datagram.loads.entries_mut() {
         loads.sort_by_key(|(_, load)| std::cmp::Reverse(load.tokens));
@@ -360,6 +360,9 @@
 
 /// Removes the least important entry or entries; false if none are left.
 fn truncate(datagram: &mut Datagram) -> bool {
+    if datagram.limits.pop().is_some() {
+        return true;
+    }
     if !datagram.changes.is_empty() {
         datagram.changes.remove(0);
         return true;
@@ -369,6 +372,9 @@
             loads.truncate(loads.len() * 3 / 4);
             true
         }
-        Some(_) | None => datagram.limits.pop().is_some() || datagram.suspects.pop().is_some(),
+        Some(_) | None => datagram.suspects.pop().is_some() || datagram.leaving.pop().is_some(),
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/gateway/datagram/tests.rs
@@ -0,0 +1,57 @@
+use super::DATAGRAM_BYTES_MAX;
+use super::Datagram;
+use super::PART_CHANGES_MAX;
+use super::decode;
+use super::encode;
+use crate::gateway::directory::Change;
+use crate::gateway::directory::ChangeKind;
+use crate::gateway::instance::InstanceId;
+use crate::gateway::position::Position;
+use crate::gateway::upstreamlimits::AnnouncedLimit;
+use crate::id::DataCentre;
+use crate::id::HostId;
+use crate::id::UpstreamId;
+
+fn instance(index: usize) -> InstanceId {
+    let id = format!("upstream-with-a-long-name-of-its-own-{index:04}");
+    InstanceId::from(UpstreamId::new(id))
+}
+
+fn datagram(changes: usize, limits: usize, leaving: usize) -> Datagram {
+    let change = |index| Change {
+        position: Position::from(index as u64),
+        kind: ChangeKind::Leaving(instance(index)),
+    };
+    let limit = |index| AnnouncedLimit {
+        upstream: instance(index).key(),
+        requests_per_s: Some(3.4),
+        age_ms: 250,
+        is_relayed: false,
+    };
+    Datagram {
+        changes: (0..changes).map(change).collect(),
+        limits: (0..limits).map(limit).collect(),
+        leaving: (0..leaving).map(instance).collect(),
+        ..Datagram::new(HostId::new("host"), DataCentre::new("north"))
+    }
+}
+
+#[test]
+fn a_datagram_that_is_too_large_loses_limits_before_changes() {
+    let full = datagram(PART_CHANGES_MAX, 16, 16);
+
+    let sent = decode(&encode(full.clone())).unwrap();
+
+    assert!(sent.limits.len() < full.limits.len());
+    assert_eq!(sent.limits, full.limits[..sent.limits.len()]);
+    assert_eq!(sent.changes, full.changes);
+    assert_eq!(sent.leaving, full.leaving);
+}
+
+#[test]
+fn a_datagram_stays_small_however_many_upstreams_leave() {
+    let bytes = encode(datagram(0, 0, 300));
+
+    assert!(bytes.len() <= DATAGRAM_BYTES_MAX, "{} bytes", bytes.len());
+    assert!(decode(&bytes).unwrap().leaving.len() > 10);
+}
