Lay the interfaces of upstream speeds, a shared queue and ordered moves

Settings name which decisions under load are switched on, candidates carry how slow their upstream is, and the types of a data centre's queue stand. Nothing uses them yet: speeds are all usual and the queue decides nothing.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -26,6 +26,7 @@
 use cedargauge::gateway::placement::Need;
 use cedargauge::gateway::placement::PlacementContext;
 use cedargauge::gateway::placement::RemoteCounts;
+use cedargauge::gateway::speeds::Slowness;
 use cedargauge::id::AttemptId;
 use cedargauge::id::DataCentre;
 use cedargauge::id::RequestId;
@@ -217,6 +218,7 @@
             unread_tokens: 0,
         },
         reported: None,
+        slowness: Slowness::default(),
         unhealthy: false,
     }
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -58,6 +58,9 @@
 pub mod serve;
 pub mod settings;
 pub mod shared;
+#[allow(dead_code)]
+pub(crate) mod sharedqueue;
+pub mod speeds;
 pub mod stream;
 pub(crate) mod suspectlog;
 pub mod suspects;
--- a/src/gateway/admit/tests.rs
+++ b/src/gateway/admit/tests.rs
@@ -20,6 +20,7 @@
 use crate::gateway::placement::Need;
 use crate::gateway::placement::PlacementContext;
 use crate::gateway::placement::RemoteCounts;
+use crate::gateway::speeds::Slowness;
 use crate::id::DataCentre;
 use crate::id::ServiceId;
 use crate::id::UpstreamId;
@@ -44,6 +45,7 @@
         }),
         load,
         reported: None,
+        slowness: Slowness::default(),
         unhealthy: false,
     }
 }
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -21,6 +21,9 @@
     pub moves: bool,
     /// Number of tokens in each event of a stream.
     pub tokens_per_event: u32,
+    /// Rate at which an engine's link copies memory to another engine of its data centre, in tokens per second;
+    /// `None` if the configuration doesn't say.
+    pub copy_tokens_per_s: Option<f64>,
 }
 
 /// Limits and engine properties of a service that routes refer to.
@@ -50,6 +53,8 @@
     pub name: CustomerId,
     /// Priority, which overrides the route's.
     pub priority: Option<u8>,
+    /// Weight of its share of scarce room beside other customers of the same rank; at least 1.
+    pub weight: u32,
     /// Regions in which the customer's requests may run, or `None` for no restriction.
     pub regions: Option<BTreeSet<RegionId>>,
 }
--- a/src/gateway/identity/tests.rs
+++ b/src/gateway/identity/tests.rs
@@ -36,6 +36,7 @@
     Arc::new(Customer {
         name: CustomerId::new("canton"),
         priority: Some(1),
+        weight: 1,
         regions: None,
     })
 }
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -7,6 +7,7 @@
 use crate::gateway::directory::Upstream;
 use crate::gateway::loads::Load;
 use crate::gateway::reportedloads::ReportedLoad;
+use crate::gateway::speeds::Slowness;
 use crate::id::DataCentre;
 use crate::id::HostId;
 
@@ -119,6 +120,8 @@
     pub load: Load,
     /// The load that it last reported itself, if fresh.
     pub reported: Option<ReportedLoad>,
+    /// How slow it is, relative to what is usual for its service.
+    pub slowness: Slowness,
     /// Whether it is ejected, unreachable or behind a partition, and so only a last resort.
     pub unhealthy: bool,
 }
--- a/src/gateway/placement/tests.rs
+++ b/src/gateway/placement/tests.rs
@@ -11,6 +11,7 @@
 use crate::gateway::instance::InstanceId;
 use crate::gateway::loads::Load;
 use crate::gateway::reportedloads::ReportedLoad;
+use crate::gateway::speeds::Slowness;
 use crate::id::DataCentre;
 use crate::id::HostId;
 use crate::id::ServiceId;
@@ -31,6 +32,7 @@
         }),
         load,
         reported: None,
+        slowness: Slowness::default(),
         unhealthy: false,
     }
 }
--- a/src/gateway/queue/tests.rs
+++ b/src/gateway/queue/tests.rs
@@ -9,6 +9,7 @@
 use crate::gateway::loads::Load;
 use crate::gateway::loads::SharedLoads;
 use crate::gateway::placement::Candidate;
+use crate::gateway::speeds::Slowness;
 use crate::id::CustomerId;
 use crate::id::DataCentre;
 use crate::id::ServiceId;
@@ -34,6 +35,7 @@
     Candidate {
         load: board.with(|loads| loads.at(&upstream.id)),
         reported: None,
+        slowness: Slowness::default(),
         unhealthy: false,
         upstream: Arc::new(upstream),
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -49,6 +49,7 @@
 use crate::gateway::route::RouteKind;
 use crate::gateway::shared::Hold;
 use crate::gateway::shared::Shared;
+use crate::gateway::speeds::Slowness;
 use crate::gateway::stream;
 use crate::id::CustomerId;
 use crate::id::DataCentre;
@@ -140,6 +141,8 @@
     pub engine: Option<EngineSpec>,
     /// The customer who sent it; none if the route allows anonymous requests.
     pub customer: Option<CustomerId>,
+    /// The weight of the customer's share of scarce room; at least 1.
+    pub weight: u32,
     /// Its priority; 0 is the most urgent.
     pub priority: u8,
     /// When its head was read.
@@ -287,6 +290,7 @@
         .map(|upstream| Candidate {
             load: loads.with(|loads| loads.at(&upstream.id)),
             reported: shared.reported_load(now, &upstream.id),
+            slowness: Slowness::default(),
             unhealthy: shared.is_avoided(now, &upstream.id)
                 || unreachable.contains(&upstream.data_centre),
             upstream,
@@ -407,6 +411,9 @@
     let regions = allowed_regions(&route, customer.as_deref());
     let track = shared.choose_track(&service);
     let own_priority = customer.as_ref().and_then(|customer| customer.priority);
+    let weight = customer
+        .as_ref()
+        .map_or(1, |customer| customer.weight.max(1));
     let customer = customer.map(|customer| customer.name.clone());
     Ok(Admitted {
         fingerprint: request_fingerprint(&request, customer.as_ref()),
@@ -415,6 +422,7 @@
         is_trial: Cell::new(false),
         engine: configuration.engine(&service).cloned(),
         customer,
+        weight,
         priority: own_priority.unwrap_or(route.priority),
         service,
         route,
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -12,6 +12,17 @@
 use crate::id::HostId;
 use crate::id::RegionId;
 
+/// Decisions under load that a deployment can switch on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LoadFeatures {
+    /// Hosts measure how fast each upstream works, tell each other, and place requests by it.
+    pub upstream_speeds: bool,
+    /// Generations that wait for engine memory wait in one queue per data centre instead of one per host.
+    pub shared_queue: bool,
+    /// Runs are moved off a leaving engine in the order in which most of them can still be saved.
+    pub ordered_moves: bool,
+}
+
 /// Settings that a gateway host gets at start.
 #[derive(Debug, Clone, PartialEq, Builder)]
 pub struct GatewaySettings {
@@ -46,4 +57,7 @@
     /// Limit on the requests that a bad version may receive from all hosts together.
     #[builder(default)]
     pub exposure: ExposureBound,
+    /// Decisions under load that are switched on.
+    #[builder(default)]
+    pub features: LoadFeatures,
 }
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -161,6 +161,7 @@
             let customer = Customer {
                 name: CustomerId::new(name.as_str().unwrap()),
                 priority: None,
+                weight: 1,
                 regions: regions(&document["customer_regions"]),
             };
             (key.clone(), Arc::new(customer))
@@ -170,6 +171,7 @@
             memory_tokens: 30_000,
             moves: true,
             tokens_per_event: 1,
+            copy_tokens_per_s: None,
         };
         let service = |engine: Option<EngineSpec>| ServiceSpec {
             connections_max: 100,
