--- a/benches/documents.rs
+++ b/benches/documents.rs
@@ -26,7 +26,7 @@
 use cedargauge::gateway::document::CutDocument;
 use cedargauge::gateway::document::PieceId;
 use cedargauge::gateway::document::assembly::Assembly;
-use cedargauge::gateway::document::assembly::Shelf;
+use cedargauge::gateway::document::assembly::ReceivedPieces;
 use cedargauge::gateway::document::pack;
 use cedargauge::gateway::document::unpack;
 
@@ -213,9 +213,9 @@
         .collect();
     let (receiver, _) = timed(|| {
         let manifest = cut.manifest().clone();
-        let mut assembly = Assembly::begin(manifest, Some(&known), Shelf::default());
+        let mut assembly = Assembly::begin(manifest, Some(&known), ReceivedPieces::default());
         for (id, packed) in &sent {
-            assembly.take(*id, packed.clone()).unwrap();
+            assembly.insert(*id, packed.clone()).unwrap();
         }
         assembly.finish().unwrap()
     });
@@ -228,6 +228,10 @@
 }
 
 fn lacking(cut: &CutDocument, known: &CutDocument) -> Vec<PieceId> {
-    let assembly = Assembly::begin(cut.manifest().clone(), Some(known), Shelf::default());
+    let assembly = Assembly::begin(
+        cut.manifest().clone(),
+        Some(known),
+        ReceivedPieces::default(),
+    );
     assembly.missing()
 }
--- a/src/gateway/configfetch.rs
+++ b/src/gateway/configfetch.rs
@@ -51,7 +51,7 @@
 const MANIFEST_ATTEMPTS: usize = 2;
 /// Competing hosts assumed at a busy source. Refusing a request for pieces is cheap, so the pause before the
 /// next attempt needs no longer spread for a large fleet.
-const SOURCE_RIVALS: usize = 0;
+const HOSTS_PER_SOURCE: usize = 0;
 /// Size limit of a request for pieces: the ids of all pieces of the largest document.
 const IDS_BYTES_MAX: usize = DOCUMENT_BYTES_MAX as usize / PIECE_BYTES_MIN as usize * PieceId::LEN;
 
@@ -156,11 +156,11 @@
     match outcome {
         Ok(Outcome::Complete) => {}
         Ok(Outcome::Busy | Outcome::UpToDate) => shared.catch_up(|catch_up| {
-            catch_up.was_busy(now, source.address, SOURCE_RIVALS, rand::random::<f64>());
+            catch_up.record_busy(now, source.address, HOSTS_PER_SOURCE, rand::random::<f64>());
         }),
         Err(error) => {
             let fault = classify_error(&error);
-            shared.catch_up(|catch_up| catch_up.has_failed(now, source.address, fault));
+            shared.catch_up(|catch_up| catch_up.record_failure(now, source.address, fault));
             fetch.log_failure(&error);
         }
     }
@@ -170,7 +170,7 @@
 fn classify_error(error: &Error) -> Fault {
     match error {
         Error::Remote { .. } => Fault::Unanswered,
-        _ => Fault::Wrong,
+        _ => Fault::Invalid,
     }
 }
 
@@ -223,7 +223,7 @@
             if let Outcome::Busy = self.fetch_pieces().await? {
                 return Ok(Outcome::Busy);
             }
-            if self.assembly.as_ref().is_some_and(Assembly::is_whole) {
+            if self.assembly.as_ref().is_some_and(Assembly::is_complete) {
                 return self.finish().await;
             }
             // Pieces are missing because the source has switched to a newer version.
@@ -243,10 +243,10 @@
 
     /// Starts an assembly of `manifest`, reusing pieces of the active configuration and of other versions.
     fn start_assembly(&mut self, manifest: Manifest) {
-        let shelf = self.assembly.take().map(Assembly::into_shelf);
+        let received = self.assembly.take().map(Assembly::into_received);
         let active = self.shared.active_config();
         let pieces = active.as_ref().map(|held| held.pieces());
-        let assembly = Assembly::begin(manifest, pieces, shelf.unwrap_or_default());
+        let assembly = Assembly::begin(manifest, pieces, received.unwrap_or_default());
         self.assembly = Some(assembly);
     }
 
@@ -271,7 +271,7 @@
             (Ok(200), None) => Ok(Outcome::Complete),
             (Ok(503), _) => Ok(Outcome::Busy),
             (Ok(200), Some(fault)) => Err(fault),
-            (Ok(status), _) => Err(self.source.refused(status, PIECES_PATH)),
+            (Ok(status), _) => Err(self.source.unexpected_status(status, PIECES_PATH)),
             (Err(error), _) => Err(error),
         }
     }
@@ -286,7 +286,7 @@
     }
 
     fn log_failure(&self, error: &Error) {
-        if let Fault::Wrong = classify_error(error) {
+        if let Fault::Invalid = classify_error(error) {
             telemetry::count(Metric::BadDocumentsTotal);
         }
         let assembly = self.assembly.as_ref();
@@ -294,7 +294,7 @@
         line.with("peer", self.source.peer.to_string())
             .with("reason", error.to_string())
             .with_some("version", assembly.map(|known| known.manifest().version))
-            .with_some("got_bytes", assembly.map(Assembly::got_bytes))
+            .with_some("got_bytes", assembly.map(Assembly::present_bytes))
             .with_some("of_bytes", assembly.map(|known| known.manifest().bytes()))
             .write();
     }
@@ -342,7 +342,7 @@
             return Err(Error::Document("more pieces than asked for".to_owned()));
         };
         if !packed.is_empty() {
-            self.assembly.take(id, packed)?;
+            self.assembly.insert(id, packed)?;
         }
         Ok(true)
     }
--- a/src/gateway/document.rs
+++ b/src/gateway/document.rs
@@ -1,9 +1,8 @@
-//! A configuration document cut into pieces by its content.
+//! Configuration documents, split into content-defined chunks.
 //!
-//! Hosts that follow a change fetch only the pieces that they lack: where a document changes, the pieces
-//! around the change differ, and the others keep their ids wherever they come to stand. A piece is
-//! identified by the digest of its bytes and travels compressed. `docs/design/configuration.md` tells what
-//! was weighed and measured.
+//! A host fetches only the pieces of a new document that it lacks. A change affects the pieces around it; all
+//! others keep their ids, even if they move. A piece is identified by the digest of its bytes and sent
+//! compressed. See `docs/design/configuration.md`.
 
 pub mod assembly;
 pub mod catchup;
@@ -22,27 +21,27 @@
 use crate::error::Error;
 use crate::error::Result;
 
-/// Sizes of pieces, in bytes. Smaller ones compress worse and make the manifest longer, larger ones are
-/// fetched whole for a change of a few bytes; `cargo bench --bench documents` compares them.
+/// Smallest size of a piece in bytes, except for the last one of a document. Smaller pieces compress worse and make the
+/// manifest longer; larger ones are fetched whole for a change of a few bytes (`cargo bench --bench documents`).
 pub const PIECE_BYTES_MIN: u32 = 2 << 10;
-/// Their mean.
+/// Mean size of a piece in bytes.
 pub const PIECE_BYTES_MEAN: u32 = 8 << 10;
-/// No piece is larger, as its bytes are.
+/// Largest size of an uncompressed piece in bytes.
 pub const PIECE_BYTES_MAX: u32 = 32 << 10;
-/// No document is larger: three times the 9.8 MB of a configuration of 36,000 customers.
+/// Largest size of a document in bytes: three times the 9.8 MB of a configuration of 36,000 customers.
 pub const DOCUMENT_BYTES_MAX: u64 = 32 << 20;
-/// zstd's default; it packs 100 MB a second of a whole core.
-const LEVEL: i32 = 3;
+/// Compression level of zstd, its default. A core compresses 100 MB per second at this level.
+const COMPRESSION_LEVEL: i32 = 3;
 
 /// Identifies a piece by its content: the first 128 bits of its BLAKE3 digest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PieceId(pub [u8; 16]);
 
 impl PieceId {
-    /// Bytes of an id.
+    /// Size of an id in bytes.
     pub const LEN: usize = 16;
 
-    /// The id of a piece of these bytes.
+    /// Returns the id of the piece with these bytes.
     pub fn of(bytes: &[u8]) -> Self {
         let digest = blake3::hash(bytes);
         let mut id = [0; Self::LEN];
@@ -51,36 +50,36 @@
     }
 }
 
-/// A piece as a manifest names it.
+/// An entry of a manifest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PieceSpec {
-    /// Its id.
+    /// Id of the piece.
     pub id: PieceId,
-    /// Its size as its document has it.
+    /// Uncompressed size in bytes.
     pub bytes: u32,
 }
 
-/// What a document consists of.
+/// The pieces of a document and the digest of the whole.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Manifest {
     /// The record's key.
     pub key: String,
     /// The version of the configuration.
     pub version: u64,
-    /// BLAKE3 of the whole document.
+    /// BLAKE3 digest of the whole document.
     pub digest: [u8; 32],
-    /// Its pieces in order.
+    /// The pieces, in the order of the document.
     pub pieces: Vec<PieceSpec>,
 }
 
 impl Manifest {
-    /// The document's size.
+    /// Size of the document in bytes.
     pub fn bytes(&self) -> u64 {
         let sizes = self.pieces.iter().map(|piece| u64::from(piece.bytes));
         sizes.sum()
     }
 
-    /// A manifest as it travels.
+    /// Encodes the manifest for a peer.
     ///
     /// # Errors
     ///
@@ -92,11 +91,11 @@
             .map_err(|error| Error::Document(error.to_string()))
     }
 
-    /// The same, read.
+    /// Decodes a manifest.
     ///
     /// # Errors
     ///
-    /// [`Error::Document`] if it is none, or names sizes out of bounds.
+    /// [`Error::Document`] if it is malformed, or a size is out of bounds.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
         let manifest = postcard::from_bytes(bytes);
         let manifest: Manifest = manifest.map_err(|error| Error::Document(error.to_string()))?;
@@ -106,57 +105,59 @@
     fn checked(self) -> Result<Self> {
         let is_oversized = |piece: &PieceSpec| piece.bytes > PIECE_BYTES_MAX || piece.bytes == 0;
         if self.pieces.iter().any(is_oversized) {
-            return Err(Error::Document("a piece of no possible size".to_owned()));
+            return Err(Error::Document("a piece is empty or too large".to_owned()));
         }
         let bytes = self.bytes();
         if bytes > DOCUMENT_BYTES_MAX {
-            return Err(Error::Document(format!("{bytes} bytes are too many")));
+            return Err(Error::Document(format!(
+                "the document has {bytes} bytes, more than allowed"
+            )));
         }
         Ok(self)
     }
 }
 
-/// A piece as it travels.
+/// Compresses a piece.
 ///
 /// # Errors
 ///
 /// [`Error::Document`] if the compression fails.
 pub fn pack(piece: &[u8]) -> Result<Bytes> {
-    let packed = zstd::bulk::compress(piece, LEVEL);
+    let packed = zstd::bulk::compress(piece, COMPRESSION_LEVEL);
     let packed = packed.map_err(|error| Error::Document(format!("pack: {error}")))?;
     Ok(Bytes::from(packed))
 }
 
-/// The piece of this id that was packed.
+/// Decompresses a piece and verifies its id.
 ///
 /// # Errors
 ///
-/// [`Error::Document`] if it isn't that piece.
+/// [`Error::Document`] if the bytes can't be decompressed or have another id.
 pub fn unpack(id: PieceId, packed: &[u8]) -> Result<Bytes> {
     let piece = zstd::bulk::decompress(packed, PIECE_BYTES_MAX as usize);
     let piece = piece.map_err(|error| Error::Document(format!("unpack: {error}")))?;
     if PieceId::of(&piece) != id {
-        return Err(Error::Document("a piece of another id".to_owned()));
+        return Err(Error::Document("a piece doesn't match its id".to_owned()));
     }
     Ok(Bytes::from(piece))
 }
 
-/// A document that is there whole, from which peers fetch pieces.
+/// A complete document, of which peers fetch pieces.
 #[derive(Debug)]
 pub struct CutDocument {
     manifest: Manifest,
     document: Bytes,
-    places: HashMap<PieceId, Place>,
+    locations: HashMap<PieceId, Location>,
 }
 
 #[derive(Debug)]
-struct Place {
+struct Location {
     range: Range<usize>,
     packed: OnceLock<Bytes>,
 }
 
 impl CutDocument {
-    /// Cuts a document.
+    /// Splits a document into pieces.
     pub fn cut(key: &str, version: u64, document: Bytes) -> Self {
         let chunks = FastCDC::new(
             &document,
@@ -177,26 +178,26 @@
         CutDocument::of_parts(manifest, document)
     }
 
-    /// A document with the manifest that it was put together by.
+    /// Creates a document from its manifest and its bytes, which must match.
     fn of_parts(manifest: Manifest, document: Bytes) -> Self {
-        let mut places = HashMap::with_capacity(manifest.pieces.len());
-        let mut begins = 0;
+        let mut locations = HashMap::with_capacity(manifest.pieces.len());
+        let mut start = 0;
         for piece in &manifest.pieces {
-            let ends = begins + piece.bytes as usize;
-            places.entry(piece.id).or_insert(Place {
-                range: begins..ends,
+            let end = start + piece.bytes as usize;
+            locations.entry(piece.id).or_insert(Location {
+                range: start..end,
                 packed: OnceLock::new(),
             });
-            begins = ends;
+            start = end;
         }
         CutDocument {
             manifest,
             document,
-            places,
+            locations,
         }
     }
 
-    /// What it consists of.
+    /// The manifest.
     pub fn manifest(&self) -> &Manifest {
         &self.manifest
     }
@@ -206,32 +207,32 @@
         &self.document
     }
 
-    /// A piece, if the document has it.
+    /// Returns a piece, or `None` if the document doesn't contain it.
     pub fn piece(&self, id: PieceId) -> Option<Bytes> {
-        let place = self.places.get(&id)?;
-        Some(self.document.slice(place.range.clone()))
+        let location = self.locations.get(&id)?;
+        Some(self.document.slice(location.range.clone()))
     }
 
-    /// The same as it travels. It is packed once: a dozen hosts ask for the same pieces.
+    /// Returns a compressed piece. The compressed bytes are cached, since a dozen hosts request the same pieces.
     ///
     /// # Errors
     ///
     /// [`Error::Document`] if the compression fails.
     pub fn packed(&self, id: PieceId) -> Result<Option<Bytes>> {
-        let Some(place) = self.places.get(&id) else {
+        let Some(location) = self.locations.get(&id) else {
             return Ok(None);
         };
-        if let Some(packed) = place.packed.get() {
+        if let Some(packed) = location.packed.get() {
             return Ok(Some(packed.clone()));
         }
-        let packed = pack(&self.document[place.range.clone()])?;
-        Ok(Some(place.packed.get_or_init(|| packed).clone()))
+        let packed = pack(&self.document[location.range.clone()])?;
+        Ok(Some(location.packed.get_or_init(|| packed).clone()))
     }
 
-    /// Keeps a piece as it arrived, to pass it on.
-    fn keep_packed(&self, id: PieceId, packed: Bytes) {
-        if let Some(place) = self.places.get(&id) {
-            place.packed.get_or_init(|| packed);
+    /// Caches the compressed bytes of a piece as they were received, for other peers.
+    fn cache_packed(&self, id: PieceId, packed: Bytes) {
+        if let Some(location) = self.locations.get(&id) {
+            location.packed.get_or_init(|| packed);
         }
     }
 }
--- a/src/gateway/document/assembly.rs
+++ b/src/gateway/document/assembly.rs
@@ -1,4 +1,4 @@
-//! A document that is being put together from the pieces of one in force and those that arrive.
+//! Assembles a document from the pieces of the active one and those received from peers.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -13,62 +13,67 @@
 use crate::error::Error;
 use crate::error::Result;
 
-/// A piece that has arrived.
+/// A piece received from a peer.
 #[derive(Debug, Clone)]
-struct Arrived {
+struct ReceivedPiece {
     piece: Bytes,
     packed: Bytes,
 }
 
-/// Pieces that have arrived for a document that isn't whole yet. They outlast the transfer that brought
-/// them, so that the next one, from whatever host and of whatever newer version, goes on from there.
+/// Pieces received for a document that is still incomplete. They are kept when a transfer ends, so that the next
+/// one, from any host and for any newer version, doesn't fetch them again.
 #[derive(Debug, Default)]
-pub struct Shelf(HashMap<PieceId, Arrived>);
+pub struct ReceivedPieces(HashMap<PieceId, ReceivedPiece>);
 
-impl Shelf {
+impl ReceivedPieces {
     /// Number of pieces.
     pub fn len(&self) -> usize {
         self.0.len()
     }
 
-    /// Whether there is none.
+    /// Whether there are no pieces.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
 }
 
-/// A document of which some pieces may be missing.
+/// A document that may lack pieces.
 #[derive(Debug)]
 pub struct Assembly {
     manifest: Manifest,
+    /// Pieces of the active document.
     own: HashMap<PieceId, Bytes>,
-    shelf: Shelf,
+    received: ReceivedPieces,
 }
 
 impl Assembly {
-    /// Begins with what the document in force and the shelf have of it. What the shelf has besides is
+    /// Begins with the pieces that are in the active document or were received earlier. Other received pieces are
     /// dropped.
-    pub fn begin(manifest: Manifest, in_force: Option<&CutDocument>, mut shelf: Shelf) -> Self {
+    pub fn begin(
+        manifest: Manifest,
+        active: Option<&CutDocument>,
+        mut received: ReceivedPieces,
+    ) -> Self {
         let wanted: HashSet<PieceId> = manifest.pieces.iter().map(|piece| piece.id).collect();
         let own = wanted.iter().filter_map(|id| {
-            let piece = in_force?.piece(*id)?;
+            let piece = active?.piece(*id)?;
             Some((*id, piece))
         });
         let own = own.collect();
-        shelf.0.retain(|id, _| wanted.contains(id));
+        received.0.retain(|id, _| wanted.contains(id));
         Assembly {
             manifest,
             own,
-            shelf,
+            received,
         }
     }
 
-    /// What it is put together by.
+    /// The manifest of the document.
     pub fn manifest(&self) -> &Manifest {
         &self.manifest
     }
 
-    /// What is missing, each piece once, in the order of the document.
+    /// The missing pieces without duplicates, in the order of the document.
     pub fn missing(&self) -> Vec<PieceId> {
         let mut seen = HashSet::new();
         let ids = self.manifest.pieces.iter().map(|piece| piece.id);
@@ -76,37 +81,37 @@
             .collect()
     }
 
-    /// Bytes of the document that are there.
-    pub fn got_bytes(&self) -> u64 {
+    /// Size of the present pieces in bytes.
+    pub fn present_bytes(&self) -> u64 {
         let pieces = self.manifest.pieces.iter();
-        let got = pieces.filter(|piece| self.piece(piece.id).is_some());
-        got.map(|piece| u64::from(piece.bytes)).sum()
+        let present = pieces.filter(|piece| self.piece(piece.id).is_some());
+        present.map(|piece| u64::from(piece.bytes)).sum()
     }
 
-    /// Takes a piece as it travelled.
+    /// Adds a compressed piece.
     ///
     /// # Errors
     ///
-    /// [`Error::Document`] if it isn't the piece of this id. Nothing has changed then.
-    pub fn take(&mut self, id: PieceId, packed: Bytes) -> Result<()> {
+    /// [`Error::Document`] if it doesn't match its id. The assembly is unchanged then.
+    pub fn insert(&mut self, id: PieceId, packed: Bytes) -> Result<()> {
         let piece = unpack(id, &packed)?;
-        self.shelf.0.insert(id, Arrived { piece, packed });
+        self.received.0.insert(id, ReceivedPiece { piece, packed });
         Ok(())
     }
 
-    /// Whether nothing is missing.
-    pub fn is_whole(&self) -> bool {
+    /// Whether no piece is missing.
+    pub fn is_complete(&self) -> bool {
         self.manifest
             .pieces
             .iter()
             .all(|piece| self.piece(piece.id).is_some())
     }
 
-    /// The whole document.
+    /// Returns the complete document.
     ///
     /// # Errors
     ///
-    /// [`Error::Document`] if pieces are missing, or make another document than the manifest names.
+    /// [`Error::Document`] if pieces are missing or don't match the manifest.
     pub fn finish(self) -> Result<CutDocument> {
         let mut document = BytesMut::with_capacity(self.manifest.bytes() as usize);
         for spec in &self.manifest.pieces {
@@ -114,28 +119,34 @@
                 Some(piece) if piece.len() == spec.bytes as usize => {
                     document.extend_from_slice(piece);
                 }
-                Some(_) => return Err(Error::Document("a piece of another size".to_owned())),
+                Some(_) => {
+                    return Err(Error::Document(
+                        "a piece doesn't have the size in the manifest".to_owned(),
+                    ));
+                }
                 None => return Err(Error::Document("a piece is missing".to_owned())),
             }
         }
         if *blake3::hash(&document).as_bytes() != self.manifest.digest {
-            return Err(Error::Document("the pieces make another one".to_owned()));
+            return Err(Error::Document(
+                "the digest doesn't match the manifest".to_owned(),
+            ));
         }
         let cut = CutDocument::of_parts(self.manifest, document.freeze());
-        for (id, arrived) in self.shelf.0 {
-            cut.keep_packed(id, arrived.packed);
+        for (id, received) in self.received.0 {
+            cut.cache_packed(id, received.packed);
         }
         Ok(cut)
     }
 
-    /// What has arrived.
-    pub fn into_shelf(self) -> Shelf {
-        self.shelf
+    /// Returns the received pieces.
+    pub fn into_received(self) -> ReceivedPieces {
+        self.received
     }
 
     fn piece(&self, id: PieceId) -> Option<&Bytes> {
-        let arrived = self.shelf.0.get(&id).map(|arrived| &arrived.piece);
-        arrived.or_else(|| self.own.get(&id))
+        let received = self.received.0.get(&id).map(|received| &received.piece);
+        received.or_else(|| self.own.get(&id))
     }
 }
 
--- a/src/gateway/document/catchup.rs
+++ b/src/gateway/document/catchup.rs
@@ -1,4 +1,4 @@
-//! What a host does that knows of a newer configuration than it has in force.
+//! Chooses the peer from which a host fetches a newer configuration.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -6,87 +6,87 @@
 
 use crate::clock::Time;
 
-/// A source that was busy is asked again after this time, about half of what a transfer of 80 KB takes a
-/// link of 10 Mbit/s,
-const BUSY_FOR_MS: u64 = 30;
-/// and up to so much more, by chance, so that those who wait don't come back together.
+/// Time after which a busy source is asked again: about half the transfer time of 80 KB over a link of 10 Mbit/s.
+const BUSY_RETRY_MS: u64 = 30;
+/// Maximum random addition to [`BUSY_RETRY_MS`], so that waiting hosts don't retry together.
 const BUSY_SPREAD_MS: f64 = 40.0;
-/// and longer where many wait, so that a source is asked some 500 times a second however many there are.
-const BUSY_SPREAD_PER_RIVAL_MS: f64 = 2.0;
-/// A source that failed is left for others for this time: as long as a host that is frozen or cut off is
-/// still heard of.
-const UNANSWERED_FOR: Duration = Duration::from_millis(1_000);
-/// and one that told what isn't so for much longer, since the same would be fetched again.
-const WRONG_FOR: Duration = Duration::from_secs(10);
-/// Part of the bound on staleness after which a host that is still behind reads the platform's log itself,
-const OVERDUE_PART: f64 = 0.4;
-/// and up to so much more of it, by chance: hundreds that read a large document together would take all
-/// that the log sends.
+/// The random addition grows with the number of waiting hosts, which bounds a source's requests to about 500 per
+/// second.
+const BUSY_SPREAD_PER_HOST_MS: f64 = 2.0;
+/// Time for which a source that didn't answer is avoided: as long as other hosts still announce one that is frozen or
+/// partitioned.
+const UNANSWERED_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Time for which a source of invalid data is avoided. It would send the same data again.
+const INVALID_TIMEOUT: Duration = Duration::from_secs(10);
+/// Share of the bound on staleness after which a host that is still behind reads the platform's log itself.
+const OVERDUE_SHARE: f64 = 0.4;
+/// Maximum random addition to [`OVERDUE_SHARE`]. Hundreds of hosts that read a large document together would use up the
+/// log's bandwidth.
 const OVERDUE_SPREAD: f64 = 0.2;
 
-/// How far a host that has a version in force stands.
+/// Distance of a host that has a newer version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Distance {
-    /// In the own data centre, heard a moment ago.
+    /// In this host's data centre, heard from recently.
     Near,
-    /// In another one, heard a moment ago.
+    /// In another data centre, heard from recently.
     Far,
-    /// Not heard lately.
+    /// Not heard from recently.
     Silent,
 }
 
-/// A host that has a newer version in force.
+/// A host that has a newer version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Holder {
-    /// Where it serves its peers.
+    /// Address at which it serves its peers.
     pub address: SocketAddr,
     /// The version.
     pub version: u64,
-    /// How far it stands.
+    /// Its distance.
     pub distance: Distance,
 }
 
-/// What was wrong with a source.
+/// Why a fetch from a source failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
-    /// It didn't answer, or broke off.
+    /// The source didn't answer, or not completely.
     Unanswered,
-    /// It told what isn't so.
-    Wrong,
+    /// The source sent invalid data.
+    Invalid,
 }
 
 impl Fault {
-    const fn lasts(self) -> Duration {
+    const fn timeout(self) -> Duration {
         match self {
-            Fault::Unanswered => UNANSWERED_FOR,
-            Fault::Wrong => WRONG_FOR,
+            Fault::Unanswered => UNANSWERED_TIMEOUT,
+            Fault::Invalid => INVALID_TIMEOUT,
         }
     }
 }
 
-/// What to do next.
+/// The next step of catching up.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
-    /// Ask this host.
+    /// Fetch from this host.
     Ask(Holder),
-    /// All that could be asked are busy.
+    /// All sources are busy; try again after this time.
     Wait(Duration),
-    /// Nobody is known to have a newer version and to answer.
+    /// No source is known.
     Stop,
 }
 
-/// A host's way to the newest version that it knows of.
+/// Which sources are busy or have failed, and since when this host has been behind.
 #[derive(Debug)]
 pub struct CatchUp {
     behind_since: Option<Time>,
     busy_until: HashMap<SocketAddr, Time>,
     failed_until: HashMap<SocketAddr, Time>,
-    /// Between 0 and 1, this host's place in what is spread.
+    /// From 0 to 1; determines this host's share of the random additions.
     chance: f64,
 }
 
 impl CatchUp {
-    /// A host that knows of nothing newer. `chance`, between 0 and 1, sets it apart from others.
+    /// Creates the state of a host that is up to date. `chance` is a random number from 0 to 1.
     pub fn new(chance: f64) -> Self {
         CatchUp {
             behind_since: None,
@@ -96,8 +96,8 @@
         }
     }
 
-    /// Whether a newer version than the one in force is known of now.
-    pub fn look(&mut self, now: Time, is_behind: bool) {
+    /// Records whether a newer version than the active one is known.
+    pub fn update(&mut self, now: Time, is_behind: bool) {
         match is_behind {
             true => {
                 self.behind_since.get_or_insert(now);
@@ -106,33 +106,33 @@
         }
     }
 
-    /// For how long a newer version has been known of; none if none is.
+    /// Time for which a newer version has been known, or `None` if none is.
     pub fn behind_for(&self, now: Time) -> Option<Duration> {
         Some(now.since(self.behind_since?))
     }
 
-    /// Whether the host has been behind for so long that it shall read the log itself.
+    /// Whether the host has been behind for so long that it has to read the log itself.
     pub fn is_overdue(&self, now: Time, staleness_max: Duration) -> bool {
-        let part = OVERDUE_PART + OVERDUE_SPREAD * self.chance;
-        let bound = staleness_max.mul_f64(part);
+        let share = OVERDUE_SHARE + OVERDUE_SPREAD * self.chance;
+        let bound = staleness_max.mul_f64(share);
         self.behind_for(now).is_some_and(|behind| behind > bound)
     }
 
-    /// A source serves as many as it can. `rivals` is how many hosts may be asking it.
-    pub fn was_busy(&mut self, now: Time, source: SocketAddr, rivals: usize, chance: f64) {
-        let spread_ms = BUSY_SPREAD_MS.max(BUSY_SPREAD_PER_RIVAL_MS * rivals as f64);
-        let pause = Duration::from_millis(BUSY_FOR_MS + (spread_ms * chance) as u64);
+    /// Records that a source was busy. `hosts` is the number of hosts that may be waiting for it.
+    pub fn record_busy(&mut self, now: Time, source: SocketAddr, hosts: usize, chance: f64) {
+        let spread_ms = BUSY_SPREAD_MS.max(BUSY_SPREAD_PER_HOST_MS * hosts as f64);
+        let pause = Duration::from_millis(BUSY_RETRY_MS + (spread_ms * chance) as u64);
         self.busy_until.insert(source, now + pause);
     }
 
-    /// Something was wrong with a source.
-    pub fn has_failed(&mut self, now: Time, source: SocketAddr, fault: Fault) {
-        self.failed_until.insert(source, now + fault.lasts());
+    /// Records a failed fetch from a source.
+    pub fn record_failure(&mut self, now: Time, source: SocketAddr, fault: Fault) {
+        self.failed_until.insert(source, now + fault.timeout());
     }
 
-    /// What to do next, with a random number between 0 and 1. Nearer sources go first, so that little
-    /// travels between data centres, and of those the ones with the newest version: a version that is
-    /// overtaken costs little then.
+    /// Returns the next step. `chance` is a random number from 0 to 1. Near sources are preferred, which saves
+    /// bandwidth between data centres, and among those the ones with the newest version, which saves fetching
+    /// versions that are replaced soon.
     pub fn next(&mut self, now: Time, holders: &[Holder], chance: f64) -> Step {
         self.busy_until.retain(|_, until| *until > now);
         self.failed_until.retain(|_, until| *until > now);
@@ -150,7 +150,7 @@
         let is_free = |holder: &&&Holder| !self.busy_until.contains_key(&holder.address);
         let free: Vec<&Holder> = near.iter().filter(is_free).copied().collect();
         let Some(newest) = free.iter().map(|holder| holder.version).max() else {
-            return Step::Wait(self.until_one_is_free(now, &near));
+            return Step::Wait(self.time_until_free(now, &near));
         };
         let newest: Vec<&Holder> = free
             .into_iter()
@@ -160,7 +160,7 @@
         Step::Ask(*newest[index.min(newest.len() - 1)])
     }
 
-    fn until_one_is_free(&self, now: Time, holders: &[&Holder]) -> Duration {
+    fn time_until_free(&self, now: Time, holders: &[&Holder]) -> Duration {
         let untils = holders
             .iter()
             .filter_map(|holder| self.busy_until.get(&holder.address));
--- a/src/gateway/document/catchup/tests.rs
+++ b/src/gateway/document/catchup/tests.rs
@@ -48,7 +48,7 @@
 fn busy_hosts_of_the_own_data_centre_are_waited_for() {
     let holders = [holder(1, 8, Distance::Near), holder(2, 8, Distance::Far)];
     let mut catch_up = CatchUp::new(0.5);
-    catch_up.was_busy(Time::ZERO, address(1), 1, 0.5);
+    catch_up.record_busy(Time::ZERO, address(1), 1, 0.5);
 
     let waits = catch_up.next(Time::ZERO, &holders, 0.5);
     let asks = catch_up.next(Time::from_ms(100), &holders, 0.5);
@@ -61,10 +61,10 @@
 fn a_source_that_failed_is_left_for_another_one_and_asked_again_later() {
     let holders = [holder(1, 8, Distance::Near), holder(2, 8, Distance::Far)];
     let mut catch_up = CatchUp::new(0.5);
-    catch_up.has_failed(Time::ZERO, address(1), Fault::Unanswered);
+    catch_up.record_failure(Time::ZERO, address(1), Fault::Unanswered);
 
     let first = catch_up.next(Time::ZERO, &holders, 0.5);
-    catch_up.has_failed(Time::ZERO, address(2), Fault::Wrong);
+    catch_up.record_failure(Time::ZERO, address(2), Fault::Invalid);
     let second = catch_up.next(Time::from_ms(500), &holders, 0.5);
     let third = catch_up.next(Time::from_ms(1_500), &holders, 0.5);
 
@@ -78,8 +78,8 @@
     let mut first = CatchUp::new(0.0);
     let mut last = CatchUp::new(1.0);
     for catch_up in [&mut first, &mut last] {
-        catch_up.look(Time::ZERO, true);
-        catch_up.look(Time::from_ms(900), true);
+        catch_up.update(Time::ZERO, true);
+        catch_up.update(Time::from_ms(900), true);
     }
 
     assert!(!first.is_overdue(Time::from_ms(1_100), STALENESS_MAX));
@@ -91,9 +91,9 @@
 #[test]
 fn a_host_that_has_caught_up_is_not_overdue() {
     let mut catch_up = CatchUp::new(0.0);
-    catch_up.look(Time::ZERO, true);
-    catch_up.look(Time::from_ms(1_000), false);
-    catch_up.look(Time::from_ms(2_000), true);
+    catch_up.update(Time::ZERO, true);
+    catch_up.update(Time::from_ms(1_000), false);
+    catch_up.update(Time::from_ms(2_000), true);
 
     assert_eq!(
         catch_up.behind_for(Time::from_ms(2_100)),
@@ -109,7 +109,7 @@
     for rivals in [100, 200, 1_000] {
         let pause = |chance: f64| {
             let mut catch_up = CatchUp::new(0.5);
-            catch_up.was_busy(Time::ZERO, address(1), rivals, chance);
+            catch_up.record_busy(Time::ZERO, address(1), rivals, chance);
             match catch_up.next(Time::ZERO, &holders, 0.5) {
                 Step::Wait(pause) => pause.as_secs_f64(),
                 Step::Ask(_) | Step::Stop => 0.0,
--- a/src/gateway/document/frames.rs
+++ b/src/gateway/document/frames.rs
@@ -1,5 +1,5 @@
-//! Pieces as they travel one after another: the length of each, four bytes, and its packed bytes. A piece
-//! that the sender doesn't have is a length of 0.
+//! Encoding of a sequence of pieces: for each the length in four bytes and the compressed bytes. Length 0 stands for a
+//! piece that the sender doesn't have.
 
 use bytes::Buf;
 use bytes::BufMut;
@@ -11,11 +11,11 @@
 use crate::error::Error;
 use crate::error::Result;
 
-/// No packed piece is larger: what can't be compressed grows by less than this.
+/// Largest size of a compressed piece in bytes. Incompressible data grows by less than the addition.
 const PACKED_BYTES_MAX: usize = PIECE_BYTES_MAX as usize + 1_024;
 const LENGTH_BYTES: usize = 4;
 
-/// The frame of a piece, or of one that the sender doesn't have.
+/// Encodes a piece, or `None` for one that the sender doesn't have.
 pub fn frame(packed: Option<&Bytes>) -> Bytes {
     let packed = packed.map(Bytes::as_ref).unwrap_or_default();
     let mut frame = BytesMut::with_capacity(LENGTH_BYTES + packed.len());
@@ -24,39 +24,39 @@
     frame.freeze()
 }
 
-/// The ids that a host asks for.
+/// Encodes the ids of requested pieces.
 pub fn encode_ids(ids: &[PieceId]) -> Bytes {
     let bytes: Vec<u8> = ids.iter().flat_map(|id| id.0).collect();
     Bytes::from(bytes)
 }
 
-/// The same, read.
+/// Decodes the ids of requested pieces.
 ///
 /// # Errors
 ///
-/// [`Error::Document`] if they are cut.
+/// [`Error::Document`] if the last id is incomplete.
 pub fn decode_ids(bytes: &[u8]) -> Result<Vec<PieceId>> {
     let (ids, rest) = bytes.as_chunks::<{ PieceId::LEN }>();
     if !rest.is_empty() {
-        return Err(Error::Document("an id that is cut".to_owned()));
+        return Err(Error::Document("an incomplete id".to_owned()));
     }
     Ok(ids.iter().map(|id| PieceId(*id)).collect())
 }
 
-/// Takes frames as their bytes arrive.
+/// Decodes pieces from bytes as they arrive.
 #[derive(Debug, Default)]
 pub struct FrameReader {
     bytes: BytesMut,
 }
 
 impl FrameReader {
-    /// More bytes have arrived.
+    /// Adds received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
         self.bytes.extend_from_slice(bytes);
     }
 
-    /// The next whole frame's packed piece, empty where the sender doesn't have it; none until it has
-    /// arrived.
+    /// Returns the next compressed piece, which is empty if the sender doesn't have it, or `None` until it has been
+    /// received completely.
     ///
     /// # Errors
     ///
--- a/src/gateway/document/tests/fleet.rs
+++ b/src/gateway/document/tests/fleet.rs
@@ -297,7 +297,7 @@
         let holders = self.holders(host);
         let was_behind = self.hosts[host].catch_up.behind_for(self.now).is_some();
         let now = self.now;
-        self.hosts[host].catch_up.look(now, !holders.is_empty());
+        self.hosts[host].catch_up.update(now, !holders.is_empty());
         if !was_behind && !holders.is_empty() {
             self.hosts[host].asks_from = now + SPREAD.mul_f64(self.random.random());
         }
@@ -325,7 +325,7 @@
                 None => {
                     let chance = self.random.random();
                     let host = &mut self.hosts[host];
-                    host.catch_up.was_busy(now, holder.address, 0, chance);
+                    host.catch_up.record_busy(now, holder.address, 0, chance);
                     return;
                 }
             },
@@ -359,7 +359,7 @@
                     let now = self.now;
                     self.end_fetch(host);
                     let catch_up = &mut self.hosts[host].catch_up;
-                    catch_up.has_failed(now, address(source), Fault::Unanswered);
+                    catch_up.record_failure(now, address(source), Fault::Unanswered);
                 }
                 continue;
             }
@@ -379,7 +379,7 @@
             fetch.progressed_at = now;
             let (source, ticket) = (fetch.source, fetch.ticket);
             if let Some(ticket) = ticket {
-                self.hosts[source].transfers.progressed(now, ticket);
+                self.hosts[source].transfers.record_progress(now, ticket);
             }
         }
         let host_now = &mut self.hosts[host];
--- a/src/gateway/document/transfers.rs
+++ b/src/gateway/document/transfers.rs
@@ -1,28 +1,28 @@
-//! How many hosts a source serves pieces to at once.
+//! Limits the number of hosts to which a source sends pieces concurrently.
 //!
-//! When a version appears all hosts of a data centre ask its reader. Served all at once they would all be
-//! done last, at the link's rate divided by their number. So a source serves a few; these are sources
-//! themselves when they are done, and each generation of hosts is larger by that factor.
+//! When a version appears, all hosts of a data centre request it from its reader. If it served all of them
+//! concurrently, all would finish at the same late time, since they share its link. Instead it serves a few, which
+//! become sources when they have finished, so the number of sources grows exponentially.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::clock::Time;
 
-/// Served at once. With more each generation lasts longer: in the model of a fleet 60 hosts with links of 10
-/// Mbit/s have 400 KB after 2.7 s, with four at once after 3.9. With one it would be 2.1, but a receiver behind
-/// a slow link would hold up all.
+/// Most concurrent transfers of a source. More make each step last longer: in a model of 60 hosts with links of 10 Mbit/s,
+/// all have 400 KB after 2.7 s with two and after 3.9 s with four. With one it is 2.1 s, but a receiver with a slow
+/// link would delay all others.
 pub const TRANSFERS_MAX: usize = 2;
-/// A transfer counts while its receiver takes bytes. One that is frozen or cut off holds up others for so long.
-/// A fixed time for the whole of a transfer let ever more begin while a large document was under way: 60
-/// hosts of the model didn't have 800 KB after 20 s.
+/// Time without progress after which a transfer no longer counts, since its receiver may be frozen or partitioned. A limit
+/// on the total time would let more and more transfers of a large document begin: 60 hosts in the model didn't have
+/// 800 KB after 20 s.
 const STALL_MAX: Duration = Duration::from_millis(500);
 
-/// Names a transfer that was admitted.
+/// Identifies a transfer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Ticket(u64);
 
-/// The transfers of a source that are under way.
+/// The transfers of a source that are in progress.
 #[derive(Debug, Default)]
 pub struct Transfers {
     progressed_at: BTreeMap<Ticket, Time>,
@@ -30,7 +30,7 @@
 }
 
 impl Transfers {
-    /// Admits a transfer, unless enough are under way.
+    /// Begins a transfer, unless [`TRANSFERS_MAX`] are in progress.
     pub fn begin(&mut self, now: Time) -> Option<Ticket> {
         self.progressed_at
             .retain(|_, progressed_at| now.since(*progressed_at) < STALL_MAX);
@@ -43,12 +43,12 @@
         Some(ticket)
     }
 
-    /// The receiver of a transfer took more bytes.
-    pub fn progressed(&mut self, now: Time, ticket: Ticket) {
+    /// Records that the receiver of a transfer read more bytes.
+    pub fn record_progress(&mut self, now: Time, ticket: Ticket) {
         self.progressed_at.insert(ticket, now);
     }
 
-    /// A transfer has ended.
+    /// Ends a transfer.
     pub fn end(&mut self, ticket: Ticket) {
         self.progressed_at.remove(&ticket);
     }
--- a/src/gateway/document/transfers/tests.rs
+++ b/src/gateway/document/transfers/tests.rs
@@ -30,7 +30,7 @@
     for at in (0..5_000).step_by(300).map(Time::from_ms) {
         assert!(transfers.begin(at).is_none());
         for ticket in &tickets {
-            transfers.progressed(at, *ticket);
+            transfers.record_progress(at, *ticket);
         }
     }
 }
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -1,8 +1,8 @@
-//! How a host that doesn't read the log gets the upstreams from its peers, and serves them.
+//! Fetches the list of upstreams from peers, for hosts that don't read the log, and serves it to them.
 //!
-//! The load that this answers: a thousand hosts that start together want a list of ten thousand upstreams. It is packed
-//! once and sent to a few at a time; the others are sent away, ask again at a rate that doesn't grow with their
-//! number, and find those that have it by then.
+//! Answers the load of a thousand hosts that start together and all request a list of ten thousand upstreams. The list is
+//! packed once and sent to a few hosts at a time. The others get 503 and retry at a rate that doesn't grow with
+//! their number, from any host that has the list by then.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -36,47 +36,49 @@
 use crate::gateway::shared::Shared;
 use crate::gateway::transferguard::TransferGuard;
 
-/// zstd's level at which a list of ten thousand upstreams takes a host milliseconds.
-const LEVEL: i32 = 1;
-/// A list of more bytes is none.
+/// Compression level of zstd. Packing ten thousand upstreams at this level takes milliseconds.
+const COMPRESSION_LEVEL: i32 = 1;
+/// Largest size of an unpacked list.
 const LIST_BYTES_MAX: u32 = 32 << 20;
-/// So many records of the log are told to all that ask at once.
-const SMALL_CHANGES: u64 = 100;
-/// A transfer of a list counts as under way while its receiver takes parts of this size.
+/// Most changes, in records of the log, that are sent without counting against the number of transfers.
+const SMALL_CHANGES_MAX: u64 = 100;
+/// Size of the parts in which a list is sent. A transfer is in progress while its receiver reads parts.
 const PART_BYTES: usize = 16 << 10;
-/// Path of the upstreams.
+/// Path of the list of upstreams.
 pub const UPSTREAMS_PATH: &str = "/peer/upstreams";
-/// A seed's answer to a host that starts begins within this time: dozens ask the same seed of a tenth of a
-/// core.
+/// Timeout of the first byte from a seed. Dozens of starting hosts request the list from the same seed, which may
+/// have a tenth of a core.
 pub(crate) const SEED_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Any other peer's answer begins within this time: some round trips of the farthest data centre, and one host
-/// that is asked by a few others.
+/// Timeout of the first byte from any other peer: a few round trips to the farthest data centre, and a few other
+/// requests before this one.
 pub(crate) const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The upstreams as a peer knows them, or what changed of them.
+/// A peer's response: its list of upstreams, or the changes to it.
 #[derive(Debug, Serialize, Deserialize)]
 struct UpstreamsPage {
+    /// The log position up to which the peer knows the upstreams.
     position: Position,
-    /// Of all that is listed.
+    /// Digest of the whole list.
     digest: u64,
-    upstreams: UpstreamsTold,
-    /// Which of them get no new work because operators have evacuated their data centres.
+    upstreams: PageContent,
+    /// Data centres that operators have evacuated.
     evacuations: AnnouncedEvacuations,
-    /// What operators have ordered to be rolled out.
+    /// Rollouts that operators have ordered.
     rollouts: Vec<AnnouncedRollout>,
 }
 
 #[derive(Debug, Serialize, Deserialize)]
-enum UpstreamsTold {
-    /// All, packed.
+enum PageContent {
+    /// The whole list.
     All(PackedList),
-    /// What changed from the position on that was asked for.
+    /// The changes since the requested position.
     Changes(Vec<Change>),
 }
 
-/// The whole list, each upstream with the position of its record, as it travels.
+/// The compressed list of all upstreams, each with the position of its record.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct PackedList {
+    /// Size of the unpacked list, in bytes.
     bytes: u32,
     packed: Arc<[u8]>,
 }
@@ -84,7 +86,7 @@
 impl PackedList {
     fn of(list: &[(Upstream, Position)]) -> Result<Self> {
         let bytes = postcard::to_allocvec(list).map_err(unreadable)?;
-        let packed = zstd::bulk::compress(&bytes, LEVEL).map_err(unreadable)?;
+        let packed = zstd::bulk::compress(&bytes, COMPRESSION_LEVEL).map_err(unreadable)?;
         Ok(PackedList {
             bytes: u32::try_from(bytes.len()).map_err(unreadable)?,
             packed: Arc::from(packed),
@@ -105,7 +107,7 @@
     Error::Document(format!("a list of upstreams: {error}"))
 }
 
-/// A whole list that was packed for one peer serves all that ask before it changes.
+/// Caches the packed list until it changes.
 #[derive(Debug, Default)]
 pub(crate) struct ListCache {
     packed: Option<(Position, u64, PackedList)>,
@@ -125,12 +127,12 @@
     }
 }
 
-/// Which upstreams are asked for.
+/// The query string of a request for upstreams.
 #[derive(Debug, Deserialize)]
 pub struct UpstreamsQuery {
-    /// Only what has changed from this offset of the log on,
+    /// Offset in the log from which changes are requested; `None` requests the whole list.
     changed_from: Option<u64>,
-    /// in this history of it.
+    /// The era of the log to which the offset belongs.
     era: Option<Era>,
 }
 
@@ -141,14 +143,15 @@
     }
 }
 
-/// Serves the list of upstreams, or what changed of it; 503 while enough other hosts are being served.
+/// Serves the list of upstreams or the changes to it. Responds with 503 while the maximum number of transfers is in
+/// progress.
 pub async fn serve_upstreams(shared: &Shared, query: &UpstreamsQuery) -> HttpResponse {
     let position = shared.directory(|directory| directory.position());
     let changed_from = query.changed_from();
-    // What was removed between two histories of the log has no position.
+    // Removals at a change of era have no position, so changes are complete only within an era.
     let changed_from = changed_from.filter(|from| from.era == position.era);
     let offset = changed_from.map_or(0, |from| from.offset);
-    let is_small = position.offset.saturating_sub(offset) <= SMALL_CHANGES;
+    let is_small = position.offset.saturating_sub(offset) <= SMALL_CHANGES_MAX;
     let serving = match is_small {
         true => None,
         false => match TransferGuard::begin(shared, Fetch::Upstreams) {
@@ -172,8 +175,8 @@
             position: directory.position(),
             digest: directory.digest(),
             upstreams: match changed_from {
-                Some(from) => UpstreamsTold::Changes(directory.changed_from(from)),
-                None => UpstreamsTold::All(shared.list_cache(|cache| cache.get(directory))?),
+                Some(from) => PageContent::Changes(directory.changed_from(from)),
+                None => PageContent::All(shared.list_cache(|cache| cache.get(directory))?),
             },
         })
     })?;
@@ -196,18 +199,18 @@
         .streaming(stream::iter(parts))
 }
 
-/// Begins to fetch the upstreams from peers that know more, `wait` from now, unless that is under way, or this host knows
-/// them as of `told` by then.
-pub(crate) fn fetch_soon(shared: &Shared, told: Position, wait: Duration) {
+/// Fetches the upstreams from peers after `wait`, unless a fetch is in progress or this host has reached `target` by
+/// then.
+pub(crate) fn fetch_soon(shared: &Shared, target: Position, wait: Duration) {
     let fetching = shared.clone();
     fetch_later(shared, Fetch::Upstreams, wait, async move {
-        if fetching.directory(|directory| directory.position()) < told {
+        if fetching.directory(|directory| directory.position()) < target {
             catch_up(&fetching).await;
         }
     });
 }
 
-/// Runs a fetch, `wait` from now, unless one of the same is under way.
+/// Runs a fetch after `wait`, unless one of the same kind is in progress.
 pub(crate) fn fetch_later(
     shared: &Shared,
     what: Fetch,
@@ -224,18 +227,18 @@
     }
 }
 
-/// What asking a peer came to.
+/// The outcome of a request to a peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Outcome {
-    /// This host knows what the peer knows, or more.
-    Taken,
-    /// It still knows other upstreams.
+    /// This host's list is as new as the peer's, or newer.
+    Applied,
+    /// The lists still differ.
     Differs,
-    /// The peer serves as many as it can.
+    /// The peer has reached its maximum number of transfers.
     Busy,
 }
 
-/// Asks one peer after another that knows more, until one has told, or none answers.
+/// Requests the upstreams from peers with a newer list, one after another, until one succeeds or none is left.
 async fn catch_up(shared: &Shared) {
     loop {
         let now = shared.now();
@@ -244,7 +247,7 @@
         let step = shared.list_catch_up(|catch_up| catch_up.next(now, &holders, rand::random()));
         match step {
             Step::Ask(source) => {
-                if ask(shared, source, holders.len()).await == Outcome::Taken {
+                if ask(shared, source, holders.len()).await == Outcome::Applied {
                     return;
                 }
             }
@@ -259,16 +262,16 @@
     let now = shared.now();
     match fetched {
         Ok(Outcome::Busy) => {
-            let rivals = shared.peers(|peers| peers.count_local(now)) / holders.max(1);
+            let competing_hosts = shared.peers(|peers| peers.count_local(now)) / holders.max(1);
             shared.list_catch_up(|catch_up| {
-                catch_up.was_busy(now, source.address, rivals, rand::random());
+                catch_up.record_busy(now, source.address, competing_hosts, rand::random());
             });
             Outcome::Busy
         }
         Ok(outcome) => outcome,
         Err(error) => {
             shared.list_catch_up(|catch_up| {
-                catch_up.has_failed(now, source.address, Fault::Unanswered);
+                catch_up.record_failure(now, source.address, Fault::Unanswered);
             });
             let line = shared.log().entry(EventCode::PeerSuspected);
             line.with("peer", source.address.to_string())
@@ -279,14 +282,14 @@
     }
 }
 
-/// Fetches the upstreams from a seed, as a host does that starts.
+/// Fetches the upstreams from a seed while this host starts.
 ///
 /// # Errors
 ///
 /// [`Error::Remote`] if the seed doesn't answer or is busy.
 pub(crate) async fn fetch_from_seed(shared: &Shared, seed: SocketAddr) -> Result<()> {
     match fetch_from(shared, seed, SEED_TIMEOUT).await? {
-        Outcome::Taken | Outcome::Differs => Ok(()),
+        Outcome::Applied | Outcome::Differs => Ok(()),
         Outcome::Busy => Err(Error::Remote {
             peer: seed.to_string(),
             reason: "it serves others".to_owned(),
@@ -294,32 +297,35 @@
     }
 }
 
-/// Fetches what has changed since this host last knew all; if it then still knows other upstreams than the
-/// peer does, all of them.
+/// Fetches the changes since this host's position, and the whole list if the lists differ after that.
 async fn fetch_from(shared: &Shared, peer: SocketAddr, timeout: Duration) -> Result<Outcome> {
     let mut client = PeerClient::new(peer, timeout);
     let Position { era, offset } = shared.directory(|directory| directory.position());
     if offset > 0 {
         let path = format!("{UPSTREAMS_PATH}?changed_from={offset}&era={era}");
-        let outcome = take_upstreams(shared, &mut client, &path).await?;
+        let outcome = request_upstreams(shared, &mut client, &path).await?;
         if outcome != Outcome::Differs {
             return Ok(outcome);
         }
     }
-    take_upstreams(shared, &mut client, UPSTREAMS_PATH).await
+    request_upstreams(shared, &mut client, UPSTREAMS_PATH).await
 }
 
-async fn take_upstreams(shared: &Shared, client: &mut PeerClient, path: &str) -> Result<Outcome> {
+async fn request_upstreams(
+    shared: &Shared,
+    client: &mut PeerClient,
+    path: &str,
+) -> Result<Outcome> {
     let (status, body) = client.call(path).await?;
     match status {
         200 => {}
         503 => return Ok(Outcome::Busy),
-        status => return Err(client.refused(status, path)),
+        status => return Err(client.unexpected_status(status, path)),
     }
     let page: UpstreamsPage = postcard::from_bytes(&body).map_err(unreadable)?;
     let all = match &page.upstreams {
-        UpstreamsTold::All(packed) => packed.unpack()?,
-        UpstreamsTold::Changes(_) => Vec::new(),
+        PageContent::All(packed) => packed.unpack()?,
+        PageContent::Changes(_) => Vec::new(),
     };
     let now = shared.now();
     shared.receive_evacuations(&page.evacuations, &client.peer.to_string());
@@ -329,13 +335,13 @@
             return (Vec::new(), true);
         }
         let changes = match page.upstreams {
-            UpstreamsTold::All(_) => directory.replace(now, all, page.position),
-            UpstreamsTold::Changes(told) => told
+            PageContent::All(_) => directory.replace(now, all, page.position),
+            PageContent::Changes(changes) => changes
                 .iter()
                 .filter_map(|change| directory.apply_change(now, change))
                 .collect(),
         };
-        // What this host has heard of later records alone is not in the peer's hash.
+        // Records that this host already has from later positions aren't part of the peer's digest.
         let is_same = directory.digest() == page.digest || directory.has_record_from(page.position);
         if is_same {
             directory.advance(page.position);
@@ -344,17 +350,17 @@
     });
     shared.record_changes(changes, ChangeSource::Peer(&client.peer.to_string()));
     Ok(match is_same {
-        true => Outcome::Taken,
+        true => Outcome::Applied,
         false => Outcome::Differs,
     })
 }
 
-/// Asks one peer for pages.
+/// Sends requests to one peer.
 pub(crate) struct PeerClient {
     client: InternalClient,
-    /// Its address.
+    /// The peer's address.
     pub(crate) peer: SocketAddr,
-    /// Time for an answer to begin.
+    /// Timeout of the first byte of a response.
     timeout: Duration,
 }
 
@@ -367,23 +373,23 @@
         }
     }
 
-    /// Status and body of a page.
+    /// Returns the status and body of a page.
     async fn call(&mut self, path: &str) -> Result<(u16, Bytes)> {
         self.client
             .call(&InternalRequest::get(path), self.timeout)
             .await
     }
 
-    /// A page; none if the peer has nothing newer.
+    /// Returns a page, or `None` if the peer has nothing newer.
     pub(crate) async fn get(&mut self, path: &str) -> Result<Option<Bytes>> {
         match self.call(path).await? {
             (200, body) => Ok(Some(body)),
             (404, _) => Ok(None),
-            (status, _) => Err(self.refused(status, path)),
+            (status, _) => Err(self.unexpected_status(status, path)),
         }
     }
 
-    /// Makes a call whose answer is seen as it arrives.
+    /// Sends a request and passes the parts of the response to `watch` as they arrive.
     pub(crate) async fn call_streaming(
         &mut self,
         call: &InternalRequest,
@@ -392,8 +398,8 @@
         self.client.call_streaming(call, self.timeout, watch).await
     }
 
-    /// The peer answered with a status that it should not.
-    pub(crate) fn refused(&self, status: u16, path: &str) -> Error {
+    /// The error for a response with an unexpected status.
+    pub(crate) fn unexpected_status(&self, status: u16, path: &str) -> Error {
         self.error(format!("status {status} for {path}"))
     }
 
--- a/src/gateway/shared/catchup.rs
+++ b/src/gateway/shared/catchup.rs
@@ -31,7 +31,7 @@
         let is_behind = self.is_behind();
         self.catch_up(|catch_up| {
             let behind = catch_up.behind_for(now);
-            catch_up.look(now, is_behind);
+            catch_up.update(now, is_behind);
             behind
         })
     }
--- a/src/gateway/transferguard.rs
+++ b/src/gateway/transferguard.rs
@@ -27,7 +27,7 @@
     pub(crate) fn record_progress(&self) {
         let now = self.shared.now();
         self.shared.transfers(self.kind, |transfers| {
-            transfers.progressed(now, self.ticket);
+            transfers.record_progress(now, self.ticket);
         });
     }
 }
