--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -22,6 +22,7 @@
 use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Need;
 use crate::gateway::placement::PlacementContext;
+use crate::gateway::speeds::Slowness;
 
 /// Mean share of its planned memory that a running generation holds.
 const MEAN_USED_SHARE: f64 = 0.87;
@@ -35,6 +36,10 @@
 /// Most hosts assumed to compete for freed memory. Counting every host of a large fleet refuses
 /// generations for which there would soon be room.
 const WAITING_HOSTS_MAX: usize = 3;
+/// Longest pause between two events that callers accept.
+const PAUSE_MAX: Duration = Duration::from_millis(180);
+/// Factor by which an engine's machine slows it down for moments while others use it.
+const SHARED_MACHINE_FACTOR: f64 = 2.5;
 /// A refused caller retries no earlier than this share of the time in which it can still get a whole
 /// answer. Its objective is missed already and there is more room later; the rest of that time spreads
 /// the retries of callers that were refused together.
@@ -96,10 +101,13 @@
 }
 
 impl Demand {
-    /// Longest wait after which the first event is still expected in time.
-    fn wait_limit(&self, stats: &EngineStats) -> Duration {
+    /// Longest wait after which the first event is still expected in time at engines that read prompts `prefill`
+    /// times as long as usual.
+    fn wait_limit(&self, stats: &EngineStats, prefill: f64) -> Duration {
         let first_event = match self.need {
-            Need::Memory { prompt_tokens, .. } => stats.first_event_bound(prompt_tokens),
+            Need::Memory { prompt_tokens, .. } => {
+                stats.first_event_bound(prompt_tokens).mul_f64(prefill)
+            }
             Need::Slot | Need::Copy { .. } => Duration::ZERO,
         };
         let left = self.objective.saturating_sub(first_event);
@@ -108,7 +116,8 @@
     }
 
     /// Whether the generation may start at `candidate`: an idle engine always takes it; a busy one needs
-    /// a free slot, room for the predicted peak, and prefill work that fits the objective.
+    /// a free slot, room for the predicted peak, prefill work that fits the objective, and, if it is slow, a
+    /// pace that keeps pauses short.
     fn has_room(&self, candidate: &Candidate, stats: &EngineStats) -> bool {
         let Need::Memory {
             tokens,
@@ -123,9 +132,44 @@
             return true;
         }
         let unread = load.unread_tokens + prompt_tokens;
+        let prefill = candidate.slowness.prefill;
+        let reads_at_once = load.unread_tokens == 0 && prefill <= 1.0;
+        let first_event = stats.first_event_bound(unread).mul_f64(prefill);
         load.requests < candidate.upstream.slots
             && predicted_peak_tokens(load.tokens, tokens, prompt_tokens) <= f64::from(memory_tokens)
-            && (load.unread_tokens == 0 || stats.first_event_bound(unread) <= self.objective)
+            && (reads_at_once || first_event <= self.objective)
+            && keeps_pauses_short(&candidate.slowness)
+    }
+}
+
+/// Whether an engine's events follow each other in time also while its machine is shared. A usual engine is not
+/// asked: where all are as slow, there is no better one.
+fn keeps_pauses_short(slowness: &Slowness) -> bool {
+    let pause = |event_time: Duration| event_time.mul_f64(SHARED_MACHINE_FACTOR);
+    slowness.decode <= 1.0
+        || slowness
+            .event_time
+            .is_none_or(|time| pause(time) <= PAUSE_MAX)
+}
+
+/// How slow the engines are at which a waiting generation is expected to start. Memory becomes free there the more
+/// often, the faster they generate.
+fn waiting_slowness(candidates: &[Candidate]) -> Slowness {
+    let rates = candidates
+        .iter()
+        .map(|candidate| candidate.slowness.decode.recip());
+    let rate: f64 = rates.sum();
+    if candidates.is_empty() {
+        return Slowness::default();
+    }
+    let prefill = candidates.iter().map(|candidate| &candidate.slowness);
+    let prefill: f64 = prefill
+        .map(|slowness| slowness.prefill / slowness.decode)
+        .sum();
+    Slowness {
+        prefill: prefill / rate,
+        decode: candidates.len() as f64 / rate,
+        ..Slowness::default()
     }
 }
 
@@ -151,9 +195,11 @@
             return Verdict::Start(candidate);
         }
     }
+    let slowness = waiting_slowness(candidates);
+    let expected = queue.expected_wait(demand.need.tokens());
     let estimate = WaitEstimate {
-        expected: queue.expected_wait(demand.need.tokens()),
-        limit: demand.wait_limit(queue.stats),
+        expected: expected.mul_f64(slowness.decode),
+        limit: demand.wait_limit(queue.stats, slowness.prefill),
     };
     let waits = match demand.waited {
         None => estimate.expected < estimate.limit,
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -31,6 +31,7 @@
 use crate::gateway::serve::Admitted;
 use crate::gateway::serve::WorkerState;
 use crate::gateway::shared::Shared;
+use crate::gateway::speeds::Work;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::telemetry;
@@ -115,6 +116,9 @@
         let last = is_last(&admitted, may_have_run);
         let sent_at = Instant::now();
         let outcome = attempt(front, &admitted, &upstream, last).await;
+        if is_served(&outcome) {
+            shared.record_speed(&upstream, Work::Call, 1, sent_at.elapsed());
+        }
         note_health(shared, &admitted, &upstream, &outcome);
         if let Some(tried) = outcome.rollout_outcome(sent_at.elapsed()) {
             shared.record_rollout_outcome(&admitted, &upstream, Measure::Whole, tried);
@@ -233,6 +237,11 @@
     }
 }
 
+/// Whether the upstream did the whole work of a call, so that its time tells of its speed.
+fn is_served(outcome: &Attempted) -> bool {
+    matches!(outcome, Attempted::Answered(answer) if answer.head.status.is_success())
+}
+
 fn note_health(shared: &Shared, admitted: &Admitted, upstream: &Upstream, outcome: &Attempted) {
     match outcome {
         Attempted::Answered(answer) if !answer.head.status.is_server_error() => {
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -21,6 +21,7 @@
 use crate::gateway::protocol::Topic;
 use crate::gateway::rollouts::AnnouncedRollout;
 use crate::gateway::rollouts::evidence::AnnouncedEvidence;
+use crate::gateway::speeds::AnnouncedSpeed;
 use crate::gateway::suspects::AnnouncedSuspect;
 use crate::gateway::upstreamlimits::AnnouncedLimit;
 use crate::id::DataCentre;
@@ -32,7 +33,7 @@
 pub(crate) const PART_CHANGES_MAX: usize = 10;
 /// First byte of a datagram. Incremented whenever the fields change, so that hosts of different
 /// releases don't misinterpret each other's datagrams.
-const FORMAT: u8 = 12;
+const FORMAT: u8 = 13;
 /// First byte of a datagram with [`AnnouncedChanges`].
 const CHANGES_FORMAT: u8 = 0x80 | FORMAT;
 
@@ -134,6 +135,8 @@
     pub unreachable: Vec<InstanceId>,
     /// Limits that upstreams name, or no longer name.
     pub limits: Vec<AnnouncedLimit>,
+    /// Speeds of upstreams that the sender observed itself.
+    pub speeds: Vec<AnnouncedSpeed>,
     /// Requests during which upstreams crashed.
     pub suspects: Vec<AnnouncedSuspect>,
     /// Addresses of some other hosts.
@@ -178,6 +181,7 @@
             leaving: Vec::new(),
             unreachable: Vec::new(),
             limits: Vec::new(),
+            speeds: Vec::new(),
             suspects: Vec::new(),
             hosts: Vec::new(),
             introduced: Vec::new(),
@@ -217,12 +221,13 @@
         }
     }
 
-    /// A copy without loads, limits, evidence and host addresses.
+    /// A copy without loads, limits, speeds, evidence and host addresses.
     pub(crate) fn log_only(&self) -> Datagram {
         Datagram {
             evidence: AnnouncedTrials::Nothing,
             loads: AnnouncedLoads::Nothing,
             limits: Vec::new(),
+            speeds: Vec::new(),
             hosts: Vec::new(),
             ..self.clone()
         }
@@ -332,8 +337,8 @@
     }
 }
 
-/// Encodes a datagram. One that is too large loses its oldest limits, which the next round repeats, then its oldest
-/// changes, its smallest loads, suspects and leaving upstreams.
+/// Encodes a datagram. One that is too large loses its latest speeds, which are announced again, then its oldest
+/// limits, which the next round repeats, its oldest changes, its smallest loads, suspects and leaving upstreams.
 pub fn encode(mut datagram: Datagram) -> Vec<u8> {
     if let Some(loads) = datagram.loads.entries_mut() {
         loads.sort_by_key(|(_, load)| std::cmp::Reverse(load.tokens));
@@ -360,7 +365,7 @@
 
 /// Removes the least important entry or entries; false if none are left.
 fn truncate(datagram: &mut Datagram) -> bool {
-    if datagram.limits.pop().is_some() {
+    if datagram.speeds.pop().is_some() || datagram.limits.pop().is_some() {
         return true;
     }
     if !datagram.changes.is_empty() {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -208,7 +208,11 @@
         remote::send_due(shared, socket, remote, &datagram).await;
     }
     let datagram = match is_full {
-        true => datagram,
+        true => Datagram {
+            // Other data centres aren't told: few requests leave their own.
+            speeds: shared.announced_speeds(now),
+            ..datagram
+        },
         false => datagram.log_only(),
     };
     if !unconfirmed.is_empty() {
--- a/src/gateway/gossip/receiving.rs
+++ b/src/gateway/gossip/receiving.rs
@@ -79,6 +79,7 @@
         shared.receive_unreachable(&datagram.host, &datagram.unreachable);
     }
     shared.receive_limits(datagram.host.as_str(), &datagram.limits);
+    shared.receive_speeds(&datagram.host, &datagram.speeds);
     shared.receive_suspects(datagram.host.as_str(), &datagram.suspects);
     let announced = AnnouncedPosition {
         host: &datagram.host,
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -291,6 +291,7 @@
     let (held_back, known) = shared.suspects(|suspects| suspects.count(now));
     telemetry::set_suspects(held_back, known);
     telemetry::set_upstreams_limited(shared.upstream_limits(|limits| limits.count()));
+    telemetry::set_upstreams_slow(shared.count_slow_upstreams());
     telemetry::set_log_era(shared.log_era().number());
     telemetry::set_evacuated(shared.directory(|directory| directory.evacuations().all().len()));
     telemetry::set_last_suspension(shared.last_suspension());
@@ -311,6 +312,7 @@
         shared.expire_evacuations();
         shared.expire_cold_sends();
         shared.expire_reported_loads();
+        shared.expire_speeds();
         shared.expire_limits();
         shared.log_relayed_changes();
         shared.check_partition();
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -29,6 +29,9 @@
 /// Score added for each request that runs on the same engine: each lengthens the engine's steps by
 /// less than 2%.
 const CONCURRENT_REQUEST_COST: f64 = 0.008;
+/// Score added for each output token of a generation at an engine that takes twice the usual time for it: a thousand
+/// tokens so weigh as much as a third of its memory.
+const SLOW_TOKEN_COST: f64 = 1.0 / 3_000.0;
 /// Maximum random part of a score, so that hosts with the same information make different choices.
 const JITTER: f64 = 0.03;
 /// Maximum random part for generations that leave a full data centre while the counts of the others are
@@ -44,7 +47,7 @@
 const LOCAL_MEMORY_SHARE_MAX: f64 = 0.85;
 /// Most unread tokens of a local engine that keeps a generation in its data centre: 0.6 s at 7 tokens a
 /// millisecond.
-const LOCAL_UNREAD_TOKENS_MAX: u32 = 4_500;
+const LOCAL_UNREAD_TOKENS_MAX: f64 = 4_500.0;
 
 /// Upstreams of its data centre that a host considers first. Scoring thousands of them for each request
 /// costs more than it gains: the least loaded of a subset is rarely full before nearly all upstreams are.
@@ -130,6 +133,9 @@
 fn score(need: Need, candidate: &Candidate, local: &DataCentre) -> f64 {
     let is_remote = candidate.upstream.data_centre != *local;
     let remote = if is_remote { 1.0 } else { 0.0 };
+    let Slowness {
+        prefill, decode, ..
+    } = candidate.slowness;
     let requests = f64::from(candidate.load.requests);
     match need {
         Need::Slot => slot_share(candidate) + remote * CALL_REMOTE_COST,
@@ -139,32 +145,35 @@
             memory_tokens,
         } => {
             let unread = f64::from(candidate.load.unread_tokens + prompt_tokens);
-            unread / UNREAD_SCALE_TOKENS
-                + memory_share(candidate, tokens, memory_tokens)
-                + requests * CONCURRENT_REQUEST_COST
+            let output = f64::from(tokens.saturating_sub(prompt_tokens));
+            unread / UNREAD_SCALE_TOKENS * prefill
+                + memory_share(candidate, tokens, memory_tokens) * decode
+                + output * SLOW_TOKEN_COST * (decode - 1.0)
+                + requests * CONCURRENT_REQUEST_COST * decode
                 + remote * GENERATION_REMOTE_COST
         }
         Need::Copy {
             tokens,
             memory_tokens,
         } => {
-            f64::from(candidate.load.unread_tokens) / UNREAD_SCALE_TOKENS
-                + memory_share(candidate, tokens, memory_tokens)
-                + requests * CONCURRENT_REQUEST_COST
+            f64::from(candidate.load.unread_tokens) / UNREAD_SCALE_TOKENS * prefill
+                + memory_share(candidate, tokens, memory_tokens) * decode
+                + requests * CONCURRENT_REQUEST_COST * decode
                 + remote * COPY_REMOTE_COST
         }
     }
 }
 
-/// The share of a plain service's slots that would be in use, multiplied by the upstream's slowness.
+/// The share of a plain service's slots that would be in use, multiplied by the upstream's slowness and by
+/// what it reports of its machine.
 fn slot_share(candidate: &Candidate) -> f64 {
     let slots = f64::from(candidate.upstream.slots.max(1));
-    let (reported_requests, slowness) = match candidate.reported {
+    let (reported_requests, at_present) = match candidate.reported {
         Some(reported) => (reported.requests(), reported.slowness),
         None => (0, 1.0),
     };
     let requests = f64::from(candidate.load.requests.max(reported_requests));
-    (requests + 1.0) / slots * slowness
+    (requests + 1.0) / slots * at_present * candidate.slowness.call
 }
 
 /// The share of an engine's memory that would be in use.
@@ -181,7 +190,8 @@
             ..
         } => {
             memory_share(candidate, tokens, memory_tokens) <= LOCAL_MEMORY_SHARE_MAX
-                && candidate.load.unread_tokens <= LOCAL_UNREAD_TOKENS_MAX
+                && f64::from(candidate.load.unread_tokens) * candidate.slowness.prefill
+                    <= LOCAL_UNREAD_TOKENS_MAX
         }
         Need::Slot | Need::Copy { .. } => false,
     }
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -154,8 +154,10 @@
 impl RunningGuard {
     /// Records a generation that ran to its end. Broken ones and ones that never ran are not recorded: they
     /// say nothing about how long memory is held.
-    pub fn complete(&self) {
-        let time = self.started_at.elapsed();
+    ///
+    /// `slowness` is that of the engine; what is recorded describes a usual one.
+    pub fn complete(&self, slowness: f64) {
+        let time = self.started_at.elapsed().div_f64(slowness);
         self.queues
             .with(|queues| queues.stats.record_end(self.tokens, time));
     }
--- a/src/gateway/queue/tests.rs
+++ b/src/gateway/queue/tests.rs
@@ -124,6 +124,6 @@
     let before = turnover();
     drop(handle.track_running(None, 50_000));
     assert_eq!(turnover(), before);
-    handle.track_running(None, 50_000).complete();
+    handle.track_running(None, 50_000).complete(1.0);
     assert!(turnover() < before);
 }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -37,6 +37,7 @@
 use crate::gateway::identity::Caller;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::joining;
+use crate::gateway::loads::Load;
 use crate::gateway::placement;
 use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Need;
@@ -287,17 +288,40 @@
         .into_iter()
         .filter(|upstream| !avoid.contains(&upstream.id))
         .filter(|upstream| !any_limited || shared.may_send(now, upstream))
-        .map(|upstream| Candidate {
-            load: loads.with(|loads| loads.at(&upstream.id)),
-            reported: shared.reported_load(now, &upstream.id),
-            slowness: Slowness::default(),
-            unhealthy: shared.is_avoided(now, &upstream.id)
-                || unreachable.contains(&upstream.data_centre),
-            upstream,
+        .map(|upstream| {
+            let load = loads.with(|loads| loads.at(&upstream.id));
+            Candidate {
+                load,
+                reported: shared.reported_load(now, &upstream.id),
+                slowness: slowness(shared, admitted, now, &upstream, load),
+                unhealthy: shared.is_avoided(now, &upstream.id)
+                    || unreachable.contains(&upstream.data_centre),
+                upstream,
+            }
         })
         .collect()
 }
 
+/// How slow an upstream with `load` is for a request.
+fn slowness(
+    shared: &Shared,
+    admitted: &Admitted,
+    now: Time,
+    upstream: &Upstream,
+    load: Load,
+) -> Slowness {
+    let slowness = shared.present_slowness(now, &upstream.id);
+    let engine = admitted.engine.as_ref();
+    let event_time = engine.and_then(|engine| {
+        let requests = load.requests.saturating_add(1);
+        shared.event_time(now, upstream, requests, engine.tokens_per_event)
+    });
+    Slowness {
+        event_time,
+        ..slowness
+    }
+}
+
 /// Whether a data centre is in one of `regions`; one of unknown region is in none.
 fn is_in_regions(shared: &Shared, data_centre: &DataCentre, regions: &BTreeSet<RegionId>) -> bool {
     let region = shared.settings().regions.get(data_centre);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -47,6 +47,7 @@
 use crate::gateway::retrybudget::SharedRetryBudget;
 use crate::gateway::rollouts::evidence::EvidenceStore;
 use crate::gateway::settings::GatewaySettings;
+use crate::gateway::speeds::Speeds;
 use crate::gateway::suspects::Suspects;
 use crate::gateway::suspension::SuspensionDetector;
 use crate::gateway::upstreamlimits::UpstreamLimits;
@@ -62,6 +63,7 @@
 mod logreads;
 mod remoteloads;
 mod rollouts;
+mod speeds;
 mod suspects;
 mod suspension;
 
@@ -96,6 +98,7 @@
     ejector: Mutex<Ejector<InstanceId>>,
     reachability: Mutex<Reachability>,
     reported_loads: Mutex<ReportedLoads>,
+    speeds: Mutex<Speeds>,
     cold_budget: Mutex<ColdBudget>,
     upstream_limits: Mutex<UpstreamLimits>,
     rests: Mutex<Rests>,
@@ -154,6 +157,7 @@
             ejector: Mutex::new(Ejector::new(Default::default())),
             reachability: Mutex::default(),
             reported_loads: Mutex::default(),
+            speeds: Mutex::default(),
             cold_budget: Mutex::default(),
             upstream_limits: Mutex::new(UpstreamLimits::new(rand::random())),
             rests: Mutex::default(),
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -154,6 +154,7 @@
         let upstream = candidate.upstream;
         attempts.add(&upstream.id);
         let _send_guard = shared.begin_send(&upstream.id);
+        let slowness = shared.uses_speeds().then_some(candidate.slowness);
         let entry = admitted.log_entry(shared, EventCode::RequestDispatched);
         entry
             .with("upstream", upstream.id.as_str())
@@ -161,6 +162,11 @@
             .with("load_tokens", candidate.load.tokens)
             .with("load_unread", candidate.load.unread_tokens)
             .with("tokens", need.tokens())
+            .with_some(
+                "prefill_slowness",
+                slowness.map(|slowness| slowness.prefill),
+            )
+            .with_some("decode_slowness", slowness.map(|slowness| slowness.decode))
             .with("hosts", shared.live_hosts())
             .write();
         let (delivery, reason) = match open(shared, &admitted, &upstream, need.tokens(), None).await
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -187,7 +187,10 @@
         }
         let produced = self.produced_tokens();
         let planned = planned_output(self.admitted.size(&self.shared));
-        TOKEN_TIME * planned.saturating_sub(produced) < SHORT_RUN_MAX && produced < planned
+        let upstream = &self.running.upstream.id;
+        let slowness = self.shared.present_slowness(self.shared.now(), upstream);
+        let token_time = TOKEN_TIME.mul_f64(slowness.decode);
+        token_time * planned.saturating_sub(produced) < SHORT_RUN_MAX && produced < planned
     }
 
     /// Chooses the engine to move the run to. Engines assigned to this run's engine among those leaving in
@@ -377,6 +380,7 @@
                 self.running = *running;
                 self.stream_error = None;
                 self.splitter.discard_partial();
+                self.restart_speed();
                 self.leaving_since = None;
                 telemetry::count_of_service(Metric::StreamMovesTotal, &service);
                 self.log_move("continued", Some(to));
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -23,6 +23,7 @@
 use crate::gateway::rollouts::evidence::Outcome;
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
+use crate::gateway::speeds::Work;
 use crate::id::ClassId;
 use crate::telemetry;
 use crate::telemetry::Metric;
@@ -30,6 +31,9 @@
 
 /// Events over which the pace of a stream is measured.
 const PACE_EVENTS: u64 = 8;
+/// Fewest unread tokens of which the time to the first event tells how fast prompts are read; with fewer the steps
+/// of running requests prevail.
+const PREFILL_TOKENS_MIN: u32 = 256;
 
 /// A stream that is being relayed to its caller.
 pub(super) struct Relay {
@@ -49,6 +53,8 @@
     first_at: Option<Instant>,
     /// Whether the pace has been recorded.
     pace_recorded: bool,
+    /// From when and from how many events on the engine's speed is measured; none until an event of it has come.
+    speed_from: Option<(Instant, u64)>,
     /// Tokens that the run is expected to produce in all.
     expected_tokens: u32,
     pub(super) last_at: Instant,
@@ -95,6 +101,7 @@
             first_ms: None,
             first_at: None,
             pace_recorded: false,
+            speed_from: None,
             expected_tokens,
             last_at: Instant::now(),
             gap_max: Duration::ZERO,
@@ -161,6 +168,7 @@
             Some(_) => self.gap_max = self.gap_max.max(now - self.last_at),
         }
         self.record_pace(now);
+        self.record_decode_speed(now);
         self.last_at = now;
     }
 
@@ -197,6 +205,31 @@
         }
     }
 
+    /// Records how fast the engine generates, every [`PACE_EVENTS`] events.
+    fn record_decode_speed(&mut self, now: Instant) {
+        let Some(engine) = &self.admitted.engine else {
+            return;
+        };
+        let events = self.splitter.event_count();
+        let Some((from, events_before)) = self.speed_from else {
+            self.speed_from = Some((now, events));
+            return;
+        };
+        let passed = u32::try_from(events - events_before).unwrap_or(u32::MAX);
+        if u64::from(passed) >= PACE_EVENTS {
+            let tokens = passed.saturating_mul(engine.tokens_per_event);
+            let upstream = &self.running.upstream;
+            self.shared
+                .record_speed(upstream, Work::Decode, tokens, now - from);
+            self.speed_from = Some((now, events));
+        }
+    }
+
+    /// Measures the engine's speed anew, because another one continues the run.
+    pub(super) fn restart_speed(&mut self) {
+        self.speed_from = None;
+    }
+
     fn record_outcome(&self, measure: Measure, outcome: Outcome) {
         let upstream = &self.running.upstream;
         self.shared
@@ -209,9 +242,17 @@
         let time = self.running.sent_at.elapsed();
         self.record_outcome(Measure::FirstEvent, Outcome::Took(time));
         let tokens = self.running.unread_tokens;
+        let upstream = &self.running.upstream;
+        let now = self.shared.now();
+        let slowness = self.shared.present_slowness(now, &upstream.id);
+        if tokens >= PREFILL_TOKENS_MIN {
+            self.shared
+                .record_speed(upstream, Work::Prefill, tokens, time);
+        }
+        let usual_time = time.div_f64(slowness.prefill);
         let in_time = self.admitted.arrived.elapsed() <= self.admitted.route.objective;
         self.shared.queues().with(|lines| {
-            lines.stats.record_first_event(tokens, time);
+            lines.stats.record_first_event(tokens, usual_time);
             lines.stats.record_objective(in_time);
         });
     }
@@ -247,8 +288,10 @@
 
     fn complete(&mut self) {
         self.ended = true;
-        self.running_guard.complete();
+        let now = self.shared.now();
         let upstream = &self.running.upstream.id;
+        let slowness = self.shared.slowness(now, upstream);
+        self.running_guard.complete(slowness.decode);
         self.shared
             .clear_suspect(self.admitted.fingerprint, upstream);
         let entry = self
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -145,6 +145,8 @@
         "Data centres whose upstreams get no new work because operators evacuated them.",
     UpstreamsLimited Gauge "cedargauge_limited_upstreams_active" ""
         "Upstreams whose answers name a limit on the request rate of all hosts together.",
+    UpstreamsSlow Gauge "cedargauge_slow_upstreams_active" ""
+        "Upstreams that take longer than is usual for their service.",
     SuspectsHeldBack Gauge "cedargauge_held_back_active" ""
         "Contents of requests that are not sent because upstreams crashed under them.",
     SuspectsKnown Gauge "cedargauge_suspects_active" ""
@@ -406,6 +408,11 @@
     metrics::gauge!(Metric::DataCentresEvacuated.name()).set(data_centres as f64);
 }
 
+/// Sets how many upstreams are taken for slow.
+pub fn set_upstreams_slow(upstreams: usize) {
+    metrics::gauge!(Metric::UpstreamsSlow.name()).set(upstreams as f64);
+}
+
 /// Sets how many upstreams name a limit on the request rate.
 pub fn set_upstreams_limited(upstreams: usize) {
     metrics::gauge!(Metric::UpstreamsLimited.name()).set(upstreams as f64);
