--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -105,9 +105,7 @@
     /// times as long as usual.
     fn wait_limit(&self, stats: &EngineStats, prefill: f64) -> Duration {
         let first_event = match self.need {
-            Need::Memory { prompt_tokens, .. } => {
-                stats.first_event_bound(prompt_tokens).mul_f64(prefill)
-            }
+            Need::Memory { prompt_tokens, .. } => stats.first_event_bound(prompt_tokens, prefill),
             Need::Slot | Need::Copy { .. } => Duration::ZERO,
         };
         let left = self.objective.saturating_sub(first_event);
@@ -116,8 +114,8 @@
     }
 
     /// Whether the generation may start at `candidate`: an idle engine always takes it; a busy one needs
-    /// a free slot, room for the predicted peak, prefill work that fits the objective, and, if it is slow, a
-    /// pace that keeps pauses short.
+    /// a free slot, room for the predicted peak, prefill work that fits the objective, and, for a long output at a
+    /// slow one, a pace that keeps pauses short.
     fn has_room(&self, candidate: &Candidate, stats: &EngineStats) -> bool {
         let Need::Memory {
             tokens,
@@ -132,13 +130,12 @@
             return true;
         }
         let unread = load.unread_tokens + prompt_tokens;
-        let prefill = candidate.slowness.prefill;
-        let reads_at_once = load.unread_tokens == 0 && prefill <= 1.0;
-        let first_event = stats.first_event_bound(unread).mul_f64(prefill);
+        let first_event = stats.first_event_bound(unread, candidate.slowness.prefill);
+        let output_tokens = tokens.saturating_sub(prompt_tokens);
         load.requests < candidate.upstream.slots
             && predicted_peak_tokens(load.tokens, tokens, prompt_tokens) <= f64::from(memory_tokens)
-            && (reads_at_once || first_event <= self.objective)
-            && keeps_pauses_short(&candidate.slowness)
+            && (load.unread_tokens == 0 || first_event <= self.objective)
+            && (output_tokens <= SHORT_OUTPUT_TOKENS || keeps_pauses_short(&candidate.slowness))
     }
 }
 
--- a/src/gateway/admit/tests.rs
+++ b/src/gateway/admit/tests.rs
@@ -9,6 +9,7 @@
 use super::Verdict;
 use super::decide;
 use super::retry_after;
+use crate::gateway::admit::tests::simulation::Knowledge;
 use crate::gateway::admit::tests::simulation::Policy;
 use crate::gateway::admit::tests::simulation::Simulation;
 use crate::gateway::directory::Upstream;
@@ -110,7 +111,7 @@
     let mut stats = EngineStats::default();
     for _ in 0..1_000 {
         stats.record_end(4_000, turnover);
-        stats.record_first_event(3_000, Duration::from_millis(400));
+        stats.record_first_event(3_000, 1.0, Duration::from_millis(400));
     }
     stats
 }
@@ -305,3 +306,131 @@
         "{decided:?} {at_once:?}"
     );
 }
+
+/// What the engines of [`uneven_engines`] bear: reports a second, beside 1.4 flags for each. A report takes 1.1 s of an
+/// engine of the model's speed and a flag 0.2 s.
+const BORNE_REPORTS_PER_S: f64 = 4.0;
+
+/// Engines of which a third takes 2.4 times as long as the others, on machines that others use too.
+fn uneven_engines(share: f64, knowledge: Knowledge) -> Vec<simulation::Outcome> {
+    simulate_engines(&[0.7, 0.7, 1.7, 0.7, 0.7, 1.7], share, knowledge)
+}
+
+fn simulate_engines(factors: &[f64], share: f64, knowledge: Knowledge) -> Vec<simulation::Outcome> {
+    let simulation = |seed| {
+        Simulation::new(Policy::Decide)
+            .engines(factors.len())
+            .factors(factors)
+            .shared_machines(seed)
+            .knowing(knowledge)
+            .tokens_per_event(4)
+            .reports_per_s(BORNE_REPORTS_PER_S * share)
+            .flags_per_s(BORNE_REPORTS_PER_S * share * 1.4)
+            .duration_s(30)
+            .run()
+    };
+    (0..4).map(simulation).collect()
+}
+
+fn in_time(outcomes: &[simulation::Outcome]) -> u32 {
+    outcomes.iter().map(simulation::Outcome::in_time).sum()
+}
+
+#[test]
+fn where_engines_differ_more_are_served_in_time_by_speeds() {
+    for share in [0.9, 1.1, 1.4] {
+        let without = in_time(&uneven_engines(share, Knowledge::Nothing));
+        let with = in_time(&uneven_engines(share, Knowledge::Observed));
+        assert!(
+            with >= without,
+            "at {share}: {with} with, {without} without"
+        );
+    }
+}
+
+#[test]
+fn observed_speeds_serve_nearly_as_many_as_true_ones() {
+    for (share, least) in [(0.9, 0.93), (1.1, 0.93), (1.4, 0.85)] {
+        let known = in_time(&uneven_engines(share, Knowledge::True));
+        let observed = in_time(&uneven_engines(share, Knowledge::Observed));
+        assert!(
+            f64::from(observed) >= f64::from(known) * least,
+            "at {share}: {observed} observed, {known} known"
+        );
+    }
+}
+
+#[test]
+fn at_half_load_speeds_spare_most_of_the_pauses_of_slow_engines() {
+    let late = |knowledge| -> u32 {
+        let outcomes = uneven_engines(0.5, knowledge);
+        outcomes.iter().map(|outcome| outcome.late_reports).sum()
+    };
+    let without = late(Knowledge::Nothing);
+    let with = late(Knowledge::Observed);
+    assert!(with * 2 < without, "{with} with, {without} without");
+}
+
+// Guards against choices that follow chance: machines that are shared are slow for moments.
+#[test]
+fn where_engines_are_alike_speeds_take_nothing_away() {
+    for share in [0.9, 1.1] {
+        let without = in_time(&simulate_engines(&[1.0; 6], share, Knowledge::Nothing));
+        let with = in_time(&simulate_engines(&[1.0; 6], share, Knowledge::Observed));
+        assert!(
+            with >= without,
+            "at {share}: {with} with, {without} without"
+        );
+    }
+}
+
+/// An engine that takes `factor` times the usual time, beside an unread prompt.
+fn slow(factor: f64, requests: u32, tokens: u32, unread_tokens: u32) -> Candidate {
+    Candidate {
+        slowness: Slowness {
+            prefill: factor,
+            decode: factor,
+            event_time: Some(Duration::from_millis(30).mul_f64(factor)),
+            ..Slowness::default()
+        },
+        ..running(requests, tokens, unread_tokens)
+    }
+}
+
+#[test]
+fn a_slow_engine_reads_fewer_prompts_within_the_objective() {
+    let stats = stats(Duration::from_secs(4));
+    let starts = |candidate| {
+        let verdict = verdict(&flag(), &queue(&stats, 0, 6_000), &[candidate]);
+        matches!(verdict, Verdict::Start(_))
+    };
+    assert!(starts(slow(1.0, 2, 6_000, 6_000)));
+    assert!(!starts(slow(2.5, 2, 6_000, 6_000)));
+}
+
+#[test]
+fn a_long_output_does_not_start_where_its_pauses_would_be_long() {
+    let stats = stats(Duration::from_secs(4));
+    let starts = |demand: Demand, candidate| {
+        let verdict = verdict(&demand, &queue(&stats, 0, 6_000), &[candidate]);
+        matches!(verdict, Verdict::Start(_))
+    };
+    assert!(starts(report(None), slow(1.0, 2, 6_000, 0)));
+    assert!(!starts(report(None), slow(2.5, 2, 6_000, 0)));
+    assert!(starts(flag(), slow(2.5, 2, 6_000, 0)));
+    assert!(starts(report(None), slow(2.5, 0, 0, 0)));
+}
+
+#[test]
+fn it_waits_for_less_time_where_engines_read_slowly() {
+    let stats = stats(Duration::from_secs(4));
+    let estimate = |factor| {
+        let full = [slow(factor, 24, 34_000, 0)];
+        match verdict(&report(None), &queue(&stats, 90_000, 34_000), &full) {
+            Verdict::Refuse(estimate) => estimate,
+            other => panic!("{other:?}"),
+        }
+    };
+    assert!(estimate(4.0).limit < estimate(1.0).limit);
+    assert!(estimate(4.0).expected > estimate(1.0).expected);
+}
--- a/src/gateway/admit/tests/simulation.rs
+++ b/src/gateway/admit/tests/simulation.rs
@@ -4,6 +4,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use super::OBJECTIVE;
 use super::candidate;
 use super::need;
@@ -13,14 +15,22 @@
 use crate::gateway::admit::QueueState;
 use crate::gateway::admit::Verdict;
 use crate::gateway::enginestats::EngineStats;
+use crate::gateway::instance::InstanceId;
+use crate::gateway::instance::InstanceKey;
 use crate::gateway::loads::Load;
 use crate::gateway::placement;
 use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Need;
 use crate::gateway::placement::PlacementContext;
 use crate::gateway::placement::RemoteCounts;
+use crate::gateway::speeds::Observation;
+use crate::gateway::speeds::Slowness;
+use crate::gateway::speeds::Speeds;
+use crate::gateway::speeds::Work;
 use crate::id::AttemptId;
 use crate::id::DataCentre;
+use crate::id::ServiceId;
+use crate::id::UpstreamId;
 use crate::model::EngineModel;
 use crate::model::ModelEvent;
 use crate::model::ModelOptionsBuilder;
@@ -32,6 +42,12 @@
 const CALLER_TIMEOUT: Duration = Duration::from_secs(7);
 /// Longest pause between two tokens within the objective.
 const PAUSE_MAX: Duration = Duration::from_millis(180);
+/// Time for which a shared machine is slow or not, share of it in which it is slow, and by how much.
+const SHARED_PHASE: Duration = Duration::from_millis(600);
+const SHARED_SHARE: u64 = 7;
+const SHARED_FACTOR: f64 = 2.5;
+/// Tokens over which the pace of a run is observed.
+const PACE_TOKENS: u32 = 32;
 /// Time after the last arrival in which running generations may complete.
 const DRAIN_TIME: Duration = Duration::from_secs(30);
 
@@ -44,6 +60,17 @@
     Decide,
 }
 
+/// What hosts know of the engines' speed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Knowledge {
+    /// Nothing.
+    Nothing,
+    /// What they observe.
+    Observed,
+    /// How fast each engine works while nobody else uses its machine.
+    True,
+}
+
 /// Counts of what became of the generations.
 #[derive(Debug, Default)]
 pub(super) struct Outcome {
@@ -58,6 +85,11 @@
 }
 
 impl Outcome {
+    /// Generations whose first event and pauses were in time.
+    pub(super) fn in_time(&self) -> u32 {
+        self.in_time_reports + self.in_time_flags
+    }
+
     pub(super) fn flags_share(&self) -> f64 {
         f64::from(self.in_time_flags) / f64::from(self.flags)
     }
@@ -96,12 +128,39 @@
     first: Option<Time>,
     last: Time,
     pause_max: Duration,
+    /// Tokens after the first event.
+    tokens: u32,
+    paced_from: Time,
+    paced_tokens: u32,
+}
+
+/// The speed of an engine.
+#[derive(Debug, Clone, Copy)]
+struct Machine {
+    /// Time that its work takes, relative to that of the model.
+    factor: f64,
+    /// Its model's time, which passes more slowly where the factor is above 1.
+    model_time: Time,
+}
+
+fn service() -> ServiceId {
+    ServiceId::new("inspection")
+}
+
+fn key(engine: usize) -> InstanceKey {
+    InstanceId::from(UpstreamId::new(engine.to_string())).key()
 }
 
 /// The state of a simulation and its options.
 pub(super) struct Simulation {
     policy: Policy,
     engines: Vec<Option<EngineModel>>,
+    machines: Vec<Machine>,
+    /// Seed of the phases of shared machines; none if nobody else uses them.
+    shared_seed: Option<u64>,
+    knowledge: Knowledge,
+    speeds: Speeds,
+    tokens_per_event: u32,
     loads: Vec<Load>,
     runs: BTreeMap<AttemptId, Run>,
     queue: Vec<(Generation, bool)>,
@@ -119,6 +178,11 @@
         Simulation {
             policy,
             engines: Vec::new(),
+            machines: Vec::new(),
+            shared_seed: None,
+            knowledge: Knowledge::Nothing,
+            speeds: Speeds::default(),
+            tokens_per_event: 1,
             loads: Vec::new(),
             runs: BTreeMap::new(),
             queue: Vec::new(),
@@ -146,6 +210,33 @@
         };
         self.engines = (0..number as u64).map(engine).collect();
         self.loads = vec![Load::default(); number];
+        self.factors(&vec![1.0; number])
+    }
+
+    /// Sets how long the engines' work takes, relative to that of the model.
+    pub(super) fn factors(mut self, factors: &[f64]) -> Self {
+        let machine = |factor: &f64| Machine {
+            factor: *factor,
+            model_time: Time::ZERO,
+        };
+        self.machines = factors.iter().map(machine).collect();
+        self
+    }
+
+    /// Shares the engines' machines with others.
+    pub(super) fn shared_machines(mut self, seed: u64) -> Self {
+        self.shared_seed = Some(seed);
+        self
+    }
+
+    /// Tokens that the engines send together.
+    pub(super) fn tokens_per_event(mut self, tokens: u32) -> Self {
+        self.tokens_per_event = tokens;
+        self
+    }
+
+    pub(super) fn knowing(mut self, knowledge: Knowledge) -> Self {
+        self.knowledge = knowledge;
         self
     }
 
@@ -230,11 +321,72 @@
         }
     }
 
-    fn candidates(&self) -> Vec<Candidate> {
+    /// How long the work of an engine takes now, relative to that of the model.
+    fn present_factor(&self, now: Time, engine: usize) -> f64 {
+        let Some(seed) = self.shared_seed else {
+            return self.machines[engine].factor;
+        };
+        let phase = now.as_us() / SHARED_PHASE.as_micros() as u64;
+        let draw = xxh3_64_with_seed(&phase.to_le_bytes(), seed * 1_000 + engine as u64);
+        match draw.is_multiple_of(SHARED_SHARE) {
+            true => self.machines[engine].factor * SHARED_FACTOR,
+            false => self.machines[engine].factor,
+        }
+    }
+
+    /// How slow an engine is believed to be.
+    fn slowness(&self, now: Time, engine: usize) -> Slowness {
+        match self.knowledge {
+            Knowledge::Nothing => Slowness::default(),
+            Knowledge::Observed => {
+                let slowness = self.speeds.slowness(now, key(engine));
+                self.with_event_time(engine, slowness)
+            }
+            Knowledge::True => {
+                let mut factors: Vec<f64> = self.machines.iter().map(|it| it.factor).collect();
+                factors.sort_by(f64::total_cmp);
+                let slowness = self.machines[engine].factor / factors[factors.len() / 2];
+                let slowness = Slowness {
+                    prefill: slowness,
+                    decode: slowness,
+                    ..Slowness::default()
+                };
+                self.with_event_time(engine, slowness)
+            }
+        }
+    }
+
+    fn with_event_time(&self, engine: usize, slowness: Slowness) -> Slowness {
+        let requests = self.loads[engine].requests + 1;
+        let usual = self.speeds.usual_token_time(&service(), requests);
+        let event_time = usual.map(|time| time.mul_f64(slowness.decode) * self.tokens_per_event);
+        Slowness {
+            event_time,
+            ..slowness
+        }
+    }
+
+    fn observe(&mut self, now: Time, engine: usize, work: Work, unit_s: f64) {
+        if self.knowledge == Knowledge::Nothing {
+            return;
+        }
+        let observation = Observation {
+            work,
+            requests: self.loads[engine].requests,
+            unit_s,
+        };
+        self.speeds
+            .record(now, &service(), key(engine), observation);
+    }
+
+    fn candidates(&self, now: Time) -> Vec<Candidate> {
         let engines = self.engines.iter().zip(&self.loads).enumerate();
         engines
             .filter(|(_, (engine, _))| engine.is_some())
-            .map(|(index, (_, load))| candidate(&index.to_string(), *load))
+            .map(|(index, (_, load))| Candidate {
+                slowness: self.slowness(now, index),
+                ..candidate(&index.to_string(), *load)
+            })
             .collect()
     }
 
@@ -244,7 +396,7 @@
         queue.sort_by_key(|(generation, _)| (generation.kind == Kind::Report, generation.arrived));
         let mut ahead_tokens = 0;
         for (generation, has_waited) in queue {
-            let candidates = self.candidates();
+            let candidates = self.candidates(now);
             match self.decide(now, &generation, has_waited, ahead_tokens, &candidates) {
                 Verdict::Start(chosen) => self.start(now, generation, &chosen),
                 Verdict::Wait => {
@@ -308,7 +460,10 @@
         let Some(model) = &mut self.engines[engine] else {
             return;
         };
-        if model.submit(now, request).is_err() {
+        if model
+            .submit(self.machines[engine].model_time, request)
+            .is_err()
+        {
             self.outcome.refused += 1;
             return;
         }
@@ -324,18 +479,25 @@
             first: None,
             last: now,
             pause_max: Duration::ZERO,
+            tokens: 0,
+            paced_from: now,
+            paced_tokens: 0,
         };
         self.runs.insert(attempt, run);
     }
 
     fn step_engines(&mut self, now: Time) {
         for index in 0..self.engines.len() {
+            let passed = TICK.div_f64(self.present_factor(now, index));
+            let machine = &mut self.machines[index];
+            let model_time = machine.model_time;
+            machine.model_time = model_time + passed;
             let Some(engine) = &mut self.engines[index] else {
                 continue;
             };
-            let mut events = engine.step(now);
-            while engine.next_step_at().is_some_and(|at| at <= now) {
-                events.extend(engine.step(now));
+            let mut events = engine.step(model_time);
+            while engine.next_step_at().is_some_and(|at| at <= model_time) {
+                events.extend(engine.step(model_time));
             }
             for event in events {
                 match event {
@@ -348,20 +510,42 @@
     }
 
     fn token(&mut self, now: Time, attempt: AttemptId) {
+        let Some(engine) = self.runs.get(&attempt).map(|run| run.engine) else {
+            return;
+        };
+        let slowness = self.slowness(now, engine);
+        let mut observed = None;
         let Some(run) = self.runs.get_mut(&attempt) else {
             return;
         };
         if run.first.is_some() {
-            run.pause_max = run.pause_max.max(now.since(run.last));
+            run.tokens += 1;
+            if run.tokens % self.tokens_per_event == 0 {
+                run.pause_max = run.pause_max.max(now.since(run.last));
+                run.last = now;
+            }
+            run.paced_tokens += 1;
+            if run.paced_tokens == PACE_TOKENS {
+                let time = now.since(run.paced_from).as_secs_f64();
+                observed = Some((Work::Decode, time / f64::from(PACE_TOKENS)));
+                run.paced_tokens = 0;
+                run.paced_from = now;
+            }
         } else {
             run.first = Some(now);
-            self.loads[run.engine].unread_tokens -= run.generation.prompt_tokens;
+            run.last = now;
+            run.paced_from = now;
+            let (engine, tokens, time) = (run.engine, run.queued_tokens, now.since(run.sent));
+            self.loads[engine].unread_tokens -= run.generation.prompt_tokens;
             self.stats
-                .record_first_event(run.queued_tokens, now.since(run.sent));
+                .record_first_event(tokens, slowness.prefill, time);
+            observed = Some((Work::Prefill, time.as_secs_f64() / f64::from(tokens)));
             let in_time = now.since(run.generation.arrived) <= OBJECTIVE;
             self.stats.record_objective(in_time);
         }
-        run.last = now;
+        if let Some((work, unit_s)) = observed {
+            self.observe(now, engine, work, unit_s);
+        }
     }
 
     fn done(&mut self, now: Time, attempt: AttemptId) {
@@ -382,6 +566,7 @@
 
     fn end(&mut self, now: Time, attempt: AttemptId) -> Option<Run> {
         let run = self.runs.remove(&attempt)?;
+        let slowness = self.slowness(now, run.engine);
         let load = &mut self.loads[run.engine];
         let tokens = run.generation.need().tokens();
         load.requests -= 1;
@@ -389,7 +574,8 @@
         if run.first.is_none() {
             load.unread_tokens -= run.generation.prompt_tokens;
         }
-        self.stats.record_end(tokens, now.since(run.sent));
+        let time = now.since(run.sent).div_f64(slowness.decode);
+        self.stats.record_end(tokens, time);
         Some(run)
     }
 
@@ -405,7 +591,7 @@
             if let Some(run) = self.end(now, attempt)
                 && let Some(engine) = &mut self.engines[run.engine]
             {
-                engine.cancel(now, attempt);
+                engine.cancel(self.machines[run.engine].model_time, attempt);
             }
         }
     }
--- a/src/gateway/datagram/tests.rs
+++ b/src/gateway/datagram/tests.rs
@@ -3,13 +3,19 @@
 use super::PART_CHANGES_MAX;
 use super::decode;
 use super::encode;
+use crate::clock::Time;
 use crate::gateway::directory::Change;
 use crate::gateway::directory::ChangeKind;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::position::Position;
+use crate::gateway::speeds::ANNOUNCED_MAX;
+use crate::gateway::speeds::Observation;
+use crate::gateway::speeds::Speeds;
+use crate::gateway::speeds::Work;
 use crate::gateway::upstreamlimits::AnnouncedLimit;
 use crate::id::DataCentre;
 use crate::id::HostId;
+use crate::id::ServiceId;
 use crate::id::UpstreamId;
 
 fn instance(index: usize) -> InstanceId {
@@ -55,3 +61,30 @@
     assert!(bytes.len() <= DATAGRAM_BYTES_MAX, "{} bytes", bytes.len());
     assert!(decode(&bytes).unwrap().leaving.len() > 10);
 }
+
+#[test]
+fn a_datagram_that_is_too_large_loses_its_latest_speeds_first() {
+    let mut speeds = Speeds::default();
+    let service = ServiceId::new("inspection");
+    for index in 0..ANNOUNCED_MAX {
+        let observation = Observation {
+            work: Work::Decode,
+            requests: 1,
+            unit_s: 0.01,
+        };
+        speeds.record(Time::ZERO, &service, instance(index).key(), observation);
+    }
+    let full = Datagram {
+        speeds: speeds.announce(Time::ZERO),
+        ..datagram(PART_CHANGES_MAX, 8, 16)
+    };
+
+    let bytes = encode(full.clone());
+
+    assert!(bytes.len() <= DATAGRAM_BYTES_MAX, "{} bytes", bytes.len());
+    let sent = decode(&bytes).unwrap();
+    assert!(sent.speeds.len() < full.speeds.len());
+    assert_eq!(sent.speeds, full.speeds[..sent.speeds.len()]);
+    assert!(sent.speeds.is_empty() || sent.limits == full.limits);
+    assert_eq!(sent.changes, full.changes);
+}
--- a/src/gateway/enginestats.rs
+++ b/src/gateway/enginestats.rs
@@ -77,13 +77,14 @@
 
 impl EngineStats {
     /// Records a first event that came `time` after its request was sent, when `tokens` were still to be
-    /// read at the engine, including its own prompt.
-    pub fn record_first_event(&mut self, tokens: u32, time: Duration) {
-        let error_s = time.as_secs_f64() - self.expected_first_event(tokens).as_secs_f64();
+    /// read at the engine, including its own prompt. The engine reads prompts `prefill` times as long as usual.
+    pub fn record_first_event(&mut self, tokens: u32, prefill: f64, time: Duration) {
+        let expected = self.expected_first_event(tokens).mul_f64(prefill);
+        let error_s = time.as_secs_f64() - expected.as_secs_f64();
         self.errors.iter_mut().for_each(|count| *count *= DECAY);
         self.errors[error_bucket(error_s)] += 1.0;
         self.prefill_tokens = self.prefill_tokens * DECAY + f64::from(tokens);
-        self.prefill_s = self.prefill_s * DECAY + time.as_secs_f64();
+        self.prefill_s = self.prefill_s * DECAY + time.as_secs_f64() / prefill;
     }
 
     /// Records whether a first event came within the objective of its request.
@@ -112,9 +113,11 @@
         Duration::from_secs_f64(f64::from(tokens) * self.prefill_s / self.prefill_tokens)
     }
 
-    /// Time within which nearly all first events come when `tokens` are still to be read.
-    pub fn first_event_bound(&self, tokens: u32) -> Duration {
-        let bound_s = self.expected_first_event(tokens).as_secs_f64() + self.error_quantile_s();
+    /// Time within which nearly all first events come when `tokens` are still to be read, at engines that read
+    /// prompts `prefill` times as long as usual.
+    pub fn first_event_bound(&self, tokens: u32, prefill: f64) -> Duration {
+        let expected = self.expected_first_event(tokens).mul_f64(prefill);
+        let bound_s = expected.as_secs_f64() + self.error_quantile_s();
         Duration::from_secs_f64(bound_s.max(0.0))
     }
 
--- a/src/gateway/enginestats/tests.rs
+++ b/src/gateway/enginestats/tests.rs
@@ -5,28 +5,28 @@
 #[test]
 fn it_starts_from_a_prior() {
     let stats = EngineStats::default();
-    assert!(stats.first_event_bound(3_000) > Duration::from_millis(1_000));
+    assert!(stats.first_event_bound(3_000, 1.0) > Duration::from_millis(1_000));
     assert_eq!(stats.turnover(), Duration::from_millis(4_000));
 }
 
 #[test]
 fn slow_first_events_lengthen_what_is_expected() {
     let mut stats = EngineStats::default();
-    let before = stats.first_event_bound(3_000);
+    let before = stats.first_event_bound(3_000, 1.0);
     for _ in 0..100 {
-        stats.record_first_event(3_000, Duration::from_millis(2_000));
+        stats.record_first_event(3_000, 1.0, Duration::from_millis(2_000));
     }
-    assert!(stats.first_event_bound(3_000) > before);
-    assert!(stats.first_event_bound(3_000) > Duration::from_millis(1_800));
+    assert!(stats.first_event_bound(3_000, 1.0) > before);
+    assert!(stats.first_event_bound(3_000, 1.0) > Duration::from_millis(1_800));
 }
 
 #[test]
 fn steady_first_events_shrink_the_margin() {
     let mut stats = EngineStats::default();
     for _ in 0..400 {
-        stats.record_first_event(3_000, Duration::from_millis(400));
+        stats.record_first_event(3_000, 1.0, Duration::from_millis(400));
     }
-    assert!(stats.first_event_bound(3_000) < Duration::from_millis(600));
+    assert!(stats.first_event_bound(3_000, 1.0) < Duration::from_millis(600));
 }
 
 #[test]
@@ -46,10 +46,10 @@
 fn one_very_late_first_event_does_not_raise_the_margin() {
     let mut stats = EngineStats::default();
     for _ in 0..400 {
-        stats.record_first_event(3_000, Duration::from_millis(400));
+        stats.record_first_event(3_000, 1.0, Duration::from_millis(400));
     }
 
-    stats.record_first_event(3_000, Duration::from_secs(6));
+    stats.record_first_event(3_000, 1.0, Duration::from_secs(6));
 
-    assert!(stats.first_event_bound(3_000) < Duration::from_millis(700));
+    assert!(stats.first_event_bound(3_000, 1.0) < Duration::from_millis(700));
 }
--- a/src/gateway/placement/tests.rs
+++ b/src/gateway/placement/tests.rs
@@ -253,3 +253,98 @@
         Some("usual")
     );
 }
+
+/// `candidate` where prompts take `prefill` and tokens `decode` times as long as usual.
+fn slow(prefill: f64, decode: f64, candidate: Candidate) -> Candidate {
+    Candidate {
+        slowness: Slowness {
+            prefill,
+            decode,
+            ..Slowness::default()
+        },
+        ..candidate
+    }
+}
+
+fn generation(prompt_tokens: u32, output_tokens: u32) -> Need {
+    Need::Memory {
+        tokens: prompt_tokens + output_tokens,
+        prompt_tokens,
+        memory_tokens: 34_000,
+    }
+}
+
+#[test]
+fn a_generation_avoids_a_slow_engine_until_the_others_are_fuller() {
+    let slow_engine = slow(2.4, 2.4, candidate("slow", "north", load(2, 8_000, 0)));
+    let fuller = candidate("usual", "north", load(4, 14_000, 0));
+    let full = candidate("usual", "north", load(9, 33_000, 6_000));
+
+    assert_eq!(
+        choose_id(GENERATION, &[slow_engine.clone(), fuller]),
+        Some("usual".into())
+    );
+    assert_eq!(
+        choose_id(GENERATION, &[slow_engine, full]),
+        Some("slow".into())
+    );
+}
+
+#[test]
+fn long_outputs_avoid_slow_generation_and_long_prompts_slow_reading() {
+    let engines = [
+        slow(2.4, 1.0, candidate("reads-slowly", "north", load(0, 0, 0))),
+        slow(
+            1.0,
+            2.4,
+            candidate("generates-slowly", "north", load(0, 0, 0)),
+        ),
+    ];
+
+    assert_eq!(
+        choose_id(generation(500, 3_000), &engines),
+        Some("reads-slowly".into())
+    );
+    assert_eq!(
+        choose_id(generation(3_500, 10), &engines),
+        Some("generates-slowly".into())
+    );
+}
+
+#[test]
+fn a_copy_avoids_a_slow_engine() {
+    let engines = [
+        slow(2.4, 2.4, candidate("slow", "north", load(2, 8_000, 0))),
+        candidate("usual", "north", load(3, 12_000, 0)),
+    ];
+
+    assert_eq!(choose_id(COPY, &engines), Some("usual".into()));
+}
+
+#[test]
+fn a_call_avoids_a_slow_upstream_until_the_others_are_fuller() {
+    let mut slow_upstream = candidate("slow", "north", load(1, 0, 0));
+    slow_upstream.slowness.call = 2.4;
+    let fuller = candidate("usual", "north", load(2, 0, 0));
+    let full = candidate("usual", "north", load(6, 0, 0));
+
+    assert_eq!(
+        choose_id(Need::Slot, &[slow_upstream.clone(), fuller]),
+        Some("usual".into())
+    );
+    assert_eq!(
+        choose_id(Need::Slot, &[slow_upstream, full]),
+        Some("slow".into())
+    );
+}
+
+#[test]
+fn a_prompt_at_a_slowly_reading_engine_sends_generations_away_sooner() {
+    let local = slow(2.4, 1.0, candidate("local", "north", load(2, 6_000, 3_000)));
+    let remote = candidate("remote", "south", load(0, 0, 0));
+
+    assert_eq!(
+        choose_with(RemoteCounts::Stale, GENERATION, &[local, remote]),
+        Some("remote".into())
+    );
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -314,10 +314,10 @@
     let engine = admitted.engine.as_ref();
     let event_time = engine.and_then(|engine| {
         let requests = load.requests.saturating_add(1);
-        shared.event_time(now, upstream, requests, engine.tokens_per_event)
+        shared.usual_event_time(&upstream.service, requests, engine.tokens_per_event)
     });
     Slowness {
-        event_time,
+        event_time: event_time.map(|time| time.mul_f64(slowness.decode)),
         ..slowness
     }
 }
--- a/src/gateway/shared/speeds.rs
+++ b/src/gateway/shared/speeds.rs
@@ -14,6 +14,7 @@
 use crate::gateway::speeds::SpeedChange;
 use crate::gateway::speeds::Work;
 use crate::id::HostId;
+use crate::id::ServiceId;
 
 impl Shared {
     /// Whether this host measures the speed of upstreams.
@@ -63,20 +64,17 @@
         }
     }
 
-    /// The expected time between two events of an engine's streams where `requests` run.
-    pub(crate) fn event_time(
+    /// The expected time between two events of a usual engine's streams where `requests` run.
+    pub(crate) fn usual_event_time(
         &self,
-        now: Time,
-        upstream: &Upstream,
+        service: &ServiceId,
         requests: u32,
         tokens_per_event: u32,
     ) -> Option<Duration> {
         if !self.uses_speeds() {
             return None;
         }
-        let key = upstream.id.key();
-        let speeds = lock(&self.0.speeds);
-        let token_time = speeds.token_time(now, &upstream.service, key, requests)?;
+        let token_time = lock(&self.0.speeds).usual_token_time(service, requests)?;
         Some(token_time.saturating_mul(tokens_per_event))
     }
 
--- a/src/gateway/speeds.rs
+++ b/src/gateway/speeds.rs
@@ -30,9 +30,9 @@
 /// Weight of the assumption that an upstream is usual, in observations.
 const PRIOR_WEIGHT: f64 = 2.0;
 /// Factors up to this count as 1: choices among upstreams that are alike stay as they are.
-const ALIKE_FACTOR: f64 = 1.12;
+const ALIKE_FACTOR: f64 = 1.25;
 /// Factors from this count as they are; in between they count in part.
-const DISTINCT_FACTOR: f64 = 1.3;
+const DISTINCT_FACTOR: f64 = 1.5;
 /// Largest factor that is believed, either way.
 const FACTOR_MAX: f64 = 4.0;
 /// What is believed of an upstream holds for this time after the last observation and fades until
@@ -270,19 +270,12 @@
         }
     }
 
-    /// The expected time of a token at an upstream of `service` where `requests` run.
-    pub(crate) fn token_time(
-        &self,
-        now: Time,
-        service: &ServiceId,
-        upstream: InstanceKey,
-        requests: u32,
-    ) -> Option<Duration> {
+    /// The expected time of a token at a usual upstream of `service` where `requests` run.
+    pub(crate) fn usual_token_time(&self, service: &ServiceId, requests: u32) -> Option<Duration> {
         let of_service = self.services.get(service)?;
         let usual = of_service.usual.get(Work::Decode).expected(requests)?;
         let usual = usual + of_service.centre.get(Work::Decode);
-        let slowness = self.slowness(now, upstream);
-        Duration::try_from_secs_f64(usual.exp() * slowness.decode).ok()
+        Duration::try_from_secs_f64(usual.exp()).ok()
     }
 
     /// Number of upstreams that are taken for slow.
--- a/src/gateway/speeds/evidence.rs
+++ b/src/gateway/speeds/evidence.rs
@@ -10,6 +10,11 @@
 const APART: Duration = Duration::from_millis(300);
 /// Smallest weight of an observation.
 const WEIGHT_MIN: f64 = 0.05;
+/// Largest weight of all observations, so that a change is noticed within seconds.
+const WEIGHT_MAX: f64 = 16.0;
+/// An observation that is slower than the mean by more than this counts as if it were so far: a shared machine is slow
+/// for moments.
+const RISE_MAX: f64 = 0.3;
 /// Deviation from which an upstream counts as slow here: a quarter longer.
 const SLOW_DEVIATION: f64 = 0.22;
 /// An observation of a slow upstream that is quicker by this (a factor of 1.6) shows that it has recovered: shared
@@ -44,7 +49,7 @@
 
     /// Adds an observation; `centre` is the deviation of the service's median upstream.
     pub(super) fn record(&mut self, now: Time, deviation: f64, centre: f64) {
-        let deviation = deviation.clamp(centre - DEVIATION_MAX, centre + DEVIATION_MAX);
+        let mut deviation = deviation.clamp(centre - DEVIATION_MAX, centre + DEVIATION_MAX);
         let weight = match self.is_empty() {
             true => 1.0,
             false => {
@@ -52,13 +57,16 @@
                 apart.clamp(WEIGHT_MIN, 1.0)
             }
         };
+        if !self.is_empty() {
+            deviation = deviation.min(self.mean + RISE_MAX);
+        }
         let is_recovery = self.mean - centre >= SLOW_DEVIATION && deviation <= self.mean - RECOVERY;
         let kept = match is_recovery {
             true => self.weight(now).min(WEIGHT_BEFORE_RECOVERY),
             false => self.weight(now),
         };
         self.mean = (self.mean * kept + deviation * weight) / (kept + weight);
-        self.weight = kept + weight;
+        self.weight = (kept + weight).min(WEIGHT_MAX);
         self.at = now;
     }
 }
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -249,10 +249,11 @@
             self.shared
                 .record_speed(upstream, Work::Prefill, tokens, time);
         }
-        let usual_time = time.div_f64(slowness.prefill);
         let in_time = self.admitted.arrived.elapsed() <= self.admitted.route.objective;
         self.shared.queues().with(|lines| {
-            lines.stats.record_first_event(tokens, usual_time);
+            lines
+                .stats
+                .record_first_event(tokens, slowness.prefill, time);
             lines.stats.record_objective(in_time);
         });
     }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -16,6 +16,7 @@
 mod suspendedhost;
 mod upstreamlimits;
 mod upstreamrest;
+mod upstreamspeeds;
 
 use std::time::Duration;
 use std::time::Instant;
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -32,6 +32,7 @@
 use cedargauge::gateway::retrybudget::RetryBudgetOptions;
 use cedargauge::gateway::settings::GatewaySettings;
 use cedargauge::gateway::settings::GatewaySettingsBuilder;
+use cedargauge::gateway::settings::LoadFeatures;
 use cedargauge::id::DataCentre;
 use cedargauge::id::HostId;
 use cedargauge::id::Incarnation;
@@ -210,7 +211,24 @@
 
     /// A host that serves `routes` by `upstreams`.
     pub fn serving(routes: Value, upstreams: &[&FakeUpstream]) -> Self {
-        let world = World::start();
+        World::start().serve(routes, upstreams)
+    }
+
+    /// The same with decisions under load switched on.
+    pub fn serving_with(
+        features: LoadFeatures,
+        routes: Value,
+        upstreams: &[&FakeUpstream],
+    ) -> Self {
+        let address = own_address();
+        let log = FakeLog::start(address);
+        let mut settings = settings(address, log.address());
+        settings.features = features;
+        World::start_host(settings, log, HAS_RUN).serve(routes, upstreams)
+    }
+
+    fn serve(self, routes: Value, upstreams: &[&FakeUpstream]) -> Self {
+        let world = self;
         for upstream in upstreams {
             world.list(upstream, "ready");
         }
--- a/tests/gatewayworld/upstream.rs
+++ b/tests/gatewayworld/upstream.rs
@@ -25,6 +25,8 @@
     Answer(u16, &'static str),
     /// The same with another request's id.
     AnswerOfAnother(&'static str),
+    /// Answers with status 200 and this body after a time.
+    AnswerAfter(Duration, &'static str),
     /// Says that it did not run the request.
     NotRun,
     /// The same, and asks for this many seconds without requests.
@@ -349,6 +351,10 @@
         match behaviour {
             Behaviour::Early(_) => true,
             Behaviour::Answer(status, text) => self.answer(stream, head, status, text),
+            Behaviour::AnswerAfter(time, text) => {
+                std::thread::sleep(time);
+                self.answer(stream, head, 200, text)
+            }
             Behaviour::AnswerOfAnother(text) => {
                 let other = format!("X / HTTP/1.1\r\nrequest-id: other-{id}\r\n");
                 self.answer(stream, &other, 200, text)
