--- a/src/gateway/speeds.rs
+++ b/src/gateway/speeds.rs
@@ -13,7 +13,6 @@
 use std::time::Duration;
 
 use self::announced::PeerSpeeds;
-use self::announced::SpeedReport;
 use self::evidence::Evidence;
 use self::usual::UsualTimes;
 use crate::clock::Time;
@@ -26,6 +25,7 @@
 mod usual;
 
 pub use self::announced::AnnouncedSpeed;
+pub use self::announced::SpeedReport;
 
 /// Weight of the assumption that an upstream is usual, in observations.
 const PRIOR_WEIGHT: f64 = 2.0;
--- a/src/gateway/speeds/announced.rs
+++ b/src/gateway/speeds/announced.rs
@@ -26,8 +26,10 @@
 /// What a host believes of one kind of work from its own observations, in two bytes.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SpeedReport {
-    deviation: i8,
-    weight: u8,
+    /// Logarithm of the factor, in steps of 1/32.
+    pub deviation: i8,
+    /// Weight of the observations, in steps of an eighth of one; 0 for none.
+    pub weight: u8,
 }
 
 impl SpeedReport {
@@ -51,9 +53,12 @@
 pub struct AnnouncedSpeed {
     /// The upstream.
     pub upstream: InstanceKey,
-    prefill: SpeedReport,
-    decode: SpeedReport,
-    call: SpeedReport,
+    /// How it reads prompts.
+    pub prefill: SpeedReport,
+    /// How it generates.
+    pub decode: SpeedReport,
+    /// How it answers calls.
+    pub call: SpeedReport,
 }
 
 impl AnnouncedSpeed {
--- a/tests/upstreamspeeds/mod.rs
+++ b/tests/upstreamspeeds/mod.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use cedargauge::gateway::settings::LoadFeatures;
 use serde_json::json;
 
 use crate::gatewayworld::Behaviour;
@@ -14,6 +13,7 @@
 use crate::gatewayworld::ask;
 use crate::gatewayworld::route;
 use crate::post;
+use cedargauge::gateway::settings::LoadFeatures;
 
 const USUAL: Behaviour = Behaviour::AnswerAfter(Duration::from_millis(20), "sound");
 const SLOW: Behaviour = Behaviour::AnswerAfter(Duration::from_millis(80), "sound");
