Let the test of fuller engines fail without classes of requests

With all numbers of running requests in one class the test passed as well: its engines differed too little. Its steps now lengthen by a quarter for each request, and it also fails an engine that looks fast because it is empty.

--- a/src/gateway/speeds/tests.rs
+++ b/src/gateway/speeds/tests.rs
@@ -128,16 +128,19 @@
 #[test]
 fn a_fuller_engine_is_not_taken_for_a_slow_one() {
     let mut speeds = Speeds::default();
-    // Each request that runs there lengthens the steps by a tenth, and the last engine has the most.
-    let requests = |upstream: usize, step: u32| (upstream as u32 * 3 + step % 12) + 1;
+    // Each request that runs there lengthens the steps by a quarter, and the last engine has the most.
+    let requests = |upstream: usize, step: u32| upstream as u32 * 6 + step % 12 + 1;
 
     let now = observe_with(&mut speeds, Time::ZERO, 60, 6, |upstream, step| {
         let requests = requests(upstream, step);
-        beside(requests, 1.0 + 0.1 * f64::from(requests))
+        beside(requests, 1.0 + 0.25 * f64::from(requests))
     });
 
-    let fullest = decode_slowness(&speeds, now, 5);
-    assert!(fullest < 1.2, "{fullest}");
+    let (emptiest, fullest) = (
+        decode_slowness(&speeds, now, 0),
+        decode_slowness(&speeds, now, 5),
+    );
+    assert!(emptiest > 0.8 && fullest < 1.2, "{emptiest} {fullest}");
 }
 
 #[test]
