Grant the generations of a shared queue by rank and arrival

The queue of a data centre decided nothing. It now starts each waiting generation, the most urgent rank first and by arrival within it, where an engine has room.

--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -87,7 +87,7 @@
 impl QueueState<'_> {
     /// Time until `tokens` are expected to be free for a generation at the end of the queue. Of many
     /// hosts, only a few have a queue at the same time.
-    fn expected_wait(&self, tokens: u32) -> Duration {
+    pub(crate) fn expected_wait(&self, tokens: u32) -> Duration {
         let wanted = (self.ahead_tokens + u64::from(tokens)) as f64;
         let taken = self.taken_tokens.max(1) as f64;
         let turnovers = wanted * self.hosts.clamp(1, WAITING_HOSTS_MAX) as f64 / taken;
@@ -97,7 +97,7 @@
 
 impl Demand {
     /// Longest wait after which the first event is still expected in time.
-    fn wait_limit(&self, stats: &EngineStats) -> Duration {
+    pub(crate) fn wait_limit(&self, stats: &EngineStats) -> Duration {
         let first_event = match self.need {
             Need::Memory { prompt_tokens, .. } => stats.first_event_bound(prompt_tokens),
             Need::Slot | Need::Copy { .. } => Duration::ZERO,
@@ -109,7 +109,7 @@
 
     /// Whether the generation may start at `candidate`: an idle engine always takes it; a busy one needs
     /// a free slot, room for the predicted peak, and prefill work that fits the objective.
-    fn has_room(&self, candidate: &Candidate, stats: &EngineStats) -> bool {
+    pub(crate) fn has_room(&self, candidate: &Candidate, stats: &EngineStats) -> bool {
         let Need::Memory {
             tokens,
             prompt_tokens,
@@ -167,7 +167,11 @@
 
 /// The candidates with room for `demand`. Unhealthy ones count only if all candidates are
 /// unhealthy.
-fn with_room(demand: &Demand, candidates: &[Candidate], stats: &EngineStats) -> Vec<Candidate> {
+pub(crate) fn with_room(
+    demand: &Demand,
+    candidates: &[Candidate],
+    stats: &EngineStats,
+) -> Vec<Candidate> {
     let any_healthy = candidates.iter().any(|candidate| !candidate.unhealthy);
     candidates
         .iter()
--- a/src/gateway/sharedqueue.rs
+++ b/src/gateway/sharedqueue.rs
@@ -13,9 +13,12 @@
 
 use crate::clock::Time;
 use crate::fingerprint::Fingerprint;
+use crate::gateway::admit;
+use crate::gateway::admit::Demand;
 use crate::gateway::enginestats::EngineStats;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::instance::InstanceKey;
+use crate::gateway::placement;
 use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Need;
 use crate::gateway::placement::PlacementContext;
@@ -169,9 +172,42 @@
     pub(crate) fn decide(
         &mut self,
         _now: Time,
-        _view: &EngineView<'_>,
-        _draw: impl FnMut() -> f64,
+        view: &EngineView<'_>,
+        mut draw: impl FnMut() -> f64,
     ) -> Vec<Decision> {
-        Vec::new()
+        let mut engines = view.candidates.to_vec();
+        let mut decisions = Vec::new();
+        self.waiting
+            .sort_by_key(|waiter| (waiter.rank, waiter.arrived_at));
+        self.waiting.retain(|waiter| {
+            let demand = Demand {
+                need: waiter.need,
+                objective: waiter.objective,
+                waited: None,
+            };
+            let allowed: Vec<Candidate> = engines
+                .iter()
+                .filter(|engine| !waiter.avoid.contains(&engine.upstream.id.key()))
+                .cloned()
+                .collect();
+            let with_room = admit::with_room(&demand, &allowed, view.stats);
+            let chosen = placement::choose(waiter.need, &with_room, view.context, &mut draw);
+            let Some(chosen) = chosen else {
+                return true;
+            };
+            for engine in &mut engines {
+                if engine.upstream.id == chosen.upstream.id {
+                    engine.load.requests += 1;
+                    engine.load.tokens += waiter.need.tokens();
+                }
+            }
+            decisions.push(Decision::Start {
+                id: waiter.id.clone(),
+                engine: chosen.upstream.id.clone(),
+                tokens: waiter.need.tokens(),
+            });
+            false
+        });
+        decisions
     }
 }
