Share a data centre's queue by weight, forecast its waits and keep the places of who is refused

The fair queue is generic in what waits, so that ranks are its classes and customers share within each; what is granted is charged whole. A generation that fits nowhere reserves an engine. Refused ones are told their turn, and wait at their first arrival when they return.

--- a/src/fairqueue.rs
+++ b/src/fairqueue.rs
@@ -5,6 +5,10 @@
 //! and in it the backlogged customer, with the lowest sum of the two goes next. One that was idle
 //! starts from the virtual time of those that were not, so idle time earns no credit. A bounded share of
 //! the grants goes to the request that has waited longest, so that no class starves.
+//!
+//! A caller that knows what a request will cost when it grants it charges the whole at once, keeps no count of what
+//! runs and takes the order of a whole class ([`FairQueue::order`]); such a queue has no bound on a customer's lead
+//! ([`FairQueue::charged_whole`]).
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -20,8 +24,11 @@
 use crate::schedule::Ticket;
 use crate::schedule::Weights;
 
+mod order;
 mod waits;
 
+pub(crate) use order::Position;
+
 /// Virtual time units for one token at weight 1.
 const SCALE: u64 = 1_024;
 
@@ -50,18 +57,44 @@
     pub(crate) deadline: Time,
 }
 
+/// An item of a customer's queue.
+#[derive(Debug)]
+struct Queued<T> {
+    request: RequestId,
+    since: Time,
+    deadline: Time,
+    item: T,
+}
+
 /// One customer's queue within a class.
-#[derive(Debug, Default)]
-struct Share {
+#[derive(Debug)]
+struct Share<T> {
     virtual_time: VirtualTime,
     key: VirtualTime,
     running: u32,
-    queue: VecDeque<Waiting>,
+    queue: VecDeque<Queued<T>>,
+}
+
+impl<T> Share<T> {
+    fn front(&self) -> Option<&T> {
+        self.queue.front().map(|queued| &queued.item)
+    }
+}
+
+impl<T> Default for Share<T> {
+    fn default() -> Self {
+        Share {
+            virtual_time: 0,
+            key: 0,
+            running: 0,
+            queue: VecDeque::new(),
+        }
+    }
 }
 
 /// One priority class.
 #[derive(Debug)]
-struct Class {
+struct Class<T> {
     weight: u32,
     engine_priority: u8,
     max_wait_ms: u64,
@@ -71,11 +104,11 @@
     waiting: usize,
     backlog_weight: u64,
     drain: DrainRate,
-    shares: BTreeMap<CustomerId, Share>,
+    shares: BTreeMap<CustomerId, Share<T>>,
     backlog: BTreeSet<(VirtualTime, CustomerId)>,
 }
 
-impl Class {
+impl<T> Class<T> {
     fn new(row: &ClassWeight) -> Self {
         Class {
             weight: row.weight.max(1),
@@ -115,16 +148,42 @@
 }
 
 /// The queue.
-#[derive(Debug, Default)]
-pub(crate) struct FairQueue {
-    classes: BTreeMap<ClassId, Class>,
+#[derive(Debug)]
+pub(crate) struct FairQueue<T = Waiting> {
+    classes: BTreeMap<ClassId, Class<T>>,
     customers: BTreeMap<CustomerId, u32>,
     places: HashMap<RequestId, (ClassId, CustomerId)>,
     arrivals: BTreeSet<(Time, RequestId)>,
     floor: VirtualTime,
+    lead_tokens: Option<u64>,
+}
+
+impl<T> Default for FairQueue<T> {
+    fn default() -> Self {
+        FairQueue {
+            classes: BTreeMap::new(),
+            customers: BTreeMap::new(),
+            places: HashMap::new(),
+            arrivals: BTreeSet::new(),
+            floor: 0,
+            lead_tokens: Some(LEAD_TOKENS),
+        }
+    }
 }
 
 impl FairQueue {
+    /// Adds a request. One that waits already is left as it is.
+    pub(crate) fn push(&mut self, waiting: Waiting) {
+        self.add(Position::of(&waiting), waiting, VecDeque::push_back);
+    }
+
+    /// Adds a request before all others of its customer.
+    pub(crate) fn push_front(&mut self, waiting: Waiting) {
+        self.add(Position::of(&waiting), waiting, VecDeque::push_front);
+    }
+}
+
+impl<T> FairQueue<T> {
     /// Takes new weights; what waits keeps its place.
     pub(crate) fn set_weights(&mut self, weights: &Weights) {
         for row in &weights.classes {
@@ -166,32 +225,33 @@
             .filter(|ms| *ms > 0)
     }
 
-    /// Adds a request. One that waits already is left as it is.
-    pub(crate) fn push(&mut self, waiting: Waiting) {
-        self.add(waiting, VecDeque::push_back);
-    }
-
-    /// Adds a request before all others of its customer.
-    pub(crate) fn push_front(&mut self, waiting: Waiting) {
-        self.add(waiting, VecDeque::push_front);
-    }
-
-    fn add(&mut self, waiting: Waiting, insert: impl FnOnce(&mut VecDeque<Waiting>, Waiting)) {
-        let request = waiting.ticket.request;
+    fn add(
+        &mut self,
+        position: Position,
+        item: T,
+        insert: impl FnOnce(&mut VecDeque<Queued<T>>, Queued<T>),
+    ) {
+        let request = position.request;
         if self.places.contains_key(&request) {
             return;
         }
-        let class_id = waiting.ticket.class.clone();
-        let customer_id = waiting.ticket.customer.clone();
+        let class_id = position.class;
+        let customer_id = position.customer;
         let weight = weight_of(&self.customers, &customer_id);
         self.activate(&class_id, &customer_id);
-        self.arrivals.insert((waiting.since, request));
+        self.arrivals.insert((position.since, request));
         self.places
             .insert(request, (class_id.clone(), customer_id.clone()));
         let class = self.class_entry(&class_id);
         class.waiting += 1;
         let share = class.shares.entry(customer_id.clone()).or_default();
-        insert(&mut share.queue, waiting);
+        let queued = Queued {
+            request,
+            since: position.since,
+            deadline: position.deadline,
+            item,
+        };
+        insert(&mut share.queue, queued);
         share.key = key(share.virtual_time, share.running, weight);
         if class.backlog.insert((share.key, customer_id)) {
             class.backlog_weight += weight;
@@ -199,46 +259,49 @@
     }
 
     /// Takes a request out.
-    pub(crate) fn remove(&mut self, request: RequestId) -> Option<Waiting> {
+    pub(crate) fn remove(&mut self, request: RequestId) -> Option<T> {
         let (class_id, customer_id) = self.places.remove(&request)?;
         let class = self.classes.get_mut(&class_id)?;
         let share = class.shares.get_mut(&customer_id)?;
         let index = share
             .queue
             .iter()
-            .position(|waiting| waiting.ticket.request == request)?;
-        let waiting = share.queue.remove(index)?;
+            .position(|queued| queued.request == request)?;
+        let queued = share.queue.remove(index)?;
         if share.queue.is_empty() {
             class.backlog_weight -= weight_of(&self.customers, &customer_id);
             class.backlog.remove(&(share.key, customer_id));
         }
         class.waiting -= 1;
-        self.arrivals.remove(&(waiting.since, request));
-        Some(waiting)
+        self.arrivals.remove(&(queued.since, request));
+        Some(queued.item)
     }
 
     /// The request that goes next by shares.
-    pub(crate) fn peek(&self) -> Option<&Waiting> {
+    pub(crate) fn peek(&self) -> Option<&T> {
         let class = self
             .classes
             .values()
             .filter(|class| class.waiting > 0)
             .min_by_key(|class| class.key())?;
         let (_, customer) = class.backlog.first()?;
-        class.shares.get(customer)?.queue.front()
+        class.shares.get(customer)?.front()
     }
 
     /// The request that has waited longest.
-    pub(crate) fn oldest(&self) -> Option<&Waiting> {
+    pub(crate) fn oldest(&self) -> Option<&T> {
         let (_, request) = self.arrivals.first()?;
         let (class, customer) = self.places.get(request)?;
         let share = self.classes.get(class)?.shares.get(customer)?;
-        share.queue.iter().find(|w| w.ticket.request == *request)
+        let mut queued = share.queue.iter();
+        queued
+            .find(|queued| queued.request == *request)
+            .map(|queued| &queued.item)
     }
 
     /// The requests that go next by shares: for each class those of its first customers.
-    pub(crate) fn heads(&self) -> impl Iterator<Item = &Waiting> {
-        let mut classes: Vec<&Class> = self
+    pub(crate) fn heads(&self) -> impl Iterator<Item = &T> {
+        let mut classes: Vec<&Class<T>> = self
             .classes
             .values()
             .filter(|class| class.waiting > 0)
@@ -249,7 +312,7 @@
                 .backlog
                 .iter()
                 .take(HEADS_PER_CLASS)
-                .filter_map(|(_, customer)| class.shares.get(customer)?.queue.front())
+                .filter_map(|(_, customer)| class.shares.get(customer)?.front())
         })
     }
 
@@ -292,8 +355,11 @@
         let Some(share) = class.shares.get_mut(customer_id) else {
             return;
         };
-        let lead_max = (class.floor + LEAD_TOKENS * SCALE).max(share.virtual_time);
-        share.virtual_time = shifted(share.virtual_time, tokens, weight).min(lead_max);
+        let shifted = shifted(share.virtual_time, tokens, weight);
+        share.virtual_time = match self.lead_tokens {
+            Some(lead) => shifted.min((class.floor + lead * SCALE).max(share.virtual_time)),
+            None => shifted,
+        };
         class.rekey(customer_id, weight);
     }
 
@@ -330,7 +396,7 @@
         }
     }
 
-    fn class_entry(&mut self, class_id: &ClassId) -> &mut Class {
+    fn class_entry(&mut self, class_id: &ClassId) -> &mut Class<T> {
         self.classes.entry(class_id.clone()).or_insert_with(|| {
             Class::new(&ClassWeight {
                 class: class_id.clone(),
--- a/src/fairqueue/waits.rs
+++ b/src/fairqueue/waits.rs
@@ -11,7 +11,7 @@
 /// Customers of a class whose last request is checked at a time.
 const CHECKED_MAX: usize = 32;
 
-impl FairQueue {
+impl<T> FairQueue<T> {
     /// Accounts the time since the last call to the rate at which each class is granted.
     pub(crate) fn record_time(&mut self, now: Time) {
         for class in self.classes.values_mut() {
@@ -21,11 +21,21 @@
 
     /// Accounts a grant to its class's rate.
     pub(crate) fn record_grant(&mut self, class_id: &ClassId) {
+        self.record_granted(class_id, 1.0);
+    }
+
+    /// Accounts a grant of `amount` to its class's rate. A queue uses one unit for all its grants.
+    pub(crate) fn record_granted(&mut self, class_id: &ClassId, amount: f64) {
         if let Some(class) = self.classes.get_mut(class_id) {
-            class.drain.record_grant();
+            class.drain.record(amount);
         }
     }
 
+    /// What is granted to a class in a second while it waits, in the unit of its grants, if it can be told.
+    pub(crate) fn granted_per_s(&self, class_id: &ClassId) -> Option<f64> {
+        self.classes.get(class_id)?.drain.per_s()
+    }
+
     /// How long one more request of the customer would wait, in milliseconds, if it can be told.
     pub(crate) fn wait_ms(&self, class_id: &ClassId, customer: &CustomerId) -> Option<f64> {
         let class = self.classes.get(class_id)?;
@@ -47,7 +57,7 @@
                 let wait_ms = self.drain_ms(class, customer, queue.len());
                 let left_ms = last.deadline.since(now).as_secs_f64() * 1_000.0;
                 if wait_ms.is_some_and(|wait_ms| wait_ms > left_ms) {
-                    found.push(last.ticket.request);
+                    found.push(last.request);
                 }
             }
         }
@@ -55,7 +65,7 @@
     }
 
     /// How long until `count` requests of the customer are granted, in milliseconds.
-    fn drain_ms(&self, class: &Class, customer: &CustomerId, count: usize) -> Option<f64> {
+    fn drain_ms(&self, class: &Class<T>, customer: &CustomerId, count: usize) -> Option<f64> {
         let weight = weight_of(&self.customers, customer);
         let waits = class
             .shares
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -40,6 +40,15 @@
 /// the retries of callers that were refused together.
 const RETRY_EARLIEST_SHARE: f64 = 0.5;
 
+/// A caller whose place is kept is told to return within this part of the time left: it honours no later time.
+const RETURN_WITHIN: u32 = 3;
+/// Of the time in which its answer can still start, it has this part left to wait in when it returns.
+const RETURN_WAIT_PART: u32 = 2;
+/// Returns of callers with the same turn are spread over this share of the time until then.
+const RETURN_SPREAD: f64 = 0.2;
+/// Shortest time after which a refused caller returns: several looks of a host at its queue.
+const RETURN_EARLIEST: Duration = Duration::from_millis(100);
+
 /// A generation that asks for admission.
 #[derive(Debug, Clone, Copy)]
 pub struct Demand {
@@ -107,9 +116,33 @@
         left.min(self.objective.mul_f64(MAX_WAIT_SHARE - reduction))
     }
 
+    /// Whether an engine without room for `other` has none for this generation either.
+    pub(crate) fn needs_no_less_than(&self, other: &Demand) -> bool {
+        let (
+            Need::Memory {
+                tokens,
+                prompt_tokens,
+                memory_tokens,
+            },
+            Need::Memory {
+                tokens: other_tokens,
+                prompt_tokens: other_prompt_tokens,
+                memory_tokens: other_memory_tokens,
+            },
+        ) = (self.need, other.need)
+        else {
+            return false;
+        };
+        tokens >= other_tokens
+            && prompt_tokens >= other_prompt_tokens
+            && memory_tokens <= other_memory_tokens
+            && self.objective <= other.objective
+            && (!is_short(tokens, prompt_tokens) || is_short(other_tokens, other_prompt_tokens))
+    }
+
     /// Whether the generation may start at `candidate`: an idle engine always takes it; a busy one needs
     /// a free slot, room for the predicted peak, and prefill work that fits the objective.
-    pub(crate) fn has_room(&self, candidate: &Candidate, stats: &EngineStats) -> bool {
+    fn has_room(&self, candidate: &Candidate, stats: &EngineStats) -> bool {
         let Need::Memory {
             tokens,
             prompt_tokens,
@@ -132,11 +165,16 @@
 /// Tokens in memory at the peak of a new generation of `tokens` beside `running` planned tokens. For a
 /// short one, the others are counted at their mean use instead of their full plan.
 fn predicted_peak_tokens(running: u32, tokens: u32, prompt_tokens: u32) -> f64 {
-    let is_short = tokens.saturating_sub(prompt_tokens) <= SHORT_OUTPUT_TOKENS;
+    let is_short = is_short(tokens, prompt_tokens);
     let used_share = if is_short { MEAN_USED_SHARE } else { 1.0 };
     f64::from(running) * used_share + f64::from(tokens)
 }
 
+/// Whether a generation ends before those beside it have grown.
+fn is_short(tokens: u32, prompt_tokens: u32) -> bool {
+    tokens.saturating_sub(prompt_tokens) <= SHORT_OUTPUT_TOKENS
+}
+
 /// Decides on `demand`. `draw` returns random numbers from 0 to 1.
 pub fn decide(
     demand: &Demand,
@@ -146,7 +184,7 @@
     draw: impl FnMut() -> f64,
 ) -> Verdict {
     if queue.ahead_tokens == 0 {
-        let with_room = with_room(demand, candidates, queue.stats);
+        let with_room = with_room(demand, candidates.iter(), queue.stats);
         if let Some(candidate) = placement::choose(demand.need, &with_room, view, draw) {
             return Verdict::Start(candidate);
         }
@@ -167,14 +205,13 @@
 
 /// The candidates with room for `demand`. Unhealthy ones count only if all candidates are
 /// unhealthy.
-pub(crate) fn with_room(
+pub(crate) fn with_room<'a>(
     demand: &Demand,
-    candidates: &[Candidate],
+    candidates: impl Iterator<Item = &'a Candidate> + Clone,
     stats: &EngineStats,
 ) -> Vec<Candidate> {
-    let any_healthy = candidates.iter().any(|candidate| !candidate.unhealthy);
+    let any_healthy = candidates.clone().any(|candidate| !candidate.unhealthy);
     candidates
-        .iter()
         .filter(|candidate| !(any_healthy && candidate.unhealthy))
         .filter(|candidate| demand.has_room(candidate, stats))
         .cloned()
@@ -189,5 +226,19 @@
     latest.mul_f64(share).max(expected.min(latest))
 }
 
+/// Time after which a refused caller whose place is kept should return, given its `time_left`, the `run` time of its
+/// answer and its `turn`, the expected wait for room. `draw` is from 0 to 1.
+pub(crate) fn return_after(
+    time_left: Duration,
+    run: Duration,
+    turn: Duration,
+    draw: f64,
+) -> Duration {
+    let latest_start = time_left.saturating_sub(run) / RETURN_WAIT_PART;
+    let latest = latest_start.min(time_left / RETURN_WITHIN);
+    let spread = turn.mul_f64(1.0 + RETURN_SPREAD * draw);
+    spread.max(RETURN_EARLIEST).min(latest)
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/gateway/placement.rs
+++ b/src/gateway/placement.rs
@@ -109,6 +109,14 @@
             Need::Memory { tokens, .. } | Need::Copy { tokens, .. } => tokens,
         }
     }
+
+    /// Tokens of its prompt that an engine has to read first.
+    pub(crate) fn prompt_tokens(self) -> u32 {
+        match self {
+            Need::Memory { prompt_tokens, .. } => prompt_tokens,
+            Need::Slot | Need::Copy { .. } => 0,
+        }
+    }
 }
 
 /// An upstream that may be chosen.
--- a/src/gateway/sharedqueue.rs
+++ b/src/gateway/sharedqueue.rs
@@ -4,6 +4,7 @@
 //! next takes the memory that becomes free, and nobody knows who has waited longest or what a customer uses on all
 //! hosts. The owner is one host of the data centre for each service; the others send it what waits.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -12,20 +13,31 @@
 use serde::Serialize;
 
 use crate::clock::Time;
+use crate::fairqueue::FairQueue;
+use crate::fairqueue::Position;
 use crate::fingerprint::Fingerprint;
 use crate::gateway::admit;
 use crate::gateway::admit::Demand;
 use crate::gateway::enginestats::EngineStats;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::instance::InstanceKey;
-use crate::gateway::placement;
 use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Need;
 use crate::gateway::placement::PlacementContext;
+use crate::gateway::sharedqueue::engines::Engines;
+use crate::gateway::sharedqueue::forecast::Ahead;
+use crate::gateway::sharedqueue::forecast::Forecaster;
+use crate::gateway::sharedqueue::places::Places;
+use crate::id::ClassId;
 use crate::id::CustomerId;
 use crate::id::DataCentre;
 use crate::id::HostId;
 use crate::id::RegionId;
+use crate::id::RequestId;
+
+mod engines;
+mod forecast;
+mod places;
 
 /// Identifies a waiting generation.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -127,43 +139,250 @@
     },
 }
 
+/// A generation that waits for longer than this without being renewed has lost its host.
+const RENEWED_WITHIN: Duration = Duration::from_millis(300);
+
+impl Waiter {
+    /// What it asks of admission.
+    fn demand(&self) -> Demand {
+        Demand {
+            need: self.need,
+            objective: self.objective,
+            waited: None,
+        }
+    }
+
+    fn customer_id(&self) -> CustomerId {
+        self.customer.clone().unwrap_or_else(|| CustomerId::new(""))
+    }
+
+    /// A number from 0 to 1 that differs between generations that are refused together.
+    fn spread(&self) -> f64 {
+        let mixed = self.id.number.wrapping_mul(SPREAD_FACTOR) >> (u64::BITS - SPREAD_BITS);
+        mixed as f64 / f64::from(1u32 << SPREAD_BITS)
+    }
+}
+
+/// Bits of a generation's number, once mixed, that spread returns.
+const SPREAD_BITS: u32 = 16;
+/// Odd number whose multiples are spread evenly: 2^64 over the golden ratio.
+const SPREAD_FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
+
+/// A generation in the queue.
+#[derive(Debug)]
+struct Entry {
+    waiter: Waiter,
+    /// Whether it was refused before and returned to its place.
+    is_returned: bool,
+}
+
+impl Entry {
+    /// Longest wait from now after which it is still useful. One that returned waits for as long as its whole answer can
+    /// still come.
+    fn limit(&self, now: Time, stats: &EngineStats) -> Duration {
+        let waiter = &self.waiter;
+        let left = waiter.deadline.since(now);
+        if self.is_returned {
+            return left.saturating_sub(waiter.run_time);
+        }
+        let limit = waiter.arrived_at + waiter.demand().wait_limit(stats);
+        limit.since(now).min(left)
+    }
+}
+
+/// What is known of a generation beside its place in the order.
+#[derive(Debug)]
+struct Standing {
+    request: RequestId,
+    renewed_at: Time,
+    forecast: QueueForecast,
+    /// Whether it has waited through a decision.
+    has_waited: bool,
+}
+
+/// What becomes of a waiting generation in a decision.
+enum Outcome {
+    Start(InstanceId),
+    Refuse(QueueForecast),
+    Wait(QueueForecast),
+}
+
 /// The queue of one service at its owner.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct SharedQueue {
-    waiting: Vec<Waiter>,
+    /// A class for each rank; tokens are charged when they are granted.
+    queue: FairQueue<Entry>,
+    ranks: BTreeMap<u8, ClassId>,
+    standings: HashMap<WaiterId, Standing>,
+    places: Places,
+    next_request: u128,
+}
+
+impl Default for SharedQueue {
+    fn default() -> Self {
+        SharedQueue {
+            queue: FairQueue::charged_whole(),
+            ranks: BTreeMap::new(),
+            standings: HashMap::new(),
+            places: Places::default(),
+            next_request: 0,
+        }
+    }
 }
 
 impl SharedQueue {
     /// Adds a generation, or renews one that waits already, which keeps its place.
     pub(crate) fn join(&mut self, now: Time, waiter: Waiter, view: &EngineView<'_>) -> JoinOutcome {
-        let forecast = QueueForecast {
-            expected: view.stats.turnover(),
-            limit: (waiter.arrived_at + waiter.objective).since(now),
-            ahead_tokens: 0,
+        if let Some(forecast) = self.renew(now, &waiter) {
+            return JoinOutcome::Queued(forecast);
+        }
+        self.queue.record_time(now);
+        self.places.expire(now);
+        let returned_to = self.places.take(now, &waiter);
+        let mut entry = Entry {
+            waiter,
+            is_returned: returned_to.is_some(),
+        };
+        if let Some(arrived_at) = returned_to {
+            entry.waiter.arrived_at = arrived_at;
+        }
+        let id = entry.waiter.id.clone();
+        let engines = Engines::new(view);
+        let has_engine = engines.has_any_for(&entry.waiter) && entry.waiter.deadline > now;
+        let has_room = engines.have_room(&entry.waiter);
+        let request = self.insert(now, entry);
+        let forecaster = Forecaster::new(view);
+        let mut forecast = self.forecast(now, request, &forecaster, view);
+        if has_room {
+            forecast.expected = Duration::ZERO;
+        }
+        let entry = self.queue.get_mut(request);
+        let is_returned = entry.is_some_and(|entry| entry.is_returned);
+        let comes_in_time = match is_returned {
+            true => !forecast.limit.is_zero(),
+            false => forecast.expected < forecast.limit,
         };
-        self.leave(&waiter.id);
-        self.waiting.push(waiter);
+        if !has_engine || !(has_room || comes_in_time) {
+            let turn = self.refuse(now, &id, forecast, &forecaster);
+            return JoinOutcome::Refused(turn);
+        }
+        if let Some(standing) = self.standings.get_mut(&id) {
+            standing.forecast = forecast;
+        }
+        if let Some(entry) = self.queue.get_mut(request) {
+            self.places.forget(&entry.waiter);
+        }
         JoinOutcome::Queued(forecast)
     }
 
+    /// Renews a generation that waits already.
+    fn renew(&mut self, now: Time, waiter: &Waiter) -> Option<QueueForecast> {
+        let standing = self.standings.get_mut(&waiter.id)?;
+        standing.renewed_at = now;
+        let entry = self.queue.get_mut(standing.request)?;
+        entry.waiter.avoid.clone_from(&waiter.avoid);
+        entry.waiter.regions.clone_from(&waiter.regions);
+        Some(standing.forecast)
+    }
+
+    fn insert(&mut self, now: Time, entry: Entry) -> RequestId {
+        self.next_request += 1;
+        let request = RequestId::from_u128(self.next_request);
+        let waiter = &entry.waiter;
+        let customer = waiter.customer_id();
+        let rank = waiter.rank;
+        let class = self
+            .ranks
+            .entry(rank)
+            .or_insert_with(|| ClassId::new(rank.to_string()));
+        let position = Position {
+            request,
+            class: class.clone(),
+            customer: customer.clone(),
+            since: waiter.arrived_at,
+            deadline: waiter.deadline,
+        };
+        let standing = Standing {
+            request,
+            renewed_at: now,
+            forecast: QueueForecast {
+                expected: Duration::ZERO,
+                limit: Duration::ZERO,
+                ahead_tokens: 0,
+            },
+            has_waited: false,
+        };
+        self.standings.insert(waiter.id.clone(), standing);
+        self.queue.set_weight(&customer, waiter.weight);
+        self.queue.insert(position, entry);
+        request
+    }
+
+    /// The forecast of a generation that has just been added.
+    fn forecast(
+        &self,
+        now: Time,
+        request: RequestId,
+        forecaster: &Forecaster<'_>,
+        view: &EngineView<'_>,
+    ) -> QueueForecast {
+        let mut ahead = Ahead::default();
+        for class in self.ranks.values() {
+            ahead.rank_tokens = 0;
+            for (other, entry) in self.queue.order(class, tokens_of) {
+                if other != request {
+                    ahead.add(u64::from(tokens_of(entry)));
+                    continue;
+                }
+                let per_s = self.queue.granted_per_s(class);
+                return QueueForecast {
+                    expected: forecaster.expected(ahead, tokens_of(entry), per_s),
+                    limit: entry.limit(now, view.stats),
+                    ahead_tokens: ahead.tokens,
+                };
+            }
+        }
+        QueueForecast {
+            expected: Duration::ZERO,
+            limit: Duration::ZERO,
+            ahead_tokens: ahead.tokens,
+        }
+    }
+
     /// Removes a generation that waits no longer.
     pub(crate) fn leave(&mut self, id: &WaiterId) {
-        self.waiting.retain(|waiter| waiter.id != *id);
+        self.take(id);
+    }
+
+    fn take(&mut self, id: &WaiterId) -> Option<(Entry, Standing)> {
+        let standing = self.standings.remove(id)?;
+        Some((self.queue.remove(standing.request)?, standing))
     }
 
     /// Removes the generations of a host that is gone.
     pub(crate) fn remove_host(&mut self, host: &HostId) {
-        self.waiting.retain(|waiter| waiter.id.host != *host);
+        self.remove_if(|id, _| id.host == *host);
+    }
+
+    fn remove_if(&mut self, is_gone: impl Fn(&WaiterId, &Standing) -> bool) {
+        let gone = self.standings.iter();
+        let gone: Vec<WaiterId> = gone
+            .filter(|(id, standing)| is_gone(id, standing))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &gone {
+            self.leave(id);
+        }
     }
 
     /// Whether nothing waits.
     pub(crate) fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
+        self.len() == 0
     }
 
     /// Number of waiting generations.
     pub(crate) fn len(&self) -> usize {
-        self.waiting.len()
+        self.queue.len()
     }
 
     /// Decides which generations start now and which are refused. Each that is decided on has left the queue. A
@@ -171,43 +390,141 @@
     /// the host that starts it does.
     pub(crate) fn decide(
         &mut self,
-        _now: Time,
+        now: Time,
         view: &EngineView<'_>,
-        mut draw: impl FnMut() -> f64,
+        draw: impl FnMut() -> f64,
     ) -> Vec<Decision> {
-        let mut engines = view.candidates.to_vec();
-        let mut decisions = Vec::new();
-        self.waiting
-            .sort_by_key(|waiter| (waiter.rank, waiter.arrived_at));
-        self.waiting.retain(|waiter| {
-            let demand = Demand {
-                need: waiter.need,
-                objective: waiter.objective,
-                waited: None,
-            };
-            let allowed: Vec<Candidate> = engines
-                .iter()
-                .filter(|engine| !waiter.avoid.contains(&engine.upstream.id.key()))
-                .cloned()
-                .collect();
-            let with_room = admit::with_room(&demand, &allowed, view.stats);
-            let chosen = placement::choose(waiter.need, &with_room, view.context, &mut draw);
-            let Some(chosen) = chosen else {
-                return true;
-            };
-            for engine in &mut engines {
-                if engine.upstream.id == chosen.upstream.id {
-                    engine.load.requests += 1;
-                    engine.load.tokens += waiter.need.tokens();
-                }
-            }
-            decisions.push(Decision::Start {
-                id: waiter.id.clone(),
-                engine: chosen.upstream.id.clone(),
-                tokens: waiter.need.tokens(),
-            });
-            false
-        });
+        self.queue.record_time(now);
+        self.places.expire(now);
+        self.remove_if(|_, standing| now.since(standing.renewed_at) > RENEWED_WITHIN);
+        let forecaster = Forecaster::new(view);
+        let outcomes = self.outcomes(now, view, &forecaster, draw);
+        let outcomes = outcomes.into_iter();
+        let decisions = outcomes
+            .filter_map(|(id, outcome)| self.apply(now, id, outcome, &forecaster))
+            .collect();
+        self.queue.forget_idle();
         decisions
     }
+
+    /// What becomes of each waiting generation, in order.
+    fn outcomes(
+        &self,
+        now: Time,
+        view: &EngineView<'_>,
+        forecaster: &Forecaster<'_>,
+        mut draw: impl FnMut() -> f64,
+    ) -> Vec<(WaiterId, Outcome)> {
+        let mut engines = Engines::new(view);
+        let mut ahead = Ahead::default();
+        let mut outcomes = Vec::with_capacity(self.len());
+        for class in self.ranks.values() {
+            ahead.rank_tokens = 0;
+            let per_s = self.queue.granted_per_s(class);
+            for (_, entry) in self.queue.order(class, tokens_of) {
+                let waiter = &entry.waiter;
+                let outcome = match engines.start(waiter, &mut draw) {
+                    Some(engine) => Outcome::Start(engine),
+                    None => {
+                        let forecast = QueueForecast {
+                            expected: forecaster.expected(ahead, 0, per_s),
+                            limit: entry.limit(now, view.stats),
+                            ahead_tokens: ahead.tokens,
+                        };
+                        let is_late = !entry.is_returned && forecast.expected > forecast.limit;
+                        if is_late || forecast.limit.is_zero() {
+                            Outcome::Refuse(forecast)
+                        } else {
+                            engines.reserve(waiter);
+                            ahead.add(u64::from(tokens_of(entry)));
+                            Outcome::Wait(forecast)
+                        }
+                    }
+                };
+                outcomes.push((waiter.id.clone(), outcome));
+            }
+        }
+        outcomes
+    }
+
+    fn apply(
+        &mut self,
+        now: Time,
+        id: WaiterId,
+        outcome: Outcome,
+        forecaster: &Forecaster<'_>,
+    ) -> Option<Decision> {
+        match outcome {
+            Outcome::Start(engine) => {
+                let (entry, standing) = self.take(&id)?;
+                let tokens = tokens_of(&entry);
+                self.charge(&entry.waiter, standing.has_waited);
+                Some(Decision::Start { id, engine, tokens })
+            }
+            Outcome::Refuse(forecast) => {
+                let turn = self.refuse(now, &id, forecast, forecaster);
+                Some(Decision::Refuse { id, turn })
+            }
+            Outcome::Wait(forecast) => {
+                let standing = self.standings.get_mut(&id)?;
+                standing.forecast = forecast;
+                standing.has_waited = true;
+                None
+            }
+        }
+    }
+
+    /// Charges a generation that starts. Only one that has waited tells how fast memory becomes free.
+    fn charge(&mut self, waiter: &Waiter, has_waited: bool) {
+        let Some(class) = self.ranks.get(&waiter.rank) else {
+            return;
+        };
+        let tokens = waiter.need.tokens();
+        self.queue
+            .charge(class, &waiter.customer_id(), i64::from(tokens));
+        if has_waited {
+            self.queue.record_granted(class, f64::from(tokens));
+        }
+    }
+
+    /// Takes a generation out and keeps its place, once.
+    fn refuse(
+        &mut self,
+        now: Time,
+        id: &WaiterId,
+        forecast: QueueForecast,
+        forecaster: &Forecaster<'_>,
+    ) -> Turn {
+        let mut turn = Turn {
+            forecast,
+            retry_after: Duration::ZERO,
+        };
+        let Some((entry, _)) = self.take(id) else {
+            return turn;
+        };
+        let waiter = &entry.waiter;
+        let promised_tokens = self.places.tokens(waiter.rank);
+        let ahead = Ahead {
+            tokens: forecast.ahead_tokens + promised_tokens,
+            rank_tokens: 0,
+        };
+        let expected = forecaster.expected(ahead, tokens_of(&entry), None);
+        turn.retry_after = admit::return_after(
+            waiter.deadline.since(now),
+            waiter.run_time,
+            expected.max(forecast.expected),
+            waiter.spread(),
+        );
+        if !entry.is_returned && !turn.retry_after.is_zero() {
+            self.places.keep(now, waiter, turn.retry_after);
+        }
+        turn
+    }
+}
+
+fn tokens_of(entry: &Entry) -> u32 {
+    entry.waiter.need.tokens()
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/overload.rs
+++ b/src/overload.rs
@@ -34,8 +34,13 @@
 
     /// Accounts a grant. One that nothing waited before tells nothing of the rate.
     pub(crate) fn record_grant(&mut self) {
+        self.record(1.0);
+    }
+
+    /// Accounts a grant that counts as `amount`, in a rate that is not of grants but of what they give.
+    pub(crate) fn record(&mut self, amount: f64) {
         if self.crowded {
-            self.grants += 1.0;
+            self.grants += amount;
         }
     }
 
