Let the shared queue take what may start, and test what it promises

Under lasting overload large generations were never taken into the queue: small ones joined wherever a gap fitted them, also behind others, and filled it up to the limit. One joins now if it would start at once or if all ahead starts within three quarters of its limit, whatever its own size. Only large ones reserve an engine; kept for others, engines stood idle while smaller ones waited. A refusal that was not heard no longer moves the time from which a place holds.

--- a/src/fairqueue/tests.rs
+++ b/src/fairqueue/tests.rs
@@ -1,4 +1,5 @@
 use super::FairQueue;
+use super::Position;
 use super::Waiting;
 use crate::clock::Time;
 use crate::id::RequestId;
@@ -102,6 +103,31 @@
     assert!((9..=11).contains(&served), "{served}");
 }
 
+#[test]
+fn the_order_of_a_class_is_that_of_its_shares_then_of_arrival() {
+    let mut queue: FairQueue<u32> = FairQueue::charged_whole();
+    queue.set_weight(&"two".into(), 2);
+    let places = [(4, "one"), (1, "one"), (2, "two"), (3, "two"), (5, "two")];
+    for (number, customer) in places {
+        let waiting = waiting(number, customer, "paid");
+        queue.insert(Position::of(&waiting), number as u32);
+    }
+
+    let before: Vec<u32> = order(&queue);
+    queue.remove(RequestId::from_u128(1));
+    queue.charge(&"paid".into(), &"one".into(), 10_000);
+    let charged: Vec<u32> = order(&queue);
+
+    assert_eq!(before, [1, 2, 3, 4, 5]);
+    assert_eq!(charged, [2, 3, 5, 4]);
+}
+
+/// The items of a class when each costs 1,000 tokens.
+fn order(queue: &FairQueue<u32>) -> Vec<u32> {
+    let order = queue.order(&"paid".into(), |_| 1_000).into_iter();
+    order.map(|(_, item)| *item).collect()
+}
+
 #[test]
 fn removing_leaves_the_rest_in_order() {
     let mut queue = queue();
--- a/src/fairqueue/waits.rs
+++ b/src/fairqueue/waits.rs
@@ -21,7 +21,9 @@
 
     /// Accounts a grant to its class's rate.
     pub(crate) fn record_grant(&mut self, class_id: &ClassId) {
-        self.record_granted(class_id, 1.0);
+        if let Some(class) = self.classes.get_mut(class_id) {
+            class.drain.record_grant();
+        }
     }
 
     /// Accounts a grant of `amount` to its class's rate. A queue uses one unit for all its grants.
--- a/src/gateway/admit/tests.rs
+++ b/src/gateway/admit/tests.rs
@@ -209,6 +209,19 @@
 }
 
 quickcheck! {
+    fn what_needs_no_less_has_no_room_where_the_other_has_none(
+        load: (u8, u16, u16), sizes: (u16, u16), others: (u16, u16)
+    ) -> TestResult {
+        let stats = EngineStats::default();
+        let demand = |(prompt, output): (u16, u16)| Demand { need: need(u32::from(prompt), u32::from(output)), ..report(None) };
+        let (one, other) = (demand(sizes), demand(others));
+        let engine = running(u32::from(load.0), u32::from(load.1), u32::from(load.2));
+        if !one.needs_no_less_than(&other) || other.has_room(&engine, &stats) {
+            return TestResult::discard();
+        }
+        TestResult::from_bool(!one.has_room(&engine, &stats))
+    }
+
     fn engine_memory_is_never_overcommitted(loads: Vec<(u8, u16, u16)>, prompt: u16, output: u16) -> TestResult {
         let stats = EngineStats::default();
         let candidates: Vec<Candidate> = loads
--- a/src/gateway/sharedqueue.rs
+++ b/src/gateway/sharedqueue.rs
@@ -139,6 +139,9 @@
     },
 }
 
+/// A generation waits if all ahead of it is expected to start within this share of the time for which it may wait. The
+/// rest is for finding room once it is first: a large one may have to wait there for several ends at one engine.
+const JOINS_WITHIN: f64 = 0.75;
 /// A generation that waits for longer than this without being renewed has lost its host.
 const RENEWED_WITHIN: Duration = Duration::from_millis(300);
 
@@ -253,6 +256,7 @@
         let request = self.insert(now, entry);
         let forecaster = Forecaster::new(view);
         let mut forecast = self.forecast(now, request, &forecaster, view);
+        let has_room = has_room && self.starts_now(now, &id, view, &forecaster);
         if has_room {
             forecast.expected = Duration::ZERO;
         }
@@ -260,7 +264,7 @@
         let is_returned = entry.is_some_and(|entry| entry.is_returned);
         let comes_in_time = match is_returned {
             true => !forecast.limit.is_zero(),
-            false => forecast.expected < forecast.limit,
+            false => forecast.expected < forecast.limit.mul_f64(JOINS_WITHIN),
         };
         if !has_engine || !(has_room || comes_in_time) {
             let turn = self.refuse(now, &id, forecast, &forecaster);
@@ -269,9 +273,6 @@
         if let Some(standing) = self.standings.get_mut(&id) {
             standing.forecast = forecast;
         }
-        if let Some(entry) = self.queue.get_mut(request) {
-            self.places.forget(&entry.waiter);
-        }
         JoinOutcome::Queued(forecast)
     }
 
@@ -335,8 +336,15 @@
                     continue;
                 }
                 let per_s = self.queue.granted_per_s(class);
+                // Behind others its own size doesn't count: small ones would fill the queue up to the limit each time,
+                // and no large one would ever be taken into it.
+                let own = if ahead.tokens == 0 {
+                    tokens_of(entry)
+                } else {
+                    0
+                };
                 return QueueForecast {
-                    expected: forecaster.expected(ahead, tokens_of(entry), per_s),
+                    expected: forecaster.expected(ahead, own, per_s),
                     limit: entry.limit(now, view.stats),
                     ahead_tokens: ahead.tokens,
                 };
@@ -349,6 +357,19 @@
         }
     }
 
+    /// Whether a generation would start if it were decided now: there may be room that those ahead can't use.
+    fn starts_now(
+        &self,
+        now: Time,
+        id: &WaiterId,
+        view: &EngineView<'_>,
+        forecaster: &Forecaster<'_>,
+    ) -> bool {
+        let outcomes = self.outcomes(now, view, forecaster, || 0.0);
+        let mut outcomes = outcomes.iter();
+        outcomes.any(|(other, outcome)| other == id && matches!(outcome, Outcome::Start(_)))
+    }
+
     /// Removes a generation that waits no longer.
     pub(crate) fn leave(&mut self, id: &WaiterId) {
         self.take(id);
--- a/src/gateway/sharedqueue/engines.rs
+++ b/src/gateway/sharedqueue/engines.rs
@@ -14,11 +14,17 @@
 /// Most engines that are reserved at once, as a share of all: the others take what is shorter meanwhile.
 const RESERVED_SHARE_MAX: f64 = 0.5;
 
+/// A generation reserves an engine if it needs more than so many running ones hold in the mean. Smaller ones fit after
+/// nearly any end, and what is kept for them would stay idle.
+const RESERVED_FROM_MEANS: f64 = 1.5;
+
 /// The engines as one decision goes on.
 pub(super) struct Engines<'a> {
     view: &'a EngineView<'a>,
     candidates: Vec<Candidate>,
     reserved: Vec<InstanceKey>,
+    /// Tokens that a running generation holds in the mean.
+    mean_tokens: f64,
     /// Generations without room, so that those like them are not tried. Room only shrinks during a decision.
     blocked: Vec<(Demand, &'a Waiter)>,
 }
@@ -26,10 +32,14 @@
 impl<'a> Engines<'a> {
     /// The engines before the first decision.
     pub(super) fn new(view: &'a EngineView<'a>) -> Self {
+        let loads = view.candidates.iter().map(|candidate| candidate.load);
+        let requests: u64 = loads.clone().map(|load| u64::from(load.requests)).sum();
+        let tokens: u64 = loads.map(|load| u64::from(load.tokens)).sum();
         Engines {
             view,
             candidates: view.candidates.to_vec(),
             reserved: Vec::new(),
+            mean_tokens: tokens as f64 / requests.max(1) as f64,
             blocked: Vec::new(),
         }
     }
@@ -66,10 +76,11 @@
         Some(id)
     }
 
-    /// Reserves the engine where a generation that fits nowhere will fit first.
+    /// Reserves the engine where a large generation that fits nowhere will fit first.
     pub(super) fn reserve(&mut self, waiter: &Waiter) {
         let reserved_max = (self.candidates.len() as f64 * RESERVED_SHARE_MAX).ceil() as usize;
-        if self.reserved.len() >= reserved_max {
+        let is_large = f64::from(waiter.need.tokens()) > self.mean_tokens * RESERVED_FROM_MEANS;
+        if !is_large || self.reserved.len() >= reserved_max {
             return;
         }
         let local = self.view.context.data_centre;
--- a/src/gateway/sharedqueue/places.rs
+++ b/src/gateway/sharedqueue/places.rs
@@ -42,20 +42,23 @@
 }
 
 impl Places {
-    /// Keeps the place of a generation whose caller should return after `retry_after`.
+    /// Keeps the place of a generation whose caller should return after `retry_after`. One that was refused before and
+    /// asked again, not having heard it, may act on either answer.
     pub(super) fn keep(&mut self, now: Time, waiter: &Waiter, retry_after: Duration) {
-        self.remove(waiter.content, &waiter.id);
+        let before = self.remove(waiter.content, &waiter.id);
         if self.ends.len() >= PLACES_MAX {
             return;
         }
+        let from = now + retry_after.saturating_sub(EARLY_MAX);
+        let until = now + retry_after + RETURN_SLACK;
         let place = Place {
             id: waiter.id.clone(),
             rank: waiter.rank,
             customer: waiter.customer.clone(),
             arrived_at: waiter.arrived_at,
             tokens: waiter.need.tokens(),
-            from: now + retry_after.saturating_sub(EARLY_MAX),
-            until: now + retry_after + RETURN_SLACK,
+            from: before.as_ref().map_or(from, |place| place.from.min(from)),
+            until: before.map_or(until, |place| place.until.max(until)),
         };
         self.ends
             .insert((place.until, waiter.content, place.id.clone()));
@@ -82,11 +85,6 @@
             .map(|place| place.arrived_at)
     }
 
-    /// Forgets the place of a generation that waits after all.
-    pub(super) fn forget(&mut self, waiter: &Waiter) {
-        self.remove(waiter.content, &waiter.id);
-    }
-
     /// Forgets the places whose callers did not return.
     pub(super) fn expire(&mut self, now: Time) {
         while let Some((until, content, id)) = self.ends.first().cloned() {
