--- a/src/gateway/sharedqueue/tests/model.rs
+++ b/src/gateway/sharedqueue/tests/model.rs
@@ -246,7 +246,7 @@
     /// The owner as a host sees it.
     fn owner_of(&self, host: usize) -> usize {
         let lost = self.fault_now().filter(|(from, fault)| {
-            let reaches = *fault == Fault::Cut && host % 2 == 0;
+            let reaches = *fault == Fault::Cut && host.is_multiple_of(2);
             !reaches && self.now.since(*from) > SUSPECTED_AFTER
         });
         usize::from(lost.is_some())
@@ -254,7 +254,7 @@
 
     fn reaches(&self, host: usize, owner: usize) -> bool {
         match self.fault_now() {
-            Some((_, Fault::Cut)) => owner == 1 || host % 2 == 0,
+            Some((_, Fault::Cut)) => owner == 1 || host.is_multiple_of(2),
             Some((_, Fault::Dead)) => owner == 1,
             Some((_, Fault::Paused)) | None => true,
         }
--- a/src/gateway/sharedqueue/tests/returns.rs
+++ b/src/gateway/sharedqueue/tests/returns.rs
@@ -56,6 +56,24 @@
     assert_eq!(super::starts(&decisions), [(100, "engine-0".to_owned())]);
 }
 
+/// A host that had not heard the first refusal asked again, and the second put off the time from which the place held.
+#[test]
+fn one_refused_again_before_it_heard_may_return_by_either_answer() {
+    let mut queue = SharedQueue::default();
+    let turn = refused(&mut queue);
+    for number in 0..300 {
+        join(&mut queue, 1_104, waiter(1_000 + number, 30_000), &full(6));
+    }
+    let second = join(&mut queue, 1_104, waiter(4, 4_000), &full(6));
+    let back_ms = 1_100 + turn.retry_after.as_millis() as u64;
+
+    join(&mut queue, back_ms, again(back_ms), &full(60));
+
+    assert!(matches!(second, JoinOutcome::Refused(later) if later.retry_after > turn.retry_after));
+    let request = queue.standings[&again(back_ms).id].request;
+    assert!(queue.queue.get_mut(request).unwrap().is_returned);
+}
+
 #[test]
 fn a_place_is_not_kept_for_one_that_returns_too_early_or_too_late() {
     for offset_ms in [-60, 1_000] {
