Let the hosts of a data centre share one queue for generations that wait

What callers saw: while a service's engines lacked memory, each host queued for itself and looked every 20 ms, so whichever host looked next took what became free, whoever had waited longest; of a host's ended generations the others heard a round later.

With the feature shared_queue, a generation for which its host sees no room, or which others wait before, asks the queue's owner: the first by rendezvous among the data centre's live hosts that is ready and has run for 2 s. The owner decides at once or every 10 ms while something waits, counts what it granted until the host does, and announces that the queue is open, so that hosts tell it at once where their load falls. Requests are repeated as a sign of life, grants carry their age by the asking host's own clock, numbers start at random. A silent owner is given up after 60 ms (15 ms if it was silent lately, 250 ms once it has answered), and the host decides by today's rule. Off, no message is sent and the path is as it was: the loop of one host moved to queue/local.rs.

Tests: the pure modules, and real processes in tests/sharedqueue: an owner killed, cut off, started again cold, and no message while off. Known failure: sharedqueue::generations_start_in_order_of_arrival_whichever_host_they_wait_at. In the decision in which an engine has just become idle and is granted anew, the forecast for those behind counts the memory taken before the grant, none, expects 60 s and refuses them.

--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -35,6 +35,8 @@
 const FORMAT: u8 = 12;
 /// First byte of a datagram with [`AnnouncedChanges`].
 const CHANGES_FORMAT: u8 = 0x80 | FORMAT;
+/// First byte of a datagram about the shared queue of a service ([`crate::gateway::queuemessages`]).
+pub(crate) const QUEUE_FORMAT: u8 = 0x40 | FORMAT;
 
 /// A set of log topics.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -14,8 +14,12 @@
 //! Each host decides from the datagrams that it receives whether it is a reader
 //! ([`crate::gateway::peers::Peers::is_reader`]). Two readers at the same time are harmless, and a host
 //! that knows of no reader reads the log itself.
+//!
+//! Messages on shared queues ([`crate::gateway::queuemessages`]) use the same socket. They are sent at once by whoever
+//! has something to say, and received here like all others.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::net::UdpSocket;
@@ -56,6 +60,10 @@
 
 /// Sends and receives datagrams; never returns.
 pub async fn run(shared: Shared, socket: UdpSocket) {
+    let socket = Arc::new(socket);
+    if shared.settings().features.shared_queue {
+        shared.set_gossip_socket(socket.clone());
+    }
     let mut announcements = shared.watch_announcements();
     let mut load_queries = shared.watch_load_queries();
     let mut read_changes = shared.watch_read_changes();
@@ -116,8 +124,18 @@
 }
 
 /// How long a host of a large data centre lets datagrams accumulate before it reads them. Otherwise each
-/// datagram would wake it, about a hundred times a second.
+/// datagram would wake it, about a hundred times a second. While it takes part in a shared queue it lets none
+/// accumulate: generations wait for them.
 fn batch_delay(shared: &Shared) -> Duration {
+    let delay = idle_batch_delay(shared);
+    match !delay.is_zero() && shared.is_queueing() {
+        true => Duration::ZERO,
+        false => delay,
+    }
+}
+
+/// [`batch_delay`] of a host that takes part in no shared queue.
+pub(crate) fn idle_batch_delay(shared: &Shared) -> Duration {
     let now = shared.now();
     let local_hosts = shared.peers(|peers| peers.count_local(now));
     let excess = saturating_u32(local_hosts.saturating_sub(BATCH_HOSTS_MIN));
--- a/src/gateway/gossip/receiving.rs
+++ b/src/gateway/gossip/receiving.rs
@@ -23,6 +23,7 @@
 use crate::gateway::peers::SenderStatus;
 use crate::gateway::position::Position;
 use crate::gateway::protocol::Topic;
+use crate::gateway::queuemessages::Envelope;
 use crate::gateway::shared::ChangeSource;
 use crate::gateway::shared::Shared;
 use crate::id::DataCentre;
@@ -44,11 +45,19 @@
 pub(super) async fn handle(shared: &Shared, socket: &UdpSocket, from: SocketAddr, bytes: &[u8]) {
     if let Some(announced) = AnnouncedChanges::decode(bytes) {
         apply_relayed(shared, socket, &announced).await;
+    } else if let Some(envelope) = queue_message(shared, bytes) {
+        shared.receive_queue_message(envelope, Some(from));
     } else if let Some(answer) = apply_datagram(shared, from, bytes) {
         send(socket, &encode(answer), &[from]).await;
     }
 }
 
+/// A message on a shared queue, if the host takes part in them.
+fn queue_message(shared: &Shared, bytes: &[u8]) -> Option<Envelope> {
+    let takes_part = shared.settings().features.shared_queue;
+    takes_part.then(|| Envelope::decode(bytes)).flatten()
+}
+
 /// Applies a datagram. Returns the answer to a load query, or to a sender that lacks hosts.
 fn apply_datagram(shared: &Shared, from: SocketAddr, bytes: &[u8]) -> Option<Datagram> {
     let datagram = match decode(bytes) {
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -37,6 +37,7 @@
 use crate::gateway::serve::WorkerState;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::shared::Shared;
+use crate::gateway::shared::queueing;
 use crate::gateway::suspectlog;
 use crate::gateway::ticks::tick;
 use crate::id::Incarnation;
@@ -124,6 +125,10 @@
         actix_rt::spawn(suspectlog::run(shared.clone()));
         actix_rt::spawn(rolloutstatus::run(shared.clone()));
         actix_rt::spawn(gossip::run(shared.clone(), socket));
+        if shared.settings().features.shared_queue {
+            actix_rt::spawn(queueing::announce_falls(shared.clone()));
+            actix_rt::spawn(queueing::owning::run(shared.clone()));
+        }
         actix_rt::spawn(joining::query_seeds(shared.clone()));
         actix_rt::spawn(enginepoll::run(shared.clone()));
         actix_rt::spawn(expire_state(shared.clone()));
--- a/src/gateway/loads.rs
+++ b/src/gateway/loads.rs
@@ -15,6 +15,9 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::sync::mpsc::Receiver;
+use tokio::sync::mpsc::Sender;
+use tokio::sync::mpsc::channel;
 
 use crate::clock::Time;
 use crate::gateway::instance::InstanceId;
@@ -25,6 +28,9 @@
 /// Time for which a peer's report counts: two gossip rounds between data centres, or a short partition.
 const PEER_REPORT_TTL: Duration = Duration::from_millis(4_000);
 
+/// Falls in this host's own load that wait to be read. One that doesn't fit is announced by the next round.
+const FALLS_MAX: usize = 256;
+
 /// Load of an upstream.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -37,7 +43,7 @@
 }
 
 impl Load {
-    fn add(&mut self, other: Load) {
+    pub(crate) fn add(&mut self, other: Load) {
         self.requests = self.requests.saturating_add(other.requests);
         self.tokens = self.tokens.saturating_add(other.tokens);
         self.unread_tokens = self.unread_tokens.saturating_add(other.unread_tokens);
@@ -81,9 +87,47 @@
     peers: HashMap<ReportSource, PeerReport>,
     /// Sums over the reports of all peers, so that the load of one upstream is found without visiting each.
     sums: HashMap<InstanceKey, Load>,
+    /// Gets each upstream at which this host's own load fell, if a task reads them.
+    falls: Option<Sender<InstanceId>>,
 }
 
 impl Loads {
+    /// Returns a channel of the upstreams at which this host's own load falls from now on.
+    pub(crate) fn watch_falls(&mut self) -> Receiver<InstanceId> {
+        let (falls, receiver) = channel(FALLS_MAX);
+        self.falls = Some(falls);
+        receiver
+    }
+
+    /// Replaces a host's load at one upstream in its last report.
+    pub(crate) fn receive_one(&mut self, now: Time, host: HostId, key: InstanceKey, load: Load) {
+        let report = self
+            .peers
+            .entry(ReportSource::Host(host))
+            .or_insert_with(|| PeerReport {
+                received_at: now,
+                loads: HashMap::new(),
+            });
+        let previous = report.loads.insert(key, load).unwrap_or_default();
+        let sum = self.sums.entry(key).or_default();
+        sum.add(load);
+        sum.subtract(previous);
+        if *sum == Load::default() {
+            self.sums.remove(&key);
+        }
+    }
+
+    /// A host's load at an upstream by its last report; none without a report.
+    pub(crate) fn reported_by(&self, host: &HostId, key: InstanceKey) -> Option<Load> {
+        let report = self.peers.get(&ReportSource::Host(host.clone()))?;
+        Some(report.loads.get(&key).copied().unwrap_or_default())
+    }
+
+    /// This host's own load at an upstream.
+    pub(crate) fn own_at(&self, upstream: &InstanceId) -> Load {
+        self.own.get(upstream).copied().unwrap_or_default()
+    }
+
     /// Replaces the report of `source`.
     pub fn receive(&mut self, now: Time, source: ReportSource, loads: Vec<(InstanceKey, Load)>) {
         let loads: HashMap<InstanceKey, Load> = loads.into_iter().collect();
@@ -195,6 +239,10 @@
         if *sum == Load::default() {
             self.own.remove(upstream);
         }
+        if let Some(falls) = &self.falls {
+            // One that doesn't fit is announced by the next round.
+            let _ = falls.try_send(upstream.clone());
+        }
     }
 }
 
--- a/src/gateway/loads/tests.rs
+++ b/src/gateway/loads/tests.rs
@@ -170,3 +170,55 @@
     assert_eq!(all, load(10 + (11..30).sum::<u32>(), 10 * 7 + 19 * 10, 30));
     assert_eq!(left, load(10, 70, 30));
 }
+
+#[test]
+fn a_hosts_load_at_one_upstream_is_replaced_and_its_others_stay() {
+    let shared = SharedLoads::default();
+    let other = InstanceId::from(UpstreamId::new("b"));
+    let reported = vec![
+        (upstream().key(), load(2, 300, 50)),
+        (other.key(), load(1, 70, 0)),
+    ];
+    let host = HostId::new("host-1");
+    let source = ReportSource::Host(host.clone());
+    let loads_at = |upstream: &InstanceId| shared.with(|loads| loads.at(upstream));
+    let now = Time::from_ms(10);
+    shared.with(|loads| loads.receive(now, source, reported));
+
+    shared.with(|loads| loads.receive_one(now, host.clone(), upstream().key(), load(1, 200, 0)));
+    let (fallen, kept) = (loads_at(&upstream()), loads_at(&other));
+    shared.with(|loads| loads.receive_one(now, host.clone(), upstream().key(), Load::default()));
+
+    assert_eq!((fallen, kept), (load(1, 200, 0), load(1, 70, 0)));
+    assert_eq!(loads_at(&upstream()), Load::default());
+    let reported = shared.with(|loads| loads.reported_by(&host, other.key()));
+    assert_eq!(reported, Some(load(1, 70, 0)));
+}
+
+#[test]
+fn the_load_of_a_host_without_a_report_counts_until_it_expires() {
+    let shared = SharedLoads::default();
+    let host = HostId::new("host-1");
+
+    shared.with(|loads| loads.receive_one(Time::ZERO, host, upstream().key(), load(1, 200, 0)));
+    let counted = shared.with(|loads| loads.at(&upstream()));
+    shared.with(|loads| loads.expire(Time::from_ms(4_000)));
+
+    assert_eq!(counted, load(1, 200, 0));
+    assert_eq!(shared.with(|loads| loads.at(&upstream())), Load::default());
+}
+
+#[test]
+fn each_fall_of_the_own_load_is_told_once_it_is_watched() {
+    let shared = SharedLoads::default();
+    let mut falls = shared.with(|loads| loads.watch_falls());
+
+    let mut guard = shared.add_request(&upstream(), 300, 200);
+    let at_start = falls.try_recv().ok();
+    guard.mark_prompt_read();
+    let at_prompt = falls.try_recv().ok();
+    drop(guard);
+
+    assert_eq!((at_start, at_prompt), (None, Some(upstream())));
+    assert_eq!(falls.try_recv().ok(), Some(upstream()));
+}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -352,6 +352,16 @@
         live.map(|report| report.host.clone()).collect()
     }
 
+    /// The live hosts of this data centre with the addresses of their datagrams.
+    pub(crate) fn live_local_addresses(&self, now: Time) -> Vec<(HostId, SocketAddr)> {
+        let addresses = self.by_data_centre.get(&self.data_centre);
+        let hosts = addresses.into_iter().flatten().filter_map(|address| {
+            let report = self.report_of(address)?;
+            report.is_live(now).then(|| (report.host.clone(), *address))
+        });
+        hosts.collect()
+    }
+
     /// The data centres with a recent datagram.
     fn reporting_data_centres(&self, now: Time) -> impl Iterator<Item = &DataCentre> {
         let reports = self.data_centres.iter();
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -353,3 +353,23 @@
         assert!(datagram.leaving.is_empty() && datagram.unreachable.is_empty());
     }
 }
+
+#[test]
+fn the_addresses_of_live_hosts_of_this_data_centre_are_listed() {
+    let mut peers = peers();
+    let stopping = Datagram {
+        stopping: true,
+        ..datagram(2, "north")
+    };
+    peers.receive(Time::ZERO, address(2), &stopping);
+
+    let live = peers.live_local_addresses(Time::from_ms(3_999));
+
+    let expected = (0..20).filter(|index| data_centre_of(*index) == "north" && *index != 2);
+    let mut expected: Vec<(HostId, SocketAddr)> = expected
+        .map(|index| (host(index), address(index)))
+        .collect();
+    expected.sort_by_key(|(_, address)| *address);
+    assert_eq!(live, expected);
+    assert!(peers.live_local_addresses(Time::from_ms(4_000)).is_empty());
+}
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -12,9 +12,9 @@
 
 use tokio::time::Instant;
 
-use crate::event::EventCode;
+use self::asking::Asked;
+use self::local::LocalWait;
 use crate::gateway::admit;
-use crate::gateway::admit::Demand;
 use crate::gateway::admit::Verdict;
 use crate::gateway::admit::WaitEstimate;
 use crate::gateway::enginestats::EngineStats;
@@ -25,7 +25,6 @@
 use crate::gateway::rollouts::Track;
 use crate::gateway::serve;
 use crate::gateway::serve::Admitted;
-use crate::gateway::serve::CandidateSet;
 use crate::gateway::shared::Shared;
 use crate::gateway::stream;
 use crate::id::CustomerId;
@@ -36,6 +35,9 @@
 /// How often a queued generation checks for room. Hosts announce ended generations four times a second.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+mod asking;
+mod local;
+
 /// A queued generation.
 #[derive(Debug, Clone)]
 struct QueueEntry {
@@ -194,6 +196,9 @@
 
 /// Chooses the engine at which a generation starts, waiting for room if needed; none if no engine is left.
 ///
+/// With shared queues, a generation for which this host sees no room, or which others wait before, asks the queue's
+/// owner. If that is silent, this host decides as it does without.
+///
 /// # Errors
 ///
 /// A refusal if no room is expected in time or the request is held back.
@@ -203,68 +208,29 @@
     need: Need,
     avoid: &[InstanceId],
 ) -> Result<Option<Candidate>, Refusal> {
-    let tokens = need.tokens();
-    let ticket = Ticket::join(shared, admitted, tokens);
-    let mut waited = None;
-    let mut has_refreshed = false;
-    let mut breadth = CandidateSet::initial(shared, &admitted.service);
-    let mut reservation: Option<Reservation> = None;
-    loop {
-        // Another attempt of the same content may crash upstreams during the wait.
-        if let Some(refusal) = shared.refuse_suspect(admitted) {
-            return Err(refusal);
-        }
-        shared.check_suspension();
-        if shared.is_resuming() {
-            tokio::time::sleep(POLL_INTERVAL).await;
-            continue;
-        }
-        let mut candidates = serve::candidates(shared, admitted, avoid, breadth);
-        if candidates.is_empty() {
-            match std::mem::replace(&mut breadth, CandidateSet::All) {
-                CandidateSet::Subset => continue,
-                CandidateSet::All => return Ok(None),
-            }
-        }
-        if let Some(reservation) = &reservation {
-            reservation.subtract_from(&mut candidates);
-        }
-        let demand = Demand {
-            need,
-            objective: admitted.route.objective,
-            waited,
-        };
-        let inputs = DecisionInputs::new(shared, &ticket, &candidates);
-        let verdict = inputs.decide(shared, &demand, &candidates);
-        let is_sound = matches!(&verdict, Verdict::Start(candidate) if !candidate.unhealthy);
-        if !is_sound && std::mem::replace(&mut breadth, CandidateSet::All) == CandidateSet::Subset {
-            continue;
-        }
-        if !has_refreshed && uses_stale_loads(shared, &verdict) {
-            has_refreshed = true;
-            shared.query_remote_loads().await;
-            continue;
-        }
-        // Rather than wait for the version under trial, fall back to the proved one.
-        let is_start = matches!(verdict, Verdict::Start(_));
-        if !is_start && admitted.track.replace(Track::Stable) == Track::Trial {
-            continue;
-        }
-        match verdict {
-            Verdict::Start(candidate) => return Ok(Some(candidate)),
-            Verdict::Wait => {
-                if reservation.is_none() {
-                    inputs.log(shared, admitted, "waits");
-                    reservation = Reservation::reserve(shared, need, &candidates);
+    let mut local = LocalWait::join(shared, admitted, need, avoid);
+    if !shared.settings().features.shared_queue {
+        return local.wait().await;
+    }
+    let is_stable = admitted.track.get() == Track::Stable;
+    if !(is_stable && shared.is_queue_open(&admitted.service)) {
+        match local.decide().await? {
+            None => return Ok(None),
+            Some(decided) => {
+                if let Verdict::Start(candidate) = decided.verdict {
+                    return Ok(Some(candidate));
                 }
             }
-            Verdict::Refuse(estimate) => {
-                inputs.log(shared, admitted, "refused");
-                return Err(refusal(shared, admitted, estimate));
-            }
         }
-        tokio::time::sleep(POLL_INTERVAL).await;
-        waited = Some(admitted.arrived.elapsed());
+    }
+    match asking::ask(shared, admitted, need, avoid).await {
+        Asked::Start(candidate) => Ok(Some(candidate)),
+        Asked::NoEngine => Ok(None),
+        Asked::Refused(refusal) => Err(refusal),
+        Asked::Alone { has_waited } => {
+            local.continue_from(has_waited);
+            local.wait().await
+        }
     }
 }
 
@@ -302,74 +268,6 @@
     }
 }
 
-/// Whether a verdict to start in another data centre, or nowhere, relies on stale load reports. Hosts that
-/// act on stale reports pick the same engine, where each waits for the others' prompts.
-fn uses_stale_loads(shared: &Shared, verdict: &Verdict) -> bool {
-    let leaves_home = match verdict {
-        Verdict::Start(candidate) => {
-            candidate.upstream.data_centre != shared.settings().data_centre
-        }
-        Verdict::Wait | Verdict::Refuse(_) => true,
-    };
-    leaves_home && !shared.data_centres_to_query(shared.now()).is_empty()
-}
-
-/// The values from which the admission of a queued generation is decided.
-struct DecisionInputs {
-    ahead_tokens: u64,
-    taken_tokens: u64,
-    hosts: usize,
-    engines: usize,
-    stats: EngineStats,
-}
-
-impl DecisionInputs {
-    fn new(shared: &Shared, ticket: &Ticket, candidates: &[Candidate]) -> Self {
-        let (ahead_tokens, stats) = shared
-            .queues()
-            .with(|queues| (queues.ahead_tokens(ticket.number), queues.stats.clone()));
-        let taken = candidates.iter();
-        DecisionInputs {
-            ahead_tokens,
-            taken_tokens: taken
-                .map(|candidate| u64::from(candidate.load.tokens))
-                .sum(),
-            hosts: shared.live_hosts(),
-            engines: candidates.len(),
-            stats,
-        }
-    }
-
-    fn decide(&self, shared: &Shared, demand: &Demand, candidates: &[Candidate]) -> Verdict {
-        let queue = admit::QueueState {
-            ahead_tokens: self.ahead_tokens,
-            taken_tokens: self.taken_tokens,
-            hosts: self.hosts,
-            stats: &self.stats,
-        };
-        admit::decide(
-            demand,
-            &queue,
-            candidates,
-            shared.view(),
-            rand::random::<f64>,
-        )
-    }
-
-    fn log(&self, shared: &Shared, admitted: &Admitted, outcome: &str) {
-        let entry = admitted.log_entry(shared, EventCode::RequestQueued);
-        entry
-            .with("outcome", outcome)
-            .with("ahead_tokens", self.ahead_tokens)
-            .with("taken_tokens", self.taken_tokens)
-            .with("engines", self.engines)
-            .with("hosts", self.hosts)
-            .with("turnover_ms", self.stats.turnover().as_millis() as u64)
-            .with("far_counts", shared.remote_counts().name())
-            .write();
-    }
-}
-
 fn refusal(shared: &Shared, admitted: &Admitted, estimate: WaitEstimate) -> Refusal {
     let left = admitted.time_left();
     let run = stream::expected_duration(shared, admitted);
--- a/src/gateway/rendezvous.rs
+++ b/src/gateway/rendezvous.rs
@@ -25,3 +25,12 @@
     let own = weight(own, task);
     others.all(|other| weight(other, task) <= own)
 }
+
+/// The member that ranks first for `task`; `name` returns the name of a member.
+pub(crate) fn first<T>(
+    members: impl Iterator<Item = T>,
+    name: impl Fn(&T) -> &str,
+    task: &str,
+) -> Option<T> {
+    members.max_by_key(|member| weight(name(member), task))
+}
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -266,38 +266,64 @@
     set: CandidateSet,
 ) -> Vec<Candidate> {
     let now = shared.now();
-    let track = admitted.track.get();
-    let service = &admitted.service;
-    let here = &shared.settings().data_centre;
     let any_limited = shared.has_limited_upstreams(now);
-    let mut ready = shared.directory(|directory| {
-        let local = (set == CandidateSet::Subset).then_some(here);
-        let ready = directory.ready_for(service, track, local);
-        match local {
-            Some(_) => placement::subset(ready, &shared.settings().host),
-            None => ready,
-        }
-    });
+    let mut ready = ready_upstreams(shared, &admitted.service, admitted.track.get(), set);
     if let Some(regions) = &admitted.regions {
         ready.retain(|upstream| is_in_regions(shared, &upstream.data_centre, regions));
     }
     let unreachable = unreachable_data_centres(shared, now, &ready);
-    let loads = shared.loads();
     ready
         .into_iter()
         .filter(|upstream| !avoid.contains(&upstream.id))
         .filter(|upstream| !any_limited || shared.may_send(now, upstream))
-        .map(|upstream| Candidate {
-            load: loads.with(|loads| loads.at(&upstream.id)),
-            reported: shared.reported_load(now, &upstream.id),
-            slowness: Slowness::default(),
-            unhealthy: shared.is_avoided(now, &upstream.id)
-                || unreachable.contains(&upstream.data_centre),
-            upstream,
-        })
+        .map(|upstream| candidate(shared, now, upstream, &unreachable))
         .collect()
 }
 
+/// All upstreams of a service that are ready and not under trial, whatever this host itself may send them.
+pub(crate) fn all_candidates(shared: &Shared, service: &ServiceId) -> Vec<Candidate> {
+    let now = shared.now();
+    let ready = ready_upstreams(shared, service, Track::Stable, CandidateSet::All);
+    let unreachable = unreachable_data_centres(shared, now, &ready);
+    let ready = ready.into_iter();
+    ready
+        .map(|upstream| candidate(shared, now, upstream, &unreachable))
+        .collect()
+}
+
+fn ready_upstreams(
+    shared: &Shared,
+    service: &ServiceId,
+    track: Track,
+    set: CandidateSet,
+) -> Vec<Arc<Upstream>> {
+    let here = &shared.settings().data_centre;
+    shared.directory(|directory| {
+        let local = (set == CandidateSet::Subset).then_some(here);
+        let ready = directory.ready_for(service, track, local);
+        match local {
+            Some(_) => placement::subset(ready, &shared.settings().host),
+            None => ready,
+        }
+    })
+}
+
+fn candidate(
+    shared: &Shared,
+    now: Time,
+    upstream: Arc<Upstream>,
+    unreachable: &[DataCentre],
+) -> Candidate {
+    Candidate {
+        load: shared.loads().with(|loads| loads.at(&upstream.id)),
+        reported: shared.reported_load(now, &upstream.id),
+        slowness: Slowness::default(),
+        unhealthy: shared.is_avoided(now, &upstream.id)
+            || unreachable.contains(&upstream.data_centre),
+        upstream,
+    }
+}
+
 /// Whether a data centre is in one of `regions`; one of unknown region is in none.
 fn is_in_regions(shared: &Shared, data_centre: &DataCentre, regions: &BTreeSet<RegionId>) -> bool {
     let region = shared.settings().regions.get(data_centre);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -60,6 +60,7 @@
 mod limits;
 mod logera;
 mod logreads;
+pub(crate) mod queueing;
 mod remoteloads;
 mod rollouts;
 mod suspects;
@@ -69,6 +70,7 @@
 pub(crate) use self::changes::ChangeSource;
 pub(crate) use self::limits::Hold;
 pub(crate) use self::logera::StaleAnswer;
+use self::queueing::Queueing;
 pub(crate) use self::rollouts::Freshness;
 pub(crate) use self::rollouts::OpenRollout;
 
@@ -119,6 +121,7 @@
     transfers: Mutex<BTreeMap<Fetch, Transfers>>,
     list_catch_up: Mutex<CatchUp>,
     list_cache: Mutex<ListCache>,
+    queueing: Queueing,
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -176,6 +179,7 @@
             transfers: Mutex::default(),
             list_catch_up: Mutex::new(CatchUp::new(rand::random())),
             list_cache: Mutex::default(),
+            queueing: Queueing::new(rand::random()),
         }))
     }
 
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -167,6 +167,16 @@
         "Records in the list of upstreams that name no upstream: other writers', or unreadable.",
     PeerMessagesDroppedTotal Counter "cedargauge_peer_messages_dropped_total" ""
         "Messages to other entry hosts that were dropped because the host's queue was full.",
+    SharedQueueWaiting Gauge "cedargauge_shared_queue_waiting_active" "service"
+        "Generations that wait in the shared queue that this host owns.",
+    SharedQueueGrantedTotal Counter "cedargauge_shared_queue_granted_total" "service"
+        "Generations of this host that were granted an engine by a shared queue's owner.",
+    SharedQueueRefusedTotal Counter "cedargauge_shared_queue_refused_total" "service"
+        "Generations of this host that a shared queue refused, or that waited there for as long as was useful.",
+    SharedQueueAloneTotal Counter "cedargauge_shared_queue_alone_total" "service"
+        "Generations on which this host decided by itself because a shared queue's owner was silent or there was none.",
+    SharedQueueWaitMs Histogram "cedargauge_shared_queue_wait_ms" "service"
+        "Time for which a generation asked a shared queue's owner until it was granted an engine or refused.",
 }
 
 impl Metric {
@@ -325,6 +335,38 @@
     metrics::counter!(Metric::PreemptionsTotal.name(), &labels).increment(preemptions);
 }
 
+/// How a generation that asked the owner of a shared queue ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QueueEnd {
+    /// It was granted an engine.
+    Granted,
+    /// It was refused, or waited as long as was useful.
+    Refused,
+    /// Its host decides by itself.
+    Alone,
+}
+
+/// Counts a generation that asked the owner of a shared queue for `time`.
+pub fn record_queue_end(service: &ServiceId, end: QueueEnd, time: Duration) {
+    let labels = [("service", service.as_str().to_owned())];
+    let counter = match end {
+        QueueEnd::Granted => Metric::SharedQueueGrantedTotal,
+        QueueEnd::Refused => Metric::SharedQueueRefusedTotal,
+        QueueEnd::Alone => Metric::SharedQueueAloneTotal,
+    };
+    metrics::counter!(counter.name(), &labels).increment(1);
+    if end != QueueEnd::Alone {
+        let name = Metric::SharedQueueWaitMs.name();
+        metrics::histogram!(name, &labels).record(time.as_secs_f64() * 1_000.0);
+    }
+}
+
+/// Sets how many generations wait in the shared queue that this host owns.
+pub fn set_queue_waiting(service: &ServiceId, waiting: usize) {
+    let labels = [("service", service.as_str().to_owned())];
+    metrics::gauge!(Metric::SharedQueueWaiting.name(), &labels).set(waiting as f64);
+}
+
 /// Records a call that was answered with `status`.
 pub fn record_call(service: &ServiceId, status: u16, took: Duration) {
     let labels = [
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -12,6 +12,7 @@
 mod regions;
 mod retrybudget;
 mod rollouts;
+mod sharedqueue;
 mod silentlog;
 mod suspendedhost;
 mod upstreamlimits;
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -5,6 +5,7 @@
 
 mod caller;
 mod fakelog;
+mod lines;
 mod link;
 mod protocol;
 mod upstream;
@@ -24,6 +25,7 @@
 
 use serde_json::Value;
 use serde_json::json;
+use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 use cedargauge::clock::SystemClock;
@@ -32,6 +34,7 @@
 use cedargauge::gateway::retrybudget::RetryBudgetOptions;
 use cedargauge::gateway::settings::GatewaySettings;
 use cedargauge::gateway::settings::GatewaySettingsBuilder;
+use cedargauge::gateway::settings::LoadFeatures;
 use cedargauge::id::DataCentre;
 use cedargauge::id::HostId;
 use cedargauge::id::Incarnation;
@@ -42,6 +45,7 @@
 pub use caller::ask;
 pub use fakelog::FakeLog;
 pub use fakelog::Silence;
+pub use lines::Lines;
 pub use link::Link;
 pub use link::SLOW_BYTES_PER_S;
 pub use protocol::ProductProtocol;
@@ -69,7 +73,7 @@
 }
 
 /// A loopback address of its own for each world, so that its fixed ports meet nobody else's.
-fn own_address() -> IpAddr {
+pub fn own_address() -> IpAddr {
     static NEXT: AtomicU16 = AtomicU16::new(1);
     let pid = std::process::id().to_be_bytes();
     // The tests of one process start more worlds than one byte counts.
@@ -93,11 +97,23 @@
 pub struct World {
     pub log: FakeLog,
     pub address: IpAddr,
+    /// What the host logs.
+    pub lines: Lines,
+    settings: GatewaySettings,
     suspended_ms: &'static AtomicU64,
     drain: Option<oneshot::Sender<()>>,
+    faults: mpsc::UnboundedSender<Fault>,
     thread: Option<JoinHandle<()>>,
 }
 
+/// What happens to a host's process.
+enum Fault {
+    /// It ends at once.
+    Kill,
+    /// It neither receives nor sends datagrams for this time.
+    Stall(Duration),
+}
+
 impl World {
     /// Starts a host; it knows nothing until the log is filled.
     pub fn start() -> Self {
@@ -122,6 +138,18 @@
         World::start_fleet_behind(links.len(), Some(links), HAS_RUN)
     }
 
+    /// Hosts of one data centre with decisions under load switched on.
+    pub fn start_fleet_with(count: usize, features: LoadFeatures) -> Vec<Self> {
+        let addresses: Vec<IpAddr> = (0..count).map(|_| own_address()).collect();
+        let log = FakeLog::start(addresses[0]);
+        let fleet = fleet_settings(&addresses, &log);
+        let hosts = fleet.into_iter().map(|(mut settings, door)| {
+            settings.features = features;
+            World::start_host(settings, door, HAS_RUN)
+        });
+        hosts.collect()
+    }
+
     /// Hosts that have just started at a log that is there already, each by a door of its own.
     pub fn start_fleet_at(log: &FakeLog, count: usize) -> Vec<Self> {
         let addresses: Vec<IpAddr> = (0..count).map(|_| own_address()).collect();
@@ -139,20 +167,15 @@
         links: Option<&[Link]>,
         age: Duration,
     ) -> Vec<Self> {
-        let seed = SocketAddr::new(addresses[0], PEER_PORT);
-        let doors = (0..addresses.len()).map(|index| match index {
-            0 => first_door.clone(),
-            _ => first_door.another_door(),
-        });
-        let hosts = addresses.iter().zip(doors).enumerate();
+        let hosts = fleet_settings(addresses, first_door)
+            .into_iter()
+            .enumerate();
         hosts
-            .map(|(index, (address, door))| {
-                let mut settings = settings(*address, door.address());
-                settings.host = HostId::new(format!("host-{index:02}"));
-                settings.seeds = vec![seed];
+            .map(|(index, (mut settings, door))| {
                 if let Some(links) = links {
                     let outside = settings.peer_address;
-                    settings.peer_address.set_ip(inner_address(*address));
+                    let inside = inner_address(outside.ip());
+                    settings.peer_address.set_ip(inside);
                     links[index].connect(outside, settings.peer_address);
                 }
                 World::start_host(settings, door, age)
@@ -174,15 +197,14 @@
         let suspended_ms: &'static AtomicU64 = Box::leak(Box::default());
         let (started, ready) = channel();
         let (drain, drained) = oneshot::channel();
+        let (faults, faulty) = mpsc::unbounded_channel();
+        let lines = Lines::default();
+        let (output, own_settings) = (lines.clone(), settings.clone());
         let thread = std::thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
                 let clock = SystemClock::of_suspended(suspended_ms).aged(age);
-                let lines = DecisionLog::with_output(
-                    settings.host.clone(),
-                    Incarnation(1),
-                    clock,
-                    std::io::sink(),
-                );
+                let lines =
+                    DecisionLog::with_output(settings.host.clone(), Incarnation(1), clock, output);
                 let host = GatewayHost::start_with(
                     settings,
                     Arc::new(ProductProtocol::default()),
@@ -193,17 +215,24 @@
                 .await
                 .unwrap();
                 started.send(()).unwrap();
-                // Either a test asks for it or the world is dropped.
-                let _ = drained.await;
-                host.drain().await;
+                tokio::select! {
+                    // Either a test asks for it or the world is dropped.
+                    _ = drained => {
+                        host.drain().await;
+                    }
+                    () = suffer(faulty) => {}
+                }
             });
         });
         ready.recv().unwrap();
         World {
             log,
             address,
+            lines,
+            settings: own_settings,
             suspended_ms,
             drain: Some(drain),
+            faults,
             thread: Some(thread),
         }
     }
@@ -231,6 +260,32 @@
         self.suspended_ms.fetch_add(ms, Ordering::Relaxed);
     }
 
+    /// Ends the host at once: from now on the others get nothing from it.
+    pub fn kill(&self) {
+        self.faults.send(Fault::Kill).unwrap();
+    }
+
+    /// Has the host neither receive nor send datagrams for this time, while it serves its callers.
+    pub fn stall(&self, time: Duration) {
+        self.faults.send(Fault::Stall(time)).unwrap();
+    }
+
+    /// Stops the host and starts it anew under its name; it has just started.
+    pub fn restart(mut self) -> Self {
+        self.wait_ended();
+        World::start_host(self.settings.clone(), self.log.clone(), Duration::ZERO)
+    }
+
+    /// The host's name.
+    pub fn name(&self) -> &str {
+        self.settings.host.as_str()
+    }
+
+    /// Where the host receives datagrams.
+    pub fn gossip_address(&self) -> SocketAddr {
+        self.settings.gossip_address
+    }
+
     /// Where callers connect.
     pub fn callers(&self) -> SocketAddr {
         SocketAddr::new(self.address, CALLER_PORT)
@@ -268,6 +323,36 @@
     }
 }
 
+/// Returns when the process is to end.
+async fn suffer(mut faults: mpsc::UnboundedReceiver<Fault>) {
+    while let Some(fault) = faults.recv().await {
+        match fault {
+            Fault::Kill => return,
+            // The thread that runs this also receives and sends the host's datagrams.
+            Fault::Stall(time) => std::thread::sleep(time),
+        }
+    }
+    // The world is dropped, and with it the sender of what drains the host.
+    std::future::pending().await
+}
+
+/// The settings of hosts of one data centre, of which the first is the seed of all, each with a door of its own to
+/// the log.
+fn fleet_settings(addresses: &[IpAddr], first_door: &FakeLog) -> Vec<(GatewaySettings, FakeLog)> {
+    let seed = SocketAddr::new(addresses[0], PEER_PORT);
+    let hosts = addresses.iter().enumerate().map(|(index, address)| {
+        let door = match index {
+            0 => first_door.clone(),
+            _ => first_door.another_door(),
+        };
+        let mut settings = settings(*address, door.address());
+        settings.host = HostId::new(format!("host-{index:02}"));
+        settings.seeds = vec![seed];
+        (settings, door)
+    });
+    hosts.collect()
+}
+
 const CALLER_PORT: u16 = 8000;
 const READY_PORT: u16 = 8001;
 const PEER_PORT: u16 = 8002;
