--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -267,51 +267,80 @@
     set: CandidateSet,
 ) -> Vec<Candidate> {
     let now = shared.now();
-    let track = admitted.track.get();
-    let service = &admitted.service;
-    let here = &shared.settings().data_centre;
     let any_limited = shared.has_limited_upstreams(now);
-    let mut ready = shared.directory(|directory| {
-        let local = (set == CandidateSet::Subset).then_some(here);
-        let ready = directory.ready_for(service, track, local);
-        match local {
-            Some(_) => placement::subset(ready, &shared.settings().host),
-            None => ready,
-        }
-    });
+    let mut ready = ready_upstreams(shared, &admitted.service, admitted.track.get(), set);
     if let Some(regions) = &admitted.regions {
         ready.retain(|upstream| is_in_regions(shared, &upstream.data_centre, regions));
     }
     let unreachable = unreachable_data_centres(shared, now, &ready);
-    let loads = shared.loads();
+    let engine = admitted.engine.as_ref();
     ready
         .into_iter()
         .filter(|upstream| !avoid.contains(&upstream.id))
         .filter(|upstream| !any_limited || shared.may_send(now, upstream))
-        .map(|upstream| {
-            let load = loads.with(|loads| loads.at(&upstream.id));
-            Candidate {
-                load,
-                reported: shared.reported_load(now, &upstream.id),
-                slowness: slowness(shared, admitted, now, &upstream, load),
-                unhealthy: shared.is_avoided(now, &upstream.id)
-                    || unreachable.contains(&upstream.data_centre),
-                upstream,
-            }
-        })
+        .map(|upstream| candidate(shared, now, upstream, &unreachable, engine))
         .collect()
 }
 
-/// How slow an upstream with `load` is for a request.
+/// All upstreams of a service that are ready and not under trial, whatever this host itself may send them.
+pub(crate) fn all_candidates(shared: &Shared, service: &ServiceId) -> Vec<Candidate> {
+    let now = shared.now();
+    let ready = ready_upstreams(shared, service, Track::Stable, CandidateSet::All);
+    let unreachable = unreachable_data_centres(shared, now, &ready);
+    let configuration = shared.configuration();
+    let engine = configuration
+        .as_ref()
+        .and_then(|configuration| configuration.engine(service));
+    let ready = ready.into_iter();
+    ready
+        .map(|upstream| candidate(shared, now, upstream, &unreachable, engine))
+        .collect()
+}
+
+fn ready_upstreams(
+    shared: &Shared,
+    service: &ServiceId,
+    track: Track,
+    set: CandidateSet,
+) -> Vec<Arc<Upstream>> {
+    let here = &shared.settings().data_centre;
+    shared.directory(|directory| {
+        let local = (set == CandidateSet::Subset).then_some(here);
+        let ready = directory.ready_for(service, track, local);
+        match local {
+            Some(_) => placement::subset(ready, &shared.settings().host),
+            None => ready,
+        }
+    })
+}
+
+fn candidate(
+    shared: &Shared,
+    now: Time,
+    upstream: Arc<Upstream>,
+    unreachable: &[DataCentre],
+    engine: Option<&EngineSpec>,
+) -> Candidate {
+    let load = shared.loads().with(|loads| loads.at(&upstream.id));
+    Candidate {
+        load,
+        reported: shared.reported_load(now, &upstream.id),
+        slowness: slowness(shared, engine, now, &upstream, load),
+        unhealthy: shared.is_avoided(now, &upstream.id)
+            || unreachable.contains(&upstream.data_centre),
+        upstream,
+    }
+}
+
+/// How slow an upstream with `load` is for one more request. `engine` holds the properties of its service's engines.
 fn slowness(
     shared: &Shared,
-    admitted: &Admitted,
+    engine: Option<&EngineSpec>,
     now: Time,
     upstream: &Upstream,
     load: Load,
 ) -> Slowness {
     let slowness = shared.present_slowness(now, &upstream.id);
-    let engine = admitted.engine.as_ref();
     let event_time = engine.and_then(|engine| {
         let requests = load.requests.saturating_add(1);
         shared.usual_event_time(&upstream.service, requests, engine.tokens_per_event)
--- a/src/gateway/sharedqueue/tests/model.rs
+++ b/src/gateway/sharedqueue/tests/model.rs
@@ -452,7 +452,7 @@
                 generation.state = State::Waiting;
                 generation.next_ask = now;
                 generation.asked_at = None;
-                generation.limit_at = at + demand(&generation.waiter).wait_limit(&self.stats);
+                generation.limit_at = at + demand(&generation.waiter).wait_limit(&self.stats, 1.0);
                 self.by_id.insert(self.next_number, number);
             }
             State::Waiting | State::Alone if now.since(generation.limit_at) >= LIMIT_SLACK => {
