Decide in which order the runs of a leaving engine are copied

Callers saw streams cut with their engine: what is copied first off an engine that leaves 1.5 to 2.1 s after its notice went by host name and joining, whatever could still be saved.

Nothing uses it yet.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -35,6 +35,7 @@
 pub(crate) mod logreads;
 pub mod losses;
 pub mod migration;
+pub mod moveorder;
 pub mod movequeue;
 pub(crate) mod partition;
 pub mod peerfetch;
