Move runs off leaving engines in the order in which most can be saved

Callers saw streams cut with their engine while runs that could not be saved were copied first, and streams that paused while another engine's copy took the link of their run's destination.

A run whose copy no longer fits goes behind the others. Destinations: memory for the expected peak and a free link, near before far, far only if the copy at half the rate fits. Off, runs move as before; the reservation at the destination is made before the announcement in both cases.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -43,6 +43,7 @@
 use crate::refusal::Refusal;
 
 mod moving;
+mod ordering;
 mod relay;
 mod stopping;
 #[cfg(test)]
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -11,6 +11,7 @@
 use super::OpenResult;
 use super::TOKEN_TIME;
 use super::open;
+use super::ordering::CopyProgress;
 use super::planned_output;
 use super::relay::Relay;
 use super::relay::RelayEvent;
@@ -23,6 +24,7 @@
 use crate::gateway::migration;
 use crate::gateway::migration::CopyFailure;
 use crate::gateway::movequeue::Ticket;
+use crate::gateway::movequeue::Turn;
 use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Need;
 use crate::gateway::protocol::MemoryCopy;
@@ -52,7 +54,7 @@
 const MOVE_WINDOW: Duration = Duration::from_millis(2_500);
 /// Share of an engine's memory below which its predicted use, the run included, must stay for it to be preferred
 /// as a destination.
-const DESTINATION_MEMORY_SHARE_MAX: f64 = 0.9;
+pub(super) const DESTINATION_MEMORY_SHARE_MAX: f64 = 0.9;
 
 pub(super) type CopyResult = std::result::Result<MemoryCopy, CopyFailure>;
 
@@ -62,7 +64,7 @@
     None,
     /// The run waits in the move queue.
     Queued {
-        ticket: LocalBoxFuture<'static, Ticket>,
+        ticket: LocalBoxFuture<'static, Turn>,
     },
     /// The first part is being copied.
     CopyingFirst {
@@ -70,7 +72,8 @@
         guards: MoveGuards,
         copying: LocalBoxFuture<'static, CopyResult>,
     },
-    /// The first part is copied, but another copy of the run is in progress. The run is stopped at `stop_at`.
+    /// The first part is copied, but another copy of the run, or one to the same engine, is in progress. The run
+    /// is stopped at `stop_at`, or with ordered moves looked at again.
     Copied {
         to: Arc<Upstream>,
         guards: MoveGuards,
@@ -90,7 +93,7 @@
 /// frees the link for the next move, or when the move fails.
 pub(super) struct MoveGuards {
     _load: LoadGuard,
-    _ticket: Ticket,
+    pub(super) ticket: Ticket,
 }
 
 impl Relay {
@@ -108,6 +111,10 @@
             let ago = now.since(notice);
             let since = Instant::now().checked_sub(ago);
             self.leaving_since = since.or(self.leaving_since);
+            if self.is_ordered() {
+                self.join_order();
+                return;
+            }
             match self.ends_soon() && ago < SHORT_RUN_DELAY {
                 true => self.pause_for(SHORT_RUN_CHECK_INTERVAL),
                 false => self.join_queue(),
@@ -122,7 +129,7 @@
 
     /// Joins the queue of the runs that leave the engine.
     fn join_queue(&mut self) {
-        let ticket = Ticket::join(&self.shared, &self.running.upstream.id);
+        let ticket = Ticket::join(&self.shared, &self.running.upstream.id, None);
         let notice = self.leaving_since.unwrap_or_else(Instant::now);
         self.moving = MoveState::Queued {
             ticket: Box::pin(ticket.wait(notice + QUEUE_WAIT_MAX)),
@@ -132,24 +139,44 @@
     /// Chooses a destination and starts to copy the run's memory there, or pauses if there is none.
     pub(super) fn begin_move(&mut self, ticket: Ticket) {
         self.avoid.push(self.running.upstream.id.clone());
-        let Some(to) = self.choose_destination() else {
+        let is_ordered = self.is_ordered();
+        let is_late = ticket.order().is_some_and(|order| order.key.is_late());
+        let chosen = match is_ordered {
+            true => self.choose_fitting_destination(is_late),
+            false => self.choose_destination(),
+        };
+        let Some(to) = chosen else {
             self.log_move("no destination", None);
             self.avoid.clear();
             self.pause_for(DESTINATION_RETRY_DELAY);
             return;
         };
         self.moves += 1;
+        let size = self.admitted.size(&self.shared);
+        let tokens = match is_ordered {
+            true => self.peak_tokens(),
+            false => size.prompt_tokens + planned_output(size),
+        };
+        // Reserves the memory that the run will need when it continues there, before peers hear of the move. A link
+        // takes one copy after another, so the tokens count as unread until the run continues.
+        let load = self.shared.loads().add_request(&to.id, tokens, tokens);
         ticket.set_destination(&to.id);
-        // Reserves the memory that the run will need when it continues there.
         self.shared.record_send(&to);
-        self.log_move("copying", Some(&to));
-        let size = self.admitted.size(&self.shared);
-        let tokens = size.prompt_tokens + planned_output(size);
+        match is_ordered {
+            true => self.record_begin(&ticket, &to),
+            false => self.log_move("copying", Some(&to)),
+        }
+        self.progress = CopyProgress::default();
         let guards = MoveGuards {
-            // A link takes one copy after another, so the tokens count as unread until the run continues.
-            _load: self.shared.loads().add_request(&to.id, tokens, tokens),
-            _ticket: ticket,
+            _load: load,
+            ticket,
         };
+        self.copy_first(to, guards);
+    }
+
+    /// Starts to copy what isn't copied yet, while the run goes on.
+    pub(super) fn copy_first(&mut self, to: Arc<Upstream>, guards: MoveGuards) {
+        self.progress = self.progress.begin(self.produced_tokens());
         let copying = self.start_copy(&to, false);
         self.moving = MoveState::CopyingFirst {
             to,
@@ -174,7 +201,7 @@
         self.pause_for(BUSY_RETRY_DELAY);
     }
 
-    fn pause_for(&mut self, pause: Duration) {
+    pub(super) fn pause_for(&mut self, pause: Duration) {
         self.moving = MoveState::Paused {
             until: Instant::now() + pause,
         };
@@ -221,7 +248,7 @@
     }
 
     /// Removes the candidates to which a run of another engine is being copied.
-    fn exclude_busy(&self, mut candidates: Vec<Candidate>) -> Vec<Candidate> {
+    pub(super) fn exclude_busy(&self, mut candidates: Vec<Candidate>) -> Vec<Candidate> {
         let now = self.shared.now();
         let source = &self.running.upstream.id;
         let queues = self.shared.move_queues();
@@ -231,7 +258,7 @@
     }
 
     /// The engines that are assigned to this run's engine and to no other leaving one.
-    fn assigned_destinations(&self, scope: Scope) -> BTreeSet<InstanceId> {
+    pub(super) fn assigned_destinations(&self, scope: Scope) -> BTreeSet<InstanceId> {
         let now = self.shared.now();
         let service = &self.admitted.service;
         let (leaving, ready) = self.shared.directory(|directory| {
@@ -250,7 +277,10 @@
         match result {
             Ok(done) => {
                 self.log_move(&format!("copied {} events", done.events), Some(&to));
-                self.copy_rest(to, guards);
+                match self.is_ordered() {
+                    true => self.continue_copied(to, guards),
+                    false => self.copy_rest(to, guards),
+                }
             }
             Err(failure) => {
                 self.log_move(&failure.describe(), Some(&to));
@@ -269,6 +299,9 @@
     /// Continues a move whose delay has passed.
     pub(super) fn on_timer(&mut self) {
         match std::mem::replace(&mut self.moving, MoveState::None) {
+            MoveState::Copied { to, guards, .. } if self.is_ordered() => {
+                self.continue_copied(to, guards);
+            }
             MoveState::Copied { to, guards, .. } => self.copy_rest(to, guards),
             MoveState::Paused { .. } => self.check_leaving(),
             other => self.moving = other,
@@ -357,7 +390,10 @@
             last_event: self.splitter.last_id().unwrap_or(0),
         };
         let size = self.admitted.size(&self.shared);
-        let tokens = size.prompt_tokens + size.output_tokens_max / 2;
+        let tokens = match self.is_ordered() {
+            true => self.peak_tokens(),
+            false => size.prompt_tokens + size.output_tokens_max / 2,
+        };
         let opened = open(
             &self.shared,
             &self.admitted,
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -9,15 +9,17 @@
 
 use super::ActiveRun;
 use super::StreamAborted;
+use super::TOKEN_TIME;
 use super::expected_output;
 use super::moving::CopyResult;
 use super::moving::MoveState;
 use super::moving::next_step;
+use super::ordering::CopyProgress;
 use super::planned_output;
 use crate::event::EventCode;
 use crate::gateway::events::EventSplitter;
 use crate::gateway::instance::InstanceId;
-use crate::gateway::movequeue::Ticket;
+use crate::gateway::movequeue::Turn;
 use crate::gateway::queue::RunningGuard;
 use crate::gateway::rollouts::evidence::Measure;
 use crate::gateway::rollouts::evidence::Outcome;
@@ -43,6 +45,7 @@
     pub(super) moving: MoveState,
     pub(super) leaving_since: Option<Instant>,
     pub(super) moves: u32,
+    pub(super) progress: CopyProgress,
     pub(super) avoid: Vec<InstanceId>,
     pub(super) meter: StreamMeter,
     pub(super) first_ms: Option<f64>,
@@ -62,7 +65,7 @@
 pub(super) enum RelayEvent {
     Frame(Option<Result<Bytes, String>>),
     DirectoryChanged,
-    MayMove(Ticket),
+    MayMove(Turn),
     FirstCopied(CopyResult),
     RestCopied(CopyResult),
     Timer,
@@ -91,6 +94,7 @@
             moving: MoveState::None,
             leaving_since: None,
             moves: 0,
+            progress: CopyProgress::default(),
             avoid: Vec::new(),
             first_ms: None,
             first_at: None,
@@ -129,7 +133,7 @@
                     return self.fail("the deadline passed");
                 }
                 RelayEvent::DirectoryChanged => self.check_leaving(),
-                RelayEvent::MayMove(ticket) => self.begin_move(ticket),
+                RelayEvent::MayMove(turn) => self.on_turn(turn),
                 RelayEvent::FirstCopied(result) => self.on_first_copied(result),
                 RelayEvent::RestCopied(result) => {
                     if let Err(reason) = self.on_rest_copied(result).await {
@@ -185,6 +189,17 @@
         u32::try_from(produced).unwrap_or(u32::MAX)
     }
 
+    /// Time per token of the stream so far; the usual one until [`PACE_EVENTS`] events have been sent.
+    pub(super) fn token_time(&self) -> Duration {
+        let produced = self.produced_tokens();
+        match self.first_at {
+            Some(first_at) if self.splitter.event_count() >= PACE_EVENTS => {
+                (self.last_at - first_at) / produced.max(1)
+            }
+            _ => TOKEN_TIME,
+        }
+    }
+
     /// Records the pace of the stream once [`PACE_EVENTS`] events have been sent.
     fn record_pace(&mut self, now: Instant) {
         let Some(first_at) = self.first_at else {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -125,6 +125,10 @@
         "Time from a call's arrival to its answer, of calls that the gateway passes to plain services.",
     StreamMovesTotal Counter "cedargauge_stream_moves_total" "service"
         "Streams that the gateway continued at another engine.",
+    StreamMovesBegunTotal Counter "cedargauge_stream_moves_begun_total" "service"
+        "Ordered moves of streams off leaving engines that the gateway began.",
+    StreamMovesPassedOverTotal Counter "cedargauge_stream_moves_passed_over_total" "service"
+        "Ordered moves that were put behind others because their copies could no longer end in time.",
     StreamsLostTotal Counter "cedargauge_streams_lost_total" "service"
         "Streams that the gateway broke off before their last event.",
     RetriesTotal Counter "cedargauge_retries_total" "service"
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -9,6 +9,7 @@
 mod largedocuments;
 mod leavinganswers;
 mod logreturns;
+mod orderedmoves;
 mod regions;
 mod retrybudget;
 mod rollouts;
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -281,10 +281,10 @@
     }
 
     fn generation_size(&self, headers: &HeaderMap) -> Option<GenerationSize> {
-        let tokens = headers.get("tokens")?.to_str().ok()?.parse().ok()?;
+        let number = |name| headers.get(name)?.to_str().ok()?.parse().ok();
         Some(GenerationSize {
-            prompt_tokens: 100,
-            output_tokens_max: tokens,
+            prompt_tokens: number("prompt-tokens").unwrap_or(100),
+            output_tokens_max: number("tokens")?,
             output_tokens_hint: None,
         })
     }
