--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -153,12 +153,33 @@
     /// Hosts that have just started at a log that is there already, each by a door of its own.
     pub fn start_fleet_at(log: &FakeLog, count: usize) -> Vec<Self> {
         let addresses: Vec<IpAddr> = (0..count).map(|_| own_address()).collect();
-        World::start_fleet_of(&addresses, &log.another_door(), None, Duration::ZERO)
+        let features = LoadFeatures::default();
+        World::start_fleet_of(
+            &addresses,
+            &log.another_door(),
+            None,
+            Duration::ZERO,
+            features,
+        )
+    }
+
+    /// Starts `count` hosts with these decisions under load switched on.
+    pub fn start_fleet_with(count: usize, features: LoadFeatures) -> Vec<Self> {
+        let addresses: Vec<IpAddr> = (0..count).map(|_| own_address()).collect();
+        let log = FakeLog::start(addresses[0]);
+        World::start_fleet_of(&addresses, &log, None, HAS_RUN, features)
     }
 
     fn start_fleet_behind(count: usize, links: Option<&[Link]>, age: Duration) -> Vec<Self> {
         let addresses: Vec<IpAddr> = (0..count).map(|_| own_address()).collect();
-        World::start_fleet_of(&addresses, &FakeLog::start(addresses[0]), links, age)
+        let features = LoadFeatures::default();
+        World::start_fleet_of(
+            &addresses,
+            &FakeLog::start(addresses[0]),
+            links,
+            age,
+            features,
+        )
     }
 
     fn start_fleet_of(
@@ -166,12 +187,14 @@
         first_door: &FakeLog,
         links: Option<&[Link]>,
         age: Duration,
+        features: LoadFeatures,
     ) -> Vec<Self> {
         let hosts = fleet_settings(addresses, first_door)
             .into_iter()
             .enumerate();
         hosts
             .map(|(index, (mut settings, door))| {
+                settings.features = features;
                 if let Some(links) = links {
                     let outside = settings.peer_address;
                     let inside = inner_address(outside.ip());
