Repeat what a new version fails at another version

The test now prints the host's log lines, which show two causes.

A repeat now prefers healthy upstreams with a free slot of other versions than those that failed the request.

A trial that finds only unhealthy upstreams now goes to a proved one.

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -56,6 +56,7 @@
 use crate::id::RegionId;
 use crate::id::RequestId;
 use crate::id::ServiceId;
+use crate::id::VersionId;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::telemetry;
@@ -215,12 +216,32 @@
         size.unwrap_or(DEFAULT_SIZE)
     }
 
-    /// Chooses an upstream for `need`, leaving out those of `avoid`.
+    /// Chooses an upstream for `need`, leaving out those of `avoid`. If all that a trial could use are
+    /// unhealthy, the request goes to a proved upstream instead: repeats of failed trials would use up the
+    /// retry budget before the version is judged.
     pub fn choose_upstream(
         &self,
         shared: &Shared,
         need: Need,
         avoid: &[InstanceId],
+    ) -> Option<Candidate> {
+        let chosen = self.choose_on_track(shared, need, avoid);
+        let is_failing_trial = self.track.get() == Track::Trial
+            && chosen.as_ref().is_some_and(|candidate| candidate.unhealthy);
+        match is_failing_trial {
+            true => {
+                self.track.set(Track::Stable);
+                self.choose_on_track(shared, need, avoid).or(chosen)
+            }
+            false => chosen,
+        }
+    }
+
+    fn choose_on_track(
+        &self,
+        shared: &Shared,
+        need: Need,
+        avoid: &[InstanceId],
     ) -> Option<Candidate> {
         let chosen = |set| choose(shared, need, &candidates(shared, self, avoid, set));
         match CandidateSet::initial(shared, &self.service) {
@@ -283,7 +304,7 @@
     }
     let unreachable = unreachable_data_centres(shared, now, &ready);
     let loads = shared.loads();
-    ready
+    let candidates = ready
         .into_iter()
         .filter(|upstream| !avoid.contains(&upstream.id))
         .filter(|upstream| !any_limited || shared.may_send(now, upstream))
@@ -295,7 +316,31 @@
                 || unreachable.contains(&upstream.data_centre),
             upstream,
         })
-        .collect()
+        .collect();
+    prefer_other_versions(shared, avoid, candidates)
+}
+
+/// The candidates of versions other than those of the upstreams that failed the request, as far as they are
+/// healthy and have a free slot, or else all candidates. Hosts read rollout orders and upstreams apart, so
+/// upstreams of a bad version can be known before the order that puts them on trial.
+fn prefer_other_versions(
+    shared: &Shared,
+    failed: &[InstanceId],
+    candidates: Vec<Candidate>,
+) -> Vec<Candidate> {
+    let versions: Vec<VersionId> = shared.directory(|directory| {
+        let failed = failed.iter().filter_map(|id| directory.get(id));
+        failed.map(|upstream| upstream.version.clone()).collect()
+    });
+    let is_preferred = |candidate: &Candidate| {
+        let has_free_slot = candidate.load.requests < candidate.upstream.slots;
+        let is_other = !versions.contains(&candidate.upstream.version);
+        is_other && has_free_slot && !candidate.unhealthy
+    };
+    match versions.is_empty() || !candidates.iter().any(is_preferred) {
+        true => candidates,
+        false => candidates.into_iter().filter(is_preferred).collect(),
+    }
 }
 
 /// Whether a data centre is in one of `regions`; one of unknown region is in none.
--- a/tests/evacuation/mod.rs
+++ b/tests/evacuation/mod.rs
@@ -31,6 +31,8 @@
 const REQUESTS_PER_HOST: usize = 10;
 /// Enough hosts that only some of them read the log and inform the others.
 const LARGE_FLEET_HOSTS: usize = 20;
+/// Log lines shown of a host that doesn't use an upstream again.
+const LINES_SHOWN: usize = 40;
 
 /// An upstream in the hosts' own data centre, which they prefer, and one in another.
 struct Upstreams {
@@ -109,18 +111,33 @@
     upstream.seen().len() - before
 }
 
-/// Whether all hosts send to `upstream` again within [`RESTORE_WITHIN`].
+/// Whether all hosts send to `upstream` again within [`RESTORE_WITHIN`]. Prints the last log lines of a host
+/// that doesn't.
 fn is_used_by_all(hosts: &[World], upstream: &FakeUpstream) -> bool {
-    let ends = Instant::now() + RESTORE_WITHIN;
-    hosts.iter().all(|host| {
-        let used = || {
+    let begun = Instant::now();
+    let ends = begun + RESTORE_WITHIN;
+    hosts.iter().enumerate().all(|(index, host)| {
+        let reached_at = Instant::now();
+        let mut requests = 0;
+        let mut used = || {
             let before = upstream.seen().len();
+            requests += 1;
             send_request(host);
             upstream.seen().len() > before
         };
-        std::iter::repeat_with(used)
+        let is_used = std::iter::repeat_with(&mut used)
             .take_while(|_| Instant::now() < ends)
-            .any(|used| used)
+            .any(|used| used);
+        if !is_used {
+            println!(
+                "host {index} of {}, asked from {:?} to {:?} after the end, {requests} requests:\n{}",
+                hosts.len(),
+                reached_at - begun,
+                begun.elapsed(),
+                host.last_lines(LINES_SHOWN)
+            );
+        }
+        is_used
     })
 }
 
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -10,10 +10,12 @@
 mod upstream;
 
 use std::collections::HashMap;
+use std::io::Write;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -89,10 +91,26 @@
     }
 }
 
+/// The log lines of a host.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
 /// A host that runs in a thread of its own.
 pub struct World {
     pub log: FakeLog,
     pub address: IpAddr,
+    lines: Lines,
     suspended_ms: &'static AtomicU64,
     drain: Option<oneshot::Sender<()>>,
     thread: Option<JoinHandle<()>>,
@@ -172,23 +190,21 @@
     fn start_host(settings: GatewaySettings, log: FakeLog, age: Duration) -> Self {
         let address = settings.caller_address.ip();
         let suspended_ms: &'static AtomicU64 = Box::leak(Box::default());
+        let output = Lines::default();
+        let lines = output.clone();
         let (started, ready) = channel();
         let (drain, drained) = oneshot::channel();
         let thread = std::thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
                 let clock = SystemClock::of_suspended(suspended_ms).aged(age);
-                let lines = DecisionLog::with_output(
-                    settings.host.clone(),
-                    Incarnation(1),
-                    clock,
-                    std::io::sink(),
-                );
+                let decisions =
+                    DecisionLog::with_output(settings.host.clone(), Incarnation(1), clock, output);
                 let host = GatewayHost::start_with(
                     settings,
                     Arc::new(ProductProtocol::default()),
                     Box::new(|| None),
                     clock,
-                    lines,
+                    decisions,
                 )
                 .await
                 .unwrap();
@@ -202,6 +218,7 @@
         World {
             log,
             address,
+            lines,
             suspended_ms,
             drain: Some(drain),
             thread: Some(thread),
@@ -231,6 +248,14 @@
         self.suspended_ms.fetch_add(ms, Ordering::Relaxed);
     }
 
+    /// The last `count` lines of the host's log, for the message of a failed check.
+    pub fn last_lines(&self, count: usize) -> String {
+        let lines = self.lines.0.lock().unwrap();
+        let text = String::from_utf8_lossy(&lines);
+        let last: Vec<&str> = text.lines().rev().take(count).collect();
+        last.into_iter().rev().collect::<Vec<_>>().join("\n")
+    }
+
     /// Where callers connect.
     pub fn callers(&self) -> SocketAddr {
         SocketAddr::new(self.address, CALLER_PORT)
--- a/tests/rollouts/mod.rs
+++ b/tests/rollouts/mod.rs
@@ -19,6 +19,10 @@
 const DURATION: Duration = Duration::from_secs(4);
 /// Requests that a bad version may get on top of a tenth of all requests.
 const SLACK: usize = 50;
+/// Failures after which all three upstreams of a version are ejected.
+const FAILURES_UNTIL_EJECTED: usize = 9;
+/// Log lines shown of the host that answered wrong.
+const LINES_SHOWN: usize = 40;
 
 struct Deployment {
     hosts: Vec<World>,
@@ -29,7 +33,12 @@
 impl Deployment {
     /// Starts three hosts, three sound upstreams of version `v1`, and three of `v2` that behave like `new`.
     fn start(new: &Behaviour) -> Self {
-        let hosts = World::start_fleet(3);
+        Deployment::start_hosts(3, new)
+    }
+
+    /// The same with `count` hosts.
+    fn start_hosts(count: usize, new: &Behaviour) -> Self {
+        let hosts = World::start_fleet(count);
         let sound = Behaviour::Answer(200, "sound");
         let upstreams = |version: &'static str, behaviour: &Behaviour| -> Vec<FakeUpstream> {
             let ids = (0..3).map(|index| format!("up-{version}-{index}"));
@@ -76,7 +85,7 @@
         for _ in 0..requests {
             for host in &self.hosts {
                 let answer = ask(host.callers(), &get("/nets/7", ""));
-                assert_eq!(answer.status, 200);
+                assert_eq!(answer.status, 200, "{}", host.last_lines(LINES_SHOWN));
             }
         }
         self.requests_sent += requests * self.hosts.len();
@@ -113,6 +122,39 @@
     assert_eq!(deployment.requests_to_new(), seen);
 }
 
+// Guards against both attempts of a request going to upstreams of a bad version whose order isn't known yet.
+#[test]
+fn a_request_that_a_version_without_order_fails_is_repeated_by_another() {
+    let mut deployment = Deployment::start(&Behaviour::Answer(500, "broken"));
+    for new in &deployment.new {
+        deployment.hosts[0].list(new, "ready");
+    }
+
+    let deadline = Instant::now() + DURATION;
+    while Instant::now() < deadline && deployment.requests_to_new() == 0 {
+        deployment.request_from_each(1);
+    }
+    deployment.request_from_each(30);
+
+    assert!(deployment.requests_to_new() > 0);
+}
+
+// Guards against trial requests that go on to upstreams ejected for their failures: their repeats used up
+// the retry budget, so callers got the bad version's answers.
+#[test]
+fn ejected_upstreams_of_a_bad_version_get_no_more_trial_requests() {
+    let mut deployment = Deployment::start_hosts(1, &Behaviour::Answer(500, "broken"));
+    deployment.order();
+    let deadline = Instant::now() + DURATION;
+    while Instant::now() < deadline && deployment.requests_to_new() == 0 {
+        deployment.request_from_each(1);
+    }
+
+    deployment.request_from_each(60);
+
+    assert!((1..=FAILURES_UNTIL_EJECTED).contains(&deployment.requests_to_new()));
+}
+
 #[test]
 fn a_good_version_takes_over_in_time() {
     let mut deployment = Deployment::start(&Behaviour::Answer(200, "new"));
