Retain evacuations over later positions of a returned log

After the log's return from an older copy that lacks an evacuation, a data centre should stay evacuated for 10 s, until operators have written it again. A second full read of the new history, or a peer's later position, ended it at once: the first later position of the same era cleared what was retained, as it can't be told from an announcement that follows a record which ends the evacuation.

Hosts that read such a record now announce for 10 s that the evacuation ended, and nothing else ends the retention but its time. The field of the datagrams is empty otherwise; their format is 13.

Two unit tests failed before the change and pass with it; the test that a record of the later era ends the retention for peers too passes as before.

--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -32,7 +32,7 @@
 pub(crate) const PART_CHANGES_MAX: usize = 10;
 /// First byte of a datagram. Incremented whenever the fields change, so that hosts of different
 /// releases don't misinterpret each other's datagrams.
-const FORMAT: u8 = 12;
+const FORMAT: u8 = 13;
 /// First byte of a datagram with [`AnnouncedChanges`].
 const CHANGES_FORMAT: u8 = 0x80 | FORMAT;
 
--- a/src/gateway/evacuations.rs
+++ b/src/gateway/evacuations.rs
@@ -6,7 +6,8 @@
 //!
 //! A log restored from an older copy, which begins a new era, may lack an evacuation until operators have
 //! written it again. An evacuation of the era before is therefore retained for [`RETENTION`], unless the
-//! new era has a record of it.
+//! new era has a record of it. That a set lacks a data centre doesn't say that there is such a record, so
+//! hosts that read one which ends an evacuation announce that for as long as others may retain it.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -43,6 +44,9 @@
     /// Data centres evacuated in an earlier era only, with the milliseconds for which they are still
     /// retained.
     pub kept_ms: BTreeMap<DataCentre, u32>,
+    /// Data centres whose evacuation a recent record of this era ended.
+    #[serde(default)]
+    pub ended: BTreeSet<DataCentre>,
 }
 
 /// The start or the end of a data centre's evacuation.
@@ -61,6 +65,9 @@
     data_centres: BTreeSet<DataCentre>,
     /// Data centres evacuated in an earlier era only, with the time at which their retention ends.
     retained_until: BTreeMap<DataCentre, Time>,
+    /// Data centres whose evacuation a record of this era ended, with the time until which that is
+    /// announced.
+    ended_until: BTreeMap<DataCentre, Time>,
 }
 
 impl Evacuations {
@@ -96,6 +103,7 @@
             as_of,
             data_centres,
             kept_ms: BTreeMap::new(),
+            ended: BTreeSet::new(),
         };
         self.merge(now, &announced)
     }
@@ -103,6 +111,7 @@
     /// Applies the operators' records between the last position read and `read_to`.
     pub fn apply(
         &mut self,
+        now: Time,
         records: &[EvacuationRecord],
         read_to: Position,
     ) -> Vec<EvacuationChange> {
@@ -113,9 +122,15 @@
         for record in records {
             self.retained_until.remove(&record.data_centre);
             match record.is_evacuated {
-                true => self.data_centres.insert(record.data_centre.clone()),
-                false => self.data_centres.remove(&record.data_centre),
-            };
+                true => {
+                    self.ended_until.remove(&record.data_centre);
+                    self.data_centres.insert(record.data_centre.clone());
+                }
+                false => {
+                    self.data_centres.remove(&record.data_centre);
+                    self.end_retention(now, record.data_centre.clone());
+                }
+            }
         }
         self.as_of = read_to;
         self.changes_since(&before)
@@ -132,6 +147,7 @@
             kept_ms: retained
                 .map(|(data_centre, until)| (data_centre.clone(), left_ms(until)))
                 .collect(),
+            ended: self.ended_until.keys().cloned().collect(),
         }
     }
 
@@ -144,6 +160,11 @@
         if announced.as_of > self.as_of {
             self.advance(now, announced);
         }
+        for data_centre in &announced.ended {
+            if !self.ended_until.contains_key(data_centre) {
+                self.end_retention(now, data_centre.clone());
+            }
+        }
         for (data_centre, left_ms) in &announced.kept_ms {
             let left = Duration::from_millis(u64::from(*left_ms)).min(RETENTION);
             self.retain(data_centre.clone(), now + left);
@@ -155,20 +176,28 @@
     fn advance(&mut self, now: Time, announced: &AnnouncedEvacuations) {
         let is_return = self.is_known() && announced.as_of.era > self.as_of.era;
         let before = std::mem::replace(&mut self.data_centres, announced.data_centres.clone());
-        match is_return {
-            true => before.into_iter().for_each(|data_centre| {
+        if is_return {
+            self.ended_until.clear();
+            for data_centre in before {
                 self.retain(data_centre, now + RETENTION);
-            }),
-            false => self.retained_until.clear(),
+            }
         }
         self.retained_until
             .retain(|data_centre, _| !announced.data_centres.contains(data_centre));
         self.as_of = announced.as_of;
     }
 
-    /// Retains an evacuation until the given time, unless the log holds it.
+    /// Ends the retention of an evacuation, as a record of this era ended it.
+    fn end_retention(&mut self, now: Time, data_centre: DataCentre) {
+        self.retained_until.remove(&data_centre);
+        self.ended_until.insert(data_centre, now + RETENTION);
+    }
+
+    /// Retains an evacuation until the given time, unless this era has a record of it.
     fn retain(&mut self, data_centre: DataCentre, until: Time) {
-        if self.data_centres.contains(&data_centre) {
+        let has_record =
+            self.data_centres.contains(&data_centre) || self.ended_until.contains_key(&data_centre);
+        if has_record {
             return;
         }
         let retained = self.retained_until.entry(data_centre).or_insert(until);
@@ -179,6 +208,7 @@
     pub fn expire(&mut self, now: Time) -> Vec<EvacuationChange> {
         let before = self.all();
         self.retained_until.retain(|_, until| *until > now);
+        self.ended_until.retain(|_, until| *until > now);
         self.changes_since(&before)
     }
 
--- a/src/gateway/evacuations/tests.rs
+++ b/src/gateway/evacuations/tests.rs
@@ -44,8 +44,12 @@
     let mut evacuations = evacuations(&["north"]);
     let earlier = evacuations.announce(Time::ZERO);
 
-    let changes = evacuations.apply(&[record("north", false), record("south", true)], at(1, 12));
-    let repeated = evacuations.apply(&[record("north", true)], at(1, 11));
+    let changes = evacuations.apply(
+        Time::ZERO,
+        &[record("north", false), record("south", true)],
+        at(1, 12),
+    );
+    let repeated = evacuations.apply(Time::ZERO, &[record("north", true)], at(1, 11));
     let merged = evacuations.merge(Time::ZERO, &earlier);
 
     assert_eq!((changes.len(), repeated.len(), merged.len()), (2, 0, 0));
@@ -64,6 +68,35 @@
     assert!(evacuations.all().is_empty());
 }
 
+// Guards against retention ending as soon as the restored log is read a second time.
+#[test]
+fn a_second_read_of_a_later_era_retains_what_it_lacks() {
+    let mut evacuations = evacuations(&["north"]);
+    evacuations.replace(Time::ZERO, set(&[]), at(2, 4));
+
+    let reread = evacuations.replace(Time::ZERO, set(&[]), at(2, 5));
+    let soon = evacuations.all();
+    let late = evacuations.expire(Time::ZERO + RETENTION);
+
+    assert_eq!((reread.len(), late.len()), (0, 1));
+    assert_eq!(soon, set(&["north"]));
+}
+
+// Guards against retention ending as soon as a peer announces a later position of the restored log, when
+// that peer never knew the evacuation.
+#[test]
+fn a_peers_later_position_retains_what_the_later_era_lacks() {
+    let mut evacuations = evacuations(&["north"]);
+    let mut unaware = Evacuations::default();
+    evacuations.replace(Time::ZERO, set(&[]), at(2, 4));
+    unaware.replace(Time::ZERO, set(&[]), at(2, 5));
+
+    let changes = evacuations.merge(Time::ZERO, &unaware.announce(Time::ZERO));
+
+    assert_eq!(changes.len(), 0);
+    assert_eq!(evacuations.all(), set(&["north"]));
+}
+
 #[test]
 fn a_record_of_the_later_era_ends_retention_for_peers_too() {
     let mut reader = evacuations(&["north"]);
@@ -72,7 +105,7 @@
     peer.merge(Time::ZERO, &reader.announce(Time::ZERO));
     let before = peer.all();
 
-    reader.apply(&[record("north", false)], at(2, 5));
+    reader.apply(Time::ZERO, &[record("north", false)], at(2, 5));
     peer.merge(Time::ZERO, &reader.announce(Time::ZERO));
 
     assert_eq!(before, set(&["north"]));
--- a/src/gateway/shared/evacuations.rs
+++ b/src/gateway/shared/evacuations.rs
@@ -37,8 +37,11 @@
     /// Applies the next records of the operators' topic, up to `read_to`.
     pub(crate) fn apply_evacuations(&self, records: &[Record], read_to: Position) {
         let records = self.decode_evacuations(records);
-        let changes =
-            self.directory(|directory| directory.evacuations_mut().apply(&records, read_to));
+        let now = self.now();
+        let changes = self.directory(|directory| {
+            let evacuations = directory.evacuations_mut();
+            evacuations.apply(now, &records, read_to)
+        });
         self.report_evacuations(&changes, "log");
     }
 
