Find failing upstreams of plain services from the calls of all hosts

A failing upstream of a plain service was known to a host by its own requests only: with many hosts each calls an upstream a few times a minute, and the ejector needs three failures in a row at one host, so callers met it for long.

With features.upstream_speeds hosts tell the others of their data centre how many calls of upstreams with failures ended and failed at them in the last 5 s, as a bounded field of the rounds' datagrams (format 14), replaced whole and dropped after 4 s. An upstream whose failures exceed those expected at the rate of its service's others by six standard deviations, and its rate theirs by 0.2, is an unhealthy candidate, at most half of a service's. All hosts together probe it some four times a second, with first attempts only.

With the switch off nothing is recorded or reviewed; a datagram has one byte more.

--- a/src/event.rs
+++ b/src/event.rs
@@ -89,6 +89,7 @@
     310 OwnerDecided "An owner decided on a request: granted, refused or to be moved, with the figures.",
     311 UpstreamLimited "An upstream names, changes or no longer names the request rate that it takes from all hosts together.",
     312 UpstreamRests "An upstream turned a request away and asked this host for a time without requests.",
+    315 UpstreamFailsOften "An upstream fails far more of all hosts' calls than its service's others and is avoided, or no longer is.",
     400 ConfigReady "The host has a configuration and serves by it.",
     401 EditApplied "An edit of the table is in force on this host.",
     402 EditRejected "An edit of the table was rejected: conflicts or bad values.",
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod evacuations;
 pub mod events;
 pub(crate) mod exchange;
+pub mod failurerates;
 pub mod follow;
 pub mod forward;
 pub mod gossip;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -234,6 +234,14 @@
 }
 
 fn note_health(shared: &Shared, admitted: &Admitted, upstream: &Upstream, outcome: &Attempted) {
+    let is_failed = match outcome {
+        Attempted::Answered(answer) => Some(answer.head.status.is_server_error()),
+        Attempted::Unknown(_) | Attempted::TimedOut => Some(true),
+        Attempted::Unreachable(_) | Attempted::NotRun(_) => None,
+    };
+    if let Some(is_failed) = is_failed {
+        shared.record_call_outcome(&admitted.service, &upstream.id, is_failed);
+    }
     match outcome {
         Attempted::Answered(answer) if !answer.head.status.is_server_error() => {
             shared.ejector(|ejector| ejector.succeeded(&upstream.id));
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -12,6 +12,7 @@
 use crate::error::Result;
 use crate::gateway::directory::Change;
 use crate::gateway::evacuations::AnnouncedEvacuations;
+use crate::gateway::failurerates::ServiceCalls;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::instance::InstanceKey;
 use crate::gateway::loads::Load;
@@ -32,7 +33,7 @@
 pub(crate) const PART_CHANGES_MAX: usize = 10;
 /// First byte of a datagram. Incremented whenever the fields change, so that hosts of different
 /// releases don't misinterpret each other's datagrams.
-const FORMAT: u8 = 13;
+const FORMAT: u8 = 14;
 /// First byte of a datagram with [`AnnouncedChanges`].
 const CHANGES_FORMAT: u8 = 0x80 | FORMAT;
 
@@ -132,6 +133,9 @@
     pub leaving: Vec<InstanceId>,
     /// Upstreams that the sender currently can't connect to.
     pub unreachable: Vec<InstanceId>,
+    /// The sender's calls of upstreams with failures, in place of those that it told before; `None` if the
+    /// datagram isn't about them.
+    pub failures: Option<Vec<ServiceCalls>>,
     /// Limits that upstreams name, or no longer name.
     pub limits: Vec<AnnouncedLimit>,
     /// Requests during which upstreams crashed.
@@ -177,6 +181,7 @@
             moving: Vec::new(),
             leaving: Vec::new(),
             unreachable: Vec::new(),
+            failures: None,
             limits: Vec::new(),
             suspects: Vec::new(),
             hosts: Vec::new(),
@@ -222,6 +227,7 @@
         Datagram {
             evidence: AnnouncedTrials::Nothing,
             loads: AnnouncedLoads::Nothing,
+            failures: None,
             limits: Vec::new(),
             hosts: Vec::new(),
             ..self.clone()
@@ -238,6 +244,7 @@
         Datagram {
             evidence: AnnouncedTrials::OfDataCentre(evidence),
             loads: AnnouncedLoads::OfDataCentre(loads),
+            failures: None,
             limits,
             hosts: Vec::new(),
             ..self.clone()
@@ -287,6 +294,7 @@
         Datagram {
             changes: Vec::new(),
             loads: AnnouncedLoads::Nothing,
+            failures: None,
             limits: Vec::new(),
             evidence: AnnouncedTrials::Nothing,
             hosts: Vec::new(),
@@ -332,8 +340,8 @@
     }
 }
 
-/// Encodes a datagram. One that is too large loses its oldest limits, which the next round repeats, then its oldest
-/// changes, its smallest loads, suspects and leaving upstreams.
+/// Encodes a datagram. One that is too large loses its oldest limits, which the next round repeats, then
+/// its counts of failed calls, its oldest changes, its smallest loads, suspects and leaving upstreams.
 pub fn encode(mut datagram: Datagram) -> Vec<u8> {
     if let Some(loads) = datagram.loads.entries_mut() {
         loads.sort_by_key(|(_, load)| std::cmp::Reverse(load.tokens));
@@ -358,9 +366,20 @@
     postcard::from_bytes(fields).map_err(|error| Error::Datagram(error.to_string()))
 }
 
+/// Removes the upstream with the fewest failures of the last service; false if there is none.
+fn truncate_failures(datagram: &mut Datagram) -> bool {
+    let Some(services) = &mut datagram.failures else {
+        return false;
+    };
+    match services.last_mut() {
+        Some(service) if service.upstreams.len() > 1 => service.upstreams.pop().is_some(),
+        Some(_) | None => services.pop().is_some(),
+    }
+}
+
 /// Removes the least important entry or entries; false if none are left.
 fn truncate(datagram: &mut Datagram) -> bool {
-    if datagram.limits.pop().is_some() {
+    if datagram.limits.pop().is_some() || truncate_failures(datagram) {
         return true;
     }
     if !datagram.changes.is_empty() {
--- a/src/gateway/datagram/tests.rs
+++ b/src/gateway/datagram/tests.rs
@@ -48,6 +48,25 @@
     assert_eq!(sent.leaving, full.leaving);
 }
 
+#[test]
+fn failed_calls_are_told_in_rounds_of_the_data_centre_only() {
+    let told = Datagram {
+        failures: Some(Vec::new()),
+        ..datagram(0, 0, 0)
+    };
+
+    let kept = decode(&encode(told.clone())).unwrap();
+    let others = [
+        told.log_only(),
+        told.moves_only(),
+        told.to_load_query(),
+        told.with_summary(Vec::new(), Vec::new(), Vec::new()),
+    ];
+
+    assert!(kept.failures.is_some());
+    assert!(others.iter().all(|other| other.failures.is_none()));
+}
+
 #[test]
 fn a_datagram_stays_small_however_many_upstreams_leave() {
     let bytes = encode(datagram(0, 0, 300));
--- a/src/gateway/directory/selection.rs
+++ b/src/gateway/directory/selection.rs
@@ -141,6 +141,12 @@
         self.entries.data_centre_of(key)
     }
 
+    /// The listed instance with this key.
+    pub fn id_of(&self, key: InstanceKey) -> Option<InstanceId> {
+        let ids = self.entries.values().map(|entry| &entry.upstream.id);
+        ids.into_iter().find(|id| id.key() == key).cloned()
+    }
+
     /// All upstreams that take new work.
     pub fn all_ready(&self) -> Vec<Arc<Upstream>> {
         let upstreams = self.entries.values().map(|entry| &entry.upstream);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -250,6 +250,7 @@
             .move_queues()
             .with(|move_queues| move_queues.pending()),
         unreachable: shared.unreachable_upstreams(),
+        failures: shared.announced_failures(),
         limits: shared.upstream_limits(|limits| limits.announce_host(now)),
         suspects: shared.suspects(|suspects| suspects.announce(now)),
         hosts: shared.peers(|peers| peers.announced_hosts(now)),
--- a/src/gateway/gossip/receiving.rs
+++ b/src/gateway/gossip/receiving.rs
@@ -77,6 +77,7 @@
     }
     if datagram.data_centre == shared.settings().data_centre {
         shared.receive_unreachable(&datagram.host, &datagram.unreachable);
+        shared.receive_failures(&datagram.host, datagram.failures);
     }
     shared.receive_limits(datagram.host.as_str(), &datagram.limits);
     shared.receive_suspects(datagram.host.as_str(), &datagram.suspects);
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -291,6 +291,7 @@
     let (held_back, known) = shared.suspects(|suspects| suspects.count(now));
     telemetry::set_suspects(held_back, known);
     telemetry::set_upstreams_limited(shared.upstream_limits(|limits| limits.count()));
+    telemetry::set_upstreams_failing(shared.count_failing());
     telemetry::set_log_era(shared.log_era().number());
     telemetry::set_evacuated(shared.directory(|directory| directory.evacuations().all().len()));
     telemetry::set_last_suspension(shared.last_suspension());
@@ -306,6 +307,7 @@
         shared.loads().with(|loads| loads.expire(now));
         shared.review_suspects();
         shared.review_rollouts();
+        shared.review_failures();
         let gone = shared.directory(|directory| directory.expire(now));
         shared.record_expired(gone);
         shared.expire_evacuations();
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -290,6 +290,8 @@
     let track = admitted.track.get();
     let service = &admitted.service;
     let here = &shared.settings().data_centre;
+    // A probe of an upstream that fails often risks a first attempt only.
+    let is_repeat = !avoid.is_empty();
     let any_limited = shared.has_limited_upstreams(now);
     let mut ready = shared.directory(|directory| {
         let local = (set == CandidateSet::Subset).then_some(here);
@@ -313,6 +315,7 @@
             reported: shared.reported_load(now, &upstream.id),
             slowness: Slowness::default(),
             unhealthy: shared.is_avoided(now, &upstream.id)
+                || (is_repeat && shared.is_failing(&upstream.id))
                 || unreachable.contains(&upstream.data_centre),
             upstream,
         })
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -26,6 +26,7 @@
 use crate::gateway::document::assembly::Assembly;
 use crate::gateway::document::catchup::CatchUp;
 use crate::gateway::document::transfers::Transfers;
+use crate::gateway::failurerates::FailureRates;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::joining::SeedState;
 use crate::gateway::loads::SharedLoads;
@@ -95,6 +96,7 @@
     peers: Mutex<Peers>,
     ejector: Mutex<Ejector<InstanceId>>,
     reachability: Mutex<Reachability>,
+    failure_rates: Mutex<FailureRates>,
     reported_loads: Mutex<ReportedLoads>,
     cold_budget: Mutex<ColdBudget>,
     upstream_limits: Mutex<UpstreamLimits>,
@@ -153,6 +155,7 @@
             peers: Mutex::new(peers),
             ejector: Mutex::new(Ejector::new(Default::default())),
             reachability: Mutex::default(),
+            failure_rates: Mutex::default(),
             reported_loads: Mutex::default(),
             cold_budget: Mutex::default(),
             upstream_limits: Mutex::new(UpstreamLimits::new(rand::random())),
--- a/src/gateway/shared/health.rs
+++ b/src/gateway/shared/health.rs
@@ -8,6 +8,7 @@
 use crate::ejection::Ejector;
 use crate::ejection::Health;
 use crate::event::EventCode;
+use crate::gateway::failurerates::ServiceCalls;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::partition::PartitionChange;
 use crate::gateway::reportedloads::ReportedLoad;
@@ -90,6 +91,11 @@
     /// request is the probe, and no other is sent until the guard is dropped.
     pub(crate) fn begin_send(&self, upstream: &InstanceId) -> SendGuard {
         self.ejector(|ejector| ejector.sent(upstream));
+        if self.is_failing(upstream) {
+            let hosts = self.local_hosts();
+            let now = self.now();
+            lock(&self.0.failure_rates).record_send(now, upstream, hosts);
+        }
         SendGuard {
             shared: self.clone(),
             upstream: upstream.clone(),
@@ -99,7 +105,79 @@
     /// Whether requests should prefer other upstreams to this one.
     pub(crate) fn is_avoided(&self, now: Time, upstream: &InstanceId) -> bool {
         let health = self.ejector(|ejector| ejector.health(now, upstream));
-        health == Health::Ejected || self.is_unreachable(now, upstream)
+        health == Health::Ejected
+            || self.is_unreachable(now, upstream)
+            || (self.shares_failures() && lock(&self.0.failure_rates).is_avoided(now, upstream))
+    }
+
+    /// Whether an upstream fails far more of all hosts' calls than its service's others.
+    pub(crate) fn is_failing(&self, upstream: &InstanceId) -> bool {
+        self.shares_failures() && lock(&self.0.failure_rates).is_failing(upstream)
+    }
+
+    /// Whether hosts tell each other of failed calls.
+    fn shares_failures(&self) -> bool {
+        self.settings().features.upstream_speeds
+    }
+
+    /// Records whether a call of a plain service failed at its upstream.
+    pub(crate) fn record_call_outcome(
+        &self,
+        service: &ServiceId,
+        upstream: &InstanceId,
+        is_failed: bool,
+    ) {
+        if self.shares_failures() {
+            let now = self.now();
+            lock(&self.0.failure_rates).record(now, service, upstream, is_failed);
+        }
+    }
+
+    /// What this host tells the others of its data centre of failed calls; `None` if that is switched off.
+    pub(crate) fn announced_failures(&self) -> Option<Vec<ServiceCalls>> {
+        self.shares_failures()
+            .then(|| lock(&self.0.failure_rates).announce())
+    }
+
+    /// Takes what another host of this data centre tells of failed calls.
+    pub(crate) fn receive_failures(&self, host: &HostId, told: Option<Vec<ServiceCalls>>) {
+        if let Some(told) = told.filter(|_| self.shares_failures()) {
+            let now = self.now();
+            lock(&self.0.failure_rates).receive(now, host, told);
+        }
+    }
+
+    /// Number of upstreams avoided because they fail far more often than their service's others.
+    pub(crate) fn count_failing(&self) -> usize {
+        lock(&self.0.failure_rates).count()
+    }
+
+    /// Number of hosts of this data centre, including this one.
+    fn local_hosts(&self) -> usize {
+        let now = self.now();
+        self.peers(|peers| peers.count_local(now)) + 1
+    }
+
+    /// Decides anew which upstreams are avoided for the failed calls of all hosts, and logs changes.
+    pub(crate) fn review_failures(&self) {
+        if !self.shares_failures() {
+            return;
+        }
+        let now = self.now();
+        let hosts = self.local_hosts();
+        let pool = |service: &ServiceId| self.directory(|directory| directory.ready(service).len());
+        let changes = lock(&self.0.failure_rates).review(now, hosts, rand::random(), pool);
+        for change in changes {
+            let id = self.directory(|directory| directory.id_of(change.key));
+            let (calls, failed) = change.calls;
+            let line = self.log().entry(EventCode::UpstreamFailsOften);
+            line.with("service", change.service.as_str())
+                .with_some("upstream", id.as_ref().map(InstanceId::as_str))
+                .with("avoided", change.is_avoided)
+                .with("calls", calls)
+                .with("failed", failed)
+                .write();
+        }
     }
 
     /// Whether connections to an upstream have failed recently, here or at another host.
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -145,6 +145,8 @@
         "Data centres whose upstreams get no new work because operators evacuated them.",
     UpstreamsLimited Gauge "cedargauge_limited_upstreams_active" ""
         "Upstreams whose answers name a limit on the request rate of all hosts together.",
+    UpstreamsFailing Gauge "cedargauge_failing_upstreams_active" ""
+        "Upstreams that are avoided because they fail far more of all hosts' calls than their service's others.",
     SuspectsHeldBack Gauge "cedargauge_held_back_active" ""
         "Contents of requests that are not sent because upstreams crashed under them.",
     SuspectsKnown Gauge "cedargauge_suspects_active" ""
@@ -411,6 +413,11 @@
     metrics::gauge!(Metric::UpstreamsLimited.name()).set(upstreams as f64);
 }
 
+/// Sets how many upstreams are avoided for the failed calls of all hosts.
+pub fn set_upstreams_failing(upstreams: usize) {
+    metrics::gauge!(Metric::UpstreamsFailing.name()).set(upstreams as f64);
+}
+
 /// Sets how many contents of requests are held back, and how many are remembered as suspects.
 pub fn set_suspects(held_back: usize, known: usize) {
     metrics::gauge!(Metric::SuspectsHeldBack.name()).set(held_back as f64);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -3,6 +3,7 @@
 mod coldupstreams;
 mod crashingrequests;
 mod evacuation;
+mod failingupstreams;
 #[allow(dead_code, reason = "tests/slowreaders uses the rest")]
 mod gatewayworld;
 mod instances;
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -34,6 +34,7 @@
 use cedargauge::gateway::retrybudget::RetryBudgetOptions;
 use cedargauge::gateway::settings::GatewaySettings;
 use cedargauge::gateway::settings::GatewaySettingsBuilder;
+use cedargauge::gateway::settings::LoadFeatures;
 use cedargauge::id::DataCentre;
 use cedargauge::id::HostId;
 use cedargauge::id::Incarnation;
@@ -130,6 +131,13 @@
         World::start_fleet_behind(count, None, HAS_RUN)
     }
 
+    /// The same with decisions under load switched on.
+    pub fn start_fleet_with(count: usize, features: LoadFeatures) -> Vec<Self> {
+        let addresses: Vec<IpAddr> = (0..count).map(|_| own_address()).collect();
+        let door = FakeLog::start(addresses[0]);
+        World::start_fleet_of(&addresses, &door, None, HAS_RUN, features)
+    }
+
     /// The same with hosts that have just started.
     pub fn start_new_fleet(count: usize) -> Vec<Self> {
         World::start_fleet_behind(count, None, Duration::ZERO)
@@ -143,12 +151,24 @@
     /// Hosts that have just started at a log that is there already, each by a door of its own.
     pub fn start_fleet_at(log: &FakeLog, count: usize) -> Vec<Self> {
         let addresses: Vec<IpAddr> = (0..count).map(|_| own_address()).collect();
-        World::start_fleet_of(&addresses, &log.another_door(), None, Duration::ZERO)
+        World::start_fleet_of(
+            &addresses,
+            &log.another_door(),
+            None,
+            Duration::ZERO,
+            LoadFeatures::default(),
+        )
     }
 
     fn start_fleet_behind(count: usize, links: Option<&[Link]>, age: Duration) -> Vec<Self> {
         let addresses: Vec<IpAddr> = (0..count).map(|_| own_address()).collect();
-        World::start_fleet_of(&addresses, &FakeLog::start(addresses[0]), links, age)
+        World::start_fleet_of(
+            &addresses,
+            &FakeLog::start(addresses[0]),
+            links,
+            age,
+            LoadFeatures::default(),
+        )
     }
 
     fn start_fleet_of(
@@ -156,6 +176,7 @@
         first_door: &FakeLog,
         links: Option<&[Link]>,
         age: Duration,
+        features: LoadFeatures,
     ) -> Vec<Self> {
         let seed = SocketAddr::new(addresses[0], PEER_PORT);
         let doors = (0..addresses.len()).map(|index| match index {
@@ -168,6 +189,7 @@
                 let mut settings = settings(*address, door.address());
                 settings.host = HostId::new(format!("host-{index:02}"));
                 settings.seeds = vec![seed];
+                settings.features = features;
                 if let Some(links) = links {
                     let outside = settings.peer_address;
                     settings.peer_address.set_ip(inner_address(*address));
