--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -57,6 +57,7 @@
 use crate::id::RegionId;
 use crate::id::RequestId;
 use crate::id::ServiceId;
+use crate::id::VersionId;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::telemetry;
@@ -216,12 +217,32 @@
         size.unwrap_or(DEFAULT_SIZE)
     }
 
-    /// Chooses an upstream for `need`, leaving out those of `avoid`.
+    /// Chooses an upstream for `need`, leaving out those of `avoid`. If all that a trial could use are
+    /// unhealthy, the request goes to a proved upstream instead: repeats of failed trials would use up the
+    /// retry budget before the version is judged.
     pub fn choose_upstream(
         &self,
         shared: &Shared,
         need: Need,
         avoid: &[InstanceId],
+    ) -> Option<Candidate> {
+        let chosen = self.choose_on_track(shared, need, avoid);
+        let is_failing_trial = self.track.get() == Track::Trial
+            && chosen.as_ref().is_some_and(|candidate| candidate.unhealthy);
+        match is_failing_trial {
+            true => {
+                self.track.set(Track::Stable);
+                self.choose_on_track(shared, need, avoid).or(chosen)
+            }
+            false => chosen,
+        }
+    }
+
+    fn choose_on_track(
+        &self,
+        shared: &Shared,
+        need: Need,
+        avoid: &[InstanceId],
     ) -> Option<Candidate> {
         let chosen = |set| choose(shared, need, &candidates(shared, self, avoid, set));
         match CandidateSet::initial(shared, &self.service) {
@@ -267,6 +288,8 @@
     set: CandidateSet,
 ) -> Vec<Candidate> {
     let now = shared.now();
+    // A probe of an upstream that fails often risks a first attempt only.
+    let is_repeat = !avoid.is_empty();
     let any_limited = shared.has_limited_upstreams(now);
     let mut ready = ready_upstreams(shared, &admitted.service, admitted.track.get(), set);
     if let Some(regions) = &admitted.regions {
@@ -274,12 +297,41 @@
     }
     let unreachable = unreachable_data_centres(shared, now, &ready);
     let engine = admitted.engine.as_ref();
-    ready
+    let candidates = ready
         .into_iter()
         .filter(|upstream| !avoid.contains(&upstream.id))
         .filter(|upstream| !any_limited || shared.may_send(now, upstream))
-        .map(|upstream| candidate(shared, now, upstream, &unreachable, engine))
-        .collect()
+        .map(|upstream| {
+            let is_failing = is_repeat && shared.is_failing(&upstream.id);
+            let mut candidate = candidate(shared, now, upstream, &unreachable, engine);
+            candidate.unhealthy |= is_failing;
+            candidate
+        })
+        .collect();
+    prefer_other_versions(shared, avoid, candidates)
+}
+
+/// The candidates of versions other than those of the upstreams that failed the request, as far as they are
+/// healthy and have a free slot, or else all candidates. Hosts read rollout orders and upstreams apart, so
+/// upstreams of a bad version can be known before the order that puts them on trial.
+fn prefer_other_versions(
+    shared: &Shared,
+    failed: &[InstanceId],
+    candidates: Vec<Candidate>,
+) -> Vec<Candidate> {
+    let versions: Vec<VersionId> = shared.directory(|directory| {
+        let failed = failed.iter().filter_map(|id| directory.get(id));
+        failed.map(|upstream| upstream.version.clone()).collect()
+    });
+    let is_preferred = |candidate: &Candidate| {
+        let has_free_slot = candidate.load.requests < candidate.upstream.slots;
+        let is_other = !versions.contains(&candidate.upstream.version);
+        is_other && has_free_slot && !candidate.unhealthy
+    };
+    match versions.is_empty() || !candidates.iter().any(is_preferred) {
+        true => candidates,
+        false => candidates.into_iter().filter(is_preferred).collect(),
+    }
 }
 
 /// All upstreams of a service that are ready and not under trial, whatever this host itself may send them.
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -26,6 +26,7 @@
 use crate::gateway::document::assembly::Assembly;
 use crate::gateway::document::catchup::CatchUp;
 use crate::gateway::document::transfers::Transfers;
+use crate::gateway::failurerates::FailureRates;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::joining::SeedState;
 use crate::gateway::loads::SharedLoads;
@@ -99,6 +100,7 @@
     peers: Mutex<Peers>,
     ejector: Mutex<Ejector<InstanceId>>,
     reachability: Mutex<Reachability>,
+    failure_rates: Mutex<FailureRates>,
     reported_loads: Mutex<ReportedLoads>,
     speeds: Mutex<Speeds>,
     cold_budget: Mutex<ColdBudget>,
@@ -159,6 +161,7 @@
             peers: Mutex::new(peers),
             ejector: Mutex::new(Ejector::new(Default::default())),
             reachability: Mutex::default(),
+            failure_rates: Mutex::default(),
             reported_loads: Mutex::default(),
             speeds: Mutex::default(),
             cold_budget: Mutex::default(),
--- a/tests/gatewayworld/lines.rs
+++ b/tests/gatewayworld/lines.rs
@@ -20,6 +20,14 @@
             .filter(|entry: &Value| entry["name"] == name)
             .collect()
     }
+
+    /// The last `count` lines.
+    pub fn last(&self, count: usize) -> String {
+        let bytes = self.0.lock().unwrap();
+        let text = String::from_utf8_lossy(&bytes);
+        let last: Vec<&str> = text.lines().rev().take(count).collect();
+        last.into_iter().rev().collect::<Vec<_>>().join("\n")
+    }
 }
 
 impl Write for Lines {
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -128,6 +128,13 @@
         World::start_fleet_behind(count, None, HAS_RUN)
     }
 
+    /// The same with decisions under load switched on.
+    pub fn start_fleet_with(count: usize, features: LoadFeatures) -> Vec<Self> {
+        let addresses: Vec<IpAddr> = (0..count).map(|_| own_address()).collect();
+        let door = FakeLog::start(addresses[0]);
+        World::start_fleet_of(&addresses, &door, None, HAS_RUN, features)
+    }
+
     /// The same with hosts that have just started.
     pub fn start_new_fleet(count: usize) -> Vec<Self> {
         World::start_fleet_behind(count, None, Duration::ZERO)
@@ -138,18 +145,6 @@
         World::start_fleet_behind(links.len(), Some(links), HAS_RUN)
     }
 
-    /// Hosts of one data centre with decisions under load switched on.
-    pub fn start_fleet_with(count: usize, features: LoadFeatures) -> Vec<Self> {
-        let addresses: Vec<IpAddr> = (0..count).map(|_| own_address()).collect();
-        let log = FakeLog::start(addresses[0]);
-        let fleet = fleet_settings(&addresses, &log);
-        let hosts = fleet.into_iter().map(|(mut settings, door)| {
-            settings.features = features;
-            World::start_host(settings, door, HAS_RUN)
-        });
-        hosts.collect()
-    }
-
     /// Hosts that have just started at a log that is there already, each by a door of its own.
     pub fn start_fleet_at(log: &FakeLog, count: usize) -> Vec<Self> {
         let addresses: Vec<IpAddr> = (0..count).map(|_| own_address()).collect();
@@ -163,13 +158,6 @@
         )
     }
 
-    /// Starts `count` hosts with these decisions under load switched on.
-    pub fn start_fleet_with(count: usize, features: LoadFeatures) -> Vec<Self> {
-        let addresses: Vec<IpAddr> = (0..count).map(|_| own_address()).collect();
-        let log = FakeLog::start(addresses[0]);
-        World::start_fleet_of(&addresses, &log, None, HAS_RUN, features)
-    }
-
     fn start_fleet_behind(count: usize, links: Option<&[Link]>, age: Duration) -> Vec<Self> {
         let addresses: Vec<IpAddr> = (0..count).map(|_| own_address()).collect();
         let features = LoadFeatures::default();
@@ -226,14 +214,14 @@
         let thread = std::thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
                 let clock = SystemClock::of_suspended(suspended_ms).aged(age);
-                let lines =
+                let decisions =
                     DecisionLog::with_output(settings.host.clone(), Incarnation(1), clock, output);
                 let host = GatewayHost::start_with(
                     settings,
                     Arc::new(ProductProtocol::default()),
                     Box::new(|| None),
                     clock,
-                    lines,
+                    decisions,
                 )
                 .await
                 .unwrap();
@@ -326,6 +314,11 @@
         self.settings.gossip_address
     }
 
+    /// The last `count` lines of the host's log, for the message of a failed check.
+    pub fn last_lines(&self, count: usize) -> String {
+        self.lines.last(count)
+    }
+
     /// Where callers connect.
     pub fn callers(&self) -> SocketAddr {
         SocketAddr::new(self.address, CALLER_PORT)
