--- a/src/gateway/shared/queueing/owning.rs
+++ b/src/gateway/shared/queueing/owning.rs
@@ -285,7 +285,7 @@
         let mut queues = lock(&self.0.queueing.owned.queues);
         let owned = queues.entry(service.clone()).or_default();
         let answers = owned.receive_join(self, now, &service, sender.host, request, contact);
-        let is_filled = !owned.queue.is_empty() || !owned.grants.is_empty();
+        let is_filled = owned.queue.is_open(now) || !owned.grants.is_empty();
         drop(queues);
         self.send_answers(answers);
         if is_filled {
@@ -351,12 +351,12 @@
                 // The hosts learn it at their next renewal and ask another owner.
                 false => owned.expire(self, now),
             }
-            let is_empty = owned.queue.is_empty();
-            let announcement = owned.announcer.next(now, is_empty);
+            let is_open = owned.queue.is_open(now);
+            let announcement = owned.announcer.next(now, !is_open);
             let announcement = announcement.map(|next| (service.clone(), owned.queue.len(), next));
             tick.announcements.extend(announcement);
-            tick.has_waiting |= !is_empty;
-            tick.is_active |= !is_empty || !owned.grants.is_empty();
+            tick.has_waiting |= !owned.queue.is_empty();
+            tick.is_active |= is_open || !owned.grants.is_empty();
         }
         tick
     }
--- a/src/gateway/sharedqueue.rs
+++ b/src/gateway/sharedqueue.rs
@@ -142,6 +142,9 @@
 /// A generation waits if all ahead of it is expected to start within this share of the time for which it may wait. The
 /// rest is for finding room once it is first: a large one may have to wait there for several ends at one engine.
 const JOINS_WITHIN: f64 = 0.75;
+/// Time for which a refusal for lack of room holds the less urgent ranks back: some arrivals of the rank that lacks room,
+/// and well below the objective of what is held back.
+const HELD_BACK_FOR: Duration = Duration::from_millis(200);
 /// A generation that waits for longer than this without being renewed has lost its host.
 const RENEWED_WITHIN: Duration = Duration::from_millis(300);
 
@@ -171,6 +174,14 @@
 /// Odd number whose multiples are spread evenly: 2^64 over the golden ratio.
 const SPREAD_FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
 
+/// What is ordered among itself by shares: a rank's generations that can still meet their objective, then those that
+/// returned, which can't.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Line {
+    rank: u8,
+    is_returned: bool,
+}
+
 /// A generation in the queue.
 #[derive(Debug)]
 struct Entry {
@@ -180,6 +191,13 @@
 }
 
 impl Entry {
+    fn line(&self) -> Line {
+        Line {
+            rank: self.waiter.rank,
+            is_returned: self.is_returned,
+        }
+    }
+
     /// Longest wait from now after which it is still useful. One that returned waits for as long as its whole answer can
     /// still come.
     fn limit(&self, now: Time, view: &EngineView<'_>) -> Duration {
@@ -189,6 +207,7 @@
             return left.saturating_sub(waiter.run_time);
         }
         let prefill = admit::waiting_slowness(view.candidates).prefill;
+        let prefill = admit::waiting_slowness(view.candidates).prefill;
         let limit = waiter.arrived_at + waiter.demand().wait_limit(view.stats, prefill);
         limit.since(now).min(left)
     }
@@ -214,9 +233,11 @@
 /// The queue of one service at its owner.
 #[derive(Debug)]
 pub(crate) struct SharedQueue {
-    /// A class for each rank; tokens are charged when they are granted.
+    /// A class for each [`Line`]; tokens are charged when they are granted.
     queue: FairQueue<Entry>,
-    ranks: BTreeMap<u8, ClassId>,
+    lines: BTreeMap<Line, ClassId>,
+    /// When a generation of a rank was last refused for lack of room.
+    refused_at: BTreeMap<u8, Time>,
     standings: HashMap<WaiterId, Standing>,
     places: Places,
     next_request: u128,
@@ -226,7 +247,8 @@
     fn default() -> Self {
         SharedQueue {
             queue: FairQueue::charged_whole(),
-            ranks: BTreeMap::new(),
+            lines: BTreeMap::new(),
+            refused_at: BTreeMap::new(),
             standings: HashMap::new(),
             places: Places::default(),
             next_request: 0,
@@ -264,7 +286,7 @@
         let entry = self.queue.get_mut(request);
         let is_returned = entry.is_some_and(|entry| entry.is_returned);
         let comes_in_time = match is_returned {
-            true => !forecast.limit.is_zero(),
+            true => forecast.expected < forecast.limit,
             false => forecast.expected < forecast.limit.mul_f64(JOINS_WITHIN),
         };
         if !has_engine || !(has_room || comes_in_time) {
@@ -292,11 +314,11 @@
         let request = RequestId::from_u128(self.next_request);
         let waiter = &entry.waiter;
         let customer = waiter.customer_id();
-        let rank = waiter.rank;
+        let line = entry.line();
         let class = self
-            .ranks
-            .entry(rank)
-            .or_insert_with(|| ClassId::new(rank.to_string()));
+            .lines
+            .entry(line)
+            .or_insert_with(|| ClassId::new(format!("{}-{}", line.rank, line.is_returned)));
         let position = Position {
             request,
             class: class.clone(),
@@ -329,7 +351,7 @@
         view: &EngineView<'_>,
     ) -> QueueForecast {
         let mut ahead = Ahead::default();
-        for class in self.ranks.values() {
+        for class in self.lines.values() {
             ahead.rank_tokens = 0;
             for (other, entry) in self.queue.order(class, tokens_of) {
                 if other != request {
@@ -397,6 +419,19 @@
         }
     }
 
+    /// Whether a generation that arrives has to ask: others wait, or a rank is held back.
+    pub(crate) fn is_open(&self, now: Time) -> bool {
+        !self.is_empty() || self.is_held_back(now, u8::MAX)
+    }
+
+    /// Whether generations of a rank may not start because more urgent ones were refused a moment ago. The memory that
+    /// becomes free is theirs, though none of them waits at this moment.
+    fn is_held_back(&self, now: Time, rank: u8) -> bool {
+        let more_urgent = self.refused_at.range(..rank);
+        let mut refused_at = more_urgent.map(|(_, refused_at)| *refused_at);
+        refused_at.any(|refused_at| now.since(refused_at) < HELD_BACK_FOR)
+    }
+
     /// Whether nothing waits.
     pub(crate) fn is_empty(&self) -> bool {
         self.len() == 0
@@ -440,12 +475,17 @@
         let mut engines = Engines::new(view);
         let mut ahead = Ahead::default();
         let mut outcomes = Vec::with_capacity(self.len());
-        for class in self.ranks.values() {
+        for (line, class) in &self.lines {
             ahead.rank_tokens = 0;
             let per_s = self.queue.granted_per_s(class);
+            let is_held_back = self.is_held_back(now, line.rank);
             for (_, entry) in self.queue.order(class, tokens_of) {
                 let waiter = &entry.waiter;
-                let outcome = match engines.start(waiter, &mut draw) {
+                let start = match is_held_back {
+                    true => None,
+                    false => engines.start(waiter, &mut draw),
+                };
+                let outcome = match start {
                     Some(engine) => Outcome::Start(engine),
                     None => {
                         let forecast = QueueForecast {
@@ -453,7 +493,7 @@
                             limit: entry.limit(now, view),
                             ahead_tokens: ahead.tokens,
                         };
-                        let is_late = !entry.is_returned && forecast.expected > forecast.limit;
+                        let is_late = forecast.expected > forecast.limit;
                         if is_late || forecast.limit.is_zero() {
                             Outcome::Refuse(forecast)
                         } else {
@@ -480,7 +520,7 @@
             Outcome::Start(engine) => {
                 let (entry, standing) = self.take(&id)?;
                 let tokens = tokens_of(&entry);
-                self.charge(&entry.waiter, standing.has_waited);
+                self.charge(&entry, standing.has_waited);
                 Some(Decision::Start { id, engine, tokens })
             }
             Outcome::Refuse(forecast) => {
@@ -497,10 +537,11 @@
     }
 
     /// Charges a generation that starts. Only one that has waited tells how fast memory becomes free.
-    fn charge(&mut self, waiter: &Waiter, has_waited: bool) {
-        let Some(class) = self.ranks.get(&waiter.rank) else {
+    fn charge(&mut self, entry: &Entry, has_waited: bool) {
+        let Some(class) = self.lines.get(&entry.line()) else {
             return;
         };
+        let waiter = &entry.waiter;
         let tokens = waiter.need.tokens();
         self.queue
             .charge(class, &waiter.customer_id(), i64::from(tokens));
@@ -524,6 +565,9 @@
         let Some((entry, _)) = self.take(id) else {
             return turn;
         };
+        if !entry.is_returned {
+            self.refused_at.insert(entry.waiter.rank, now);
+        }
         let waiter = &entry.waiter;
         let promised_tokens = self.places.tokens(waiter.rank);
         let ahead = Ahead {
