--- a/src/gateway/sharedqueue.rs
+++ b/src/gateway/sharedqueue.rs
@@ -174,14 +174,6 @@
 /// Odd number whose multiples are spread evenly: 2^64 over the golden ratio.
 const SPREAD_FACTOR: u64 = 0x9E37_79B9_7F4A_7C15;
 
-/// What is ordered among itself by shares: a rank's generations that can still meet their objective, then those that
-/// returned, which can't.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Line {
-    rank: u8,
-    is_returned: bool,
-}
-
 /// A generation in the queue.
 #[derive(Debug)]
 struct Entry {
@@ -191,13 +183,6 @@
 }
 
 impl Entry {
-    fn line(&self) -> Line {
-        Line {
-            rank: self.waiter.rank,
-            is_returned: self.is_returned,
-        }
-    }
-
     /// Longest wait from now after which it is still useful. One that returned waits for as long as its whole answer can
     /// still come.
     fn limit(&self, now: Time, view: &EngineView<'_>) -> Duration {
@@ -233,9 +218,9 @@
 /// The queue of one service at its owner.
 #[derive(Debug)]
 pub(crate) struct SharedQueue {
-    /// A class for each [`Line`]; tokens are charged when they are granted.
+    /// A class for each rank; tokens are charged when they are granted.
     queue: FairQueue<Entry>,
-    lines: BTreeMap<Line, ClassId>,
+    ranks: BTreeMap<u8, ClassId>,
     /// When a generation of a rank was last refused for lack of room.
     refused_at: BTreeMap<u8, Time>,
     standings: HashMap<WaiterId, Standing>,
@@ -247,7 +232,7 @@
     fn default() -> Self {
         SharedQueue {
             queue: FairQueue::charged_whole(),
-            lines: BTreeMap::new(),
+            ranks: BTreeMap::new(),
             refused_at: BTreeMap::new(),
             standings: HashMap::new(),
             places: Places::default(),
@@ -286,7 +271,7 @@
         let entry = self.queue.get_mut(request);
         let is_returned = entry.is_some_and(|entry| entry.is_returned);
         let comes_in_time = match is_returned {
-            true => forecast.expected < forecast.limit,
+            true => !forecast.limit.is_zero(),
             false => forecast.expected < forecast.limit.mul_f64(JOINS_WITHIN),
         };
         if !has_engine || !(has_room || comes_in_time) {
@@ -314,11 +299,11 @@
         let request = RequestId::from_u128(self.next_request);
         let waiter = &entry.waiter;
         let customer = waiter.customer_id();
-        let line = entry.line();
+        let rank = waiter.rank;
         let class = self
-            .lines
-            .entry(line)
-            .or_insert_with(|| ClassId::new(format!("{}-{}", line.rank, line.is_returned)));
+            .ranks
+            .entry(rank)
+            .or_insert_with(|| ClassId::new(rank.to_string()));
         let position = Position {
             request,
             class: class.clone(),
@@ -351,7 +336,7 @@
         view: &EngineView<'_>,
     ) -> QueueForecast {
         let mut ahead = Ahead::default();
-        for class in self.lines.values() {
+        for class in self.ranks.values() {
             ahead.rank_tokens = 0;
             for (other, entry) in self.queue.order(class, tokens_of) {
                 if other != request {
@@ -472,13 +457,14 @@
         forecaster: &Forecaster<'_>,
         mut draw: impl FnMut() -> f64,
     ) -> Vec<(WaiterId, Outcome)> {
+        let mut forecaster = *forecaster;
         let mut engines = Engines::new(view);
         let mut ahead = Ahead::default();
         let mut outcomes = Vec::with_capacity(self.len());
-        for (line, class) in &self.lines {
+        for (rank, class) in &self.ranks {
             ahead.rank_tokens = 0;
             let per_s = self.queue.granted_per_s(class);
-            let is_held_back = self.is_held_back(now, line.rank);
+            let is_held_back = self.is_held_back(now, *rank);
             for (_, entry) in self.queue.order(class, tokens_of) {
                 let waiter = &entry.waiter;
                 let start = match is_held_back {
@@ -486,14 +472,17 @@
                     false => engines.start(waiter, &mut draw),
                 };
                 let outcome = match start {
-                    Some(engine) => Outcome::Start(engine),
+                    Some(engine) => {
+                        forecaster.add_taken(tokens_of(entry));
+                        Outcome::Start(engine)
+                    }
                     None => {
                         let forecast = QueueForecast {
                             expected: forecaster.expected(ahead, 0, per_s),
                             limit: entry.limit(now, view),
                             ahead_tokens: ahead.tokens,
                         };
-                        let is_late = forecast.expected > forecast.limit;
+                        let is_late = !entry.is_returned && forecast.expected > forecast.limit;
                         if is_late || forecast.limit.is_zero() {
                             Outcome::Refuse(forecast)
                         } else {
@@ -520,7 +509,7 @@
             Outcome::Start(engine) => {
                 let (entry, standing) = self.take(&id)?;
                 let tokens = tokens_of(&entry);
-                self.charge(&entry, standing.has_waited);
+                self.charge(&entry.waiter, standing.has_waited);
                 Some(Decision::Start { id, engine, tokens })
             }
             Outcome::Refuse(forecast) => {
@@ -537,11 +526,10 @@
     }
 
     /// Charges a generation that starts. Only one that has waited tells how fast memory becomes free.
-    fn charge(&mut self, entry: &Entry, has_waited: bool) {
-        let Some(class) = self.lines.get(&entry.line()) else {
+    fn charge(&mut self, waiter: &Waiter, has_waited: bool) {
+        let Some(class) = self.ranks.get(&waiter.rank) else {
             return;
         };
-        let waiter = &entry.waiter;
         let tokens = waiter.need.tokens();
         self.queue
             .charge(class, &waiter.customer_id(), i64::from(tokens));
--- a/src/gateway/sharedqueue/forecast.rs
+++ b/src/gateway/sharedqueue/forecast.rs
@@ -26,6 +26,7 @@
 }
 
 /// Forecasts waits from the memory that becomes free.
+#[derive(Clone, Copy)]
 pub(super) struct Forecaster<'a> {
     view: &'a EngineView<'a>,
     taken_tokens: u64,
@@ -43,6 +44,11 @@
         }
     }
 
+    /// Counts a generation that starts in this decision.
+    pub(super) fn add_taken(&mut self, tokens: u32) {
+        self.taken_tokens += u64::from(tokens);
+    }
+
     /// Time until `tokens` are free behind what is `ahead`. `granted_per_s` is the measured rate of the rank in tokens
     /// a second. It is used only behind others of the rank: it tells nothing new while nothing of the rank waits, and
     /// one that refused on it alone would never measure another.
