--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -63,7 +63,6 @@
 pub mod serve;
 pub mod settings;
 pub mod shared;
-#[allow(dead_code)]
 pub(crate) mod sharedqueue;
 pub mod speeds;
 pub mod stream;
--- a/src/gateway/sharedqueue.rs
+++ b/src/gateway/sharedqueue.rs
@@ -192,7 +192,6 @@
             return left.saturating_sub(waiter.run_time);
         }
         let prefill = admit::waiting_slowness(view.candidates).prefill;
-        let prefill = admit::waiting_slowness(view.candidates).prefill;
         let limit = waiter.arrived_at + waiter.demand().wait_limit(view.stats, prefill);
         limit.since(now).min(left)
     }
@@ -388,11 +387,6 @@
         Some((self.queue.remove(standing.request)?, standing))
     }
 
-    /// Removes the generations of a host that is gone.
-    pub(crate) fn remove_host(&mut self, host: &HostId) {
-        self.remove_if(|id, _| id.host == *host);
-    }
-
     fn remove_if(&mut self, is_gone: impl Fn(&WaiterId, &Standing) -> bool) {
         let gone = self.standings.iter();
         let gone: Vec<WaiterId> = gone
