Refuse at once also who returned, where no answer can come in time any more

Under load that outlasts their deadlines, callers who had come back were held until the end of their time and then refused.

--- a/src/gateway/sharedqueue.rs
+++ b/src/gateway/sharedqueue.rs
@@ -183,8 +183,8 @@
 }
 
 impl Entry {
-    /// Longest wait from now after which it is still useful. One that returned waits for as long as its whole answer can
-    /// still come.
+    /// Longest wait from now after which it is still useful. One that returned waits for as long as its whole answer is
+    /// expected to come.
     fn limit(&self, now: Time, view: &EngineView<'_>) -> Duration {
         let waiter = &self.waiter;
         let left = waiter.deadline.since(now);
@@ -270,7 +270,7 @@
         let entry = self.queue.get_mut(request);
         let is_returned = entry.is_some_and(|entry| entry.is_returned);
         let comes_in_time = match is_returned {
-            true => !forecast.limit.is_zero(),
+            true => forecast.expected < forecast.limit,
             false => forecast.expected < forecast.limit.mul_f64(JOINS_WITHIN),
         };
         if !has_engine || !(has_room || comes_in_time) {
@@ -476,7 +476,7 @@
                             limit: entry.limit(now, view),
                             ahead_tokens: ahead.tokens,
                         };
-                        let is_late = !entry.is_returned && forecast.expected > forecast.limit;
+                        let is_late = forecast.expected > forecast.limit;
                         if is_late || forecast.limit.is_zero() {
                             Outcome::Refuse(forecast)
                         } else {
