--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -44,6 +44,9 @@
 /// Time before the end of the grace period from which a host that shuts down refuses calls. The longest calls
 /// take half a second, and twice as long with a second attempt.
 const LAST_CALLS: Duration = Duration::from_millis(1_500);
+/// Added to the measured time of a call, so that differences of a few milliseconds between networks and schedulers
+/// don't make an upstream slow.
+const CALL_TIME_OFFSET: Duration = Duration::from_millis(10);
 /// Time before the deadline at which the gateway answers by itself.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 
@@ -117,7 +120,12 @@
         let sent_at = Instant::now();
         let outcome = attempt(front, &admitted, &upstream, last).await;
         if is_served(&outcome) {
-            shared.record_speed(&upstream, Work::Call, 1, sent_at.elapsed());
+            shared.record_speed(
+                &upstream,
+                Work::Call,
+                1,
+                sent_at.elapsed() + CALL_TIME_OFFSET,
+            );
         }
         note_health(shared, &admitted, &upstream, &outcome);
         if let Some(tried) = outcome.rollout_outcome(sent_at.elapsed()) {
