--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -44,9 +44,8 @@
 /// Time before the end of the grace period from which a host that shuts down refuses calls. The longest calls
 /// take half a second, and twice as long with a second attempt.
 const LAST_CALLS: Duration = Duration::from_millis(1_500);
-/// Added to the measured time of a call, so that differences of a few milliseconds between networks and schedulers
-/// don't make an upstream slow.
-const CALL_TIME_OFFSET: Duration = Duration::from_millis(10);
+/// Shorter calls count as this long for the speed of an upstream: their times differ by network and scheduler.
+const CALL_TIME_MIN: Duration = Duration::from_millis(10);
 /// Time before the deadline at which the gateway answers by itself.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 
