--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -123,7 +123,7 @@
                 &upstream,
                 Work::Call,
                 1,
-                sent_at.elapsed() + CALL_TIME_OFFSET,
+                sent_at.elapsed().max(CALL_TIME_MIN),
             );
         }
         note_health(shared, &admitted, &upstream, &outcome);
