--- a/tests/gatewayworld/upstream.rs
+++ b/tests/gatewayworld/upstream.rs
@@ -1,5 +1,6 @@
 //! An upstream that behaves as it is told, one behaviour a request.
 
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::io::Read;
 use std::io::Write;
@@ -109,8 +110,8 @@
     /// Requests a second that its answers name as its limit.
     limit_per_s: Option<f64>,
     dead: bool,
-    /// Its open connections, which end with it.
-    streams: Vec<TcpStream>,
+    /// Its open connections by number, which end with it.
+    streams: BTreeMap<usize, TcpStream>,
 }
 
 /// A handle on the upstream; clones share it.
@@ -189,7 +190,7 @@
         });
         // The listener looks whether it has to end when somebody connects.
         let _ = TcpStream::connect(self.address);
-        for stream in streams {
+        for stream in streams.values() {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
@@ -276,12 +277,21 @@
         limit + leaving
     }
 
-    fn serve(&self, mut stream: TcpStream) {
+    fn serve(&self, stream: TcpStream) {
         let connection = self.with(|state| {
             state.connections += 1;
-            state.streams.extend(stream.try_clone());
+            let open = stream.try_clone().ok();
+            state
+                .streams
+                .extend(open.map(|open| (state.connections, open)));
             state.connections
         });
+        self.serve_requests(stream, connection);
+        // A kept handle would hold the descriptor for as long as the upstream lives.
+        self.with(|state| state.streams.remove(&connection));
+    }
+
+    fn serve_requests(&self, mut stream: TcpStream, connection: usize) {
         let mut buffer = Vec::new();
         loop {
             let Some(head) = read_head(&mut stream, &mut buffer) else {
