Compute once what a decision of the shared queue and a candidate need

The prompt slowness of all engines was computed for each waiting generation of a decision, and an upstream's reported load was looked up twice for each candidate. A host that joins a queue needn't look up what it just inserted, the announcer takes whether the queue is open instead of the opposite of it, and both kinds of move entries begin alike. Behaviour is as before; tests of the announcer pass the inverse argument and assert the same.

--- a/src/gateway/queue/asking.rs
+++ b/src/gateway/queue/asking.rs
@@ -249,18 +249,10 @@
     /// Tells the owner what this host counts at the engine from now on.
     fn tell_start(&mut self, engine: &InstanceId) {
         let mut load = self.shared.loads().with(|loads| loads.own_at(engine));
-        let Need::Memory {
-            tokens,
-            prompt_tokens,
-            ..
-        } = self.waiter.need
-        else {
-            return;
-        };
         load.add(Load {
             requests: 1,
-            tokens,
-            unread_tokens: prompt_tokens,
+            tokens: self.waiter.need.tokens(),
+            unread_tokens: self.waiter.need.prompt_tokens(),
         });
         let message = QueueMessage::Started {
             number: self.waiter.id.number,
--- a/src/gateway/queueowner.rs
+++ b/src/gateway/queueowner.rs
@@ -312,12 +312,12 @@
 /// What an owner announces of its queue, and whether it is logged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Announcement {
-    /// Generations wait.
+    /// Generations that arrive have to ask.
     Open {
         /// Whether it is a change that is logged.
         is_logged: bool,
     },
-    /// Nothing waits.
+    /// They may start where their host sees room.
     Closed {
         /// Whether it is a change that is logged.
         is_logged: bool,
@@ -335,8 +335,8 @@
 
 impl OpenAnnouncer {
     /// What is to be announced now, if anything. A queue that opens again at once is announced after the interval.
-    pub(crate) fn next(&mut self, now: Time, is_empty: bool) -> Option<Announcement> {
-        if is_empty {
+    pub(crate) fn next(&mut self, now: Time, is_open: bool) -> Option<Announcement> {
+        if !is_open {
             return std::mem::take(&mut self.is_open).then(|| Announcement::Closed {
                 is_logged: std::mem::take(&mut self.is_logged),
             });
--- a/src/gateway/queueowner/tests.rs
+++ b/src/gateway/queueowner/tests.rs
@@ -288,12 +288,12 @@
     let open = |is_logged| Some(Announcement::Open { is_logged });
     let closed = |is_logged| Some(Announcement::Closed { is_logged });
 
-    assert_eq!(announcer.next(at(0), true), None);
-    assert_eq!(announcer.next(at(0), false), open(true));
-    assert_eq!(announcer.next(at(99), false), None);
-    assert_eq!(announcer.next(at(100), false), open(false));
-    assert_eq!(announcer.next(at(150), true), closed(true));
-    assert_eq!(announcer.next(at(160), true), None);
+    assert_eq!(announcer.next(at(0), false), None);
+    assert_eq!(announcer.next(at(0), true), open(true));
+    assert_eq!(announcer.next(at(99), true), None);
+    assert_eq!(announcer.next(at(100), true), open(false));
+    assert_eq!(announcer.next(at(150), false), closed(true));
+    assert_eq!(announcer.next(at(160), false), None);
 }
 
 #[test]
@@ -301,8 +301,8 @@
     let mut announcer = OpenAnnouncer::default();
     let mut announcements = Vec::new();
     for ms in (0..1_000).step_by(10) {
-        announcements.extend(announcer.next(at(ms), false));
-        announcements.extend(announcer.next(at(ms + 5), true));
+        announcements.extend(announcer.next(at(ms), true));
+        announcements.extend(announcer.next(at(ms + 5), false));
     }
 
     let is_logged = |announcement: &&Announcement| match announcement {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -374,28 +374,30 @@
     engine: Option<&EngineSpec>,
 ) -> Candidate {
     let load = shared.loads().with(|loads| loads.at(&upstream.id));
+    let reported = shared.reported_load(now, &upstream.id);
+    let present = shared.slowness_reporting(now, &upstream.id, reported);
     Candidate {
         load,
-        reported: shared.reported_load(now, &upstream.id),
-        slowness: slowness(shared, engine, now, &upstream, load),
+        reported,
+        slowness: beside_load(shared, engine, &upstream.service, load, present),
         unhealthy: shared.is_avoided(now, &upstream.id)
             || unreachable.contains(&upstream.data_centre),
         upstream,
     }
 }
 
-/// How slow an upstream with `load` is for one more request. `engine` holds the properties of its service's engines.
-fn slowness(
+/// `slowness` with the time between events that one more request beside `load` is expected to see. `engine` holds the
+/// properties of the service's engines.
+fn beside_load(
     shared: &Shared,
     engine: Option<&EngineSpec>,
-    now: Time,
-    upstream: &Upstream,
+    service: &ServiceId,
     load: Load,
+    slowness: Slowness,
 ) -> Slowness {
-    let slowness = shared.present_slowness(now, &upstream.id);
     let event_time = engine.and_then(|engine| {
         let requests = load.requests.saturating_add(1);
-        shared.usual_event_time(&upstream.service, requests, engine.tokens_per_event)
+        shared.usual_event_time(service, requests, engine.tokens_per_event)
     });
     Slowness {
         event_time: event_time.map(|time| time.mul_f64(slowness.decode)),
--- a/src/gateway/shared/queueing/owning.rs
+++ b/src/gateway/shared/queueing/owning.rs
@@ -352,7 +352,7 @@
                 false => owned.expire(self, now),
             }
             let is_open = owned.queue.is_open(now);
-            let announcement = owned.announcer.next(now, !is_open);
+            let announcement = owned.announcer.next(now, is_open);
             let announcement = announcement.map(|next| (service.clone(), owned.queue.len(), next));
             tick.announcements.extend(announcement);
             tick.has_waiting |= !owned.queue.is_empty();
--- a/src/gateway/shared/speeds.rs
+++ b/src/gateway/shared/speeds.rs
@@ -8,6 +8,7 @@
 use crate::event::EventCode;
 use crate::gateway::directory::Upstream;
 use crate::gateway::instance::InstanceId;
+use crate::gateway::reportedloads::ReportedLoad;
 use crate::gateway::speeds::AnnouncedSpeed;
 use crate::gateway::speeds::Observation;
 use crate::gateway::speeds::Slowness;
@@ -54,13 +55,20 @@
 
     /// How slow an upstream is while its machine is as it last reported.
     pub(crate) fn present_slowness(&self, now: Time, upstream: &InstanceId) -> Slowness {
+        self.slowness_reporting(now, upstream, self.reported_load(now, upstream))
+    }
+
+    /// How slow an upstream is while its machine is as `reported`.
+    pub(crate) fn slowness_reporting(
+        &self,
+        now: Time,
+        upstream: &InstanceId,
+        reported: Option<ReportedLoad>,
+    ) -> Slowness {
         let slowness = self.slowness(now, upstream);
-        match self.uses_speeds() {
-            true => {
-                let reported = self.reported_load(now, upstream);
-                slowness.at_present(reported.map_or(1.0, |reported| reported.slowness))
-            }
-            false => slowness,
+        match reported.filter(|_| self.uses_speeds()) {
+            Some(reported) => slowness.at_present(reported.slowness),
+            None => slowness,
         }
     }
 
--- a/src/gateway/sharedqueue.rs
+++ b/src/gateway/sharedqueue.rs
@@ -185,14 +185,13 @@
 impl Entry {
     /// Longest wait from now after which it is still useful. One that returned waits for as long as its whole answer is
     /// expected to come.
-    fn limit(&self, now: Time, view: &EngineView<'_>) -> Duration {
+    fn limit(&self, now: Time, forecaster: &Forecaster<'_>) -> Duration {
         let waiter = &self.waiter;
         let left = waiter.deadline.since(now);
         if self.is_returned {
             return left.saturating_sub(waiter.run_time);
         }
-        let prefill = admit::waiting_slowness(view.candidates).prefill;
-        let limit = waiter.arrived_at + waiter.demand().wait_limit(view.stats, prefill);
+        let limit = waiter.arrived_at + forecaster.wait_limit(&waiter.demand());
         limit.since(now).min(left)
     }
 }
@@ -249,9 +248,10 @@
         self.queue.record_time(now);
         self.places.expire(now);
         let returned_to = self.places.take(now, &waiter);
+        let is_returned = returned_to.is_some();
         let mut entry = Entry {
             waiter,
-            is_returned: returned_to.is_some(),
+            is_returned,
         };
         if let Some(arrived_at) = returned_to {
             entry.waiter.arrived_at = arrived_at;
@@ -262,13 +262,11 @@
         let has_room = engines.have_room(&entry.waiter);
         let request = self.insert(now, entry);
         let forecaster = Forecaster::new(view);
-        let mut forecast = self.forecast(now, request, &forecaster, view);
+        let mut forecast = self.forecast(now, request, &forecaster);
         let has_room = has_room && self.starts_now(now, &id, view, &forecaster);
         if has_room {
             forecast.expected = Duration::ZERO;
         }
-        let entry = self.queue.get_mut(request);
-        let is_returned = entry.is_some_and(|entry| entry.is_returned);
         let comes_in_time = match is_returned {
             true => forecast.expected < forecast.limit,
             false => forecast.expected < forecast.limit.mul_f64(JOINS_WITHIN),
@@ -332,7 +330,6 @@
         now: Time,
         request: RequestId,
         forecaster: &Forecaster<'_>,
-        view: &EngineView<'_>,
     ) -> QueueForecast {
         let mut ahead = Ahead::default();
         for class in self.ranks.values() {
@@ -352,7 +349,7 @@
                 };
                 return QueueForecast {
                     expected: forecaster.expected(ahead, own, per_s),
-                    limit: entry.limit(now, view),
+                    limit: entry.limit(now, forecaster),
                     ahead_tokens: ahead.tokens,
                 };
             }
@@ -473,7 +470,7 @@
                     None => {
                         let forecast = QueueForecast {
                             expected: forecaster.expected(ahead, 0, per_s),
-                            limit: entry.limit(now, view),
+                            limit: entry.limit(now, &forecaster),
                             ahead_tokens: ahead.tokens,
                         };
                         let is_late = forecast.expected > forecast.limit;
--- a/src/gateway/sharedqueue/forecast.rs
+++ b/src/gateway/sharedqueue/forecast.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::gateway::admit;
+use crate::gateway::admit::Demand;
 use crate::gateway::admit::QueueState;
 use crate::gateway::sharedqueue::EngineView;
 
@@ -30,6 +32,8 @@
 pub(super) struct Forecaster<'a> {
     view: &'a EngineView<'a>,
     taken_tokens: u64,
+    /// How much longer than usual the engines take to read prompts.
+    prefill: f64,
 }
 
 impl<'a> Forecaster<'a> {
@@ -41,9 +45,15 @@
             taken_tokens: taken
                 .map(|candidate| u64::from(candidate.load.tokens))
                 .sum(),
+            prefill: admit::waiting_slowness(view.candidates).prefill,
         }
     }
 
+    /// Longest wait from its arrival after which the first event of a generation is still expected in time.
+    pub(super) fn wait_limit(&self, demand: &Demand) -> Duration {
+        demand.wait_limit(self.view.stats, self.prefill)
+    }
+
     /// Counts a generation that starts in this decision.
     pub(super) fn add_taken(&mut self, tokens: u32) {
         self.taken_tokens += u64::from(tokens);
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -16,6 +16,7 @@
 use super::relay::Relay;
 use super::relay::RelayEvent;
 use crate::event::EventCode;
+use crate::gateway::decisions::LogEntry;
 use crate::gateway::destinations;
 use crate::gateway::destinations::Scope;
 use crate::gateway::directory::Upstream;
@@ -455,6 +456,13 @@
     /// Logs a step of the move with its outcome.
     pub(super) fn log_move(&self, outcome: &str, to: Option<&Arc<Upstream>>) {
         let since = self.leaving_since.map(|since| since.elapsed().as_millis());
+        self.move_entry(outcome, to)
+            .with_some("leaving_ms", since.map(|ms| ms as u64))
+            .write();
+    }
+
+    /// Starts a log entry about a step of the move.
+    pub(super) fn move_entry(&self, outcome: &str, to: Option<&Arc<Upstream>>) -> LogEntry {
         let entry = self
             .admitted
             .log_entry(&self.shared, EventCode::StreamMoved);
@@ -463,8 +471,6 @@
             .with_some("to", to.map(|to| to.id.as_str()))
             .with("outcome", outcome)
             .with("last_event", self.splitter.last_id())
-            .with_some("leaving_ms", since.map(|ms| ms as u64))
-            .write();
     }
 }
 
--- a/src/gateway/stream/ordering.rs
+++ b/src/gateway/stream/ordering.rs
@@ -13,7 +13,6 @@
 use super::moving::MoveGuards;
 use super::moving::MoveState;
 use super::relay::Relay;
-use crate::event::EventCode;
 use crate::gateway::destinations::Scope;
 use crate::gateway::directory::Upstream;
 use crate::gateway::moveorder;
@@ -247,14 +246,7 @@
         };
         let run = &order.run;
         let since_notice = order.notice.elapsed();
-        let entry = self
-            .admitted
-            .log_entry(&self.shared, EventCode::StreamMoved);
-        entry
-            .with("upstream", self.running.upstream.id.as_str())
-            .with_some("to", to.map(|to| to.id.as_str()))
-            .with("outcome", outcome)
-            .with("last_event", self.splitter.last_id())
+        self.move_entry(outcome, to)
             .with("leaving_ms", since_notice.as_millis() as u64)
             .with("key", order.key.number())
             .with("late", order.key.is_late())
