Tell when a host has lost its links to all upstreams, and open connections in one place

The lines told of each lost upstream by itself, and not that a host had lost all of them. E316 and E317 tell that, from connections that failed at several upstreams without a response in between; nothing decides by them yet.

Calls, streams, copies of runs and polls of engines opened connections in four places. They now use dial::open, which also records whether an upstream could be reached. Tests can cut a host off from its upstreams through the new Connector (tests/gatewayworld/upstreamlinks.rs).

--- a/src/event.rs
+++ b/src/event.rs
@@ -92,6 +92,8 @@
     313 UpstreamSlow "An upstream takes longer than is usual for its service; it gets less work.",
     314 UpstreamUsual "An upstream that was slow works as fast as usual again, or was not observed for long.",
     315 UpstreamFailsOften "An upstream fails far more of all hosts' calls than its service's others and is avoided, or no longer is.",
+    316 UpstreamsOutOfReach "Connections to several upstreams failed in a row: the host counts as cut off from all.",
+    317 UpstreamsInReach "The host reaches an upstream by its own links again.",
     400 ConfigReady "The host has a configuration and serves by it.",
     401 EditApplied "An edit of the table is in force on this host.",
     402 EditRejected "An edit of the table was rejected: conflicts or bad values.",
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -14,8 +14,8 @@
 use crate::event::EventCode;
 use crate::gateway::attempts::Attempts;
 use crate::gateway::attempts::Delivery;
-use crate::gateway::connection::Connection;
 use crate::gateway::connection::ConnectionProfile;
+use crate::gateway::dial;
 use crate::gateway::directory::Upstream;
 use crate::gateway::exchange;
 use crate::gateway::exchange::OpenResponse;
@@ -36,9 +36,6 @@
 use crate::refusal::Refusal;
 use crate::telemetry;
 
-/// Timeout of connecting to an upstream: a few round trips to the farthest data centre, and less than the time
-/// after which the system sends a lost SYN again (1 s). Nothing was sent on a connection that timed out.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// Timeout of an attempt that may be repeated elsewhere, as a multiple of the objective.
 const ATTEMPT_OBJECTIVES: u32 = 2;
 /// Time before the end of the grace period from which a host that shuts down refuses calls. The longest calls
@@ -202,21 +199,18 @@
 }
 
 async fn call_upstream(front: &WorkerState, admitted: &Admitted, upstream: &Upstream) -> Attempted {
+    let shared = &front.shared;
     let pooled = match admitted.route.kind {
         RouteKind::Idempotent => front.pool.borrow_mut().take(&upstream.id),
         RouteKind::Once | RouteKind::Stream => None,
     };
     let connection = match pooled {
         Some(connection) => connection,
-        None => match Connection::open(upstream.address, CONNECT_TIMEOUT, ConnectionProfile::Call)
-            .await
-        {
+        None => match dial::open(shared, upstream, ConnectionProfile::Call).await {
             Ok(connection) => connection,
             Err(failure) => return Attempted::Unreachable(failure.reason().to_owned()),
         },
     };
-    let shared = &front.shared;
-    shared.record_reached(&upstream.id);
     let headers = AttemptHeaders {
         upstream,
         time_left: admitted.time_left(),
@@ -266,7 +260,7 @@
             let reason = format!("status {}", answer.head.status.as_u16());
             shared.record_failure(&admitted.service, &upstream.id, &reason);
         }
-        Attempted::Unreachable(reason) => shared.record_unreachable(&upstream.id, reason),
+        Attempted::Unreachable(_) => {}
         Attempted::NotRun(reason) | Attempted::Unknown(reason) => {
             shared.record_failure(&admitted.service, &upstream.id, reason);
         }
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
 use http::Request;
 use http::Response;
 use http_body_util::Full;
@@ -15,6 +16,8 @@
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
@@ -64,6 +67,22 @@
     }
 }
 
+/// Opens TCP connections to upstreams. Tests cut a host off from its upstreams with one of their own.
+pub trait Connector: std::fmt::Debug + Send + Sync {
+    /// Connects to `address`.
+    fn connect(&self, address: SocketAddr) -> LocalBoxFuture<'_, std::io::Result<TcpStream>>;
+}
+
+/// The [`Connector`] of the operating system.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct SystemConnector;
+
+impl Connector for SystemConnector {
+    fn connect(&self, address: SocketAddr) -> LocalBoxFuture<'_, std::io::Result<TcpStream>> {
+        Box::pin(TcpStream::connect(address))
+    }
+}
+
 /// The reason why a request has no response.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ConnectionError {
@@ -96,6 +115,8 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// Whether a request has been sent on it.
+    is_used: bool,
     _driver: Driver,
 }
 
@@ -110,14 +131,20 @@
         timeout: Duration,
         profile: ConnectionProfile,
     ) -> Result<Self, ConnectionError> {
-        let connecting = TcpStream::connect(address);
-        let stream = match tokio::time::timeout(timeout, connecting).await {
-            Ok(Ok(stream)) => stream,
-            Ok(Err(error)) => return Err(ConnectionError::NotWritten(format!("connect: {error}"))),
-            Err(_) => return Err(ConnectionError::NotWritten("connect: timeout".to_owned())),
-        };
-        set_options(&stream, profile)
-            .map_err(|error| ConnectionError::NotWritten(error.to_string()))?;
+        let stream = connect(&SystemConnector, address, timeout, profile).await?;
+        Connection::over(stream, address, profile).await
+    }
+
+    /// Speaks HTTP over `stream`, which leads to `address`.
+    ///
+    /// # Errors
+    ///
+    /// [`ConnectionError::NotWritten`] if hyper can't use the stream.
+    pub async fn over(
+        stream: impl AsyncRead + AsyncWrite + Unpin + 'static,
+        address: SocketAddr,
+        profile: ConnectionProfile,
+    ) -> Result<Self, ConnectionError> {
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(profile.buffer_bytes())
             .handshake(TokioIo::new(stream))
@@ -130,6 +157,7 @@
         });
         Ok(Connection {
             sender,
+            is_used: false,
             _driver: Driver(driver),
         })
     }
@@ -139,6 +167,11 @@
         self.sender.is_ready()
     }
 
+    /// Whether a request has been sent on the connection. Upstreams close used ones while they are idle.
+    pub(crate) fn is_used(&self) -> bool {
+        self.is_used
+    }
+
     /// Sends a request and waits for the response head.
     ///
     /// # Errors
@@ -151,6 +184,7 @@
         if let Err(error) = self.sender.ready().await {
             return Err(ConnectionError::NotWritten(error.to_string()));
         }
+        self.is_used = true;
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
             Err(mut error) => {
@@ -165,6 +199,27 @@
     }
 }
 
+/// Opens a TCP connection with the options of `profile`.
+///
+/// # Errors
+///
+/// [`ConnectionError::NotWritten`] if the connection isn't established within `timeout`.
+pub(crate) async fn connect(
+    connector: &dyn Connector,
+    address: SocketAddr,
+    timeout: Duration,
+    profile: ConnectionProfile,
+) -> Result<TcpStream, ConnectionError> {
+    let stream = match tokio::time::timeout(timeout, connector.connect(address)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(ConnectionError::NotWritten(format!("connect: {error}"))),
+        Err(_) => return Err(ConnectionError::NotWritten("connect: timeout".to_owned())),
+    };
+    set_options(&stream, profile)
+        .map_err(|error| ConnectionError::NotWritten(error.to_string()))?;
+    Ok(stream)
+}
+
 /// Formats an error with its source, because the message of a hyper error omits the cause.
 pub(crate) fn error_with_source(error: &hyper::Error) -> String {
     match std::error::Error::source(error) {
@@ -173,7 +228,7 @@
     }
 }
 
-fn set_options(stream: &TcpStream, profile: ConnectionProfile) -> std::io::Result<()> {
+pub(crate) fn set_options(stream: &TcpStream, profile: ConnectionProfile) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(profile.user_timeout()))?;
--- a/src/gateway/enginepoll.rs
+++ b/src/gateway/enginepoll.rs
@@ -12,6 +12,8 @@
 use futures_util::future::join_all;
 
 use crate::event::EventCode;
+use crate::gateway::connection::ConnectionProfile;
+use crate::gateway::dial;
 use crate::gateway::directory::Upstream;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::internalclient::InternalClient;
@@ -67,7 +69,10 @@
 async fn poll(shared: &Shared, engine: &Upstream) {
     shared.spend_limit(engine);
     let call = shared.protocol().report_request();
-    let mut client = InternalClient::new(engine.address);
+    let Ok(connection) = dial::open(shared, engine, ConnectionProfile::Call).await else {
+        return;
+    };
+    let mut client = InternalClient::over(engine.address, connection);
     match client.call(&call, POLL_TIMEOUT).await {
         Ok((200, body)) => handle_report(shared, engine, &body),
         Ok((status, _)) => log_missing_report(shared, engine, &format!("status {status}")),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -66,7 +66,12 @@
     let request = forward::upstream_request(&admitted.request, names, headers);
     let upstream = &headers.upstream.id;
     let sent_at = shared.now();
-    let response = match connection.send(request).await {
+    let is_new = !connection.is_used();
+    let sent = connection.send(request).await;
+    if is_new && sent.is_err() {
+        shared.record_broken(upstream);
+    }
+    let response = match sent {
         Ok(response) => response,
         Err(ConnectionError::NotWritten(reason)) => return Err(SendError::NotRun(reason)),
         Err(ConnectionError::Unknown(reason)) => {
@@ -74,6 +79,7 @@
             return Err(SendError::Unknown(reason));
         }
     };
+    shared.record_contact();
     let (head, body) = response.into_parts();
     if head.status.as_u16() != MISDIRECTED_REQUEST {
         shared.record_answer(upstream, &head);
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -23,6 +23,7 @@
 use crate::error::Result;
 use crate::event::EventCode;
 use crate::gateway::configfetch;
+use crate::gateway::connection::SystemConnector;
 use crate::gateway::decisions::DecisionLog;
 use crate::gateway::enginepoll;
 use crate::gateway::follow;
@@ -36,6 +37,7 @@
 use crate::gateway::serve;
 use crate::gateway::serve::WorkerState;
 use crate::gateway::settings::GatewaySettings;
+use crate::gateway::shared::Environment;
 use crate::gateway::shared::Shared;
 use crate::gateway::shared::queueing;
 use crate::gateway::suspectlog;
@@ -99,25 +101,28 @@
     ) -> Result<Self> {
         let clock = SystemClock::new();
         let incarnation = Incarnation(wall_ms());
-        let log = DecisionLog::start(settings.host.clone(), incarnation, clock);
-        GatewayHost::start_with(settings, protocol, reload, clock, log).await
+        let environment = Environment {
+            protocol,
+            clock,
+            log: DecisionLog::start(settings.host.clone(), incarnation, clock),
+            connector: Arc::new(SystemConnector),
+        };
+        GatewayHost::start_in(settings, environment, reload).await
     }
 
-    /// Like [`GatewayHost::start`], with the given clock and decision log.
+    /// Like [`GatewayHost::start`], in the given environment.
     ///
     /// # Errors
     ///
     /// [`crate::error::Error::Io`] if a socket can't be opened.
-    pub async fn start_with(
+    pub async fn start_in(
         settings: GatewaySettings,
-        protocol: Arc<dyn Protocol>,
+        environment: Environment,
         reload: Reload,
-        clock: SystemClock,
-        log: DecisionLog,
     ) -> Result<Self> {
         let telemetry = Telemetry::install();
         let socket = UdpSocket::bind(settings.gossip_address).await?;
-        let shared = Shared::new(settings, protocol, clock, log);
+        let shared = Shared::new(settings, environment);
         let server = serve_all(&shared, &telemetry)?;
         actix_rt::spawn(follow::follow(shared.clone(), Topic::Operator));
         actix_rt::spawn(follow::follow(shared.clone(), Topic::Upstreams));
--- a/src/gateway/internalclient.rs
+++ b/src/gateway/internalclient.rs
@@ -68,6 +68,14 @@
         }
     }
 
+    /// Creates a client that uses `connection`, which is open, for its first call.
+    pub(crate) fn over(address: SocketAddr, connection: Connection) -> Self {
+        InternalClient {
+            address,
+            connection: Some(connection),
+        }
+    }
+
     /// Makes a call and returns the status and the body.
     ///
     /// # Errors
--- a/src/gateway/migration.rs
+++ b/src/gateway/migration.rs
@@ -8,6 +8,8 @@
 
 use std::time::Duration;
 
+use crate::gateway::connection::ConnectionProfile;
+use crate::gateway::dial;
 use crate::gateway::directory::Upstream;
 use crate::gateway::internalclient::InternalClient;
 use crate::gateway::protocol::MemoryCopy;
@@ -57,7 +59,9 @@
     let call = shared
         .protocol()
         .copy_request(request_id, to.address, is_final);
-    let mut client = InternalClient::new(source.address);
+    let opened = dial::open(shared, source, ConnectionProfile::Call).await;
+    let connection = opened.map_err(|failure| CopyFailure::Unknown(failure.reason().to_owned()))?;
+    let mut client = InternalClient::over(source.address, connection);
     let (status, body) = client
         .call(&call, COPY_TIMEOUT)
         .await
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -21,6 +21,8 @@
 use crate::ejection::Ejector;
 use crate::gate::Gate;
 use crate::gateway::cold::ColdBudget;
+use crate::gateway::connection::Connector;
+use crate::gateway::contact::UpstreamContact;
 use crate::gateway::decisions::DecisionLog;
 use crate::gateway::directory::Directory;
 use crate::gateway::document::assembly::Assembly;
@@ -77,6 +79,19 @@
 pub(crate) use self::rollouts::Freshness;
 pub(crate) use self::rollouts::OpenRollout;
 
+/// What a host has of its platform and its process.
+#[derive(Debug, Clone)]
+pub struct Environment {
+    /// The platform's wire names and formats.
+    pub protocol: Arc<dyn Protocol>,
+    /// Monotonic time since the process started.
+    pub clock: SystemClock,
+    /// The decision log.
+    pub log: DecisionLog,
+    /// Opens connections to upstreams.
+    pub connector: Arc<dyn Connector>,
+}
+
 /// Shared state of a host. Cloning it copies a reference to the same state.
 #[derive(Debug, Clone)]
 pub struct Shared(Arc<Inner>);
@@ -87,6 +102,7 @@
     protocol: Arc<dyn Protocol>,
     clock: SystemClock,
     log: DecisionLog,
+    connector: Arc<dyn Connector>,
     gate: Arc<Gate>,
     loads: SharedLoads,
     load_reports: watch::Sender<u64>,
@@ -100,6 +116,7 @@
     peers: Mutex<Peers>,
     ejector: Mutex<Ejector<InstanceId>>,
     reachability: Mutex<Reachability>,
+    contact: Mutex<UpstreamContact>,
     failure_rates: Mutex<FailureRates>,
     reported_loads: Mutex<ReportedLoads>,
     speeds: Mutex<Speeds>,
@@ -135,12 +152,13 @@
 
 impl Shared {
     /// Creates the state of a host that has no configuration, upstreams or peers yet.
-    pub fn new(
-        settings: GatewaySettings,
-        protocol: Arc<dyn Protocol>,
-        clock: SystemClock,
-        log: DecisionLog,
-    ) -> Self {
+    pub fn new(settings: GatewaySettings, environment: Environment) -> Self {
+        let Environment {
+            protocol,
+            clock,
+            log,
+            connector,
+        } = environment;
         let data_centre = settings.data_centre.clone();
         let peers = Peers::new(settings.gossip_address, data_centre, &settings.seeds);
         Shared(Arc::new(Inner {
@@ -148,6 +166,7 @@
             protocol,
             clock,
             log,
+            connector,
             gate: Gate::new(),
             loads: SharedLoads::default(),
             load_reports: watch::channel(0).0,
@@ -161,6 +180,7 @@
             peers: Mutex::new(peers),
             ejector: Mutex::new(Ejector::new(Default::default())),
             reachability: Mutex::default(),
+            contact: Mutex::default(),
             failure_rates: Mutex::default(),
             reported_loads: Mutex::default(),
             speeds: Mutex::default(),
@@ -200,6 +220,11 @@
         self.0.protocol.as_ref()
     }
 
+    /// Opens connections to upstreams.
+    pub(crate) fn connector(&self) -> &dyn Connector {
+        self.0.connector.as_ref()
+    }
+
     /// Monotonic time since the process started.
     pub fn now(&self) -> Time {
         self.0.clock.now()
--- a/src/gateway/shared/health.rs
+++ b/src/gateway/shared/health.rs
@@ -8,6 +8,7 @@
 use crate::ejection::Ejector;
 use crate::ejection::Health;
 use crate::event::EventCode;
+use crate::gateway::contact::ContactChange;
 use crate::gateway::failurerates::ServiceCalls;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::partition::PartitionChange;
@@ -26,6 +27,7 @@
 
     /// Records that a connection to an upstream could not be established.
     pub fn record_unreachable(&self, upstream: &InstanceId, reason: &str) {
+        self.record_broken(upstream);
         let now = self.now();
         if lock(&self.0.reachability).record_failure(now, upstream) {
             let line = self.log().entry(EventCode::UpstreamLost);
@@ -36,6 +38,42 @@
         }
     }
 
+    /// Whether this host is cut off from all upstreams.
+    pub fn is_cut_off(&self) -> bool {
+        lock(&self.0.contact).is_lost()
+    }
+
+    /// Records that a connection of this host to an upstream failed, or broke before a response.
+    pub(crate) fn record_broken(&self, upstream: &InstanceId) {
+        let now = self.now();
+        let change = lock(&self.0.contact).record_failure(now, upstream.key());
+        self.log_contact(change);
+    }
+
+    /// Records that an upstream responded to this host.
+    pub(crate) fn record_contact(&self) {
+        let now = self.now();
+        let change = lock(&self.0.contact).record_reached(now);
+        self.log_contact(change);
+    }
+
+    fn log_contact(&self, change: Option<ContactChange>) {
+        let Some(change) = change else {
+            return;
+        };
+        let entry = match change {
+            ContactChange::Lost { failed } => {
+                let entry = self.log().entry(EventCode::UpstreamsOutOfReach);
+                entry.with("failed", failed)
+            }
+            ContactChange::Regained { after } => {
+                let entry = self.log().entry(EventCode::UpstreamsInReach);
+                entry.with("after_ms", after.as_millis() as u64)
+            }
+        };
+        entry.with("hosts", self.live_hosts()).write();
+    }
+
     /// Records upstreams that another host of this data centre can't connect to.
     pub fn receive_unreachable(&self, peer: &HostId, upstreams: &[InstanceId]) {
         let now = self.now();
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -16,10 +16,10 @@
 use crate::gateway::attempts::Attempts;
 use crate::gateway::attempts::Delivery;
 use crate::gateway::call;
-use crate::gateway::call::CONNECT_TIMEOUT;
 use crate::gateway::call::WholeAnswer;
 use crate::gateway::connection::Connection;
 use crate::gateway::connection::ConnectionProfile;
+use crate::gateway::dial;
 use crate::gateway::directory::Upstream;
 use crate::gateway::exchange;
 use crate::gateway::exchange::OpenResponse;
@@ -334,15 +334,10 @@
         continuation,
     } = dispatch;
     let sent_at = Instant::now();
-    let opening = Connection::open(upstream.address, CONNECT_TIMEOUT, ConnectionProfile::Stream);
-    let connection = match opening.await {
+    let connection = match dial::open(shared, upstream, ConnectionProfile::Stream).await {
         Ok(connection) => connection,
-        Err(failure) => {
-            shared.record_unreachable(&upstream.id, failure.reason());
-            return OpenResult::Unreachable(failure.reason().to_owned());
-        }
+        Err(failure) => return OpenResult::Unreachable(failure.reason().to_owned()),
     };
-    shared.record_reached(&upstream.id);
     let headers = AttemptHeaders {
         upstream,
         time_left: admitted.time_left(),
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -9,6 +9,7 @@
 mod link;
 mod protocol;
 mod upstream;
+mod upstreamlinks;
 
 use std::collections::HashMap;
 use std::net::IpAddr;
@@ -35,6 +36,7 @@
 use cedargauge::gateway::settings::GatewaySettings;
 use cedargauge::gateway::settings::GatewaySettingsBuilder;
 use cedargauge::gateway::settings::LoadFeatures;
+use cedargauge::gateway::shared::Environment;
 use cedargauge::id::DataCentre;
 use cedargauge::id::HostId;
 use cedargauge::id::Incarnation;
@@ -52,6 +54,8 @@
 pub use upstream::Behaviour;
 pub use upstream::Death;
 pub use upstream::FakeUpstream;
+pub use upstreamlinks::Cut;
+pub use upstreamlinks::UpstreamLinks;
 
 /// Hosts have run for this time, longer than any window of a bound, where a test doesn't say that they have just started.
 const HAS_RUN: Duration = Duration::from_secs(60);
@@ -99,6 +103,8 @@
     pub address: IpAddr,
     /// What the host logs.
     pub lines: Lines,
+    /// The host's links to upstreams.
+    pub links: UpstreamLinks,
     settings: GatewaySettings,
     suspended_ms: &'static AtomicU64,
     drain: Option<oneshot::Sender<()>>,
@@ -211,20 +217,22 @@
         let (faults, faulty) = mpsc::unbounded_channel();
         let lines = Lines::default();
         let (output, own_settings) = (lines.clone(), settings.clone());
+        let links = UpstreamLinks::default();
+        let connector = Arc::new(links.clone());
         let thread = std::thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
                 let clock = SystemClock::of_suspended(suspended_ms).aged(age);
-                let decisions =
+                let log =
                     DecisionLog::with_output(settings.host.clone(), Incarnation(1), clock, output);
-                let host = GatewayHost::start_with(
-                    settings,
-                    Arc::new(ProductProtocol::default()),
-                    Box::new(|| None),
+                let environment = Environment {
+                    protocol: Arc::new(ProductProtocol::default()),
                     clock,
-                    decisions,
-                )
-                .await
-                .unwrap();
+                    log,
+                    connector,
+                };
+                let host = GatewayHost::start_in(settings, environment, Box::new(|| None))
+                    .await
+                    .unwrap();
                 started.send(()).unwrap();
                 tokio::select! {
                     // Either a test asks for it or the world is dropped.
@@ -240,6 +248,7 @@
             log,
             address,
             lines,
+            links,
             settings: own_settings,
             suspended_ms,
             drain: Some(drain),
