--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -2,6 +2,7 @@
 
 mod coldupstreams;
 mod crashingrequests;
+mod cutofflinks;
 mod evacuation;
 mod failingupstreams;
 #[allow(dead_code, reason = "tests/slowreaders uses the rest")]
