Carry connections to upstreams for hosts that have lost their links

Cause: a host could reach an upstream by its own links alone. A cut of these links left it with connections that time out, whatever its peers reached.

Change: a host whose connections to several upstreams failed in a row counts as cut off (contact), and has another host open its connections to upstreams (tunnel). The host that took the request still decides everything about it: place, version, retries, moves, deadline; so what may run once is sent once over both hops, and a caller who leaves frees the upstream. Carriers connect directly, so there are no loops, and carry a bounded number and rate of connections. Responses pass in frames, so that a carrier that ends doesn't make half an answer look whole. Hosts tell in their datagrams that they are cut off (new format).

Nine more tests of calls that run once, generations with and without the shared queue, cancels, a carrier that ends, one host alone in touch, none in touch, links that return, upstreams that are gone, and regions.

--- a/src/event.rs
+++ b/src/event.rs
@@ -94,6 +94,8 @@
     315 UpstreamFailsOften "An upstream fails far more of all hosts' calls than its service's others and is avoided, or no longer is.",
     316 UpstreamsOutOfReach "Connections to several upstreams failed in a row: the host counts as cut off from all.",
     317 UpstreamsInReach "The host reaches an upstream by its own links again.",
+    318 UpstreamTunnelled "A connection to an upstream was opened through another host, or not: by which, the outcome and the hosts tried.",
+    319 ConnectionCarried "This host was asked to carry another's connection to an upstream: the outcome, and how many it carries.",
     400 ConfigReady "The host has a configuration and serves by it.",
     401 EditApplied "An edit of the table is in force on this host.",
     402 EditRejected "An edit of the table was rejected: conflicts or bad values.",
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -73,4 +73,5 @@
 pub(crate) mod suspension;
 pub(crate) mod ticks;
 pub(crate) mod transferguard;
+pub(crate) mod tunnel;
 pub mod upstreamlimits;
--- a/src/gateway/attempts.rs
+++ b/src/gateway/attempts.rs
@@ -58,13 +58,20 @@
 #[derive(Debug, Default)]
 pub(crate) struct Attempts {
     upstreams: Vec<InstanceId>,
+    /// Those of them that could not be connected to.
+    unreachable: Vec<InstanceId>,
+    /// Number of upstreams tried, some perhaps twice.
+    tries: usize,
     sent: usize,
+    /// Whether the host turned out to be cut off, and the unreachable upstreams are tried through other hosts.
+    is_carried: bool,
 }
 
 impl Attempts {
     /// Adds an attempt on `upstream`.
     pub(crate) fn add(&mut self, upstream: &InstanceId) {
         self.upstreams.push(upstream.clone());
+        self.tries += 1;
     }
 
     /// The upstreams tried so far, in order.
@@ -72,9 +79,23 @@
         &self.upstreams
     }
 
-    /// Number of upstreams tried.
+    /// Number of tries.
     pub(crate) fn len(&self) -> usize {
-        self.upstreams.len()
+        self.tries
+    }
+
+    /// Records that the last upstream could not be connected to. Once the host turns out to be cut off, all such
+    /// upstreams may be tried again: other hosts may reach them.
+    fn record_unreachable(&mut self, is_cut_off: bool) {
+        if let Some(last) = self.upstreams.last() {
+            self.unreachable.push(last.clone());
+        }
+        if is_cut_off && !self.is_carried {
+            self.is_carried = true;
+            let unreachable = std::mem::take(&mut self.unreachable);
+            self.upstreams
+                .retain(|upstream| !unreachable.contains(upstream));
+        }
     }
 
     /// Decides whether the request is retried on another upstream after its last attempt failed for
@@ -87,13 +108,17 @@
         reason: &str,
     ) -> bool {
         let hosts = shared.sharing_hosts();
+        let last = self.upstreams.last().cloned();
         let (decision, balance) = match delivery {
-            Delivery::Unreachable => (self.check_time_limit(admitted), None),
+            Delivery::Unreachable => {
+                self.record_unreachable(shared.is_cut_off());
+                (self.check_time_limit(admitted), None)
+            }
             Delivery::Sent => self.take_retry(shared, &admitted.service, hosts),
         };
         let entry = admitted.log_entry(shared, EventCode::RequestRestarted);
         entry
-            .with_some("upstream", self.upstreams.last().map(InstanceId::as_str))
+            .with_some("upstream", last.as_ref().map(InstanceId::as_str))
             .with("reason", reason)
             .with("tries", self.len())
             .with("sent", self.sent)
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -18,7 +18,6 @@
 use crate::gateway::dial;
 use crate::gateway::directory::Upstream;
 use crate::gateway::exchange;
-use crate::gateway::exchange::OpenResponse;
 use crate::gateway::exchange::ReadOutcome;
 use crate::gateway::exchange::SendError;
 use crate::gateway::forward;
@@ -204,9 +203,17 @@
         RouteKind::Idempotent => front.pool.borrow_mut().take(&upstream.id),
         RouteKind::Once | RouteKind::Stream => None,
     };
+    // A cut may have left an open connection silent.
+    let pooled = pooled.filter(|pooled| pooled.carrier().is_some() || !shared.is_cut_off());
     let connection = match pooled {
         Some(connection) => connection,
-        None => match dial::open(shared, upstream, ConnectionProfile::Call).await {
+        None => match dial::open(
+            shared,
+            upstream,
+            &admitted.dial_options(ConnectionProfile::Call),
+        )
+        .await
+        {
             Ok(connection) => connection,
             Err(failure) => return Attempted::Unreachable(failure.reason().to_owned()),
         },
@@ -223,12 +230,8 @@
         Err(SendError::NotRun(reason)) => return Attempted::NotRun(reason),
         Err(SendError::Unknown(reason)) => return Attempted::Unknown(reason),
     };
-    let OpenResponse {
-        connection,
-        head,
-        body,
-    } = begun;
-    match exchange::read_response(shared, admitted, upstream, head, body).await {
+    let (outcome, connection) = exchange::read_response(shared, admitted, upstream, begun).await;
+    match outcome {
         ReadOutcome::Answered(answer) => {
             front.pool.borrow_mut().put(&upstream.id, connection);
             Attempted::Answered(answer)
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -3,6 +3,9 @@
 //! hyper's low-level connection is used directly, because only it returns a request that was never written.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +23,9 @@
 use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use crate::id::HostId;
 
 /// Read buffer for streams: the maximum that is read ahead while the client reads slowly.
 const STREAM_BUFFER_BYTES: usize = 8 * 1_024;
@@ -111,12 +117,37 @@
     }
 }
 
+/// Whether the host that carries a connection is still there. Clones share it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct CarrierState(Arc<AtomicBool>);
+
+impl CarrierState {
+    /// Records that the carrier is gone.
+    pub(crate) fn set_lost(&self) {
+        self.0.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the carrier is gone.
+    pub(crate) fn is_lost(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// The host through which a connection runs.
+#[derive(Debug)]
+struct Carried {
+    by: HostId,
+    state: CarrierState,
+}
+
 /// An open HTTP/1.1 connection.
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     /// Whether a request has been sent on it.
     is_used: bool,
+    opened_at: Instant,
+    carried: Option<Carried>,
     _driver: Driver,
 }
 
@@ -158,6 +189,8 @@
         Ok(Connection {
             sender,
             is_used: false,
+            opened_at: Instant::now(),
+            carried: None,
             _driver: Driver(driver),
         })
     }
@@ -167,6 +200,30 @@
         self.sender.is_ready()
     }
 
+    /// The same connection, carried by another host.
+    pub(crate) fn through(self, by: HostId, state: CarrierState) -> Self {
+        Connection {
+            carried: Some(Carried { by, state }),
+            ..self
+        }
+    }
+
+    /// The host that carries the connection; `None` if it is a direct one.
+    pub(crate) fn carrier(&self) -> Option<&HostId> {
+        self.carried.as_ref().map(|carried| &carried.by)
+    }
+
+    /// Whether the connection broke because its carrier is gone, which says nothing about the upstream.
+    pub(crate) fn has_lost_carrier(&self) -> bool {
+        let carried = self.carried.as_ref();
+        carried.is_some_and(|carried| carried.state.is_lost())
+    }
+
+    /// Time since the connection was opened.
+    pub(crate) fn age(&self) -> Duration {
+        self.opened_at.elapsed()
+    }
+
     /// Whether a request has been sent on the connection. Upstreams close used ones while they are idle.
     pub(crate) fn is_used(&self) -> bool {
         self.is_used
--- a/src/gateway/contact.rs
+++ b/src/gateway/contact.rs
@@ -63,8 +63,12 @@
         Some(ContactChange::Lost { failed })
     }
 
-    /// Records a response of an upstream, or a successful probe.
-    pub(crate) fn record_reached(&mut self, now: Time) -> Option<ContactChange> {
+    /// Records a response of an upstream, or a successful probe, on a connection opened at `opened_at`. One from
+    /// before the last failure shows nothing: open connections can outlive a link.
+    pub(crate) fn record_reached(&mut self, now: Time, opened_at: Time) -> Option<ContactChange> {
+        if opened_at <= self.last_failure {
+            return None;
+        }
         self.failed.clear();
         let since = self.cut_off_since.take()?;
         Some(ContactChange::Regained {
--- a/src/gateway/contact/tests.rs
+++ b/src/gateway/contact/tests.rs
@@ -38,7 +38,7 @@
 fn an_upstream_reached_in_between_shows_that_the_links_are_up() {
     let mut contact = UpstreamContact::default();
     contact.record_failure(Time::from_ms(100), key("a"));
-    contact.record_reached(Time::from_ms(150));
+    contact.record_reached(Time::from_ms(150), Time::from_ms(120));
 
     contact.record_failure(Time::from_ms(200), key("b"));
 
@@ -62,9 +62,21 @@
     contact.record_failure(Time::from_ms(100), key("a"));
     contact.record_failure(Time::from_ms(200), key("b"));
 
-    let change = contact.record_reached(Time::from_ms(1_200));
+    let change = contact.record_reached(Time::from_ms(1_200), Time::from_ms(1_100));
 
     let after = Duration::from_secs(1);
     assert_eq!(change, Some(ContactChange::Regained { after }));
     assert!(!contact.is_lost());
 }
+
+#[test]
+fn a_response_on_a_connection_from_before_the_cut_does_not_end_it() {
+    let mut contact = UpstreamContact::default();
+    contact.record_failure(Time::from_ms(100), key("a"));
+    contact.record_failure(Time::from_ms(200), key("b"));
+
+    let change = contact.record_reached(Time::from_ms(1_200), Time::from_ms(50));
+
+    assert_eq!(change, None);
+    assert!(contact.is_lost());
+}
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -34,7 +34,7 @@
 pub(crate) const PART_CHANGES_MAX: usize = 10;
 /// First byte of a datagram. Incremented whenever the fields change, so that hosts of different
 /// releases don't misinterpret each other's datagrams.
-const FORMAT: u8 = 13;
+const FORMAT: u8 = 14;
 /// First byte of a datagram with [`AnnouncedChanges`].
 const CHANGES_FORMAT: u8 = 0x80 | FORMAT;
 /// First byte of a datagram about the shared queue of a service ([`crate::gateway::queuemessages`]).
@@ -160,6 +160,8 @@
     pub counted: u32,
     /// Whether the sender is shutting down and no longer counts as a host.
     pub stopping: bool,
+    /// Whether the sender is cut off from all upstreams.
+    pub cut_off: bool,
     /// Whether the sender requests the load on the upstreams of the receiver's data centre.
     pub asks: bool,
 }
@@ -197,6 +199,7 @@
             hears_near: 0,
             counted: 0,
             stopping: false,
+            cut_off: false,
             asks: false,
         }
     }
--- a/src/gateway/enginepoll.rs
+++ b/src/gateway/enginepoll.rs
@@ -12,13 +12,14 @@
 use futures_util::future::join_all;
 
 use crate::event::EventCode;
-use crate::gateway::connection::ConnectionProfile;
 use crate::gateway::dial;
+use crate::gateway::dial::DialOptions;
 use crate::gateway::directory::Upstream;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::internalclient::InternalClient;
 use crate::gateway::protocol::EngineReport;
 use crate::gateway::protocol::Topic;
+use crate::gateway::reachability::Path;
 use crate::gateway::rendezvous;
 use crate::gateway::shared::Shared;
 use crate::gateway::ticks::tick;
@@ -69,14 +70,18 @@
 async fn poll(shared: &Shared, engine: &Upstream) {
     shared.spend_limit(engine);
     let call = shared.protocol().report_request();
-    let Ok(connection) = dial::open(shared, engine, ConnectionProfile::Call).await else {
+    let Ok(connection) = dial::open(shared, engine, &DialOptions::INTERNAL).await else {
         return;
     };
+    let path = match connection.carrier() {
+        None => Path::Direct,
+        Some(_) => Path::Carried,
+    };
     let mut client = InternalClient::over(engine.address, connection);
     match client.call(&call, POLL_TIMEOUT).await {
         Ok((200, body)) => handle_report(shared, engine, &body),
         Ok((status, _)) => log_missing_report(shared, engine, &format!("status {status}")),
-        Err(error) => shared.record_unreachable(&engine.id, &error.to_string()),
+        Err(error) => shared.record_unreachable(&engine.id, &error.to_string(), path),
     }
 }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -68,18 +68,23 @@
     let sent_at = shared.now();
     let is_new = !connection.is_used();
     let sent = connection.send(request).await;
-    if is_new && sent.is_err() {
+    let is_direct = connection.carrier().is_none();
+    if is_direct && is_new && sent.is_err() {
         shared.record_broken(upstream);
     }
     let response = match sent {
         Ok(response) => response,
         Err(ConnectionError::NotWritten(reason)) => return Err(SendError::NotRun(reason)),
         Err(ConnectionError::Unknown(reason)) => {
-            shared.record_crash(admitted.fingerprint, upstream);
+            if !connection.has_lost_carrier() {
+                shared.record_crash(admitted.fingerprint, upstream);
+            }
             return Err(SendError::Unknown(reason));
         }
     };
-    shared.record_contact();
+    if is_direct {
+        shared.record_contact(connection.age());
+    }
     let (head, body) = response.into_parts();
     if head.status.as_u16() != MISDIRECTED_REQUEST {
         shared.record_answer(upstream, &head);
@@ -107,26 +112,36 @@
     Truncated(String),
 }
 
-/// Reads the body of a response from `upstream`.
+/// Reads the body of a response from `upstream` and returns its connection.
 pub(crate) async fn read_response(
     shared: &Shared,
     admitted: &Admitted,
     upstream: &Upstream,
-    head: Parts,
-    body: Incoming,
-) -> ReadOutcome {
+    response: OpenResponse,
+) -> (ReadOutcome, Connection) {
+    let OpenResponse {
+        connection,
+        head,
+        body,
+    } = response;
     let body = match body.collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
-            shared.record_crash(admitted.fingerprint, &upstream.id);
-            return ReadOutcome::Truncated(format!("the answer broke off: {error}"));
+            if !connection.has_lost_carrier() {
+                shared.record_crash(admitted.fingerprint, &upstream.id);
+            }
+            let outcome = ReadOutcome::Truncated(format!("the answer broke off: {error}"));
+            return (outcome, connection);
         }
     };
     if let Some(reason) = not_run_reason(shared, upstream, &head) {
-        return ReadOutcome::NotRun(reason);
+        return (ReadOutcome::NotRun(reason), connection);
     }
     shared.clear_suspect(admitted.fingerprint, &upstream.id);
-    ReadOutcome::Answered(WholeAnswer { head, body })
+    (
+        ReadOutcome::Answered(WholeAnswer { head, body }),
+        connection,
+    )
 }
 
 /// Whether a response belongs to this request. Upstreams echo the request's id.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -281,6 +281,7 @@
         hears_near: saturating_u32(shared.peers(|peers| peers.count_local(now))),
         counted: saturating_u32(shared.peers(|peers| peers.counted_max(now))),
         stopping: shared.gate().is_shutting_down(),
+        cut_off: shared.is_cut_off(),
         ..Datagram::new(settings.host.clone(), settings.data_centre.clone())
     };
     shared.directory(|directory| {
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -42,6 +42,7 @@
 use crate::gateway::shared::queueing;
 use crate::gateway::suspectlog;
 use crate::gateway::ticks::tick;
+use crate::gateway::tunnel::carrier;
 use crate::id::Incarnation;
 use crate::telemetry;
 use crate::telemetry::Metric;
@@ -122,6 +123,7 @@
     ) -> Result<Self> {
         let telemetry = Telemetry::install();
         let socket = UdpSocket::bind(settings.gossip_address).await?;
+        let carrier_listener = tokio::net::TcpListener::bind(settings.gossip_address).await?;
         let shared = Shared::new(settings, environment);
         let server = serve_all(&shared, &telemetry)?;
         actix_rt::spawn(follow::follow(shared.clone(), Topic::Operator));
@@ -130,6 +132,7 @@
         actix_rt::spawn(suspectlog::run(shared.clone()));
         actix_rt::spawn(rolloutstatus::run(shared.clone()));
         actix_rt::spawn(gossip::run(shared.clone(), socket));
+        actix_rt::spawn(carrier::run(shared.clone(), carrier_listener));
         if shared.settings().features.shared_queue {
             actix_rt::spawn(queueing::announce_falls(shared.clone()));
             actix_rt::spawn(queueing::owning::run(shared.clone()));
--- a/src/gateway/migration.rs
+++ b/src/gateway/migration.rs
@@ -8,8 +8,8 @@
 
 use std::time::Duration;
 
-use crate::gateway::connection::ConnectionProfile;
 use crate::gateway::dial;
+use crate::gateway::dial::DialOptions;
 use crate::gateway::directory::Upstream;
 use crate::gateway::internalclient::InternalClient;
 use crate::gateway::protocol::MemoryCopy;
@@ -59,7 +59,7 @@
     let call = shared
         .protocol()
         .copy_request(request_id, to.address, is_final);
-    let opened = dial::open(shared, source, ConnectionProfile::Call).await;
+    let opened = dial::open(shared, source, &DialOptions::INTERNAL).await;
     let connection = opened.map_err(|failure| CopyFailure::Unknown(failure.reason().to_owned()))?;
     let mut client = InternalClient::over(source.address, connection);
     let (status, body) = client
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -22,6 +22,7 @@
 use crate::gateway::position::Position;
 use crate::gateway::protocol::Topic;
 use crate::gateway::rendezvous;
+use crate::gateway::tunnel::carriers::Carrier;
 use crate::id::DataCentre;
 use crate::id::HostId;
 
@@ -72,6 +73,7 @@
     unreadable: Topics,
     live_count: u32,
     stopping: bool,
+    cut_off: bool,
 }
 
 impl Report {
@@ -91,6 +93,7 @@
             unreadable: datagram.unreadable,
             live_count: datagram.hears,
             stopping: datagram.stopping,
+            cut_off: datagram.cut_off,
         }
     }
 }
@@ -362,6 +365,20 @@
         hosts.collect()
     }
 
+    /// The live hosts that reach upstreams, and so may carry connections for this one.
+    pub(crate) fn carriers(&self, now: Time) -> Vec<Carrier> {
+        let live = self.peers.iter().filter_map(|(address, peer)| {
+            let report = peer.report.as_ref()?;
+            let may_carry = report.is_live(now) && !report.cut_off;
+            may_carry.then(|| Carrier {
+                host: report.host.clone(),
+                address: *address,
+                data_centre: report.data_centre.clone(),
+            })
+        });
+        live.collect()
+    }
+
     /// The data centres with a recent datagram.
     fn reporting_data_centres(&self, now: Time) -> impl Iterator<Item = &DataCentre> {
         let reports = self.data_centres.iter();
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -21,6 +21,15 @@
 /// Time for which a connection of the host's own outweighs reports of peers.
 const OWN_SUCCESS_TTL: Duration = Duration::from_millis(1_000);
 
+/// How a host tried to reach an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Path {
+    /// By its own links.
+    Direct,
+    /// Through another host.
+    Carried,
+}
+
 /// A period during which an upstream is avoided.
 #[derive(Debug, Clone, Copy)]
 struct Backoff {
@@ -95,6 +104,19 @@
         backoff.is_some_and(|backoff| backoff.until > now)
     }
 
+    /// Whether this host itself failed to connect to an upstream and is in its backoff.
+    pub fn has_own_failure(&self, now: Time, upstream: &InstanceId) -> bool {
+        let backoff = self.records.get(upstream).and_then(|record| record.backoff);
+        backoff.is_some_and(|backoff| backoff.is_own && backoff.until > now)
+    }
+
+    /// Forgets this host's own failures: its links were down and not the upstreams.
+    pub fn forget_own_failures(&mut self) {
+        for record in self.records.values_mut() {
+            record.backoff = record.backoff.filter(|backoff| !backoff.is_own);
+        }
+    }
+
     /// The upstreams in a backoff from this host's own failures, to be announced to peers.
     pub fn own_failures(&self, now: Time) -> Vec<InstanceId> {
         let is_own_failure = |record: &Record| {
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -29,7 +29,9 @@
 use crate::gateway::configuration::Configuration;
 use crate::gateway::configuration::Customer;
 use crate::gateway::configuration::EngineSpec;
+use crate::gateway::connection::ConnectionProfile;
 use crate::gateway::decisions::LogEntry;
+use crate::gateway::dial::DialOptions;
 use crate::gateway::directory::Upstream;
 use crate::gateway::forward;
 use crate::gateway::forward::CallerRequest;
@@ -171,6 +173,16 @@
         self.deadline_at.since(self.clock.now())
     }
 
+    /// How a connection for this request is opened.
+    pub(crate) fn dial_options(&self, profile: ConnectionProfile) -> DialOptions<'_> {
+        DialOptions {
+            profile,
+            request: Some(&self.id),
+            is_new_work: true,
+            regions: self.regions.as_ref(),
+        }
+    }
+
     /// Starts a log entry about this request.
     pub fn log_entry(&self, shared: &Shared, code: EventCode) -> LogEntry {
         let ms = self.arrived.elapsed().as_secs_f64() * 1_000.0;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -36,7 +36,8 @@
     pub ready_address: SocketAddr,
     /// Address from which other hosts fetch the configuration and the upstreams they lack.
     pub peer_address: SocketAddr,
-    /// Address for datagrams from other hosts. All hosts use the same port.
+    /// Address for datagrams from other hosts, and over TCP for connections to upstreams that this host carries for
+    /// them. All hosts use the same port.
     pub gossip_address: SocketAddr,
     /// Address of the metrics endpoint.
     pub metrics_address: SocketAddr,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -53,6 +53,8 @@
 use crate::gateway::speeds::Speeds;
 use crate::gateway::suspects::Suspects;
 use crate::gateway::suspension::SuspensionDetector;
+use crate::gateway::tunnel::carrier::CarrierLimits;
+use crate::gateway::tunnel::carriers::FailedCarriers;
 use crate::gateway::upstreamlimits::UpstreamLimits;
 use crate::id::ServiceId;
 
@@ -117,6 +119,8 @@
     ejector: Mutex<Ejector<InstanceId>>,
     reachability: Mutex<Reachability>,
     contact: Mutex<UpstreamContact>,
+    failed_carriers: Mutex<FailedCarriers>,
+    carrier_limits: Mutex<CarrierLimits>,
     failure_rates: Mutex<FailureRates>,
     reported_loads: Mutex<ReportedLoads>,
     speeds: Mutex<Speeds>,
@@ -181,6 +185,8 @@
             ejector: Mutex::new(Ejector::new(Default::default())),
             reachability: Mutex::default(),
             contact: Mutex::default(),
+            failed_carriers: Mutex::default(),
+            carrier_limits: Mutex::new(CarrierLimits::new(clock.now())),
             failure_rates: Mutex::default(),
             reported_loads: Mutex::default(),
             speeds: Mutex::default(),
--- a/src/gateway/shared/health.rs
+++ b/src/gateway/shared/health.rs
@@ -1,5 +1,8 @@
 //! Health of upstreams, derived from the outcomes of requests and connections to them.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use http::HeaderMap;
 
 use super::Shared;
@@ -9,10 +12,15 @@
 use crate::ejection::Health;
 use crate::event::EventCode;
 use crate::gateway::contact::ContactChange;
+use crate::gateway::dial;
 use crate::gateway::failurerates::ServiceCalls;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::partition::PartitionChange;
+use crate::gateway::reachability::Path;
 use crate::gateway::reportedloads::ReportedLoad;
+use crate::gateway::tunnel::carrier::CarrierLimits;
+use crate::gateway::tunnel::carriers::Carrier;
+use crate::gateway::tunnel::carriers::CarrierDistance;
 use crate::id::HostId;
 use crate::id::ServiceId;
 
@@ -26,8 +34,7 @@
     }
 
     /// Records that a connection to an upstream could not be established.
-    pub fn record_unreachable(&self, upstream: &InstanceId, reason: &str) {
-        self.record_broken(upstream);
+    pub(crate) fn record_unreachable(&self, upstream: &InstanceId, reason: &str, path: Path) {
         let now = self.now();
         if lock(&self.0.reachability).record_failure(now, upstream) {
             let line = self.log().entry(EventCode::UpstreamLost);
@@ -36,6 +43,9 @@
                 .write();
             self.announce_now();
         }
+        if path == Path::Direct {
+            self.record_broken(upstream);
+        }
     }
 
     /// Whether this host is cut off from all upstreams.
@@ -50,19 +60,63 @@
         self.log_contact(change);
     }
 
-    /// Records that an upstream responded to this host.
-    pub(crate) fn record_contact(&self) {
+    /// Records that an upstream responded on a direct connection of this age.
+    pub(crate) fn record_contact(&self, connection_age: Duration) {
         let now = self.now();
-        let change = lock(&self.0.contact).record_reached(now);
+        let opened_at = Time::from_us(
+            now.as_us()
+                .saturating_sub(connection_age.as_micros() as u64),
+        );
+        let change = lock(&self.0.contact).record_reached(now, opened_at);
         self.log_contact(change);
     }
 
+    /// Whether this host can't reach an upstream by its own links, so that another host has to carry its
+    /// connections there.
+    pub(crate) fn needs_carrier(&self, upstream: &InstanceId) -> bool {
+        self.is_cut_off() || lock(&self.0.reachability).has_own_failure(self.now(), upstream)
+    }
+
+    /// Records that another host carries a connection to an upstream, which so is up. Unless this host is cut
+    /// off, that doesn't end its own backoff: its own link to the upstream stays down.
+    pub(crate) fn record_carried(&self, upstream: &InstanceId) {
+        if self.is_cut_off() {
+            self.record_reached(upstream);
+        }
+    }
+
+    /// Records that a host carried no connection for this one.
+    pub(crate) fn record_carrier_failure(&self, address: SocketAddr) {
+        lock(&self.0.failed_carriers).record(self.now(), address);
+    }
+
+    /// Orders hosts that may carry connections by how they are tried.
+    pub(crate) fn order_carriers(&self, now: Time, carriers: Vec<Carrier>) -> Vec<Carrier> {
+        let here = &self.settings().data_centre;
+        let regions = &self.settings().regions;
+        let distance = |carrier: &Carrier| match &carrier.data_centre {
+            other if other == here => CarrierDistance::Local,
+            other if regions.get(other) == regions.get(here) => CarrierDistance::Region,
+            _ => CarrierDistance::Far,
+        };
+        lock(&self.0.failed_carriers).order(now, carriers, distance, rand::random::<u32>)
+    }
+
+    /// Runs `use_limits` on the locked limits on what this host carries for others.
+    pub(crate) fn carrier_limits<T>(&self, use_limits: impl FnOnce(&mut CarrierLimits) -> T) -> T {
+        use_limits(&mut lock(&self.0.carrier_limits))
+    }
+
     fn log_contact(&self, change: Option<ContactChange>) {
         let Some(change) = change else {
             return;
         };
+        // What failed was the host's own link.
+        lock(&self.0.reachability).forget_own_failures();
+        self.announce_now();
         let entry = match change {
             ContactChange::Lost { failed } => {
+                actix_rt::spawn(dial::probe_until_reached(self.clone()));
                 let entry = self.log().entry(EventCode::UpstreamsOutOfReach);
                 entry.with("failed", failed)
             }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -20,6 +20,7 @@
 use crate::gateway::connection::Connection;
 use crate::gateway::connection::ConnectionProfile;
 use crate::gateway::dial;
+use crate::gateway::dial::DialOptions;
 use crate::gateway::directory::Upstream;
 use crate::gateway::exchange;
 use crate::gateway::exchange::OpenResponse;
@@ -33,6 +34,7 @@
 use crate::gateway::protocol::GenerationSize;
 use crate::gateway::queue;
 use crate::gateway::queue::RunningGuard;
+use crate::gateway::reachability::Path;
 use crate::gateway::rollouts::evidence::Measure;
 use crate::gateway::rollouts::evidence::Outcome;
 use crate::gateway::serve::Admitted;
@@ -73,7 +75,7 @@
     head: Parts,
     body: Incoming,
     /// Closes when the run is dropped.
-    _connection: Connection,
+    connection: Connection,
     load_guard: LoadGuard,
     sent_at: Instant,
     /// Prompt tokens that the engine has to read before the run's first event, including the run's own.
@@ -334,7 +336,11 @@
         continuation,
     } = dispatch;
     let sent_at = Instant::now();
-    let connection = match dial::open(shared, upstream, ConnectionProfile::Stream).await {
+    let options = DialOptions {
+        is_new_work: continuation.is_none(),
+        ..admitted.dial_options(ConnectionProfile::Stream)
+    };
+    let connection = match dial::open(shared, upstream, &options).await {
         Ok(connection) => connection,
         Err(failure) => return OpenResult::Unreachable(failure.reason().to_owned()),
     };
@@ -351,27 +357,28 @@
         Err(SendError::Unknown(reason)) => {
             // A crashing engine accepts connections for a while and looks empty, so each host that hasn't
             // noticed the crash would choose it again and again.
-            shared.record_unreachable(&upstream.id, &reason);
+            shared.record_unreachable(&upstream.id, &reason, Path::Carried);
             return OpenResult::Unknown(reason);
         }
     };
-    let OpenResponse {
-        connection,
-        head,
-        body,
-    } = begun;
-    if head.status.is_success() {
+    if begun.head.status.is_success() {
+        let OpenResponse {
+            connection,
+            head,
+            body,
+        } = begun;
         return OpenResult::Running(Box::new(ActiveRun {
             upstream: upstream.clone(),
             head,
             body,
-            _connection: connection,
+            connection,
             load_guard,
             sent_at,
             unread_tokens,
         }));
     }
-    match exchange::read_response(shared, admitted, upstream, head, body).await {
+    let (outcome, _) = exchange::read_response(shared, admitted, upstream, begun).await;
+    match outcome {
         ReadOutcome::Answered(answer) => OpenResult::Answered(answer),
         ReadOutcome::NotRun(reason) => OpenResult::NotRun(reason),
         ReadOutcome::Truncated(reason) => OpenResult::Unknown(reason),
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -154,8 +154,10 @@
                 && !self.will_continue()
             {
                 let upstream = &self.running.upstream.id;
-                self.shared
-                    .record_crash(self.admitted.fingerprint, upstream);
+                if !self.running.connection.has_lost_carrier() {
+                    self.shared
+                        .record_crash(self.admitted.fingerprint, upstream);
+                }
                 return self.fail(&reason);
             }
         }
--- a/tests/cutofflinks/mod.rs
+++ b/tests/cutofflinks/mod.rs
@@ -6,20 +6,30 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::LEAVING_BOUND;
+use crate::code;
+use crate::events;
 use crate::gatewayworld::Answer;
 use crate::gatewayworld::Behaviour;
+use crate::gatewayworld::Caller;
 use crate::gatewayworld::Cut;
 use crate::gatewayworld::FakeUpstream;
 use crate::gatewayworld::World;
 use crate::gatewayworld::ask;
 use crate::gatewayworld::route;
+use crate::gatewayworld::route_to;
 use crate::gatewayworld::table;
 use crate::gatewayworld::wait_until;
+use crate::ids;
 use crate::post;
+use crate::sum_seen;
+use cedargauge::gateway::settings::LoadFeatures;
 
 const HOSTS: usize = 4;
 /// Time after a cut from which callers of a cut host are served like others.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// A refusal takes no longer than this.
+const REFUSED_WITHIN: Duration = Duration::from_millis(500);
 /// Requests to a cut host after that time.
 const REQUESTS: usize = 20;
 
@@ -28,6 +38,12 @@
 /// Starts hosts that know each other and these upstreams, with one route.
 fn start_fleet(route: Value, upstreams: &[FakeUpstream]) -> Vec<World> {
     let hosts = World::start_fleet(HOSTS);
+    serve(&hosts, route, upstreams);
+    hosts
+}
+
+/// Has hosts serve one route by these upstreams; returns once they know them and each other.
+fn serve(hosts: &[World], route: Value, upstreams: &[FakeUpstream]) {
     for upstream in upstreams {
         hosts[0].list(upstream, "ready");
     }
@@ -35,10 +51,10 @@
     log.put("operator", "table", &table(1, json!([route])));
     assert!(wait_until(|| hosts.iter().all(World::is_ready)));
     // Each host has heard all others.
-    assert!(wait_until(|| hosts
-        .iter()
-        .all(|host| { host.lines.of("PeerJoined").len() == HOSTS - 1 })));
-    hosts
+    assert!(wait_until(|| {
+        let joined = |host: &World| host.lines.of("PeerJoined").len();
+        hosts.iter().all(|host| joined(host) == HOSTS - 1)
+    }));
 }
 
 fn start_upstreams() -> Vec<FakeUpstream> {
@@ -81,17 +97,236 @@
 // Guards against refusing callers whom any other host could serve: a cut host used its own links alone.
 #[test]
 fn calls_to_a_host_without_links_to_upstreams_are_served() {
-    for kind in ["idempotent", "once"] {
-        let upstreams = start_upstreams();
-        let hosts = start_fleet(route(kind), &upstreams);
+    let hosts = start_fleet(route("idempotent"), &start_upstreams());
+
+    let refused = refusals_after_cuts(&hosts[1]);
+
+    let expected = ALL_CUTS.map(|cut| (cut, 0));
+    assert_eq!(refused, expected, "{}", hosts[1].last_lines(12));
+}
+
+// Guards against refusing what may run only once, which never uses a connection from before the cut.
+#[test]
+fn calls_that_run_once_to_a_host_without_links_run_once() {
+    let upstreams = start_upstreams();
+    let hosts = start_fleet(route("once"), &upstreams);
+    let cut_off = &hosts[1];
+    for cut in ALL_CUTS {
+        cut_off.links.cut(cut);
+        assert!(wait_until(|| ask_one(cut_off).status == 200));
+        let seen_before = sum_seen(&upstreams);
+
+        let statuses: Vec<u16> = (0..REQUESTS).map(|_| ask_one(cut_off).status).collect();
+
+        assert_eq!(statuses, [200; REQUESTS], "{cut:?}");
+        assert_eq!(sum_seen(&upstreams) - seen_before, REQUESTS, "{cut:?}");
+        cut_off.links.heal();
+        assert!(wait_until(|| is_in_reach(cut_off)));
+    }
+}
+
+/// Whether the host last logged that it reaches upstreams.
+fn is_in_reach(host: &World) -> bool {
+    let lost = host.lines.of("UpstreamsOutOfReach").len();
+    lost == host.lines.of("UpstreamsInReach").len()
+}
+
+/// Engines whose streams have 40 events.
+fn start_engines() -> Vec<FakeUpstream> {
+    let names = ["engine-0", "engine-1", "engine-2"];
+    names
+        .map(|name| FakeUpstream::of("reports", name, &[events(40)]))
+        .into()
+}
+
+fn ask_stream(host: &World) -> Answer {
+    ask(host.callers(), &post("/nets/7", "tokens: 40\r\n", "report"))
+}
+
+// Guards against refusing generations, which wait for engine memory and stream their answer.
+#[test]
+fn generations_of_a_host_without_links_are_streamed_whole() {
+    for features in [LoadFeatures::default(), shared_queue()] {
+        let hosts = World::start_fleet_with(HOSTS, features);
+        let engines = start_engines();
+        serve(&hosts, route_to("stream", "reports"), &engines);
+        for cut in ALL_CUTS {
+            hosts[1].links.cut(cut);
+            assert!(wait_until(|| ask_stream(&hosts[1]).status == 200));
+            let seen_before = sum_seen(&engines);
+
+            let answer = ask_stream(&hosts[1]);
+
+            assert!(answer.whole, "{cut:?}: {}", hosts[1].last_lines(8));
+            assert_eq!(ids(&answer.text()), (1..=40).collect::<Vec<u64>>());
+            assert_eq!(sum_seen(&engines) - seen_before, 1);
+            hosts[1].links.heal();
+            assert!(wait_until(|| is_in_reach(&hosts[1])));
+        }
+    }
+}
+
+fn shared_queue() -> LoadFeatures {
+    LoadFeatures {
+        shared_queue: true,
+        ..LoadFeatures::default()
+    }
+}
+
+/// One engine whose streams go on until they are left, before hosts of which the second is cut off.
+fn start_endless() -> (Vec<World>, FakeUpstream) {
+    let endless = Behaviour::Events {
+        to: 40,
+        break_after: None,
+        hold_after: Some(3),
+    };
+    let engine = FakeUpstream::of("reports", "engine", &[endless]);
+    let engines = std::slice::from_ref(&engine);
+    let hosts = start_fleet(route_to("stream", "reports"), engines);
+    hosts[1].links.cut(Cut::Silent);
+    (hosts, engine)
+}
+
+// Guards against work for nobody: a close has to pass both hops.
+#[test]
+fn a_caller_who_leaves_a_host_without_links_frees_the_engine() {
+    let (hosts, engine) = start_endless();
+    // The first request finds out that the engine can't be reached.
+    ask_stream(&hosts[1]);
+    let mut caller = Caller::connect(hosts[1].callers());
+    caller.send(post("/nets/7", "tokens: 40\r\n", "report"));
+    assert!(caller.read_until("id: 3\n"), "{}", hosts[1].last_lines(8));
 
-        let refused = refusals_after_cuts(&hosts[1]);
+    let left = Instant::now();
+    drop(caller);
+    let freed = wait_until(|| engine.closed_by_gateway() == 1);
 
-        assert_eq!(
-            refused,
-            ALL_CUTS.map(|cut| (cut, 0)),
-            "{kind}: {}",
-            hosts[1].last_lines(12)
+    assert!(freed && left.elapsed() < LEAVING_BOUND);
+}
+
+// Guards against half an answer that looks whole: the carrier's end closes its connections like any other.
+#[test]
+fn a_stream_whose_carrier_ends_looks_broken_and_is_not_run_again() {
+    let (hosts, engine) = start_endless();
+    ask_stream(&hosts[1]);
+    let mut caller = Caller::connect(hosts[1].callers());
+    caller.send(post("/nets/7", "tokens: 40\r\n", "report"));
+    assert!(caller.read_until("id: 3\n"), "{}", hosts[1].last_lines(8));
+    let carried = hosts[1].lines.of("UpstreamTunnelled");
+    let carrier = carried.last().unwrap()["carrier"].as_str().unwrap();
+
+    let host = hosts.iter().find(|host| host.name() == carrier);
+    host.unwrap().kill();
+    let answer = caller.read();
+
+    assert!(!answer.whole);
+    assert_eq!(engine.seen().len(), 1);
+}
+
+// Guards against too few carriers: most hosts of a data centre can lose their links at once.
+#[test]
+fn all_callers_are_served_while_one_host_alone_has_links() {
+    let hosts = start_fleet(route("once"), &start_upstreams());
+    for host in &hosts[1..] {
+        host.links.cut(Cut::Silent);
+    }
+    for host in &hosts[1..] {
+        assert!(
+            wait_until(|| ask_one(host).status == 200),
+            "{}",
+            host.last_lines(8)
         );
     }
+
+    let statuses: Vec<u16> = hosts.iter().map(|host| ask_one(host).status).collect();
+
+    assert_eq!(statuses, [200; HOSTS]);
+    // A host that is cut off itself carries nothing.
+    for host in &hosts[1..] {
+        let carried = host.lines.of("ConnectionCarried");
+        assert!(carried.iter().all(|entry| entry["outcome"] != "open"));
+    }
+}
+
+// Guards against loops and against waiting for nothing: hosts could pass a request on to each other without end.
+#[test]
+fn a_request_is_refused_in_time_while_no_host_has_links() {
+    let upstreams = start_upstreams();
+    let hosts = start_fleet(route("once"), &upstreams);
+    for host in &hosts {
+        host.links.cut(Cut::Reset);
+    }
+    // Every host has found out that it is cut off, and told the others.
+    for host in &hosts {
+        assert!(wait_until(|| {
+            ask_one(host);
+            host.lines.of("UpstreamsOutOfReach").len() == 1
+        }));
+    }
+
+    let asked = Instant::now();
+    let answer = ask_one(&hosts[1]);
+
+    assert_eq!(
+        (answer.status, code(&answer)),
+        (503, "no_upstream".to_owned())
+    );
+    assert!(asked.elapsed() < REFUSED_WITHIN, "{:?}", asked.elapsed());
+    assert_eq!(sum_seen(&upstreams), 0);
+}
+
+// Guards against load on the hosts in touch for longer than needed.
+#[test]
+fn a_host_whose_links_are_back_uses_them() {
+    let hosts = start_fleet(route("once"), &start_upstreams());
+    hosts[1].links.cut(Cut::Silent);
+    assert!(wait_until(|| hosts[1]
+        .lines
+        .of("UpstreamsOutOfReach")
+        .len()
+        == 1
+        || ask_one(&hosts[1]).status == 0));
+    hosts[1].links.heal();
+    assert!(wait_until(|| is_in_reach(&hosts[1])));
+    let tunnelled = hosts[1].lines.of("UpstreamTunnelled").len();
+
+    let statuses: Vec<u16> = (0..REQUESTS).map(|_| ask_one(&hosts[1]).status).collect();
+
+    assert_eq!(statuses, [200; REQUESTS]);
+    assert_eq!(hosts[1].lines.of("UpstreamTunnelled").len(), tunnelled);
+}
+
+// Guards against tunnels for a fault of upstreams: two that are gone don't mean that the host is cut off.
+#[test]
+fn a_host_that_reaches_other_upstreams_stays_in_touch() {
+    let sound = FakeUpstream::start("up-0", &[Behaviour::Answer(200, "sound")]);
+    let gone = ["up-1", "up-2"].map(FakeUpstream::absent);
+    let [first, second] = gone;
+    let hosts = start_fleet(route("once"), &[sound, first, second]);
+
+    let statuses: Vec<u16> = (0..REQUESTS).map(|_| ask_one(&hosts[1]).status).collect();
+
+    assert_eq!(statuses, [200; REQUESTS]);
+    assert!(wait_until(|| is_in_reach(&hosts[1])));
+}
+
+// Guards against a request that passes through a region where it may not run.
+#[test]
+fn a_request_for_other_regions_is_not_carried_by_hosts_outside_them() {
+    let coast = start_upstreams().into_iter();
+    let coast: Vec<FakeUpstream> = coast.map(|up| up.in_data_centre("south")).collect();
+    let mut route = route("once");
+    route["regions"] = json!(["coast"]);
+    let hosts = start_fleet(route, &coast);
+    assert_eq!(ask_one(&hosts[1]).status, 200);
+    hosts[1].links.cut(Cut::Reset);
+
+    let statuses: Vec<u16> = (0..5).map(|_| ask_one(&hosts[1]).status).collect();
+
+    assert_eq!(statuses, [503; 5]);
+    assert!(
+        hosts
+            .iter()
+            .all(|host| host.lines.of("ConnectionCarried").is_empty())
+    );
 }
