Hold back what a host sees of broken connections until it knows that its links are up

And a reset of one host's links counted as a crash of each upstream at which it had requests: five requests of one content made all hosts hold that content back as one that crashes upstreams.

Cause: a broken or silent connection was taken for the upstream's fault at once, and told. A host can't tell from it whether the upstream or its own link failed.

Change: such evidence waits until a response to a later request shows that the host's links are up, or a probe of two upstreams does after 0.1 s without one; after 1.5 s it is dropped (E320). That goes for unreachable upstreams told to peers, crashes under a content, failed calls and failures of a version on trial; what a host measures of speeds while it is cut off isn't told. A carrier that is still there tells that an upstream itself broke, so crashes seen through it count at once.

Evidence: a_host_without_links_takes_no_upstream_from_the_others and requests_that_ran_as_a_hosts_links_ broke_are_not_taken_for_crashing_upstreams failed on and pass; all tests of crashing requests, failing upstreams and rollouts pass. The effect on a trial's verdict has unit tests only.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -74,4 +74,5 @@
 pub(crate) mod ticks;
 pub(crate) mod transferguard;
 pub(crate) mod tunnel;
+pub(crate) mod unconfirmed;
 pub mod upstreamlimits;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -31,6 +31,7 @@
 use crate::gateway::serve::WorkerState;
 use crate::gateway::shared::Shared;
 use crate::gateway::speeds::Work;
+use crate::gateway::unconfirmed::Evidence;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::telemetry;
@@ -70,15 +71,25 @@
 }
 
 impl Attempted {
-    /// The evidence that it gives on the upstream's version, after `time`.
-    fn rollout_outcome(&self, time: Duration) -> Option<Outcome> {
+    /// Records the evidence that it gives on the upstream's version, after `time`.
+    fn record_rollout(
+        &self,
+        shared: &Shared,
+        admitted: &Admitted,
+        upstream: &Upstream,
+        time: Duration,
+    ) {
+        let measure = Measure::Whole;
+        let record = |outcome| shared.record_rollout_outcome(admitted, upstream, measure, outcome);
         match self {
             Attempted::Answered(answer) if answer.head.status.is_server_error() => {
-                Some(Outcome::Failed)
+                record(Outcome::Failed);
             }
-            Attempted::Answered(_) => Some(Outcome::Took(time)),
-            Attempted::Unknown(_) | Attempted::TimedOut => Some(Outcome::Failed),
-            Attempted::Unreachable(_) | Attempted::NotRun(_) => None,
+            Attempted::Answered(_) => record(Outcome::Took(time)),
+            Attempted::Unknown(_) | Attempted::TimedOut => {
+                shared.record_rollout_loss(admitted, upstream, measure);
+            }
+            Attempted::Unreachable(_) | Attempted::NotRun(_) => {}
         }
     }
 }
@@ -123,9 +134,7 @@
             );
         }
         note_health(shared, &admitted, &upstream, &outcome);
-        if let Some(tried) = outcome.rollout_outcome(sent_at.elapsed()) {
-            shared.record_rollout_outcome(&admitted, &upstream, Measure::Whole, tried);
-        }
+        outcome.record_rollout(shared, &admitted, &upstream, sent_at.elapsed());
         let reached = match outcome {
             Attempted::Unreachable(_) => Delivery::Unreachable,
             _ => Delivery::Sent,
@@ -247,13 +256,16 @@
 }
 
 fn note_health(shared: &Shared, admitted: &Admitted, upstream: &Upstream, outcome: &Attempted) {
-    let is_failed = match outcome {
-        Attempted::Answered(answer) => Some(answer.head.status.is_server_error()),
-        Attempted::Unknown(_) | Attempted::TimedOut => Some(true),
-        Attempted::Unreachable(_) | Attempted::NotRun(_) => None,
-    };
-    if let Some(is_failed) = is_failed {
-        shared.record_call_outcome(&admitted.service, &upstream.id, is_failed);
+    match outcome {
+        Attempted::Answered(answer) => {
+            let is_failed = answer.head.status.is_server_error();
+            shared.record_call_outcome(&admitted.service, &upstream.id, is_failed);
+        }
+        Attempted::Unknown(_) | Attempted::TimedOut => {
+            let service = admitted.service.clone();
+            shared.hold_back(Evidence::FailedCall(service, upstream.id.clone()));
+        }
+        Attempted::Unreachable(_) | Attempted::NotRun(_) => {}
     }
     match outcome {
         Attempted::Answered(answer) if !answer.head.status.is_server_error() => {
--- a/src/gateway/dial.rs
+++ b/src/gateway/dial.rs
@@ -22,9 +22,11 @@
 pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Upstreams that are probed at a time.
-const PROBED_UPSTREAMS: usize = 3;
+const PROBED_UPSTREAMS: usize = 2;
 /// Time between two rounds of probes, and so about the time after which a healed link is used again.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for a response to confirm evidence before upstreams are probed for it.
+const CONFIRMATION_DELAY: Duration = Duration::from_millis(100);
 /// Time for which a probe's connection has to stay open: a link can accept connections and then reset them.
 const PROBE_OPEN_TIME: Duration = Duration::from_millis(50);
 
@@ -95,18 +97,36 @@
 /// Connects to some upstreams again and again until one is reached.
 pub(crate) async fn probe_until_reached(shared: Shared) {
     while shared.is_cut_off() {
-        let mut upstreams = shared.directory(|directory| directory.all_ready());
-        let chosen = upstreams
-            .partial_shuffle(&mut rand::rng(), PROBED_UPSTREAMS)
-            .0;
-        let probes = chosen.iter().map(|upstream| probe(&shared, upstream));
-        if join_all(probes).await.contains(&true) {
-            shared.record_contact(Duration::ZERO);
-        }
+        probe_some(&shared).await;
         tokio::time::sleep(PROBE_INTERVAL).await;
     }
 }
 
+/// Finds out whether this host's links are up, for evidence that no response confirms within
+/// [`CONFIRMATION_DELAY`]. Returns once none waits, or the host is found cut off.
+pub(crate) async fn confirm_evidence(shared: Shared) {
+    loop {
+        tokio::time::sleep(CONFIRMATION_DELAY).await;
+        if !shared.has_unconfirmed_evidence() || shared.is_cut_off() {
+            return;
+        }
+        probe_some(&shared).await;
+    }
+}
+
+/// Connects to some upstreams, and records contact if one is reached.
+async fn probe_some(shared: &Shared) {
+    let started_at = shared.now();
+    let mut upstreams = shared.directory(|directory| directory.all_ready());
+    let chosen = upstreams
+        .partial_shuffle(&mut rand::rng(), PROBED_UPSTREAMS)
+        .0;
+    let probes = chosen.iter().map(|upstream| probe(shared, upstream));
+    if join_all(probes).await.contains(&true) {
+        shared.record_contact(started_at, Duration::ZERO);
+    }
+}
+
 /// Whether a connection to an upstream can be opened and stays open.
 async fn probe(shared: &Shared, upstream: &Upstream) -> bool {
     let profile = ConnectionProfile::Call;
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -76,14 +76,12 @@
         Ok(response) => response,
         Err(ConnectionError::NotWritten(reason)) => return Err(SendError::NotRun(reason)),
         Err(ConnectionError::Unknown(reason)) => {
-            if !connection.has_lost_carrier() {
-                shared.record_crash(admitted.fingerprint, upstream);
-            }
+            shared.record_crash(admitted.fingerprint, upstream, &connection);
             return Err(SendError::Unknown(reason));
         }
     };
     if is_direct {
-        shared.record_contact(connection.age());
+        shared.record_contact(sent_at, connection.age());
     }
     let (head, body) = response.into_parts();
     if head.status.as_u16() != MISDIRECTED_REQUEST {
@@ -127,9 +125,7 @@
     let body = match body.collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
-            if !connection.has_lost_carrier() {
-                shared.record_crash(admitted.fingerprint, &upstream.id);
-            }
+            shared.record_crash(admitted.fingerprint, &upstream.id, &connection);
             let outcome = ReadOutcome::Truncated(format!("the answer broke off: {error}"));
             return (outcome, connection);
         }
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -319,6 +319,7 @@
         shared.check_suspension();
         let now = shared.now();
         shared.loads().with(|loads| loads.expire(now));
+        shared.expire_unconfirmed();
         shared.review_suspects();
         shared.review_rollouts();
         shared.review_failures();
--- a/src/gateway/reachability.rs
+++ b/src/gateway/reachability.rs
@@ -6,7 +6,8 @@
 //! and any share of a pool may be affected: a partition can hide most of it.
 //!
 //! Hosts of a data centre mostly have the same connectivity, so they announce their own failures to each
-//! other. A host's own recent connection outweighs such a report.
+//! other, once they have reached another upstream since: a host whose links are down fails to reach them all. A
+//! host's own recent connection outweighs such a report.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -33,10 +34,13 @@
 /// A period during which an upstream is avoided.
 #[derive(Debug, Clone, Copy)]
 struct Backoff {
+    failed_at: Time,
     until: Time,
     next_delay: Duration,
     /// Whether this host's own connection failed, rather than a peer's.
     is_own: bool,
+    /// Whether this host has reached another upstream since.
+    is_confirmed: bool,
 }
 
 /// Results of connections to one upstream.
@@ -65,9 +69,11 @@
             Some(_) | None => BACKOFF_MIN,
         };
         record.backoff = Some(Backoff {
+            failed_at: now,
             until: now + delay,
             next_delay: (delay * 2).min(BACKOFF_MAX),
             is_own: true,
+            is_confirmed: false,
         });
         previous.is_none()
     }
@@ -83,9 +89,11 @@
             return false;
         }
         record.backoff = Some(Backoff {
+            failed_at: now,
             until: now + BACKOFF_MIN,
             next_delay: previous.map_or(BACKOFF_MIN, |backoff| backoff.next_delay),
             is_own: false,
+            is_confirmed: false,
         });
         previous.is_none()
     }
@@ -117,15 +125,31 @@
         }
     }
 
-    /// The upstreams in a backoff from this host's own failures, to be announced to peers.
-    pub fn own_failures(&self, now: Time) -> Vec<InstanceId> {
-        let is_own_failure = |record: &Record| {
+    /// Confirms this host's own failures before `sent_at`, when a request was sent that had a response: its links
+    /// were up. Returns whether any were unconfirmed.
+    pub fn confirm_failures(&mut self, sent_at: Time) -> bool {
+        let backoffs = self.records.values_mut();
+        let unconfirmed = backoffs
+            .filter_map(|record| record.backoff.as_mut())
+            .filter(|backoff| backoff.is_own && !backoff.is_confirmed)
+            .filter(|backoff| backoff.failed_at < sent_at);
+        let mut is_any = false;
+        for backoff in unconfirmed {
+            backoff.is_confirmed = true;
+            is_any = true;
+        }
+        is_any
+    }
+
+    /// The upstreams in a backoff from confirmed failures of this host, to be announced to peers.
+    pub fn confirmed_failures(&self, now: Time) -> Vec<InstanceId> {
+        let is_confirmed = |record: &Record| {
             let backoff = record.backoff;
-            backoff.is_some_and(|backoff| backoff.is_own && backoff.until > now)
+            backoff.is_some_and(|backoff| backoff.is_confirmed && backoff.until > now)
         };
         let records = self.records.iter();
         records
-            .filter(|(_, record)| is_own_failure(record))
+            .filter(|(_, record)| is_confirmed(record))
             .map(|(id, _)| id.clone())
             .collect()
     }
--- a/src/gateway/reachability/tests.rs
+++ b/src/gateway/reachability/tests.rs
@@ -82,14 +82,44 @@
 }
 
 #[test]
-fn only_own_failures_are_announced() {
+fn own_failures_are_announced_once_they_are_confirmed() {
     let mut reachability = Reachability::default();
     let reported = InstanceId::from(UpstreamId::new("reported"));
     reachability.receive_report(Time::ZERO, &reported);
     reachability.record_failure(Time::ZERO, &upstream());
+    let unconfirmed = reachability.confirmed_failures(Time::ZERO);
 
-    assert_eq!(reachability.own_failures(Time::ZERO), [upstream()]);
-    assert!(reachability.own_failures(Time::from_ms(800)).is_empty());
+    let is_any = reachability.confirm_failures(Time::from_ms(1));
+
+    assert!(unconfirmed.is_empty() && is_any);
+    assert_eq!(reachability.confirmed_failures(Time::ZERO), [upstream()]);
+    assert!(
+        reachability
+            .confirmed_failures(Time::from_ms(800))
+            .is_empty()
+    );
+}
+
+#[test]
+fn a_request_sent_before_a_failure_does_not_confirm_it() {
+    let mut reachability = Reachability::default();
+    reachability.record_failure(Time::from_ms(5), &upstream());
+
+    assert!(!reachability.confirm_failures(Time::from_ms(4)));
+    assert!(reachability.confirmed_failures(Time::from_ms(5)).is_empty());
+}
+
+#[test]
+fn a_host_whose_links_were_down_forgets_its_own_failures_alone() {
+    let mut reachability = Reachability::default();
+    let reported = InstanceId::from(UpstreamId::new("reported"));
+    reachability.receive_report(Time::ZERO, &reported);
+    reachability.record_failure(Time::ZERO, &upstream());
+
+    reachability.forget_own_failures();
+
+    assert!(!reachability.is_unreachable(Time::ZERO, &upstream()));
+    assert!(reachability.is_unreachable(Time::ZERO, &reported));
 }
 
 #[test]
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -55,6 +55,7 @@
 use crate::gateway::suspension::SuspensionDetector;
 use crate::gateway::tunnel::carrier::CarrierLimits;
 use crate::gateway::tunnel::carriers::FailedCarriers;
+use crate::gateway::unconfirmed::UnconfirmedEvidence;
 use crate::gateway::upstreamlimits::UpstreamLimits;
 use crate::id::ServiceId;
 
@@ -119,6 +120,7 @@
     ejector: Mutex<Ejector<InstanceId>>,
     reachability: Mutex<Reachability>,
     contact: Mutex<UpstreamContact>,
+    unconfirmed: Mutex<UnconfirmedEvidence>,
     failed_carriers: Mutex<FailedCarriers>,
     carrier_limits: Mutex<CarrierLimits>,
     failure_rates: Mutex<FailureRates>,
@@ -185,6 +187,7 @@
             ejector: Mutex::new(Ejector::new(Default::default())),
             reachability: Mutex::default(),
             contact: Mutex::default(),
+            unconfirmed: Mutex::default(),
             failed_carriers: Mutex::default(),
             carrier_limits: Mutex::new(CarrierLimits::new(clock.now())),
             failure_rates: Mutex::default(),
--- a/src/gateway/shared/health.rs
+++ b/src/gateway/shared/health.rs
@@ -18,9 +18,12 @@
 use crate::gateway::partition::PartitionChange;
 use crate::gateway::reachability::Path;
 use crate::gateway::reportedloads::ReportedLoad;
+use crate::gateway::rollouts::evidence::Answer;
+use crate::gateway::rollouts::evidence::Outcome;
 use crate::gateway::tunnel::carrier::CarrierLimits;
 use crate::gateway::tunnel::carriers::Carrier;
 use crate::gateway::tunnel::carriers::CarrierDistance;
+use crate::gateway::unconfirmed::Evidence;
 use crate::id::HostId;
 use crate::id::ServiceId;
 
@@ -41,7 +44,6 @@
             line.with("upstream", upstream.as_str())
                 .with("reason", reason)
                 .write();
-            self.announce_now();
         }
         if path == Path::Direct {
             self.record_broken(upstream);
@@ -60,15 +62,77 @@
         self.log_contact(change);
     }
 
-    /// Records that an upstream responded on a direct connection of this age.
-    pub(crate) fn record_contact(&self, connection_age: Duration) {
+    /// Records that an upstream responded to a request sent at `sent_at`, on a direct connection of this age. Unless
+    /// the host is cut off, that confirms what failed before.
+    pub(crate) fn record_contact(&self, sent_at: Time, connection_age: Duration) {
         let now = self.now();
-        let opened_at = Time::from_us(
-            now.as_us()
-                .saturating_sub(connection_age.as_micros() as u64),
-        );
+        let age_us = connection_age.as_micros() as u64;
+        let opened_at = Time::from_us(now.as_us().saturating_sub(age_us));
         let change = lock(&self.0.contact).record_reached(now, opened_at);
         self.log_contact(change);
+        if self.is_cut_off() {
+            return;
+        }
+        if lock(&self.0.reachability).confirm_failures(sent_at) {
+            self.announce_now();
+        }
+        let confirmed = lock(&self.0.unconfirmed).confirm(sent_at);
+        for (failed_at, evidence) in confirmed {
+            self.apply_evidence(failed_at, evidence);
+        }
+    }
+
+    /// Holds evidence against an upstream back until this host knows that its own links are up.
+    pub(crate) fn hold_back(&self, evidence: Evidence) {
+        let now = self.now();
+        if lock(&self.0.unconfirmed).add(now, evidence) {
+            actix_rt::spawn(dial::confirm_evidence(self.clone()));
+        }
+    }
+
+    /// Whether evidence is held back.
+    pub(crate) fn has_unconfirmed_evidence(&self) -> bool {
+        !lock(&self.0.unconfirmed).is_empty()
+    }
+
+    fn apply_evidence(&self, failed_at: Time, evidence: Evidence) {
+        match evidence {
+            Evidence::Crash(fingerprint, upstream) => {
+                self.count_crash(failed_at, fingerprint, &upstream);
+            }
+            Evidence::FailedCall(service, upstream) => {
+                self.record_call_outcome(&service, &upstream, true);
+            }
+            Evidence::FailedTrial {
+                order,
+                route,
+                upstream,
+                cohort,
+                measure,
+            } => {
+                let answer = Answer {
+                    route: &route,
+                    upstream,
+                    cohort,
+                    measure,
+                    outcome: Outcome::Failed,
+                };
+                let now = self.now();
+                self.rollout_evidence(|evidence| evidence.record_answer(now, order, &answer));
+            }
+        }
+    }
+
+    /// Drops evidence that was not confirmed in time.
+    pub(crate) fn expire_unconfirmed(&self) {
+        let now = self.now();
+        let dropped = lock(&self.0.unconfirmed).expire(now);
+        if dropped > 0 {
+            let line = self.log().entry(EventCode::EvidenceDropped);
+            line.with("count", dropped)
+                .with("cut_off", self.is_cut_off())
+                .write();
+        }
     }
 
     /// Whether this host can't reach an upstream by its own links, so that another host has to carry its
@@ -141,9 +205,12 @@
         }
     }
 
-    /// Upstreams that this host itself can't connect to now.
+    /// Upstreams that this host itself can't connect to now, though its links are up.
     pub fn unreachable_upstreams(&self) -> Vec<InstanceId> {
-        lock(&self.0.reachability).own_failures(self.now())
+        match self.is_cut_off() {
+            true => Vec::new(),
+            false => lock(&self.0.reachability).confirmed_failures(self.now()),
+        }
     }
 
     /// Records the load that an upstream reports in response headers, if it reports one.
--- a/src/gateway/shared/rollouts.rs
+++ b/src/gateway/shared/rollouts.rs
@@ -23,6 +23,7 @@
 use crate::gateway::rollouts::evidence::Measure;
 use crate::gateway::rollouts::evidence::Outcome;
 use crate::gateway::serve::Admitted;
+use crate::gateway::unconfirmed::Evidence;
 use crate::id::ServiceId;
 use crate::id::VersionId;
 
@@ -156,18 +157,7 @@
         measure: Measure,
         outcome: Outcome,
     ) {
-        let order_of = |directory: &mut Directory| {
-            let rollout = directory.rollouts().get(&upstream.service)?;
-            let cohort = match upstream.version == *rollout.to() {
-                true => Cohort::New,
-                false => Cohort::Old,
-            };
-            rollout
-                .stage()
-                .is_open()
-                .then(|| (rollout.ordered_at(), cohort))
-        };
-        let Some((order, cohort)) = self.directory(order_of) else {
+        let Some((order, cohort)) = self.open_order(upstream) else {
             return;
         };
         let answer = Answer {
@@ -181,6 +171,40 @@
         self.rollout_evidence(|evidence| evidence.record_answer(now, order, &answer));
     }
 
+    /// Records a request whose connection to an upstream broke or fell silent.
+    pub(crate) fn record_rollout_loss(
+        &self,
+        admitted: &Admitted,
+        upstream: &Upstream,
+        measure: Measure,
+    ) {
+        let Some((order, cohort)) = self.open_order(upstream) else {
+            return;
+        };
+        self.hold_back(Evidence::FailedTrial {
+            order,
+            route: admitted.route.name.clone(),
+            upstream: upstream.id.key(),
+            cohort,
+            measure,
+        });
+    }
+
+    /// The order of an open rollout of an upstream's service, and the upstream's part in it.
+    fn open_order(&self, upstream: &Upstream) -> Option<(Position, Cohort)> {
+        self.directory(|directory| {
+            let rollout = directory.rollouts().get(&upstream.service)?;
+            let cohort = match upstream.version == *rollout.to() {
+                true => Cohort::New,
+                false => Cohort::Old,
+            };
+            rollout
+                .stage()
+                .is_open()
+                .then(|| (rollout.ordered_at(), cohort))
+        })
+    }
+
     /// The open orders, each with its next step.
     pub(crate) fn open_rollouts(&self) -> Vec<OpenRollout> {
         let now = self.now();
--- a/src/gateway/shared/speeds.rs
+++ b/src/gateway/shared/speeds.rs
@@ -23,9 +23,10 @@
         self.settings().features.upstream_speeds
     }
 
-    /// Records that an upstream took `time` for `units` tokens or calls beside the requests that run there.
+    /// Records that an upstream took `time` for `units` tokens or calls beside the requests that run there. What a
+    /// host measures while it is cut off depends on the hosts that carry its connections.
     pub(crate) fn record_speed(&self, upstream: &Upstream, work: Work, units: u32, time: Duration) {
-        if !self.uses_speeds() || units == 0 {
+        if !self.uses_speeds() || units == 0 || self.is_cut_off() {
             return;
         }
         let now = self.now();
--- a/src/gateway/shared/suspects.rs
+++ b/src/gateway/shared/suspects.rs
@@ -7,6 +7,7 @@
 use crate::clock::Time;
 use crate::event::EventCode;
 use crate::fingerprint::Fingerprint;
+use crate::gateway::connection::Connection;
 use crate::gateway::directory::Directory;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::protocol::Topic;
@@ -16,6 +17,7 @@
 use crate::gateway::suspects::ListedUpstreams;
 use crate::gateway::suspects::Suspects;
 use crate::gateway::suspects::Verdict;
+use crate::gateway::unconfirmed::Evidence;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 
@@ -70,17 +72,37 @@
     }
 
     /// Records that the connection to an upstream broke while it ran a request. Leaving and cold upstreams
-    /// don't count: the former end anyway, and the latter may crash under many harmless requests.
-    pub(crate) fn record_crash(&self, fingerprint: Fingerprint, upstream: &InstanceId) {
+    /// don't count: the former end anyway, and the latter may crash under many harmless requests. A connection
+    /// that another host carried broke at the upstream, if the carrier is still there to tell; a direct one may
+    /// have broken with this host's own link.
+    pub(crate) fn record_crash(
+        &self,
+        fingerprint: Fingerprint,
+        upstream: &InstanceId,
+        connection: &Connection,
+    ) {
         let now = self.now();
         let has_own_cause = |directory: &mut Directory| {
             directory.leaving_since(upstream).is_some() || directory.is_cold(now, upstream)
         };
-        if self.directory(has_own_cause) {
+        if connection.has_lost_carrier() || self.directory(has_own_cause) {
             return;
         }
+        match connection.carrier() {
+            Some(_) => self.count_crash(now, fingerprint, upstream),
+            None => self.hold_back(Evidence::Crash(fingerprint, upstream.clone())),
+        }
+    }
+
+    /// Counts an upstream as crashed at `crashed_at` while it ran a request.
+    pub(super) fn count_crash(
+        &self,
+        crashed_at: Time,
+        fingerprint: Fingerprint,
+        upstream: &InstanceId,
+    ) {
         let assessment =
-            self.suspects(|suspects| suspects.record_crash(now, fingerprint, upstream));
+            self.suspects(|suspects| suspects.record_crash(crashed_at, fingerprint, upstream));
         if let Some(assessment) = assessment {
             self.log_suspect(fingerprint, assessment, upstream.as_str());
             self.announce_now();
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -181,24 +181,14 @@
                 return forward_failure(shared, &admitted, &upstream, answer);
             }
             OpenResult::TimedOut => {
-                shared.record_rollout_outcome(
-                    &admitted,
-                    &upstream,
-                    Measure::FirstEvent,
-                    Outcome::Failed,
-                );
+                shared.record_rollout_loss(&admitted, &upstream, Measure::FirstEvent);
                 shared.record_failure(&admitted.service, &upstream.id, "no answer in time");
                 let refusal =
                     Refusal::unknown(Code::DeadlineExceeded, "no answer before the deadline");
                 return admitted.refuse(shared, &refusal);
             }
             OpenResult::Unknown(reason) => {
-                shared.record_rollout_outcome(
-                    &admitted,
-                    &upstream,
-                    Measure::FirstEvent,
-                    Outcome::Failed,
-                );
+                shared.record_rollout_loss(&admitted, &upstream, Measure::FirstEvent);
                 shared.record_failure(&admitted.service, &upstream.id, &reason);
                 let message = format!("{}: {reason}", upstream.id);
                 return admitted.refuse(shared, &Refusal::unknown(Code::UpstreamFailed, message));
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -154,10 +154,9 @@
                 && !self.will_continue()
             {
                 let upstream = &self.running.upstream.id;
-                if !self.running.connection.has_lost_carrier() {
-                    self.shared
-                        .record_crash(self.admitted.fingerprint, upstream);
-                }
+                let connection = &self.running.connection;
+                self.shared
+                    .record_crash(self.admitted.fingerprint, upstream, connection);
                 return self.fail(&reason);
             }
         }
@@ -327,7 +326,9 @@
     fn fail(&mut self, reason: &str) -> Option<Result<Bytes, StreamAborted>> {
         self.ended = true;
         let id = self.running.upstream.id.clone();
-        self.record_outcome(Measure::Pace, Outcome::Failed);
+        let upstream = &self.running.upstream;
+        self.shared
+            .record_rollout_loss(&self.admitted, upstream, Measure::Pace);
         self.shared
             .record_failure(&self.admitted.service, &id, reason);
         telemetry::count_of_service(Metric::StreamsLostTotal, &self.admitted.service);
--- a/tests/cutofflinks/mod.rs
+++ b/tests/cutofflinks/mod.rs
@@ -330,3 +330,62 @@
             .all(|host| host.lines.of("ConnectionCarried").is_empty())
     );
 }
+
+// Guards against sound upstreams lost to hosts in touch: a cut host told them that it couldn't connect to any.
+#[test]
+fn a_host_without_links_takes_no_upstream_from_the_others() {
+    let hosts = start_fleet(route("once"), &start_upstreams());
+    for cut in [Cut::Reset, Cut::Silent] {
+        hosts[1].links.cut(cut);
+        ask_for(&hosts[1], Duration::from_millis(1_500));
+        hosts[1].links.heal();
+        assert!(wait_until(|| is_in_reach(&hosts[1])));
+    }
+
+    let told = hosts.iter().flat_map(|host| host.lines.of("UpstreamLost"));
+    let told: Vec<Value> = told.filter(|entry| entry.get("source").is_some()).collect();
+    assert_eq!(told, Vec::<Value>::new());
+}
+
+// Guards against harmless requests held back by all hosts: a reset of a host's links looks like crashes of all its
+// upstreams.
+#[test]
+fn requests_that_ran_as_a_hosts_links_broke_are_not_taken_for_crashing_upstreams() {
+    let upstreams: Vec<FakeUpstream> = ["up-0", "up-1", "up-2", "up-3", "up-4"]
+        .map(|name| FakeUpstream::start(name, &[Behaviour::Mute]))
+        .into();
+    let hosts = start_fleet(route("once"), &upstreams);
+    let callers: Vec<Caller> = (0..10)
+        .map(|_| {
+            let mut caller = Caller::connect(hosts[1].callers());
+            caller.send(post("/nets/7", "", "tighten"));
+            caller
+        })
+        .collect();
+    assert!(wait_until(|| sum_seen(&upstreams) == callers.len()));
+    for upstream in &upstreams {
+        upstream.behave_as(Behaviour::Answer(200, "sound"));
+    }
+
+    hosts[1].links.cut(Cut::Reset);
+    let failed: Vec<u16> = callers
+        .into_iter()
+        .map(|mut caller| caller.read().status)
+        .collect();
+    assert!(
+        wait_until(|| ask_one(&hosts[1]).status == 200),
+        "{}",
+        hosts[1].last_lines(8)
+    );
+
+    assert!(failed.iter().all(|status| *status == 502), "{failed:?}");
+    let statuses: Vec<u16> = (0..HOSTS * 5)
+        .map(|index| ask_one(&hosts[index % HOSTS]).status)
+        .collect();
+    assert_eq!(statuses, [200; HOSTS * 5]);
+    assert!(
+        hosts
+            .iter()
+            .all(|host| host.lines.of("RequestSuspected").is_empty())
+    );
+}
