Don't take a version for slow by less than a network round trip

The test now prints what the hosts logged.

Cause, from these lines: "21 of 117 answers of the new version are bad, 80 of 1717 of the others". An answer is bad if it takes over 2.5 times the others' mean. Here the mean was 0.04 ms, on connections that were open; calls to the version on trial, which gets a tenth of the requests, mostly opened new ones and took 0.1 to 0.4 ms.

Change: means count as 10 ms at least, as for the speeds of upstreams.

A unit test with these times fails without it.

--- a/src/gateway/rollouts/evidence.rs
+++ b/src/gateway/rollouts/evidence.rs
@@ -29,6 +29,9 @@
 const PEER_EVIDENCE_TTL: Duration = Duration::from_millis(4_000);
 /// An answer that takes longer than this multiple of the others' mean is bad.
 const SLOW_FACTOR: f64 = 2.5;
+/// Shorter means count as this long: what short answers take differs by the network and by whether a connection
+/// was open, and a version on trial, which gets few requests, mostly opens new ones.
+const MEAN_TIME_MIN: Duration = Duration::from_millis(10);
 /// Answers of all hosts to a route that its mean has to rest on.
 const BASELINE_ANSWERS_MIN: u32 = 6;
 /// A version is bad if the p-value of its bad answers is below this.
@@ -132,6 +135,7 @@
 
     fn is_slow(&self, time: Duration) -> bool {
         let mean_us = self.sum_us as f64 / f64::from(self.answers.max(1));
+        let mean_us = mean_us.max(MEAN_TIME_MIN.as_micros() as f64);
         self.answers >= BASELINE_ANSWERS_MIN && time.as_micros() as f64 > mean_us * SLOW_FACTOR
     }
 }
--- a/src/gateway/rollouts/evidence/tests.rs
+++ b/src/gateway/rollouts/evidence/tests.rs
@@ -87,6 +87,15 @@
     assert!(!is_bad(&old, &[took(80); 40], 4));
 }
 
+// Guards against a sound version being reverted: its calls opened new connections, those of the others didn't.
+#[test]
+fn a_version_that_is_slower_by_less_than_a_network_round_trip_is_not_bad() {
+    let old = [Outcome::Took(Duration::from_micros(40)); 100];
+    let new = [Outcome::Took(Duration::from_micros(400)); 40];
+
+    assert!(!is_bad(&old, &new, 4));
+}
+
 // Guards against a single faulty upstream getting its whole version reverted.
 #[test]
 fn bad_answers_of_one_upstream_do_not_make_its_version_bad() {
--- a/tests/rollouts/mod.rs
+++ b/tests/rollouts/mod.rs
@@ -97,6 +97,16 @@
         reported.iter().map(state).collect()
     }
 
+    /// What the hosts logged of the rollout, and their last lines.
+    fn explain(&self) -> String {
+        let of_host = |host: &World| {
+            let names = ["RolloutOrdered", "RolloutStep", "RolloutTold"];
+            let events: Vec<Value> = names.iter().flat_map(|name| host.lines.of(name)).collect();
+            format!("{events:#?}\n{}", host.last_lines(LINES_SHOWN))
+        };
+        self.hosts.iter().map(of_host).collect()
+    }
+
     fn requests_to_new(&self) -> usize {
         self.new.iter().map(|upstream| upstream.seen().len()).sum()
     }
@@ -113,7 +123,13 @@
     let seen = deployment.requests_to_new();
     deployment.request_from_each(50);
 
-    assert_eq!(deployment.reported_states(), ["running", "reverted"]);
+    let reported = deployment.reported_states();
+    assert_eq!(
+        reported,
+        ["running", "reverted"],
+        "{}",
+        deployment.explain()
+    );
     assert!(
         seen <= deployment.requests_sent / 10 + SLACK,
         "the bad version got {seen} of {} requests",
@@ -165,7 +181,12 @@
     let before = deployment.requests_to_new();
     deployment.request_from_each(20);
 
-    assert_eq!(reported, ["running", "complete"]);
+    assert_eq!(
+        reported,
+        ["running", "complete"],
+        "{}",
+        deployment.explain()
+    );
     assert_eq!(deployment.requests_to_new() - before, 60);
 }
 
