Keep the rejections of brittle upstreams below the rate that they name

An upstream that names Server-Brittle falls over if all hosts together make it turn away more than that many requests a second; how many it lets wait shrinks without a notice.

Change: each host has a window of unanswered requests at such an upstream. The windows of all hosts begin at about its slots, halve with a rejection and grow without one; after a rejection a host pauses for its part of the named rate, and none sends while the rejections that hosts tell each other have used it up (brittle). Limits of both kinds are told and forgotten alike (upstreamlimits). A call waits up to a quarter of its objective for one of its host's own requests to be answered; what can't be sent is refused at once.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,6 +7,7 @@
 
 pub mod admit;
 pub(crate) mod attempts;
+pub mod brittle;
 pub mod call;
 pub mod cold;
 pub mod configfetch;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -22,6 +22,7 @@
 use crate::gateway::exchange::SendError;
 use crate::gateway::forward;
 use crate::gateway::forward::AttemptHeaders;
+use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Need;
 use crate::gateway::refuse;
 use crate::gateway::rollouts::evidence::Measure;
@@ -29,6 +30,7 @@
 use crate::gateway::route::RouteKind;
 use crate::gateway::serve::Admitted;
 use crate::gateway::serve::WorkerState;
+use crate::gateway::shared::Hold;
 use crate::gateway::shared::Shared;
 use crate::gateway::speeds::Work;
 use crate::gateway::unconfirmed::Evidence;
@@ -43,6 +45,10 @@
 const LAST_CALLS: Duration = Duration::from_millis(1_500);
 /// Shorter calls count as this long for the speed of an upstream: their times differ by network and scheduler.
 const CALL_TIME_MIN: Duration = Duration::from_millis(10);
+/// Share of its objective for which a call waits until upstreams have answered others.
+const ANSWER_WAIT_SHARE: f64 = 0.25;
+/// How often a call that waits looks for an upstream.
+const ANSWER_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time before the deadline at which the gateway answers by itself.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(5);
 
@@ -115,8 +121,7 @@
         if let Some(refusal) = shared.refuse_suspect(&admitted) {
             return held_back(shared, &admitted, may_have_run, refusal);
         }
-        let Some(candidate) = admitted.choose_upstream(shared, Need::Slot, tries.upstreams())
-        else {
+        let Some(candidate) = choose_upstream(shared, &admitted, &tries).await else {
             return exhausted(shared, &admitted, may_have_run, tries.len(), failure);
         };
         let upstream = candidate.upstream;
@@ -169,6 +174,24 @@
     }
 }
 
+/// Chooses an upstream. While all that are left first have to answer other requests of this host, waits for that.
+async fn choose_upstream(
+    shared: &Shared,
+    admitted: &Admitted,
+    tries: &Attempts,
+) -> Option<Candidate> {
+    let wait_max = admitted.route.objective.mul_f64(ANSWER_WAIT_SHARE);
+    loop {
+        let chosen = admitted.choose_upstream(shared, Need::Slot, tries.upstreams());
+        let may_wait = admitted.arrived.elapsed() < wait_max
+            && shared.service_hold(&admitted.service) == Some(Hold::UntilAnswer);
+        if chosen.is_some() || !may_wait {
+            return chosen;
+        }
+        tokio::time::sleep(ANSWER_POLL_INTERVAL).await;
+    }
+}
+
 /// An upstream's own failure, kept for the case that no other attempt does better.
 type FailedAnswer = (Arc<Upstream>, WholeAnswer);
 
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -10,6 +10,7 @@
 
 use crate::error::Error;
 use crate::error::Result;
+use crate::gateway::brittle::AnnouncedRejections;
 use crate::gateway::directory::Change;
 use crate::gateway::evacuations::AnnouncedEvacuations;
 use crate::gateway::failurerates::ServiceCalls;
@@ -141,6 +142,8 @@
     pub failures: Option<Vec<ServiceCalls>>,
     /// Limits that upstreams name, or no longer name.
     pub limits: Vec<AnnouncedLimit>,
+    /// Requests of the sender that brittle upstreams turned away.
+    pub rejections: Vec<AnnouncedRejections>,
     /// Speeds of upstreams that the sender observed itself.
     pub speeds: Vec<AnnouncedSpeed>,
     /// Requests during which upstreams crashed.
@@ -190,6 +193,7 @@
             unreachable: Vec::new(),
             failures: None,
             limits: Vec::new(),
+            rejections: Vec::new(),
             speeds: Vec::new(),
             suspects: Vec::new(),
             hosts: Vec::new(),
--- a/src/gateway/datagram/tests.rs
+++ b/src/gateway/datagram/tests.rs
@@ -13,6 +13,7 @@
 use crate::gateway::speeds::Speeds;
 use crate::gateway::speeds::Work;
 use crate::gateway::upstreamlimits::AnnouncedLimit;
+use crate::gateway::upstreamlimits::Bound;
 use crate::id::DataCentre;
 use crate::id::HostId;
 use crate::id::ServiceId;
@@ -30,7 +31,8 @@
     };
     let limit = |index| AnnouncedLimit {
         upstream: instance(index).key(),
-        requests_per_s: Some(3.4),
+        bound: Bound::Requests,
+        per_s: Some(3.4),
         age_ms: 250,
         is_relayed: false,
     };
--- a/src/gateway/gossip/receiving.rs
+++ b/src/gateway/gossip/receiving.rs
@@ -89,6 +89,7 @@
         shared.receive_failures(&datagram.host, datagram.failures);
     }
     shared.receive_limits(datagram.host.as_str(), &datagram.limits);
+    shared.brittle(|brittle| brittle.receive(now, &datagram.host, &datagram.rejections));
     shared.receive_speeds(&datagram.host, &datagram.speeds);
     shared.receive_suspects(datagram.host.as_str(), &datagram.suspects);
     let announced = AnnouncedPosition {
--- a/src/gateway/gossip/remote.rs
+++ b/src/gateway/gossip/remote.rs
@@ -155,7 +155,7 @@
         for (data_centre, partners) in partners {
             let loads = shared.local_loads(&data_centre);
             let evidence = shared.rollout_evidence(|evidences| evidences.announce_data_centre(now));
-            let limits = shared.upstream_limits(|limits| limits.announce_data_centre(now));
+            let limits = shared.announced_limits_of_data_centre(now);
             let datagram = datagram.with_summary(loads, evidence, limits);
             send(socket, &encode(datagram), &partners).await;
         }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -349,6 +349,12 @@
         remote.map(move |(_, report)| now.since(report.received_at))
     }
 
+    /// The live hosts of all data centres, as far as each is heard itself.
+    pub(crate) fn live(&self, now: Time) -> Vec<HostId> {
+        let live = self.live_reports(now);
+        live.map(|report| report.host.clone()).collect()
+    }
+
     /// The live hosts of this data centre.
     pub(crate) fn live_local(&self, now: Time) -> Vec<HostId> {
         let live = self.live_reports_in(now, &self.data_centre);
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -259,6 +259,10 @@
     /// headers of a response. Returns `None` if they name no limit.
     fn request_limit(&self, headers: &HeaderMap) -> Option<f64>;
 
+    /// Reads how many requests a second an upstream bears to turn away for want of room, from the headers of a
+    /// response. Returns `None` if any number.
+    fn rejection_limit(&self, headers: &HeaderMap) -> Option<f64>;
+
     /// Reads for how long an upstream that turns a request away wants no other one from this host.
     fn requested_rest(&self, status: StatusCode, headers: &HeaderMap) -> Option<Duration>;
 
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -78,6 +78,9 @@
 /// Factor by which the retry delay of callers is spread while upstreams take no more requests. All would
 /// otherwise come back for the same next request that may be sent.
 const HOLD_RETRY_SPREAD: f64 = 2.0;
+/// Retry delay, before it is spread, of callers whose upstreams first have to answer other requests of this host: some
+/// calls take as long.
+const ANSWER_RETRY_AFTER: Duration = Duration::from_millis(100);
 /// Longest retry delay while upstreams take no more requests, before it is spread: the load balancer sends the
 /// retry to another host, which may be allowed to send sooner.
 const HOLD_RETRY_AFTER_MAX: Duration = Duration::from_secs(1);
@@ -280,6 +283,8 @@
     match hold {
         Hold::For(time) => refusal(format!("no more for {} ms", time.as_millis()))
             .retry_after_ms(hold_retry_after_ms(time, rand::random())),
+        Hold::UntilAnswer => refusal("no more before they answer".to_owned())
+            .retry_after_ms(hold_retry_after_ms(ANSWER_RETRY_AFTER, rand::random())),
         Hold::NoShare => refusal("no more from this host".to_owned()),
     }
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -20,6 +20,7 @@
 use crate::clock::Time;
 use crate::ejection::Ejector;
 use crate::gate::Gate;
+use crate::gateway::brittle::BrittleUpstreams;
 use crate::gateway::cold::ColdBudget;
 use crate::gateway::connection::Connector;
 use crate::gateway::contact::UpstreamContact;
@@ -56,6 +57,7 @@
 use crate::gateway::tunnel::carrier::CarrierLimits;
 use crate::gateway::tunnel::carriers::FailedCarriers;
 use crate::gateway::unconfirmed::UnconfirmedEvidence;
+use crate::gateway::upstreamlimits::Bound;
 use crate::gateway::upstreamlimits::UpstreamLimits;
 use crate::id::ServiceId;
 
@@ -128,6 +130,8 @@
     speeds: Mutex<Speeds>,
     cold_budget: Mutex<ColdBudget>,
     upstream_limits: Mutex<UpstreamLimits>,
+    rejection_limits: Mutex<UpstreamLimits>,
+    brittle: Mutex<BrittleUpstreams>,
     rests: Mutex<Rests>,
     suspects: Mutex<Suspects>,
     evidence: Mutex<EvidenceStore>,
@@ -194,7 +198,9 @@
             reported_loads: Mutex::default(),
             speeds: Mutex::default(),
             cold_budget: Mutex::default(),
-            upstream_limits: Mutex::new(UpstreamLimits::new(rand::random())),
+            upstream_limits: Mutex::new(UpstreamLimits::new(Bound::Requests, rand::random())),
+            rejection_limits: Mutex::new(UpstreamLimits::new(Bound::Rejections, rand::random())),
+            brittle: Mutex::new(BrittleUpstreams::new(rand::random())),
             rests: Mutex::default(),
             suspects: Mutex::default(),
             evidence: Mutex::default(),
--- a/src/gateway/shared/health.rs
+++ b/src/gateway/shared/health.rs
@@ -255,6 +255,7 @@
             let now = self.now();
             lock(&self.0.failure_rates).record_send(now, upstream, hosts);
         }
+        self.brittle(|brittle| brittle.begin(upstream.key()));
         SendGuard {
             shared: self.clone(),
             upstream: upstream.clone(),
@@ -411,5 +412,6 @@
     fn drop(&mut self) {
         let upstream = &self.upstream;
         self.shared.ejector(|ejector| ejector.abandoned(upstream));
+        self.shared.brittle(|brittle| brittle.end(upstream.key()));
     }
 }
--- a/src/gateway/shared/limits.rs
+++ b/src/gateway/shared/limits.rs
@@ -1,23 +1,28 @@
-//! Limits on the requests that this host sends to cold upstreams, to those that name a limit and to those that
-//! asked for rest.
+//! Limits on the requests that this host sends to cold upstreams, to those that name a limit or are brittle, and to
+//! those that asked for rest.
 
+use std::sync::MutexGuard;
 use std::time::Duration;
 
-use http::HeaderMap;
+use http::StatusCode;
 use http::response::Parts;
 
 use super::Shared;
 use super::lock;
 use crate::clock::Time;
 use crate::event::EventCode;
+use crate::gateway::brittle::BrittleUpstreams;
+use crate::gateway::brittle::Share;
 use crate::gateway::cold::ColdUpstream;
 use crate::gateway::directory::Upstream;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::senders::Sender;
 use crate::gateway::upstreamlimits;
 use crate::gateway::upstreamlimits::AnnouncedLimit;
+use crate::gateway::upstreamlimits::Bound;
 use crate::gateway::upstreamlimits::LimitedUpstream;
 use crate::gateway::upstreamlimits::UpstreamLimits;
+use crate::id::HostId;
 use crate::id::ServiceId;
 
 /// Why an upstream that is ready gets no request of this host for now.
@@ -25,6 +30,8 @@
 pub(crate) enum Hold {
     /// It may get the next one after this time.
     For(Duration),
+    /// It may get the next one once one of this host is answered.
+    UntilAnswer,
     /// Other hosts share the limit that it names.
     NoShare,
 }
@@ -41,7 +48,9 @@
     }
 
     fn has_holds(&self) -> bool {
-        !lock(&self.0.upstream_limits).is_empty() || !lock(&self.0.rests).is_empty()
+        !lock(&self.0.upstream_limits).is_empty()
+            || !lock(&self.0.rejection_limits).is_empty()
+            || !lock(&self.0.rests).is_empty()
     }
 
     /// Records a request sent to an upstream.
@@ -88,9 +97,14 @@
         })
     }
 
-    /// Whether an upstream gets no request of this host for now: it asked for rest, or this host's share of the
+    /// Whether an upstream gets no request of this host for now: it asked for rest, or this host's share of a
     /// limit that it names has no room.
     pub(crate) fn hold(&self, now: Time, upstream: &Upstream) -> Option<Hold> {
+        self.rate_hold(now, upstream)
+            .max(self.brittle_hold(now, upstream))
+    }
+
+    fn rate_hold(&self, now: Time, upstream: &Upstream) -> Option<Hold> {
         let rest = lock(&self.0.rests).remaining(now, &upstream.id);
         let Some(host_per_s) = self.limit_share(now, upstream) else {
             return rest.map(Hold::For);
@@ -103,6 +117,32 @@
         rest.max(wait).map(Hold::For)
     }
 
+    /// Whether a brittle upstream gets no request of this host for now.
+    fn brittle_hold(&self, now: Time, upstream: &Upstream) -> Option<Hold> {
+        let rejections_per_s = lock(&self.0.rejection_limits).get(upstream.id.key())?;
+        let Some(share) = self.brittle_share(now, upstream) else {
+            return Some(Hold::NoShare);
+        };
+        let key = upstream.id.key();
+        match lock(&self.0.brittle).wait(now, key, share, rejections_per_s) {
+            Some(wait) if wait.is_zero() => None,
+            Some(wait) => Some(Hold::For(wait)),
+            None => Some(Hold::UntilAnswer),
+        }
+    }
+
+    /// This host's share in what a brittle upstream takes. In a small fleet all hosts share it, in a large one those
+    /// of its data centre.
+    fn brittle_share(&self, now: Time, upstream: &Upstream) -> Option<Share> {
+        let share = |sender: &Sender<'_>| Share::of(sender, &upstream.id, upstream.slots);
+        if self.is_small_fleet() {
+            let hosts = self.peers(|peers| peers.live(now));
+            return self.with_sender_among(now, &hosts, share);
+        }
+        let is_local = upstream.data_centre == self.settings().data_centre;
+        is_local.then(|| self.with_sender(now, share)).flatten()
+    }
+
     /// The shortest hold of a ready upstream of a service, if any is held.
     pub(crate) fn service_hold(&self, service: &ServiceId) -> Option<Hold> {
         if !self.has_holds() {
@@ -123,7 +163,20 @@
     /// Records what an answer of an upstream says of the upstream itself.
     pub(crate) fn record_answer(&self, upstream: &InstanceId, head: &Parts) {
         self.record_reported_load(upstream, &head.headers);
-        self.record_limit(upstream, &head.headers);
+        let protocol = self.protocol();
+        self.record_limit(
+            upstream,
+            Bound::Requests,
+            protocol.request_limit(&head.headers),
+        );
+        self.record_limit(
+            upstream,
+            Bound::Rejections,
+            protocol.rejection_limit(&head.headers),
+        );
+        if self.is_rejection(head) {
+            self.record_rejection(upstream);
+        }
         if self.protocol().says_leaving(&head.headers) {
             self.observe_leaving(upstream, "its answer");
         }
@@ -132,6 +185,43 @@
         }
     }
 
+    /// Whether an upstream has turned a request away for want of room.
+    fn is_rejection(&self, head: &Parts) -> bool {
+        let not_run = &self.protocol().headers().not_run;
+        head.status == StatusCode::SERVICE_UNAVAILABLE && head.headers.contains_key(not_run)
+    }
+
+    /// Records that an upstream turned a request of this host away, if it is brittle.
+    fn record_rejection(&self, upstream: &InstanceId) {
+        let now = self.now();
+        let Some(rejections_per_s) = lock(&self.0.rejection_limits).get(upstream.key()) else {
+            return;
+        };
+        let Some(listed) = self.directory(|directory| directory.get(upstream).cloned()) else {
+            return;
+        };
+        let Some(share) = self.brittle_share(now, &listed) else {
+            return;
+        };
+        let mut brittle = lock(&self.0.brittle);
+        let (window, pause) =
+            brittle.record_rejection(now, upstream.key(), share, rejections_per_s);
+        let entry = self.log().entry(EventCode::UpstreamRejects);
+        entry
+            .with("upstream", upstream.as_str())
+            .with("bears_per_s", rejections_per_s)
+            .with("hosts", share.hosts)
+            .with("window", window)
+            .with("pause_ms", pause.as_millis() as u64)
+            .write();
+        self.announce_now();
+    }
+
+    /// Runs `use_brittle` on the locked windows at brittle upstreams.
+    pub(crate) fn brittle<T>(&self, use_brittle: impl FnOnce(&mut BrittleUpstreams) -> T) -> T {
+        use_brittle(&mut lock(&self.0.brittle))
+    }
+
     /// Records that an upstream asked this host for a time without requests.
     fn record_rest(&self, upstream: &InstanceId, rest: Duration) {
         let now = self.now();
@@ -158,28 +248,57 @@
     }
 
     fn with_sender<T>(&self, now: Time, use_sender: impl FnOnce(&Sender<'_>) -> T) -> T {
-        let settings = self.settings();
         let peers = self.peers(|peers| peers.live_local(now));
+        self.with_sender_among(now, &peers, use_sender)
+    }
+
+    fn with_sender_among<T>(
+        &self,
+        now: Time,
+        peers: &[HostId],
+        use_sender: impl FnOnce(&Sender<'_>) -> T,
+    ) -> T {
+        let settings = self.settings();
         use_sender(&Sender {
             host: &settings.host,
             data_centre: &settings.data_centre,
-            peers: &peers,
+            peers,
             uptime: Duration::from_micros(now.as_us()),
         })
     }
 
-    /// Records the limit that an upstream names in the headers of an answer, or that it names none.
-    fn record_limit(&self, upstream: &InstanceId, headers: &HeaderMap) {
-        let requests_per_s = self.protocol().request_limit(headers);
+    fn limits(&self, bound: Bound) -> MutexGuard<'_, UpstreamLimits> {
+        match bound {
+            Bound::Requests => lock(&self.0.upstream_limits),
+            Bound::Rejections => lock(&self.0.rejection_limits),
+        }
+    }
+
+    /// The limits that this host announces to the others of its data centre.
+    pub(crate) fn announced_limits(&self, now: Time) -> Vec<AnnouncedLimit> {
+        let announced =
+            [Bound::Requests, Bound::Rejections].map(|bound| self.limits(bound).announce_host(now));
+        announced.concat()
+    }
+
+    /// The limits that this host announces to other data centres.
+    pub(crate) fn announced_limits_of_data_centre(&self, now: Time) -> Vec<AnnouncedLimit> {
+        let announced = [Bound::Requests, Bound::Rejections]
+            .map(|bound| self.limits(bound).announce_data_centre(now));
+        announced.concat()
+    }
+
+    /// Records the limit that an upstream names in an answer, or that it names none.
+    fn record_limit(&self, upstream: &InstanceId, bound: Bound, per_s: Option<f64>) {
         let now = self.now();
-        let change =
-            lock(&self.0.upstream_limits).record_answer(now, upstream.key(), requests_per_s);
+        let change = self.limits(bound).record_answer(now, upstream.key(), per_s);
         if let Some(change) = change {
             let entry = self.log().entry(EventCode::UpstreamLimited);
             entry
                 .with("upstream", upstream.as_str())
                 .with("change", change.name())
-                .with_some("limit_per_s", requests_per_s)
+                .with("bound", bound.name())
+                .with_some("limit_per_s", per_s)
                 .with("source", "answer")
                 .write();
             self.announce_now();
@@ -190,7 +309,7 @@
     pub(crate) fn receive_limits(&self, host: &str, announced: &[AnnouncedLimit]) {
         let now = self.now();
         for announced in announced {
-            let change = lock(&self.0.upstream_limits).receive(now, announced);
+            let change = self.limits(announced.bound).receive(now, announced);
             let Some(change) = change else {
                 continue;
             };
@@ -203,7 +322,8 @@
                     upstream.as_ref().map(|upstream| upstream.id.as_str()),
                 )
                 .with("change", change.name())
-                .with_some("limit_per_s", announced.requests_per_s)
+                .with("bound", announced.bound.name())
+                .with_some("limit_per_s", announced.per_s)
                 .with("source", host)
                 .with("age_ms", announced.age_ms)
                 .write();
@@ -219,6 +339,8 @@
     pub(crate) fn expire_limits(&self) {
         let now = self.now();
         lock(&self.0.upstream_limits).expire(now);
+        lock(&self.0.rejection_limits).expire(now);
+        lock(&self.0.brittle).expire(now);
         lock(&self.0.rests).expire(now);
     }
 }
--- a/src/gateway/upstreamlimits.rs
+++ b/src/gateway/upstreamlimits.rs
@@ -1,4 +1,5 @@
-//! Request rates that overloaded upstreams name in their answers, for all hosts together.
+//! Rates that upstreams name in their answers, for all hosts together: of requests that an overloaded upstream
+//! takes, and of requests that a brittle one bears to turn away ([`crate::gateway::brittle`]).
 //!
 //! As many hosts of the upstream's data centre share its limit as it takes requests a second, or all of
 //! them if there are fewer ([`Sender`]); the other hosts send elsewhere. A host sends at its share of the
@@ -37,13 +38,34 @@
 /// Answers overtake each other, and ages of announcements don't include the time that they travel.
 const LIFT_MARGIN: Duration = Duration::from_secs(1);
 
+/// What a named rate bounds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Bound {
+    /// Requests that the upstream takes.
+    Requests,
+    /// Requests that it bears to turn away.
+    Rejections,
+}
+
+impl Bound {
+    /// The name in log entries.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Bound::Requests => "requests",
+            Bound::Rejections => "rejections",
+        }
+    }
+}
+
 /// The last mention of an upstream's limit, or of its end, as hosts announce it to each other.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct AnnouncedLimit {
     /// The upstream.
     pub upstream: InstanceKey,
-    /// Requests a second that it takes from all hosts together; `None` if it no longer names a limit.
-    pub requests_per_s: Option<f64>,
+    /// What the limit bounds.
+    pub bound: Bound,
+    /// The limit a second for all hosts together; `None` if it no longer names one.
+    pub per_s: Option<f64>,
     /// Time since the answer that told so, in milliseconds.
     pub age_ms: u32,
     /// Whether the answer went to another host than the sender.
@@ -99,7 +121,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Observation {
     at: Time,
-    requests_per_s: Option<f64>,
+    per_s: Option<f64>,
     source: Source,
 }
 
@@ -167,17 +189,19 @@
         && rendezvous::is_first(own.as_str(), others, upstream.id.as_str())
 }
 
-/// The limits of all upstreams that name one, and the use that this host makes of its shares.
+/// The limits of one kind of all upstreams that name one, and the use that this host makes of its shares.
 #[derive(Debug)]
 pub(crate) struct UpstreamLimits {
+    bound: Bound,
     entries: HashMap<InstanceKey, Entry>,
     ttl: Duration,
 }
 
 impl UpstreamLimits {
     /// Knows no limits yet. `draw` is a random number from 0 to 1.
-    pub(crate) fn new(draw: f64) -> Self {
+    pub(crate) fn new(bound: Bound, draw: f64) -> Self {
         UpstreamLimits {
+            bound,
             entries: HashMap::new(),
             ttl: LIMIT_TTL_MIN + (LIMIT_TTL_MAX - LIMIT_TTL_MIN).mul_f64(draw),
         }
@@ -188,11 +212,11 @@
         &mut self,
         now: Time,
         upstream: InstanceKey,
-        requests_per_s: Option<f64>,
+        per_s: Option<f64>,
     ) -> Option<LimitChange> {
         let observation = Observation {
             at: now,
-            requests_per_s,
+            per_s,
             source: Source::Answer,
         };
         self.apply(upstream, observation)
@@ -204,7 +228,7 @@
         let age_us = u64::from(announced.age_ms) * 1_000;
         let observation = Observation {
             at: Time::from_us(now.as_us().saturating_sub(age_us)),
-            requests_per_s: announced.requests_per_s,
+            per_s: announced.per_s,
             source: match announced.is_relayed {
                 false => Source::Peer,
                 true => Source::Relay,
@@ -223,8 +247,7 @@
         match self.entries.get_mut(&upstream) {
             Some(entry) => {
                 let before = entry.last;
-                let change =
-                    LimitChange::between(before.requests_per_s, observation.requests_per_s);
+                let change = LimitChange::between(before.per_s, observation.per_s);
                 let is_recent = observation.at.since(before.at) < LIFT_MARGIN;
                 if change == Some(LimitChange::Lifted) && is_recent {
                     return None;
@@ -233,7 +256,7 @@
                 change
             }
             None => {
-                observation.requests_per_s?;
+                observation.per_s?;
                 let entry = Entry {
                     last: observation,
                     advance: Advance {
@@ -268,16 +291,17 @@
         recent.truncate(ANNOUNCED_MAX);
         let announced = recent.into_iter().map(|(upstream, last)| AnnouncedLimit {
             upstream: *upstream,
-            requests_per_s: last.requests_per_s,
+            bound: self.bound,
+            per_s: last.per_s,
             age_ms: u32::try_from(now.since(last.at).as_millis()).unwrap_or(u32::MAX),
             is_relayed: last.source != Source::Answer,
         });
         announced.collect()
     }
 
-    /// Requests a second that an upstream takes from all hosts together, if it names a limit.
+    /// The limit a second that an upstream names for all hosts together, if it names one.
     pub(crate) fn get(&self, upstream: InstanceKey) -> Option<f64> {
-        self.entries.get(&upstream)?.last.requests_per_s
+        self.entries.get(&upstream)?.last.per_s
     }
 
     /// Time until this host may send to a limited upstream at a rate of `host_per_s`; zero if it may now, and
@@ -308,9 +332,7 @@
     /// Number of upstreams that name a limit.
     pub(crate) fn count(&self) -> usize {
         let limits = self.entries.values();
-        limits
-            .filter(|entry| entry.last.requests_per_s.is_some())
-            .count()
+        limits.filter(|entry| entry.last.per_s.is_some()).count()
     }
 
     /// Whether no upstream names a limit, so that callers can skip the look-ups.
@@ -322,7 +344,7 @@
     pub(crate) fn expire(&mut self, now: Time) {
         let ttl = self.ttl;
         self.entries.retain(|_, entry| {
-            let ttl = match entry.last.requests_per_s {
+            let ttl = match entry.last.per_s {
                 Some(_) => ttl,
                 None => ANNOUNCEMENT_TTL,
             };
--- a/src/gateway/upstreamlimits/tests.rs
+++ b/src/gateway/upstreamlimits/tests.rs
@@ -7,6 +7,7 @@
 use super::ANNOUNCED_MAX;
 use super::ANNOUNCEMENT_TTL;
 use super::AnnouncedLimit;
+use super::Bound;
 use super::LIMIT_TTL_MAX;
 use super::LIMIT_TTL_MIN;
 use super::LimitChange;
@@ -70,10 +71,11 @@
     hosts.iter().map(rate).collect()
 }
 
-fn announced(requests_per_s: Option<f64>, age: Duration) -> AnnouncedLimit {
+fn announced(per_s: Option<f64>, age: Duration) -> AnnouncedLimit {
     AnnouncedLimit {
         upstream: key(),
-        requests_per_s,
+        bound: Bound::Requests,
+        per_s,
         age_ms: age.as_millis() as u32,
         is_relayed: false,
     }
@@ -84,7 +86,7 @@
 }
 
 fn named(at: Time) -> UpstreamLimits {
-    let mut limits = UpstreamLimits::new(0.0);
+    let mut limits = UpstreamLimits::new(Bound::Requests, 0.0);
     limits.record_answer(at, key(), Some(LIMIT_PER_S));
     limits
 }
@@ -273,7 +275,7 @@
 
 #[test]
 fn answers_name_change_and_lift_a_limit() {
-    let mut limits = UpstreamLimits::new(0.0);
+    let mut limits = UpstreamLimits::new(Bound::Requests, 0.0);
     let answers = [None, Some(2.0), Some(2.0), Some(3.0), None, None];
 
     let changes: Vec<Option<LimitChange>> = (60..)
@@ -306,7 +308,7 @@
 #[test]
 fn a_host_takes_over_limits_that_others_were_told() {
     let teller = named(seconds(60));
-    let mut limits = UpstreamLimits::new(0.0);
+    let mut limits = UpstreamLimits::new(Bound::Requests, 0.0);
 
     let told = teller.announce_host(seconds(61));
     let change = limits.receive(seconds(5), &told[0]);
@@ -318,8 +320,8 @@
 
 #[test]
 fn a_mention_is_relayed_once_and_only_while_it_is_recent() {
-    let mut first = UpstreamLimits::new(0.0);
-    let mut second = UpstreamLimits::new(0.0);
+    let mut first = UpstreamLimits::new(Bound::Requests, 0.0);
+    let mut second = UpstreamLimits::new(Bound::Requests, 0.0);
     first.receive(seconds(60), &announced(Some(2.0), Duration::ZERO));
 
     let relayed = first.announce_data_centre(seconds(60));
@@ -358,7 +360,7 @@
 
 #[test]
 fn a_limit_that_nobody_mentions_is_forgotten_by_each_host_at_its_own_time() {
-    let mut limits = [0.0, 1.0].map(UpstreamLimits::new);
+    let mut limits = [0.0, 1.0].map(|draw| UpstreamLimits::new(Bound::Requests, draw));
     for limits in &mut limits {
         limits.record_answer(seconds(60), key(), Some(LIMIT_PER_S));
         limits.expire(seconds(60) + LIMIT_TTL_MIN);
@@ -371,7 +373,7 @@
 
 #[test]
 fn the_newest_mentions_are_announced() {
-    let mut limits = UpstreamLimits::new(0.0);
+    let mut limits = UpstreamLimits::new(Bound::Requests, 0.0);
     for index in 0..ANNOUNCED_MAX + 3 {
         let at = Time::from_ms(60_000 + index as u64);
         limits.record_answer(at, upstream(index).key(), Some(2.0));
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,5 +1,6 @@
 //! The gateway between raw callers and upstreams that misbehave, without any platform.
 
+mod brittleupstreams;
 mod coldupstreams;
 mod crashingrequests;
 mod cutofflinks;
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -280,6 +280,10 @@
         headers.get("request-limit")?.to_str().ok()?.parse().ok()
     }
 
+    fn rejection_limit(&self, headers: &HeaderMap) -> Option<f64> {
+        headers.get("rejection-limit")?.to_str().ok()?.parse().ok()
+    }
+
     fn generation_size(&self, headers: &HeaderMap) -> Option<GenerationSize> {
         let number = |name| headers.get(name)?.to_str().ok()?.parse().ok();
         Some(GenerationSize {
--- a/tests/gatewayworld/upstream.rs
+++ b/tests/gatewayworld/upstream.rs
@@ -88,6 +88,15 @@
     AfterEvents(u64),
 }
 
+/// An upstream that bears few rejections.
+#[derive(Debug, Clone, Copy)]
+struct Brittle {
+    /// Rejections a second that its answers name.
+    bears_per_s: f64,
+    /// Requests that it takes at the same time.
+    room: usize,
+}
+
 /// What ends an upstream.
 #[derive(Debug, Clone, Copy)]
 struct Deadly {
@@ -109,6 +118,12 @@
     deadly: Option<Deadly>,
     /// Requests a second that its answers name as its limit.
     limit_per_s: Option<f64>,
+    /// What it takes while it is brittle.
+    brittle: Option<Brittle>,
+    /// Requests that are being answered.
+    running: usize,
+    /// When it turned a request away for want of room.
+    rejected: Vec<Instant>,
     dead: bool,
     /// Its open connections by number, which end with it.
     streams: BTreeMap<usize, TcpStream>,
@@ -269,12 +284,41 @@
         self.with(|state| state.limit_per_s = requests_per_s);
     }
 
+    /// From now on its answers say that it bears so many rejections a second, and it takes so many requests at the
+    /// same time.
+    pub fn be_brittle(&self, bears_per_s: f64, room: usize) {
+        self.with(|state| state.brittle = Some(Brittle { bears_per_s, room }));
+    }
+
+    /// When it turned a request away for want of room.
+    pub fn rejected(&self) -> Vec<Instant> {
+        self.with(|state| state.rejected.clone())
+    }
+
+    /// Whether it has room for one more request, which then runs.
+    fn begin_run(&self) -> bool {
+        self.with(|state| {
+            let has_room = state
+                .brittle
+                .is_none_or(|brittle| state.running < brittle.room);
+            match has_room {
+                true => state.running += 1,
+                false => state.rejected.push(Instant::now()),
+            }
+            has_room
+        })
+    }
+
     /// The header lines in which its answers tell its state.
     fn state_headers(&self) -> String {
         let (limit, leaving) = self.with(|state| (state.limit_per_s, state.leaving));
+        let brittle = self.with(|state| state.brittle);
+        let brittle = brittle.map_or(String::new(), |brittle| {
+            format!("rejection-limit: {}\r\n", brittle.bears_per_s)
+        });
         let limit = limit.map_or(String::new(), |limit| format!("request-limit: {limit}\r\n"));
         let leaving = if leaving { "leaving: 1\r\n" } else { "" };
-        limit + leaving
+        limit + leaving + &brittle
     }
 
     fn serve(&self, stream: TcpStream) {
@@ -334,7 +378,15 @@
                 self.die_under(&mut stream, &head, deadly.death);
                 return;
             }
-            if !self.behave(&mut stream, &head, behaviour) {
+            let goes_on = match self.begin_run() {
+                true => {
+                    let goes_on = self.behave(&mut stream, &head, behaviour);
+                    self.with(|state| state.running -= 1);
+                    goes_on
+                }
+                false => self.turn_away(&stream, ""),
+            };
+            if !goes_on {
                 // Closing both ways, so that the gateway sees the end at once.
                 let _ = stream.shutdown(Shutdown::Both);
                 return;
