--- a/tests/rollouts/mod.rs
+++ b/tests/rollouts/mod.rs
@@ -73,6 +73,17 @@
         }
     }
 
+    /// Lists the new version's upstreams, and sends requests until one reaches them.
+    fn list_without_order(&mut self) {
+        for new in &self.new {
+            self.hosts[0].list(new, "ready");
+        }
+        let deadline = Instant::now() + DURATION;
+        while Instant::now() < deadline && self.requests_to_new() == 0 {
+            self.request_from_each(1);
+        }
+    }
+
     /// Sends requests until the end of the rollout is reported or its time is up.
     fn request_until_ended(&mut self) {
         let deadline = Instant::now() + DURATION;
@@ -142,19 +153,33 @@
 #[test]
 fn a_request_that_a_version_without_order_fails_is_repeated_by_another() {
     let mut deployment = Deployment::start(&Behaviour::Answer(500, "broken"));
-    for new in &deployment.new {
-        deployment.hosts[0].list(new, "ready");
-    }
-
-    let deadline = Instant::now() + DURATION;
-    while Instant::now() < deadline && deployment.requests_to_new() == 0 {
-        deployment.request_from_each(1);
-    }
+    deployment.list_without_order();
     deployment.request_from_each(30);
 
     assert!(deployment.requests_to_new() > 0);
 }
 
+// Guards against callers who get a bad version's answers where hosts read its upstreams long before its order.
+#[test]
+fn a_bad_version_that_is_listed_before_its_order_is_reverted() {
+    let mut deployment = Deployment::start(&Behaviour::Answer(500, "broken"));
+    deployment.list_without_order();
+
+    deployment.order();
+    deployment.request_until_ended();
+    let reported = deployment.reported_states();
+    let seen = deployment.requests_to_new();
+    deployment.request_from_each(50);
+
+    assert_eq!(
+        reported,
+        ["running", "reverted"],
+        "{}",
+        deployment.explain()
+    );
+    assert_eq!(deployment.requests_to_new(), seen);
+}
+
 // Guards against trial requests that go on to upstreams ejected for their failures: their repeats used up
 // the retry budget, so callers got the bad version's answers.
 #[test]
