Pass upstream connections through the tests' cuts only where a test cuts them

All worlds sent their upstream connections through two threads that can cut them, which hand on larger pieces, so hosts held fuller buffers.

--- a/tests/cutofflinks/mod.rs
+++ b/tests/cutofflinks/mod.rs
@@ -44,6 +44,7 @@
 
 /// Has hosts serve one route by these upstreams; returns once they know them and each other.
 fn serve(hosts: &[World], route: Value, upstreams: &[FakeUpstream]) {
+    hosts.iter().for_each(|host| host.links.prepare_cuts());
     for upstream in upstreams {
         hosts[0].list(upstream, "ready");
     }
--- a/tests/gatewayworld/upstreamlinks.rs
+++ b/tests/gatewayworld/upstreamlinks.rs
@@ -34,8 +34,9 @@
 
 #[derive(Debug, Default)]
 struct State {
+    /// Whether connections pass through threads that obey cuts.
+    may_be_cut: bool,
     cut: Option<Cut>,
-    connects: usize,
 }
 
 /// The links of one host; clones share them.
@@ -43,6 +44,11 @@
 pub struct UpstreamLinks(Arc<Mutex<State>>);
 
 impl UpstreamLinks {
+    /// From now on connections are opened so that they can be cut.
+    pub fn prepare_cuts(&self) {
+        self.0.lock().unwrap().may_be_cut = true;
+    }
+
     /// From now on all links are cut.
     pub fn cut(&self, cut: Cut) {
         self.0.lock().unwrap().cut = Some(cut);
@@ -53,18 +59,15 @@
         self.0.lock().unwrap().cut = None;
     }
 
-    /// Connections that the host tried to open.
-    pub fn connects(&self) -> usize {
-        self.0.lock().unwrap().connects
-    }
-
     fn state(&self) -> Option<Cut> {
         self.0.lock().unwrap().cut
     }
 
-    /// Opens a connection whose bytes pass through threads that obey the cut.
+    /// Opens a connection. If it may be cut, its bytes pass through threads that obey the cut.
     async fn open(&self, address: SocketAddr) -> Result<tokio::net::TcpStream> {
-        self.0.lock().unwrap().connects += 1;
+        if !self.0.lock().unwrap().may_be_cut {
+            return tokio::net::TcpStream::connect(address).await;
+        }
         match self.state() {
             None => {}
             Some(Cut::Silent) => std::future::pending().await,
