Show five ways in which a stopping host leaves requests without an answer

Callers of a host that stops saw their connection closed without an answer: calls and generations at silent upstreams, generations that wait for room, short generations that were taken late, and requests whose body came slowly.

The tests play each against the gateway with 4 s of grace. Three more hold what already works: early generations are served, calls are refused at the end of a long drain, and what an upstream ran as the host ended was answered.

The lines RequestStopped that some of them look for at their end don't exist yet.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -18,6 +18,7 @@
 mod rollouts;
 mod sharedqueue;
 mod silentlog;
+mod stoppinghost;
 mod suspendedhost;
 mod upstreamlimits;
 mod upstreamrest;
