Show that a part of prompts crashes upstream after upstream, in requests that differ

What callers saw: requests with one part in their prompts, no two of them alike, ended upstream after upstream at all hosts; sound requests that ran beside them broke off.

Suspected cause, as these tests reproduce it: hosts remember crashes by the content of the whole request. No content comes twice here, so nothing is ever held back.

Change: tests and stand-ins only. The stand-in upstream can crash under a part of a prompt (header `prompt-parts`, never its last part), with its head written or after its first event, and can pace the events of sound streams. `tests/crashingparts` sends a fixed number of crashing requests and of sound ones, which share customer, first and other parts, to the hosts in turn, and checks the users' bounds: at most 3 requests with the part reach upstreams later than 3 s after the fifth crash; from 6 s after it sound ones are served at least half as often as before the fault; until then only those fail whose upstream crashed. Cases: a part in the middle, a first part, two parts at once, 24 hosts, all hosts replaced.

A dead stand-in no longer accounts for requests that it reads afterwards.

--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -2,6 +2,7 @@
 
 mod brittleupstreams;
 mod coldupstreams;
+mod crashingparts;
 mod crashingrequests;
 mod cutofflinks;
 mod evacuation;
--- a/tests/gatewayworld/upstream.rs
+++ b/tests/gatewayworld/upstream.rs
@@ -53,6 +53,17 @@
         break_after: Option<u64>,
         hold_after: Option<u64>,
     },
+    /// The same to its end, with a pause before the head and before each event.
+    PacedEvents { to: u64, pause: Duration },
+}
+
+/// How a stream of events is written.
+struct EventsRun {
+    to: u64,
+    break_after: Option<u64>,
+    hold_after: Option<u64>,
+    /// Before the head and before each event.
+    pause: Duration,
 }
 
 /// A request as an upstream saw it.
@@ -70,6 +81,14 @@
         header(&self.head, name)
     }
 
+    /// Whether its prompt has this part, other than as the last one, which is its own.
+    pub fn shares(&self, part: &str) -> bool {
+        let parts = self.header("prompt-parts").unwrap_or("");
+        let shared = parts.rsplit_once(',').map_or("", |(shared, _)| shared);
+        let ids = shared.split(',').filter_map(|part| part.split_once(':'));
+        ids.into_iter().any(|(id, _)| id == part)
+    }
+
     /// Method and target.
     pub fn line(&self) -> &str {
         let line = self.head.lines().next().unwrap_or("");
@@ -97,11 +116,40 @@
     room: usize,
 }
 
+/// What a request has that crashes the upstream.
+#[derive(Debug, Clone, Copy)]
+enum Cause {
+    /// This body.
+    Body(&'static str),
+    /// One of these parts in its prompt, at any place but the last.
+    Parts(&'static [&'static str]),
+}
+
+impl Cause {
+    /// The body or part by which a request crashes the upstream.
+    fn within(self, request: &Seen) -> Option<&'static str> {
+        match self {
+            Cause::Body(body) => (body.as_bytes() == request.body).then_some(body),
+            Cause::Parts(parts) => parts.iter().copied().find(|part| request.shares(part)),
+        }
+    }
+}
+
 /// What ends an upstream.
 #[derive(Debug, Clone, Copy)]
 struct Deadly {
-    body: &'static str,
+    cause: Cause,
     death: Death,
+    /// Before the head, before each event and before the end.
+    pause: Duration,
+}
+
+/// The end of an upstream's process under a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Crash {
+    pub at: Instant,
+    /// The body or part that caused it.
+    pub cause: &'static str,
 }
 
 #[derive(Default)]
@@ -125,6 +173,7 @@
     /// When it turned a request away for want of room.
     rejected: Vec<Instant>,
     dead: bool,
+    crash: Option<Crash>,
     /// Its open connections by number, which end with it.
     streams: BTreeMap<usize, TcpStream>,
 }
@@ -188,10 +237,39 @@
     /// An upstream of the service `nets` whose process ends under a request with this body.
     pub fn mortal(id: &str, behaviour: Behaviour, body: &'static str, death: Death) -> Self {
         let upstream = FakeUpstream::start(id, &[behaviour]);
-        upstream.with(|state| state.deadly = Some(Deadly { body, death }));
+        let deadly = Deadly {
+            cause: Cause::Body(body),
+            death,
+            pause: Duration::ZERO,
+        };
+        upstream.with(|state| state.deadly = Some(deadly));
+        upstream
+    }
+
+    /// An upstream of the service `reports` whose process ends under a request with one of these parts in its prompt.
+    /// It pauses as [`Behaviour::PacedEvents`] does.
+    pub fn mortal_by_parts(
+        id: &str,
+        behaviour: Behaviour,
+        parts: &'static [&'static str],
+        death: Death,
+        pause: Duration,
+    ) -> Self {
+        let upstream = FakeUpstream::of("reports", id, &[behaviour]);
+        let deadly = Deadly {
+            cause: Cause::Parts(parts),
+            death,
+            pause,
+        };
+        upstream.with(|state| state.deadly = Some(deadly));
         upstream
     }
 
+    /// How its process ended, if a request crashed it.
+    pub fn crash(&self) -> Option<Crash> {
+        self.with(|state| state.crash)
+    }
+
     /// Whether its process has ended.
     pub fn is_dead(&self) -> bool {
         self.with(|state| state.dead)
@@ -372,10 +450,16 @@
                 at: Instant::now(),
             };
             let deadly = self.with(|state| state.deadly);
-            let deadly = deadly.filter(|deadly| deadly.body.as_bytes() == seen.body);
-            self.with(|state| state.seen.push(seen));
-            if let Some(deadly) = deadly {
-                self.die_under(&mut stream, &head, deadly.death);
+            let deadly = deadly.and_then(|deadly| Some((deadly, deadly.cause.within(&seen)?)));
+            let is_alive = self.with(|state| {
+                state.seen.extend((!state.dead).then_some(seen));
+                !state.dead
+            });
+            if !is_alive {
+                return;
+            }
+            if let Some((deadly, cause)) = deadly {
+                self.die_under(&mut stream, &head, deadly, cause);
                 return;
             }
             let goes_on = match self.begin_run() {
@@ -394,16 +478,29 @@
         }
     }
 
-    fn die_under(&self, stream: &mut TcpStream, head: &str, death: Death) {
-        let id = header(head, "request-id").unwrap_or("").to_owned();
-        let events = match death {
+    fn die_under(&self, stream: &mut TcpStream, head: &str, deadly: Deadly, cause: &'static str) {
+        let events = match deadly.death {
             Death::BeforeAnswer => None,
             Death::AfterHead => Some(0),
             Death::AfterEvents(events) => Some(events),
         };
         if let Some(events) = events {
-            self.events(stream, head, &id, events + 1, Some(events), None);
+            let run = EventsRun {
+                to: events + 1,
+                break_after: Some(events),
+                hold_after: None,
+                pause: deadly.pause,
+            };
+            self.events(stream, head, &run);
         }
+        std::thread::sleep(deadly.pause);
+        self.with(|state| {
+            let at = Instant::now();
+            if !state.dead {
+                state.crash = Some(Crash { at, cause });
+                state.dead = true;
+            }
+        });
         self.die();
     }
 
@@ -460,7 +557,24 @@
                 to,
                 break_after,
                 hold_after,
-            } => self.events(stream, head, &id, to, break_after, hold_after),
+            } => {
+                let run = EventsRun {
+                    to,
+                    break_after,
+                    hold_after,
+                    pause: Duration::ZERO,
+                };
+                self.events(stream, head, &run)
+            }
+            Behaviour::PacedEvents { to, pause } => {
+                let run = EventsRun {
+                    to,
+                    break_after: None,
+                    hold_after: None,
+                    pause,
+                };
+                self.events(stream, head, &run)
+            }
         }
     }
 
@@ -491,16 +605,10 @@
         }
     }
 
-    fn events(
-        &self,
-        stream: &mut TcpStream,
-        head: &str,
-        id: &str,
-        to: u64,
-        break_after: Option<u64>,
-        hold_after: Option<u64>,
-    ) -> bool {
+    fn events(&self, stream: &mut TcpStream, head: &str, run: &EventsRun) -> bool {
+        let id = header(head, "request-id").unwrap_or("");
         let after = header(head, "last-event-id").and_then(|text| text.parse().ok());
+        std::thread::sleep(run.pause);
         write(
             stream,
             &format!(
@@ -508,20 +616,21 @@
                 self.state_headers()
             ),
         );
-        if break_after == Some(0) {
+        if run.break_after == Some(0) {
             return false;
         }
-        for number in after.unwrap_or(0) + 1..=to {
+        for number in after.unwrap_or(0) + 1..=run.to {
+            std::thread::sleep(run.pause);
             let event = format!("id: {number}\ndata: {}\n\n", self.id);
             if !write(stream, &format!("{:x}\r\n{event}\r\n", event.len())) {
                 self.with(|state| state.closed_by_gateway += 1);
                 return false;
             }
             self.with(|state| state.events_sent += 1);
-            if break_after == Some(number) {
+            if run.break_after == Some(number) {
                 return false;
             }
-            if hold_after == Some(number) {
+            if run.hold_after == Some(number) {
                 self.hold(stream, id);
                 return false;
             }
