Continue a stopped run whose stream ends with its connection

What callers saw: a stream with neither a length nor chunks that was moved off a leaving engine ended as complete in the middle of its answer.

Cause: an engine closes the stream of a run that it stops. In chunks that is an early end; without framing it looks like the end of the stream, and the relay took it for one while the rest of the run's memory was being copied.

Change: while a run is being stopped, or after a stop that the engine didn't confirm, the end of the connection alone doesn't complete its stream. The engine's reply to the stop tells whether the run goes on elsewhere or had ended. tests/framing covers answers without framing: calls and streams ended by a close, by a reset and inside an event, HTTP/1.0, connection reuse, moves and carried streams. The stand-in now stops a run before it copies the rest, as engines do.

--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use http::header;
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -23,6 +24,9 @@
 /// expected one.
 const MISDIRECTED_REQUEST: u16 = 421;
 
+/// The transfer coding that tells the end of a body.
+const CHUNKED: &[u8] = b"chunked";
+
 /// A response whose head has been received.
 #[derive(Debug)]
 pub(crate) struct OpenResponse {
@@ -99,6 +103,16 @@
     })
 }
 
+/// Whether the end of the connection is all that tells the end of a response's body (RFC 9112, section 6.3).
+pub(crate) fn ends_with_connection(head: &Parts) -> bool {
+    let codings = head.headers.get_all(header::TRANSFER_ENCODING);
+    let last_coding = codings.iter().next_back().map(|value| value.as_bytes());
+    match last_coding {
+        Some(codings) => !codings.to_ascii_lowercase().ends_with(CHUNKED),
+        None => !head.headers.contains_key(header::CONTENT_LENGTH),
+    }
+}
+
 /// The outcome of reading a complete response.
 #[derive(Debug)]
 pub(crate) enum ReadOutcome {
--- a/src/gateway/migration.rs
+++ b/src/gateway/migration.rs
@@ -33,6 +33,14 @@
 }
 
 impl CopyFailure {
+    /// Whether the copy certainly did not stop the generation.
+    pub(crate) fn is_not_stopped(&self) -> bool {
+        match self {
+            CopyFailure::NoSuchRun | CopyFailure::Busy | CopyFailure::NoRoom(None) => true,
+            CopyFailure::NoRoom(Some(_)) | CopyFailure::Unknown(_) => false,
+        }
+    }
+
     /// The text in log entries.
     pub fn describe(&self) -> String {
         match self {
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -358,6 +358,7 @@
             }
             Err(failure) => {
                 self.log_move(&failure.describe(), Some(&to));
+                self.may_be_stopped |= !failure.is_not_stopped();
                 let until = Instant::now() + BUSY_RETRY_DELAY;
                 self.moving = match failure {
                     CopyFailure::Busy => MoveState::Copied {
@@ -416,6 +417,8 @@
                 self.moving = MoveState::None;
                 self.running = *running;
                 self.stream_error = None;
+                self.is_end_unconfirmed = false;
+                self.may_be_stopped = false;
                 self.splitter.discard_partial();
                 self.restart_speed();
                 self.leaving_since = None;
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -18,6 +18,7 @@
 use super::planned_output;
 use crate::event::EventCode;
 use crate::gateway::events::EventSplitter;
+use crate::gateway::exchange;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::movequeue::Turn;
 use crate::gateway::queue::RunningGuard;
@@ -44,6 +45,11 @@
     pub(super) running: ActiveRun,
     /// Why the engine's stream broke off, if it did; a move may still continue it.
     pub(super) stream_error: Option<String>,
+    /// Whether the engine's stream ended with its connection between events while its run was being stopped. A
+    /// stopped run's stream ends like that too, so the engine's reply tells whether it is complete.
+    pub(super) is_end_unconfirmed: bool,
+    /// Whether the engine was told to stop the run and didn't confirm it.
+    pub(super) may_be_stopped: bool,
     pub(super) splitter: EventSplitter,
     pub(super) changes: watch::Receiver<u64>,
     pub(super) moving: MoveState,
@@ -96,6 +102,8 @@
             admitted,
             running,
             stream_error: None,
+            is_end_unconfirmed: false,
+            may_be_stopped: false,
             splitter: EventSplitter::default(),
             moving: MoveState::None,
             leaving_since: None,
@@ -127,13 +135,13 @@
                     }
                     Err(fault) => return self.fail(&format!("{fault:?}")),
                 },
-                RelayEvent::Frame(None) if !self.splitter.has_partial() => {
-                    self.complete();
-                    return None;
-                }
-                RelayEvent::Frame(None) => {
-                    self.stream_error = Some("ended within an event".to_owned())
-                }
+                RelayEvent::Frame(None) => match self.check_end() {
+                    Ok(()) => {
+                        self.complete();
+                        return None;
+                    }
+                    Err(reason) => self.stream_error = Some(reason.to_owned()),
+                },
                 RelayEvent::Frame(Some(Err(reason))) => self.stream_error = Some(reason),
                 // Timers don't count a suspension of the host; its end is notified as a directory change.
                 RelayEvent::DirectoryChanged if self.admitted.time_left().is_zero() => {
@@ -142,6 +150,12 @@
                 RelayEvent::DirectoryChanged => self.check_leaving(),
                 RelayEvent::MayMove(turn) => self.on_turn(turn),
                 RelayEvent::FirstCopied(result) => self.on_first_copied(result),
+                RelayEvent::RestCopied(Err(failure))
+                    if self.is_end_unconfirmed && failure.is_not_stopped() =>
+                {
+                    self.complete();
+                    return None;
+                }
                 RelayEvent::RestCopied(result) => {
                     if let Err(reason) = self.on_rest_copied(result).await {
                         return self.fail(&reason);
@@ -162,6 +176,28 @@
         }
     }
 
+    /// Checks that the engine's stream is complete as its body ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns the reason why it isn't, or isn't known to be.
+    fn check_end(&mut self) -> Result<(), &'static str> {
+        if self.splitter.has_partial() {
+            return Err("ended within an event");
+        }
+        if !exchange::ends_with_connection(&self.running.head) {
+            return Ok(());
+        }
+        if self.may_be_stopped {
+            return Err("its connection ended after a stop that wasn't confirmed");
+        }
+        self.is_end_unconfirmed = self.will_continue();
+        match self.is_end_unconfirmed {
+            true => Err("its connection ended while its run was being stopped"),
+            false => Ok(()),
+        }
+    }
+
     /// Records that events go out to the caller.
     fn record_events(&mut self) {
         self.meter.token(self.shared.now());
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,6 +6,7 @@
 mod cutofflinks;
 mod evacuation;
 mod failingupstreams;
+mod framing;
 #[allow(dead_code, reason = "tests/slowreaders uses the rest")]
 mod gatewayworld;
 mod instances;
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -52,6 +52,7 @@
 pub use link::SLOW_BYTES_PER_S;
 pub use protocol::ProductProtocol;
 pub use upstream::Behaviour;
+pub use upstream::ConnectionEnd;
 pub use upstream::Death;
 pub use upstream::FakeUpstream;
 pub use upstreamlinks::Cut;
--- a/tests/gatewayworld/upstream.rs
+++ b/tests/gatewayworld/upstream.rs
@@ -16,6 +16,7 @@
 
 use serde_json::Value;
 use serde_json::json;
+use socket2::SockRef;
 
 use super::caller::header;
 
@@ -40,6 +41,16 @@
     CutBody,
     /// A body that ends with the connection.
     Unframed(&'static str),
+    /// This head, from its status line on, and body; then the connection ends like this. The request's id is added
+    /// to the head.
+    Raw {
+        head: &'static str,
+        body: String,
+        end: ConnectionEnd,
+    },
+    /// A stream of events from the one after the caller's last on that ends with its connection; waits where told
+    /// until the run is stopped.
+    UnframedEvents { to: u64, hold_after: Option<u64> },
     /// A second answer behind the first.
     Extra(&'static str),
     /// Never answers.
@@ -55,6 +66,21 @@
     },
 }
 
+/// How an upstream ends a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    Closed,
+    Reset,
+}
+
+/// How a stream tells its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    Chunks,
+    /// By the end of its connection.
+    Connection,
+}
+
 /// A request as an upstream saw it.
 #[derive(Debug, Clone)]
 pub struct Seen {
@@ -387,8 +413,11 @@
                 false => self.turn_away(&stream, ""),
             };
             if !goes_on {
-                // Closing both ways, so that the gateway sees the end at once.
-                let _ = stream.shutdown(Shutdown::Both);
+                let is_reset = SockRef::from(&stream).linger().unwrap() == Some(Duration::ZERO);
+                if !is_reset {
+                    // Closing both ways, so that the gateway sees the end at once.
+                    let _ = stream.shutdown(Shutdown::Both);
+                }
                 return;
             }
         }
@@ -402,7 +431,8 @@
             Death::AfterEvents(events) => Some(events),
         };
         if let Some(events) = events {
-            self.events(stream, head, &id, events + 1, Some(events), None);
+            let to = events + 1;
+            self.events(stream, head, &id, Framing::Chunks, to, Some(events), None);
         }
         self.die();
     }
@@ -447,6 +477,21 @@
                 );
                 false
             }
+            Behaviour::Raw {
+                head: raw_head,
+                body,
+                end,
+            } => {
+                write(stream, &format!("{raw_head}request-id: {id}\r\n\r\n{body}"));
+                if end == ConnectionEnd::Reset {
+                    let socket = SockRef::from(&*stream);
+                    socket.set_linger(Some(Duration::ZERO)).unwrap();
+                }
+                false
+            }
+            Behaviour::UnframedEvents { to, hold_after } => {
+                self.events(stream, head, &id, Framing::Connection, to, None, hold_after)
+            }
             Behaviour::Extra(text) => {
                 let both = self.answer_text(head, 200, text)
                     + &self.answer_text(head, 200, "not asked for");
@@ -460,7 +505,10 @@
                 to,
                 break_after,
                 hold_after,
-            } => self.events(stream, head, &id, to, break_after, hold_after),
+            } => {
+                let framing = Framing::Chunks;
+                self.events(stream, head, &id, framing, to, break_after, hold_after)
+            }
         }
     }
 
@@ -491,20 +539,29 @@
         }
     }
 
+    #[allow(
+        clippy::too_many_arguments,
+        reason = "each names a part of a behaviour"
+    )]
     fn events(
         &self,
         stream: &mut TcpStream,
         head: &str,
         id: &str,
+        framing: Framing,
         to: u64,
         break_after: Option<u64>,
         hold_after: Option<u64>,
     ) -> bool {
         let after = header(head, "last-event-id").and_then(|text| text.parse().ok());
+        let framing_header = match framing {
+            Framing::Chunks => "transfer-encoding: chunked\r\n",
+            Framing::Connection => "",
+        };
         write(
             stream,
             &format!(
-                "HTTP/1.1 200 X\r\nrequest-id: {id}\r\n{}transfer-encoding: chunked\r\n\r\n",
+                "HTTP/1.1 200 X\r\nrequest-id: {id}\r\n{}{framing_header}\r\n",
                 self.state_headers()
             ),
         );
@@ -513,7 +570,11 @@
         }
         for number in after.unwrap_or(0) + 1..=to {
             let event = format!("id: {number}\ndata: {}\n\n", self.id);
-            if !write(stream, &format!("{:x}\r\n{event}\r\n", event.len())) {
+            let framed = match framing {
+                Framing::Chunks => format!("{:x}\r\n{event}\r\n", event.len()),
+                Framing::Connection => event,
+            };
+            if !write(stream, &framed) {
                 self.with(|state| state.closed_by_gateway += 1);
                 return false;
             }
@@ -526,7 +587,10 @@
                 return false;
             }
         }
-        write(stream, "0\r\n\r\n")
+        match framing {
+            Framing::Chunks => write(stream, "0\r\n\r\n"),
+            Framing::Connection => false,
+        }
     }
 
     /// The run goes on until it is stopped or its caller leaves.
@@ -554,10 +618,10 @@
             state.copies_begun += 1;
             state.copy_time
         });
-        std::thread::sleep(copy_time);
         if call["last"] == true {
             self.with(|state| state.stopped.push(run.clone()));
         }
+        std::thread::sleep(copy_time);
         let done = json!({"handle": format!("copy-of-{run}"), "events": 3}).to_string();
         write(
             stream,
