Take a stream that ends with its connection before any event for broken

What callers saw: an engine that ended after the head of an answer without length or chunks left them an empty stream that looked complete.

Cause: the end of the connection was taken for the end of the stream, and no unfinished event was left.

Change: such a stream is complete only once it has had an event. A continued one may end without further events.

Conclusion: no generation ends before its first event, so an empty one is no answer.

--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -188,6 +188,9 @@
         if !exchange::ends_with_connection(&self.running.head) {
             return Ok(());
         }
+        if self.first_ms.is_none() {
+            return Err("its connection ended before its first event");
+        }
         if self.may_be_stopped {
             return Err("its connection ended after a stop that wasn't confirmed");
         }
--- a/tests/framing/mod.rs
+++ b/tests/framing/mod.rs
@@ -188,6 +188,18 @@
     }
 }
 
+// Guards against a crash taken for an answer: no generation ends before its first event.
+#[test]
+fn a_stream_that_ends_with_its_connection_before_its_first_event_looks_broken() {
+    for head in UNFRAMED_HEADS {
+        let (world, _engines) = engines(&[raw(head, "", ConnectionEnd::Closed)]);
+
+        let answer = ask_stream(&world);
+
+        assert!(!answer.whole, "{head}");
+    }
+}
+
 /// Starts a stream that waits after event 7 until its run is stopped, and lists an engine to which it can move.
 fn begin_held(continued: Behaviour) -> (World, Vec<FakeUpstream>, FakeUpstream, Caller) {
     let held = Behaviour::UnframedEvents {
