Read the parts of prompts, and log them with broken connections

Callers saw requests fail whose engines crashed under another request: one part of a prompt crashes every engine that begins to write on it, whatever else the request holds. No line showed which parts a request held, how long its engine had written, or whether the upstream was cold, so the logs of such a storm could not be read.

The protocol gains the parts of a prompt. Each has a fingerprint of its service and id, and event 216 names those of every request whose connection broke, with the time that it had written and the state of its upstream. No decision changes.

The last part of a prompt is included: a request that crashes upstreams by its own content would otherwise accuse only the parts that it shares.

--- a/src/event.rs
+++ b/src/event.rs
@@ -76,6 +76,7 @@
     213 RequestSuspected "Upstreams crashed under requests of one content: how many, and for how long such requests are held back.",
     214 SuspectCleared "An upstream answered a request of a content under which others had crashed.",
     215 SuspectTried "One request of a content that is held back is sent, to see whether it still crashes what runs it.",
+    216 ConnectionBroken "The connection to an upstream broke under a request: the parts of its prompt, how long it had written, and whether that counts as a crash.",
     300 UpstreamReported "An upstream's load report changed its state.",
     301 UpstreamEjected "Consecutive failures: no new work for a while.",
     302 UpstreamProbed "A half-open probe was sent to an ejected upstream.",
--- a/src/fingerprint.rs
+++ b/src/fingerprint.rs
@@ -1,5 +1,5 @@
 //! Fingerprints of requests by their content: two requests with one fingerprint ask the same of an
-//! upstream for the same customer, whatever ids they bear.
+//! upstream for the same customer, whatever ids they bear. Parts that requests share have their own.
 
 use std::fmt;
 use std::str::FromStr;
@@ -10,6 +10,7 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::id::CustomerId;
+use crate::id::ServiceId;
 
 /// Bytes of a fingerprint. Nobody can make two contents with one fingerprint: that takes 2^64 tries.
 const BYTES: usize = 16;
@@ -56,12 +57,29 @@
             hasher.update(part.as_bytes());
         }
         hasher.update(content.body);
+        Fingerprint::from_hasher(&hasher)
+    }
+
+    /// The fingerprint of a part of the prompts that requests of a service share.
+    pub fn of_part(service: &ServiceId, id: &str) -> Self {
+        let mut hasher = blake3::Hasher::new_derive_key(PARTS_CONTEXT);
+        let service = service.as_str();
+        hasher.update(&service.len().to_le_bytes());
+        hasher.update(service.as_bytes());
+        hasher.update(id.as_bytes());
+        Fingerprint::from_hasher(&hasher)
+    }
+
+    fn from_hasher(hasher: &blake3::Hasher) -> Self {
         let mut bytes = [0; BYTES];
         hasher.finalize_xof().fill(&mut bytes);
         Fingerprint(bytes)
     }
 }
 
+/// The domain of the hashes of parts, which no content's hash shares.
+const PARTS_CONTEXT: &str = "cedargauge prompt part";
+
 /// Its first digits, as logs show it.
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/src/fingerprint/tests.rs
+++ b/src/fingerprint/tests.rs
@@ -1,6 +1,7 @@
 use super::Content;
 use super::Fingerprint;
 use crate::id::CustomerId;
+use crate::id::ServiceId;
 
 fn content<'a>(customer: &'a CustomerId, target: &'a str, body: &'a [u8]) -> Content<'a> {
     Content {
@@ -89,3 +90,13 @@
         assert!(wrong.parse::<Fingerprint>().is_err(), "{wrong}");
     }
 }
+
+#[test]
+fn a_parts_fingerprint_is_that_of_its_service_and_id() {
+    let (nets, net) = (ServiceId::new("nets"), ServiceId::new("net"));
+    let part = Fingerprint::of_part(&nets, "5c1e07a2");
+
+    assert_eq!(part, Fingerprint::of_part(&nets, "5c1e07a2"));
+    assert_ne!(part, Fingerprint::of_part(&nets, "5c1e07a3"));
+    assert_ne!(part, Fingerprint::of_part(&net, "s5c1e07a2"));
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -76,7 +76,7 @@
         Ok(response) => response,
         Err(ConnectionError::NotWritten(reason)) => return Err(SendError::NotRun(reason)),
         Err(ConnectionError::Unknown(reason)) => {
-            shared.record_crash(admitted.fingerprint, upstream, &connection);
+            shared.record_crash(admitted, upstream, &connection, None);
             return Err(SendError::Unknown(reason));
         }
     };
@@ -125,7 +125,7 @@
     let body = match body.collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
-            shared.record_crash(admitted.fingerprint, &upstream.id, &connection);
+            shared.record_crash(admitted, &upstream.id, &connection, None);
             let outcome = ReadOutcome::Truncated(format!("the answer broke off: {error}"));
             return (outcome, connection);
         }
--- a/src/gateway/protocol.rs
+++ b/src/gateway/protocol.rs
@@ -116,6 +116,15 @@
     pub output_tokens_hint: Option<u32>,
 }
 
+/// A part of the prompt of a generation. Requests share parts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PromptPart {
+    /// The part's id, the same in all requests that share it.
+    pub id: String,
+    /// Number of its tokens.
+    pub tokens: u32,
+}
+
 /// A copy of a generation's memory at another engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct MemoryCopy {
@@ -272,6 +281,10 @@
     /// Reads the size of the requested generation from the request headers, if they state it.
     fn generation_size(&self, headers: &HeaderMap) -> Option<GenerationSize>;
 
+    /// Reads the parts of the prompt from the request headers, in order. Returns none if they are not stated or
+    /// can't be read.
+    fn prompt_parts(&self, headers: &HeaderMap) -> Vec<PromptPart>;
+
     /// Builds the request that copies the memory of the run `request_id` to the engine at `to`. With
     /// `is_final`, the run stops before the copy.
     fn copy_request(&self, request_id: &str, to: SocketAddr, is_final: bool) -> InternalRequest;
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -46,6 +46,7 @@
 use crate::gateway::pool::ConnectionPool;
 use crate::gateway::protocol::GenerationSize;
 use crate::gateway::protocol::HeaderNames;
+use crate::gateway::protocol::PromptPart;
 use crate::gateway::refuse;
 use crate::gateway::rollouts::Track;
 use crate::gateway::route::Route;
@@ -71,6 +72,9 @@
     output_tokens_hint: None,
 };
 
+/// Parts of a prompt that are told apart; prompts have a handful.
+const PARTS_MAX: usize = 16;
+
 /// Retry delay in milliseconds for callers whose service is evacuated in all data centres. All hosts learn
 /// within this time that an evacuation has ended.
 const EVACUATED_RETRY_AFTER_MS: u64 = 1_000;
@@ -138,6 +142,8 @@
     pub id: String,
     /// A hash of its content, which a repeat under another id shares.
     pub fingerprint: Fingerprint,
+    /// The parts of its prompt, in order. Other requests may share them; the last one is usually its own.
+    pub parts: Vec<Fingerprint>,
     /// Whether it is the trial of a suspect request whose repeats are held back.
     pub is_trial: Cell<bool>,
     /// Its route.
@@ -541,6 +547,7 @@
     let customer = customer.map(|customer| customer.name.clone());
     Ok(Admitted {
         fingerprint: request_fingerprint(&request, customer.as_ref()),
+        parts: part_fingerprints(&service, &shared.protocol().prompt_parts(&request.headers)),
         request,
         id,
         is_trial: Cell::new(false),
@@ -571,6 +578,18 @@
     })
 }
 
+/// The fingerprints of the first [`PARTS_MAX`] parts of a prompt, each once.
+fn part_fingerprints(service: &ServiceId, parts: &[PromptPart]) -> Vec<Fingerprint> {
+    let mut fingerprints = Vec::new();
+    for part in parts.iter().take(PARTS_MAX) {
+        let fingerprint = Fingerprint::of_part(service, &part.id);
+        if !fingerprints.contains(&fingerprint) {
+            fingerprints.push(fingerprint);
+        }
+    }
+    fingerprints
+}
+
 /// Bytes of all headers on the wire: name, colon, space, value and line end.
 fn header_bytes(headers: &HeaderMap) -> usize {
     let headers = headers.iter();
--- a/src/gateway/shared/suspects.rs
+++ b/src/gateway/shared/suspects.rs
@@ -24,6 +24,40 @@
 /// Retry-after of a request whose content is on trial at another host. Most generations end within it.
 const TRIAL_RETRY_AFTER: Duration = Duration::from_secs(5);
 
+/// What is known of the cause of a broken connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BreakOrigin {
+    /// Nothing: the upstream may have crashed under the request.
+    Unknown,
+    /// The host that carried the connection is gone.
+    Carrier,
+    /// The upstream was leaving.
+    Leaving,
+    /// The upstream was cold.
+    Cold,
+}
+
+impl BreakOrigin {
+    fn of(directory: &mut Directory, now: Time, upstream: &InstanceId) -> Self {
+        if directory.leaving_since(upstream).is_some() {
+            BreakOrigin::Leaving
+        } else if directory.is_cold(now, upstream) {
+            BreakOrigin::Cold
+        } else {
+            BreakOrigin::Unknown
+        }
+    }
+
+    const fn name(self) -> &'static str {
+        match self {
+            BreakOrigin::Unknown => "warm",
+            BreakOrigin::Carrier => "carrier lost",
+            BreakOrigin::Leaving => "leaving",
+            BreakOrigin::Cold => "cold",
+        }
+    }
+}
+
 impl Shared {
     /// Runs `use_suspects` on the locked record of requests during which upstreams crashed.
     pub(crate) fn suspects<T>(&self, use_suspects: impl FnOnce(&mut Suspects) -> T) -> T {
@@ -74,26 +108,50 @@
     /// Records that the connection to an upstream broke while it ran a request. Leaving and cold upstreams
     /// don't count: the former end anyway, and the latter may crash under many harmless requests. A connection
     /// that another host carried broke at the upstream, if the carrier is still there to tell; a direct one may
-    /// have broken with this host's own link.
+    /// have broken with this host's own link. `written_for` is the time since the request's first event.
     pub(crate) fn record_crash(
         &self,
-        fingerprint: Fingerprint,
+        admitted: &Admitted,
         upstream: &InstanceId,
         connection: &Connection,
+        written_for: Option<Duration>,
     ) {
         let now = self.now();
-        let has_own_cause = |directory: &mut Directory| {
-            directory.leaving_since(upstream).is_some() || directory.is_cold(now, upstream)
+        let origin = self.directory(|directory| BreakOrigin::of(directory, now, upstream));
+        let origin = match connection.has_lost_carrier() {
+            true => BreakOrigin::Carrier,
+            false => origin,
         };
-        if connection.has_lost_carrier() || self.directory(has_own_cause) {
+        self.log_break(admitted, upstream, origin, written_for);
+        if origin != BreakOrigin::Unknown {
             return;
         }
+        let fingerprint = admitted.fingerprint;
         match connection.carrier() {
             Some(_) => self.count_crash(now, fingerprint, upstream),
             None => self.hold_back(Evidence::Crash(fingerprint, upstream.clone())),
         }
     }
 
+    fn log_break(
+        &self,
+        admitted: &Admitted,
+        upstream: &InstanceId,
+        origin: BreakOrigin,
+        written_for: Option<Duration>,
+    ) {
+        let parts: Vec<String> = admitted.parts.iter().map(Fingerprint::to_string).collect();
+        let line = admitted.log_entry(self, EventCode::ConnectionBroken);
+        line.with("upstream", upstream.as_str())
+            .with("parts", parts.join(","))
+            .with("upstream_state", origin.name())
+            .with_some(
+                "written_ms",
+                written_for.map(|time| time.as_millis() as u64),
+            )
+            .write();
+    }
+
     /// Counts an upstream as crashed at `crashed_at` while it ran a request.
     pub(super) fn count_crash(
         &self,
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -155,8 +155,9 @@
             {
                 let upstream = &self.running.upstream.id;
                 let connection = &self.running.connection;
+                let written_for = self.first_at.map(|at| at.elapsed());
                 self.shared
-                    .record_crash(self.admitted.fingerprint, upstream, connection);
+                    .record_crash(&self.admitted, upstream, connection, written_for);
                 return self.fail(&reason);
             }
         }
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -31,6 +31,7 @@
 use cedargauge::gateway::protocol::InternalRequest;
 use cedargauge::gateway::protocol::MemoryCopy;
 use cedargauge::gateway::protocol::NewestPage;
+use cedargauge::gateway::protocol::PromptPart;
 use cedargauge::gateway::protocol::Protocol;
 use cedargauge::gateway::protocol::ReadBatch;
 use cedargauge::gateway::protocol::Record;
@@ -293,6 +294,14 @@
         })
     }
 
+    fn prompt_parts(&self, headers: &HeaderMap) -> Vec<PromptPart> {
+        let parts = headers
+            .get("prompt-parts")
+            .map(|value| value.to_str().unwrap());
+        let parts = parts.map(|parts| parts.split(',').map(prompt_part).collect());
+        parts.unwrap_or_default()
+    }
+
     fn copy_request(&self, request_id: &str, to: SocketAddr, is_final: bool) -> InternalRequest {
         let body = json!({"run": request_id, "to": to, "last": is_final});
         InternalRequest {
@@ -331,6 +340,14 @@
     }
 }
 
+fn prompt_part(text: &str) -> PromptPart {
+    let (id, tokens) = text.split_once(':').unwrap();
+    PromptPart {
+        id: id.to_owned(),
+        tokens: tokens.parse().unwrap(),
+    }
+}
+
 fn regions(value: &Value) -> Option<BTreeSet<RegionId>> {
     let names = value.as_array()?.iter().map(|name| name.as_str().unwrap());
     Some(names.map(RegionId::new).collect())
