Answer what a stopping host has read before it ends

Callers of a host at the end of its grace period saw their connections closed without an answer, though most requests could have been answered: those that waited for room had not run, and those at a silent upstream could be told so.

Cause: the drain waited for the requests and then stopped the server with whatever was left in it. It also looked for requests in flight and stopped in two steps, so that one could begin in between.

A shutdown now has stages (draining, answering, cutting), which requests wait for beside their own ends. 250 ms before the cut the gate closes: no request begins, one that is read is refused before anything of it is used, and each without the head of an answer gets 503 if it was not sent, or else 504. Only streams are left at the cut; each ends with an explicit failure and isn't held against its upstream. The gate also closes, in one step with the look, when the host is idle after the notice time, and the server has 50 ms to write its last answers. Every request that is given up has a line RequestStopped (216) with how far it had come, the time since SIGTERM and the time left.

--- a/src/gate.rs
+++ b/src/gate.rs
@@ -15,7 +15,14 @@
 pub struct Gate {
     shutting_down: AtomicBool,
     forced: AtomicBool,
-    in_flight: Mutex<HashSet<RequestId>>,
+    in_flight: Mutex<InFlight>,
+}
+
+/// The requests that have not ended, and whether more may begin.
+#[derive(Debug, Default)]
+struct InFlight {
+    requests: HashSet<RequestId>,
+    is_closed: bool,
 }
 
 impl Gate {
@@ -30,12 +37,12 @@
 
     /// How many requests have not ended.
     pub fn in_flight(&self) -> usize {
-        self.requests().len()
+        self.lock().requests.len()
     }
 
     /// The requests that have not ended.
     pub fn in_flight_ids(&self) -> Vec<RequestId> {
-        self.requests().iter().copied().collect()
+        self.lock().requests.iter().copied().collect()
     }
 
     /// From now on every stream ends with an explicit failure.
@@ -60,14 +67,40 @@
 
     /// Counts a request until the pass is dropped.
     pub fn enter(self: &Arc<Self>, request: RequestId) -> Pass {
-        self.requests().insert(request);
+        self.lock().requests.insert(request);
         Pass {
             gate: self.clone(),
             request,
         }
     }
 
-    fn requests(&self) -> MutexGuard<'_, HashSet<RequestId>> {
+    /// Counts a request until the pass is dropped; `None` once the gate is closed.
+    pub fn enter_if_open(self: &Arc<Self>, request: RequestId) -> Option<Pass> {
+        let mut in_flight = self.lock();
+        if in_flight.is_closed {
+            return None;
+        }
+        in_flight.requests.insert(request);
+        Some(Pass {
+            gate: self.clone(),
+            request,
+        })
+    }
+
+    /// From now on no request begins.
+    pub fn close(&self) {
+        self.lock().is_closed = true;
+    }
+
+    /// Closes the gate if no request is in flight; whether it is closed. No request begins between the look and the
+    /// closing.
+    pub fn close_if_idle(&self) -> bool {
+        let mut in_flight = self.lock();
+        in_flight.is_closed |= in_flight.requests.is_empty();
+        in_flight.is_closed
+    }
+
+    fn lock(&self) -> MutexGuard<'_, InFlight> {
         self.in_flight
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -83,6 +116,6 @@
 
 impl Drop for Pass {
     fn drop(&mut self) {
-        self.gate.requests().remove(&self.request);
+        self.gate.lock().requests.remove(&self.request);
     }
 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -68,6 +68,7 @@
 pub mod shared;
 pub(crate) mod sharedqueue;
 pub mod speeds;
+pub(crate) mod stopping;
 pub mod stream;
 pub(crate) mod suspectlog;
 pub mod suspects;
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -101,7 +101,7 @@
 }
 
 /// Calls upstreams until one answers.
-pub async fn run(front: &WorkerState, admitted: Admitted) -> HttpResponse {
+pub async fn run(front: &WorkerState, admitted: &Admitted) -> HttpResponse {
     let shared = &front.shared;
     let now = shared.now();
     shared.retry_budget(&admitted.service, |budget| budget.record_request(now));
@@ -116,20 +116,20 @@
     let mut failure: Option<FailedAnswer> = None;
     loop {
         if admitted.time_left() <= DEADLINE_MARGIN {
-            return timed_out(shared, &admitted, may_have_run);
+            return timed_out(shared, admitted, may_have_run);
         }
-        if let Some(refusal) = shared.refuse_suspect(&admitted) {
-            return held_back(shared, &admitted, may_have_run, refusal);
+        if let Some(refusal) = shared.refuse_suspect(admitted) {
+            return held_back(shared, admitted, may_have_run, refusal);
         }
-        let Some(candidate) = choose_upstream(shared, &admitted, &tries).await else {
-            return exhausted(shared, &admitted, may_have_run, tries.len(), failure);
+        let Some(candidate) = choose_upstream(shared, admitted, &tries).await else {
+            return exhausted(shared, admitted, may_have_run, tries.len(), failure);
         };
         let upstream = candidate.upstream;
         tries.add(&upstream.id);
         let _trial = shared.begin_send(&upstream.id);
-        let last = is_last(&admitted, may_have_run);
+        let last = is_last(admitted, may_have_run);
         let sent_at = Instant::now();
-        let outcome = attempt(front, &admitted, &upstream, last).await;
+        let outcome = attempt(front, admitted, &upstream, last).await;
         if is_served(&outcome) {
             shared.record_speed(
                 &upstream,
@@ -138,38 +138,38 @@
                 sent_at.elapsed().max(CALL_TIME_MIN),
             );
         }
-        note_health(shared, &admitted, &upstream, &outcome);
-        outcome.record_rollout(shared, &admitted, &upstream, sent_at.elapsed());
+        note_health(shared, admitted, &upstream, &outcome);
+        outcome.record_rollout(shared, admitted, &upstream, sent_at.elapsed());
         let reached = match outcome {
             Attempted::Unreachable(_) => Delivery::Unreachable,
             _ => Delivery::Sent,
         };
         let reason = match outcome {
-            Attempted::Answered(answer) if may_repeat_answer(&admitted, &answer, last) => {
+            Attempted::Answered(answer) if may_repeat_answer(admitted, &answer, last) => {
                 may_have_run += 1;
                 let reason = format!("status {}", answer.head.status.as_u16());
                 failure = Some((upstream.clone(), answer));
                 reason
             }
             Attempted::Answered(answer) => {
-                return pass_on(shared, &admitted, &upstream, answer, tries.len());
+                return pass_on(shared, admitted, &upstream, answer, tries.len());
             }
             Attempted::Unreachable(reason) | Attempted::NotRun(reason) => reason,
             Attempted::Unknown(reason) => {
                 may_have_run += 1;
                 if last {
-                    return failed(shared, &admitted, &upstream, &reason);
+                    return failed(shared, admitted, &upstream, &reason);
                 }
                 reason
             }
-            Attempted::TimedOut if last => return timed_out(shared, &admitted, 1),
+            Attempted::TimedOut if last => return timed_out(shared, admitted, 1),
             Attempted::TimedOut => {
                 may_have_run += 1;
                 "no answer in time".to_owned()
             }
         };
-        if !tries.decide_retry(shared, &admitted, reached, &reason) {
-            return exhausted(shared, &admitted, may_have_run, tries.len(), failure);
+        if !tries.decide_retry(shared, admitted, reached, &reason) {
+            return exhausted(shared, admitted, may_have_run, tries.len(), failure);
         }
     }
 }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -15,6 +15,7 @@
 use crate::gateway::forward::AttemptHeaders;
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
+use crate::gateway::stopping::Phase;
 
 /// The remaining time is passed on in whole milliseconds; a request with less than one is not sent.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(1);
@@ -30,6 +31,8 @@
     pub(crate) connection: Connection,
     pub(crate) head: Parts,
     pub(crate) body: Incoming,
+    /// How far the request had come before it was sent.
+    pub(crate) phase_before: Phase,
 }
 
 /// Why no response to a request was received.
@@ -67,6 +70,7 @@
     let upstream = &headers.upstream.id;
     let sent_at = shared.now();
     let is_new = !connection.is_used();
+    let phase_before = admitted.phase.replace(Phase::Sent);
     let sent = connection.send(request).await;
     let is_direct = connection.carrier().is_none();
     if is_direct && is_new && sent.is_err() {
@@ -74,7 +78,10 @@
     }
     let response = match sent {
         Ok(response) => response,
-        Err(ConnectionError::NotWritten(reason)) => return Err(SendError::NotRun(reason)),
+        Err(ConnectionError::NotWritten(reason)) => {
+            admitted.phase.set(phase_before);
+            return Err(SendError::NotRun(reason));
+        }
         Err(ConnectionError::Unknown(reason)) => {
             shared.record_crash(admitted.fingerprint, upstream, &connection);
             return Err(SendError::Unknown(reason));
@@ -96,6 +103,7 @@
         connection,
         head,
         body,
+        phase_before,
     })
 }
 
@@ -121,6 +129,7 @@
         connection,
         head,
         body,
+        phase_before,
     } = response;
     let body = match body.collect().await {
         Ok(body) => body.to_bytes(),
@@ -131,6 +140,7 @@
         }
     };
     if let Some(reason) = not_run_reason(shared, upstream, &head) {
+        admitted.phase.set(phase_before);
         return (ReadOutcome::NotRun(reason), connection);
     }
     shared.clear_suspect(admitted.fingerprint, &upstream.id);
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -40,6 +40,7 @@
 use crate::gateway::shared::Environment;
 use crate::gateway::shared::Shared;
 use crate::gateway::shared::queueing;
+use crate::gateway::stopping::StopStage;
 use crate::gateway::suspectlog;
 use crate::gateway::ticks::tick;
 use crate::gateway::tunnel::carrier;
@@ -62,6 +63,11 @@
 const READINESS_NOTICE_TIME: Duration = Duration::from_millis(2_800);
 /// Time between aborting the remaining requests and the end of the grace period, for the last log lines.
 const EXIT_MARGIN: Duration = Duration::from_millis(150);
+/// Time before the remaining streams are cut at which all other requests are answered: enough for a busy host to write
+/// the answers.
+const ANSWER_MARGIN: Duration = Duration::from_millis(250);
+/// Time in which the last answers are written, and cut streams are logged.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
 /// How often a host that shuts down checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// How often state that expires is checked.
@@ -199,16 +205,24 @@
         line.with("in_flight", gate.in_flight()).write();
         let quiet_from = (began + READINESS_NOTICE_TIME).min(cut_at);
         tokio::time::sleep_until(quiet_from).await;
-        while gate.in_flight() > 0 && Instant::now() < cut_at {
+        let answer_at = cut_at - ANSWER_MARGIN;
+        while Instant::now() < answer_at && !gate.close_if_idle() {
+            tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
+        }
+        gate.close();
+        self.shared.enter_stop_stage(StopStage::Answering);
+        while Instant::now() < cut_at && gate.in_flight() > 0 {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         let in_flight = gate.in_flight();
+        self.shared.enter_stop_stage(StopStage::Cutting);
         let (code, ended) = match in_flight {
             0 => (EventCode::ShutdownComplete, Ended::Drained),
             _ => (EventCode::ShutdownForced, Ended::Cut),
         };
         let line = self.shared.log().entry(code);
         line.with("in_flight", in_flight).write();
+        tokio::time::sleep(FLUSH_TIME).await;
         self.server.stop(false).await;
         ended
     }
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -53,6 +53,9 @@
 use crate::gateway::shared::Hold;
 use crate::gateway::shared::Shared;
 use crate::gateway::speeds::Slowness;
+use crate::gateway::stopping;
+use crate::gateway::stopping::Phase;
+use crate::gateway::stopping::StopStage;
 use crate::gateway::stream;
 use crate::id::CustomerId;
 use crate::id::DataCentre;
@@ -166,6 +169,8 @@
     pub regions: Option<BTreeSet<RegionId>>,
     /// The version of the configuration under which it was admitted.
     pub config_version: u64,
+    /// How far it has come.
+    pub(crate) phase: Cell<Phase>,
     /// Counts the request as running until it is dropped.
     pub pass: Pass,
 }
@@ -464,12 +469,29 @@
     payload: web::Payload,
 ) -> HttpResponse {
     let worker = worker.get_ref();
-    match admit(worker, &http, payload).await {
-        Ok(admitted) => match admitted.route.kind {
-            RouteKind::Stream => stream::run(worker, admitted).await,
-            RouteKind::Idempotent | RouteKind::Once => call::run(worker, admitted).await,
-        },
-        Err(response) => response,
+    let shared = &worker.shared;
+    let Some(pass) = shared.gate().enter_if_open(RequestId::generate()) else {
+        return stopping::refuse_unread(shared);
+    };
+    let admitted = tokio::select! {
+        biased;
+        admitted = admit(worker, &http, payload, pass) => admitted,
+        () = shared.wait_stop_stage(StopStage::Answering) => Err(stopping::refuse_unread(shared)),
+    };
+    let admitted = match admitted {
+        Ok(admitted) => Rc::new(admitted),
+        Err(response) => return response,
+    };
+    let answered = async {
+        match admitted.route.kind {
+            RouteKind::Stream => stream::run(worker, admitted.clone()).await,
+            RouteKind::Idempotent | RouteKind::Once => call::run(worker, &admitted).await,
+        }
+    };
+    tokio::select! {
+        biased;
+        response = answered => response,
+        () = shared.wait_stop_stage(StopStage::Answering) => stopping::answer(shared, &admitted),
     }
 }
 
@@ -478,11 +500,11 @@
     worker: &WorkerState,
     http: &HttpRequest,
     payload: web::Payload,
+    pass: Pass,
 ) -> Result<Admitted, HttpResponse> {
     let shared = &worker.shared;
     shared.check_suspension();
     let arrived = Instant::now();
-    let pass = shared.gate().enter(RequestId::generate());
     let headers = forward::convert_headers(http);
     let request = CallerRequest {
         method: http::Method::from_bytes(http.method().as_str().as_bytes()).unwrap_or_default(),
@@ -557,6 +579,7 @@
         track: Cell::new(track),
         regions,
         config_version: configuration.version,
+        phase: Cell::default(),
         pass,
     })
 }
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -52,6 +52,7 @@
 use crate::gateway::rollouts::evidence::EvidenceStore;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::speeds::Speeds;
+use crate::gateway::stopping::StopStage;
 use crate::gateway::suspects::Suspects;
 use crate::gateway::suspension::SuspensionDetector;
 use crate::gateway::tunnel::carrier::CarrierLimits;
@@ -144,7 +145,8 @@
     log_reads: Mutex<LogReads>,
     announcements: watch::Sender<u64>,
     read_changes: watch::Sender<u64>,
-    shutdown_deadline: OnceLock<Instant>,
+    shutdown: OnceLock<ShutdownTimes>,
+    stop_stage: watch::Sender<StopStage>,
     seed_state: Mutex<SeedState>,
     partition: Mutex<PartitionDetector>,
     config_version: AtomicU64,
@@ -156,6 +158,13 @@
     queueing: Queueing,
 }
 
+/// When a shutdown began, and when what still runs is aborted.
+#[derive(Debug, Clone, Copy)]
+struct ShutdownTimes {
+    began: Instant,
+    deadline: Instant,
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -212,7 +221,8 @@
             log_reads: Mutex::default(),
             announcements: watch::channel(0).0,
             read_changes: watch::channel(0).0,
-            shutdown_deadline: OnceLock::new(),
+            shutdown: OnceLock::new(),
+            stop_stage: watch::channel(StopStage::Serving).0,
             seed_state: Mutex::new(SeedState::Unknown),
             partition: Mutex::default(),
             config_version: AtomicU64::new(0),
@@ -292,15 +302,39 @@
 
     /// Begins the shutdown. Requests that still run at `deadline` are aborted.
     pub fn begin_shutdown(&self, deadline: Instant) {
-        self.0.shutdown_deadline.get_or_init(|| deadline);
+        let began = Instant::now();
+        self.0
+            .shutdown
+            .get_or_init(|| ShutdownTimes { began, deadline });
         self.gate().shut();
+        self.enter_stop_stage(StopStage::Draining);
         self.announce_now();
     }
 
+    /// Tells the requests how far the shutdown has come.
+    pub(crate) fn enter_stop_stage(&self, stage: StopStage) {
+        self.0.stop_stage.send_replace(stage);
+    }
+
+    /// Returns once the shutdown has come to `stage`.
+    pub(crate) async fn wait_stop_stage(&self, stage: StopStage) {
+        let mut stages = self.0.stop_stage.subscribe();
+        if stages.wait_for(|current| *current >= stage).await.is_err() {
+            // The shared state is being dropped, so nothing waits for this any more.
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Time since the shutdown began, if it has.
+    pub(crate) fn stopping_for(&self) -> Option<Duration> {
+        let times = self.0.shutdown.get()?;
+        Some(times.began.elapsed())
+    }
+
     /// Time until running requests are aborted, if the host is shutting down.
     pub fn shutdown_time_left(&self) -> Option<Duration> {
-        let deadline = self.0.shutdown_deadline.get()?;
-        Some(deadline.saturating_duration_since(Instant::now()))
+        let times = self.0.shutdown.get()?;
+        Some(times.deadline.saturating_duration_since(Instant::now()))
     }
 
     /// Whether the host reports ready to the load balancer: it is initialized, not shutting down, not
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -1,6 +1,7 @@
 //! Handles requests that are answered with a stream of events: sends each to an engine, relays its events
 //! and moves its run to another engine if the first one is leaving.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -40,6 +41,7 @@
 use crate::gateway::serve::Admitted;
 use crate::gateway::serve::WorkerState;
 use crate::gateway::shared::Shared;
+use crate::gateway::stopping::Phase;
 use crate::gateway::stream::relay::Relay;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
@@ -129,7 +131,7 @@
 }
 
 /// Handles one request: tries engines until one responds or no attempt is left, then relays its stream.
-pub async fn run(worker: &WorkerState, admitted: Admitted) -> HttpResponse {
+pub async fn run(worker: &WorkerState, admitted: Rc<Admitted>) -> HttpResponse {
     let shared = &worker.shared;
     let now = shared.now();
     shared.retry_budget(&admitted.service, |budget| budget.record_request(now));
@@ -356,6 +358,7 @@
             connection,
             head,
             body,
+            phase_before: _,
         } = begun;
         return OpenResult::Running(Box::new(ActiveRun {
             upstream: upstream.clone(),
@@ -391,7 +394,7 @@
 /// Responds with the head of the engine's response and its events as they arrive.
 fn respond(
     shared: Shared,
-    admitted: Admitted,
+    admitted: Rc<Admitted>,
     running: ActiveRun,
     running_guard: RunningGuard,
 ) -> HttpResponse {
@@ -400,6 +403,7 @@
     if shared.closes_connections() {
         response.force_close();
     }
+    admitted.phase.set(Phase::Streaming);
     let relay = Relay::new(shared, admitted, running, running_guard);
     response.streaming(stream::unfold(Some(relay), next_chunk))
 }
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -1,5 +1,6 @@
 //! Relays one stream to its caller and drives the move of its run off a leaving engine.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -26,6 +27,8 @@
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
 use crate::gateway::speeds::Work;
+use crate::gateway::stopping;
+use crate::gateway::stopping::StopStage;
 use crate::id::ClassId;
 use crate::telemetry;
 use crate::telemetry::Metric;
@@ -40,7 +43,7 @@
 /// A stream that is being relayed to its caller.
 pub(super) struct Relay {
     pub(super) shared: Shared,
-    pub(super) admitted: Admitted,
+    pub(super) admitted: Rc<Admitted>,
     pub(super) running: ActiveRun,
     /// Why the engine's stream broke off, if it did; a move may still continue it.
     pub(super) stream_error: Option<String>,
@@ -76,12 +79,13 @@
     RestCopied(CopyResult),
     Timer,
     Deadline,
+    HostStops,
 }
 
 impl Relay {
     pub(super) fn new(
         shared: Shared,
-        admitted: Admitted,
+        admitted: Rc<Admitted>,
         running: ActiveRun,
         running_guard: RunningGuard,
     ) -> Self {
@@ -148,6 +152,7 @@
                     }
                 }
                 RelayEvent::Timer => self.on_timer(),
+                RelayEvent::HostStops => return self.cut(),
                 RelayEvent::Deadline => return self.fail("the deadline passed"),
             }
             if let Some(reason) = self.stream_error.clone()
@@ -300,6 +305,7 @@
             _ = self.changes.changed() => RelayEvent::DirectoryChanged,
             () = sleep_until(timer) => RelayEvent::Timer,
             () = tokio::time::sleep_until(self.admitted.deadline) => RelayEvent::Deadline,
+            () = self.shared.wait_stop_stage(StopStage::Cutting) => RelayEvent::HostStops,
         }
     }
 
@@ -323,6 +329,14 @@
             .write();
     }
 
+    /// Ends a stream that outlasts the grace period, which says nothing about its upstream.
+    fn cut(&mut self) -> Option<Result<Bytes, StreamAborted>> {
+        self.ended = true;
+        telemetry::count_of_service(Metric::StreamsLostTotal, &self.admitted.service);
+        stopping::log_stopped(&self.shared, &self.admitted);
+        Some(Err(StreamAborted("the host stops".to_owned())))
+    }
+
     fn fail(&mut self, reason: &str) -> Option<Result<Bytes, StreamAborted>> {
         self.ended = true;
         let id = self.running.upstream.id.clone();
--- a/src/gateway/stream/stopping.rs
+++ b/src/gateway/stream/stopping.rs
@@ -19,7 +19,7 @@
 /// Returns the refusal of a generation that would not finish before the host exits.
 pub(super) fn refuse_while_stopping(shared: &Shared, admitted: &Admitted) -> Option<Refusal> {
     let left = shared.shutdown_time_left()?;
-    let stopping_for = shared.settings().grace.saturating_sub(left);
+    let stopping_for = shared.stopping_for()?;
     let size = admitted.size(shared);
     match finishes_in_time(size, stopping_for, left) {
         true => None,
