--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -16,6 +16,7 @@
 use crate::gateway::forward::AttemptHeaders;
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
+use crate::gateway::stopping::Phase;
 
 /// The remaining time is passed on in whole milliseconds; a request with less than one is not sent.
 const TIME_LEFT_MIN: Duration = Duration::from_millis(1);
@@ -34,6 +35,8 @@
     pub(crate) connection: Connection,
     pub(crate) head: Parts,
     pub(crate) body: Incoming,
+    /// How far the request had come before it was sent.
+    pub(crate) phase_before: Phase,
 }
 
 /// Why no response to a request was received.
@@ -71,6 +74,7 @@
     let upstream = &headers.upstream.id;
     let sent_at = shared.now();
     let is_new = !connection.is_used();
+    let phase_before = admitted.phase.replace(Phase::Sent);
     let sent = connection.send(request).await;
     let is_direct = connection.carrier().is_none();
     if is_direct && is_new && sent.is_err() {
@@ -78,7 +82,10 @@
     }
     let response = match sent {
         Ok(response) => response,
-        Err(ConnectionError::NotWritten(reason)) => return Err(SendError::NotRun(reason)),
+        Err(ConnectionError::NotWritten(reason)) => {
+            admitted.phase.set(phase_before);
+            return Err(SendError::NotRun(reason));
+        }
         Err(ConnectionError::Unknown(reason)) => {
             shared.record_crash(admitted, upstream, &connection, None);
             return Err(SendError::Unknown(reason));
@@ -100,6 +107,7 @@
         connection,
         head,
         body,
+        phase_before,
     })
 }
 
@@ -135,6 +143,7 @@
         connection,
         head,
         body,
+        phase_before,
     } = response;
     let body = match body.collect().await {
         Ok(body) => body.to_bytes(),
@@ -145,6 +154,7 @@
         }
     };
     if let Some(reason) = not_run_reason(shared, upstream, &head) {
+        admitted.phase.set(phase_before);
         return (ReadOutcome::NotRun(reason), connection);
     }
     shared.clear_suspect(admitted.fingerprint, &upstream.id);
