Let 1,024 connections wait to be accepted

What callers saw: while the load balancer hands most new connections of a region to one host, a full accept queue drops their opening packets. They come again after a second, the time that callers allow for a new connection.

Cause: the standard library's listener has a queue of 128 (`ss -ltn` on a listener of it). A host with 0.12 of a core may get no processor time for most of a tenth of a second.

Change: the servers' listeners are opened with a queue of 1,024.

Evidence: `ss -ltn` shows 1,024 at the caller address of a test host. A full queue was not produced in a test: hosts there accept at once.

Conclusion: bursts of some thousand connections a second no longer fill the queue within one pause of the processor, by calculation.

--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -12,6 +12,9 @@
 use actix_web::dev::ServerHandle;
 use actix_web::http::KeepAlive;
 use actix_web::web;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
@@ -55,6 +58,9 @@
 /// Timeout for reading a request's head. After a suspension longer than this, the server answers requests that
 /// arrived meanwhile with a bare 408.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+/// Connections that wait to be accepted. While the queue is full the system drops opening packets, which callers send
+/// again only after a second.
+const ACCEPT_QUEUE_MAX: i32 = 1_024;
 /// Bytes of a response that are buffered for a caller that doesn't read, besides the last chunk.
 const CALLER_BUFFER_BYTES: usize = 4 * 1_024;
 /// Time within which the load balancer stops sending new connections to a host that isn't ready: it checks
@@ -243,7 +249,7 @@
         .h1_write_buffer_size(CALLER_BUFFER_BYTES)
         .h1_allow_half_closed(false);
     for address in addresses {
-        server = server.listen(TcpListener::bind(address)?)?;
+        server = server.listen(listen(address)?)?;
     }
     let server = server.run();
     let handle = server.handle();
@@ -251,6 +257,15 @@
     Ok(handle)
 }
 
+/// Opens a listener at `address`.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(ACCEPT_QUEUE_MAX)?;
+    Ok(socket.into())
+}
+
 async fn dispatch_by_port(
     front: web::Data<WorkerState>,
     shared: web::Data<Shared>,
