Bound the open connections of callers at a host

What callers saw: nothing yet. A host to which the load balancer hands most new connections keeps each of them for its idle timeout of 120 s, and has 4,100 descriptors for these and its upstreams. Without descriptors it can't connect to upstreams, which it takes for a fault of theirs.

Cause: nothing bounded the connections of callers.

Change: at most 3,000 are open. Above half of that they are closed with their next answer. One over the bound is closed before its request is read, so that the caller's retry meets another host; a request that had arrived already doesn't run.

The unit tests of callerconnections were not run yet. Running out of descriptors was not produced, and the memory of 3,000 connections was not measured.

Conclusion: the bound is by the number of descriptors alone.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -9,6 +9,7 @@
 pub(crate) mod attempts;
 pub mod brittle;
 pub mod call;
+pub mod callerconnections;
 pub mod cold;
 pub mod configfetch;
 pub mod configuration;
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -1,5 +1,7 @@
 //! Starts the parts of a gateway host, serves its addresses and shuts it down.
 
+use std::any::Any;
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -9,12 +11,15 @@
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::HttpServer;
+use actix_web::dev::Extensions;
 use actix_web::dev::ServerHandle;
 use actix_web::http::KeepAlive;
 use actix_web::web;
 use socket2::Domain;
+use socket2::SockRef;
 use socket2::Socket;
 use socket2::Type;
+use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
@@ -25,6 +30,7 @@
 use crate::clock::wall_ms;
 use crate::error::Result;
 use crate::event::EventCode;
+use crate::gateway::callerconnections::CallerConnection;
 use crate::gateway::configfetch;
 use crate::gateway::connection::SystemConnector;
 use crate::gateway::decisions::DecisionLog;
@@ -36,6 +42,7 @@
 use crate::gateway::peerfetch;
 use crate::gateway::protocol::Protocol;
 use crate::gateway::protocol::Topic;
+use crate::gateway::refuse;
 use crate::gateway::rolloutstatus;
 use crate::gateway::serve;
 use crate::gateway::serve::WorkerState;
@@ -224,6 +231,7 @@
 fn serve_all(shared: &Shared, telemetry: &Telemetry) -> Result<ServerHandle> {
     let settings = shared.settings().clone();
     let shared = shared.clone();
+    let admitting = shared.clone();
     let telemetry = telemetry.clone();
     let factory = move || {
         let front = WorkerState::new(shared.clone());
@@ -242,6 +250,7 @@
     ];
     let mut server = HttpServer::new(factory)
         .workers(1)
+        .on_connect(move |stream, data| admit_connection(&admitting, stream, data))
         .disable_signals()
         .keep_alive(KeepAlive::Timeout(CALLER_IDLE_TIMEOUT))
         .client_request_timeout(HEAD_TIMEOUT)
@@ -266,6 +275,32 @@
     Ok(socket.into())
 }
 
+/// Counts a new connection if it is a caller's. One over the bound is closed before its request is read, so that the
+/// caller's retry meets another host.
+fn admit_connection(shared: &Shared, stream: &dyn Any, data: &mut Extensions) {
+    let Some(stream) = stream.downcast_ref::<TcpStream>() else {
+        return;
+    };
+    let caller_port = shared.settings().caller_address.port();
+    let is_callers = stream
+        .local_addr()
+        .is_ok_and(|address| address.port() == caller_port);
+    if !is_callers {
+        return;
+    }
+    match shared.caller_connections().admit() {
+        Some(connection) => {
+            data.insert(connection);
+        }
+        None => {
+            log::debug!("closing a caller's connection over the bound");
+            if let Err(error) = SockRef::from(stream).shutdown(Shutdown::Both) {
+                log::debug!("closing a caller's connection: {error}");
+            }
+        }
+    }
+}
+
 async fn dispatch_by_port(
     front: web::Data<WorkerState>,
     shared: web::Data<Shared>,
@@ -276,6 +311,10 @@
     let port = http.app_config().local_addr().port();
     let settings = shared.settings();
     if port == settings.caller_address.port() {
+        // A request that arrived before its connection was closed must not run.
+        if http.conn_data::<CallerConnection>().is_none() {
+            return refuse::response(&refuse::host_crowded(), true);
+        }
         return serve::serve(front, http, payload).await;
     }
     if port == settings.ready_address.port() {
--- a/src/gateway/refuse.rs
+++ b/src/gateway/refuse.rs
@@ -15,12 +15,21 @@
 /// `Retry-After` of a host that is stopping: short, as the load balancer sends the retry to another host.
 const STOPPING_RETRY_AFTER_MS: u64 = 20;
 
+/// `Retry-After` of a host with too many connections: short, as the load balancer sends the retry to another host.
+const CROWDED_RETRY_AFTER_MS: u64 = 20;
+
 /// The refusal of a host that is stopping and could not finish the request.
 pub fn host_stopping() -> Refusal {
     let refusal = Refusal::not_run(Code::NotReady, "the host is stopping");
     refusal.retry_after_ms(STOPPING_RETRY_AFTER_MS)
 }
 
+/// The refusal of a host that has too many connections of callers.
+pub(crate) fn host_crowded() -> Refusal {
+    let refusal = Refusal::not_run(Code::Overloaded, "the host has too many connections");
+    refusal.retry_after_ms(CROWDED_RETRY_AFTER_MS)
+}
+
 /// Builds the HTTP response for a refusal. Callers accept fractions of a second in `Retry-After`.
 pub fn response(refusal: &Refusal, close: bool) -> HttpResponse {
     let status = StatusCode::from_u16(refusal.code.http_status())
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -6,6 +6,7 @@
 
 use derive_builder::Builder;
 
+use crate::gateway::callerconnections::CALLER_CONNECTIONS_MAX;
 use crate::gateway::retrybudget::RetryBudgetOptions;
 use crate::gateway::rollouts::ExposureBound;
 use crate::id::DataCentre;
@@ -58,6 +59,9 @@
     /// Limit on the requests that a bad version may receive from all hosts together.
     #[builder(default)]
     pub exposure: ExposureBound,
+    /// Connections that callers may hold open at this host.
+    #[builder(default = "CALLER_CONNECTIONS_MAX")]
+    pub caller_connections_max: usize,
     /// Decisions under load that are switched on.
     #[builder(default)]
     pub features: LoadFeatures,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -21,6 +21,7 @@
 use crate::ejection::Ejector;
 use crate::gate::Gate;
 use crate::gateway::brittle::BrittleUpstreams;
+use crate::gateway::callerconnections::CallerConnections;
 use crate::gateway::cold::ColdBudget;
 use crate::gateway::connection::Connector;
 use crate::gateway::contact::UpstreamContact;
@@ -125,6 +126,7 @@
     unconfirmed: Mutex<UnconfirmedEvidence>,
     failed_carriers: Mutex<FailedCarriers>,
     carrier_limits: Mutex<CarrierLimits>,
+    caller_connections: CallerConnections,
     failure_rates: Mutex<FailureRates>,
     reported_loads: Mutex<ReportedLoads>,
     speeds: Mutex<Speeds>,
@@ -171,6 +173,7 @@
         } = environment;
         let data_centre = settings.data_centre.clone();
         let peers = Peers::new(settings.gossip_address, data_centre, &settings.seeds);
+        let caller_connections = CallerConnections::new(settings.caller_connections_max);
         Shared(Arc::new(Inner {
             settings,
             protocol,
@@ -193,6 +196,7 @@
             contact: Mutex::default(),
             unconfirmed: Mutex::default(),
             failed_carriers: Mutex::default(),
+            caller_connections,
             carrier_limits: Mutex::new(CarrierLimits::new(clock.now())),
             failure_rates: Mutex::default(),
             reported_loads: Mutex::default(),
@@ -312,7 +316,14 @@
 
     /// Whether client connections are closed after a response, so that clients reconnect to another host.
     pub(crate) fn closes_connections(&self) -> bool {
-        self.gate().is_shutting_down() || self.is_partitioned()
+        self.gate().is_shutting_down()
+            || self.is_partitioned()
+            || self.0.caller_connections.is_crowded()
+    }
+
+    /// The open connections of callers.
+    pub(crate) fn caller_connections(&self) -> &CallerConnections {
+        &self.0.caller_connections
     }
 
     /// Whether the host has a configuration and a list of upstreams, and knows which data centres are
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -3,6 +3,7 @@
 mod brittleupstreams;
 mod coldupstreams;
 mod crashingrequests;
+mod crowdedhost;
 mod cutofflinks;
 mod evacuation;
 mod failingupstreams;
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -276,6 +276,19 @@
         World::start_host(settings, log, HAS_RUN).serve(routes, upstreams)
     }
 
+    /// The same with a bound on the connections of callers.
+    pub fn serving_connections(
+        connections_max: usize,
+        routes: Value,
+        upstreams: &[&FakeUpstream],
+    ) -> Self {
+        let address = own_address();
+        let log = FakeLog::start(address);
+        let mut settings = settings(address, log.address());
+        settings.caller_connections_max = connections_max;
+        World::start_host(settings, log, HAS_RUN).serve(routes, upstreams)
+    }
+
     fn serve(self, routes: Value, upstreams: &[&FakeUpstream]) -> Self {
         let world = self;
         for upstream in upstreams {
