--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -4,6 +4,7 @@
 mod coldupstreams;
 mod crashingparts;
 mod crashingrequests;
+mod crowdedhost;
 mod cutofflinks;
 mod evacuation;
 mod failingupstreams;
