Send a late generation only where it is certain to finish

Cause: the check allowed 0.8 s to the first event and 11 ms a token, stood before the wait for room and knew nothing of the engine.

The check is made again once the generation has an engine. After the notice time it also asks for twice the time that the engine's unread prompts, its slowness and the most tokens give, and passes no cold or unhealthy engine and none under trial. What isn't certain is refused at once, not run.

Unit tests of stopping passed. An engine that sends a head and then stalls is still beyond the estimate.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -153,6 +153,9 @@
             }
             Err(refusal) => return admitted.refuse(shared, &refusal),
         };
+        if let Some(refusal) = stopping::refuse_at_engine(shared, &admitted, &candidate) {
+            return admitted.refuse(shared, &refusal);
+        }
         let running_guard = shared
             .queues()
             .track_running(admitted.customer.as_ref(), need.tokens());
--- a/src/gateway/stream/stopping.rs
+++ b/src/gateway/stream/stopping.rs
@@ -3,11 +3,15 @@
 
 use std::time::Duration;
 
+use super::PROMPT_TIME;
+use super::TOKEN_TIME;
 use super::hinted_tokens;
 use super::planned_output;
 use super::run_duration;
+use crate::gateway::placement::Candidate;
 use crate::gateway::protocol::GenerationSize;
 use crate::gateway::refuse;
+use crate::gateway::rollouts::Track;
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
 use crate::refusal::Refusal;
@@ -16,6 +20,10 @@
 /// requests in transit arrive after that. Later ones come over old connections and must be certain to finish.
 const NOTICE_DELAY: Duration = Duration::from_millis(2_500);
 
+/// Factor by which the time of a late generation may exceed its estimate. Its caller loses nothing by a refusal, since
+/// another host serves the next attempt, and all of its answer by a cut.
+const LATE_SAFETY: f64 = 2.0;
+
 /// Returns the refusal of a generation that would not finish before the host exits.
 pub(super) fn refuse_while_stopping(shared: &Shared, admitted: &Admitted) -> Option<Refusal> {
     let left = shared.shutdown_time_left()?;
@@ -27,6 +35,47 @@
     }
 }
 
+/// The same once the generation has an engine, perhaps after a wait: late ones are sent only where they are certain to
+/// finish.
+pub(super) fn refuse_at_engine(
+    shared: &Shared,
+    admitted: &Admitted,
+    candidate: &Candidate,
+) -> Option<Refusal> {
+    let left = shared.shutdown_time_left()?;
+    let stopping_for = shared.stopping_for()?;
+    let size = admitted.size(shared);
+    let finishes = finishes_in_time(size, stopping_for, left)
+        && (stopping_for < NOTICE_DELAY || is_certain(shared, admitted, candidate, left));
+    (!finishes).then(refuse::host_stopping)
+}
+
+/// Whether a generation finishes within `left` at an engine even if it takes much longer than expected.
+fn is_certain(shared: &Shared, admitted: &Admitted, candidate: &Candidate, left: Duration) -> bool {
+    let upstream = &candidate.upstream;
+    let now = shared.now();
+    let is_cold = shared.directory(|directory| directory.is_cold(now, &upstream.id));
+    if is_cold || candidate.unhealthy || admitted.track.get() == Track::Trial {
+        return false;
+    }
+    let size = admitted.size(shared);
+    let unread_tokens = candidate
+        .load
+        .unread_tokens
+        .saturating_add(size.prompt_tokens);
+    let slowness = candidate.slowness;
+    let stats = shared.queues().with(|queues| queues.stats.clone());
+    let first_event = stats.first_event_bound(unread_tokens, slowness.prefill);
+    late_duration(size, first_event, slowness.decode) < left
+}
+
+/// Time that a late generation is certain not to exceed, if its first event comes after `first_event` at an engine that
+/// generates `decode` times as long as usual.
+fn late_duration(size: GenerationSize, first_event: Duration, decode: f64) -> Duration {
+    let events = (TOKEN_TIME * size.output_tokens_max).mul_f64(decode.max(1.0));
+    (first_event.max(PROMPT_TIME) + events).mul_f64(LATE_SAFETY)
+}
+
 /// Whether a generation finishes within `left` on a host that has been shutting down for `stopping_for`.
 /// The estimate uses the caller's hint at first and the output limit later, because some hints are far off.
 fn finishes_in_time(size: GenerationSize, stopping_for: Duration, left: Duration) -> bool {
--- a/src/gateway/stream/stopping/tests.rs
+++ b/src/gateway/stream/stopping/tests.rs
@@ -2,6 +2,7 @@
 
 use super::NOTICE_DELAY;
 use super::finishes_in_time;
+use super::late_duration;
 use crate::gateway::protocol::GenerationSize;
 
 /// Takes 1.9 s by its hint and 12 s at most.
@@ -33,3 +34,18 @@
     assert!(!finishes_in_time(HINTED_SHORT, NOTICE_DELAY, TIME_LEFT));
     assert!(finishes_in_time(certain, NOTICE_DELAY, TIME_LEFT));
 }
+
+#[test]
+fn a_late_generation_must_finish_even_at_an_engine_that_is_slow_to_its_first_event() {
+    let size = GenerationSize {
+        output_tokens_max: 100,
+        ..HINTED_SHORT
+    };
+    let usual = late_duration(size, Duration::ZERO, 1.0);
+    let crowded = late_duration(size, Duration::from_secs(1), 1.0);
+    let slow = late_duration(size, Duration::ZERO, 2.0);
+
+    assert!(usual < TIME_LEFT);
+    assert!(crowded > TIME_LEFT);
+    assert!(slow > TIME_LEFT);
+}
