Send nothing more over connections whose carrier stops

A host that carried connections for hosts without links and stopped was held to the end of its grace period by those that were in use, and cut requests of other hosts there.

Cause: the other hosts took such connections from their pools although the carrier had told that it stops; the carrier counts each as a request that runs.

A pooled connection is left, and so closed, if the newest report of its carrier says that it stops. The carrier also refuses what asks to be carried once its gate is closed.

Evidence: a_carrier_that_stops_ends_though_hosts_without_links_keep_sending failed 1 of 1 before (ShutdownForced in place of ShutdownComplete) and passed 1 of 1 after, in a run of 25 passed of 25 (`--test gateway -- stop grace carried carrier links cutoff`). 73 of 73 unit tests named stopping, gate, carrier, peers, event, call passed.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -235,8 +235,11 @@
         RouteKind::Idempotent => front.pool.borrow_mut().take(&upstream.id),
         RouteKind::Once | RouteKind::Stream => None,
     };
-    // A cut may have left an open connection silent.
-    let pooled = pooled.filter(|pooled| pooled.carrier().is_some() || !shared.is_cut_off());
+    // A cut may have left an open connection silent, and a carrier that stops may end before the answer.
+    let pooled = pooled.filter(|pooled| match pooled.carrier() {
+        Some(carrier) => !shared.peers(|peers| peers.is_stopping(carrier)),
+        None => !shared.is_cut_off(),
+    });
     let connection = match pooled {
         Some(connection) => connection,
         None => match dial::open(
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -322,6 +322,17 @@
         reports.filter(move |report| report.is_live(now))
     }
 
+    /// Whether a host has told that it is stopping.
+    pub(crate) fn is_stopping(&self, host: &HostId) -> bool {
+        let reports = self
+            .peers
+            .values()
+            .filter_map(|peer| peer.report.as_ref())
+            .filter(|report| report.host == *host);
+        let newest = reports.max_by_key(|report| report.received_at);
+        newest.is_some_and(|report| report.stopping)
+    }
+
     fn report_of(&self, address: &SocketAddr) -> Option<&Report> {
         #[cfg(test)]
         self.lookups.set(self.lookups.get() + 1);
--- a/src/gateway/tunnel/carrier.rs
+++ b/src/gateway/tunnel/carrier.rs
@@ -50,6 +50,9 @@
 /// Pause after a failure to accept a connection, which would otherwise repeat at once.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Why a host that shuts down carries nothing more.
+const STOPPING: &str = "the host is stopping";
+
 /// The limits on what a host carries.
 #[derive(Debug)]
 pub(crate) struct CarrierLimits {
@@ -108,7 +111,10 @@
     let request: OpenRequest = frames::decode(&frame)?;
     connection::set_options(framed.get_ref(), profile(&request))?;
     // A host that shuts down waits for what it carries.
-    let _pass = shared.gate().enter(RequestId::generate());
+    let Some(_pass) = shared.gate().enter_if_open(RequestId::generate()) else {
+        let reply = OpenReply::Refused(STOPPING.to_owned());
+        return framed.send(frames::encode(&reply)?).await;
+    };
     shared.check_suspension();
     let admitted = admit(shared, &request);
     let (reply, carried) = match admitted {
@@ -130,7 +136,7 @@
 fn admit(shared: &Shared, request: &OpenRequest) -> Result<OwnedSemaphorePermit, OpenReply> {
     let refused = |reason: &str| OpenReply::Refused(reason.to_owned());
     if shared.gate().is_shutting_down() {
-        return Err(refused("the host is stopping"));
+        return Err(refused(STOPPING));
     }
     if shared.is_resuming() {
         return Err(refused("the host has just woken from a suspension"));
--- a/tests/cutofflinks/mod.rs
+++ b/tests/cutofflinks/mod.rs
@@ -390,3 +390,31 @@
             .all(|host| host.lines.of("RequestSuspected").is_empty())
     );
 }
+
+/// Hosts without links kept the connections in use that a stopping host carried for them, to the end of its grace period.
+#[test]
+fn a_carrier_that_stops_ends_though_hosts_without_links_keep_sending() {
+    let mut hosts = start_fleet(route("idempotent"), &start_upstreams());
+    for host in &hosts[1..] {
+        host.links.cut(Cut::Silent);
+    }
+    for host in &hosts[1..] {
+        assert!(wait_until(|| ask_one(host).status == 200));
+    }
+
+    let mut carrier = hosts.remove(0);
+    carrier.drain();
+    let ended = || {
+        hosts.iter().for_each(|host| {
+            ask_one(host);
+        });
+        let complete = carrier.lines.of("ShutdownComplete").len();
+        complete + carrier.lines.of("ShutdownForced").len() > 0
+    };
+
+    assert!(wait_until(ended));
+    let began = &carrier.lines.of("ShutdownBegan")[0];
+    let complete = carrier.lines.of("ShutdownComplete");
+    assert_eq!(complete.len(), 1, "{began}");
+    assert!(carrier.lines.of("ShutdownForced").is_empty());
+}
