Listen for signals before the first socket is opened

SIGTERM right after a start could end the process by default, with whatever it had read, since the handlers were installed after the sockets were open. They are installed first now.

No process test yet.

--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -127,6 +127,10 @@
         environment: Environment,
         reload: Reload,
     ) -> Result<Self> {
+        // Without handlers a signal would end the process and whatever it has read.
+        let terminate = signal(SignalKind::terminate())?;
+        let interrupt = signal(SignalKind::interrupt())?;
+        let hangup = signal(SignalKind::hangup())?;
         let telemetry = Telemetry::install();
         let socket = UdpSocket::bind(settings.gossip_address).await?;
         let carrier_listener = tokio::net::TcpListener::bind(settings.gossip_address).await?;
@@ -156,9 +160,9 @@
             shared,
             reload,
             server,
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-            hangup: signal(SignalKind::hangup())?,
+            terminate,
+            interrupt,
+            hangup,
         })
     }
 
