Hold back requests with parts of prompts that crash upstreams

Callers saw engine after engine crash: one part of a prompt crashes every engine that begins to write on it, in requests of which no two are alike.

Cause: evidence stood for a request's whole content only, so no two crashes were counted together.

Change: a crash accuses the content, as before, and each part of the prompts that the upstream had not written on for 500 ms. A part that an upstream writes on for longer, or whose request is answered, loses its earlier crashes, here and at all hosts; a host remembers 8,192 parts that it saw proved and so refutes crashes that others announce. Parts with three crashes are implicated if no other part explains the crashes better, the one that explains the most first; of equals one never proved sound. Parts that explain the same crashes are told apart by requests with some of them, one at a time at a host. Trials, times, announcements and records in the log are those of contents.

Crashes at cold upstreams count for parts: crashed upstreams come back cold. They don't count for contents, as before.

Suspects with the most crashes are announced first, for a crash accuses a dozen parts and a datagram carries six. The crash that other data centres are told of at once was chosen by the time of the crash, which is earlier than the last sending where the evidence waited for its confirmation, and so was left out; it is now told once whenever it was confirmed.

The datagram's format is 15. Records of the log without a kind are of contents. The tests of fixtures that build evidence name its kind; the spread test takes its seed as an argument. No test was relaxed.

The whole test suite was not run.

--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -35,7 +35,7 @@
 pub(crate) const PART_CHANGES_MAX: usize = 10;
 /// First byte of a datagram. Incremented whenever the fields change, so that hosts of different
 /// releases don't misinterpret each other's datagrams.
-const FORMAT: u8 = 14;
+const FORMAT: u8 = 15;
 /// First byte of a datagram with [`AnnouncedChanges`].
 const CHANGES_FORMAT: u8 = 0x80 | FORMAT;
 /// First byte of a datagram about the shared queue of a service ([`crate::gateway::queuemessages`]).
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -134,6 +134,9 @@
         return (ReadOutcome::NotRun(reason), connection);
     }
     shared.clear_suspect(admitted.fingerprint, &upstream.id);
+    if head.status.is_success() {
+        shared.record_sound_parts(admitted, Duration::ZERO);
+    }
     (
         ReadOutcome::Answered(WholeAnswer { head, body }),
         connection,
--- a/src/gateway/gossip/remote.rs
+++ b/src/gateway/gossip/remote.rs
@@ -16,7 +16,6 @@
 use crate::gateway::position::Position;
 use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
-use crate::gateway::suspects::AnnouncedSuspect;
 use crate::id::DataCentre;
 
 /// Interval of summaries for other data centres in a large fleet. Traffic between data centres is
@@ -39,8 +38,6 @@
     announced_upstreams: Position,
     /// The load of this host last announced to each other data centre, and when.
     announced_loads: BTreeMap<DataCentre, (Time, Vec<(InstanceKey, Load)>)>,
-    /// Crashes observed by this host up to this time have been announced.
-    suspects_sent_at: Time,
     /// Number of local rollout changes in the previous round.
     announced_rollouts: u64,
 }
@@ -95,12 +92,6 @@
         due
     }
 
-    /// Crashes that this host has observed since the previous round.
-    fn new_suspects(&mut self, shared: &Shared, now: Time) -> Vec<AnnouncedSuspect> {
-        let since = std::mem::replace(&mut self.suspects_sent_at, now);
-        shared.suspects(|suspects| suspects.observed_since(now, since))
-    }
-
     /// Whether this host is a reader of the upstreams and has to announce that, or changes, to remote hosts.
     fn is_reader_due(&mut self, shared: &Shared, now: Time, datagram: &Datagram) -> bool {
         let upstreams = datagram.upstreams;
@@ -133,7 +124,7 @@
     }
     // The client may repeat the request at any host, and hosts of other data centres would otherwise
     // learn of the crash from the summaries, 1.8 s later.
-    let suspects = rounds.new_suspects(shared, now);
+    let suspects = shared.suspects(|suspects| suspects.take_observed(now));
     if !suspects.is_empty() {
         let targets = shared.peers(|peers| peers.remote_hosts());
         send(socket, &encode(datagram.suspects_only(suspects)), &targets).await;
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -303,6 +303,7 @@
     let now = shared.now();
     let (held_back, known) = shared.suspects(|suspects| suspects.count(now));
     telemetry::set_suspects(held_back, known);
+    telemetry::set_implicated_parts(shared.suspects(|suspects| suspects.count_implicated()));
     telemetry::set_upstreams_limited(shared.upstream_limits(|limits| limits.count()));
     telemetry::set_upstreams_slow(shared.count_slow_upstreams());
     telemetry::set_upstreams_failing(shared.count_failing());
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -83,6 +83,7 @@
 use self::queueing::Queueing;
 pub(crate) use self::rollouts::Freshness;
 pub(crate) use self::rollouts::OpenRollout;
+pub(crate) use self::suspects::PROOF_TIME;
 
 /// What a host has of its platform and its process.
 #[derive(Debug, Clone)]
--- a/src/gateway/shared/health.rs
+++ b/src/gateway/shared/health.rs
@@ -97,8 +97,8 @@
 
     fn apply_evidence(&self, failed_at: Time, evidence: Evidence) {
         match evidence {
-            Evidence::Crash(fingerprint, upstream) => {
-                self.count_crash(failed_at, fingerprint, &upstream);
+            Evidence::Crash(blame, upstream) => {
+                self.count_crash(failed_at, &blame, &upstream);
             }
             Evidence::FailedCall(service, upstream) => {
                 self.record_call_outcome(&service, &upstream, true);
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -24,6 +24,7 @@
 use crate::gateway::rollouts::evidence::Measure;
 use crate::gateway::rollouts::evidence::Outcome;
 use crate::gateway::serve::Admitted;
+use crate::gateway::shared::PROOF_TIME;
 use crate::gateway::shared::Shared;
 use crate::gateway::speeds::Work;
 use crate::id::ClassId;
@@ -56,6 +57,8 @@
     first_at: Option<Instant>,
     /// Whether the pace has been recorded.
     pace_recorded: bool,
+    /// Whether it has been recorded that the parts of the prompt are sound.
+    has_proved_parts: bool,
     /// From when and from how many events on the engine's speed is measured; none until an event of it has come.
     speed_from: Option<(Instant, u64)>,
     /// Tokens that the run is expected to produce in all.
@@ -105,6 +108,7 @@
             first_ms: None,
             first_at: None,
             pace_recorded: false,
+            has_proved_parts: false,
             speed_from: None,
             expected_tokens,
             last_at: Instant::now(),
@@ -155,7 +159,7 @@
             {
                 let upstream = &self.running.upstream.id;
                 let connection = &self.running.connection;
-                let written_for = self.first_at.map(|at| at.elapsed());
+                let written_for = self.written_for();
                 self.shared
                     .record_crash(&self.admitted, upstream, connection, written_for);
                 return self.fail(&reason);
@@ -174,6 +178,7 @@
             Some(_) => self.gap_max = self.gap_max.max(now - self.last_at),
         }
         self.record_pace(now);
+        self.record_proof();
         self.record_decode_speed(now);
         self.last_at = now;
     }
@@ -222,6 +227,20 @@
         }
     }
 
+    /// Records that the parts of the prompt are sound, once the engine has written on them for [`PROOF_TIME`].
+    fn record_proof(&mut self) {
+        let written_for = self.written_for().unwrap_or_default();
+        if !self.has_proved_parts && written_for >= PROOF_TIME {
+            self.has_proved_parts = true;
+            self.shared.record_sound_parts(&self.admitted, written_for);
+        }
+    }
+
+    /// Time since the run's first event.
+    fn written_for(&self) -> Option<Duration> {
+        self.first_at.map(|at| at.elapsed())
+    }
+
     /// Records how fast the engine generates, every [`PACE_EVENTS`] events.
     fn record_decode_speed(&mut self, now: Instant) {
         let Some(engine) = &self.admitted.engine else {
@@ -312,6 +331,9 @@
         self.running_guard.complete(slowness.decode);
         self.shared
             .clear_suspect(self.admitted.fingerprint, upstream);
+        if let Some(written_for) = self.written_for() {
+            self.shared.record_sound_parts(&self.admitted, written_for);
+        }
         let entry = self
             .admitted
             .log_entry(&self.shared, EventCode::RequestComplete);
--- a/src/gateway/suspectlog.rs
+++ b/src/gateway/suspectlog.rs
@@ -25,6 +25,7 @@
 use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
 use crate::gateway::suspects::AnnouncedSuspect;
+use crate::gateway::suspects::SuspectKind;
 use crate::gateway::ticks::tick;
 
 /// The interval at which a host checks for evidence to write, and whether a read is due.
@@ -39,7 +40,8 @@
 const READ_INTERVAL_DIVISOR: u32 = 20;
 /// A data centre that has been silent for longer may be cut off. Its hosts send every 1.8 s.
 const SILENCE_MIN: Duration = Duration::from_secs(4);
-/// The fewest crashes for which a content is written while no data centre is silent.
+/// The fewest crashes for which a content is written while no data centre is silent. Parts are written once
+/// they may hold requests back.
 const WRITE_CRASHES_MIN: usize = 2;
 /// The most contents written in one round, so that a burst leaves the log capacity for other writers.
 const WRITES_PER_ROUND_MAX: usize = 4;
@@ -52,8 +54,11 @@
 /// The value of a record of the topic.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct StoredSuspect {
-    /// The fingerprint of the content, in hexadecimal.
+    /// The fingerprint of the content or part, in hexadecimal.
     fingerprint: String,
+    /// Which of them it is.
+    #[serde(default)]
+    kind: SuspectKind,
     /// The upstreams that crashed, each with the wall-clock time of its crash in Unix milliseconds.
     crashes: Vec<(InstanceKey, u64)>,
     /// The wall-clock time of the last complete answer, in Unix milliseconds.
@@ -67,6 +72,7 @@
         let crashes = suspect.crashes.iter();
         StoredSuspect {
             fingerprint: suspect.fingerprint.to_hex(),
+            kind: suspect.kind,
             crashes: crashes.map(|(upstream, ms)| (*upstream, at(*ms))).collect(),
             answered_ms: suspect.answered_ms_ago.map(at),
         }
@@ -78,6 +84,7 @@
         let crashes = self.crashes.iter();
         Ok(AnnouncedSuspect {
             fingerprint: Fingerprint::from_str(&self.fingerprint)?,
+            kind: self.kind,
             crashes: crashes
                 .map(|(upstream, at)| (*upstream, ago(*at)))
                 .collect(),
--- a/src/gateway/suspectlog/tests.rs
+++ b/src/gateway/suspectlog/tests.rs
@@ -15,6 +15,7 @@
 use crate::gateway::instance::InstanceKey;
 use crate::gateway::protocol::Record;
 use crate::gateway::suspects::AnnouncedSuspect;
+use crate::gateway::suspects::SuspectKind;
 use crate::id::UpstreamId;
 
 const NOW_MS: u64 = 1_900_000_000_000;
@@ -32,6 +33,7 @@
             target: "/nets/7",
             body: b"tighten",
         }),
+        kind: SuspectKind::Part,
         crashes: vec![(key(0), 900), (key(1), 50)],
         answered_ms_ago: Some(70_000),
     }
@@ -54,6 +56,7 @@
     let announced = read.to_announced(NOW_MS + 10_000).unwrap();
 
     assert_eq!(announced.fingerprint, suspect().fingerprint);
+    assert_eq!(announced.kind, suspect().kind);
     assert_eq!(announced.crashes, [(key(0), 10_900), (key(1), 10_050)]);
     assert_eq!(announced.answered_ms_ago, Some(80_000));
 }
@@ -109,3 +112,13 @@
     assert!(!schedule.is_due(start + READ_INTERVAL_MIN / 2, Some(SILENCE_MIN)));
     assert!(!schedule.is_due(later, Some(Duration::from_secs(3_600))));
 }
+
+#[test]
+fn a_record_without_a_kind_is_of_a_content() {
+    let fingerprint = suspect().fingerprint.to_hex();
+    let value = format!(r#"{{"fingerprint": "{fingerprint}", "crashes": []}}"#);
+
+    let read = decode(&record(value.as_bytes())).unwrap().unwrap();
+
+    assert_eq!(read.kind, SuspectKind::Content);
+}
--- a/src/gateway/suspects.rs
+++ b/src/gateway/suspects.rs
@@ -1,4 +1,4 @@
-//! Requests that crashed upstreams, by the fingerprint of their content.
+//! Requests that crashed upstreams, by the fingerprint of their content and of the parts of their prompts.
 //!
 //! A caller sends a request that crashed its upstream again, under another id and to any host. Each crash
 //! also ends the other work of that upstream, so hosts hold such a request back after [`CRASHES_MAX`]
@@ -7,7 +7,9 @@
 //!
 //! An upstream whose connection broke counts as crashed until it answers a later request, or is still
 //! listed when the entry of a crashed one would have lapsed, so a reset connection doesn't count as a crash
-//! for long. A complete answer clears a content of all earlier crashes.
+//! for long. A complete answer clears a content of all earlier crashes. A part of prompts that requests share is
+//! cleared by any request with it that an upstream writes on; which parts explain the crashes is decided over all
+//! evidence together ([`Implicated`]).
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -16,9 +18,11 @@
 
 use self::announce::OWN_ANNOUNCEMENTS;
 use self::announce::RELAYED_ANNOUNCEMENTS;
+use self::soundparts::SoundParts;
 use self::suspect::CRASHES_KEPT_MAX;
 use self::suspect::Crash;
 use self::suspect::EVIDENCE_TTL;
+use self::suspect::PROBE_TIMEOUT;
 use self::suspect::Suspect;
 use self::suspect::TRIAL_TIMEOUT;
 use crate::clock::Time;
@@ -27,11 +31,19 @@
 use crate::gateway::instance::InstanceKey;
 
 mod announce;
+mod implicated;
+mod parts;
+mod soundparts;
 mod suspect;
 
 pub use self::announce::AnnouncedSuspect;
+pub use self::implicated::Implicated;
+pub use self::parts::Blame;
+pub use self::parts::PartAssessment;
+pub use self::parts::PartVerdict;
 pub use self::suspect::Assessment;
 pub use self::suspect::CRASHES_MAX;
+pub use self::suspect::SuspectKind;
 pub use self::suspect::Verdict;
 
 /// An upstream that is still listed this long after its connection broke has not crashed: entries lapse
@@ -39,13 +51,19 @@
 /// rule, a request whose connections live upstreams had reset three times was refused for good in 4 of 6
 /// runs in which nothing else was answered.
 const STALE_LISTING_MAX: Duration = Duration::from_secs(6);
-/// Contents to remember, some 200 bytes each. Those with the fewest and oldest crashes are evicted first.
+/// Contents and parts to remember, some 300 bytes each. Those with the fewest and oldest crashes are evicted first.
 const SUSPECTS_MAX: usize = 4_096;
 
 /// The suspects that a host knows.
 #[derive(Debug, Default)]
 pub struct Suspects {
     suspects: BTreeMap<Fingerprint, Suspect>,
+    /// Parts that this host saw proved sound.
+    sound_parts: SoundParts,
+    /// The parts that explain crashes, by the present evidence.
+    implicated: Vec<Implicated>,
+    /// Those last taken for the log.
+    logged: Vec<Implicated>,
     /// When each upstream recorded as crashed was last known to be alive.
     alive_at: HashMap<InstanceKey, Time>,
     /// The suspect with several crashes that was last announced in rotation.
@@ -79,15 +97,28 @@
             upstream: upstream.key(),
             at: now,
         };
-        if !self.add_crash(fingerprint, crash) {
-            return None;
+        match self.observe_crash(now, SuspectKind::Content, fingerprint, crash) {
+            true => self.assess(now, fingerprint),
+            false => None,
         }
-        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+    }
+
+    /// Adds a crash that this host saw. Returns whether it was not known.
+    fn observe_crash(
+        &mut self,
+        now: Time,
+        kind: SuspectKind,
+        fingerprint: Fingerprint,
+        crash: Crash,
+    ) -> bool {
+        let is_new = self.add_crash(kind, fingerprint, crash);
+        if is_new && let Some(suspect) = self.suspects.get_mut(&fingerprint) {
             suspect.observed_at = Some(now);
             suspect.announcements_left = OWN_ANNOUNCEMENTS;
             suspect.is_unwritten = true;
+            suspect.is_news = true;
         }
-        self.assess(now, fingerprint)
+        is_new
     }
 
     /// Records a complete answer to a request. Returns the assessment before it, if the content was a
@@ -109,8 +140,8 @@
             return;
         }
         let key = upstream.key();
-        if self.alive_at.contains_key(&key) {
-            self.retract(key, sent_at);
+        if self.alive_at.contains_key(&key) && self.retract(key, sent_at) {
+            self.update_implicated();
         }
     }
 
@@ -140,6 +171,7 @@
         {
             self.retract(upstream, lapsed_before);
         }
+        self.update_implicated();
     }
 
     /// The assessment of a content; none if no crash is known.
@@ -167,16 +199,28 @@
         announced: &[AnnouncedSuspect],
     ) -> Vec<(Fingerprint, Assessment)> {
         let mut changed = Vec::new();
+        let mut is_any_new = false;
         for suspect in announced {
             let fingerprint = suspect.fingerprint;
             let answered_at = suspect.answered_ms_ago.map(|ms| time_before(now, ms));
+            let proved_at = self.sound_parts.proved_at(fingerprint);
+            let answered_at = answered_at.max(proved_at);
+            let mut is_refuted = false;
             let mut is_new = answered_at.is_some_and(|at| self.clear_before(fingerprint, at));
             for (upstream, ms) in suspect.crashes.iter().take(CRASHES_KEPT_MAX) {
                 let crash = Crash {
                     upstream: *upstream,
                     at: time_before(now, *ms),
                 };
-                is_new |= self.add_crash(fingerprint, crash);
+                is_new |= self.add_crash(suspect.kind, fingerprint, crash);
+                is_refuted |= proved_at.is_some_and(|at| at > crash.at);
+            }
+            if let Some(known) = self.suspects.get_mut(&fingerprint) {
+                known.answered_at = known.answered_at.max(answered_at);
+            }
+            is_any_new |= is_new;
+            if is_refuted && suspect.crashes.len() > 1 {
+                self.announce_proof(fingerprint, proved_at);
             }
             if is_new {
                 self.schedule_relay(fingerprint);
@@ -184,6 +228,9 @@
                 changed.extend(assessment.map(|assessment| (fingerprint, assessment)));
             }
         }
+        if is_any_new {
+            self.update_implicated();
+        }
         changed
     }
 
@@ -192,9 +239,9 @@
     pub fn take_unwritten(&mut self, crashes_min: usize) -> Vec<Fingerprint> {
         let mut taken = Vec::new();
         for (fingerprint, suspect) in &mut self.suspects {
-            let is_cleared = suspect.crashes.is_empty() && suspect.answered_at.is_some();
-            if suspect.is_unwritten && (is_cleared || suspect.crashes.len() >= crashes_min) {
+            if suspect.is_unwritten && suspect.is_worth_storing(crashes_min) {
                 suspect.is_unwritten = false;
+                suspect.is_stored = true;
                 taken.push(*fingerprint);
             }
         }
@@ -212,6 +259,7 @@
     pub fn expire(&mut self, now: Time) {
         self.suspects
             .retain(|_, suspect| now.since(suspect.last_change()) < suspect.ttl());
+        self.update_implicated();
         let suspects = &self.suspects;
         self.alive_at.retain(|upstream, alive_at| {
             now.since(*alive_at) < EVIDENCE_TTL
@@ -223,41 +271,61 @@
 
     /// The number of contents held back, and of all contents recorded.
     pub fn count(&self, now: Time) -> (usize, usize) {
-        let fingerprints = self.suspects.keys();
-        let held_back = fingerprints.filter(|fingerprint| {
-            let assessment = self.assess(now, **fingerprint);
+        let contents = self
+            .suspects
+            .values()
+            .filter(|suspect| suspect.kind == SuspectKind::Content);
+        let is_held_back = |suspect: &&Suspect| {
+            let assessment = suspect.assess(now);
             assessment.is_some_and(|assessment| assessment.verdict != Verdict::Allowed)
-        });
-        (held_back.count(), self.suspects.len())
+        };
+        let held_back = contents.clone().filter(is_held_back);
+        (held_back.count(), contents.count())
     }
 
-    /// Retracts crashes of `upstream` before `alive_at`.
-    fn retract(&mut self, upstream: InstanceKey, alive_at: Time) {
+    /// Retracts crashes of `upstream` before `alive_at`. Returns whether there were any.
+    fn retract(&mut self, upstream: InstanceKey, alive_at: Time) -> bool {
         let known = self.alive_at.entry(upstream).or_insert(alive_at);
         *known = (*known).max(alive_at);
+        let mut is_retracted = false;
         for suspect in self.suspects.values_mut() {
             let crashes = &mut suspect.crashes;
+            let known = crashes.len();
             crashes.retain(|crash| crash.upstream != upstream || crash.at >= alive_at);
+            is_retracted |= crashes.len() < known;
         }
         self.suspects.retain(|_, suspect| !suspect.is_empty());
+        is_retracted
     }
 
     /// Adds a crash. Returns whether it was not known.
-    fn add_crash(&mut self, fingerprint: Fingerprint, crash: Crash) -> bool {
+    fn add_crash(&mut self, kind: SuspectKind, fingerprint: Fingerprint, crash: Crash) -> bool {
         let alive_at = *self.alive_at.entry(crash.upstream).or_insert(Time::ZERO);
         if alive_at > crash.at {
             return false;
         }
-        if !self.suspects.contains_key(&fingerprint) {
-            self.evict_if_full();
+        let proved_at = self.sound_parts.proved_at(fingerprint);
+        if proved_at.is_some_and(|at| at > crash.at) {
+            return false;
         }
-        let suspect = self.suspects.entry(fingerprint).or_default();
+        let suspect = self.suspect_mut(kind, fingerprint);
+        suspect.answered_at = suspect.answered_at.max(proved_at);
         if suspect.answered_at.is_some_and(|at| at > crash.at) {
             return false;
         }
         suspect.add_crash(crash)
     }
 
+    /// The suspect of this fingerprint, which is added if it isn't known.
+    fn suspect_mut(&mut self, kind: SuspectKind, fingerprint: Fingerprint) -> &mut Suspect {
+        if !self.suspects.contains_key(&fingerprint) {
+            self.evict_if_full();
+        }
+        let suspect = self.suspects.entry(fingerprint).or_default();
+        suspect.kind = kind;
+        suspect
+    }
+
     /// Schedules a relayed announcement of a content with several crashes. The host that gets the next
     /// repeat needs to know of it.
     fn schedule_relay(&mut self, fingerprint: Fingerprint) {
--- a/src/gateway/suspects/announce.rs
+++ b/src/gateway/suspects/announce.rs
@@ -1,5 +1,6 @@
 //! Selects the suspects that a host announces to its peers.
 
+use std::cmp::Reverse;
 use std::ops::Bound;
 use std::time::Duration;
 
@@ -8,6 +9,7 @@
 
 use super::Suspects;
 use super::suspect::Suspect;
+use super::suspect::SuspectKind;
 use crate::clock::Time;
 use crate::fingerprint::Fingerprint;
 use crate::gateway::instance::InstanceKey;
@@ -26,25 +28,40 @@
 /// Older suspects with at most one crash in such a datagram.
 const ROTATED_SINGLE_MAX: usize = 1;
 
-/// The evidence against one content, as a host announces it.
+/// The evidence against one content or part, as a host announces it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnnouncedSuspect {
-    /// The fingerprint of the content.
+    /// The fingerprint of the content or part.
     pub fingerprint: Fingerprint,
+    /// Which of them it is.
+    pub kind: SuspectKind,
     /// The upstreams that crashed, each with the time since its crash in milliseconds.
     pub crashes: Vec<(InstanceKey, u32)>,
-    /// Time since the last complete answer, in milliseconds.
+    /// Time since the last complete answer, or since the part was last proved sound, in milliseconds.
     pub answered_ms_ago: Option<u32>,
 }
 
+/// The order in which suspects are announced: the one with the most crashes first, and of equals the one that was
+/// announced the least.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Urgency(Reverse<usize>, Reverse<u8>);
+
+impl Urgency {
+    fn of(suspect: &Suspect) -> Self {
+        Urgency(
+            Reverse(suspect.crashes.len()),
+            Reverse(suspect.announcements_left),
+        )
+    }
+}
+
 impl Suspects {
     /// The suspects for the next datagram: recent changes and, at intervals, older suspects in rotation.
     pub fn announce(&mut self, now: Time) -> Vec<AnnouncedSuspect> {
-        let mut announced: Vec<Fingerprint> = Vec::new();
-        for (fingerprint, suspect) in &mut self.suspects {
-            if suspect.announcements_left > 0 && announced.len() < CHANGES_MAX {
+        let mut announced = self.most_urgent(|suspect| suspect.announcements_left > 0);
+        for fingerprint in &announced {
+            if let Some(suspect) = self.suspects.get_mut(fingerprint) {
                 suspect.announcements_left -= 1;
-                announced.push(*fingerprint);
             }
         }
         for fingerprint in self.next_rotation(now) {
@@ -58,14 +75,33 @@
             .collect()
     }
 
-    /// The suspects that this host saw crash an upstream after `since`.
-    pub fn observed_since(&self, now: Time, since: Time) -> Vec<AnnouncedSuspect> {
-        let suspects = self.suspects.iter();
-        let observed = suspects
-            .filter(|(_, suspect)| suspect.observed_at.is_some_and(|at| at > since))
-            .take(CHANGES_MAX);
+    /// Takes suspects that this host saw crash an upstream and has not yet taken here.
+    pub fn take_observed(&mut self, now: Time) -> Vec<AnnouncedSuspect> {
+        let observed = self.most_urgent(|suspect| suspect.is_news);
+        for fingerprint in &observed {
+            if let Some(suspect) = self.suspects.get_mut(fingerprint) {
+                suspect.is_news = false;
+            }
+        }
+        let observed = observed.into_iter();
         observed
-            .filter_map(|(fingerprint, _)| self.snapshot(now, *fingerprint))
+            .filter_map(|fingerprint| self.snapshot(now, fingerprint))
+            .collect()
+    }
+
+    /// The [`CHANGES_MAX`] suspects with the most crashes of those for which `matches` holds. A crash accuses a
+    /// dozen parts, of which all hosts need to know the few that others accuse as well.
+    fn most_urgent(&self, matches: impl Fn(&Suspect) -> bool) -> Vec<Fingerprint> {
+        let suspects = self.suspects.iter();
+        let mut matching: Vec<(Urgency, Fingerprint)> = suspects
+            .filter(|(_, suspect)| matches(suspect))
+            .map(|(fingerprint, suspect)| (Urgency::of(suspect), *fingerprint))
+            .collect();
+        matching.sort_unstable();
+        matching.truncate(CHANGES_MAX);
+        matching
+            .into_iter()
+            .map(|(_, fingerprint)| fingerprint)
             .collect()
     }
 
@@ -112,6 +148,7 @@
         let crashes = suspect.crashes.iter();
         Some(AnnouncedSuspect {
             fingerprint,
+            kind: suspect.kind,
             crashes: crashes
                 .map(|crash| (crash.upstream, ms_since(now, crash.at)))
                 .collect(),
--- a/src/gateway/suspects/suspect.rs
+++ b/src/gateway/suspects/suspect.rs
@@ -1,7 +1,10 @@
-//! Evidence against the requests with one content, and its assessment.
+//! Evidence against the requests with one content, or with one part in their prompts, and its assessment.
 
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::clock::Time;
 use crate::gateway::instance::InstanceKey;
 
@@ -21,7 +24,10 @@
 /// Minimum time from the last change of evidence until it expires. Also how long an upstream without
 /// recorded crashes is remembered after it was last known to be alive.
 pub(super) const EVIDENCE_TTL: Duration = Duration::from_secs(600);
-/// Crashes kept per content. More of them don't lengthen the time for which it is held back.
+/// Another request may tell parts apart if the last one has neither crashed its upstream nor written within
+/// this time.
+pub(super) const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Crashes kept per content or part. More of them don't lengthen the time for which it is held back.
 pub(super) const CRASHES_KEPT_MAX: usize = 8;
 
 /// The crash of an upstream while it ran a request.
@@ -31,17 +37,46 @@
     pub(super) at: Time,
 }
 
-/// Evidence against the requests with one content.
+/// What the requests of a suspect have in common.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SuspectKind {
+    /// Their whole content.
+    #[default]
+    Content,
+    /// A part of their prompts.
+    Part,
+}
+
+impl SuspectKind {
+    /// Its name in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            SuspectKind::Content => "content",
+            SuspectKind::Part => "part",
+        }
+    }
+}
+
+/// Evidence against the requests with one content or part.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Suspect {
+    pub(super) kind: SuspectKind,
     pub(super) crashes: Vec<Crash>,
+    /// When requests with it were last answered or, with a part, last proved it sound.
     pub(super) answered_at: Option<Time>,
     /// When this host itself last saw this content crash an upstream.
     pub(super) observed_at: Option<Time>,
     /// Datagrams left in which to announce the last change.
     pub(super) announcements_left: u8,
+    /// Whether this host saw a crash that it has yet to tell all hosts that it knows.
+    pub(super) is_news: bool,
     /// When this host last began a trial.
     pub(super) trial_at: Option<Time>,
+    /// When this host last let a request go that tells this part from others.
+    pub(super) probe_at: Option<Time>,
+    /// Whether this host has written it to the platform's log.
+    pub(super) is_stored: bool,
     /// Whether this host saw a change that may have to be written to the platform's log.
     pub(super) is_unwritten: bool,
 }
@@ -49,6 +84,8 @@
 /// The conclusion from the evidence against a content.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Assessment {
+    /// What its requests have in common.
+    pub kind: SuspectKind,
     /// Upstreams that it crashed since it was last answered.
     pub crashes: usize,
     /// Whether its requests may be sent.
@@ -77,6 +114,7 @@
             _ => Verdict::HeldBack(left),
         };
         Some(Assessment {
+            kind: self.kind,
             crashes: self.crashes.len(),
             verdict,
         })
@@ -124,16 +162,32 @@
         EVIDENCE_TTL.max(self.held_back_time() * 2)
     }
 
-    /// Whether several crashes are known.
+    /// Whether as many crashes are known as matter to hosts that didn't see them. Parts that many requests share
+    /// meet a few.
     pub(super) fn is_repeated(&self) -> bool {
-        self.crashes.len() > 1
+        match self.kind {
+            SuspectKind::Content => self.crashes.len() > 1,
+            SuspectKind::Part => self.crashes.len() >= CRASHES_MAX,
+        }
     }
 
-    /// Whether at most one crash is known.
+    /// Whether fewer crashes are known.
     pub(super) fn is_single(&self) -> bool {
         !self.is_repeated()
     }
 
+    /// Whether the platform's log should hold it. Parts that are cleared are written only if the log holds them:
+    /// most that a crash accuses are sound.
+    pub(super) fn is_worth_storing(&self, crashes_min: usize) -> bool {
+        let is_cleared = self.crashes.is_empty() && self.answered_at.is_some();
+        match self.kind {
+            SuspectKind::Content => is_cleared || self.crashes.len() >= crashes_min,
+            SuspectKind::Part => {
+                (is_cleared && self.is_stored) || self.crashes.len() >= CRASHES_MAX
+            }
+        }
+    }
+
     /// Whether neither a crash nor an answer is known.
     pub(super) fn is_empty(&self) -> bool {
         self.crashes.is_empty() && self.answered_at.is_none()
--- a/src/gateway/suspects/tests.rs
+++ b/src/gateway/suspects/tests.rs
@@ -6,6 +6,7 @@
 use super::ListedUpstreams;
 use super::STALE_LISTING_MAX;
 use super::SUSPECTS_MAX;
+use super::SuspectKind;
 use super::Suspects;
 use super::Verdict;
 use super::announce::CHANGES_MAX;
@@ -20,6 +21,7 @@
 use crate::gateway::instance::InstanceId;
 use crate::id::UpstreamId;
 
+mod parts;
 mod spread;
 
 const START: Time = Time::from_ms(100_000);
@@ -249,6 +251,7 @@
     let mut suspects = Suspects::default();
     let announced = AnnouncedSuspect {
         fingerprint: content(0),
+        kind: SuspectKind::Content,
         crashes: vec![(upstream(0).key(), u32::MAX); 300],
         answered_ms_ago: Some(u32::MAX),
     };
--- a/src/gateway/suspects/tests/spread.rs
+++ b/src/gateway/suspects/tests/spread.rs
@@ -24,24 +24,26 @@
 const FAR_HOSTS_KNOWN: usize = 4;
 /// Every host must act on the crashes that others know of within 3 s of the last one.
 const HOLD_BACK_BOUND: Duration = Duration::from_millis(3_000);
+/// The seed of the fleets.
+const SEED: u64 = 11;
 /// The step of virtual time.
-const STEP: Duration = Duration::from_millis(50);
+pub(super) const STEP: Duration = Duration::from_millis(50);
 
-struct Host {
-    suspects: Suspects,
+pub(super) struct Host {
+    pub(super) suspects: Suspects,
     next_near: Time,
     next_far: Time,
 }
 
-struct Fleet {
-    hosts: Vec<Host>,
+pub(super) struct Fleet {
+    pub(super) hosts: Vec<Host>,
     data_centres: usize,
-    random: ChaCha8Rng,
+    pub(super) random: ChaCha8Rng,
 }
 
 impl Fleet {
-    fn start(count: usize, data_centres: usize) -> Self {
-        let mut random = ChaCha8Rng::seed_from_u64(11);
+    pub(super) fn start(count: usize, data_centres: usize, seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
         let near = round_interval(count / data_centres);
         let mut random_part = |whole: Duration| at(0) + whole.mul_f64(random.random());
         let hosts = (0..count).map(|_| Host {
@@ -77,7 +79,12 @@
     fn observe_crash(&mut self, now: Time, host: usize, upstream_index: usize) {
         let suspects = &mut self.hosts[host].suspects;
         suspects.record_crash(now, content(0), &upstream(upstream_index));
-        let announced = suspects.observed_since(now, Time::from_us(now.as_us() - 1));
+        self.announce_observed(now, host);
+    }
+
+    /// Lets a host announce at once what it observed at this time.
+    pub(super) fn announce_observed(&mut self, now: Time, host: usize) {
+        let announced = self.hosts[host].suspects.take_observed(now);
         let here = host % self.data_centres;
         for data_centre in 0..self.data_centres {
             let mut known = self.hosts_in(data_centre);
@@ -89,7 +96,7 @@
     }
 
     /// Sends the datagrams that are due, to the host's own data centre and to the others.
-    fn send_due(&mut self, now: Time, host: usize) {
+    pub(super) fn send_due(&mut self, now: Time, host: usize) {
         let here = host % self.data_centres;
         let near = self.hosts_in(here);
         if self.hosts[host].next_near <= now {
@@ -135,7 +142,7 @@
 #[test]
 fn all_hosts_hold_back_in_time_at_any_fleet_size() {
     for (hosts, data_centres) in [(4, 1), (30, 3), (300, 5), (1_100, 15)] {
-        let time = Fleet::start(hosts, data_centres).time_until_all_hold_back();
+        let time = Fleet::start(hosts, data_centres, SEED).time_until_all_hold_back();
 
         assert!(time < HOLD_BACK_BOUND, "{hosts} hosts: {time:?}");
     }
--- a/src/gateway/unconfirmed.rs
+++ b/src/gateway/unconfirmed.rs
@@ -8,12 +8,12 @@
 use std::time::Duration;
 
 use crate::clock::Time;
-use crate::fingerprint::Fingerprint;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::instance::InstanceKey;
 use crate::gateway::position::Position;
 use crate::gateway::rollouts::evidence::Cohort;
 use crate::gateway::rollouts::evidence::Measure;
+use crate::gateway::suspects::Blame;
 use crate::id::ServiceId;
 
 /// Time after which evidence that wasn't confirmed is dropped. A host in touch confirms it with its next
@@ -25,8 +25,8 @@
 /// An observation of a request that failed.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum Evidence {
-    /// The upstream may have crashed under a request of this content.
-    Crash(Fingerprint, InstanceId),
+    /// The upstream may have crashed under a request with these.
+    Crash(Blame, InstanceId),
     /// A call of a plain service failed.
     FailedCall(ServiceId, InstanceId),
     /// A request failed while a version of its service is on trial.
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -157,6 +157,8 @@
         "Contents of requests that are not sent because upstreams crashed under them.",
     SuspectsKnown Gauge "cedargauge_suspects_active" ""
         "Contents of requests under which an upstream was lost and that were not answered since.",
+    PartsImplicated Gauge "cedargauge_implicated_parts_active" ""
+        "Parts of prompts whose requests are held back because they explain crashes of upstreams.",
     LogLinesDroppedTotal Counter "cedargauge_log_lines_dropped_total" ""
         "Lines of the gateway's log that were dropped because their reader was too slow.",
     LogAgeMs Gauge "cedargauge_log_age_ms" "topic"
@@ -477,6 +479,11 @@
     metrics::gauge!(Metric::SuspectsKnown.name()).set(known as f64);
 }
 
+/// Sets how many parts of prompts explain crashes of upstreams.
+pub fn set_implicated_parts(parts: usize) {
+    metrics::gauge!(Metric::PartsImplicated.name()).set(parts as f64);
+}
+
 fn elapsed_ms(from: Time, to: Time) -> f64 {
     to.since(from).as_secs_f64() * 1_000.0
 }
