Ask twice as many crashes of parts that were proved sound

A part that many sound requests share was implicated by three crashes that came faster than an upstream could prove it again: with two crashing parts at once, or one beside crashes of another cause, it explains more crashes than either. All its requests would then have been refused for 15 s and more, and none could have cleared it.

Cause: standing counted only between parts that explain equally many crashes.

Change: parts never proved sound come first, and one that was proved sound needs six crashes that they don't explain. A part that was sound until its fault began is still held back by its sixth crash.

--- a/src/gateway/suspects/implicated.rs
+++ b/src/gateway/suspects/implicated.rs
@@ -1,14 +1,13 @@
 //! Decides which parts of prompts explain the crashes of upstreams.
 //!
 //! A crash accuses all parts of all requests that it ended before they had written, though one part may have
-//! caused it. So a part is implicated only by crashes that no other part explains better: the one that explains
-//! the most comes first, and what it explains no longer counts against others. Parts that are proved sound lose
-//! their earlier crashes, so those that sound requests share rarely get this far.
+//! caused it. So a part is implicated only by crashes that no other part explains better: one that was never proved
+//! sound comes before those that were, then the one that explains the most, and what it explains no longer counts
+//! against others. Parts that are proved sound lose their earlier crashes, and need more of them to be implicated.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
-use super::CRASHES_MAX;
 use super::suspect::Suspect;
 use super::suspect::SuspectKind;
 use crate::fingerprint::Fingerprint;
@@ -30,6 +29,8 @@
 struct Candidate {
     part: Fingerprint,
     was_sound: bool,
+    /// Crashes that implicate it.
+    crashes_max: usize,
     /// Crashes that no implicated part explains yet.
     crashes: BTreeSet<InstanceKey>,
 }
@@ -46,18 +47,19 @@
     let mut candidates: Vec<Candidate> = suspects
         .iter()
         .filter(|(_, suspect)| suspect.kind == SuspectKind::Part)
-        .filter(|(_, suspect)| suspect.crashes.len() >= CRASHES_MAX)
+        .filter(|(_, suspect)| suspect.crashes.len() >= suspect.crashes_max())
         .map(|(part, suspect)| Candidate {
             part: *part,
             was_sound: suspect.answered_at.is_some(),
+            crashes_max: suspect.crashes_max(),
             crashes: suspect.crashes.iter().map(|crash| crash.upstream).collect(),
         })
         .collect();
     let mut groups = Vec::new();
-    // Of equals one that was never proved sound comes first, then the lowest.
+    // Of equals the lowest comes first, which is the same on all hosts.
     while let Some(best) = candidates.iter().max_by_key(|candidate| {
         let part = std::cmp::Reverse(candidate.part);
-        (candidate.crashes.len(), !candidate.was_sound, part)
+        (!candidate.was_sound, candidate.crashes.len(), part)
     }) {
         let parts = candidates
             .iter()
@@ -72,7 +74,7 @@
         for candidate in &mut candidates {
             candidate.crashes.retain(|crash| !explained.contains(crash));
         }
-        candidates.retain(|candidate| candidate.crashes.len() >= CRASHES_MAX);
+        candidates.retain(|candidate| candidate.crashes.len() >= candidate.crashes_max);
     }
     groups
 }
--- a/src/gateway/suspects/implicated/tests.rs
+++ b/src/gateway/suspects/implicated/tests.rs
@@ -106,13 +106,38 @@
 #[test]
 fn of_parts_that_explain_the_same_crashes_those_never_proved_sound_come_first() {
     let groups = decide([
-        accused_once_sound("a", &[0, 1, 2]),
-        accused("b", &[0, 1, 2]),
+        accused_once_sound("a", &[0, 1, 2, 3, 4, 5]),
+        accused("b", &[0, 1, 2, 3, 4, 5]),
     ]);
 
     assert_eq!(names(&groups, &["a", "b"]), [["b"]]);
 }
 
+// Guards against holding back a sound part that all requests with several crashing parts share: it explains the
+// crashes of each.
+#[test]
+fn a_sound_part_beside_two_causes_is_not_implicated() {
+    let groups = decide([
+        accused_once_sound("shared", &[0, 1, 2, 3, 4, 5]),
+        accused("first", &[0, 2, 4]),
+        accused("second", &[1, 3, 5]),
+    ]);
+
+    let implicated = names(&groups, &["shared", "first", "second"]).concat();
+    assert!(!implicated.contains(&"shared"), "{implicated:?}");
+    assert_eq!(implicated.len(), 2);
+}
+
+// Guards against holding back a sound part by crashes that follow each other faster than it can be proved again.
+#[test]
+fn a_sound_part_is_implicated_by_six_crashes() {
+    assert!(decide([accused_once_sound("a", &[0, 1, 2, 3, 4])]).is_empty());
+
+    let groups = decide([accused_once_sound("a", &[0, 1, 2, 3, 4, 5])]);
+
+    assert_eq!(names(&groups, &["a"]), [["a"]]);
+}
+
 #[test]
 fn a_part_that_explains_one_crash_more_breaks_the_tie() {
     let groups = decide([accused("a", &[0, 1, 2]), accused("b", &[0, 1, 2, 3])]);
--- a/src/gateway/suspects/suspect.rs
+++ b/src/gateway/suspects/suspect.rs
@@ -11,7 +11,10 @@
 /// Crashes after which a request is held back. A harmless request that its caller repeats may meet one or two
 /// crashes of other causes, but not three without an answer in between.
 pub const CRASHES_MAX: usize = 3;
-/// How long a request is held back after its third crash. Then one host tries it: three upstreams that ran a
+/// The same for parts of prompts that were proved sound before. Requests share them, so they are at hand when other
+/// parts crash upstreams in quick succession, before an upstream can prove them sound again.
+const CRASHES_OF_SOUND_PARTS_MAX: usize = 2 * CRASHES_MAX;
+/// How long a request is held back once it has crashed that many upstreams. Then one host tries it: three upstreams that ran a
 /// harmless request may have been lost together, and a request that is never run is never cleared.
 pub(super) const HELD_BACK_MIN: Duration = Duration::from_secs(15);
 /// The factor by which each further crash lengthens the time: 15 s, 2 min, 16 min, 2.1 h.
@@ -108,10 +111,12 @@
     pub(super) fn assess(&self, now: Time) -> Option<Assessment> {
         let last = self.last_crash()?;
         let left = self.held_back_time().saturating_sub(now.since(last));
-        let verdict = match self.crashes.len() {
-            ..CRASHES_MAX => Verdict::Allowed,
-            _ if left.is_zero() => Verdict::Trial,
-            _ => Verdict::HeldBack(left),
+        let verdict = if self.crashes.len() < self.crashes_max() {
+            Verdict::Allowed
+        } else if left.is_zero() {
+            Verdict::Trial
+        } else {
+            Verdict::HeldBack(left)
         };
         Some(Assessment {
             kind: self.kind,
@@ -120,6 +125,14 @@
         })
     }
 
+    /// Crashes after which its requests are held back.
+    pub(super) fn crashes_max(&self) -> usize {
+        match (self.kind, self.answered_at) {
+            (SuspectKind::Part, Some(_)) => CRASHES_OF_SOUND_PARTS_MAX,
+            (SuspectKind::Part, None) | (SuspectKind::Content, _) => CRASHES_MAX,
+        }
+    }
+
     /// Adds a crash, and keeps the latest [`CRASHES_KEPT_MAX`]. Returns whether the crash was not known and
     /// is kept.
     pub(super) fn add_crash(&mut self, crash: Crash) -> bool {
@@ -149,7 +162,7 @@
 
     /// How long the content is held back after its last crash.
     fn held_back_time(&self) -> Duration {
-        let Some(further) = self.crashes.len().checked_sub(CRASHES_MAX) else {
+        let Some(further) = self.crashes.len().checked_sub(self.crashes_max()) else {
             return Duration::ZERO;
         };
         let further = u32::try_from(further).unwrap_or(u32::MAX);
