Hold back a request that crashes upstreams also as its owner grants it

A generation that waited in its service's queue was checked for crashes before each wait, but not when the owner's answer came: a grant sent it on though upstreams had crashed under its content, or a part of its prompt, during the wait. Found by reading; no test shows it. It is now checked before each answer of the owner is applied, and leaves the queue if it is held back.

--- a/src/gateway/queue/asking.rs
+++ b/src/gateway/queue/asking.rs
@@ -149,6 +149,9 @@
                 Step::Wait { until } => {
                     tokio::select! {
                         (host, answer) = self.inbox.next() => {
+                            if let Some(refusal) = self.shared.refuse_suspect(self.admitted) {
+                                return Asked::Refused(refusal);
+                            }
                             if let Some(asked) = self.receive(&host, answer) {
                                 return asked;
                             }
