--- a/src/gateway/suspects/tests.rs
+++ b/src/gateway/suspects/tests.rs
@@ -260,3 +260,15 @@
 
     assert_eq!(suspects.assess(at(0), content(0)).unwrap().crashes, 1);
 }
+
+#[test]
+fn a_crash_that_is_confirmed_late_is_told_once_to_all_hosts() {
+    let mut suspects = Suspects::default();
+    let earlier = suspects.take_observed(at(1_000));
+
+    suspects.record_crash(at(900), content(0), &upstream(0));
+
+    assert_eq!(earlier, []);
+    assert_eq!(suspects.take_observed(at(1_010)).len(), 1);
+    assert_eq!(suspects.take_observed(at(1_020)), []);
+}
