Yield shares of named limits to hosts that are short of theirs

What callers saw: upstreams that name a limit on their requests refused what they had room for, once most callers were connected to one host.

Cause: hosts share such a limit in equal parts, which assumes that callers are spread over them.

Change: a host that refuses for want of its part says so to the hosts of its data centre. One that uses little then yields three quarters of its part, and those that don't yield divide what is yielded. A part is taken back only when the others have stopped using it. The format of datagrams changes with it.

Conclusion: an upstream that takes fewer requests a second than its data centre has hosts still gives a crowded host no part.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -36,6 +36,7 @@
 pub mod instance;
 pub mod internalclient;
 pub(crate) mod joining;
+pub mod limitclaims;
 pub mod loads;
 pub(crate) mod logreads;
 pub mod losses;
--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -16,6 +16,7 @@
 use crate::gateway::failurerates::ServiceCalls;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::instance::InstanceKey;
+use crate::gateway::limitclaims::AnnouncedClaim;
 use crate::gateway::loads::Load;
 use crate::gateway::movequeue::PendingMoves;
 use crate::gateway::position::Era;
@@ -35,7 +36,7 @@
 pub(crate) const PART_CHANGES_MAX: usize = 10;
 /// First byte of a datagram. Incremented whenever the fields change, so that hosts of different
 /// releases don't misinterpret each other's datagrams.
-const FORMAT: u8 = 14;
+const FORMAT: u8 = 15;
 /// First byte of a datagram with [`AnnouncedChanges`].
 const CHANGES_FORMAT: u8 = 0x80 | FORMAT;
 /// First byte of a datagram about the shared queue of a service ([`crate::gateway::queuemessages`]).
@@ -142,6 +143,9 @@
     pub failures: Option<Vec<ServiceCalls>>,
     /// Limits that upstreams name, or no longer name.
     pub limits: Vec<AnnouncedLimit>,
+    /// The sender's claims on the rates that upstreams name, in place of those that it told before; `None` if the
+    /// datagram isn't about them.
+    pub limit_claims: Option<Vec<AnnouncedClaim>>,
     /// Requests of the sender that brittle upstreams turned away.
     pub rejections: Vec<AnnouncedRejections>,
     /// Speeds of upstreams that the sender observed itself.
@@ -193,6 +197,7 @@
             unreachable: Vec::new(),
             failures: None,
             limits: Vec::new(),
+            limit_claims: None,
             rejections: Vec::new(),
             speeds: Vec::new(),
             suspects: Vec::new(),
@@ -242,6 +247,7 @@
             loads: AnnouncedLoads::Nothing,
             failures: None,
             limits: Vec::new(),
+            limit_claims: None,
             speeds: Vec::new(),
             hosts: Vec::new(),
             ..self.clone()
@@ -260,6 +266,7 @@
             loads: AnnouncedLoads::OfDataCentre(loads),
             failures: None,
             limits,
+            limit_claims: None,
             hosts: Vec::new(),
             ..self.clone()
         }
@@ -310,6 +317,7 @@
             loads: AnnouncedLoads::Nothing,
             failures: None,
             limits: Vec::new(),
+            limit_claims: None,
             evidence: AnnouncedTrials::Nothing,
             hosts: Vec::new(),
             suspects,
@@ -354,8 +362,8 @@
     }
 }
 
-/// Encodes a datagram. One that is too large loses its latest speeds, which are announced again, then its oldest
-/// limits, which the next round repeats, its counts of failed calls, its oldest changes, its smallest loads, suspects
+/// Encodes a datagram. One that is too large loses its latest speeds, which are announced again, then its claims, its
+/// oldest limits, which the next round repeats, its counts of failed calls, its oldest changes, its smallest loads, suspects
 /// and leaving upstreams.
 pub fn encode(mut datagram: Datagram) -> Vec<u8> {
     if let Some(loads) = datagram.loads.entries_mut() {
@@ -395,6 +403,7 @@
 /// Removes the least important entry or entries; false if none are left.
 fn truncate(datagram: &mut Datagram) -> bool {
     let is_shorter = datagram.speeds.pop().is_some()
+        || datagram.limit_claims.as_mut().and_then(Vec::pop).is_some()
         || datagram.limits.pop().is_some()
         || truncate_failures(datagram);
     if is_shorter {
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -274,6 +274,7 @@
         unreachable: shared.unreachable_upstreams(),
         failures: shared.announced_failures(),
         limits: shared.announced_limits(now),
+        limit_claims: Some(shared.announced_claims(now)),
         rejections: shared.brittle(|brittle| brittle.announce(now)),
         suspects: shared.suspects(|suspects| suspects.announce(now)),
         hosts: shared.peers(|peers| peers.announced_hosts(now)),
--- a/src/gateway/gossip/receiving.rs
+++ b/src/gateway/gossip/receiving.rs
@@ -87,6 +87,9 @@
     if datagram.data_centre == shared.settings().data_centre {
         shared.receive_unreachable(&datagram.host, &datagram.unreachable);
         shared.receive_failures(&datagram.host, datagram.failures);
+        if let Some(claims) = &datagram.limit_claims {
+            shared.receive_claims(now, &datagram.host, claims);
+        }
     }
     shared.receive_limits(datagram.host.as_str(), &datagram.limits);
     shared.brittle(|brittle| brittle.receive(now, &datagram.host, &datagram.rejections));
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -220,6 +220,7 @@
             return refusal.retry_after_ms(EVACUATED_RETRY_AFTER_MS);
         }
         if let Some(hold) = shared.service_hold(&self.service) {
+            shared.record_shortage(&self.service);
             return held_refusal(attempts, hold);
         }
         let message = format!("not run after {attempts} tries: {reason}");
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -33,6 +33,7 @@
 use crate::gateway::failurerates::FailureRates;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::joining::SeedState;
+use crate::gateway::limitclaims::LimitClaims;
 use crate::gateway::loads::SharedLoads;
 use crate::gateway::logreads::LogReads;
 use crate::gateway::movequeue::MoveQueueHandle;
@@ -132,6 +133,7 @@
     speeds: Mutex<Speeds>,
     cold_budget: Mutex<ColdBudget>,
     upstream_limits: Mutex<UpstreamLimits>,
+    limit_claims: Mutex<LimitClaims>,
     rejection_limits: Mutex<UpstreamLimits>,
     brittle: Mutex<BrittleUpstreams>,
     rests: Mutex<Rests>,
@@ -203,6 +205,7 @@
             speeds: Mutex::default(),
             cold_budget: Mutex::default(),
             upstream_limits: Mutex::new(UpstreamLimits::new(Bound::Requests, rand::random())),
+            limit_claims: Mutex::default(),
             rejection_limits: Mutex::new(UpstreamLimits::new(Bound::Rejections, rand::random())),
             brittle: Mutex::new(BrittleUpstreams::new(rand::random())),
             rests: Mutex::default(),
--- a/src/gateway/shared/limits.rs
+++ b/src/gateway/shared/limits.rs
@@ -1,6 +1,7 @@
 //! Limits on the requests that this host sends to cold upstreams, to those that name a limit or are brittle, and to
 //! those that asked for rest.
 
+use std::collections::HashMap;
 use std::sync::MutexGuard;
 use std::time::Duration;
 
@@ -16,6 +17,9 @@
 use crate::gateway::cold::ColdUpstream;
 use crate::gateway::directory::Upstream;
 use crate::gateway::instance::InstanceId;
+use crate::gateway::instance::InstanceKey;
+use crate::gateway::limitclaims::AnnouncedClaim;
+use crate::gateway::limitclaims::EqualShare;
 use crate::gateway::senders::Sender;
 use crate::gateway::upstreamlimits;
 use crate::gateway::upstreamlimits::AnnouncedLimit;
@@ -67,6 +71,7 @@
         let now = self.now();
         if let Some(host_per_s) = self.limit_share(now, upstream) {
             lock(&self.0.upstream_limits).spend(now, upstream.id.key(), host_per_s);
+            lock(&self.0.limit_claims).record_send(now, upstream.id.key());
         }
     }
 
@@ -109,8 +114,9 @@
         let Some(host_per_s) = self.limit_share(now, upstream) else {
             return rest.map(Hold::For);
         };
-        let limits = lock(&self.0.upstream_limits);
-        let Some(wait) = limits.wait(now, upstream.id.key(), host_per_s) else {
+        let key = upstream.id.key();
+        let wait = lock(&self.0.upstream_limits).wait(now, key, host_per_s);
+        let Some(wait) = wait else {
             return Some(Hold::NoShare);
         };
         let wait = Some(wait).filter(|wait| !wait.is_zero());
@@ -154,6 +160,18 @@
         holds.min()
     }
 
+    /// Records that a request was refused because this host's shares in the limits of a service's upstreams had no
+    /// room.
+    pub(crate) fn record_shortage(&self, service: &ServiceId) {
+        let now = self.now();
+        let ready = self.directory(|directory| directory.ready(service));
+        for upstream in &ready {
+            if self.limit_share(now, upstream).is_some() {
+                lock(&self.0.limit_claims).record_shortage(now, upstream.id.key());
+            }
+        }
+    }
+
     /// Whether an upstream asked this host for rest.
     pub(crate) fn is_resting(&self, upstream: &InstanceId) -> bool {
         let now = self.now();
@@ -234,8 +252,14 @@
         }
     }
 
-    /// This host's share in the limit that an upstream names, in requests a second.
+    /// The requests a second that this host may send to an upstream that names a limit.
     fn limit_share(&self, now: Time, upstream: &Upstream) -> Option<f64> {
+        let share = self.equal_share(now, upstream)?;
+        Some(lock(&self.0.limit_claims).rate(now, upstream.id.key(), share))
+    }
+
+    /// This host's equal share in the limit that an upstream names.
+    fn equal_share(&self, now: Time, upstream: &Upstream) -> Option<EqualShare> {
         let requests_per_s = lock(&self.0.upstream_limits).get(upstream.id.key())?;
         let limited = LimitedUpstream {
             id: &upstream.id,
@@ -244,7 +268,13 @@
         };
         let live = self.peers(|peers| peers.live_data_centres(now));
         let share = |sender: &Sender<'_>| upstreamlimits::host_rate(sender, &live, &limited);
-        Some(self.with_sender(now, share))
+        let per_s = self.with_sender(now, share);
+        let hosts = if per_s > 0.0 {
+            (requests_per_s / per_s).round() as usize
+        } else {
+            0
+        };
+        Some(EqualShare { per_s, hosts })
     }
 
     fn with_sender<T>(&self, now: Time, use_sender: impl FnOnce(&Sender<'_>) -> T) -> T {
@@ -281,6 +311,23 @@
         announced.concat()
     }
 
+    /// This host's claims on limits, for the others of its data centre.
+    pub(crate) fn announced_claims(&self, now: Time) -> Vec<AnnouncedClaim> {
+        let keys = lock(&self.0.limit_claims).upstreams();
+        let share = |key: InstanceKey| {
+            let upstream = self.directory(|directory| directory.find_by_key(key).cloned())?;
+            let share = self.equal_share(now, &upstream)?;
+            (share.per_s > 0.0).then_some((key, share))
+        };
+        let shares: HashMap<InstanceKey, EqualShare> = keys.into_iter().filter_map(share).collect();
+        lock(&self.0.limit_claims).announce(now, &shares)
+    }
+
+    /// Applies the claims on limits that another host of this data centre announces.
+    pub(crate) fn receive_claims(&self, now: Time, host: &HostId, claims: &[AnnouncedClaim]) {
+        lock(&self.0.limit_claims).receive(now, host, claims);
+    }
+
     /// The limits that this host announces to other data centres.
     pub(crate) fn announced_limits_of_data_centre(&self, now: Time) -> Vec<AnnouncedLimit> {
         let announced = [Bound::Requests, Bound::Rejections]
@@ -339,6 +386,7 @@
     pub(crate) fn expire_limits(&self) {
         let now = self.now();
         lock(&self.0.upstream_limits).expire(now);
+        lock(&self.0.limit_claims).expire(now);
         lock(&self.0.rejection_limits).expire(now);
         lock(&self.0.brittle).expire(now);
         lock(&self.0.rests).expire(now);
--- a/tests/crowdedhost/mod.rs
+++ b/tests/crowdedhost/mod.rs
@@ -127,6 +127,18 @@
     check_crowded(&hosts);
 }
 
+// Guards against refusals of what the fleet has room for: hosts share what an upstream takes.
+#[test]
+fn a_crowded_host_uses_what_the_others_leave_of_the_rate_that_upstreams_name() {
+    let upstreams = start_upstreams(&Behaviour::AnswerAfter(CALL_TIME, "sound"));
+    let hosts = start_fleet(route("once"), &upstreams);
+    for upstream in &upstreams {
+        upstream.name_limit(Some(f64::from(REQUESTS_PER_S) / 2.0));
+    }
+
+    check_crowded(&hosts);
+}
+
 // Guards against refusals of what the fleet has room for: each host has a window of its own at a brittle upstream.
 #[test]
 fn a_crowded_host_uses_the_room_of_brittle_upstreams() {
