Expect queue messages of the raised datagram format

What was seen: no_message_on_a_queue_is_sent_unless_queues_are_shared failed after the format of datagrams went from 14 to 15: it repeats the first byte of a message about a queue, 0x40 | format.

Change: the test expects 0x4F. It is as strict as before: with the old byte its check that no such message is sent otherwise would hold for any.

--- a/tests/sharedqueue/mod.rs
+++ b/tests/sharedqueue/mod.rs
@@ -31,7 +31,7 @@
 /// Output tokens of a generation of which three fit.
 const SMALL_TOKENS: u32 = 8_000;
 /// First byte of messages on queues.
-const QUEUE_FORMAT: u8 = 0x4E;
+const QUEUE_FORMAT: u8 = 0x4F;
 /// Time in which the hosts exchange loads several times.
 const SOME_ROUNDS: Duration = Duration::from_millis(700);
 
