Count a request as running until its answer has been written

Callers who read slowly lost the rest of an answer when its host stopped: from 2.8 s after SIGTERM a host ends as soon as it counts no request, and a call counted only until its answer was handed to the server, a stream until its last event was. Bytes that the caller's system had not yet taken were dropped some 70 ms later.

An answer that closes its connection now counts until the connection is gone, which is after its last byte: the connection's data hold the pass. One that was begun before the stop keeps its connection, so its pass is held by the body, which the server drops when fewer than 4 KiB of it are left to write. Kept connections without a request don't hold the drain.

A caller who reads nothing at all now holds its host to the end of the grace.

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -4,12 +4,19 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
+use actix_web::body::BodySize;
+use actix_web::body::BoxBody;
+use actix_web::body::MessageBody;
+use actix_web::http::ConnectionType;
 use actix_web::web;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -26,6 +33,7 @@
 use crate::fingerprint::Fingerprint;
 use crate::gate::Pass;
 use crate::gateway::call;
+use crate::gateway::callerconnections::CallerConnection;
 use crate::gateway::configuration::Configuration;
 use crate::gateway::configuration::Customer;
 use crate::gateway::configuration::EngineSpec;
@@ -177,8 +185,8 @@
     pub config_version: u64,
     /// How far it has come.
     pub(crate) phase: Cell<Phase>,
-    /// Counts the request as running until it is dropped.
-    pub pass: Pass,
+    /// Counts the request as running while any of its clones lives.
+    pub pass: Rc<Pass>,
 }
 
 impl Admitted {
@@ -469,7 +477,7 @@
         .collect()
 }
 
-/// Handles one request of a caller.
+/// Handles one request of a caller. It counts as running until its answer has been written.
 pub async fn serve(
     worker: web::Data<WorkerState>,
     http: HttpRequest,
@@ -480,9 +488,55 @@
     let Some(pass) = shared.gate().enter_if_open(RequestId::generate()) else {
         return stopping::refuse_unread(shared);
     };
+    let pass = Rc::new(pass);
+    let response = answer(worker, &http, payload, pass.clone()).await;
+    let types = [
+        http.head().connection_type(),
+        response.head().connection_type(),
+    ];
+    match http.conn_data::<CallerConnection>() {
+        Some(connection) if types.contains(&ConnectionType::Close) => {
+            connection.hold(pass);
+            response
+        }
+        Some(_) | None => {
+            response.map_body(|_, body| BoxBody::new(CountedBody { body, _pass: pass }))
+        }
+    }
+}
+
+/// The body of an answer whose connection is kept. The server drops it when it has written nearly all of it.
+struct CountedBody {
+    body: BoxBody,
+    _pass: Rc<Pass>,
+}
+
+impl MessageBody for CountedBody {
+    type Error = Box<dyn std::error::Error>;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        Pin::new(&mut self.body).poll_next(context)
+    }
+}
+
+/// The answer to one request of a caller.
+async fn answer(
+    worker: &WorkerState,
+    http: &HttpRequest,
+    payload: web::Payload,
+    pass: Rc<Pass>,
+) -> HttpResponse {
+    let shared = &worker.shared;
     let admitted = tokio::select! {
         biased;
-        admitted = admit(worker, &http, payload, pass) => admitted,
+        admitted = admit(worker, http, payload, pass) => admitted,
         () = shared.wait_stop_stage(StopStage::Answering) => Err(stopping::refuse_unread(shared)),
     };
     let admitted = match admitted {
@@ -507,7 +561,7 @@
     worker: &WorkerState,
     http: &HttpRequest,
     payload: web::Payload,
-    pass: Pass,
+    pass: Rc<Pass>,
 ) -> Result<Admitted, HttpResponse> {
     let shared = &worker.shared;
     shared.check_suspension();
--- a/tests/stoppinghost/mod.rs
+++ b/tests/stoppinghost/mod.rs
@@ -18,6 +18,7 @@
 use crate::gatewayworld::BOUND;
 use crate::gatewayworld::Behaviour;
 use crate::gatewayworld::Caller;
+use crate::gatewayworld::ConnectionEnd;
 use crate::gatewayworld::FakeUpstream;
 use crate::gatewayworld::World;
 use crate::gatewayworld::ask;
@@ -32,6 +33,11 @@
 
 /// From then on after SIGTERM new requests come over old connections only.
 const NOTICED: Duration = Duration::from_millis(2_600);
+/// From then on after SIGTERM a host without requests has ended.
+const IDLE_ENDED: Duration = Duration::from_millis(3_200);
+/// More than the buffers of both systems take of an answer that its caller doesn't read.
+const LARGE_ANSWER_BYTES: usize = 16 << 20;
+const LARGE_ANSWER_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 16777216\r\n";
 /// Callers who ask at the same time until the host is gone.
 const CALLERS: usize = 8;
 /// Generations that an engine runs at a time.
@@ -80,6 +86,65 @@
     assert_eq!(given_up(&world, "sent").len(), 1);
 }
 
+fn large_answer() -> Behaviour {
+    Behaviour::Raw {
+        head: LARGE_ANSWER_HEAD,
+        body: "x".repeat(LARGE_ANSWER_BYTES),
+        end: ConnectionEnd::Closed,
+    }
+}
+
+/// An answer that was begun before its host stopped was cut like those begun later.
+#[test]
+fn an_answer_begun_before_its_host_stopped_is_written_before_it_ends() {
+    let (mut world, _upstreams) = world("once", &[&[large_answer()]]);
+    let mut caller = Caller::connect(world.callers());
+    caller.send(get("/nets/1", ""));
+    assert!(wait_until(|| world.lines.of("RequestComplete").len() == 1));
+    let stopped_at = stop(&mut world);
+    assert!(wait_until(|| stopped_at.elapsed() > IDLE_ENDED));
+
+    let answer = caller.read();
+    world.wait_ended();
+
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert_eq!(answer.header("connection"), None);
+    assert_eq!(answer.body.len(), LARGE_ANSWER_BYTES);
+}
+
+/// An answer was cut because its request no longer counted while its caller had not read it.
+#[test]
+fn an_answer_to_a_slow_caller_is_written_before_its_host_ends() {
+    let (mut world, _upstreams) = world("once", &[&[large_answer()]]);
+    let stopped_at = stop(&mut world);
+    let mut caller = Caller::connect(world.callers());
+    caller.send(get("/nets/1", ""));
+    assert!(wait_until(|| stopped_at.elapsed() > IDLE_ENDED));
+
+    let answer = caller.read();
+    world.wait_ended();
+
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert_eq!(answer.body.len(), LARGE_ANSWER_BYTES);
+    assert_eq!(world.lines.of("ShutdownComplete").len(), 1);
+}
+
+/// Connections that callers keep without a request held a stopping host.
+#[test]
+fn kept_connections_without_requests_do_not_hold_a_stopping_host() {
+    let (mut world, _upstreams) = world("once", &[&[Behaviour::Answer(200, "sound")]]);
+    let mut kept = Caller::connect(world.callers());
+    kept.send(get("/nets/1", ""));
+    let answer = kept.read();
+    let _unused = Caller::connect(world.callers());
+
+    let stopped_at = stop(&mut world);
+    world.wait_ended();
+
+    assert_eq!((answer.status, answer.header("connection")), (200, None));
+    assert!(stopped_at.elapsed() < IDLE_ENDED);
+}
+
 /// An engine's silence held a generation of a stopping host until its connection was cut.
 #[test]
 fn a_generation_at_a_silent_engine_is_answered_before_its_host_ends() {
