Answer requests that arrive with a connection over the bound

A host that holds as many callers' connections as it takes shut the socket of each further one in both directions. What had arrived was still read, and its 503 failed with a broken pipe: a whole request was read and got no answer.

Now only the reading direction is shut. A request that has arrived gets its 503 with Connection: close, not run; a connection without one still ends at once, unread, so that it takes no descriptor until the timeout of its head.

--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -293,8 +293,8 @@
     Ok(socket.into())
 }
 
-/// Counts a new connection if it is a caller's. One over the bound is closed before its request is read, so that the
-/// caller's retry meets another host.
+/// Counts a new connection if it is a caller's. One over the bound reads no more than has arrived: a request among it is
+/// refused, so that the caller's retry meets another host, and without one the connection ends.
 fn admit_connection(shared: &Shared, stream: &dyn Any, data: &mut Extensions) {
     let Some(stream) = stream.downcast_ref::<TcpStream>() else {
         return;
@@ -312,7 +312,8 @@
         }
         None => {
             log::debug!("closing a caller's connection over the bound");
-            if let Err(error) = SockRef::from(stream).shutdown(Shutdown::Both) {
+            // The other direction stays open for the refusal of a request that has arrived.
+            if let Err(error) = SockRef::from(stream).shutdown(Shutdown::Read) {
                 log::debug!("closing a caller's connection: {error}");
             }
         }
@@ -329,7 +330,7 @@
     let port = http.app_config().local_addr().port();
     let settings = shared.settings();
     if port == settings.caller_address.port() {
-        // A request that arrived before its connection was closed must not run.
+        // A request that arrived before its connection was shut must not run.
         if http.conn_data::<CallerConnection>().is_none() {
             return refuse::response(&refuse::host_crowded(), true);
         }
--- a/tests/crowdedhost/mod.rs
+++ b/tests/crowdedhost/mod.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::events;
+use crate::gatewayworld::Answer;
 use crate::gatewayworld::Behaviour;
 use crate::gatewayworld::Caller;
 use crate::gatewayworld::FakeUpstream;
@@ -18,6 +19,7 @@
 use crate::gatewayworld::table;
 use crate::gatewayworld::wait_until;
 use crate::post;
+use crate::ran;
 
 const HOSTS: usize = 4;
 /// Requests a second of all callers together, each on a connection of its own.
@@ -32,6 +34,8 @@
 const SERVED_SHARE_MIN: f64 = 0.75;
 /// Most connections of callers at a host.
 const CONNECTIONS_MAX: usize = 8;
+/// Requests on connections over the bound.
+const OVER: usize = 64;
 /// Time that a call takes.
 const CALL_TIME: Duration = Duration::from_millis(40);
 
@@ -161,6 +165,28 @@
     check_crowded(&hosts);
 }
 
+/// Requests over the bound were read and got no answer: their connections were shut in both directions.
+#[test]
+fn a_request_that_arrives_with_a_connection_over_the_bound_is_refused() {
+    let upstream = FakeUpstream::start("up-0", &[Behaviour::Answer(200, "sound")]);
+    let routes = json!([route("once")]);
+    let world = World::serving_connections(CONNECTIONS_MAX, routes, &[&upstream]);
+    let _idle: Vec<Caller> = (0..CONNECTIONS_MAX)
+        .map(|_| Caller::connect(world.callers()))
+        .collect();
+    let request = post("/nets/7", "", "tighten");
+
+    let answers: Vec<_> = (0..OVER).map(|_| ask(world.callers(), &request)).collect();
+
+    let (refused, unread): (Vec<_>, Vec<_>) =
+        answers.iter().partition(|answer| answer.status == 503);
+    assert!(!refused.is_empty());
+    let is_told = |answer: &&Answer| answer.whole && ran(answer) == "no";
+    assert!(refused.iter().all(is_told), "{refused:?}");
+    assert!(unread.iter().all(|answer| **answer == Answer::default()));
+    assert_eq!(upstream.seen().len(), 0);
+}
+
 /// A host with a bound on its callers' connections, and as many connections as it takes.
 fn start_crowded() -> (World, Vec<Caller>) {
     let upstream = FakeUpstream::start("up-0", &[Behaviour::Answer(200, "sound")]);
