Keep the stages of a short drain apart

With a grace shorter than the notice time, the wait for the balancer lasted to the time of the cut, and the stages Answering and Cutting followed each other without time for the answers. The same happened where the thread woke late.

The wait now ends when the answers begin, and the cut comes no sooner than the flush time after them, unless nothing runs.

--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -220,14 +220,16 @@
         self.shared.begin_shutdown(cut_at);
         let line = self.shared.log().entry(EventCode::ShutdownBegan);
         line.with("in_flight", gate.in_flight()).write();
-        let quiet_from = (began + READINESS_NOTICE_TIME).min(cut_at);
-        tokio::time::sleep_until(quiet_from).await;
         let answer_at = cut_at - ANSWER_MARGIN;
+        let quiet_from = (began + READINESS_NOTICE_TIME).min(answer_at);
+        tokio::time::sleep_until(quiet_from).await;
         while Instant::now() < answer_at && !gate.close_if_idle() {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         gate.close();
         self.shared.enter_stop_stage(StopStage::Answering);
+        // A thread that was late leaves time for the answers all the same.
+        let cut_at = cut_at.max(Instant::now() + FLUSH_TIME);
         while Instant::now() < cut_at && gate.in_flight() > 0 {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
