Log a stream cut by its host's end as such, and watch the stage once

A stream whose caller didn't read at the time of the cut was dropped with the server, and its line said that the caller had left. One that was continued at another engine counted as sent, not as streaming, in such lines. Each relayed event also subscribed anew to the stage of the shutdown.

A relay keeps one receiver; its drop looks at the stage; a continuation sets the phase again.

No test covers the drop of a stream that nobody reads, nor the phase after a move.

--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -54,6 +54,7 @@
 use crate::gateway::rollouts::evidence::EvidenceStore;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::speeds::Speeds;
+use crate::gateway::stopping;
 use crate::gateway::stopping::StopStage;
 use crate::gateway::suspects::Suspects;
 use crate::gateway::suspension::SuspensionDetector;
@@ -326,11 +327,12 @@
 
     /// Returns once the shutdown has come to `stage`.
     pub(crate) async fn wait_stop_stage(&self, stage: StopStage) {
-        let mut stages = self.0.stop_stage.subscribe();
-        if stages.wait_for(|current| *current >= stage).await.is_err() {
-            // The shared state is being dropped, so nothing waits for this any more.
-            std::future::pending::<()>().await;
-        }
+        stopping::wait_stage(&mut self.watch_stop_stage(), stage).await;
+    }
+
+    /// Tells how far the shutdown has come.
+    pub(crate) fn watch_stop_stage(&self) -> watch::Receiver<StopStage> {
+        self.0.stop_stage.subscribe()
     }
 
     /// Time since the shutdown began, if it has.
--- a/src/gateway/stopping.rs
+++ b/src/gateway/stopping.rs
@@ -2,6 +2,7 @@
 //! ends, except for streams that outlast the grace period.
 
 use actix_web::HttpResponse;
+use tokio::sync::watch;
 
 use crate::event::EventCode;
 use crate::gateway::refuse;
@@ -46,6 +47,14 @@
     }
 }
 
+/// Returns once the shutdown has come to `stage`.
+pub(crate) async fn wait_stage(stages: &mut watch::Receiver<StopStage>, stage: StopStage) {
+    if stages.wait_for(|current| *current >= stage).await.is_err() {
+        // The shared state is being dropped, so nothing waits for this any more.
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Refuses a request that arrives after the gate was closed, before anything of it is used.
 pub(crate) fn refuse_unread(shared: &Shared) -> HttpResponse {
     let refusal = refuse::host_stopping();
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -31,6 +31,7 @@
 use crate::gateway::protocol::MemoryCopy;
 use crate::gateway::serve;
 use crate::gateway::serve::CandidateSet;
+use crate::gateway::stopping::Phase;
 use crate::telemetry;
 use crate::telemetry::Metric;
 
@@ -416,6 +417,7 @@
             OpenResult::Running(running) => {
                 self.moving = MoveState::None;
                 self.running = *running;
+                self.admitted.phase.set(Phase::Streaming);
                 self.stream_error = None;
                 self.is_end_unconfirmed = false;
                 self.may_be_stopped = false;
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -56,6 +56,8 @@
     pub(super) may_be_stopped: bool,
     pub(super) splitter: EventSplitter,
     pub(super) changes: watch::Receiver<u64>,
+    /// How far the host's shutdown has come.
+    stages: watch::Receiver<StopStage>,
     pub(super) moving: MoveState,
     pub(super) leaving_since: Option<Instant>,
     pub(super) moves: u32,
@@ -104,6 +106,7 @@
         changes.mark_changed();
         let expected_tokens = planned_output(admitted.size(&shared));
         Relay {
+            stages: shared.watch_stop_stage(),
             changes,
             meter,
             admitted,
@@ -364,7 +367,7 @@
             _ = self.changes.changed() => RelayEvent::DirectoryChanged,
             () = sleep_until(timer) => RelayEvent::Timer,
             () = tokio::time::sleep_until(self.admitted.deadline) => RelayEvent::Deadline,
-            () = self.shared.wait_stop_stage(StopStage::Cutting) => RelayEvent::HostStops,
+            () = stopping::wait_stage(&mut self.stages, StopStage::Cutting) => RelayEvent::HostStops,
         }
     }
 
@@ -394,9 +397,13 @@
     /// Ends a stream that outlasts the grace period, which says nothing about its upstream.
     fn cut(&mut self) -> Option<Result<Bytes, StreamAborted>> {
         self.ended = true;
+        self.record_cut();
+        Some(Err(StreamAborted("the host stops".to_owned())))
+    }
+
+    fn record_cut(&self) {
         telemetry::count_of_service(Metric::StreamsLostTotal, &self.admitted.service);
         stopping::log_stopped(&self.shared, &self.admitted);
-        Some(Err(StreamAborted("the host stops".to_owned())))
     }
 
     fn fail(&mut self, reason: &str) -> Option<Result<Bytes, StreamAborted>> {
@@ -423,7 +430,13 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
-        if !self.ended {
+        if self.ended {
+            return;
+        }
+        // The host also drops the streams of callers who read too slowly to be told of the cut.
+        if *self.stages.borrow() >= StopStage::Cutting {
+            self.record_cut();
+        } else {
             let entry = self.admitted.log_entry(&self.shared, EventCode::CallerLeft);
             entry
                 .with("upstream", self.running.upstream.id.as_str())
