Check answers of stopping hosts more strictly, and the gate by itself

The tests of silent upstreams would have passed with a host that gives requests up seconds early, and the test of what ran at the end took a head for a whole answer. They now check the time left on the line (at most 250 ms) and bodies by their content-length. Unit tests cover the gate's closing.

--- a/src/gate.rs
+++ b/src/gate.rs
@@ -119,3 +119,6 @@
         self.gate.lock().requests.remove(&self.request);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -45,6 +45,7 @@
 pub use caller::Answer;
 pub use caller::Caller;
 pub use caller::ask;
+pub use caller::header;
 pub use fakelog::FakeLog;
 pub use fakelog::Silence;
 pub use lines::Lines;
--- a/tests/stoppinghost/mod.rs
+++ b/tests/stoppinghost/mod.rs
@@ -22,6 +22,7 @@
 use crate::gatewayworld::FakeUpstream;
 use crate::gatewayworld::World;
 use crate::gatewayworld::ask;
+use crate::gatewayworld::header;
 use crate::gatewayworld::route_to;
 use crate::gatewayworld::table;
 use crate::gatewayworld::wait_until;
@@ -40,6 +41,8 @@
 const LARGE_ANSWER_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 16777216\r\n";
 /// Callers who ask at the same time until the host is gone.
 const CALLERS: usize = 8;
+/// Longest time before streams are cut at which other requests are given up.
+const GIVEN_UP_LEFT_MS: u64 = 250;
 /// Generations that an engine runs at a time.
 const SLOTS: usize = 4;
 
@@ -63,6 +66,13 @@
     lines
 }
 
+/// Whether a request was given up no sooner than needed.
+fn is_late(line: &Value) -> bool {
+    line["left_ms"]
+        .as_u64()
+        .is_some_and(|left_ms| left_ms <= GIVEN_UP_LEFT_MS)
+}
+
 /// A generation that its engine runs to no end.
 fn hold(world: &World) -> Caller {
     let mut caller = Caller::connect(world.callers());
@@ -83,7 +93,9 @@
     assert_eq!((answer.status, ran(&answer).as_str()), (504, "unknown"));
     assert!(answer.whole);
     assert_eq!(sum_seen(&upstreams), 1);
-    assert_eq!(given_up(&world, "sent").len(), 1);
+    let lines = given_up(&world, "sent");
+    assert_eq!(lines.len(), 1);
+    assert!(is_late(&lines[0]), "{}", lines[0]);
 }
 
 fn large_answer() -> Behaviour {
@@ -159,6 +171,9 @@
 
     assert_eq!((answer.status, ran(&answer).as_str()), (504, "unknown"));
     assert!(answer.whole);
+    let lines = given_up(&world, "sent");
+    assert_eq!(lines.len(), 1);
+    assert!(is_late(&lines[0]), "{}", lines[0]);
 }
 
 /// Generations that waited for room at a stopping host were cut with their connections.
@@ -226,6 +241,15 @@
     unanswered: BTreeSet<String>,
 }
 
+/// Whether these are a head and a body of the length that it states.
+fn is_whole(answer: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(answer);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    header(head, "content-length") == Some(body.len().to_string().as_str())
+}
+
 /// Asks on `kept` first and then on new connections until the host is gone.
 fn ask_to_the_end(address: SocketAddr, mut kept: Option<TcpStream>, caller: usize) -> Ledger {
     let mut ledger = Ledger::default();
@@ -240,8 +264,7 @@
         let written = connection.write_all(get(&target, "").as_bytes());
         let read = written.and_then(|()| connection.set_read_timeout(Some(BOUND)));
         let read = read.and_then(|()| connection.read_to_end(&mut answer));
-        let is_whole = read.is_ok() && String::from_utf8_lossy(&answer).contains("\r\n\r\n");
-        match is_whole {
+        match read.is_ok() && is_whole(&answer) {
             true => ledger.answered.insert(target),
             false => ledger.unanswered.insert(target),
         };
