--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -220,14 +220,16 @@
         self.shared.begin_shutdown(cut_at);
         let line = self.shared.log().entry(EventCode::ShutdownBegan);
         line.with("in_flight", gate.in_flight()).write();
-        let quiet_from = (began + READINESS_NOTICE_TIME).min(cut_at);
-        tokio::time::sleep_until(quiet_from).await;
         let answer_at = cut_at - ANSWER_MARGIN;
+        let quiet_from = (began + READINESS_NOTICE_TIME).min(answer_at);
+        tokio::time::sleep_until(quiet_from).await;
         while Instant::now() < answer_at && !gate.close_if_idle() {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         gate.close();
         self.shared.enter_stop_stage(StopStage::Answering);
+        // A thread that was late leaves time for the answers all the same.
+        let cut_at = cut_at.max(Instant::now() + FLUSH_TIME);
         while Instant::now() < cut_at && gate.in_flight() > 0 {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
@@ -293,8 +295,8 @@
     Ok(socket.into())
 }
 
-/// Counts a new connection if it is a caller's. One over the bound is closed before its request is read, so that the
-/// caller's retry meets another host.
+/// Counts a new connection if it is a caller's. One over the bound reads no more than has arrived: a request among it is
+/// refused, so that the caller's retry meets another host, and without one the connection ends.
 fn admit_connection(shared: &Shared, stream: &dyn Any, data: &mut Extensions) {
     let Some(stream) = stream.downcast_ref::<TcpStream>() else {
         return;
@@ -312,7 +314,8 @@
         }
         None => {
             log::debug!("closing a caller's connection over the bound");
-            if let Err(error) = SockRef::from(stream).shutdown(Shutdown::Both) {
+            // The other direction stays open for the refusal of a request that has arrived.
+            if let Err(error) = SockRef::from(stream).shutdown(Shutdown::Read) {
                 log::debug!("closing a caller's connection: {error}");
             }
         }
@@ -329,7 +332,7 @@
     let port = http.app_config().local_addr().port();
     let settings = shared.settings();
     if port == settings.caller_address.port() {
-        // A request that arrived before its connection was closed must not run.
+        // A request that arrived before its connection was shut must not run.
         if http.conn_data::<CallerConnection>().is_none() {
             return refuse::response(&refuse::host_crowded(), true);
         }
--- a/tests/stoppinghost/mod.rs
+++ b/tests/stoppinghost/mod.rs
@@ -18,9 +18,11 @@
 use crate::gatewayworld::BOUND;
 use crate::gatewayworld::Behaviour;
 use crate::gatewayworld::Caller;
+use crate::gatewayworld::ConnectionEnd;
 use crate::gatewayworld::FakeUpstream;
 use crate::gatewayworld::World;
 use crate::gatewayworld::ask;
+use crate::gatewayworld::header;
 use crate::gatewayworld::route_to;
 use crate::gatewayworld::table;
 use crate::gatewayworld::wait_until;
@@ -32,8 +34,15 @@
 
 /// From then on after SIGTERM new requests come over old connections only.
 const NOTICED: Duration = Duration::from_millis(2_600);
+/// From then on after SIGTERM a host without requests has ended.
+const IDLE_ENDED: Duration = Duration::from_millis(3_200);
+/// More than the buffers of both systems take of an answer that its caller doesn't read.
+const LARGE_ANSWER_BYTES: usize = 16 << 20;
+const LARGE_ANSWER_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 16777216\r\n";
 /// Callers who ask at the same time until the host is gone.
 const CALLERS: usize = 8;
+/// Longest time before streams are cut at which other requests are given up.
+const GIVEN_UP_LEFT_MS: u64 = 250;
 /// Generations that an engine runs at a time.
 const SLOTS: usize = 4;
 
@@ -57,6 +66,13 @@
     lines
 }
 
+/// Whether a request was given up no sooner than needed.
+fn is_late(line: &Value) -> bool {
+    line["left_ms"]
+        .as_u64()
+        .is_some_and(|left_ms| left_ms <= GIVEN_UP_LEFT_MS)
+}
+
 /// A generation that its engine runs to no end.
 fn hold(world: &World) -> Caller {
     let mut caller = Caller::connect(world.callers());
@@ -77,7 +93,68 @@
     assert_eq!((answer.status, ran(&answer).as_str()), (504, "unknown"));
     assert!(answer.whole);
     assert_eq!(sum_seen(&upstreams), 1);
-    assert_eq!(given_up(&world, "sent").len(), 1);
+    let lines = given_up(&world, "sent");
+    assert_eq!(lines.len(), 1);
+    assert!(is_late(&lines[0]), "{}", lines[0]);
+}
+
+fn large_answer() -> Behaviour {
+    Behaviour::Raw {
+        head: LARGE_ANSWER_HEAD,
+        body: "x".repeat(LARGE_ANSWER_BYTES),
+        end: ConnectionEnd::Closed,
+    }
+}
+
+/// An answer that was begun before its host stopped was cut like those begun later.
+#[test]
+fn an_answer_begun_before_its_host_stopped_is_written_before_it_ends() {
+    let (mut world, _upstreams) = world("once", &[&[large_answer()]]);
+    let mut caller = Caller::connect(world.callers());
+    caller.send(get("/nets/1", ""));
+    assert!(wait_until(|| world.lines.of("RequestComplete").len() == 1));
+    let stopped_at = stop(&mut world);
+    assert!(wait_until(|| stopped_at.elapsed() > IDLE_ENDED));
+
+    let answer = caller.read();
+    world.wait_ended();
+
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert_eq!(answer.header("connection"), None);
+    assert_eq!(answer.body.len(), LARGE_ANSWER_BYTES);
+}
+
+/// An answer was cut because its request no longer counted while its caller had not read it.
+#[test]
+fn an_answer_to_a_slow_caller_is_written_before_its_host_ends() {
+    let (mut world, _upstreams) = world("once", &[&[large_answer()]]);
+    let stopped_at = stop(&mut world);
+    let mut caller = Caller::connect(world.callers());
+    caller.send(get("/nets/1", ""));
+    assert!(wait_until(|| stopped_at.elapsed() > IDLE_ENDED));
+
+    let answer = caller.read();
+    world.wait_ended();
+
+    assert_eq!((answer.status, answer.whole), (200, true));
+    assert_eq!(answer.body.len(), LARGE_ANSWER_BYTES);
+    assert_eq!(world.lines.of("ShutdownComplete").len(), 1);
+}
+
+/// Connections that callers keep without a request held a stopping host.
+#[test]
+fn kept_connections_without_requests_do_not_hold_a_stopping_host() {
+    let (mut world, _upstreams) = world("once", &[&[Behaviour::Answer(200, "sound")]]);
+    let mut kept = Caller::connect(world.callers());
+    kept.send(get("/nets/1", ""));
+    let answer = kept.read();
+    let _unused = Caller::connect(world.callers());
+
+    let stopped_at = stop(&mut world);
+    world.wait_ended();
+
+    assert_eq!((answer.status, answer.header("connection")), (200, None));
+    assert!(stopped_at.elapsed() < IDLE_ENDED);
 }
 
 /// An engine's silence held a generation of a stopping host until its connection was cut.
@@ -94,6 +171,9 @@
 
     assert_eq!((answer.status, ran(&answer).as_str()), (504, "unknown"));
     assert!(answer.whole);
+    let lines = given_up(&world, "sent");
+    assert_eq!(lines.len(), 1);
+    assert!(is_late(&lines[0]), "{}", lines[0]);
 }
 
 /// Generations that waited for room at a stopping host were cut with their connections.
@@ -161,6 +241,15 @@
     unanswered: BTreeSet<String>,
 }
 
+/// Whether these are a head and a body of the length that it states.
+fn is_whole(answer: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(answer);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    header(head, "content-length") == Some(body.len().to_string().as_str())
+}
+
 /// Asks on `kept` first and then on new connections until the host is gone.
 fn ask_to_the_end(address: SocketAddr, mut kept: Option<TcpStream>, caller: usize) -> Ledger {
     let mut ledger = Ledger::default();
@@ -175,8 +264,7 @@
         let written = connection.write_all(get(&target, "").as_bytes());
         let read = written.and_then(|()| connection.set_read_timeout(Some(BOUND)));
         let read = read.and_then(|()| connection.read_to_end(&mut answer));
-        let is_whole = read.is_ok() && String::from_utf8_lossy(&answer).contains("\r\n\r\n");
-        match is_whole {
+        match read.is_ok() && is_whole(&answer) {
             true => ledger.answered.insert(target),
             false => ledger.unanswered.insert(target),
         };
