--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -8,6 +8,7 @@
 import base64
 import contextlib
 import json
+import logging
 import os
 import shutil
 import signal
@@ -142,7 +143,7 @@
         try:
             await self.serve(reader, writer)
         except (ConnectionError, asyncio.CancelledError, asyncio.IncompleteReadError):
-            pass
+            pass  # The other side left, or this server ends.
         finally:
             self.connections.discard(writer)
             self.tasks.discard(task)
@@ -574,6 +575,7 @@
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"the disruption is {'on' if trouble else 'off'}")
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     try:
         broken = asyncio.run(asyncio.wait_for(case(record, trouble), 100))
     except Exception as error:
