--- a/review/1/run.py
+++ b/review/1/run.py
@@ -71,18 +71,24 @@
         super().end()
 
     async def run(self, method, target, message, reader, writer):
-        ident = self.began(message)
+        ident = message.headers["x-attempt-id"]
+        self.record.write(f"worker {self.id}: takes {ident}")
         prompt, most = (int(text) for text in message.headers["x-token-usage"].split(","))
         total = min(most, int(message.body.split(b"=")[1]))
         rank = int(message.headers.get("x-priority-class", 5))
         self.orders += 1
         run = Run(ident, self.orders, rank, prompt, total, writer)
         self.runs.append(run)
-        head = [f"{name}: {value}" for name, value in self.sealed(ident)]
-        head += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
-        writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(head) + "\r\n\r\n").encode())
         await run.ended.wait()
 
+    def begin(self, run):
+        """Begins the answer. A request starts to run with its first token."""
+        self.ran.append((self.record.now(), run.ident))
+        self.record.write(f"worker {self.id}: runs {run.ident}")
+        head = [f"{name}: {value}" for name, value in self.sealed(run.ident)]
+        head += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        run.writer.write(("HTTP/1.1 200 OK\r\n" + "\r\n".join(head) + "\r\n\r\n").encode())
+
     async def steps(self):
         loop = asyncio.get_running_loop()
         due = loop.time()
@@ -116,6 +122,8 @@
             run.unread -= read
             if run.unread or was_unread:
                 continue
+            if run.made == 0:
+                self.begin(run)
             run.made += 1
             if run.made % 4 == 0 or run.made == run.total:
                 number = (run.made + 3) // 4
@@ -200,8 +208,8 @@
             in_budget = ended - sent < FLAG_BUDGET_MS / 1_000 - 0.1
             if message is None and ident in ran and in_budget:
                 lost.append(
-                    f"LOST: {ident}, sent {sent - terminated:.3f} s after the SIGTERM and passed on to a worker, was"
-                    f" cut {ended - terminated:.3f} s after the SIGTERM"
+                    f"LOST: {ident}, sent {sent - terminated:.3f} s after the SIGTERM and run by a worker, was cut"
+                    f" {ended - terminated:.3f} s after the SIGTERM"
                 )
     return lost
 
