Log how a stopping host decides on generations

Cause: the lines of a stopping host told which requests it cut, not on what evidence it had taken them, so a full engine, a wait for room and a slow engine could not be told apart. Change: event 218 for each decision: since when the host stops, the time that it and the request have left, and the engine's memory.

--- a/src/gateway/stream/stopping.rs
+++ b/src/gateway/stream/stopping.rs
@@ -8,6 +8,7 @@
 use super::hinted_tokens;
 use super::planned_output;
 use super::run_duration;
+use crate::event::EventCode;
 use crate::gateway::placement::Candidate;
 use crate::gateway::protocol::GenerationSize;
 use crate::gateway::refuse;
@@ -29,10 +30,9 @@
     let left = shared.shutdown_time_left()?;
     let stopping_for = shared.stopping_for()?;
     let size = admitted.size(shared);
-    match finishes_in_time(size, stopping_for, left) {
-        true => None,
-        false => Some(refuse::host_stopping()),
-    }
+    let finishes = finishes_in_time(size, stopping_for, left);
+    log_checked(shared, admitted, finishes, None);
+    (!finishes).then(refuse::host_stopping)
 }
 
 /// The same once the generation has an engine, perhaps after a wait: late ones are sent only where they are certain to
@@ -47,9 +47,32 @@
     let size = admitted.size(shared);
     let finishes = finishes_in_time(size, stopping_for, left)
         && (stopping_for < NOTICE_DELAY || is_certain(shared, admitted, candidate, left));
+    log_checked(shared, admitted, finishes, Some(candidate));
     (!finishes).then(refuse::host_stopping)
 }
 
+/// Logs whether a generation is taken, with what its host and its engine are known to have left.
+fn log_checked(
+    shared: &Shared,
+    admitted: &Admitted,
+    is_taken: bool,
+    candidate: Option<&Candidate>,
+) {
+    let ms = |time: Option<Duration>| time.unwrap_or_default().as_millis() as u64;
+    let engine = admitted.engine.as_ref();
+    let memory_tokens = engine.map(|engine| engine.memory_tokens);
+    let entry = admitted.log_entry(shared, EventCode::StoppingChecked);
+    entry
+        .with("taken", is_taken)
+        .with("stopping_ms", ms(shared.stopping_for()))
+        .with("left_ms", ms(shared.shutdown_time_left()))
+        .with("deadline_ms", ms(Some(admitted.time_left())))
+        .with_some("upstream", candidate.map(|to| to.upstream.id.as_str()))
+        .with_some("load_tokens", candidate.map(|to| to.load.tokens))
+        .with_some("memory_tokens", candidate.and(memory_tokens))
+        .write();
+}
+
 /// Whether a generation finishes within `left` at an engine even if it takes much longer than expected.
 fn is_certain(shared: &Shared, admitted: &Admitted, candidate: &Candidate, left: Duration) -> bool {
     let upstream = &candidate.upstream;
