Accept late work on a stopping host by its deadline, not by an estimate

What callers saw: generations that a host accepted 3.1 s after its SIGTERM, over connections that they had kept, were cut in their middle 7.9 s after it, or got 504 without an answer; another host would have finished them. Cause: from 2.5 s after SIGTERM a host accepted a generation if twice its estimate was left. The estimate came from the engine's queue and speed. Calls were accepted until 1.5 s before the end by an estimate too, and generations waited for room at a host that could not finish them. Change: stopping/acceptance decides for calls and generations alike. From 2.5 s on the request's own deadline must pass before the host answers what is left; that holds whatever its upstream does. Looked at before each attempt, and while a generation waits for room, which is refused as soon as it may outlast its host. Event 218 tells the verdict.

--- a/src/event.rs
+++ b/src/event.rs
@@ -78,7 +78,7 @@
     215 SuspectTried "One request of a content or with a part that is held back is sent, to see whether it still crashes what runs it, or to tell parts apart.",
     216 ConnectionBroken "The connection to an upstream broke under a request: the parts of its prompt, how long it had written, and whether that counts as a crash.",
     217 RequestStopped "A host that stops gives a request up: how far it had come, and since when the host stops.",
-    218 StoppingChecked "A host that stops takes or refuses a request: since when it stops, how much time it and the request have left, and how full the engine is.",
+    218 StoppingChecked "A host that stops accepts or refuses a request: since when it stops, the time that it and the request have left, and how long the request is expected to run.",
     300 UpstreamReported "An upstream's load report changed its state.",
     301 UpstreamEjected "Consecutive failures: no new work for a while.",
     302 UpstreamProbed "A half-open probe was sent to an ejected upstream.",
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -24,7 +24,6 @@
 use crate::gateway::forward::AttemptHeaders;
 use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Need;
-use crate::gateway::refuse;
 use crate::gateway::rollouts::evidence::Measure;
 use crate::gateway::rollouts::evidence::Outcome;
 use crate::gateway::route::RouteKind;
@@ -33,6 +32,7 @@
 use crate::gateway::shared::Hold;
 use crate::gateway::shared::Shared;
 use crate::gateway::speeds::Work;
+use crate::gateway::stopping::acceptance;
 use crate::gateway::unconfirmed::Evidence;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
@@ -40,9 +40,8 @@
 
 /// Timeout of an attempt that may be repeated elsewhere, as a multiple of the objective.
 const ATTEMPT_OBJECTIVES: u32 = 2;
-/// Time before the end of the grace period from which a host that shuts down refuses calls. The longest calls
-/// take half a second, and twice as long with a second attempt.
-const LAST_CALLS: Duration = Duration::from_millis(1_500);
+/// Time that a call is expected to take at most: the longest take half a second, and twice as long with a second attempt.
+const RUN_TIME_MAX: Duration = Duration::from_millis(1_500);
 /// Shorter calls count as this long for the speed of an upstream: their times differ by network and scheduler.
 const CALL_TIME_MIN: Duration = Duration::from_millis(10);
 /// Share of its objective for which a call waits until upstreams have answered others.
@@ -105,11 +104,8 @@
     let shared = &front.shared;
     let now = shared.now();
     shared.retry_budget(&admitted.service, |budget| budget.record_request(now));
-    if shared
-        .shutdown_time_left()
-        .is_some_and(|left| left < LAST_CALLS)
-    {
-        return admitted.refuse(shared, &refuse::host_stopping());
+    if let Some(refusal) = acceptance::refuse_uncertain(shared, admitted, RUN_TIME_MAX) {
+        return admitted.refuse(shared, &refusal);
     }
     let mut tries = Attempts::default();
     let mut may_have_run = 0;
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -49,6 +49,7 @@
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::shared::Environment;
 use crate::gateway::shared::Shared;
+use crate::gateway::shared::ShutdownTimes;
 use crate::gateway::shared::queueing;
 use crate::gateway::stopping::StopStage;
 use crate::gateway::suspectlog;
@@ -216,11 +217,15 @@
     pub async fn drain(self) -> Ended {
         let began = Instant::now();
         let gate = self.shared.gate().clone();
-        let cut_at = began + self.shared.settings().grace.saturating_sub(EXIT_MARGIN);
-        self.shared.begin_shutdown(cut_at);
+        let abort_at = began + self.shared.settings().grace.saturating_sub(EXIT_MARGIN);
+        let answer_at = abort_at - ANSWER_MARGIN;
+        self.shared.begin_shutdown(ShutdownTimes {
+            began,
+            answer_at,
+            abort_at,
+        });
         let line = self.shared.log().entry(EventCode::ShutdownBegan);
         line.with("in_flight", gate.in_flight()).write();
-        let answer_at = cut_at - ANSWER_MARGIN;
         let quiet_from = (began + READINESS_NOTICE_TIME).min(answer_at);
         tokio::time::sleep_until(quiet_from).await;
         while Instant::now() < answer_at && !gate.close_if_idle() {
@@ -229,8 +234,8 @@
         gate.close();
         self.shared.enter_stop_stage(StopStage::Answering);
         // A thread that was late leaves time for the answers all the same.
-        let cut_at = cut_at.max(Instant::now() + FLUSH_TIME);
-        while Instant::now() < cut_at && gate.in_flight() > 0 {
+        let abort_at = abort_at.max(Instant::now() + FLUSH_TIME);
+        while Instant::now() < abort_at && gate.in_flight() > 0 {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
         let in_flight = gate.in_flight();
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -164,11 +164,32 @@
     queueing: Queueing,
 }
 
-/// When a shutdown began, and when what still runs is aborted.
+/// When a shutdown began, and when the requests that remain end.
 #[derive(Debug, Clone, Copy)]
-struct ShutdownTimes {
-    began: Instant,
-    deadline: Instant,
+pub(crate) struct ShutdownTimes {
+    /// When the shutdown began.
+    pub(crate) began: Instant,
+    /// When requests without the head of an answer are answered by the host.
+    pub(crate) answer_at: Instant,
+    /// When streams are aborted.
+    pub(crate) abort_at: Instant,
+}
+
+impl ShutdownTimes {
+    /// Time since the shutdown began.
+    pub(crate) fn stopping_for(&self) -> Duration {
+        self.began.elapsed()
+    }
+
+    /// Time until requests without the head of an answer are answered by the host.
+    pub(crate) fn answering_in(&self) -> Duration {
+        self.answer_at.saturating_duration_since(Instant::now())
+    }
+
+    /// Time until streams are aborted.
+    pub(crate) fn aborting_in(&self) -> Duration {
+        self.abort_at.saturating_duration_since(Instant::now())
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -309,12 +330,9 @@
         self.0.announcements.send_modify(|count| *count += 1);
     }
 
-    /// Begins the shutdown. Requests that still run at `deadline` are aborted.
-    pub fn begin_shutdown(&self, deadline: Instant) {
-        let began = Instant::now();
-        self.0
-            .shutdown
-            .get_or_init(|| ShutdownTimes { began, deadline });
+    /// Begins the shutdown.
+    pub(crate) fn begin_shutdown(&self, times: ShutdownTimes) {
+        self.0.shutdown.get_or_init(|| times);
         self.gate().shut();
         self.enter_stop_stage(StopStage::Draining);
         self.announce_now();
@@ -335,16 +353,9 @@
         self.0.stop_stage.subscribe()
     }
 
-    /// Time since the shutdown began, if it has.
-    pub(crate) fn stopping_for(&self) -> Option<Duration> {
-        let times = self.0.shutdown.get()?;
-        Some(times.began.elapsed())
-    }
-
-    /// Time until running requests are aborted, if the host is shutting down.
-    pub fn shutdown_time_left(&self) -> Option<Duration> {
-        let times = self.0.shutdown.get()?;
-        Some(times.deadline.saturating_duration_since(Instant::now()))
+    /// The times of the shutdown, if it has begun.
+    pub(crate) fn shutdown_times(&self) -> Option<&ShutdownTimes> {
+        self.0.shutdown.get()
     }
 
     /// Whether the host reports ready to the load balancer: it is initialized, not shutting down, not
--- a/src/gateway/stopping.rs
+++ b/src/gateway/stopping.rs
@@ -1,5 +1,7 @@
 //! How the requests of a host end that shuts down: each that was read whole gets a complete answer before the process
-//! ends, except for streams that outlast the grace period.
+//! ends, except for streams that began before the shutdown was noticed and outlast the grace period.
+//!
+//! [`acceptance`] decides which requests still begin.
 
 use actix_web::HttpResponse;
 use tokio::sync::watch;
@@ -8,10 +10,13 @@
 use crate::gateway::refuse;
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
+use crate::gateway::shared::ShutdownTimes;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::telemetry;
 
+pub(crate) mod acceptance;
+
 /// How far a host's shutdown has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum StopStage {
@@ -81,8 +86,9 @@
 
 /// Logs that the host gives a request up, because it stops.
 pub(crate) fn log_stopped(shared: &Shared, admitted: &Admitted) {
-    let left = shared.shutdown_time_left().unwrap_or_default();
-    let stopping_for = shared.stopping_for().unwrap_or_default();
+    let times = shared.shutdown_times();
+    let stopping_for = times.map(ShutdownTimes::stopping_for).unwrap_or_default();
+    let left = times.map(ShutdownTimes::aborting_in).unwrap_or_default();
     let entry = admitted.log_entry(shared, EventCode::RequestStopped);
     entry
         .with("phase", admitted.phase.get().name())
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -42,6 +42,7 @@
 use crate::gateway::serve::WorkerState;
 use crate::gateway::shared::Shared;
 use crate::gateway::stopping::Phase;
+use crate::gateway::stopping::acceptance;
 use crate::gateway::stream::relay::Relay;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
@@ -49,7 +50,6 @@
 mod moving;
 mod ordering;
 mod relay;
-mod stopping;
 #[cfg(test)]
 mod tests;
 
@@ -135,13 +135,20 @@
     let shared = &worker.shared;
     let now = shared.now();
     shared.retry_budget(&admitted.service, |budget| budget.record_request(now));
-    if let Some(refusal) = stopping::refuse_while_stopping(shared, &admitted) {
-        return admitted.refuse(shared, &refusal);
-    }
+    let run_time = run_time_max(shared, &admitted);
     let mut attempts = Attempts::default();
     loop {
+        if let Some(refusal) = acceptance::refuse_uncertain(shared, &admitted, run_time) {
+            return admitted.refuse(shared, &refusal);
+        }
         let need = need(shared, &admitted);
-        let candidate = match choose_engine(shared, &admitted, need, attempts.upstreams()).await {
+        let choosing = choose_engine(shared, &admitted, need, attempts.upstreams());
+        let chosen = tokio::select! {
+            biased;
+            refusal = acceptance::wait_until_uncertain(shared, &admitted, run_time) => Err(refusal),
+            chosen = choosing => chosen,
+        };
+        let candidate = match chosen {
             Ok(Some(candidate)) => candidate,
             Ok(None) => {
                 return refuse_without_upstream(
@@ -153,9 +160,6 @@
             }
             Err(refusal) => return admitted.refuse(shared, &refusal),
         };
-        if let Some(refusal) = stopping::refuse_at_engine(shared, &admitted, &candidate) {
-            return admitted.refuse(shared, &refusal);
-        }
         let running_guard = shared
             .queues()
             .track_running(admitted.customer.as_ref(), need.tokens());
@@ -231,6 +235,13 @@
     run_duration(planned_output(admitted.size(shared)))
 }
 
+/// The time that a generation is expected to take at most, by the larger of its planned and its hinted output.
+fn run_time_max(shared: &Shared, admitted: &Admitted) -> Duration {
+    let size = admitted.size(shared);
+    let hinted = hinted_tokens(size).min(size.output_tokens_max);
+    run_duration(planned_output(size).max(hinted))
+}
+
 fn run_duration(output_tokens: u32) -> Duration {
     PROMPT_TIME + TOKEN_TIME * output_tokens
 }
--- a/tests/crowdedhost/mod.rs
+++ b/tests/crowdedhost/mod.rs
@@ -20,6 +20,7 @@
 use crate::gatewayworld::wait_until;
 use crate::post;
 use crate::ran;
+use cedargauge::gateway::settings::GatewaySettings;
 
 const HOSTS: usize = 4;
 /// Requests a second of all callers together, each on a connection of its own.
@@ -56,6 +57,10 @@
     }
 }
 
+fn limit_connections(settings: &mut GatewaySettings) {
+    settings.caller_connections_max = CONNECTIONS_MAX;
+}
+
 /// Starts hosts that know each other and these upstreams, with one route.
 fn start_fleet(route: Value, upstreams: &[FakeUpstream]) -> Vec<World> {
     let hosts = World::start_fleet(HOSTS);
@@ -170,7 +175,7 @@
 fn a_request_that_arrives_with_a_connection_over_the_bound_is_refused() {
     let upstream = FakeUpstream::start("up-0", &[Behaviour::Answer(200, "sound")]);
     let routes = json!([route("once")]);
-    let world = World::serving_connections(CONNECTIONS_MAX, routes, &[&upstream]);
+    let world = World::serving_with(limit_connections, routes, &[&upstream]);
     let _idle: Vec<Caller> = (0..CONNECTIONS_MAX)
         .map(|_| Caller::connect(world.callers()))
         .collect();
@@ -191,7 +196,7 @@
 fn start_crowded() -> (World, Vec<Caller>) {
     let upstream = FakeUpstream::start("up-0", &[Behaviour::Answer(200, "sound")]);
     let routes = json!([route("once")]);
-    let world = World::serving_connections(CONNECTIONS_MAX, routes, &[&upstream]);
+    let world = World::serving_with(limit_connections, routes, &[&upstream]);
     let mut callers: Vec<Caller> = (0..CONNECTIONS_MAX)
         .map(|_| Caller::connect(world.callers()))
         .collect();
@@ -227,7 +232,7 @@
 fn a_host_closes_new_connections_unread_while_it_has_too_many() {
     let upstream = FakeUpstream::start("up-0", &[Behaviour::Answer(200, "sound")]);
     let routes = json!([route("once")]);
-    let world = World::serving_connections(CONNECTIONS_MAX, routes, &[&upstream]);
+    let world = World::serving_with(limit_connections, routes, &[&upstream]);
     let idle: Vec<Caller> = (0..CONNECTIONS_MAX)
         .map(|_| Caller::connect(world.callers()))
         .collect();
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -264,29 +264,16 @@
         World::start().serve(routes, upstreams)
     }
 
-    /// The same with decisions under load switched on.
+    /// The same with settings that `configure` changes.
     pub fn serving_with(
-        features: LoadFeatures,
-        routes: Value,
-        upstreams: &[&FakeUpstream],
-    ) -> Self {
-        let address = own_address();
-        let log = FakeLog::start(address);
-        let mut settings = settings(address, log.address());
-        settings.features = features;
-        World::start_host(settings, log, HAS_RUN).serve(routes, upstreams)
-    }
-
-    /// The same with a bound on the connections of callers.
-    pub fn serving_connections(
-        connections_max: usize,
+        configure: impl FnOnce(&mut GatewaySettings),
         routes: Value,
         upstreams: &[&FakeUpstream],
     ) -> Self {
         let address = own_address();
         let log = FakeLog::start(address);
         let mut settings = settings(address, log.address());
-        settings.caller_connections_max = connections_max;
+        configure(&mut settings);
         World::start_host(settings, log, HAS_RUN).serve(routes, upstreams)
     }
 
--- a/tests/stoppinghost/mod.rs
+++ b/tests/stoppinghost/mod.rs
@@ -31,6 +31,7 @@
 use crate::ran;
 use crate::sum_seen;
 use crate::world;
+use cedargauge::gateway::settings::GatewaySettings;
 
 /// From then on after SIGTERM new requests come over old connections only.
 const NOTICED: Duration = Duration::from_millis(2_600);
@@ -46,6 +47,11 @@
 /// Generations that an engine runs at a time.
 const SLOTS: usize = 4;
 
+/// A grace period in which twice the time of a short generation fits after [`NOTICED`].
+const LONG_GRACE: Duration = Duration::from_secs(8);
+/// An answer at once comes within this time.
+const AT_ONCE: Duration = Duration::from_millis(200);
+
 const HELD: Behaviour = Behaviour::Events {
     to: 40,
     break_after: None,
@@ -201,6 +207,115 @@
     assert_eq!(given_up(&world, "streaming").len(), SLOTS);
 }
 
+fn lengthen_grace(settings: &mut GatewaySettings) {
+    settings.grace = LONG_GRACE;
+}
+
+/// A route for everything under `prefix` that lets requests last longer than any grace period of these tests.
+fn patient_route(name: &str, kind: &str, service: &str) -> Value {
+    json!({
+        "name": name, "host": "a.example", "prefix": format!("/{name}/"), "kind": kind, "timeout_ms": 30000,
+        "objective_ms": 30000, "service": service, "attempts": 1})
+}
+
+/// A host with a long grace period and a generation at its engine, which pauses in every generation. So the host doesn't
+/// end once it has stopped for [`NOTICED`].
+fn busy_host() -> (World, FakeUpstream, Caller) {
+    let engine = FakeUpstream::of("reports", "engine-0", &[HELD]);
+    let routes = json!([patient_route("nets", "stream", "reports")]);
+    let world = World::serving_with(lengthen_grace, routes, &[&engine]);
+    let held = hold(&world);
+    (world, engine, held)
+}
+
+/// Sends a request and returns its answer with the time that it took.
+fn ask_timed(world: &World, request: &str) -> (Answer, Duration) {
+    let asked_at = Instant::now();
+    let answer = ask(world.callers(), request);
+    (answer, asked_at.elapsed())
+}
+
+/// A stopping host took late generations by twice their estimate, and cut those whose engine preempted them or paused.
+#[test]
+fn a_late_generation_that_outlasts_its_host_if_its_engine_pauses_is_refused_at_once() {
+    let (mut world, engine, held) = busy_host();
+    let stopped_at = stop(&mut world);
+    assert!(wait_until(|| stopped_at.elapsed() > NOTICED));
+
+    let (answer, took) = ask_timed(&world, &post("/nets/7", "tokens: 10\r\n", "flag"));
+    drop(held);
+    world.wait_ended();
+
+    assert_eq!((answer.status, ran(&answer).as_str()), (503, "no"));
+    assert_eq!(answer.header("connection"), Some("close"));
+    assert!(took < AT_ONCE, "{took:?}");
+    assert_eq!(engine.seen().len(), 1);
+}
+
+/// Too strict a check on what a stopping host can finish turned away generations that end before it in any case.
+#[test]
+fn a_late_generation_whose_deadline_passes_before_its_host_ends_is_served() {
+    let (mut world, engine, held) = busy_host();
+    engine.behave_as(events(20));
+    let stopped_at = stop(&mut world);
+    assert!(wait_until(|| stopped_at.elapsed() > NOTICED));
+
+    let request = post("/nets/7", "tokens: 20\r\ndeadline-ms: 3000\r\n", "flag");
+    let answer = ask(world.callers(), &request);
+    drop(held);
+    world.wait_ended();
+
+    assert_eq!((answer.status, answer.whole), (200, true));
+}
+
+/// A generation that its host could not finish any more waited for room until the host answered it just before its end.
+#[test]
+fn a_generation_that_waits_for_room_as_its_host_stops_is_refused_at_once() {
+    let (mut world, engine, held) = busy_host();
+    let _others: Vec<Caller> = (1..SLOTS).map(|_| hold(&world)).collect();
+    let mut waiting = Caller::connect(world.callers());
+    waiting.send(post("/nets/7", "tokens: 1000\r\n", "report"));
+    assert!(wait_until(|| world
+        .lines
+        .of("RequestQueued")
+        .iter()
+        .any(|line| line["outcome"] == "waits")));
+
+    let stopped_at = stop(&mut world);
+    let answer = waiting.read();
+    let took = stopped_at.elapsed();
+    drop(held);
+
+    assert_eq!((answer.status, ran(&answer).as_str()), (503, "no"));
+    assert!(took < AT_ONCE, "{took:?}");
+    assert_eq!(given_up(&world, "waiting").len(), 1);
+    assert_eq!(engine.seen().len(), SLOTS);
+}
+
+/// A late call to an upstream that paused was given up just before its host ended, though it may have run.
+#[test]
+fn a_late_call_that_may_outlast_its_host_is_refused_at_once() {
+    let (mut world, _engine, held) = busy_host();
+    let plain = FakeUpstream::start("up-0", &[Behaviour::Mute]);
+    world.list(&plain, "ready");
+    let routes = json!([
+        patient_route("nets", "stream", "reports"),
+        patient_route("plain", "once", "nets")
+    ]);
+    world.log.put("operator", "table", &table(2, routes));
+    assert!(wait_until(|| world.has_version(2)));
+    let stopped_at = stop(&mut world);
+    assert!(wait_until(|| stopped_at.elapsed() > NOTICED));
+
+    let (answer, took) = ask_timed(&world, &get("/plain/1", "deadline-ms: 10000\r\n"));
+    drop(held);
+    world.wait_ended();
+
+    assert_eq!((answer.status, ran(&answer).as_str()), (503, "no"));
+    assert!(took < AT_ONCE, "{took:?}");
+    assert_eq!(plain.seen().len(), 0);
+}
+
 /// A short generation was taken late in the grace period by an optimistic estimate, and cut at its end.
 #[test]
 fn a_late_generation_that_is_not_certain_to_finish_is_refused_at_once() {
--- a/tests/upstreamspeeds/mod.rs
+++ b/tests/upstreamspeeds/mod.rs
@@ -65,7 +65,11 @@
         FakeUpstream::start("up-slow", &[SLOW]),
     ];
     let listed: Vec<&FakeUpstream> = upstreams.iter().collect();
-    let host = World::serving_with(features, json!([route("idempotent")]), &listed);
+    let host = World::serving_with(
+        |settings| settings.features = features,
+        json!([route("idempotent")]),
+        &listed,
+    );
     let is_over = AtomicBool::new(false);
     std::thread::scope(|scope| {
         for _ in 0..CALLERS {
