Accept generations after SIGTERM by the most that they may produce

Hypothesis: a generation that a host accepts right after its SIGTERM by its caller's hint is cut if it outlasts the hint; refused at once, another host serves it from its start. A refusal of a short one cannot be avoided without an estimate that a pause of its engine may belie.

--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -67,6 +67,8 @@
 const OVERRUN_FACTOR: f64 = 1.5;
 /// Time per token at an engine under usual load, where tokens take 8 to 11 ms.
 const TOKEN_TIME: Duration = Duration::from_millis(11);
+/// Factor on the time of a generation that a host that shuts down allows for.
+const SLOW_ENGINE_FACTOR: u32 = 2;
 /// Time allowed for a generation's prompt, in addition to that of its tokens.
 const PROMPT_TIME: Duration = Duration::from_millis(800);
 
@@ -235,23 +237,15 @@
     run_duration(planned_output(admitted.size(shared)))
 }
 
-/// The time that a generation is expected to take at most, by the larger of its planned and its hinted output.
+/// The time that a generation takes at most at an engine that is twice as slow as usual.
 fn run_time_max(shared: &Shared, admitted: &Admitted) -> Duration {
-    let size = admitted.size(shared);
-    let hinted = hinted_tokens(size).min(size.output_tokens_max);
-    run_duration(planned_output(size).max(hinted))
+    run_duration(admitted.size(shared).output_tokens_max) * SLOW_ENGINE_FACTOR
 }
 
 fn run_duration(output_tokens: u32) -> Duration {
     PROMPT_TIME + TOKEN_TIME * output_tokens
 }
 
-/// Tokens that a generation produces by its caller's hint, with a margin; 0 without a hint.
-fn hinted_tokens(size: GenerationSize) -> u32 {
-    let hint = size.output_tokens_hint.unwrap_or(0);
-    (f64::from(hint) * HINT_MARGIN) as u32
-}
-
 /// Tokens that a generation is planned to produce: its hint weighted with the typical output, plus a margin,
 /// or the limit if there is no hint.
 fn planned_output(size: GenerationSize) -> u32 {
