Split the list of candidates, counted bodies and the measures of streams off their callers; check each attempt of a call

A call that had not run was sent again by a stopping host without another look at its time. Change: gateway/candidates, gateway/countedbody and stream/measuring are moved out unchanged; calls are checked before each attempt as generations are, while none may have run.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -104,9 +104,6 @@
     let shared = &front.shared;
     let now = shared.now();
     shared.retry_budget(&admitted.service, |budget| budget.record_request(now));
-    if let Some(refusal) = acceptance::refuse_uncertain(shared, admitted, RUN_TIME_MAX) {
-        return admitted.refuse(shared, &refusal);
-    }
     let mut tries = Attempts::default();
     let mut may_have_run = 0;
     let mut failure: Option<FailedAnswer> = None;
@@ -114,6 +111,11 @@
         if admitted.time_left() <= DEADLINE_MARGIN {
             return timed_out(shared, admitted, may_have_run);
         }
+        if may_have_run == 0
+            && let Some(refusal) = acceptance::refuse_uncertain(shared, admitted, RUN_TIME_MAX)
+        {
+            return admitted.refuse(shared, &refusal);
+        }
         if let Some(refusal) = shared.refuse_suspect(admitted) {
             return held_back(shared, admitted, may_have_run, refusal);
         }
--- a/src/gateway/queue.rs
+++ b/src/gateway/queue.rs
@@ -17,13 +17,13 @@
 use crate::gateway::admit;
 use crate::gateway::admit::Verdict;
 use crate::gateway::admit::WaitEstimate;
+use crate::gateway::candidates;
 use crate::gateway::enginestats::EngineStats;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::loads::LoadGuard;
 use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Need;
 use crate::gateway::rollouts::Track;
-use crate::gateway::serve;
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
 use crate::gateway::stream;
@@ -246,7 +246,7 @@
 
 impl Reservation {
     fn reserve(shared: &Shared, need: Need, candidates: &[Candidate]) -> Option<Self> {
-        let best = serve::choose(shared, need, candidates)?;
+        let best = candidates::choose(shared, need, candidates)?;
         let tokens = need.tokens();
         let upstream = best.upstream.id.clone();
         let occupied = shared.loads().add_request(&upstream, tokens, 0);
--- a/src/gateway/queue/asking.rs
+++ b/src/gateway/queue/asking.rs
@@ -6,6 +6,8 @@
 use crate::clock::Time;
 use crate::event::EventCode;
 use crate::gateway::admit::WaitEstimate;
+use crate::gateway::candidates;
+use crate::gateway::candidates::CandidateSet;
 use crate::gateway::gossip;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::instance::InstanceKey;
@@ -22,9 +24,7 @@
 use crate::gateway::queuemessages::QueueMessage;
 use crate::gateway::queuemessages::before;
 use crate::gateway::queueowner::QueueOwner;
-use crate::gateway::serve;
 use crate::gateway::serve::Admitted;
-use crate::gateway::serve::CandidateSet;
 use crate::gateway::shared::Shared;
 use crate::gateway::shared::queueing::AnswerInbox;
 use crate::gateway::sharedqueue::QueueForecast;
@@ -229,7 +229,7 @@
     /// Starts at the granted engine, or asks again if this host can't use it.
     fn start(&mut self, now: Time, engine: &InstanceId) -> Option<Asked> {
         let candidates =
-            serve::candidates(self.shared, self.admitted, self.tried, CandidateSet::All);
+            candidates::list(self.shared, self.admitted, self.tried, CandidateSet::All);
         if candidates.is_empty() {
             return Some(Asked::NoEngine);
         }
--- a/src/gateway/queue/local.rs
+++ b/src/gateway/queue/local.rs
@@ -11,14 +11,14 @@
 use crate::gateway::admit;
 use crate::gateway::admit::Demand;
 use crate::gateway::admit::Verdict;
+use crate::gateway::candidates;
+use crate::gateway::candidates::CandidateSet;
 use crate::gateway::enginestats::EngineStats;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Need;
 use crate::gateway::rollouts::Track;
-use crate::gateway::serve;
 use crate::gateway::serve::Admitted;
-use crate::gateway::serve::CandidateSet;
 use crate::gateway::shared::Shared;
 use crate::refusal::Refusal;
 
@@ -119,7 +119,7 @@
                 tokio::time::sleep(POLL_INTERVAL).await;
                 continue;
             }
-            let mut candidates = serve::candidates(shared, admitted, self.avoid, self.breadth);
+            let mut candidates = candidates::list(shared, admitted, self.avoid, self.breadth);
             if candidates.is_empty() {
                 match std::mem::replace(&mut self.breadth, CandidateSet::All) {
                     CandidateSet::Subset => continue,
--- a/src/gateway/shared/queueing/owning.rs
+++ b/src/gateway/shared/queueing/owning.rs
@@ -12,6 +12,7 @@
 use super::lock;
 use crate::clock::Time;
 use crate::event::EventCode;
+use crate::gateway::candidates;
 use crate::gateway::enginestats::EngineStats;
 use crate::gateway::instance::InstanceKey;
 use crate::gateway::loads::Load;
@@ -28,7 +29,6 @@
 use crate::gateway::queueowner::Grants;
 use crate::gateway::queueowner::OpenAnnouncer;
 use crate::gateway::queueowner::QueueOwner;
-use crate::gateway::serve;
 use crate::gateway::sharedqueue::Decision;
 use crate::gateway::sharedqueue::EngineView;
 use crate::gateway::sharedqueue::JoinOutcome;
@@ -81,7 +81,7 @@
     fn new(shared: &Shared, now: Time, service: &ServiceId) -> Self {
         Engines {
             seen_at: now,
-            candidates: serve::all_candidates(shared, service),
+            candidates: candidates::list_all(shared, service),
             stats: shared.queues().with(|queues| queues.stats.clone()),
         }
     }
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -47,6 +47,7 @@
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 
+mod measuring;
 mod moving;
 mod ordering;
 mod relay;
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -16,6 +16,8 @@
 use super::relay::Relay;
 use super::relay::RelayEvent;
 use crate::event::EventCode;
+use crate::gateway::candidates;
+use crate::gateway::candidates::CandidateSet;
 use crate::gateway::decisions::LogEntry;
 use crate::gateway::destinations;
 use crate::gateway::destinations::Scope;
@@ -29,8 +31,6 @@
 use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Need;
 use crate::gateway::protocol::MemoryCopy;
-use crate::gateway::serve;
-use crate::gateway::serve::CandidateSet;
 use crate::gateway::stopping::Phase;
 use crate::telemetry;
 use crate::telemetry::Metric;
@@ -234,7 +234,7 @@
             memory_tokens: engine.memory_tokens,
         };
         let candidates =
-            serve::candidates(&self.shared, &self.admitted, &self.avoid, CandidateSet::All);
+            candidates::list(&self.shared, &self.admitted, &self.avoid, CandidateSet::All);
         let tokens_max = f64::from(engine.memory_tokens) * DESTINATION_MEMORY_SHARE_MAX;
         let assigned = |scope: Scope| -> Vec<Candidate> {
             let ids = self.assigned_destinations(scope);
@@ -244,7 +244,7 @@
                 .filter(|candidate| f64::from(candidate.load.tokens + tokens) < tokens_max);
             assigned.cloned().collect()
         };
-        let choose = |among: &[Candidate]| serve::choose(&self.shared, need, among);
+        let choose = |among: &[Candidate]| candidates::choose(&self.shared, need, among);
         let candidate = choose(&self.exclude_busy(assigned(Scope::Local)))
             .or_else(|| choose(&self.exclude_busy(assigned(Scope::All))))
             .or_else(|| choose(&self.exclude_busy(candidates.clone())))
--- a/src/gateway/stream/ordering.rs
+++ b/src/gateway/stream/ordering.rs
@@ -13,6 +13,8 @@
 use super::moving::MoveGuards;
 use super::moving::MoveState;
 use super::relay::Relay;
+use crate::gateway::candidates;
+use crate::gateway::candidates::CandidateSet;
 use crate::gateway::destinations::Scope;
 use crate::gateway::directory::Upstream;
 use crate::gateway::moveorder;
@@ -27,8 +29,6 @@
 use crate::gateway::movequeue::Turn;
 use crate::gateway::placement::Candidate;
 use crate::gateway::placement::Need;
-use crate::gateway::serve;
-use crate::gateway::serve::CandidateSet;
 use crate::telemetry;
 use crate::telemetry::Metric;
 
@@ -158,7 +158,7 @@
             memory_tokens: engine.memory_tokens,
         };
         let mut candidates =
-            serve::candidates(&self.shared, &self.admitted, &self.avoid, CandidateSet::All);
+            candidates::list(&self.shared, &self.admitted, &self.avoid, CandidateSet::All);
         let tokens_max = f64::from(engine.memory_tokens) * DESTINATION_MEMORY_SHARE_MAX;
         let far_fits = run.fits(Distance::Far, self.since_notice(), is_late);
         candidates.retain(|candidate| far_fits || self.is_near(&candidate.upstream));
@@ -173,7 +173,7 @@
         let choose = |is_eligible: &dyn Fn(&Candidate) -> bool| {
             let eligible = free.iter().filter(|candidate| is_eligible(candidate));
             let eligible: Vec<Candidate> = eligible.cloned().collect();
-            serve::choose(&self.shared, need, &eligible)
+            candidates::choose(&self.shared, need, &eligible)
         };
         choose(&|to| is_near(to) && fits(to) && assigned_near.contains(&to.upstream.id))
             .or_else(|| choose(&|to| is_near(to) && fits(to) && assigned.contains(&to.upstream.id)))
@@ -182,7 +182,7 @@
             .or_else(|| choose(&|to| fits(to)))
             .or_else(|| choose(&is_near))
             .or_else(|| choose(&|_| true))
-            .or_else(|| serve::choose(&self.shared, need, &candidates))
+            .or_else(|| candidates::choose(&self.shared, need, &candidates))
             .map(|candidate| candidate.upstream)
     }
 
--- a/src/gateway/stream/relay.rs
+++ b/src/gateway/stream/relay.rs
@@ -1,7 +1,6 @@
 //! Relays one stream to its caller and drives the move of its run off a leaving engine.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -10,8 +9,8 @@
 
 use super::ActiveRun;
 use super::StreamAborted;
-use super::TOKEN_TIME;
 use super::expected_output;
+use super::measuring::Measures;
 use super::moving::CopyResult;
 use super::moving::MoveState;
 use super::moving::next_step;
@@ -24,11 +23,8 @@
 use crate::gateway::movequeue::Turn;
 use crate::gateway::queue::RunningGuard;
 use crate::gateway::rollouts::evidence::Measure;
-use crate::gateway::rollouts::evidence::Outcome;
 use crate::gateway::serve::Admitted;
-use crate::gateway::shared::PROOF_TIME;
 use crate::gateway::shared::Shared;
-use crate::gateway::speeds::Work;
 use crate::gateway::stopping;
 use crate::gateway::stopping::StopStage;
 use crate::id::ClassId;
@@ -36,12 +32,6 @@
 use crate::telemetry::Metric;
 use crate::telemetry::StreamMeter;
 
-/// Events over which the pace of a stream is measured.
-const PACE_EVENTS: u64 = 8;
-/// Fewest unread tokens of which the time to the first event tells how fast prompts are read; with fewer the steps
-/// of running requests prevail.
-const PREFILL_TOKENS_MIN: u32 = 256;
-
 /// A stream that is being relayed to its caller.
 pub(super) struct Relay {
     pub(super) shared: Shared,
@@ -63,19 +53,9 @@
     pub(super) moves: u32,
     pub(super) progress: CopyProgress,
     pub(super) avoid: Vec<InstanceId>,
-    pub(super) meter: StreamMeter,
-    pub(super) first_ms: Option<f64>,
-    first_at: Option<Instant>,
-    /// Whether the pace has been recorded.
-    pace_recorded: bool,
-    /// Whether it has been recorded that the parts of the prompt are sound.
-    has_proved_parts: bool,
-    /// From when and from how many events on the engine's speed is measured; none until an event of it has come.
-    speed_from: Option<(Instant, u64)>,
+    pub(super) measures: Measures,
     /// Tokens that the run is expected to produce in all.
     expected_tokens: u32,
-    pub(super) last_at: Instant,
-    pub(super) gap_max: Duration,
     pub(super) ended: bool,
     /// Counts the stream's tokens for its customer while it runs.
     running_guard: RunningGuard,
@@ -108,7 +88,6 @@
         Relay {
             stages: shared.watch_stop_stage(),
             changes,
-            meter,
             admitted,
             running,
             stream_error: None,
@@ -120,14 +99,8 @@
             moves: 0,
             progress: CopyProgress::default(),
             avoid: Vec::new(),
-            first_ms: None,
-            first_at: None,
-            pace_recorded: false,
-            has_proved_parts: false,
-            speed_from: None,
+            measures: Measures::new(meter),
             expected_tokens,
-            last_at: Instant::now(),
-            gap_max: Duration::ZERO,
             ended: false,
             running_guard,
             shared,
@@ -201,7 +174,7 @@
         if !exchange::ends_with_connection(&self.running.head) {
             return Ok(());
         }
-        if self.first_ms.is_none() {
+        if self.measures.first_ms.is_none() {
             return Err("its connection ended before its first event");
         }
         if self.may_be_stopped {
@@ -214,25 +187,9 @@
         }
     }
 
-    /// Records that events go out to the caller.
-    fn record_events(&mut self) {
-        self.meter.token(self.shared.now());
-        self.running.load_guard.mark_prompt_read();
-        self.grow_reservation();
-        let now = Instant::now();
-        match self.first_ms {
-            None => self.record_first_event(),
-            Some(_) => self.gap_max = self.gap_max.max(now - self.last_at),
-        }
-        self.record_pace(now);
-        self.record_proof();
-        self.record_decode_speed(now);
-        self.last_at = now;
-    }
-
     /// Reserves more memory for a run that has produced its planned output. Otherwise ten long answers with
     /// short hints would fill an engine that looks half empty.
-    fn grow_reservation(&mut self) {
+    pub(super) fn grow_reservation(&mut self) {
         let produced = self.produced_tokens();
         if produced < self.expected_tokens {
             return;
@@ -251,96 +208,6 @@
         u32::try_from(produced).unwrap_or(u32::MAX)
     }
 
-    /// Time per token of the stream so far; the usual one until [`PACE_EVENTS`] events have been sent.
-    pub(super) fn token_time(&self) -> Duration {
-        let produced = self.produced_tokens();
-        match self.first_at {
-            Some(first_at) if self.splitter.event_count() >= PACE_EVENTS => {
-                (self.last_at - first_at) / produced.max(1)
-            }
-            _ => TOKEN_TIME,
-        }
-    }
-
-    /// Records the pace of the stream once [`PACE_EVENTS`] events have been sent.
-    fn record_pace(&mut self, now: Instant) {
-        let Some(first_at) = self.first_at else {
-            return;
-        };
-        if !self.pace_recorded && self.splitter.event_count() >= PACE_EVENTS {
-            self.pace_recorded = true;
-            let time = now - first_at;
-            self.record_outcome(Measure::Pace, Outcome::Took(time));
-        }
-    }
-
-    /// Records that the parts of the prompt are sound, once the engine has written on them for [`PROOF_TIME`].
-    fn record_proof(&mut self) {
-        let written_for = self.written_for().unwrap_or_default();
-        if !self.has_proved_parts && written_for >= PROOF_TIME {
-            self.has_proved_parts = true;
-            self.shared.record_sound_parts(&self.admitted, written_for);
-        }
-    }
-
-    /// Time since the run's first event.
-    fn written_for(&self) -> Option<Duration> {
-        self.first_at.map(|at| at.elapsed())
-    }
-
-    /// Records how fast the engine generates, every [`PACE_EVENTS`] events.
-    fn record_decode_speed(&mut self, now: Instant) {
-        let Some(engine) = &self.admitted.engine else {
-            return;
-        };
-        let events = self.splitter.event_count();
-        let Some((from, events_before)) = self.speed_from else {
-            self.speed_from = Some((now, events));
-            return;
-        };
-        let passed = u32::try_from(events - events_before).unwrap_or(u32::MAX);
-        if u64::from(passed) >= PACE_EVENTS {
-            let tokens = passed.saturating_mul(engine.tokens_per_event);
-            let upstream = &self.running.upstream;
-            self.shared
-                .record_speed(upstream, Work::Decode, tokens, now - from);
-            self.speed_from = Some((now, events));
-        }
-    }
-
-    /// Measures the engine's speed anew, because another one continues the run.
-    pub(super) fn restart_speed(&mut self) {
-        self.speed_from = None;
-    }
-
-    fn record_outcome(&self, measure: Measure, outcome: Outcome) {
-        let upstream = &self.running.upstream;
-        self.shared
-            .record_rollout_outcome(&self.admitted, upstream, measure, outcome);
-    }
-
-    fn record_first_event(&mut self) {
-        self.first_at = Some(Instant::now());
-        self.first_ms = Some(self.admitted.arrived.elapsed().as_secs_f64() * 1_000.0);
-        let time = self.running.sent_at.elapsed();
-        self.record_outcome(Measure::FirstEvent, Outcome::Took(time));
-        let tokens = self.running.unread_tokens;
-        let upstream = &self.running.upstream;
-        let now = self.shared.now();
-        let slowness = self.shared.present_slowness(now, &upstream.id);
-        if tokens >= PREFILL_TOKENS_MIN {
-            self.shared
-                .record_speed(upstream, Work::Prefill, tokens, time);
-        }
-        let in_time = self.admitted.arrived.elapsed() <= self.admitted.route.objective;
-        self.shared.queues().with(|lines| {
-            lines
-                .stats
-                .record_first_event(tokens, slowness.prefill, time);
-            lines.stats.record_objective(in_time);
-        });
-    }
-
     /// Whether a stream that broke off is going to be continued by a move in progress.
     fn will_continue(&self) -> bool {
         matches!(self.moving, MoveState::CopyingRest { .. })
@@ -388,8 +255,8 @@
         entry
             .with("upstream", self.running.upstream.id.as_str())
             .with("events", self.splitter.event_count())
-            .with_some("first_ms", self.first_ms)
-            .with("gap_max_ms", self.gap_max.as_millis() as u64)
+            .with_some("first_ms", self.measures.first_ms)
+            .with("gap_max_ms", self.measures.gap_max.as_millis() as u64)
             .with("moves", self.moves)
             .write();
     }
