--- a/tests/stoppinghost/mod.rs
+++ b/tests/stoppinghost/mod.rs
@@ -272,7 +272,7 @@
 #[test]
 fn a_generation_that_waits_for_room_as_its_host_stops_is_refused_at_once() {
     let (mut world, engine, held) = busy_host();
-    let _others: Vec<Caller> = (1..SLOTS).map(|_| hold(&world)).collect();
+    let others: Vec<Caller> = (1..SLOTS).map(|_| hold(&world)).collect();
     let mut waiting = Caller::connect(world.callers());
     waiting.send(post("/nets/7", "tokens: 1000\r\n", "report"));
     assert!(wait_until(|| world
@@ -285,6 +285,8 @@
     let answer = waiting.read();
     let took = stopped_at.elapsed();
     drop(held);
+    drop(others);
+    world.wait_ended();
 
     assert_eq!((answer.status, ran(&answer).as_str()), (503, "no"));
     assert!(took < AT_ONCE, "{took:?}");
