Use one route fixture in the tests of stopping hosts

Cause: patient_route wrote again the route of a_generation_that_waits_for_room_is_answered_before_its_host_ends, which stood beside it as a literal. Change: that test calls patient_route; the route and the assertions are the same.

--- a/tests/stoppinghost/mod.rs
+++ b/tests/stoppinghost/mod.rs
@@ -186,9 +186,7 @@
 #[test]
 fn a_generation_that_waits_for_room_is_answered_before_its_host_ends() {
     let (mut world, engines) = engines(&[HELD]);
-    let routes = json!([{
-        "name": "nets", "host": "a.example", "prefix": "/nets/", "kind": "stream",
-        "timeout_ms": 30000, "objective_ms": 30000, "service": "reports", "attempts": 1}]);
+    let routes = json!([patient_route("nets", "stream", "reports")]);
     world.log.put("operator", "table", &table(2, routes));
     assert!(wait_until(|| world.has_version(2)));
     let _held: Vec<Caller> = (0..SLOTS).map(|_| hold(&world)).collect();
