--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -425,7 +425,7 @@
         return host
 
     async def add_worker(self, service, zone, **options):
-        worker = Worker(self, service, zone, f"{self.net}.{100 + len(self.workers)}", **options)
+        worker = Worker(self, service, zone, f"{self.net}.{100 + len(self.workers) % 90}", **options)
         await worker.start()
         self.workers.append(worker)
         await worker.check_in()
