--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -380,7 +380,7 @@
 
     async def add_host(self, name, zone, zones, settings=()):
         host = Host(self, name, zone, f"{self.net}.{10 + len(self.hosts)}")
-        base = random.randrange(8000, 30000)
+        base = random.randrange(9000, 30000)
         host.ports = {"front": base, "ready": base + 1}
         store_ip, store_port = await self.store.listen(f"{self.net}.200", name)
         values = {
