--- a/review/4/run.py
+++ b/review/4/run.py
@@ -40,7 +40,8 @@
     await world.add_worker("registry", "north")
     orders = await world.add_worker("orders", "south")
     world.spawn(world.run_check_ins())
-    hosts = [await world.add_host(f"host-{number}", ZONES[number], ZONES) for number in range(2)]
+    # The hosts are outside the zone that is cut off.
+    hosts = [await world.add_host(f"host-{number}", ZONES[number % 2], ZONES) for number in range(3)]
     for host in hosts:
         host.start()
     if not await world.wait_ready():
