End a reported departure with the next listing of the upstream

Cause: a carrier answered that an upstream leaves because its entry had lapsed; the asking host kept that as an observation, told all others, and nothing ended it while the upstream was listed. Change: a departure is stated as of a position of the log. A later record that lists the instance as ready ends it on every host; an observation that no record ends ends after 60 s and isn't renewed by peers. Replaced test: hosts_stop_telling_each_other... held that an observation of a listed upstream never ends, which is this fault; it now checks 50 s, and an_observed_departure_ends_if_the_upstream_stays_listed the end. Hosts of two releases don't read each other's datagrams.

--- a/src/gateway/datagram.rs
+++ b/src/gateway/datagram.rs
@@ -12,6 +12,7 @@
 use crate::error::Result;
 use crate::gateway::brittle::AnnouncedRejections;
 use crate::gateway::directory::Change;
+use crate::gateway::directory::Departure;
 use crate::gateway::evacuations::AnnouncedEvacuations;
 use crate::gateway::failurerates::ServiceCalls;
 use crate::gateway::instance::InstanceId;
@@ -135,7 +136,7 @@
     /// Generations that the sender has yet to move off engines that are leaving.
     pub moving: Vec<PendingMoves>,
     /// Upstreams that the sender observed leaving.
-    pub leaving: Vec<InstanceId>,
+    pub leaving: Vec<Departure>,
     /// Upstreams that the sender currently can't connect to.
     pub unreachable: Vec<InstanceId>,
     /// The sender's calls of upstreams with failures, in place of those that it told before; `None` if the
--- a/src/gateway/datagram/tests.rs
+++ b/src/gateway/datagram/tests.rs
@@ -6,6 +6,7 @@
 use crate::clock::Time;
 use crate::gateway::directory::Change;
 use crate::gateway::directory::ChangeKind;
+use crate::gateway::directory::Departure;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::position::Position;
 use crate::gateway::speeds::ANNOUNCED_MAX;
@@ -24,6 +25,13 @@
     InstanceId::from(UpstreamId::new(id))
 }
 
+fn departure(number: usize) -> Departure {
+    Departure {
+        id: instance(number),
+        as_of: Position::from(number as u64),
+    }
+}
+
 fn datagram(changes: usize, limits: usize, leaving: usize) -> Datagram {
     let change = |index| Change {
         position: Position::from(index as u64),
@@ -39,7 +47,7 @@
     Datagram {
         changes: (0..changes).map(change).collect(),
         limits: (0..limits).map(limit).collect(),
-        leaving: (0..leaving).map(instance).collect(),
+        leaving: (0..leaving).map(departure).collect(),
         ..Datagram::new(HostId::new("host"), DataCentre::new("north"))
     }
 }
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -20,6 +20,7 @@
 use self::entry::classify_change;
 use self::entry::is_leaving_notice;
 use self::listing::Listing;
+use self::observation::Observation;
 use crate::clock::Time;
 use crate::gateway::evacuations::Evacuations;
 use crate::gateway::instance::InstanceId;
@@ -31,10 +32,12 @@
 
 mod entry;
 mod listing;
+mod observation;
 mod selection;
 mod sync;
 mod upstream;
 
+pub use self::observation::Departure;
 pub use self::upstream::AppliedChange;
 pub use self::upstream::Change;
 pub use self::upstream::ChangeKind;
@@ -50,10 +53,6 @@
 /// How long removals are kept, so that a peer's older list does not restore a removed upstream.
 const REMOVAL_TTL: Duration = Duration::from_secs(120);
 
-/// How long an observation that an instance leaves is announced once it is no longer listed as ready. It is
-/// shorter than [`REMOVAL_TTL`], as hosts would otherwise announce it to each other for ever.
-const LEAVING_ANNOUNCEMENT_TTL: Duration = Duration::from_secs(10);
-
 /// Maximum age of the copy from which the log is restored; the platform documents "some seconds". An
 /// upstream that was removed longer ago and is listed again has listed itself.
 const COPY_AGE_MAX: Duration = Duration::from_secs(30);
@@ -70,9 +69,8 @@
     newest_record: Position,
     entries: Listing,
     removed: BTreeMap<UpstreamId, Removal>,
-    /// Instances whose address answered with another id, or whose answers or reports said that they leave, with
-    /// the time of the first observation.
-    observed_leaving: BTreeMap<InstanceId, Time>,
+    /// Instances whose address answered with another id, or whose answers or reports said that they leave.
+    observed_leaving: BTreeMap<InstanceId, Observation>,
     /// Keys whose newest record does not describe an upstream, with the position of that record.
     foreign: BTreeMap<UpstreamId, Position>,
     evacuations: Evacuations,
@@ -178,7 +176,11 @@
         }
         upstream.id = InstanceId::new(name.clone(), born_ms);
         if self.is_stale_ready(now, &upstream, position) {
-            self.observe_leaving(now, &upstream.id);
+            let observation = Observation::of_restored_listing(now, position);
+            self.observed_leaving
+                .insert(upstream.id.clone(), observation);
+        } else if upstream.state == UpstreamState::Ready {
+            self.clear_observation(&upstream.id, position);
         }
         self.removed.remove(&name);
         self.foreign.remove(&name);
@@ -329,15 +331,10 @@
             .filter(|(_, missing)| missing.until <= now)
             .map(|(id, missing)| (id.clone(), missing.position))
             .collect();
-        let recent = |at: Time| now.since(at) < REMOVAL_TTL;
-        self.removed.retain(|_, removal| recent(removal.at));
-        let entries = &self.entries;
-        let is_listed = |id: &InstanceId| {
-            let entry = entries.get(id.upstream());
-            entry.is_some_and(|entry| entry.upstream.id == *id)
-        };
+        self.removed
+            .retain(|_, removal| now.since(removal.at) < REMOVAL_TTL);
         self.observed_leaving
-            .retain(|id, at| recent(*at) || is_listed(id));
+            .retain(|_, observation| observation.expire(now));
         self.cold_until.retain(|_, until| *until > now);
         let dropped = gone.iter();
         dropped
@@ -345,29 +342,6 @@
             .collect()
     }
 
-    /// Records that an answer or a peer showed the instance to be leaving or gone. Returns whether this was
-    /// not known before.
-    pub fn observe_leaving(&mut self, now: Time, id: &InstanceId) -> bool {
-        let is_new = !self.observed_leaving.contains_key(id);
-        if is_new {
-            self.observed_leaving.insert(id.clone(), now);
-        }
-        is_new
-    }
-
-    /// Instances that were observed leaving and that other hosts may still send to: recently observed ones,
-    /// and those that are still listed as ready.
-    pub fn announced_leaving(&self, now: Time) -> impl Iterator<Item = &InstanceId> {
-        let observed = self.observed_leaving.iter();
-        let announced = observed.filter(move |(id, at)| {
-            let is_ready = self
-                .get(id)
-                .is_some_and(|upstream| upstream.state == UpstreamState::Ready);
-            now.since(**at) < LEAVING_ANNOUNCEMENT_TTL || is_ready
-        });
-        announced.map(|(id, _)| id)
-    }
-
     /// When an instance became known to be leaving or gone. `None` while it takes new work, and once a later
     /// instance is listed: requests still running are then at the later instance or end with their
     /// connection, so there is nothing to move.
@@ -383,7 +357,7 @@
         let removed = removed.filter(|removal| removal.instance == *id);
         listed
             .or(removed.map(|removal| removal.at))
-            .or_else(|| self.observed_leaving.get(id).copied())
+            .or_else(|| Some(self.observation(id)?.first_at))
     }
 
     /// The listed upstreams of a service that became known to be leaving less than `within` ago, ordered
--- /dev/null
+++ b/src/gateway/directory/observation.rs
@@ -0,0 +1,165 @@
+//! Evidence other than an entry that an instance is leaving or gone, and when that evidence ends.
+//!
+//! Each observation refers to a position of the log. A later record that lists the instance as ready was written
+//! after what was observed, and ends the observation on every host that reads the record or learns of it.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Directory;
+use super::REMOVAL_TTL;
+use super::UpstreamState;
+use super::entry::Entry;
+use crate::clock::Time;
+use crate::gateway::instance::InstanceId;
+use crate::gateway::position::Position;
+
+/// How long an observation lasts if no record ends it. An instance that still leaves then says so again in its
+/// next answer.
+const OBSERVATION_TTL: Duration = Duration::from_secs(60);
+
+/// The same if the log was restored from a copy that lists an instance as ready which had left. The platform
+/// removes entries that are not renewed for a few seconds, so the entry of an instance that is gone ends earlier.
+const RESTORED_LISTING_TTL: Duration = Duration::from_secs(10);
+
+/// How long an observation is announced once the instance is no longer listed as ready.
+const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(10);
+
+/// The statement that an instance is leaving or gone, as exchanged between hosts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// The instance.
+    pub id: InstanceId,
+    /// The log position up to which the statement holds. A later listing as ready supersedes it.
+    pub as_of: Position,
+}
+
+/// An observation that an instance is leaving or gone. It is kept for [`REMOVAL_TTL`] after its end, so that peers
+/// whose observation ends later don't renew it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Observation {
+    pub(super) first_at: Time,
+    until: Time,
+    as_of: Position,
+    is_ended: bool,
+}
+
+impl Observation {
+    fn new(now: Time, as_of: Position, ttl: Duration) -> Self {
+        Observation {
+            first_at: now,
+            until: now + ttl,
+            as_of,
+            is_ended: false,
+        }
+    }
+
+    /// The observation that the record at `position` lists an instance as ready that has left.
+    pub(super) fn of_restored_listing(now: Time, position: Position) -> Self {
+        Observation::new(now, position, RESTORED_LISTING_TTL)
+    }
+
+    /// Ends the observation if its time is over. Returns whether it still has to be kept.
+    pub(super) fn expire(&mut self, now: Time) -> bool {
+        self.is_ended |= self.until <= now;
+        now < self.until + REMOVAL_TTL
+    }
+}
+
+impl Directory {
+    /// Records that the instance itself, or another one at its address, showed it to be leaving or gone. Returns
+    /// whether this was not known before.
+    pub fn observe_leaving(&mut self, now: Time, id: &InstanceId) -> bool {
+        let as_of = self.entry_of(id).map_or(self.position, |entry| {
+            entry.latest_position().max(entry.position)
+        });
+        match self.observed_leaving.get_mut(id) {
+            Some(known) if !known.is_ended => {
+                known.until = now + OBSERVATION_TTL;
+                known.as_of = known.as_of.max(as_of);
+                false
+            }
+            Some(_) | None => {
+                let observation = Observation::new(now, as_of, OBSERVATION_TTL);
+                self.observed_leaving.insert(id.clone(), observation);
+                true
+            }
+        }
+    }
+
+    /// Records a peer's statement that an instance is leaving or gone, unless a later record lists the instance as
+    /// ready. Returns whether this was not known before.
+    pub fn receive_departure(&mut self, now: Time, departure: &Departure) -> bool {
+        let Departure { id, as_of } = departure;
+        let is_superseded = self.entry_of(id).is_some_and(|entry| {
+            entry.upstream.state == UpstreamState::Ready && entry.position > *as_of
+        });
+        let is_known = self
+            .observed_leaving
+            .get(id)
+            .is_some_and(|known| known.as_of >= *as_of);
+        if is_superseded || is_known {
+            return false;
+        }
+        let observation = Observation::new(now, *as_of, OBSERVATION_TTL);
+        let replaced = self.observed_leaving.insert(id.clone(), observation);
+        replaced.is_none_or(|known| known.is_ended)
+    }
+
+    /// Ends the observation of an instance that the record at `position` lists as ready.
+    pub(super) fn clear_observation(&mut self, id: &InstanceId, position: Position) {
+        let known = self.observed_leaving.get(id);
+        // Offsets of a restored log say nothing about the order of what happened before.
+        let is_ended =
+            known.is_some_and(|known| known.as_of.era == position.era && known.as_of < position);
+        if is_ended {
+            self.observed_leaving.remove(id);
+        }
+    }
+
+    /// The observation that an instance is leaving or gone, if there is one that has not ended.
+    pub(super) fn observation(&self, id: &InstanceId) -> Option<&Observation> {
+        let known = self.observed_leaving.get(id);
+        known.filter(|known| !known.is_ended)
+    }
+
+    /// Departures that were observed and that other hosts may not know: recent ones, and those of instances that
+    /// are still listed as ready.
+    pub fn announced_leaving(&self, now: Time) -> impl Iterator<Item = Departure> {
+        let observed = self.observed_leaving.iter();
+        let announced = observed.filter(move |(id, known)| {
+            let is_ready = self
+                .get(id)
+                .is_some_and(|upstream| upstream.state == UpstreamState::Ready);
+            !known.is_ended && (now.since(known.first_at) < ANNOUNCEMENT_TTL || is_ready)
+        });
+        announced.map(|(id, known)| Departure {
+            id: id.clone(),
+            as_of: known.as_of,
+        })
+    }
+
+    /// What this host knows of the departure of an instance; `None` if it takes new work. A rollout that moved work
+    /// to another version is no departure.
+    pub fn departure(&self, id: &InstanceId) -> Option<Departure> {
+        let entry = self.entry_of(id);
+        let listed = entry.filter(|entry| entry.upstream.state == UpstreamState::Leaving);
+        let removed = self.removed.get(id.upstream());
+        let removed = removed.filter(|removal| removal.instance == *id);
+        let as_of = listed
+            .map(|entry| entry.position)
+            .or_else(|| removed.map(|removal| removal.position))
+            .or_else(|| Some(self.observation(id)?.as_of))?;
+        Some(Departure {
+            id: id.clone(),
+            as_of,
+        })
+    }
+
+    fn entry_of(&self, id: &InstanceId) -> Option<&Entry> {
+        let entry = self.entries.get(id.upstream());
+        entry.filter(|entry| entry.upstream.id == *id)
+    }
+}
--- a/src/gateway/directory/selection.rs
+++ b/src/gateway/directory/selection.rs
@@ -53,7 +53,8 @@
     }
 
     /// The upstreams of a service that take new work on `track`, in one data centre or in all. If no upstream
-    /// is listed for the stable track, those of the ordered version take its requests.
+    /// is listed for the stable track, those of the ordered version take its requests, and after a completed rollout
+    /// those of any version that never proved bad.
     pub fn ready_for(
         &self,
         service: &ServiceId,
@@ -79,7 +80,9 @@
             (Track::Stable, false) => chosen,
             (Track::Stable, true) if self.has_listed(service, |up| allows(up, track)) => chosen,
             (Track::Stable, true) => {
-                let allowed = ready.into_iter().filter(|up| allows(up, Track::Trial));
+                let allowed = ready.into_iter().filter(|up| {
+                    allows(up, Track::Trial) || rollout.allows_without_order(&up.version)
+                });
                 allowed.collect()
             }
         }
@@ -111,7 +114,7 @@
 
     /// Whether a listed upstream is ready and has not been observed leaving.
     fn is_live(&self, upstream: &Upstream) -> bool {
-        upstream.state == UpstreamState::Ready && !self.observed_leaving.contains_key(&upstream.id)
+        upstream.state == UpstreamState::Ready && self.observation(&upstream.id).is_none()
     }
 
     /// The upstreams of a service that take new work.
--- a/src/gateway/directory/tests.rs
+++ b/src/gateway/directory/tests.rs
@@ -1,9 +1,12 @@
+mod departures;
 mod eras;
 mod instances;
 mod listing;
 mod missing;
+mod versions;
 
 use super::AppliedChange;
+use super::Departure;
 use super::Directory;
 use super::DirectoryChange;
 use super::RETURN_GRACE;
@@ -186,35 +189,50 @@
     let mut hosts = [directory_of(&["a"]), directory_of(&["a"])];
     hosts[0].observe_leaving(Time::ZERO, &instance("a"));
     let mut ms = 0;
-    let mut run = |hosts: &mut [Directory; 2], rounds: u64| {
-        for _ in 0..rounds {
-            ms += 250;
-            let now = Time::from_ms(ms);
-            for (from, to) in [(0, 1), (1, 0)] {
-                let told: Vec<InstanceId> = hosts[from].announced_leaving(now).cloned().collect();
-                for id in &told {
-                    hosts[to].observe_leaving(now, id);
-                }
-                hosts[to].expire(now);
-            }
-        }
-        let now = Time::from_ms(ms);
-        hosts
-            .each_ref()
-            .map(|host| host.announced_leaving(now).count())
-    };
 
-    let while_listed = run(&mut hosts, 1_000);
+    let while_listed = tell_each_other(&mut hosts, &mut ms, 200);
     for host in &mut hosts {
-        host.apply(Time::from_ms(250_000), &UpstreamId::new("a"), None, 4);
+        host.apply(Time::from_ms(50_000), &UpstreamId::new("a"), None, 4);
     }
-    let after_removal = run(&mut hosts, 1_000);
+    let after_removal = tell_each_other(&mut hosts, &mut ms, 1_000);
 
     assert_eq!(while_listed, [1, 1]);
     assert_eq!(after_removal, [0, 0]);
     assert!(hosts.iter().all(|host| host.observed_leaving.is_empty()));
 }
 
+// An observation that nothing confirmed lasted as long as the upstream was listed, and hosts renewed it at each other.
+#[test]
+fn an_observed_departure_ends_if_the_upstream_stays_listed() {
+    let mut hosts = [directory_of(&["a"]), directory_of(&["a"])];
+    hosts[0].observe_leaving(Time::ZERO, &instance("a"));
+
+    let told = tell_each_other(&mut hosts, &mut 0, 300);
+
+    assert_eq!(told, [0, 0]);
+    assert!(hosts.iter().all(|host| ready_ids(host) == ["a"]));
+}
+
+/// Has two hosts announce departures to each other every 250 ms from `ms` on, and returns how many each still
+/// announces.
+fn tell_each_other(hosts: &mut [Directory; 2], ms: &mut u64, rounds: u64) -> [usize; 2] {
+    for _ in 0..rounds {
+        *ms += 250;
+        let now = Time::from_ms(*ms);
+        for (from, to) in [(0, 1), (1, 0)] {
+            let told: Vec<Departure> = hosts[from].announced_leaving(now).collect();
+            for departure in &told {
+                hosts[to].receive_departure(now, departure);
+            }
+            hosts[to].expire(now);
+        }
+    }
+    let now = Time::from_ms(*ms);
+    hosts
+        .each_ref()
+        .map(|host| host.announced_leaving(now).count())
+}
+
 #[test]
 fn later_records_keep_the_time_of_the_leaving_notice() {
     let mut directory = directory_of(&["a"]);
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -289,7 +289,7 @@
     shared.directory(|directory| {
         datagram.upstreams = directory.position();
         datagram.upstreams_digest = directory.digest();
-        datagram.leaving = directory.announced_leaving(now).cloned().collect();
+        datagram.leaving = directory.announced_leaving(now).collect();
         if datagram.reading.upstreams {
             datagram.changes = directory.recent_changes(now);
         }
--- a/src/gateway/gossip/receiving.rs
+++ b/src/gateway/gossip/receiving.rs
@@ -81,8 +81,8 @@
     shared.receive_era(datagram.log_era, datagram.host.as_str());
     shared.receive_evacuations(&datagram.evacuations, datagram.host.as_str());
     shared.receive_rollouts(&datagram.rollouts, datagram.host.as_str());
-    for upstream in &datagram.leaving {
-        shared.observe_leaving(upstream, datagram.host.as_str());
+    for departure in &datagram.leaving {
+        shared.receive_departure(departure, datagram.host.as_str());
     }
     if datagram.data_centre == shared.settings().data_centre {
         shared.receive_unreachable(&datagram.host, &datagram.unreachable);
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -264,6 +264,12 @@
         }
     }
 
+    /// Whether upstreams of `version` may serve once no upstream of the ordered version is listed any more: the
+    /// rollout is complete, and the version was never tried without success.
+    pub fn allows_without_order(&self, version: &VersionId) -> bool {
+        self.stage == Stage::Complete && !self.barred.contains(version)
+    }
+
     fn announce(&self, now: Time) -> AnnouncedRollout {
         let ms = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
         AnnouncedRollout {
--- a/src/gateway/shared/changes.rs
+++ b/src/gateway/shared/changes.rs
@@ -6,6 +6,7 @@
 use super::lock;
 use crate::event::EventCode;
 use crate::gateway::directory::AppliedChange;
+use crate::gateway::directory::Departure;
 use crate::gateway::directory::DirectoryChange;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::protocol::Topic;
@@ -93,17 +94,31 @@
             .write();
     }
 
-    /// Records that an upstream was observed leaving or gone, and announces it to peers.
+    /// Records that an upstream showed itself to be leaving or gone, and announces it to peers.
     pub fn observe_leaving(&self, upstream: &InstanceId, reason: &str) {
         let now = self.now();
-        if !self.directory(|directory| directory.observe_leaving(now, upstream)) {
-            return;
+        if self.directory(|directory| directory.observe_leaving(now, upstream)) {
+            self.announce_departure(upstream, reason);
+        }
+    }
+
+    /// Records a peer's statement that an upstream is leaving or gone, and passes it on.
+    pub(crate) fn receive_departure(&self, departure: &Departure, host: &str) {
+        let now = self.now();
+        if self.directory(|directory| directory.receive_departure(now, departure)) {
+            self.announce_departure(&departure.id, host);
         }
+    }
+
+    fn announce_departure(&self, upstream: &InstanceId, source: &str) {
+        let as_of = self.directory(|directory| directory.departure(upstream));
+        let as_of = as_of.map(|departure| departure.as_of.to_string());
         let line = self.log().entry(EventCode::UpstreamLeaving);
         line.with("upstream", upstream.as_str())
             .with_some("born_ms", upstream.born_ms())
             .with("change", "witnessed")
-            .with("source", reason)
+            .with_some("as_of", as_of)
+            .with("source", source)
             .write();
         self.0.directory_changed.send_modify(|count| *count += 1);
         self.announce_now();
--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -80,6 +80,11 @@
             Ok(connection) => return Ok(connection),
             Err(CarrierError::Carrier(_)) => shared.record_carrier_failure(carrier.address),
             Err(CarrierError::Upstream(reason)) => return Err(TunnelError::Upstream(reason)),
+            Err(CarrierError::Leaving) => {
+                if shared.directory(|directory| directory.departure(&upstream.id).is_some()) {
+                    return Err(TunnelError::Upstream("it is leaving".to_owned()));
+                }
+            }
         }
     }
     Err(TunnelError::NoCarrier)
@@ -105,8 +110,10 @@
 enum CarrierError {
     /// The carrier didn't answer or has no room.
     Carrier(String),
-    /// The carrier can't reach the upstream, or knows that it takes no new work.
+    /// The carrier can't reach the upstream.
     Upstream(String),
+    /// The carrier knows that the upstream takes no new work, or doesn't know yet that it takes work again.
+    Leaving,
 }
 
 impl CarrierError {
@@ -114,6 +121,7 @@
         match self {
             CarrierError::Carrier(reason) => format!("not carried: {reason}"),
             CarrierError::Upstream(reason) => format!("not reached: {reason}"),
+            CarrierError::Leaving => "it is leaving".to_owned(),
         }
     }
 }
@@ -145,9 +153,9 @@
     match reply {
         OpenReply::Open => {}
         OpenReply::Unreachable(reason) => return Err(CarrierError::Upstream(reason)),
-        OpenReply::Leaving => {
-            shared.observe_leaving(&upstream.id, carrier.host.as_str());
-            return Err(CarrierError::Upstream("it is leaving".to_owned()));
+        OpenReply::Leaving(departure) => {
+            shared.receive_departure(&departure, carrier.host.as_str());
+            return Err(CarrierError::Leaving);
         }
         OpenReply::Refused(reason) => return Err(CarrierError::Carrier(reason)),
     }
--- a/src/gateway/tunnel/carrier.rs
+++ b/src/gateway/tunnel/carrier.rs
@@ -144,16 +144,14 @@
     if shared.is_cut_off() {
         return Err(refused("the host is cut off as well"));
     }
-    let (listed, is_leaving) = shared.directory(|directory| {
+    let (listed, departure) = shared.directory(|directory| {
         let listed = directory.get(&request.upstream);
         let address = listed.map(|upstream| upstream.address);
-        (
-            address,
-            directory.leaving_since(&request.upstream).is_some(),
-        )
+        (address, directory.departure(&request.upstream))
     });
-    if is_leaving && request.is_new_work {
-        return Err(OpenReply::Leaving);
+    let is_leaving = departure.is_some();
+    if let Some(departure) = departure.filter(|_| request.is_new_work) {
+        return Err(OpenReply::Leaving(departure));
     }
     let is_known = listed == Some(request.address) || (listed.is_none() && is_leaving);
     if !is_known {
@@ -190,7 +188,7 @@
     let outcome = match reply {
         OpenReply::Open => "open",
         OpenReply::Unreachable(reason) | OpenReply::Refused(reason) => reason.as_str(),
-        OpenReply::Leaving => "the upstream is leaving",
+        OpenReply::Leaving(_) => "the upstream is leaving",
     };
     let entry = shared.log().entry(EventCode::ConnectionCarried);
     entry
--- a/src/gateway/tunnel/frames.rs
+++ b/src/gateway/tunnel/frames.rs
@@ -19,6 +19,7 @@
 use tokio_util::io::StreamReader;
 
 use crate::gateway::connection::CarrierState;
+use crate::gateway::directory::Departure;
 use crate::gateway::instance::InstanceId;
 use crate::id::HostId;
 
@@ -51,7 +52,7 @@
     /// The carrier can't connect to the upstream, for this reason.
     Unreachable(String),
     /// The upstream is leaving and gets no new work.
-    Leaving,
+    Leaving(Departure),
     /// The carrier takes no connection, for this reason.
     Refused(String),
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,6 +6,7 @@
 mod crashingrequests;
 mod crowdedhost;
 mod cutofflinks;
+mod departedupstreams;
 mod evacuation;
 mod failingupstreams;
 mod framing;
