Announce the position up to which the list of upstreams is complete

Cause: the host that reads the list for all deferred a removal after it had been turned away, but moved its position past it. The others moved to that position with the list as before, and ignored the removal when it was announced. Change: hosts announce the position up to which their list is complete, apply announced changes whatever their position, and fetch the list anew if it differs from that of a reader that has read equally far (event 322).

--- a/src/event.rs
+++ b/src/event.rs
@@ -101,6 +101,7 @@
     319 ConnectionCarried "This host was asked to carry another's connection to an upstream: the outcome, and how many it carries.",
     320 EvidenceDropped "Failures of requests were not counted against their upstreams: the host's own link may have failed.",
     321 UpstreamRejects "A brittle upstream turned a request of this host away: how many it bears, and the window and pause that follow.",
+    322 UpstreamsDiffer "The list of upstreams differs from that of a peer that has read equally far and was fetched anew: from which, and the outcome.",
     400 ConfigReady "The host has a configuration and serves by it.",
     401 EditApplied "An edit of the table is in force on this host.",
     402 EditRejected "An edit of the table was rejected: conflicts or bad values.",
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -38,6 +38,8 @@
 mod upstream;
 
 pub use self::observation::Departure;
+pub use self::sync::AnnouncedList;
+pub use self::sync::Comparison;
 pub use self::upstream::AppliedChange;
 pub use self::upstream::Change;
 pub use self::upstream::ChangeKind;
@@ -80,6 +82,8 @@
     log_unreachable: bool,
     log_returned_at: Option<Time>,
     recent_changes: VecDeque<(Time, Change)>,
+    /// When the whole list was last fetched because it differed from a peer's.
+    repaired_at: Option<Time>,
 }
 
 impl Directory {
@@ -88,6 +92,16 @@
         self.position
     }
 
+    /// The log position that peers may rely on: earlier than [`Directory::position`] while a removal is deferred, as
+    /// the list doesn't reflect that record yet.
+    pub fn complete_to(&self) -> Position {
+        let deferred = self
+            .entries
+            .missing()
+            .map(|(_, missing)| missing.complete_to);
+        deferred.fold(self.position, Position::min)
+    }
+
     /// Whether any record at or after `position` has been applied.
     pub fn has_record_from(&self, position: Position) -> bool {
         self.newest_record >= position
@@ -247,8 +261,12 @@
                 change: DirectoryChange::Missing,
                 ended: None,
             };
-            let until = ends;
-            self.entries.mark_missing(id, Missing { position, until });
+            let missing = Missing {
+                position,
+                complete_to: self.position.min(position),
+                until: ends,
+            };
+            self.entries.mark_missing(id, missing);
             return Some(applied);
         }
         self.remove_entry(now, id, position)
--- a/src/gateway/directory/entry.rs
+++ b/src/gateway/directory/entry.rs
@@ -34,6 +34,8 @@
 pub(super) struct Missing {
     /// Log position at which the upstream was found to be absent.
     pub(super) position: Position,
+    /// Log position up to which the list is complete with this upstream in it.
+    pub(super) complete_to: Position,
     /// When the grace period ends and the upstream is removed.
     pub(super) until: Time,
 }
--- a/src/gateway/directory/tests/missing.rs
+++ b/src/gateway/directory/tests/missing.rs
@@ -4,6 +4,8 @@
 use super::ready;
 use super::ready_ids;
 use crate::clock::Time;
+use crate::gateway::directory::AnnouncedList;
+use crate::gateway::directory::Comparison;
 use crate::gateway::directory::Directory;
 use crate::gateway::directory::RETURN_GRACE;
 use crate::id::UpstreamId;
@@ -78,3 +80,68 @@
     assert_eq!(ready_ids(&reconnected), ["a", "b"]);
     assert_eq!(ready_ids(&reader), ["a", "b"]);
 }
+
+/// Has `to` take what `from` announces of its list.
+fn announce(now: Time, from: &Directory, to: &mut Directory) -> Comparison {
+    let changes = from.recent_changes(now);
+    let announced = AnnouncedList {
+        position: from.complete_to(),
+        digest: from.digest(),
+        changes: &changes,
+    };
+    to.merge_announced(now, announced).1
+}
+
+// Guards against a removed upstream that hosts keep: the position of a reader that defers the removal reached them
+// without it, and they ignored the removal later.
+#[test]
+fn a_peer_takes_a_removal_that_its_reader_deferred() {
+    let mut reader = directory_of(&["a", "b"]);
+    let mut peer = directory_of(&["a", "b"]);
+    reader.mark_log_unreachable();
+    reader.mark_log_reachable(LOG_REACHABLE_AT);
+    reader.apply(LOG_REACHABLE_AT, &UpstreamId::new("a"), None, 9);
+    reader.advance(10);
+    announce(LOG_REACHABLE_AT, &reader, &mut peer);
+    let later = LOG_REACHABLE_AT + RETURN_GRACE;
+    reader.expire(later);
+
+    let comparison = announce(later, &reader, &mut peer);
+
+    assert_eq!(comparison, Comparison::UpToDate);
+    assert_eq!(ready_ids(&peer), ["b"]);
+    assert_eq!(peer.position(), reader.position());
+}
+
+// Guards against the loss of a deferred removal whose announcements didn't arrive.
+#[test]
+fn a_peer_learns_that_it_lacks_a_deferred_removal_from_the_position() {
+    let mut reader = directory_of(&["a", "b"]);
+    let mut peer = directory_of(&["a", "b"]);
+    reader.mark_log_unreachable();
+    reader.mark_log_reachable(LOG_REACHABLE_AT);
+    reader.replace(LOG_REACHABLE_AT, vec![(ready("b"), 1.into())], LOG_END);
+    announce(LOG_REACHABLE_AT, &reader, &mut peer);
+    reader.expire(LOG_REACHABLE_AT + RETURN_GRACE);
+    let silent = LOG_REACHABLE_AT + 10 * RETURN_GRACE;
+
+    let comparison = announce(silent, &reader, &mut peer);
+    send_changes(silent, &reader, &mut peer);
+
+    assert_eq!(comparison, Comparison::Behind);
+    assert_eq!(ready_ids(&peer), ["b"]);
+}
+
+// Guards against lists that differ for ever: the positions were equal, so nobody compared the digests.
+#[test]
+fn hosts_at_one_position_notice_that_their_lists_differ() {
+    let reader = directory_of(&["b"]);
+    let mut peer = directory_of(&["a"]);
+    peer.advance(5);
+    let mut ahead = reader;
+    ahead.advance(5);
+
+    let comparison = announce(LOG_REACHABLE_AT, &ahead, &mut peer);
+
+    assert_eq!(comparison, Comparison::Differs);
+}
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -287,7 +287,7 @@
         ..Datagram::new(settings.host.clone(), settings.data_centre.clone())
     };
     shared.directory(|directory| {
-        datagram.upstreams = directory.position();
+        datagram.upstreams = directory.complete_to();
         datagram.upstreams_digest = directory.digest();
         datagram.leaving = directory.announced_leaving(now).collect();
         if datagram.reading.upstreams {
--- a/src/gateway/gossip/receiving.rs
+++ b/src/gateway/gossip/receiving.rs
@@ -17,11 +17,11 @@
 use crate::gateway::datagram::Datagram;
 use crate::gateway::datagram::decode;
 use crate::gateway::datagram::encode;
-use crate::gateway::directory::Change;
+use crate::gateway::directory::AnnouncedList;
+use crate::gateway::directory::Comparison;
 use crate::gateway::loads::ReportSource;
 use crate::gateway::peerfetch;
 use crate::gateway::peers::SenderStatus;
-use crate::gateway::position::Position;
 use crate::gateway::protocol::Topic;
 use crate::gateway::queuemessages::Envelope;
 use crate::gateway::shared::ChangeSource;
@@ -95,14 +95,13 @@
     shared.brittle(|brittle| brittle.receive(now, &datagram.host, &datagram.rejections));
     shared.receive_speeds(&datagram.host, &datagram.speeds);
     shared.receive_suspects(datagram.host.as_str(), &datagram.suspects);
-    let announced = AnnouncedPosition {
-        host: &datagram.host,
+    let list = AnnouncedList {
         position: datagram.upstreams,
         digest: datagram.upstreams_digest,
         changes: &datagram.changes,
-        has_more_changes: datagram.has_more_changes,
     };
-    let newer_upstreams = apply_changes(shared, now, announced);
+    let (_, comparison) = apply_list(shared, now, &datagram.host, list);
+    let has_whole_list = !datagram.has_more_changes;
     let upstreams = datagram.upstreams;
     let newer_config = datagram.config > shared.config_version();
     shared
@@ -114,8 +113,15 @@
     if newer_config {
         configfetch::fetch_soon(shared, fetch_wait(shared));
     }
-    if newer_upstreams {
-        peerfetch::fetch_soon(shared, upstreams, fetch_wait(shared));
+    match comparison {
+        Comparison::Behind if has_whole_list => {
+            peerfetch::fetch_soon(shared, upstreams, fetch_wait(shared));
+        }
+        Comparison::Differs if datagram.reading.upstreams => {
+            let peer = SocketAddr::new(from.ip(), datagram.peer_port);
+            peerfetch::repair_soon(shared, peer, fetch_wait(shared));
+        }
+        Comparison::Behind | Comparison::Differs | Comparison::UpToDate => {}
     }
     if datagram.asks {
         let loads = shared.local_loads(&data_centre);
@@ -129,19 +135,17 @@
 async fn apply_relayed(shared: &Shared, socket: &UdpSocket, announced: &AnnouncedChanges) {
     let now = shared.now();
     shared.receive_era(announced.log_era, announced.host.as_str());
-    let is_new = announced.position > shared.directory(|directory| directory.position());
-    if !is_new {
-        return;
-    }
-    relay::forward(shared, now, socket, announced).await;
-    let announced = AnnouncedPosition {
-        host: &announced.host,
+    let is_later = announced.position > shared.directory(|directory| directory.position());
+    let list = AnnouncedList {
         position: announced.position,
         digest: announced.digest,
         changes: &announced.changes,
-        has_more_changes: announced.has_more_changes,
     };
-    if apply_changes(shared, now, announced) {
+    let (has_changed, comparison) = apply_list(shared, now, &announced.host, list);
+    if is_later || has_changed {
+        relay::forward(shared, now, socket, announced).await;
+    }
+    if comparison == Comparison::Behind && !announced.has_more_changes {
         peerfetch::fetch_soon(shared, announced.position, fetch_wait(shared));
     }
 }
@@ -208,37 +212,19 @@
     datagram
 }
 
-/// A peer's log position for the upstreams, and its recent changes.
-#[derive(Clone, Copy)]
-struct AnnouncedPosition<'a> {
-    host: &'a HostId,
-    position: Position,
-    digest: u64,
-    changes: &'a [Change],
-    has_more_changes: bool,
-}
-
-/// Applies the changes announced by a peer. Returns whether changes are still missing that have to be
-/// fetched.
-fn apply_changes(shared: &Shared, now: Time, announced: AnnouncedPosition<'_>) -> bool {
-    let own_position = shared.directory(|directory| directory.position());
-    if announced.position <= own_position {
-        return false;
-    }
-    let mut changes = Vec::new();
-    let same = shared.directory(|directory| {
-        for change in announced.changes {
-            let taken = directory.apply_change(now, change);
-            changes.extend(taken);
-        }
-        let same = directory.digest() == announced.digest;
-        if same {
-            directory.advance(announced.position);
-        }
-        same
-    });
-    shared.record_changes(changes, ChangeSource::Peer(announced.host.as_str()));
-    !same && !announced.has_more_changes
+/// Applies the changes of the list of upstreams announced by `host`. Returns whether there were any that this host
+/// did not know, and how the lists compare.
+fn apply_list(
+    shared: &Shared,
+    now: Time,
+    host: &HostId,
+    announced: AnnouncedList<'_>,
+) -> (bool, Comparison) {
+    let (changes, comparison) =
+        shared.directory(|directory| directory.merge_announced(now, announced));
+    let has_changed = !changes.is_empty();
+    shared.record_changes(changes, ChangeSource::Peer(host.as_str()));
+    (has_changed, comparison)
 }
 
 /// How long to wait for this host's own read of the log, or for the next datagram, before fetching from a
--- a/src/gateway/gossip/relay.rs
+++ b/src/gateway/gossip/relay.rs
@@ -67,7 +67,7 @@
         let now = shared.now();
         let (position, digest, mut changes) = shared.directory(|directory| {
             let changes = directory.recent_changes(now);
-            (directory.position(), directory.digest(), changes)
+            (directory.complete_to(), directory.digest(), changes)
         });
         if !is_needed(shared, &changes) {
             return false;
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -31,6 +31,7 @@
 use crate::gateway::position::Era;
 use crate::gateway::position::Position;
 use crate::gateway::protocol::InternalRequest;
+use crate::gateway::protocol::Topic;
 use crate::gateway::rollouts::AnnouncedRollout;
 use crate::gateway::shared::ChangeSource;
 use crate::gateway::shared::Shared;
@@ -146,7 +147,7 @@
 /// Serves the list of upstreams or the changes to it. Responds with 503 while the maximum number of transfers is in
 /// progress.
 pub async fn serve_upstreams(shared: &Shared, query: &UpstreamsQuery) -> HttpResponse {
-    let position = shared.directory(|directory| directory.position());
+    let position = shared.directory(|directory| directory.complete_to());
     let changed_from = query.changed_from();
     // Removals at a change of era have no position, so changes are complete only within an era.
     let changed_from = changed_from.filter(|from| from.era == position.era);
@@ -172,7 +173,7 @@
         Ok(UpstreamsPage {
             evacuations,
             rollouts,
-            position: directory.position(),
+            position: directory.complete_to(),
             digest: directory.digest(),
             upstreams: match changed_from {
                 Some(from) => PageContent::Changes(directory.changed_from(from)),
@@ -210,6 +211,29 @@
     });
 }
 
+/// Fetches the whole list from `peer` after `wait`, as it differs from this host's though both have read equally far.
+/// A host that reads the log itself relies on its own reads.
+pub(crate) fn repair_soon(shared: &Shared, peer: SocketAddr, wait: Duration) {
+    let now = shared.now();
+    let is_reading = shared.is_reading(Topic::Upstreams);
+    if is_reading || !shared.directory(|directory| directory.begin_repair(now)) {
+        return;
+    }
+    let repairing = shared.clone();
+    fetch_later(shared, Fetch::Upstreams, wait, async move {
+        let mut client = PeerClient::new(peer, FETCH_TIMEOUT);
+        let outcome = request_upstreams(&repairing, &mut client, UPSTREAMS_PATH).await;
+        let outcome = match outcome {
+            Ok(outcome) => format!("{outcome:?}").to_lowercase(),
+            Err(error) => error.to_string(),
+        };
+        let line = repairing.log().entry(EventCode::UpstreamsDiffer);
+        line.with("peer", peer.to_string())
+            .with("outcome", outcome)
+            .write();
+    });
+}
+
 /// Runs a fetch after `wait`, unless one of the same kind is in progress.
 pub(crate) fn fetch_later(
     shared: &Shared,
@@ -331,7 +355,9 @@
     shared.receive_evacuations(&page.evacuations, &client.peer.to_string());
     shared.receive_rollouts(&page.rollouts, &client.peer.to_string());
     let (changes, is_same) = shared.directory(|directory| {
-        if page.position <= directory.position() {
+        if page.position < directory.position()
+            || (page.position == directory.position() && directory.digest() == page.digest)
+        {
             return (Vec::new(), true);
         }
         let changes = match page.upstreams {
--- a/tests/departedupstreams/mod.rs
+++ b/tests/departedupstreams/mod.rs
@@ -1,5 +1,8 @@
 //! Upstreams whose departure one host learns from another, and that list themselves again.
 
+use std::time::Duration;
+use std::time::Instant;
+
 use serde_json::Value;
 use serde_json::json;
 
@@ -14,10 +17,14 @@
 use crate::post;
 
 const HOSTS: usize = 3;
+/// Hosts of which only some read the list of upstreams, for all.
+const HOSTS_WITH_READERS: usize = 14;
+/// Time in which a host that reads the log reads it at least once.
+const READ_INTERVAL: Duration = Duration::from_millis(600);
 
 /// Hosts that know each other, one route and its only upstream.
-fn start_fleet(upstream: &FakeUpstream) -> Vec<World> {
-    let hosts = World::start_fleet(HOSTS);
+fn start_fleet(count: usize, upstream: &FakeUpstream) -> Vec<World> {
+    let hosts = World::start_fleet(count);
     hosts.iter().for_each(|host| host.links.prepare_cuts());
     hosts[0].list(upstream, "ready");
     let log = &hosts[0].log;
@@ -25,7 +32,7 @@
     assert!(wait_until(|| hosts.iter().all(World::is_ready)));
     assert!(wait_until(|| {
         let joined = |host: &World| host.lines.of("PeerJoined").len();
-        hosts.iter().all(|host| joined(host) == HOSTS - 1)
+        hosts.iter().all(|host| joined(host) == count - 1)
     }));
     hosts
 }
@@ -45,7 +52,7 @@
 #[test]
 fn an_upstream_that_a_carrier_reported_as_gone_gets_work_once_it_lists_itself_again() {
     let upstream = FakeUpstream::start("up-0", &[Behaviour::Answer(200, "sound")]);
-    let hosts = start_fleet(&upstream);
+    let hosts = start_fleet(HOSTS, &upstream);
     let returning = &hosts[0];
     returning.log.set_down(true);
     assert!(wait_until(|| !returning
@@ -74,3 +81,61 @@
         assert!(wait_until(|| is_served(host)), "{}", host.last_lines(8));
     }
 }
+
+/// The hosts that have read the log within [`READ_INTERVAL`].
+fn active_readers(hosts: &[World]) -> Vec<usize> {
+    let reads =
+        |hosts: &[World]| -> Vec<usize> { hosts.iter().map(|host| host.log.reads()).collect() };
+    let (before, began) = (reads(hosts), Instant::now());
+    wait_until(|| began.elapsed() >= READ_INTERVAL);
+    let after = reads(hosts);
+    let indexes = (0..hosts.len()).filter(|index| after[*index] > before[*index]);
+    indexes.collect()
+}
+
+fn is_removed(host: &World) -> bool {
+    let relayed = host.lines.of("UpstreamsChanged");
+    let is_relayed = relayed.iter().any(|line| line["removed"] == 1);
+    is_relayed || changes(host, "removed") == 1
+}
+
+// Guards against a removed upstream that gets work for as long as it serves: the reader of the list deferred the removal
+// and announced the position behind it, so that the other hosts ignored the removal later.
+#[test]
+fn a_removal_that_the_reader_deferred_reaches_the_hosts_that_rely_on_it() {
+    let upstream = FakeUpstream::start("up-0", &[Behaviour::Answer(200, "sound")]);
+    let hosts = start_fleet(HOSTS_WITH_READERS, &upstream);
+    let mut readers = Vec::new();
+    assert!(wait_until(|| {
+        readers = active_readers(&hosts);
+        readers.len() <= 2
+    }));
+    let reader = &hosts[readers[0]];
+    reader.log.set_down(true);
+    assert!(wait_until(|| {
+        let unreachable = reader.lines.of("ConfigLogUnreachable");
+        unreachable.iter().any(|line| line["topic"] == "upstreams")
+    }));
+    let is_reachable = || {
+        let reachable = reader.lines.of("ConfigLogReachable");
+        let topics = reachable.iter().filter(|line| line["topic"] == "upstreams");
+        topics.count()
+    };
+    let before = is_reachable();
+    reader.log.set_down(false);
+    assert!(wait_until(|| is_reachable() > before));
+    active_readers(&hosts);
+
+    let log = &reader.log;
+    log.put("upstreams", upstream.id(), &Value::Null);
+
+    assert!(wait_until(|| is_removed(reader)));
+    for host in &hosts {
+        assert!(
+            wait_until(|| is_removed(host)),
+            "{} keeps it: {}",
+            host.name(),
+            host.last_lines(4)
+        );
+    }
+}
