Order the entries of an upstream by their sequence number

Cause: the log may carry out a write seconds later; hosts took an earlier entry at a later position for the newest statement, as the adapter dropped its number. Change: statements of one instance are ordered by their number; a late record moves the position alone. A model of one upstream's life on three hosts explores short histories in full and draws long ones.

--- a/benches/decision.rs
+++ b/benches/decision.rs
@@ -211,6 +211,7 @@
             slots: 24,
             cold_left_ms: 0,
             version: VersionId::new("v1"),
+            sequence: 0,
         }),
         load: Load {
             requests: 8,
--- a/benches/slopes/fleet.rs
+++ b/benches/slopes/fleet.rs
@@ -129,6 +129,7 @@
         slots: 24,
         cold_left_ms: 0,
         version: "v1".into(),
+        sequence: 0,
     }
 }
 
--- a/src/gateway/datagram/tests.rs
+++ b/src/gateway/datagram/tests.rs
@@ -35,7 +35,7 @@
 fn datagram(changes: usize, limits: usize, leaving: usize) -> Datagram {
     let change = |index| Change {
         position: Position::from(index as u64),
-        kind: ChangeKind::Leaving(instance(index)),
+        kind: ChangeKind::Leaving(instance(index), index as u64),
     };
     let limit = |index| AnnouncedLimit {
         upstream: instance(index).key(),
--- a/src/gateway/destinations/tests.rs
+++ b/src/gateway/destinations/tests.rs
@@ -21,6 +21,7 @@
         slots: 8,
         cold_left_ms: 0,
         version: VersionId::new("v1"),
+        sequence: 0,
     })
 }
 
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -4,10 +4,11 @@
 //! read soon after the log is reachable again therefore takes effect only [`RETURN_GRACE`] after that:
 //! an upstream that is alive has listed itself again by then.
 //!
-//! The directory distinguishes the instances of an upstream. The log orders the entries of one id, but the
-//! entry of an earlier instance may be written late; it never replaces that of a later instance. An entry
-//! without a start time refers to the known instance.
+//! The directory distinguishes the instances of an upstream. The log may carry out a write late, so the order of its
+//! records is not that of the statements: an entry of an earlier instance, or of the same one with a lower sequence
+//! number, never replaces a later statement. An entry without a start time refers to the known instance.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
@@ -18,6 +19,7 @@
 use self::entry::Missing;
 use self::entry::Removal;
 use self::entry::classify_change;
+use self::entry::compare_statements;
 use self::entry::is_leaving_notice;
 use self::listing::Listing;
 use self::observation::Observation;
@@ -59,6 +61,10 @@
 /// upstream that was removed longer ago and is listed again has listed itself.
 const COPY_AGE_MAX: Duration = Duration::from_secs(30);
 
+/// How long after a statement of an upstream the log may carry out an earlier one, several times the documented
+/// "seconds".
+const LATE_RECORD_MAX: Duration = Duration::from_secs(30);
+
 /// Maximum number of recent changes that are announced repeatedly: a third of the upstreams of a large
 /// deployment.
 const RECENT_CHANGES_MAX: usize = 64;
@@ -79,6 +85,8 @@
     rollouts: Rollouts,
     /// When the upstreams that listed themselves as cold become warm.
     cold_until: BTreeMap<InstanceId, Time>,
+    /// When a host that reads the log last vouched for the list.
+    confirmed_at: Time,
     log_unreachable: bool,
     log_returned_at: Option<Time>,
     recent_changes: VecDeque<(Time, Change)>,
@@ -130,6 +138,23 @@
         }
     }
 
+    /// Records that a host which reads the log vouches for the list.
+    pub fn confirm(&mut self, now: Time) {
+        self.confirmed_at = now;
+    }
+
+    /// Records that this host has read the log. If no host had for longer than `gap_max`, entries may have lapsed
+    /// meanwhile as in an outage; returns for how long.
+    pub fn confirm_by_read(&mut self, now: Time, gap_max: Duration) -> Option<Duration> {
+        let gap = now.since(self.confirmed_at);
+        self.confirmed_at = now;
+        if gap <= gap_max || self.entries.is_empty() {
+            return None;
+        }
+        self.log_returned_at = Some(now);
+        Some(gap)
+    }
+
     /// Applies one record. `upstream` is `None` if the key was removed or its record does not describe an
     /// upstream.
     pub fn apply(
@@ -140,24 +165,22 @@
         position: impl Into<Position>,
     ) -> Option<AppliedChange> {
         let position = position.into();
-        let known = self.entries.get(id).map(Entry::latest_position);
-        let removed = self.removed.get(id).map(|removal| removal.position);
-        if known.max(removed).is_some_and(|newest| newest > position) {
-            return None;
-        }
-        self.newest_record = self.newest_record.max(position);
-        if upstream
-            .as_ref()
-            .is_some_and(|it| self.is_already_listed(it, position))
-        {
-            return None;
-        }
         match upstream {
             Some(upstream) => self.apply_listing(now, upstream, position),
-            None => self.apply_removal(now, id, position),
+            None if self.latest_position(id) > Some(position) => None,
+            None => {
+                self.newest_record = self.newest_record.max(position);
+                self.apply_removal(now, id, position)
+            }
         }
     }
 
+    /// Position of the latest record of an upstream that was applied.
+    fn latest_position(&self, id: &UpstreamId) -> Option<Position> {
+        let listed = self.entries.get(id).map(Entry::latest_position);
+        listed.max(self.removed.get(id).map(|removal| removal.position))
+    }
+
     /// Whether this record has already been applied. Hosts announce the same change to each other repeatedly.
     fn is_already_listed(&self, upstream: &Upstream, position: Position) -> bool {
         let entry = self.entries.get(upstream.id.upstream());
@@ -165,15 +188,81 @@
             entry.position == position
                 && entry.missing.is_none()
                 && entry.upstream.state == upstream.state
+                && entry.upstream.sequence == upstream.sequence
                 && entry.upstream.id == upstream.id
         })
     }
 
-    /// The latest known start time of an upstream.
-    fn latest_born_ms(&self, id: &UpstreamId) -> Option<u64> {
-        let listed = self.entries.get(id).map(|entry| &entry.upstream.id);
-        let removed = self.removed.get(id).map(|removal| &removal.instance);
-        listed.or(removed).and_then(InstanceId::born_ms)
+    /// The latest known statement of an upstream, as its start time and sequence number, and when it was learnt.
+    fn latest_statement(&self, id: &UpstreamId) -> Option<((Option<u64>, u64), Time)> {
+        let listed = self.entries.get(id).map(|entry| {
+            let upstream = &entry.upstream;
+            ((upstream.id.born_ms(), upstream.sequence), entry.learnt_at)
+        });
+        let removed = self.removed.get(id);
+        let removed =
+            removed.map(|removal| ((removal.instance.born_ms(), removal.sequence), removal.at));
+        listed.or(removed)
+    }
+
+    /// Orders a listing among the known statements of its upstream. The log orders it if it comes so long after the
+    /// known statement that it can't be a late record, or after the removal of an instance that didn't say that it
+    /// leaves: one that lives doesn't list itself again while the late record says the same.
+    fn compare_listing(&self, now: Time, upstream: &Upstream) -> Ordering {
+        let Some((known, learnt_at)) = self.latest_statement(upstream.id.upstream()) else {
+            return Ordering::Equal;
+        };
+        let is_recent = now.since(learnt_at) < LATE_RECORD_MAX;
+        let removed = self.removed.get(upstream.id.upstream());
+        let says_ready = upstream.state == UpstreamState::Ready;
+        let has_lapsed = removed.is_some_and(|removal| !(removal.was_leaving && says_ready));
+        match compare_statements(upstream.id.born_ms(), upstream.sequence, known) {
+            Ordering::Less if upstream.id.born_ms() == known.0 && (!is_recent || has_lapsed) => {
+                Ordering::Equal
+            }
+            order => order,
+        }
+    }
+
+    /// Handles a record that was written late: the upstream has made a later statement, which stays. Only the
+    /// position moves on, as it does on hosts that read no other record.
+    fn apply_late_listing(&mut self, now: Time, upstream: &Upstream, position: Position) {
+        if self.latest_position(upstream.id.upstream()) >= Some(position) {
+            return;
+        }
+        let id = upstream.id.upstream();
+        let kind = if let Some(removal) = self.removed.get_mut(id) {
+            removal.position = position;
+            ChangeKind::Removed(removal.instance.clone())
+        } else if let Some(entry) = self.entries.get(id) {
+            let entry = Entry {
+                position,
+                missing: None,
+                ..entry.clone()
+            };
+            let upstream = entry.upstream.clone();
+            self.entries.remove(id);
+            self.entries.insert(id.clone(), entry);
+            ChangeKind::Listed(upstream)
+        } else {
+            return;
+        };
+        let takes_work = match &kind {
+            ChangeKind::Listed(known) => known.state == UpstreamState::Ready,
+            ChangeKind::Leaving(..) | ChangeKind::Removed(_) => false,
+        };
+        let departed = kind.id().clone();
+        self.record_change(now, position, kind);
+        if !takes_work && departed == upstream.id {
+            // Hosts that know the late record alone learn of the departure from this one.
+            self.receive_departure(
+                now,
+                &Departure {
+                    id: departed,
+                    as_of: position,
+                },
+            );
+        }
     }
 
     fn apply_listing(
@@ -183,19 +272,45 @@
         position: Position,
     ) -> Option<AppliedChange> {
         let name = upstream.id.upstream().clone();
-        let latest = self.latest_born_ms(&name);
-        let born_ms = upstream.id.born_ms().or(latest);
-        if born_ms < latest {
+        let known_born_ms = self
+            .latest_statement(&name)
+            .and_then(|((born_ms, _), _)| born_ms);
+        let born_ms = upstream.id.born_ms().or(known_born_ms);
+        upstream.id = InstanceId::new(name.clone(), born_ms);
+        let order = self.compare_listing(now, &upstream);
+        let is_earlier_record = self.latest_position(&name) > Some(position);
+        // A later statement counts even if the record of an earlier one follows it, but no statement outlasts the
+        // removal of its record.
+        let is_overtaken = order == Ordering::Greater
+            && self
+                .entries
+                .get(&name)
+                .is_some_and(|entry| entry.missing.is_none());
+        if is_earlier_record && !is_overtaken {
             return None;
         }
-        upstream.id = InstanceId::new(name.clone(), born_ms);
-        if self.is_stale_ready(now, &upstream, position) {
+        self.newest_record = self.newest_record.max(position);
+        if order == Ordering::Less {
+            let known = self.entries.get(&name).map(|entry| &entry.upstream);
+            match known.filter(|known| known.id == upstream.id && known.state == upstream.state) {
+                Some(known) => upstream = (**known).clone(),
+                None => {
+                    self.apply_late_listing(now, &upstream, position);
+                    return None;
+                }
+            }
+        }
+        if self.is_already_listed(&upstream, position) {
+            return None;
+        }
+        if order != Ordering::Greater && self.is_stale_ready(now, &upstream, position) {
             let observation = Observation::of_restored_listing(now, position);
             self.observed_leaving
                 .insert(upstream.id.clone(), observation);
         } else if upstream.state == UpstreamState::Ready {
-            self.clear_observation(&upstream.id, position);
+            self.clear_observation(&upstream.id, position, order);
         }
+        let position = self.latest_position(&name).max(Some(position))?;
         self.removed.remove(&name);
         self.foreign.remove(&name);
         let old = self.entries.remove(&name);
@@ -210,7 +325,7 @@
         let is_leaving = upstream.state == UpstreamState::Leaving;
         let change = classify_change(old.as_ref(), &upstream);
         let kind = match is_leaving_notice(old.as_ref(), &upstream) {
-            true => ChangeKind::Leaving(upstream.id.clone()),
+            true => ChangeKind::Leaving(upstream.id.clone(), upstream.sequence),
             false => ChangeKind::Listed(upstream.clone()),
         };
         self.record_change(now, position, kind);
@@ -219,6 +334,7 @@
             position,
             missing: None,
             leaving_since: is_leaving.then(|| leaving_since.unwrap_or(now)),
+            learnt_at: now,
         };
         self.entries.insert(name, entry);
         let ended = old.map(|old| old.upstream.id.clone());
@@ -278,11 +394,14 @@
         id: &UpstreamId,
         position: Position,
     ) -> Option<AppliedChange> {
-        let instance = self.entries.remove(id)?.upstream.id.clone();
+        let entry = self.entries.remove(id)?;
+        let instance = entry.upstream.id.clone();
         let removal = Removal {
             position,
             at: now,
             instance: instance.clone(),
+            sequence: entry.upstream.sequence,
+            was_leaving: entry.upstream.state == UpstreamState::Leaving,
         };
         self.removed.insert(id.clone(), removal);
         self.record_change(now, position, ChangeKind::Removed(instance.clone()));
--- a/src/gateway/directory/observation.rs
+++ b/src/gateway/directory/observation.rs
@@ -3,6 +3,7 @@
 //! Each observation refers to a position of the log. A later record that lists the instance as ready was written
 //! after what was observed, and ends the observation on every host that reads the record or learns of it.
 
+use std::cmp::Ordering;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -108,12 +109,19 @@
         replaced.is_none_or(|known| known.is_ended)
     }
 
-    /// Ends the observation of an instance that the record at `position` lists as ready.
-    pub(super) fn clear_observation(&mut self, id: &InstanceId, position: Position) {
-        let known = self.observed_leaving.get(id);
-        // Offsets of a restored log say nothing about the order of what happened before.
-        let is_ended =
-            known.is_some_and(|known| known.as_of.era == position.era && known.as_of < position);
+    /// Ends the observation of an instance that the record at `position` lists as ready. `order` compares that
+    /// statement to the last one known before.
+    pub(super) fn clear_observation(
+        &mut self,
+        id: &InstanceId,
+        position: Position,
+        order: Ordering,
+    ) {
+        let is_ended = self.observed_leaving.get(id).is_some_and(|known| {
+            // Offsets of a restored log say nothing about the order of what happened before.
+            let is_ordered = known.as_of.era == position.era || order == Ordering::Greater;
+            is_ordered && known.as_of < position
+        });
         if is_ended {
             self.observed_leaving.remove(id);
         }
--- a/src/gateway/directory/sync.rs
+++ b/src/gateway/directory/sync.rs
@@ -89,9 +89,10 @@
         let upstream = match &change.kind {
             ChangeKind::Listed(upstream) => Some((**upstream).clone()),
             ChangeKind::Removed(_) => None,
-            ChangeKind::Leaving(id) => {
+            ChangeKind::Leaving(id, sequence) => {
                 let mut upstream = (**self.get(id)?).clone();
                 upstream.state = UpstreamState::Leaving;
+                upstream.sequence = *sequence;
                 Some(upstream)
             }
         };
--- a/src/gateway/directory/tests.rs
+++ b/src/gateway/directory/tests.rs
@@ -1,8 +1,10 @@
 mod departures;
 mod eras;
 mod instances;
+mod late;
 mod listing;
 mod missing;
+mod model;
 mod versions;
 
 use super::AppliedChange;
@@ -34,6 +36,7 @@
         slots: 4,
         cold_left_ms: 0,
         version: VersionId::new("v1"),
+        sequence: 0,
     }
 }
 
--- a/src/gateway/directory/tests/instances.rs
+++ b/src/gateway/directory/tests/instances.rs
@@ -133,7 +133,7 @@
         Time::ZERO,
         &Change {
             position: 7.into(),
-            kind: ChangeKind::Leaving(earlier),
+            kind: ChangeKind::Leaving(earlier, 0),
         },
     );
 
--- a/src/gateway/directory/tests/missing.rs
+++ b/src/gateway/directory/tests/missing.rs
@@ -145,3 +145,25 @@
 
     assert_eq!(comparison, Comparison::Differs);
 }
+
+// Guards against the loss of all upstreams whose entries lapsed in an outage: a host that had never read the log
+// itself removed them at its first read, and told the others.
+#[test]
+fn a_host_that_has_its_list_from_peers_defers_removals_after_an_outage() {
+    let mut started = directory_of(&["a", "b"]);
+    started.mark_log_unreachable();
+    started.mark_log_reachable(LOG_REACHABLE_AT);
+    let mut took_over = directory_of(&["a", "b"]);
+    let gap = took_over.confirm_by_read(LOG_REACHABLE_AT, RETURN_GRACE);
+    let mut in_touch = directory_of(&["a", "b"]);
+    in_touch.confirm(LOG_REACHABLE_AT);
+    in_touch.confirm_by_read(LOG_REACHABLE_AT + RETURN_GRACE, RETURN_GRACE);
+
+    let listed = [&mut started, &mut took_over, &mut in_touch].map(|host| {
+        host.replace(LOG_REACHABLE_AT, vec![(ready("b"), 1.into())], LOG_END);
+        ready_ids(host).len()
+    });
+
+    assert_eq!(listed, [2, 2, 1]);
+    assert_eq!(gap, Some(LOG_REACHABLE_AT.since(Time::ZERO)));
+}
--- a/src/gateway/directory/upstream.rs
+++ b/src/gateway/directory/upstream.rs
@@ -42,15 +42,21 @@
     pub cold_left_ms: u32,
     /// The software version that it runs.
     pub version: VersionId,
+    /// Number of the entry among those that the instance has written; later ones have higher numbers. 0 if the
+    /// platform states none.
+    pub sequence: u64,
 }
 
 impl Upstream {
-    /// Compares all fields except the remaining cold time, which decreases without a change of the upstream.
+    /// Compares all fields except those that change without a change of the upstream: the remaining cold time and the
+    /// sequence number.
     pub(super) fn eq_ignoring_cold(&self, other: &Upstream) -> bool {
         let cold_left_ms = self.cold_left_ms;
+        let sequence = self.sequence;
         *self
             == Upstream {
                 cold_left_ms,
+                sequence,
                 ..other.clone()
             }
     }
@@ -138,8 +144,8 @@
 pub enum ChangeKind {
     /// The upstream is listed with this entry.
     Listed(Arc<Upstream>),
-    /// The instance is listed as before, except that it is leaving.
-    Leaving(InstanceId),
+    /// The instance is listed as before, except that it is leaving, as it stated with this sequence number.
+    Leaving(InstanceId, u64),
     /// The instance was removed.
     Removed(InstanceId),
 }
@@ -149,7 +155,7 @@
     pub fn id(&self) -> &InstanceId {
         match self {
             ChangeKind::Listed(upstream) => &upstream.id,
-            ChangeKind::Leaving(id) | ChangeKind::Removed(id) => id,
+            ChangeKind::Leaving(id, _) | ChangeKind::Removed(id) => id,
         }
     }
 }
--- a/src/gateway/gossip/relay.rs
+++ b/src/gateway/gossip/relay.rs
@@ -50,7 +50,7 @@
             self.listings = 0;
         }
         changes.retain(|change| match change.kind {
-            ChangeKind::Leaving(_) | ChangeKind::Removed(_) => true,
+            ChangeKind::Leaving(..) | ChangeKind::Removed(_) => true,
             ChangeKind::Listed(_) => {
                 self.listings += 1;
                 self.listings <= RELAYED_LISTINGS_MAX
--- a/src/gateway/peerfetch/tests.rs
+++ b/src/gateway/peerfetch/tests.rs
@@ -25,6 +25,7 @@
         slots: 24,
         cold_left_ms: 0,
         version: VersionId::new("v1"),
+        sequence: 0,
     };
     (upstream, Position::from(index as u64))
 }
--- a/src/gateway/peers/tests.rs
+++ b/src/gateway/peers/tests.rs
@@ -306,6 +306,7 @@
             slots: 24,
             cold_left_ms: 0,
             version: VersionId::new("v1"),
+            sequence: 0,
         })),
     }
 }
--- a/src/gateway/placement/tests.rs
+++ b/src/gateway/placement/tests.rs
@@ -29,6 +29,7 @@
             slots: 10,
             cold_left_ms: 0,
             version: VersionId::new("v1"),
+            sequence: 0,
         }),
         load,
         reported: None,
--- a/src/gateway/queue/tests.rs
+++ b/src/gateway/queue/tests.rs
@@ -31,6 +31,7 @@
         slots: 4,
         cold_left_ms: 0,
         version: VersionId::new("v1"),
+        sequence: 0,
     };
     Candidate {
         load: board.with(|loads| loads.at(&upstream.id)),
--- a/src/gateway/sharedqueue/tests.rs
+++ b/src/gateway/sharedqueue/tests.rs
@@ -43,6 +43,7 @@
             slots: 24,
             cold_left_ms: 0,
             version: VersionId::new("v1"),
+            sequence: 0,
         }),
         load,
         reported: None,
--- a/tests/departedupstreams/mod.rs
+++ b/tests/departedupstreams/mod.rs
@@ -139,3 +139,36 @@
         );
     }
 }
+
+/// Has the log list an upstream by the entry that it wrote as its `sequence`th.
+fn list_numbered(host: &World, upstream: &FakeUpstream, state: &str, sequence: u64) {
+    let mut entry = upstream.entry(state);
+    entry["sequence"] = json!(sequence);
+    host.log.put("upstreams", upstream.id(), &entry);
+}
+
+// Guards against work for an upstream that leaves: the log carried out an earlier entry late, and hosts took it for the
+// newest statement.
+#[test]
+fn an_earlier_entry_that_the_log_takes_late_does_not_make_a_leaving_upstream_ready() {
+    let leaving = FakeUpstream::start("up-0", &[Behaviour::Answer(200, "sound")]);
+    let staying = FakeUpstream::start("up-1", &[Behaviour::Answer(200, "sound")]);
+    let hosts = start_fleet(1, &staying);
+    let host = &hosts[0];
+    list_numbered(host, &leaving, "ready", 1);
+    assert!(wait_until(|| changes(host, "added") == 2));
+    list_numbered(host, &leaving, "leaving", 3);
+    assert!(wait_until(|| changes(host, "leaving") == 1));
+
+    list_numbered(host, &leaving, "ready", 2);
+    let marker = FakeUpstream::of("other", "up-2", &[Behaviour::Mute]);
+    host.list(&marker, "ready");
+    assert!(wait_until(|| !host
+        .lines
+        .of("UpstreamListed")
+        .iter()
+        .all(|line| line["upstream"] != marker.id())));
+
+    assert!((0..20).all(|_| is_served(host)));
+    assert_eq!(leaving.seen().len(), 0);
+}
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -261,6 +261,7 @@
             slots: serde_json::from_value(entry["slots"].clone())?,
             cold_left_ms: entry["cold_left_ms"].as_u64().unwrap_or(0) as u32,
             version: VersionId::new(entry["version"].as_str().unwrap_or("v1")),
+            sequence: entry["sequence"].as_u64().unwrap_or(0),
         })
     }
 
