--- a/src/gateway/migration.rs
+++ b/src/gateway/migration.rs
@@ -28,6 +28,8 @@
     /// The destination has no room or can't be reached. If the generation was stopped, the source
     /// keeps its memory under this handle.
     NoRoom(Option<String>),
+    /// The call wasn't sent, for this reason: the source can't be reached.
+    NotSent(String),
     /// The outcome is unknown, for this reason.
     Unknown(String),
 }
@@ -36,7 +38,10 @@
     /// Whether the copy certainly did not stop the generation.
     pub(crate) fn is_not_stopped(&self) -> bool {
         match self {
-            CopyFailure::NoSuchRun | CopyFailure::Busy | CopyFailure::NoRoom(None) => true,
+            CopyFailure::NoSuchRun
+            | CopyFailure::Busy
+            | CopyFailure::NoRoom(None)
+            | CopyFailure::NotSent(_) => true,
             CopyFailure::NoRoom(Some(_)) | CopyFailure::Unknown(_) => false,
         }
     }
@@ -47,7 +52,7 @@
             CopyFailure::NoSuchRun => "no such run".to_owned(),
             CopyFailure::Busy => "busy".to_owned(),
             CopyFailure::NoRoom(_) => "no room".to_owned(),
-            CopyFailure::Unknown(reason) => reason.clone(),
+            CopyFailure::NotSent(reason) | CopyFailure::Unknown(reason) => reason.clone(),
         }
     }
 }
@@ -68,7 +73,7 @@
         .protocol()
         .copy_request(request_id, to.address, is_final);
     let opened = dial::open(shared, source, &DialOptions::INTERNAL).await;
-    let connection = opened.map_err(|failure| CopyFailure::Unknown(failure.reason().to_owned()))?;
+    let connection = opened.map_err(|failure| CopyFailure::NotSent(failure.reason().to_owned()))?;
     let mut client = InternalClient::over(source.address, connection);
     let (status, body) = client
         .call(&call, COPY_TIMEOUT)
--- a/src/gateway/stream/moving.rs
+++ b/src/gateway/stream/moving.rs
@@ -292,7 +292,7 @@
                 match failure {
                     // The run is about to end, or hasn't begun.
                     CopyFailure::NoSuchRun | CopyFailure::Busy => {}
-                    CopyFailure::NoRoom(_) | CopyFailure::Unknown(_) => {
+                    CopyFailure::NoRoom(_) | CopyFailure::NotSent(_) | CopyFailure::Unknown(_) => {
                         self.avoid.push(to.id.clone());
                     }
                 }
@@ -367,9 +367,10 @@
                         guards,
                         stop_at: until,
                     },
-                    CopyFailure::NoSuchRun | CopyFailure::NoRoom(_) | CopyFailure::Unknown(_) => {
-                        MoveState::Paused { until }
-                    }
+                    CopyFailure::NoSuchRun
+                    | CopyFailure::NoRoom(_)
+                    | CopyFailure::NotSent(_)
+                    | CopyFailure::Unknown(_) => MoveState::Paused { until },
                 };
                 Ok(())
             }
