--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -234,6 +234,8 @@
         RouteKind::Once | RouteKind::Stream => None,
     };
     // A cut may have left an open connection silent, and a carrier that stops may end before the answer.
+    let regions = admitted.regions.as_ref();
+    let pooled = pooled.filter(|pooled| pooled.is_within(regions));
     let pooled = pooled.filter(|pooled| match pooled.carrier() {
         Some(carrier) => !shared.peers(|peers| peers.is_stopping(carrier)),
         None => !shared.is_cut_off(),
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -2,6 +2,7 @@
 //!
 //! hyper's low-level connection is used directly, because only it returns a request that was never written.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -26,6 +27,7 @@
 use tokio::time::Instant;
 
 use crate::id::HostId;
+use crate::id::RegionId;
 
 /// Read buffer for streams: the maximum that is read ahead while the client reads slowly.
 const STREAM_BUFFER_BYTES: usize = 8 * 1_024;
@@ -137,6 +139,8 @@
 #[derive(Debug)]
 struct Carried {
     by: HostId,
+    /// The region of that host, if its data centre has one.
+    region: Option<RegionId>,
     state: CarrierState,
 }
 
@@ -201,9 +205,9 @@
     }
 
     /// The same connection, carried by another host.
-    pub(crate) fn through(self, by: HostId, state: CarrierState) -> Self {
+    pub(crate) fn through(self, by: HostId, region: Option<RegionId>, state: CarrierState) -> Self {
         Connection {
-            carried: Some(Carried { by, state }),
+            carried: Some(Carried { by, region, state }),
             ..self
         }
     }
@@ -213,6 +217,17 @@
         self.carried.as_ref().map(|carried| &carried.by)
     }
 
+    /// Whether the connection leads only through `regions`; `None` allows all.
+    pub(crate) fn is_within(&self, regions: Option<&BTreeSet<RegionId>>) -> bool {
+        match (&self.carried, regions) {
+            (None, _) | (_, None) => true,
+            (Some(carried), Some(regions)) => {
+                let region = carried.region.as_ref();
+                region.is_some_and(|region| regions.contains(region))
+            }
+        }
+    }
+
     /// Whether the connection broke because its carrier is gone, which says nothing about the upstream.
     pub(crate) fn has_lost_carrier(&self) -> bool {
         let carried = self.carried.as_ref();
--- a/src/gateway/tunnel.rs
+++ b/src/gateway/tunnel.rs
@@ -163,7 +163,8 @@
     let opened = Connection::over(stream, upstream.address, profile).await;
     let connection =
         opened.map_err(|failure| CarrierError::Carrier(failure.reason().to_owned()))?;
-    Ok(connection.through(carrier.host.clone(), carrier_state))
+    let region = shared.settings().regions.get(&carrier.data_centre);
+    Ok(connection.through(carrier.host.clone(), region.cloned(), carrier_state))
 }
 
 /// Asks a carrier to connect to an upstream and returns its reply.
