Defer removals at the first read of a host that had its list from peers

A host now knows when a reader last vouched for its list, and gives the grace time if that is longer ago than a change of readers takes, or if its own first read failed.

--- a/src/gateway/gossip/receiving.rs
+++ b/src/gateway/gossip/receiving.rs
@@ -102,6 +102,9 @@
     };
     let (_, comparison) = apply_list(shared, now, &datagram.host, list);
     let has_whole_list = !datagram.has_more_changes;
+    if datagram.reading.upstreams {
+        shared.directory(|directory| directory.confirm(now));
+    }
     let upstreams = datagram.upstreams;
     let newer_config = datagram.config > shared.config_version();
     shared
--- a/src/gateway/peers/readers.rs
+++ b/src/gateway/peers/readers.rs
@@ -98,7 +98,8 @@
         READER_INTERVAL_MIN.max(READER_INTERVAL_PER_HOST.saturating_mul(hosts))
     }
 
-    pub(super) fn reader_timeout(&self, now: Time) -> Duration {
+    /// Silence after which a reader is replaced.
+    pub(crate) fn reader_timeout(&self, now: Time) -> Duration {
         let rounds = self.reader_interval(now).mul_f64(READER_TIMEOUT_ROUNDS);
         READER_TIMEOUT_MIN.max(rounds)
     }
--- a/src/gateway/shared/logreads.rs
+++ b/src/gateway/shared/logreads.rs
@@ -4,12 +4,17 @@
 
 use super::Shared;
 use super::lock;
+use crate::clock::Time;
 use crate::event::EventCode;
 use crate::gateway::datagram::Topics;
 use crate::gateway::logreads;
 use crate::gateway::logreads::ReadScope;
 use crate::gateway::protocol::Topic;
 
+/// A list of upstreams that no host has read for longer than this may lack upstreams whose entries lapsed meanwhile.
+/// The platform removes entries after a silence of more than three seconds.
+const UNCONFIRMED_MAX: Duration = Duration::from_secs(3);
+
 impl Shared {
     /// Whether this host's last read of a topic failed, or none has succeeded yet.
     pub fn is_log_unreachable(&self, topic: Topic) -> bool {
@@ -120,12 +125,14 @@
     /// Records that the log answered a read of a topic, `delay` after the end of the requested wait.
     pub(crate) fn record_log_answer(&self, topic: Topic, delay: Duration) {
         let now = self.now();
-        let Some(outage) = lock(&self.0.log_reads).record_answer(now, topic, delay) else {
+        let outage = lock(&self.0.log_reads).record_answer(now, topic, delay);
+        let gap = match topic {
+            Topic::Upstreams => self.mark_upstreams_read(now, outage.is_some()),
+            Topic::Operator | Topic::Hosts | Topic::Suspects | Topic::Status => None,
+        };
+        let Some(outage) = outage.or(gap) else {
             return;
         };
-        if topic == Topic::Upstreams {
-            self.directory(|directory| directory.mark_log_reachable(now));
-        }
         let line = self.log().entry(EventCode::ConfigLogReachable);
         line.with("topic", topic.name())
             .with("away_ms", outage.as_millis() as u64)
@@ -134,6 +141,18 @@
         self.announce_now();
     }
 
+    /// Tells the directory that the list of upstreams was read. Returns for how long no host had read it, if that was
+    /// longer than it takes to replace a reader.
+    fn mark_upstreams_read(&self, now: Time, was_unreachable: bool) -> Option<Duration> {
+        let handover = self.peers(|peers| peers.reader_timeout(now)) * 2;
+        self.directory(|directory| {
+            if was_unreachable {
+                directory.mark_log_reachable(now);
+            }
+            directory.confirm_by_read(now, handover.max(UNCONFIRMED_MAX))
+        })
+    }
+
     /// Records that another part of the log's answer to a read of a topic has arrived.
     pub(crate) fn record_log_progress(&self, topic: Topic) {
         lock(&self.0.log_reads).record_progress(self.now(), topic);
@@ -146,12 +165,12 @@
             let mut reading = lock(&self.0.log_reads);
             (reading.record_failure(now, topic), reading.age(now, topic))
         };
-        if !was_reachable {
-            return;
-        }
         if topic == Topic::Upstreams {
             self.directory(|directory| directory.mark_log_unreachable());
         }
+        if !was_reachable {
+            return;
+        }
         let line = self.log().entry(EventCode::ConfigLogUnreachable);
         line.with("topic", topic.name())
             .with("reason", reason)
