Limit bytes of an upstream that become no answer

Callers saw: 504 at the deadline for an upstream that sent zeros in place of a chunk's size, or a body without length; the host held all of the latter in memory (24 such upstreams, tests/brokenanswers). Cause: whole answers were collected without a limit, and nothing looked at bytes that are neither head nor data. Change: a connection is closed after 256 KB without data, or 2 s of a trickle; whole answers of a host take 16 MB together; smaller limits on events, reports and answers of the log. Evidence: three tests of tests/brokenanswers failed before and pass. Heads cut off at each byte, closed or reset, never gave a success before either.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -6,6 +6,7 @@
 //! library's basic types and nothing of the product's own API.
 
 pub mod admit;
+mod answerguard;
 pub(crate) mod attempts;
 pub mod brittle;
 pub mod call;
--- /dev/null
+++ b/src/gateway/answerguard/tests.rs
@@ -0,0 +1,82 @@
+use std::time::Duration;
+
+use super::ANSWERS_BYTES_MAX;
+use super::AnswerMemory;
+use super::FRAMING_BYTES_MAX;
+use super::FRAMING_TIME_MAX;
+use super::FramingWatch;
+use super::Instant;
+
+#[test]
+fn a_single_answer_may_take_half_of_the_memory() {
+    let memory = AnswerMemory::default();
+    let mut answer = memory.hold();
+
+    let half = answer.grow(ANSWERS_BYTES_MAX / 2);
+    let more = answer.grow(1);
+
+    assert!(half && !more);
+}
+
+#[test]
+fn many_growing_answers_leave_room_for_others() {
+    let memory = AnswerMemory::default();
+    let mut growing: Vec<_> = (0..50).map(|_| memory.hold()).collect();
+    for _ in 0..10_000 {
+        growing.retain_mut(|answer| answer.grow(4_096));
+    }
+
+    let mut other = memory.hold();
+
+    assert!(other.grow(ANSWERS_BYTES_MAX / 100));
+}
+
+#[test]
+fn the_memory_of_a_dropped_answer_is_free() {
+    let memory = AnswerMemory::default();
+    let mut answer = memory.hold();
+    answer.grow(ANSWERS_BYTES_MAX / 2);
+
+    drop(answer);
+
+    assert!(memory.hold().grow(ANSWERS_BYTES_MAX / 2));
+}
+
+#[test]
+fn bytes_that_trickle_in_without_data_are_an_error() {
+    let watch = FramingWatch::default();
+    let began = Instant::now();
+
+    let is_error: Vec<bool> = (0..30)
+        .map(|read| {
+            watch
+                .record(began + FRAMING_TIME_MAX / 20 * read, 1)
+                .is_err()
+        })
+        .collect();
+
+    assert!(!is_error[20] && is_error[21]);
+}
+
+// Guards against ending an answer for the silence of its link.
+#[test]
+fn a_silence_within_a_head_is_no_error() {
+    let watch = FramingWatch::default();
+    let began = Instant::now();
+    assert!(watch.record(began, 10).is_ok());
+
+    let after = watch.record(began + Duration::from_secs(7), 10);
+
+    assert!(after.is_ok());
+}
+
+#[test]
+fn framing_is_bounded_between_data() {
+    let watch = FramingWatch::default();
+    let now = Instant::now();
+    assert!(watch.record(now, FRAMING_BYTES_MAX).is_ok());
+    watch.reset();
+
+    assert!(watch.record(now, FRAMING_BYTES_MAX).is_ok());
+    assert!(watch.record(now, 1).is_err());
+}
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::event::EventCode;
+use crate::gateway::answerguard::AnswerHold;
 use crate::gateway::attempts::Attempts;
 use crate::gateway::attempts::Delivery;
 use crate::gateway::connection::ConnectionProfile;
@@ -58,6 +59,8 @@
     pub head: Parts,
     /// The body.
     pub body: Bytes,
+    /// The memory that it takes.
+    pub memory: AnswerHold,
 }
 
 /// What became of one attempt.
--- a/src/gateway/connection.rs
+++ b/src/gateway/connection.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -14,7 +15,6 @@
 use http::Request;
 use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -26,13 +26,16 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::gateway::answerguard::FramingWatch;
+use crate::gateway::answerguard::ResponseBody;
+use crate::gateway::answerguard::WatchedStream;
 use crate::id::HostId;
 use crate::id::RegionId;
 
 /// Read buffer for streams: the maximum that is read ahead while the client reads slowly.
 const STREAM_BUFFER_BYTES: usize = 8 * 1_024;
-/// Read buffer for responses that are read as a whole. Their size is limited elsewhere.
-const RESPONSE_BUFFER_BYTES: usize = 400 * 1_024;
+/// Read buffer for responses that are read as a whole, and so the largest head. Their size is limited elsewhere.
+const RESPONSE_BUFFER_BYTES: usize = 64 * 1_024;
 /// Idle time before the first TCP keepalive probe.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 /// Interval between TCP keepalive probes.
@@ -148,6 +151,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    watch: Rc<FramingWatch>,
     /// Whether a request has been sent on it.
     is_used: bool,
     opened_at: Instant,
@@ -180,6 +184,8 @@
         address: SocketAddr,
         profile: ConnectionProfile,
     ) -> Result<Self, ConnectionError> {
+        let watch = Rc::new(FramingWatch::default());
+        let stream = WatchedStream::new(stream, watch.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(profile.buffer_bytes())
             .handshake(TokioIo::new(stream))
@@ -192,6 +198,7 @@
         });
         Ok(Connection {
             sender,
+            watch,
             is_used: false,
             opened_at: Instant::now(),
             carried: None,
@@ -252,13 +259,14 @@
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, ConnectionError> {
+    ) -> Result<Response<ResponseBody>, ConnectionError> {
         if let Err(error) = self.sender.ready().await {
             return Err(ConnectionError::NotWritten(error.to_string()));
         }
         self.is_used = true;
+        self.watch.reset();
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => Ok(response.map(|body| ResponseBody::new(body, self.watch.clone()))),
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let reason = error_with_source(error.error());
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
+use bytes::BytesMut;
 use http::HeaderMap;
 use http::header;
 use http::response::Parts;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
+use crate::gateway::answerguard::AnswerHold;
+use crate::gateway::answerguard::ResponseBody;
 use crate::gateway::call::WholeAnswer;
 use crate::gateway::connection::Connection;
 use crate::gateway::connection::ConnectionError;
@@ -34,7 +37,7 @@
     /// The connection that the body is read from; dropping it closes the connection.
     pub(crate) connection: Connection,
     pub(crate) head: Parts,
-    pub(crate) body: Incoming,
+    pub(crate) body: ResponseBody,
     /// How far the request had come before it was sent.
     pub(crate) phase_before: Phase,
 }
@@ -145,12 +148,15 @@
         body,
         phase_before,
     } = response;
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
+    let (body, memory) = match collect(shared, body).await {
+        Ok(collected) => collected,
+        Err(CollectError::Broken(reason)) => {
             shared.record_crash(admitted, &upstream.id, &connection, None);
-            let outcome = ReadOutcome::Truncated(format!("the answer broke off: {error}"));
-            return (outcome, connection);
+            return (ReadOutcome::Truncated(reason), connection);
+        }
+        Err(CollectError::TooLong(bytes)) => {
+            let reason = format!("the answer is too long: {bytes} bytes without its end");
+            return (ReadOutcome::Truncated(reason), connection);
         }
     };
     if let Some(reason) = not_run_reason(shared, upstream, &head) {
@@ -162,11 +168,39 @@
         shared.record_sound_parts(admitted, Duration::ZERO);
     }
     (
-        ReadOutcome::Answered(WholeAnswer { head, body }),
+        ReadOutcome::Answered(WholeAnswer { head, body, memory }),
         connection,
     )
 }
 
+/// Why a body was not read to its end.
+enum CollectError {
+    /// The connection broke, for this reason.
+    Broken(String),
+    /// It has so many bytes, more than the host can hold.
+    TooLong(usize),
+}
+
+/// Reads a body to its end, and returns it with its hold on the host's memory.
+async fn collect(
+    shared: &Shared,
+    mut body: ResponseBody,
+) -> Result<(Bytes, AnswerHold), CollectError> {
+    let mut memory = shared.answer_memory().hold();
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame
+            .map_err(|error| CollectError::Broken(format!("the answer broke off: {error}")))?;
+        if let Ok(data) = frame.into_data() {
+            if !memory.grow(data.len()) {
+                return Err(CollectError::TooLong(collected.len() + data.len()));
+            }
+            collected.extend_from_slice(&data);
+        }
+    }
+    Ok((collected.freeze(), memory))
+}
+
 /// Whether a response belongs to this request. Upstreams echo the request's id.
 fn is_response_to(shared: &Shared, admitted: &Admitted, headers: &HeaderMap) -> bool {
     let echoed = headers.get(&shared.protocol().headers().request_id);
--- a/src/gateway/internalclient.rs
+++ b/src/gateway/internalclient.rs
@@ -13,19 +13,21 @@
 use http_body_util::Full;
 use http_body_util::Limited;
 use hyper::body::Body;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use crate::error::Error;
 use crate::error::Result;
+use crate::gateway::answerguard::ResponseBody;
 use crate::gateway::connection::Connection;
 use crate::gateway::connection::ConnectionProfile;
 use crate::gateway::protocol::InternalRequest;
 
 /// Timeout of each connection attempt.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Maximum size of a response body. A configuration with many routes fits.
-const RESPONSE_BYTES_MAX: usize = 32 << 20;
+/// Maximum size of a response body of the log or a peer. A configuration with many routes fits.
+const RESPONSE_BYTES_MAX: usize = 16 << 20;
+/// Maximum size of an engine's response: a report, or the outcome of an order.
+const ENGINE_RESPONSE_BYTES_MAX: usize = 256 << 10;
 /// Maximum time without data in a response body. It covers several round trips to the farthest data centre
 /// and the retransmission of a lost packet.
 const STALL_MAX: Duration = Duration::from_millis(500);
@@ -57,6 +59,7 @@
 pub struct InternalClient {
     address: SocketAddr,
     connection: Option<Connection>,
+    response_bytes_max: usize,
 }
 
 impl InternalClient {
@@ -65,14 +68,16 @@
         InternalClient {
             address,
             connection: None,
+            response_bytes_max: RESPONSE_BYTES_MAX,
         }
     }
 
-    /// Creates a client that uses `connection`, which is open, for its first call.
+    /// Creates a client for an engine that uses `connection`, which is open, for its first call.
     pub(crate) fn over(address: SocketAddr, connection: Connection) -> Self {
         InternalClient {
             address,
             connection: Some(connection),
+            response_bytes_max: ENGINE_RESPONSE_BYTES_MAX,
         }
     }
 
@@ -143,7 +148,7 @@
             }
         };
         let status = response.status().as_u16();
-        let read = read_body(response, on_part).await;
+        let read = read_body(response, self.response_bytes_max, on_part).await;
         read.map_err(|reason| self.remote_error(reason))?;
         self.connection = Some(connection);
         Ok(status)
@@ -162,7 +167,7 @@
     address: SocketAddr,
     connection: Option<Connection>,
     call: &InternalRequest,
-) -> std::result::Result<(Connection, Response<Incoming>), String> {
+) -> std::result::Result<(Connection, Response<ResponseBody>), String> {
     let mut connection = match connection {
         Some(connection) => connection,
         None => Connection::open(address, CONNECT_TIMEOUT, ConnectionProfile::Call)
@@ -179,12 +184,13 @@
 
 /// Reads a response for as long as its body makes progress.
 async fn read_body(
-    response: Response<Incoming>,
+    response: Response<ResponseBody>,
+    bytes_max: usize,
     mut on_part: impl FnMut(ResponsePart),
 ) -> std::result::Result<(), String> {
     let started = Instant::now();
     let (head, body) = response.into_parts();
-    let mut body = Limited::new(body, RESPONSE_BYTES_MAX);
+    let mut body = Limited::new(body, bytes_max);
     let expected_bytes = body.size_hint().exact();
     let mut received_bytes = 0;
     on_part(ResponsePart::Head(head.headers));
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -20,6 +20,7 @@
 use crate::clock::Time;
 use crate::ejection::Ejector;
 use crate::gate::Gate;
+use crate::gateway::answerguard::AnswerMemory;
 use crate::gateway::brittle::BrittleUpstreams;
 use crate::gateway::callerconnections::CallerConnections;
 use crate::gateway::cold::ColdBudget;
@@ -131,6 +132,7 @@
     failed_carriers: Mutex<FailedCarriers>,
     carrier_limits: Mutex<CarrierLimits>,
     caller_connections: CallerConnections,
+    answer_memory: AnswerMemory,
     failure_rates: Mutex<FailureRates>,
     reported_loads: Mutex<ReportedLoads>,
     speeds: Mutex<Speeds>,
@@ -231,6 +233,7 @@
             unconfirmed: Mutex::default(),
             failed_carriers: Mutex::default(),
             caller_connections,
+            answer_memory: AnswerMemory::default(),
             carrier_limits: Mutex::new(CarrierLimits::new(clock.now())),
             failure_rates: Mutex::default(),
             reported_loads: Mutex::default(),
@@ -372,6 +375,11 @@
             || self.0.caller_connections.is_crowded()
     }
 
+    /// The memory that whole answers take.
+    pub(crate) fn answer_memory(&self) -> &AnswerMemory {
+        &self.0.answer_memory
+    }
+
     /// The open connections of callers.
     pub(crate) fn caller_connections(&self) -> &CallerConnections {
         &self.0.caller_connections
--- a/src/gateway/stream.rs
+++ b/src/gateway/stream.rs
@@ -10,10 +10,10 @@
 use futures_util::stream;
 use http::HeaderValue;
 use http::response::Parts;
-use hyper::body::Incoming;
 use tokio::time::Instant;
 
 use crate::event::EventCode;
+use crate::gateway::answerguard::ResponseBody;
 use crate::gateway::attempts::Attempts;
 use crate::gateway::attempts::Delivery;
 use crate::gateway::call;
@@ -78,7 +78,7 @@
 struct ActiveRun {
     upstream: Arc<Upstream>,
     head: Parts,
-    body: Incoming,
+    body: ResponseBody,
     /// Closes when the run is dropped.
     connection: Connection,
     load_guard: LoadGuard,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,6 +1,7 @@
 //! The gateway between raw callers and upstreams that misbehave, without any platform.
 
 mod brittleupstreams;
+mod brokenanswers;
 mod coldupstreams;
 mod crashingparts;
 mod crashingrequests;
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -56,6 +56,7 @@
 pub use upstream::ConnectionEnd;
 pub use upstream::Death;
 pub use upstream::FakeUpstream;
+pub use upstream::Pace;
 pub use upstreamlinks::Cut;
 pub use upstreamlinks::UpstreamLinks;
 
--- a/tests/gatewayworld/upstream.rs
+++ b/tests/gatewayworld/upstream.rs
@@ -48,6 +48,18 @@
         body: String,
         end: ConnectionEnd,
     },
+    /// The first bytes of a whole answer with this body; then the connection ends like this.
+    CutAnswer {
+        bytes: usize,
+        body: &'static str,
+        end: ConnectionEnd,
+    },
+    /// These bytes, and then others again and again until the gateway closes.
+    Endless {
+        begin: &'static str,
+        repeated: &'static str,
+        pace: Pace,
+    },
     /// A stream of events from the one after the caller's last on that ends with its connection; waits where told
     /// until the run is stopped.
     UnframedEvents { to: u64, hold_after: Option<u64> },
@@ -78,6 +90,15 @@
     pause: Duration,
 }
 
+/// How an upstream writes bytes without end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pace {
+    /// As fast as they are taken.
+    Fast,
+    /// Some bytes every 20 ms.
+    Slow,
+}
+
 /// How an upstream ends a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionEnd {
@@ -344,6 +365,12 @@
         change(&mut self.state.lock().unwrap())
     }
 
+    /// Bytes of the whole answer with this body to a request with this id.
+    pub fn answer_bytes(&self, id: &str, body: &str) -> usize {
+        let head = format!("X / HTTP/1.1\r\nrequest-id: {id}\r\n");
+        self.answer_text(&head, 200, body).len()
+    }
+
     /// The requests that it saw.
     pub fn seen(&self) -> Vec<Seen> {
         self.with(|state| state.seen.clone())
@@ -587,6 +614,33 @@
                 }
                 false
             }
+            Behaviour::CutAnswer { bytes, body, end } => {
+                let answer = self.answer_text(head, 200, body);
+                write(stream, &answer[..bytes.min(answer.len())]);
+                if end == ConnectionEnd::Reset {
+                    let socket = SockRef::from(&*stream);
+                    socket.set_linger(Some(Duration::ZERO)).unwrap();
+                }
+                false
+            }
+            Behaviour::Endless {
+                begin,
+                repeated,
+                pace,
+            } => {
+                write(stream, &begin.replace("{id}", &id));
+                let block = match pace {
+                    Pace::Fast => repeated.repeat(16_384 / repeated.len()),
+                    Pace::Slow => repeated.to_owned(),
+                };
+                while write(stream, &block) {
+                    if pace == Pace::Slow {
+                        std::thread::sleep(Duration::from_millis(20));
+                    }
+                }
+                self.with(|state| state.closed_by_gateway += 1);
+                false
+            }
             Behaviour::UnframedEvents { to, hold_after } => {
                 let run = EventsRun {
                     framing: Framing::Connection,
