--- a/src/gateway/directory/tests/model.rs
+++ b/src/gateway/directory/tests/model.rs
@@ -31,9 +31,9 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Step {
-    CheckIn,
-    /// A check-in gets no answer; the log carries it out with [`Step::ArriveLate`].
-    LoseCheckIn,
+    ListItself,
+    /// Lists itself and gets no answer; the log carries the write out with [`Step::ArriveLate`].
+    LoseListing,
     ArriveLate,
     Drain,
     /// The entry is removed after a silence, and the upstream lives.
@@ -48,8 +48,8 @@
 }
 
 const STEPS: [Step; 10] = [
-    Step::CheckIn,
-    Step::LoseCheckIn,
+    Step::ListItself,
+    Step::LoseListing,
     Step::ArriveLate,
     Step::Drain,
     Step::Lapse,
@@ -87,7 +87,7 @@
             is_turned_away: false,
             hosts: Default::default(),
         };
-        model.step(Step::CheckIn);
+        model.step(Step::ListItself);
         model.announce();
         model
     }
@@ -184,11 +184,11 @@
 
     fn step(&mut self, step: Step) {
         match step {
-            Step::CheckIn if self.is_alive => {
+            Step::ListItself if self.is_alive => {
                 let statement = self.state();
                 self.store(statement);
             }
-            Step::LoseCheckIn if self.is_alive && self.late.is_none() => {
+            Step::LoseListing if self.is_alive && self.late.is_none() => {
                 self.late = Some(self.state());
             }
             Step::ArriveLate => {
@@ -218,18 +218,18 @@
             Step::Turn => self.turn(),
             Step::Announce => self.announce(),
             Step::Pass => self.pass(Duration::from_millis(700)),
-            Step::CheckIn | Step::LoseCheckIn | Step::Drain => {}
+            Step::ListItself | Step::LoseListing | Step::Drain => {}
         }
     }
 
-    /// Ends all disruptions. An upstream that lives checks in, and the entry of one that doesn't lapses.
+    /// Ends all disruptions. An upstream that lives lists itself, and the entry of one that doesn't lapses.
     fn settle(&mut self) {
         self.step(Step::ArriveLate);
         if self.is_turned_away {
             self.turn();
         }
         match self.is_alive {
-            true => self.step(Step::CheckIn),
+            true => self.step(Step::ListItself),
             false => self.remove(),
         }
         for _ in 0..4 {
