Keep what an upstream says of itself apart from what the log says of it

A departure now names its witness: only one that rests on the log is superseded by a listing. Stated lengths have 32 MB of their own, refused at the head beyond that; 16 MB remain for answers without a length.

--- a/src/gateway/answerguard.rs
+++ b/src/gateway/answerguard.rs
@@ -34,9 +34,10 @@
 /// Fewer reads than this are no trickle: the rest of a head may follow a silence of its link.
 const TRICKLE_READS_MIN: u32 = 16;
 
-/// Bytes of the whole answers of all calls together. Their buffers take up to twice as much, less than half of the
-/// smallest host's memory.
-const ANSWERS_BYTES_MAX: usize = 16 << 20;
+/// Bytes of all answers together whose heads state their length. They take no more memory than that.
+const STATED_BYTES_MAX: usize = 32 << 20;
+/// Bytes of all other answers together. Their buffers take up to twice as much.
+const OPEN_BYTES_MAX: usize = 16 << 20;
 
 /// What has arrived on a connection since the request was sent or the last data of the body arrived.
 #[derive(Debug, Default)]
@@ -172,16 +173,37 @@
     }
 }
 
+/// Whether the head of an answer states the length of its body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Extent {
+    /// It has this many bytes.
+    Stated(usize),
+    /// It ends with its connection or a last chunk, if it ends.
+    Open,
+}
+
+/// Bytes of the whole answers that a host holds.
+#[derive(Debug, Default)]
+struct HeldBytes {
+    stated: AtomicUsize,
+    open: AtomicUsize,
+}
+
 /// The memory that whole answers take on a host. Clones share it.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct AnswerMemory(Arc<AtomicUsize>);
+pub(crate) struct AnswerMemory(Arc<HeldBytes>);
 
 impl AnswerMemory {
-    /// A hold on no memory yet.
-    pub(crate) fn hold(&self) -> AnswerHold {
-        AnswerHold {
+    /// Begins an answer. Returns nothing if its stated length exceeds what is left.
+    pub(crate) fn begin(&self, extent: Extent) -> Option<AnswerHold> {
+        let mut hold = AnswerHold {
             memory: self.clone(),
+            extent,
             bytes: 0,
+        };
+        match extent {
+            Extent::Stated(bytes) => (hold.take(bytes) <= STATED_BYTES_MAX).then_some(hold),
+            Extent::Open => Some(hold),
         }
     }
 }
@@ -190,22 +212,40 @@
 #[derive(Debug)]
 pub struct AnswerHold {
     memory: AnswerMemory,
+    extent: Extent,
     bytes: usize,
 }
 
 impl AnswerHold {
-    /// Takes `bytes` more. Returns whether the answer may grow so far: to as much as all answers leave free. However
-    /// many answers grow without end, others then find room.
+    /// Counts `bytes` that arrived. Returns whether an answer of unknown length may grow so far: to as much as all such
+    /// answers leave free. However many grow without end, others then find room.
     pub(crate) fn grow(&mut self, bytes: usize) -> bool {
-        let held = self.memory.0.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        match self.extent {
+            Extent::Stated(_) => true,
+            Extent::Open => {
+                let held = self.take(bytes);
+                self.bytes <= OPEN_BYTES_MAX.saturating_sub(held)
+            }
+        }
+    }
+
+    /// Takes `bytes`, and returns how many all answers of this kind hold.
+    fn take(&mut self, bytes: usize) -> usize {
         self.bytes += bytes;
-        self.bytes <= ANSWERS_BYTES_MAX.saturating_sub(held)
+        self.counter().fetch_add(bytes, Ordering::Relaxed) + bytes
+    }
+
+    fn counter(&self) -> &AtomicUsize {
+        match self.extent {
+            Extent::Stated(_) => &self.memory.0.stated,
+            Extent::Open => &self.memory.0.open,
+        }
     }
 }
 
 impl Drop for AnswerHold {
     fn drop(&mut self) {
-        self.memory.0.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.counter().fetch_sub(self.bytes, Ordering::Relaxed);
     }
 }
 
--- a/src/gateway/datagram/tests.rs
+++ b/src/gateway/datagram/tests.rs
@@ -7,6 +7,7 @@
 use crate::gateway::directory::Change;
 use crate::gateway::directory::ChangeKind;
 use crate::gateway::directory::Departure;
+use crate::gateway::directory::Witness;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::position::Position;
 use crate::gateway::speeds::ANNOUNCED_MAX;
@@ -29,6 +30,7 @@
     Departure {
         id: instance(number),
         as_of: Position::from(number as u64),
+        witness: Witness::Log,
     }
 }
 
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -40,6 +40,7 @@
 mod upstream;
 
 pub use self::observation::Departure;
+pub use self::observation::Witness;
 pub use self::sync::AnnouncedList;
 pub use self::sync::Comparison;
 pub use self::upstream::AppliedChange;
@@ -260,6 +261,7 @@
                 &Departure {
                     id: departed,
                     as_of: position,
+                    witness: Witness::Log,
                 },
             );
         }
--- a/src/gateway/directory/observation.rs
+++ b/src/gateway/directory/observation.rs
@@ -1,7 +1,7 @@
 //! Evidence other than an entry that an instance is leaving or gone, and when that evidence ends.
 //!
-//! Each observation refers to a position of the log. A later record that lists the instance as ready was written
-//! after what was observed, and ends the observation on every host that reads the record or learns of it.
+//! Each statement refers to a position of the log. If it rests on the log, a later record that lists the instance as
+//! ready ends it on every host that reads the record or learns of it. All statements end after a time.
 
 use std::cmp::Ordering;
 use std::time::Duration;
@@ -28,13 +28,35 @@
 /// How long an observation is announced once the instance is no longer listed as ready.
 const ANNOUNCEMENT_TTL: Duration = Duration::from_secs(10);
 
+/// What shows that an instance is leaving or gone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Witness {
+    /// Its entry in the log, or the lack of one. A later listing as ready supersedes that.
+    Log,
+    /// Its own answer or report, or another instance at its address. The log may list it as ready until it takes the
+    /// leaving notice, so no listing takes that back.
+    Instance,
+}
+
 /// The statement that an instance is leaving or gone, as exchanged between hosts.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Departure {
     /// The instance.
     pub id: InstanceId,
-    /// The log position up to which the statement holds. A later listing as ready supersedes it.
+    /// The log position up to which the statement holds.
     pub as_of: Position,
+    /// What it rests on.
+    pub witness: Witness,
+}
+
+impl Departure {
+    /// Whether the record at `position`, which lists the instance as ready, was written later.
+    fn is_superseded_by(&self, position: Position) -> bool {
+        match self.witness {
+            Witness::Log => position > self.as_of,
+            Witness::Instance => false,
+        }
+    }
 }
 
 /// An observation that an instance is leaving or gone. It is kept for [`REMOVAL_TTL`] after its end, so that peers
@@ -44,22 +66,24 @@
     pub(super) first_at: Time,
     until: Time,
     as_of: Position,
+    witness: Witness,
     is_ended: bool,
 }
 
 impl Observation {
-    fn new(now: Time, as_of: Position, ttl: Duration) -> Self {
+    fn new(now: Time, as_of: Position, witness: Witness, ttl: Duration) -> Self {
         Observation {
             first_at: now,
             until: now + ttl,
             as_of,
+            witness,
             is_ended: false,
         }
     }
 
     /// The observation that the record at `position` lists an instance as ready that has left.
     pub(super) fn of_restored_listing(now: Time, position: Position) -> Self {
-        Observation::new(now, position, RESTORED_LISTING_TTL)
+        Observation::new(now, position, Witness::Log, RESTORED_LISTING_TTL)
     }
 
     /// Ends the observation if its time is over. Returns whether it still has to be kept.
@@ -80,10 +104,11 @@
             Some(known) if !known.is_ended => {
                 known.until = now + OBSERVATION_TTL;
                 known.as_of = known.as_of.max(as_of);
+                known.witness = Witness::Instance;
                 false
             }
             Some(_) | None => {
-                let observation = Observation::new(now, as_of, OBSERVATION_TTL);
+                let observation = Observation::new(now, as_of, Witness::Instance, OBSERVATION_TTL);
                 self.observed_leaving.insert(id.clone(), observation);
                 true
             }
@@ -93,18 +118,19 @@
     /// Records a peer's statement that an instance is leaving or gone, unless a later record lists the instance as
     /// ready. Returns whether this was not known before.
     pub fn receive_departure(&mut self, now: Time, departure: &Departure) -> bool {
-        let Departure { id, as_of } = departure;
+        let Departure { id, as_of, witness } = departure;
         let is_superseded = self.entry_of(id).is_some_and(|entry| {
-            entry.upstream.state == UpstreamState::Ready && entry.position > *as_of
+            entry.upstream.state == UpstreamState::Ready
+                && departure.is_superseded_by(entry.position)
+        });
+        let is_known = self.observed_leaving.get(id).is_some_and(|known| {
+            let is_as_late = known.as_of >= *as_of;
+            is_as_late && (known.is_ended || known.witness >= *witness)
         });
-        let is_known = self
-            .observed_leaving
-            .get(id)
-            .is_some_and(|known| known.as_of >= *as_of);
         if is_superseded || is_known {
             return false;
         }
-        let observation = Observation::new(now, *as_of, OBSERVATION_TTL);
+        let observation = Observation::new(now, *as_of, *witness, OBSERVATION_TTL);
         let replaced = self.observed_leaving.insert(id.clone(), observation);
         replaced.is_none_or(|known| known.is_ended)
     }
@@ -120,7 +146,7 @@
         let is_ended = self.observed_leaving.get(id).is_some_and(|known| {
             // Offsets of a restored log say nothing about the order of what happened before.
             let is_ordered = known.as_of.era == position.era || order == Ordering::Greater;
-            is_ordered && known.as_of < position
+            is_ordered && known.witness == Witness::Log && known.as_of < position
         });
         if is_ended {
             self.observed_leaving.remove(id);
@@ -146,6 +172,7 @@
         announced.map(|(id, known)| Departure {
             id: id.clone(),
             as_of: known.as_of,
+            witness: known.witness,
         })
     }
 
@@ -156,13 +183,20 @@
         let listed = entry.filter(|entry| entry.upstream.state == UpstreamState::Leaving);
         let removed = self.removed.get(id.upstream());
         let removed = removed.filter(|removal| removal.instance == *id);
-        let as_of = listed
+        let by_log = listed
             .map(|entry| entry.position)
-            .or_else(|| removed.map(|removal| removal.position))
-            .or_else(|| Some(self.observation(id)?.as_of))?;
+            .or_else(|| removed.map(|removal| removal.position));
+        let (as_of, witness) = match by_log {
+            Some(position) => (position, Witness::Log),
+            None => {
+                let known = self.observation(id)?;
+                (known.as_of, known.witness)
+            }
+        };
         Some(Departure {
             id: id.clone(),
             as_of,
+            witness,
         })
     }
 
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -8,8 +8,10 @@
 use http::header;
 use http::response::Parts;
 use http_body_util::BodyExt;
+use hyper::body::Body;
 
 use crate::gateway::answerguard::AnswerHold;
+use crate::gateway::answerguard::Extent;
 use crate::gateway::answerguard::ResponseBody;
 use crate::gateway::call::WholeAnswer;
 use crate::gateway::connection::Connection;
@@ -155,7 +157,7 @@
             return (ReadOutcome::Truncated(reason), connection);
         }
         Err(CollectError::TooLong(bytes)) => {
-            let reason = format!("the answer is too long: {bytes} bytes without its end");
+            let reason = format!("the answer is too long: {bytes} bytes");
             return (ReadOutcome::Truncated(reason), connection);
         }
     };
@@ -177,7 +179,7 @@
 enum CollectError {
     /// The connection broke, for this reason.
     Broken(String),
-    /// It has so many bytes, more than the host can hold.
+    /// It has at least this many bytes, more than the host can hold.
     TooLong(usize),
 }
 
@@ -186,8 +188,12 @@
     shared: &Shared,
     mut body: ResponseBody,
 ) -> Result<(Bytes, AnswerHold), CollectError> {
-    let mut memory = shared.answer_memory().hold();
-    let mut collected = BytesMut::new();
+    let stated = body.size_hint().exact();
+    let stated = stated.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+    let extent = stated.map_or(Extent::Open, Extent::Stated);
+    let memory = shared.answer_memory().begin(extent);
+    let mut memory = memory.ok_or(CollectError::TooLong(stated.unwrap_or_default()))?;
+    let mut collected = BytesMut::with_capacity(stated.unwrap_or_default());
     while let Some(frame) = body.frame().await {
         let frame = frame
             .map_err(|error| CollectError::Broken(format!("the answer broke off: {error}")))?;
