Give the order of an upstream's statements a module of its own

Moves the comparison of statements and the handling of late records out of directory.rs and entry.rs into directory/statements.rs, and the second half of apply_listing into insert_listing. Behaviour is the same.

--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -19,7 +19,6 @@
 use self::entry::Missing;
 use self::entry::Removal;
 use self::entry::classify_change;
-use self::entry::compare_statements;
 use self::entry::is_leaving_notice;
 use self::listing::Listing;
 use self::observation::Observation;
@@ -36,6 +35,7 @@
 mod listing;
 mod observation;
 mod selection;
+mod statements;
 mod sync;
 mod upstream;
 
@@ -62,10 +62,6 @@
 /// upstream that was removed longer ago and is listed again has listed itself.
 const COPY_AGE_MAX: Duration = Duration::from_secs(30);
 
-/// How long after a statement of an upstream the log may carry out an earlier one, several times the documented
-/// "seconds".
-const LATE_RECORD_MAX: Duration = Duration::from_secs(30);
-
 /// Maximum number of recent changes that are announced repeatedly: a third of the upstreams of a large
 /// deployment.
 const RECENT_CHANGES_MAX: usize = 64;
@@ -194,79 +190,7 @@
         })
     }
 
-    /// The latest known statement of an upstream, as its start time and sequence number, and when it was learnt.
-    fn latest_statement(&self, id: &UpstreamId) -> Option<((Option<u64>, u64), Time)> {
-        let listed = self.entries.get(id).map(|entry| {
-            let upstream = &entry.upstream;
-            ((upstream.id.born_ms(), upstream.sequence), entry.learnt_at)
-        });
-        let removed = self.removed.get(id);
-        let removed =
-            removed.map(|removal| ((removal.instance.born_ms(), removal.sequence), removal.at));
-        listed.or(removed)
-    }
-
-    /// Orders a listing among the known statements of its upstream. The log orders it if it comes so long after the
-    /// known statement that it can't be a late record, or after the removal of an instance that didn't say that it
-    /// leaves: one that lives doesn't list itself again while the late record says the same.
-    fn compare_listing(&self, now: Time, upstream: &Upstream) -> Ordering {
-        let Some((known, learnt_at)) = self.latest_statement(upstream.id.upstream()) else {
-            return Ordering::Equal;
-        };
-        let is_recent = now.since(learnt_at) < LATE_RECORD_MAX;
-        let removed = self.removed.get(upstream.id.upstream());
-        let says_ready = upstream.state == UpstreamState::Ready;
-        let has_lapsed = removed.is_some_and(|removal| !(removal.was_leaving && says_ready));
-        match compare_statements(upstream.id.born_ms(), upstream.sequence, known) {
-            Ordering::Less if upstream.id.born_ms() == known.0 && (!is_recent || has_lapsed) => {
-                Ordering::Equal
-            }
-            order => order,
-        }
-    }
-
-    /// Handles a record that was written late: the upstream has made a later statement, which stays. Only the
-    /// position moves on, as it does on hosts that read no other record.
-    fn apply_late_listing(&mut self, now: Time, upstream: &Upstream, position: Position) {
-        if self.latest_position(upstream.id.upstream()) >= Some(position) {
-            return;
-        }
-        let id = upstream.id.upstream();
-        let kind = if let Some(removal) = self.removed.get_mut(id) {
-            removal.position = position;
-            ChangeKind::Removed(removal.instance.clone())
-        } else if let Some(entry) = self.entries.get(id) {
-            let entry = Entry {
-                position,
-                missing: None,
-                ..entry.clone()
-            };
-            let upstream = entry.upstream.clone();
-            self.entries.remove(id);
-            self.entries.insert(id.clone(), entry);
-            ChangeKind::Listed(upstream)
-        } else {
-            return;
-        };
-        let takes_work = match &kind {
-            ChangeKind::Listed(known) => known.state == UpstreamState::Ready,
-            ChangeKind::Leaving(..) | ChangeKind::Removed(_) => false,
-        };
-        let departed = kind.id().clone();
-        self.record_change(now, position, kind);
-        if !takes_work && departed == upstream.id {
-            // Hosts that know the late record alone learn of the departure from this one.
-            self.receive_departure(
-                now,
-                &Departure {
-                    id: departed,
-                    as_of: position,
-                    witness: Witness::Log,
-                },
-            );
-        }
-    }
-
+    /// Applies a listing, unless the upstream has made a later statement.
     fn apply_listing(
         &mut self,
         now: Time,
@@ -313,6 +237,17 @@
             self.clear_observation(&upstream.id, position, order);
         }
         let position = self.latest_position(&name).max(Some(position))?;
+        self.insert_listing(now, upstream, position)
+    }
+
+    /// Replaces what is known of an upstream by a listing.
+    fn insert_listing(
+        &mut self,
+        now: Time,
+        upstream: Upstream,
+        position: Position,
+    ) -> Option<AppliedChange> {
+        let name = upstream.id.upstream().clone();
         self.removed.remove(&name);
         self.foreign.remove(&name);
         let old = self.entries.remove(&name);
--- a/src/gateway/directory/entry.rs
+++ b/src/gateway/directory/entry.rs
@@ -1,6 +1,5 @@
 //! Directory entries, and the classification of the change that a new record makes.
 
-use std::cmp::Ordering;
 use std::sync::Arc;
 
 use super::DirectoryChange;
@@ -55,21 +54,6 @@
     pub(super) was_leaving: bool,
 }
 
-/// Orders a statement of an upstream among those of the same id: by instance, then by sequence number. Statements
-/// without a number are equal to all others of their instance; the log orders them.
-pub(super) fn compare_statements(
-    born_ms: Option<u64>,
-    sequence: u64,
-    known: (Option<u64>, u64),
-) -> Ordering {
-    let (known_born_ms, known_sequence) = known;
-    let by_sequence = match (sequence, known_sequence) {
-        (0, _) | (_, 0) => Ordering::Equal,
-        (sequence, known) => sequence.cmp(&known),
-    };
-    born_ms.cmp(&known_born_ms).then(by_sequence)
-}
-
 /// Classifies the change from entry `old` to `new`. A difference in the remaining cold time alone counts
 /// only if a warm upstream has become cold.
 pub(super) fn classify_change(old: Option<&Entry>, new: &Arc<Upstream>) -> Option<DirectoryChange> {
--- a/src/gateway/directory/tests/late.rs
+++ b/src/gateway/directory/tests/late.rs
@@ -6,8 +6,8 @@
 use super::upstream;
 use crate::clock::Time;
 use crate::gateway::directory::Directory;
-use crate::gateway::directory::LATE_RECORD_MAX;
 use crate::gateway::directory::UpstreamState;
+use crate::gateway::directory::statements::LATE_RECORD_MAX;
 use crate::id::UpstreamId;
 
 const NOW: Time = Time::from_ms(1_000);
