Try a start again while it can't succeed, log why a process ends, and keep its tasks running

What operators see: a process that starts while its settings are being written, or while the one before still holds an address, ended at once with a line on standard error alone, and each restart did so again; a bad setting ended some by a panic. A panic in a task left the process without that task and without a line. With few descriptors a process said that it had started though the thread that serves requests had panicked.

Cause: each error between main and the first request was passed out of main, and the runtime drops what a spawned task panics with.

A start without a serving thread fails.

--- a/src/error.rs
+++ b/src/error.rs
@@ -1,5 +1,7 @@
 //! The library's one error type. What callers are told is a [`crate::refusal::Refusal`], not this.
 
+use std::net::SocketAddr;
+
 /// What can go wrong at the edges of a process.
 #[derive(Debug, thiserror::Error)]
 #[non_exhaustive]
@@ -38,6 +40,28 @@
         /// What happened.
         reason: String,
     },
+    /// An address of this host could not be opened.
+    #[error("{address}: {source}")]
+    Socket {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The process may open too few descriptors to serve.
+    #[error("the process may open {max} descriptors and needs {needed}")]
+    Descriptors {
+        /// How many it may open.
+        max: u64,
+        /// How many it needs without any connection.
+        needed: u64,
+    },
+    /// The threads that serve requests did not start.
+    #[error("no thread serves requests after {waited_ms} ms")]
+    NoThreads {
+        /// For how long they were waited for.
+        waited_ms: u64,
+    },
     /// A socket could not be opened.
     #[error(transparent)]
     Io(#[from] std::io::Error),
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -55,12 +55,13 @@
 const BATCH_HOSTS_MIN: usize = 100;
 /// Added to the delay between reads for each host beyond [`BATCH_HOSTS_MIN`].
 const BATCH_DELAY_PER_HOST: Duration = Duration::from_micros(500);
+/// Datagrams that are handled before other tasks get the processor.
+const BATCH_MAX: usize = 256;
 /// Longest delay between reads. A change incurs it at each of the few hops that it takes.
 const BATCH_DELAY_MAX: Duration = Duration::from_millis(100);
 
 /// Sends and receives datagrams; never returns.
-pub async fn run(shared: Shared, socket: UdpSocket) {
-    let socket = Arc::new(socket);
+pub async fn run(shared: Shared, socket: Arc<UdpSocket>) {
     if shared.settings().features.shared_queue {
         shared.set_gossip_socket(socket.clone());
     }
@@ -75,8 +76,9 @@
         tokio::select! {
             received = receive_after(&socket, receives_at, &mut buffer) => {
                 shared.check_suspension();
-                let mut received = Some(received);
-                while let Some(datagram) = received {
+                let mut next = Some(received);
+                let mut handled = 0;
+                while let Some(datagram) = next {
                     match datagram {
                         Ok((length, from)) => {
                             handle(&shared, &socket, from, &buffer[..length]).await;
@@ -84,7 +86,11 @@
                         // An earlier send to a host that is gone is reported as an error here.
                         Err(error) => log::debug!("receiving a datagram: {error}"),
                     }
-                    received = try_receive(&socket, &mut buffer);
+                    handled += 1;
+                    next = match handled < BATCH_MAX {
+                        true => try_receive(&socket, &mut buffer),
+                        false => None,
+                    };
                 }
                 receives_at = Instant::now() + batch_delay(&shared);
             },
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -3,7 +3,6 @@
 use std::any::Any;
 use std::net::Shutdown;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,32 +14,26 @@
 use actix_web::dev::ServerHandle;
 use actix_web::http::KeepAlive;
 use actix_web::web;
-use socket2::Domain;
 use socket2::SockRef;
-use socket2::Socket;
-use socket2::Type;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
-use tokio::signal::unix::Signal;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::clock::SystemClock;
-use crate::clock::wall_ms;
+use crate::error::Error;
 use crate::error::Result;
 use crate::event::EventCode;
 use crate::gateway::callerconnections::CallerConnection;
 use crate::gateway::configfetch;
-use crate::gateway::connection::SystemConnector;
-use crate::gateway::decisions::DecisionLog;
 use crate::gateway::enginepoll;
 use crate::gateway::follow;
 use crate::gateway::gossip;
 use crate::gateway::hostlisting;
 use crate::gateway::joining;
 use crate::gateway::peerfetch;
-use crate::gateway::protocol::Protocol;
+use crate::gateway::process::ReadSettings;
+use crate::gateway::process::Signals;
 use crate::gateway::protocol::Topic;
 use crate::gateway::refuse;
 use crate::gateway::rolloutstatus;
@@ -51,11 +44,12 @@
 use crate::gateway::shared::Shared;
 use crate::gateway::shared::ShutdownTimes;
 use crate::gateway::shared::queueing;
+use crate::gateway::sockets::Sockets;
 use crate::gateway::stopping::StopStage;
+use crate::gateway::supervise::supervise;
 use crate::gateway::suspectlog;
 use crate::gateway::ticks::tick;
 use crate::gateway::tunnel::carrier;
-use crate::id::Incarnation;
 use crate::telemetry;
 use crate::telemetry::Metric;
 use crate::telemetry::Telemetry;
@@ -67,9 +61,6 @@
 /// Timeout for reading a request's head. After a suspension longer than this, the server answers requests that
 /// arrived meanwhile with a bare 408.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
-/// Connections that wait to be accepted. While the queue is full the system drops opening packets, which callers send
-/// again only after a second.
-const ACCEPT_QUEUE_MAX: i32 = 1_024;
 /// Bytes of a response that are buffered for a caller that doesn't read, besides the last chunk.
 const CALLER_BUFFER_BYTES: usize = 4 * 1_024;
 /// Time within which the load balancer stops sending new connections to a host that isn't ready: it checks
@@ -84,12 +75,11 @@
 const FLUSH_TIME: Duration = Duration::from_millis(50);
 /// How often a host that shuts down checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time within which the thread that serves requests runs, also on a host with a tenth of a core.
+const THREAD_START_TIME_MAX: Duration = Duration::from_secs(5);
 /// How often state that expires is checked.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Reads the settings again. Returns `None` if they can't be read.
-pub type Reload = Box<dyn Fn() -> Option<GatewaySettings>>;
-
 /// How a shutdown ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ended {
@@ -102,68 +92,33 @@
 /// A running gateway host.
 pub struct GatewayHost {
     shared: Shared,
-    reload: Reload,
+    read_settings: ReadSettings,
     server: ServerHandle,
-    terminate: Signal,
-    interrupt: Signal,
-    hangup: Signal,
 }
 
 impl GatewayHost {
-    /// Opens the host's sockets and serves in the background.
+    /// Opens the host's addresses and serves in the background.
     ///
     /// # Errors
     ///
-    /// [`crate::error::Error::Io`] if a socket can't be opened.
+    /// [`Error::Socket`] or [`Error::Io`] if an address can't be opened, and [`Error::NoThreads`] if the threads that
+    /// serve requests don't start.
     pub async fn start(
-        settings: GatewaySettings,
-        protocol: Arc<dyn Protocol>,
-        reload: Reload,
-    ) -> Result<Self> {
-        let clock = SystemClock::new();
-        let incarnation = Incarnation(wall_ms());
-        let environment = Environment {
-            protocol,
-            clock,
-            log: DecisionLog::start(settings.host.clone(), incarnation, clock),
-            connector: Arc::new(SystemConnector),
-        };
-        GatewayHost::start_in(settings, environment, reload).await
-    }
-
-    /// Like [`GatewayHost::start`], in the given environment.
-    ///
-    /// # Errors
-    ///
-    /// [`crate::error::Error::Io`] if a socket can't be opened.
-    pub async fn start_in(
         settings: GatewaySettings,
         environment: Environment,
-        reload: Reload,
+        read_settings: ReadSettings,
     ) -> Result<Self> {
-        // Without handlers a signal would end the process and whatever it has read.
-        let terminate = signal(SignalKind::terminate())?;
-        let interrupt = signal(SignalKind::interrupt())?;
-        let hangup = signal(SignalKind::hangup())?;
         let telemetry = Telemetry::install();
-        let socket = UdpSocket::bind(settings.gossip_address).await?;
-        let carrier_listener = tokio::net::TcpListener::bind(settings.gossip_address).await?;
+        let sockets = Sockets::open(&settings)?;
+        let gossip_socket = Arc::new(UdpSocket::from_std(sockets.gossip)?);
+        let carrier_listener = Arc::new(TcpListener::from_std(sockets.carried)?);
         let shared = Shared::new(settings, environment);
-        let server = serve_all(&shared, &telemetry)?;
-        actix_rt::spawn(follow::follow(shared.clone(), Topic::Operator));
-        actix_rt::spawn(follow::follow(shared.clone(), Topic::Upstreams));
-        actix_rt::spawn(hostlisting::run(shared.clone()));
-        actix_rt::spawn(suspectlog::run(shared.clone()));
-        actix_rt::spawn(rolloutstatus::run(shared.clone()));
-        actix_rt::spawn(gossip::run(shared.clone(), socket));
-        actix_rt::spawn(carrier::run(shared.clone(), carrier_listener));
-        if shared.settings().features.shared_queue {
-            actix_rt::spawn(queueing::announce_falls(shared.clone()));
-            actix_rt::spawn(queueing::owning::run(shared.clone()));
-        }
+        let listeners = [sockets.callers, sockets.ready, sockets.peers]
+            .into_iter()
+            .chain(metrics_listener(&shared, sockets.metrics));
+        let server = serve_all(&shared, &telemetry, listeners).await?;
+        supervise_tasks(&shared, &gossip_socket, &carrier_listener);
         actix_rt::spawn(joining::query_seeds(shared.clone()));
-        actix_rt::spawn(enginepoll::run(shared.clone()));
-        actix_rt::spawn(expire_state(shared.clone()));
         actix_rt::spawn(run_upkeep(telemetry));
         let settings = shared.settings();
         let line = shared.log().entry(EventCode::ProcessStarted);
@@ -172,11 +127,8 @@
             .write();
         Ok(GatewayHost {
             shared,
-            reload,
+            read_settings,
             server,
-            terminate,
-            interrupt,
-            hangup,
         })
     }
 
@@ -186,23 +138,20 @@
     }
 
     /// Serves until a termination signal arrives, then drains.
-    pub async fn run(mut self) -> Ended {
-        loop {
-            tokio::select! {
-                _ = self.terminate.recv() => break,
-                _ = self.interrupt.recv() => break,
-                _ = self.hangup.recv() => self.reload_settings(),
-            }
-        }
+    pub async fn run(self, signals: Signals) -> Ended {
+        signals.wait_for_stop(|| self.reload_settings()).await;
         self.drain().await
     }
 
     /// Reads the settings again and applies the seeds, the only setting that may change at run time.
     fn reload_settings(&self) {
-        let settings = (self.reload)();
+        let settings = (self.read_settings)();
+        let flaw = settings.as_ref().err().map(|error| format!("{error:#}"));
         let line = self.shared.log().entry(EventCode::SettingsReloaded);
-        line.with("read", settings.is_some()).write();
-        if let Some(settings) = settings {
+        line.with("read", settings.is_ok())
+            .with_some("reason", flaw)
+            .write();
+        if let Ok(settings) = settings {
             let now = self.shared.now();
             let port = self.shared.gossip_address().port();
             let seeds = settings.seeds.iter();
@@ -252,27 +201,80 @@
     }
 }
 
-/// Starts one server for all addresses. Requests are dispatched by the port that they arrive at.
-fn serve_all(shared: &Shared, telemetry: &Telemetry) -> Result<ServerHandle> {
-    let settings = shared.settings().clone();
+/// Runs a task of the host as long as the host runs.
+fn supervise_task<F>(shared: &Shared, name: &'static str, start: impl Fn(Shared) -> F + 'static)
+where
+    F: Future<Output = ()> + 'static,
+{
+    let task_state = shared.clone();
+    supervise(shared.log(), name, move || start(task_state.clone()));
+}
+
+/// Starts the tasks that run as long as the host.
+fn supervise_tasks(
+    shared: &Shared,
+    gossip_socket: &Arc<UdpSocket>,
+    carrier_listener: &Arc<TcpListener>,
+) {
+    supervise_task(shared, "follow operators", |shared| {
+        follow::follow(shared, Topic::Operator)
+    });
+    supervise_task(shared, "follow upstreams", |shared| {
+        follow::follow(shared, Topic::Upstreams)
+    });
+    supervise_task(shared, "list hosts", hostlisting::run);
+    supervise_task(shared, "store suspects", suspectlog::run);
+    supervise_task(shared, "report rollouts", rolloutstatus::run);
+    let socket = gossip_socket.clone();
+    supervise_task(shared, "exchange datagrams", move |shared| {
+        gossip::run(shared, socket.clone())
+    });
+    let listener = carrier_listener.clone();
+    supervise_task(shared, "carry connections", move |shared| {
+        carrier::run(shared, listener.clone())
+    });
+    if shared.settings().features.shared_queue {
+        supervise_task(shared, "announce falls", queueing::announce_falls);
+        supervise_task(shared, "own queues", queueing::owning::run);
+    }
+    supervise_task(shared, "poll engines", enginepoll::run);
+    supervise_task(shared, "expire state", expire_state);
+}
+
+/// The listener of the metrics, if it could be opened.
+fn metrics_listener(
+    shared: &Shared,
+    listener: Result<std::net::TcpListener>,
+) -> Option<std::net::TcpListener> {
+    listener
+        .inspect_err(|error| {
+            let line = shared.log().entry(EventCode::MetricsUnavailable);
+            line.with("reason", error.to_string()).write();
+        })
+        .ok()
+}
+
+/// Starts one server for all addresses, and waits until its thread runs. Requests are dispatched by the port that they
+/// arrive at.
+async fn serve_all(
+    shared: &Shared,
+    telemetry: &Telemetry,
+    listeners: impl IntoIterator<Item = std::net::TcpListener>,
+) -> Result<ServerHandle> {
     let shared = shared.clone();
     let admitting = shared.clone();
     let telemetry = telemetry.clone();
+    let (running, mut has_started) = watch::channel(false);
     let factory = move || {
         let front = WorkerState::new(shared.clone());
         actix_rt::spawn(close_idle(front.clone()));
+        running.send_replace(true);
         App::new()
             .app_data(web::Data::new(front))
             .app_data(web::Data::new(shared.clone()))
             .app_data(web::Data::new(telemetry.clone()))
             .default_service(web::to(dispatch_by_port))
     };
-    let addresses = [
-        settings.caller_address,
-        settings.ready_address,
-        settings.peer_address,
-        settings.metrics_address,
-    ];
     let mut server = HttpServer::new(factory)
         .workers(1)
         .on_connect(move |stream, data| admit_connection(&admitting, stream, data))
@@ -282,22 +284,31 @@
         .tcp_nodelay(true)
         .h1_write_buffer_size(CALLER_BUFFER_BYTES)
         .h1_allow_half_closed(false);
-    for address in addresses {
-        server = server.listen(listen(address)?)?;
+    for listener in listeners {
+        server = server.listen(listener)?;
     }
     let server = server.run();
     let handle = server.handle();
-    actix_rt::spawn(server);
-    Ok(handle)
+    let mut serving = actix_rt::spawn(server);
+    tokio::select! {
+        // The channel lives as long as the server.
+        _ = has_started.wait_for(|has_started| *has_started) => Ok(handle),
+        ended = &mut serving => Err(ended.map_or(no_threads(), |ended| match ended {
+            Ok(()) => no_threads(),
+            Err(error) => Error::Io(error),
+        })),
+        () = tokio::time::sleep(THREAD_START_TIME_MAX) => {
+            serving.abort();
+            Err(no_threads())
+        }
+    }
 }
 
-/// Opens a listener at `address`.
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(ACCEPT_QUEUE_MAX)?;
-    Ok(socket.into())
+fn no_threads() -> Error {
+    let waited_ms = THREAD_START_TIME_MAX.as_millis();
+    Error::NoThreads {
+        waited_ms: u64::try_from(waited_ms).unwrap_or(u64::MAX),
+    }
 }
 
 /// Counts a new connection if it is a caller's. One over the bound reads no more than has arrived: a request among it is
--- a/src/gateway/joining.rs
+++ b/src/gateway/joining.rs
@@ -17,6 +17,7 @@
 use crate::event::EventCode;
 use crate::gateway::configfetch;
 use crate::gateway::peerfetch;
+use crate::gateway::peerfetch::RunningFetch;
 use crate::gateway::peers::Fetch;
 use crate::gateway::protocol::Topic;
 use crate::gateway::shared::Shared;
@@ -143,12 +144,10 @@
 
 /// Fetches the configuration from a seed, unless a fetch from another host is in progress.
 async fn fetch_configuration(shared: &Shared, seed: SocketAddr) -> Result<()> {
-    if !shared.peers(|peers| peers.begin_fetch(Fetch::Configuration)) {
+    let Some(_running) = RunningFetch::begin(shared, Fetch::Configuration) else {
         return Ok(());
-    }
-    let fetched = configfetch::fetch_from_seed(shared, seed).await;
-    shared.peers(|peers| peers.end_fetch(Fetch::Configuration));
-    fetched
+    };
+    configfetch::fetch_from_seed(shared, seed).await
 }
 
 /// Delays a request with the client timeout `timeout` while the host has just started and isn't
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -241,16 +241,38 @@
     wait: Duration,
     fetch: impl Future<Output = ()> + 'static,
 ) {
-    if shared.peers(|peers| peers.begin_fetch(what)) {
-        let shared = shared.clone();
+    if let Some(running) = RunningFetch::begin(shared, what) {
         actix_rt::spawn(async move {
+            let _running = running;
             tokio::time::sleep(wait).await;
             fetch.await;
-            shared.peers(|peers| peers.end_fetch(what));
         });
     }
 }
 
+/// A fetch that counts as running until this is dropped, also by a panic.
+pub(crate) struct RunningFetch {
+    shared: Shared,
+    what: Fetch,
+}
+
+impl RunningFetch {
+    /// Begins a fetch, unless one of the same kind is running.
+    pub(crate) fn begin(shared: &Shared, what: Fetch) -> Option<Self> {
+        let may_begin = shared.peers(|peers| peers.begin_fetch(what));
+        may_begin.then(|| RunningFetch {
+            shared: shared.clone(),
+            what,
+        })
+    }
+}
+
+impl Drop for RunningFetch {
+    fn drop(&mut self) {
+        self.shared.peers(|peers| peers.end_fetch(self.what));
+    }
+}
+
 /// The outcome of a request to a peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Outcome {
--- a/src/gateway/tunnel/carrier.rs
+++ b/src/gateway/tunnel/carrier.rs
@@ -85,7 +85,7 @@
 }
 
 /// Takes connections to carry. Never returns.
-pub(crate) async fn run(shared: Shared, listener: TcpListener) {
+pub(crate) async fn run(shared: Shared, listener: Arc<TcpListener>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -175,6 +175,16 @@
         "Documents, or pieces of them, of other hosts that were passed over as wrong.",
     ForeignRecordsTotal Counter "cedargauge_foreign_records_total" ""
         "Records in the list of upstreams that name no upstream: other writers', or unreadable.",
+    PanicsTotal Counter "cedargauge_panics_total" ""
+        "Panics of the process's tasks and threads.",
+    TaskRestartsTotal Counter "cedargauge_task_restarts_total" ""
+        "Tasks that the host needs and that were started again after their end.",
+    MemoryBytes Gauge "cedargauge_memory_bytes" ""
+        "Resident memory of the process.",
+    MemoryLimitBytes Gauge "cedargauge_memory_limit_bytes" ""
+        "Memory that the process may use; 0 if the settings give none.",
+    RequestBodyBytes Gauge "cedargauge_request_body_bytes" ""
+        "Bytes of request bodies that the host holds.",
     PeerMessagesDroppedTotal Counter "cedargauge_peer_messages_dropped_total" ""
         "Messages to other entry hosts that were dropped because the host's queue was full.",
     SharedQueueWaiting Gauge "cedargauge_shared_queue_waiting_active" "service"
--- a/tests/gatewayworld/mod.rs
+++ b/tests/gatewayworld/mod.rs
@@ -15,6 +15,7 @@
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU16;
 use std::sync::atomic::AtomicU64;
@@ -32,6 +33,7 @@
 use cedargauge::clock::SystemClock;
 use cedargauge::gateway::decisions::DecisionLog;
 use cedargauge::gateway::host::GatewayHost;
+use cedargauge::gateway::process::ReadSettings;
 use cedargauge::gateway::retrybudget::RetryBudgetOptions;
 use cedargauge::gateway::settings::GatewaySettings;
 use cedargauge::gateway::settings::GatewaySettingsBuilder;
@@ -225,15 +227,15 @@
         let thread = std::thread::spawn(move || {
             actix_rt::System::new().block_on(async move {
                 let clock = SystemClock::of_suspended(suspended_ms).aged(age);
-                let log =
-                    DecisionLog::with_output(settings.host.clone(), Incarnation(1), clock, output);
+                let log = DecisionLog::with_output(Incarnation(1), clock, output);
+                log.set_host(&settings.host);
                 let environment = Environment {
                     protocol: Arc::new(ProductProtocol::default()),
                     clock,
                     log,
                     connector,
                 };
-                let host = GatewayHost::start_in(settings, environment, Box::new(|| None))
+                let host = GatewayHost::start(settings, environment, no_settings())
                     .await
                     .unwrap();
                 started.send(()).unwrap();
@@ -368,6 +370,11 @@
     }
 }
 
+/// The settings of a host in a test can't be read again.
+fn no_settings() -> ReadSettings {
+    Rc::new(|| anyhow::bail!("a test's host has no settings file"))
+}
+
 /// Returns when the process is to end.
 async fn suffer(mut faults: mpsc::UnboundedReceiver<Fault>) {
     while let Some(fault) = faults.recv().await {
