Let an odd record of another writer cost itself alone

What callers saw: other operators report hosts that end or stop following the list of upstreams when another writer leaves an odd entry there.

Cause: what decoded was believed, and neither the length of names nor that of lines was bounded.

Change: Upstream::flaw checks a listing that can be decoded (address, names, slots, sequence number, start time, cold time), read from the log or from a peer; the addresses of hosts are no upstreams; foreign keys are counted by record and logged at most every 10 s; data centres that the settings don't name are not evacuated; orders are announced for configured services alone; a configuration version that would shut out all others is passed over; a record without a whole key, and pages that bring no new key, don't end a read; only addresses with the hosts' port count in the list of hosts.

--- a/src/gateway/candidates.rs
+++ b/src/gateway/candidates.rs
@@ -67,6 +67,7 @@
     if let Some(regions) = &admitted.regions {
         ready.retain(|upstream| is_in_regions(shared, &upstream.data_centre, regions));
     }
+    ready.retain(|upstream| !shared.is_host_address(upstream.address));
     let unreachable = unreachable_data_centres(shared, now, &ready);
     let engine = admitted.engine.as_ref();
     let candidates = ready
--- a/src/gateway/directory.rs
+++ b/src/gateway/directory.rs
@@ -20,6 +20,7 @@
 use self::entry::Removal;
 use self::entry::classify_change;
 use self::entry::is_leaving_notice;
+use self::foreign::ForeignRecords;
 use self::listing::Listing;
 use self::observation::Observation;
 use crate::clock::Time;
@@ -32,13 +33,16 @@
 use crate::id::UpstreamId;
 
 mod entry;
+mod foreign;
 mod listing;
 mod observation;
+mod plausibility;
 mod selection;
 mod statements;
 mod sync;
 mod upstream;
 
+pub use self::foreign::ForeignRecord;
 pub use self::observation::Departure;
 pub use self::observation::Witness;
 pub use self::sync::AnnouncedList;
@@ -76,8 +80,8 @@
     removed: BTreeMap<UpstreamId, Removal>,
     /// Instances whose address answered with another id, or whose answers or reports said that they leave.
     observed_leaving: BTreeMap<InstanceId, Observation>,
-    /// Keys whose newest record does not describe an upstream, with the position of that record.
-    foreign: BTreeMap<UpstreamId, Position>,
+    /// Keys whose newest record does not describe an upstream.
+    foreign: ForeignRecords,
     evacuations: Evacuations,
     rollouts: Rollouts,
     /// When the upstreams that listed themselves as cold become warm.
@@ -349,10 +353,19 @@
         })
     }
 
-    /// Records that the newest record of a key does not describe an upstream. Returns whether this record
-    /// was not known before.
-    pub fn record_foreign(&mut self, id: &UpstreamId, position: Position) -> bool {
-        self.foreign.insert(id.clone(), position) != Some(position)
+    /// Records that the newest record of a key does not describe an upstream.
+    pub fn record_foreign(
+        &mut self,
+        now: Time,
+        id: &UpstreamId,
+        position: Position,
+    ) -> ForeignRecord {
+        self.foreign.record(now, id, position)
+    }
+
+    /// Records that a key has been removed from the log.
+    pub fn forget_foreign(&mut self, id: &UpstreamId) {
+        self.foreign.remove(id);
     }
 
     fn record_change(&mut self, now: Time, position: Position, kind: ChangeKind) {
--- a/src/gateway/directory/tests.rs
+++ b/src/gateway/directory/tests.rs
@@ -11,6 +11,7 @@
 use super::Departure;
 use super::Directory;
 use super::DirectoryChange;
+use super::ForeignRecord;
 use super::RETURN_GRACE;
 use super::Upstream;
 use super::UpstreamState;
@@ -273,13 +274,19 @@
 }
 
 #[test]
-fn a_foreign_record_is_new_only_once() {
+fn a_foreign_record_is_counted_once_and_its_key_logged_now_and_then() {
     let mut directory = Directory::default();
     let id = UpstreamId::new("a");
 
-    let is_new = [4, 4, 6].map(|offset| directory.record_foreign(&id, offset.into()));
+    let seen = [(0, 4), (1, 4), (2, 6), (11, 7), (12, 7)].map(|(second, offset)| {
+        let now = Time::from_ms(second * 1_000);
+        directory.record_foreign(now, &id, offset.into())
+    });
 
-    assert_eq!(is_new, [true, false, true]);
+    use ForeignRecord::Counted;
+    use ForeignRecord::Known;
+    use ForeignRecord::Logged;
+    assert_eq!(seen, [Logged, Known, Counted, Logged, Known]);
 }
 
 // A host that has missed some changes must not need the full list. With 295 hosts, fetching the list of 141
--- a/src/gateway/follow.rs
+++ b/src/gateway/follow.rs
@@ -15,6 +15,7 @@
 use crate::error::Error;
 use crate::error::Result;
 use crate::event::EventCode;
+use crate::gateway::directory::ForeignRecord;
 use crate::gateway::directory::Upstream;
 use crate::gateway::internalclient::InternalClient;
 use crate::gateway::internalclient::InternalResponse;
@@ -412,36 +413,47 @@
     }
 }
 
-/// Decodes the upstream of a record. Returns none if the key was removed, or if another writer's record can't
-/// be decoded: the upstream that such a record replaces counts as removed.
+/// Decodes the upstream of a record. Returns none if the key was removed, or if another writer's record is no
+/// listing: the upstream that such a record replaces counts as removed.
 fn decode_upstream(
     shared: &Shared,
     id: &UpstreamId,
     record: &Record,
     at: Position,
 ) -> Option<Upstream> {
-    let value = record.value.as_ref()?;
-    match shared.protocol().decode_upstream(&record.key, value) {
-        Ok(upstream) => Some(upstream),
-        Err(error) => {
-            log_foreign(shared, id, at, value, &error);
-            None
-        }
-    }
+    let Some(value) = record.value.as_ref() else {
+        shared.directory(|directory| directory.forget_foreign(id));
+        return None;
+    };
+    let decoded = shared.protocol().decode_upstream(&record.key, value);
+    let checked = decoded
+        .map_err(|error| error.to_string())
+        .and_then(|upstream| match upstream.flaw() {
+            Some(flaw) => Err(flaw.to_owned()),
+            None => Ok(upstream),
+        });
+    checked
+        .inspect_err(|reason| record_foreign(shared, id, at, value, reason))
+        .ok()
 }
 
-/// Logs, once per record, that a record can't be decoded as an upstream.
-fn log_foreign(shared: &Shared, id: &UpstreamId, at: Position, value: &[u8], error: &Error) {
-    if !shared.directory(|directory| directory.record_foreign(id, at)) {
+/// Counts, once per record, a record that is no listing of an upstream, and logs it.
+fn record_foreign(shared: &Shared, id: &UpstreamId, at: Position, value: &[u8], reason: &str) {
+    let now = shared.now();
+    let seen = shared.directory(|directory| directory.record_foreign(now, id, at));
+    if seen == ForeignRecord::Known {
         return;
     }
     telemetry::count(Metric::ForeignRecordsTotal);
+    if seen == ForeignRecord::Counted {
+        return;
+    }
     let prefix = &value[..value.len().min(LOGGED_BYTES_MAX)];
     let line = shared.log().entry(EventCode::RecordSkipped);
     line.with("source", "upstreams")
         .with("key", id.as_str())
         .with("position", at.to_string())
-        .with("reason", error.to_string())
+        .with("reason", reason)
         .with("bytes", value.len())
         .with("begins", prefix.escape_ascii().to_string())
         .write();
--- a/src/gateway/follow/calls.rs
+++ b/src/gateway/follow/calls.rs
@@ -1,5 +1,6 @@
 //! Calls to the log's keyed topics: reading the newest record of each key, and appending a record.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use http::HeaderMap;
@@ -36,6 +37,7 @@
     timeout: Duration,
 ) -> ReadResult<(Vec<Record>, Position)> {
     let mut records: Vec<Record> = Vec::new();
+    let mut keys: HashSet<String> = HashSet::new();
     let mut end = None;
     loop {
         let after = records.last().map(|record| record.key.clone());
@@ -50,9 +52,10 @@
         if from.era != era {
             return Err(ReadError::Truncated);
         }
-        // Stops at a page that ends with the same key as the previous one, which would repeat for ever.
-        let last = page.records.last().map(|record| &record.key);
-        let more = page.has_more && last.is_some() && last != after.as_ref();
+        // Pages that bring no new key would repeat for ever.
+        let known = keys.len();
+        keys.extend(page.records.iter().map(|record| record.key.clone()));
+        let more = page.has_more && keys.len() > known;
         records.extend(page.records);
         if !more {
             return Ok((records, from));
--- a/src/gateway/hostlisting.rs
+++ b/src/gateway/hostlisting.rs
@@ -1,5 +1,6 @@
 //! Lists hosts in a keyed topic of the log, for hosts whose seeds are gone.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -63,7 +64,11 @@
     match read_newest(shared, client, Topic::Hosts, CALL_TIMEOUT).await {
         Ok((records, _)) => {
             let listed = records.iter().filter(|record| record.value.is_some());
-            let addresses = listed.filter_map(|record| record.key.parse().ok());
+            let own = shared.gossip_address();
+            let addresses = listed
+                .filter_map(|record| record.key.parse().ok())
+                // All hosts receive datagrams at the same port; another one names something else.
+                .filter(|address: &SocketAddr| address.port() == own.port());
             let now = shared.now();
             shared.peers(|peers| peers.add_addresses(now, addresses));
         }
--- a/src/gateway/peerfetch.rs
+++ b/src/gateway/peerfetch.rs
@@ -369,10 +369,12 @@
         status => return Err(client.unexpected_status(status, path)),
     }
     let page: UpstreamsPage = postcard::from_bytes(&body).map_err(unreadable)?;
-    let all = match &page.upstreams {
+    let mut all = match &page.upstreams {
         PageContent::All(packed) => packed.unpack()?,
         PageContent::Changes(_) => Vec::new(),
     };
+    // A peer of an earlier release may list what can't be an upstream.
+    all.retain(|(upstream, _)| upstream.flaw().is_none());
     let now = shared.now();
     shared.receive_evacuations(&page.evacuations, &client.peer.to_string());
     shared.receive_rollouts(&page.rollouts, &client.peer.to_string());
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -183,6 +183,12 @@
         }
     }
 
+    /// Whether a datagram has arrived from `address`.
+    pub(crate) fn has_reported(&self, address: &SocketAddr) -> bool {
+        let peer = self.peers.get(address);
+        peer.is_some_and(|peer| peer.report.is_some())
+    }
+
     /// Applies a datagram received from `address` and returns what it shows about its sender.
     pub fn receive(&mut self, now: Time, address: SocketAddr, datagram: &Datagram) -> SenderStatus {
         let sender = self.sender_status(now, address, datagram);
--- a/src/gateway/shared/activeconfig.rs
+++ b/src/gateway/shared/activeconfig.rs
@@ -15,6 +15,9 @@
 use crate::gateway::document::CutDocument;
 use crate::gateway::document::DOCUMENT_BYTES_MAX;
 
+/// Highest version that is taken. Versions rise in small steps.
+const VERSION_MAX: u64 = 1 << 53;
+
 /// A configuration together with its source document, which peers may fetch in pieces.
 #[derive(Debug, Clone)]
 pub struct ActiveConfig {
@@ -142,6 +145,11 @@
         source: &str,
     ) {
         let version = configuration.version;
+        if version > VERSION_MAX {
+            let reason = format!("version {version} would shut out all later ones");
+            self.log_skipped_document(key, source, &Error::Document(reason));
+            return;
+        }
         {
             let in_force = self.0.active_config.write();
             let mut in_force = in_force.unwrap_or_else(PoisonError::into_inner);
--- a/src/gateway/shared/changes.rs
+++ b/src/gateway/shared/changes.rs
@@ -1,5 +1,7 @@
 //! Changes of the directory of upstreams: logging them, and notifying the tasks that depend on them.
 
+use std::net::SocketAddr;
+
 use tokio::sync::watch;
 
 use super::Shared;
@@ -49,6 +51,22 @@
         }
     }
 
+    /// Whether an address is this host's or a known one's, where requests would go round in circles. All hosts use the
+    /// same ports.
+    pub(crate) fn is_host_address(&self, address: SocketAddr) -> bool {
+        let settings = self.settings();
+        let own = [
+            settings.caller_address,
+            settings.ready_address,
+            settings.peer_address,
+            settings.gossip_address,
+            settings.metrics_address,
+        ];
+        let has_host_port = own.iter().any(|own| own.port() == address.port());
+        let gossip = SocketAddr::new(address.ip(), settings.gossip_address.port());
+        has_host_port && (own.contains(&address) || self.peers(|peers| peers.has_reported(&gossip)))
+    }
+
     fn log_change(&self, applied: &AppliedChange, source: &str) {
         let id = &applied.id;
         let code = match applied.change {
--- a/src/gateway/shared/evacuations.rs
+++ b/src/gateway/shared/evacuations.rs
@@ -10,6 +10,7 @@
 use crate::gateway::evacuations::EvacuationRecord;
 use crate::gateway::position::Position;
 use crate::gateway::protocol::Record;
+use crate::id::DataCentre;
 
 impl Shared {
     /// This host's state of evacuations, as announced to peers.
@@ -66,11 +67,21 @@
             if let Some(flaw) = &evacuation.flaw {
                 self.log_bad_record(&record.key, flaw);
             }
-            Some(evacuation)
+            let is_known = self.is_known(&evacuation.data_centre);
+            if !is_known {
+                self.log_bad_record(&record.key, "no data centre of this deployment");
+            }
+            is_known.then_some(evacuation)
         });
         decoded.collect()
     }
 
+    /// Whether the settings name a data centre, or none at all.
+    fn is_known(&self, data_centre: &DataCentre) -> bool {
+        let regions = &self.settings().regions;
+        regions.is_empty() || regions.contains_key(data_centre)
+    }
+
     pub(super) fn log_bad_record(&self, key: &str, reason: &str) {
         let line = self.log().entry(EventCode::RecordSkipped);
         line.with("source", "log")
--- a/src/gateway/shared/rollouts.rs
+++ b/src/gateway/shared/rollouts.rs
@@ -59,7 +59,12 @@
     /// This host's state of rollouts, as announced to peers.
     pub(crate) fn announced_rollouts(&self) -> Vec<AnnouncedRollout> {
         let now = self.now();
-        self.directory(|directory| directory.rollouts().announce(now))
+        let mut announced = self.directory(|directory| directory.rollouts().announce(now));
+        if let Some(configuration) = self.configuration() {
+            // Orders for what is no service would fill the datagrams.
+            announced.retain(|rollout| configuration.services.contains_key(&rollout.service));
+        }
+        announced
     }
 
     /// Applies rollout orders from records of the operators' topic.
