Bound the memory of request bodies, and watch that of the process against its limit

Cause: answers had a bound on their memory, bodies had none.

Change: bodies take at most a quarter of the limit that the settings give (32 MB without one), and three quarters of that where they are large.

--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -31,6 +31,7 @@
 use crate::gateway::gossip;
 use crate::gateway::hostlisting;
 use crate::gateway::joining;
+use crate::gateway::memorywatch;
 use crate::gateway::peerfetch;
 use crate::gateway::process::ReadSettings;
 use crate::gateway::process::Signals;
@@ -239,6 +240,7 @@
     }
     supervise_task(shared, "poll engines", enginepoll::run);
     supervise_task(shared, "expire state", expire_state);
+    supervise_task(shared, "watch memory", memorywatch::run);
 }
 
 /// The listener of the metrics, if it could be opened.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -13,8 +13,6 @@
 use actix_web::http::ConnectionType;
 use actix_web::web;
 use bytes::Bytes;
-use bytes::BytesMut;
-use futures_util::StreamExt;
 use http::HeaderMap;
 use http::header;
 use tokio::time::Instant;
@@ -26,6 +24,7 @@
 use crate::fingerprint::Content;
 use crate::fingerprint::Fingerprint;
 use crate::gate::Pass;
+use crate::gateway::bodymemory::BodyHold;
 use crate::gateway::call;
 use crate::gateway::callerconnections::CallerConnection;
 use crate::gateway::candidates;
@@ -50,6 +49,7 @@
 use crate::gateway::protocol::HeaderNames;
 use crate::gateway::protocol::PromptPart;
 use crate::gateway::refuse;
+use crate::gateway::requestbody;
 use crate::gateway::rollouts::Track;
 use crate::gateway::route::Route;
 use crate::gateway::route::RouteKind;
@@ -153,6 +153,8 @@
     pub(crate) phase: Cell<Phase>,
     /// Counts the request as running while any of its clones lives.
     pub pass: Rc<Pass>,
+    /// Counts the memory of its body.
+    _body_hold: BodyHold,
 }
 
 impl Admitted {
@@ -397,9 +399,9 @@
                 return Err(reject(refusal));
             }
         };
-    let body = read_body(payload, configuration.limits.body_bytes_max)
-        .await
-        .map_err(reject)?;
+    let bytes_max = configuration.limits.body_bytes_max;
+    let body = requestbody::read(shared, payload, &request.headers, bytes_max);
+    let (body, body_hold) = body.await.map_err(reject)?;
     let request = CallerRequest { body, ..request };
     let timeout = caller_timeout.min(route.timeout);
     let regions = allowed_regions(&route, customer.as_deref());
@@ -430,6 +432,7 @@
         config_version: configuration.version,
         phase: Cell::default(),
         pass,
+        _body_hold: body_hold,
     })
 }
 
@@ -501,21 +504,6 @@
     timeout_ms.map_or(Duration::MAX, request_time)
 }
 
-async fn read_body(mut payload: web::Payload, bytes_max: usize) -> Result<Bytes, Refusal> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|error| {
-            Refusal::not_run(Code::InvalidRequest, format!("the body broke off: {error}"))
-        })?;
-        if body.len() + chunk.len() > bytes_max {
-            let message = format!("the body is longer than {bytes_max} bytes");
-            return Err(Refusal::not_run(Code::TooLarge, message));
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
-}
-
 /// Refuses a request before it is admitted, when its route or customer may be unknown.
 fn reject(shared: &Shared, id: &str, request: &CallerRequest, refusal: &Refusal) -> HttpResponse {
     let entry = shared.log().entry(EventCode::RequestRefused);
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -62,6 +62,9 @@
     /// Connections that callers may hold open at this host.
     #[builder(default = "CALLER_CONNECTIONS_MAX")]
     pub caller_connections_max: usize,
+    /// Memory in bytes that the process may use, if the machine limits it.
+    #[builder(default)]
+    pub memory_bytes_max: Option<u64>,
     /// Decisions under load that are switched on.
     #[builder(default)]
     pub features: LoadFeatures,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -21,6 +21,7 @@
 use crate::ejection::Ejector;
 use crate::gate::Gate;
 use crate::gateway::answerguard::AnswerMemory;
+use crate::gateway::bodymemory::BodyMemory;
 use crate::gateway::brittle::BrittleUpstreams;
 use crate::gateway::callerconnections::CallerConnections;
 use crate::gateway::cold::ColdBudget;
@@ -133,6 +134,7 @@
     carrier_limits: Mutex<CarrierLimits>,
     caller_connections: CallerConnections,
     answer_memory: AnswerMemory,
+    body_memory: BodyMemory,
     failure_rates: Mutex<FailureRates>,
     reported_loads: Mutex<ReportedLoads>,
     speeds: Mutex<Speeds>,
@@ -210,6 +212,7 @@
         let data_centre = settings.data_centre.clone();
         let peers = Peers::new(settings.gossip_address, data_centre, &settings.seeds);
         let caller_connections = CallerConnections::new(settings.caller_connections_max);
+        let body_memory = BodyMemory::of_process(settings.memory_bytes_max);
         Shared(Arc::new(Inner {
             settings,
             protocol,
@@ -234,6 +237,7 @@
             failed_carriers: Mutex::default(),
             caller_connections,
             answer_memory: AnswerMemory::default(),
+            body_memory,
             carrier_limits: Mutex::new(CarrierLimits::new(clock.now())),
             failure_rates: Mutex::default(),
             reported_loads: Mutex::default(),
@@ -380,6 +384,11 @@
         &self.0.answer_memory
     }
 
+    /// The memory that the bodies of requests take.
+    pub(crate) fn body_memory(&self) -> &BodyMemory {
+        &self.0.body_memory
+    }
+
     /// The open connections of callers.
     pub(crate) fn caller_connections(&self) -> &CallerConnections {
         &self.0.caller_connections
--- a/src/telemetry/tests.rs
+++ b/src/telemetry/tests.rs
@@ -82,7 +82,9 @@
             "_total", "_open", "_offset", "_version", "_waiting", "_active", "_lapsed",
         ];
 
-        let has_unit = name.ends_with("_ms") || counted.iter().any(|end| name.ends_with(end));
+        let has_unit = name.ends_with("_ms")
+            || name.ends_with("_bytes")
+            || counted.iter().any(|end| name.ends_with(end));
 
         assert!(name.starts_with("cedargauge_") && has_unit, "{name}");
     }
