Keep figures of others within what arithmetic on times bears

What callers would see: a closed connection without an answer. An upstream that reports a load of 1e300 percent, or some thousand generations without prompt tokens, led to a duration that is no number or too long, whose conversion panics; a prompt of four thousand million tokens overflowed a sum.

Cause: the class is arithmetic on what others sent that panics outside its range.

The old arithmetic, run by itself: after 2,117 first events without prompt tokens the estimate for 3,000 tokens is 1.9e19 s, which no duration holds; 400 ms times 1e298 panics.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -59,7 +59,13 @@
 
 /// A time that a caller or an operator gives, in milliseconds, cut to what a request may be kept.
 pub fn request_time(ms: f64) -> Duration {
-    let time = Duration::try_from_secs_f64(ms.max(0.0) / 1_000.0);
+    bounded_seconds(ms.max(0.0) / 1_000.0)
+}
+
+/// A time of `seconds` that was computed from what others report, cut to what a request may be kept. What is no number
+/// counts as the longest time.
+pub fn bounded_seconds(seconds: f64) -> Duration {
+    let time = Duration::try_from_secs_f64(if seconds < 0.0 { 0.0 } else { seconds });
     time.map_or(REQUEST_TIME_MAX, |time| time.min(REQUEST_TIME_MAX))
 }
 
--- a/src/gateway/admit.rs
+++ b/src/gateway/admit.rs
@@ -17,6 +17,7 @@
 
 use std::time::Duration;
 
+use crate::clock::bounded_seconds;
 use crate::gateway::enginestats::EngineStats;
 use crate::gateway::placement;
 use crate::gateway::placement::Candidate;
@@ -105,7 +106,7 @@
         let wanted = (self.ahead_tokens + u64::from(tokens)) as f64;
         let taken = self.taken_tokens.max(1) as f64;
         let turnovers = wanted * self.hosts.clamp(1, WAITING_HOSTS_MAX) as f64 / taken;
-        self.stats.turnover().mul_f64(turnovers)
+        bounded_seconds(self.stats.turnover().as_secs_f64() * turnovers)
     }
 }
 
@@ -162,7 +163,7 @@
         if load.requests == 0 {
             return true;
         }
-        let unread = load.unread_tokens + prompt_tokens;
+        let unread = load.unread_tokens.saturating_add(prompt_tokens);
         let first_event = stats.first_event_bound(unread, candidate.slowness.prefill);
         let output_tokens = tokens.saturating_sub(prompt_tokens);
         load.requests < candidate.upstream.slots
--- a/src/gateway/enginestats.rs
+++ b/src/gateway/enginestats.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use crate::clock::bounded_seconds;
+
 /// Factor by which older observations decay at each new one: about the last fifty count.
 const DECAY: f64 = 0.98;
 /// Quantile of the errors used for the bound while hardly any first event is late. A generation that isn't
@@ -110,7 +112,7 @@
 
     /// Mean time to a first event when `tokens` are still to be read.
     fn expected_first_event(&self, tokens: u32) -> Duration {
-        Duration::from_secs_f64(f64::from(tokens) * self.prefill_s / self.prefill_tokens)
+        bounded_seconds(f64::from(tokens) * self.prefill_s / self.prefill_tokens)
     }
 
     /// Time within which nearly all first events come when `tokens` are still to be read, at engines that read
@@ -118,7 +120,7 @@
     pub fn first_event_bound(&self, tokens: u32, prefill: f64) -> Duration {
         let expected = self.expected_first_event(tokens).mul_f64(prefill);
         let bound_s = expected.as_secs_f64() + self.error_quantile_s();
-        Duration::from_secs_f64(bound_s.max(0.0))
+        bounded_seconds(bound_s)
     }
 
     /// Quantile of the errors, from [`QUANTILE_MIN`] to [`QUANTILE_MAX`] as the caution rises.
@@ -137,7 +139,7 @@
 
     /// Mean time for which a token of memory is held.
     pub fn turnover(&self) -> Duration {
-        Duration::from_secs_f64(self.ended_token_s / self.ended_tokens)
+        bounded_seconds(self.ended_token_s / self.ended_tokens)
     }
 }
 
--- a/src/gateway/enginestats/tests.rs
+++ b/src/gateway/enginestats/tests.rs
@@ -53,3 +53,19 @@
 
     assert!(stats.first_event_bound(3_000, 1.0) < Duration::from_millis(700));
 }
+
+/// First events without prompt tokens made the mean no number, and its conversion to a duration panicked.
+#[test]
+fn generations_without_tokens_leave_estimates_that_can_be_used() {
+    let mut stats = EngineStats::default();
+    for _ in 0..40_000 {
+        stats.record_first_event(0, 1.0, Duration::from_secs(1));
+        stats.record_end(0, Duration::from_secs(1));
+    }
+
+    let bound = stats.first_event_bound(u32::MAX, 1_000.0);
+    stats.record_first_event(3_000, 1_000.0, Duration::from_secs(1));
+
+    assert!(bound > Duration::ZERO);
+    assert!(stats.turnover() > Duration::ZERO);
+}
--- a/src/gateway/rollouts.rs
+++ b/src/gateway/rollouts.rs
@@ -18,6 +18,7 @@
 use serde::Serialize;
 
 use crate::clock::Time;
+use crate::clock::bounded_seconds;
 use crate::gateway::position::Position;
 use crate::gateway::rollouts::evidence::Evidence;
 use crate::gateway::rollouts::evidence::Judgement;
@@ -334,7 +335,7 @@
             + bound.slack * TRIAL_BOUND_FRACTION;
         let left = bound_requests * (1.0 - RESERVED_BOUND_FRACTION) - trial_requests;
         let seconds = (left / requests_per_s.max(1.0)).max(0.0);
-        Duration::from_secs_f64(seconds).clamp(SHIFT_MIN, SHIFT_MAX)
+        bounded_seconds(seconds).clamp(SHIFT_MIN, SHIFT_MAX)
     }
 
     /// Returns the step that is due. `evidence` is that of all hosts from which this one receives,
