Restart the tasks that close idle connections and keep metrics; wait for the right topic in a test

The test of an upstream that a carrier reported as gone waited for any topic to be unreachable and then counted returns of the topic of upstreams: beside load, the log was back before that topic's next call. It waits for the topic that it counts now.

--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -102,8 +102,8 @@
     ///
     /// # Errors
     ///
-    /// [`Error::Socket`] or [`Error::Io`] if an address can't be opened, and [`Error::NoThreads`] if the threads that
-    /// serve requests don't start.
+    /// [`Error::Socket`] or [`Error::Io`] if an address can't be opened, [`Error::Descriptors`] if the process may open
+    /// too few descriptors, and [`Error::NoThreads`] if the threads that serve requests don't start.
     pub async fn start(
         settings: GatewaySettings,
         environment: Environment,
@@ -120,7 +120,9 @@
         let server = serve_all(&shared, &telemetry, listeners).await?;
         supervise_tasks(&shared, &gossip_socket, &carrier_listener);
         actix_rt::spawn(joining::query_seeds(shared.clone()));
-        actix_rt::spawn(run_upkeep(telemetry));
+        supervise(shared.log(), "keep metrics", move || {
+            run_upkeep(telemetry.clone())
+        });
         let settings = shared.settings();
         let line = shared.log().entry(EventCode::ProcessStarted);
         line.with("callers", settings.caller_address.to_string())
@@ -269,7 +271,10 @@
     let (running, mut has_started) = watch::channel(false);
     let factory = move || {
         let front = WorkerState::new(shared.clone());
-        actix_rt::spawn(close_idle(front.clone()));
+        let idle = front.clone();
+        supervise(front.shared.log(), "close idle connections", move || {
+            close_idle(idle.clone())
+        });
         running.send_replace(true);
         App::new()
             .app_data(web::Data::new(front))
--- a/tests/departedupstreams/mod.rs
+++ b/tests/departedupstreams/mod.rs
@@ -55,17 +55,15 @@
     let hosts = start_fleet(HOSTS, &upstream);
     let returning = &hosts[0];
     returning.log.set_down(true);
-    assert!(wait_until(|| !returning
-        .lines
-        .of("ConfigLogUnreachable")
-        .is_empty()));
+    let changes_of_log = |name: &str| {
+        let lines = returning.lines.of(name);
+        let of_topic = lines.iter().filter(|line| line["topic"] == "upstreams");
+        of_topic.count()
+    };
+    assert!(wait_until(|| changes_of_log("ConfigLogUnreachable") == 1));
     returning.links.cut(Cut::Reset);
     returning.log.set_down(false);
-    assert!(wait_until(|| {
-        let reachable = returning.lines.of("ConfigLogReachable");
-        let topics = reachable.iter().filter(|line| line["topic"] == "upstreams");
-        topics.count() == 2
-    }));
+    assert!(wait_until(|| changes_of_log("ConfigLogReachable") == 2));
     let log = &returning.log;
     log.put("upstreams", upstream.id(), &Value::Null);
     assert!(wait_until(|| changes(returning, "missing") == 1));
