Answer a request that another host sent here as to an upstream with 421

An odd listing named a host's address as an upstream's. Hosts leave addresses of hosts out, but in a fleet a host knows few of the others; one that didn't know this one sent calls there, without their key, and passed its 401 on.

Change: a request without a key that names an expected instance comes from a host, as callers send a key and no instance. It gets 421 and the header of a request that didn't run, as from any wrong instance; the other host tries elsewhere, and the listing gets no more work. Known hosts include those that no datagram has come from.

--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -183,10 +183,9 @@
         }
     }
 
-    /// Whether a datagram has arrived from `address`.
-    pub(crate) fn has_reported(&self, address: &SocketAddr) -> bool {
-        let peer = self.peers.get(address);
-        peer.is_some_and(|peer| peer.report.is_some())
+    /// Whether a host is known that receives datagrams at `address`.
+    pub(crate) fn is_known(&self, address: &SocketAddr) -> bool {
+        self.peers.contains_key(address) || self.seeds.contains(address)
     }
 
     /// Applies a datagram received from `address` and returns what it shows about its sender.
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -393,6 +393,9 @@
         match identity::identify(&configuration, &route, &request.headers, names.key_scheme) {
             Caller::Known(customer) => Some(customer),
             Caller::Anonymous => None,
+            Caller::Unauthorized if is_misdirected(&request, names) => {
+                return Err(answer_misdirected(shared, &id, &request));
+            }
             Caller::Unauthorized => {
                 let refusal =
                     stale_aware_refusal(shared, Code::Unauthorized, "the key names no customer");
@@ -504,6 +507,29 @@
     timeout_ms.map_or(Duration::MAX, request_time)
 }
 
+/// Whether another host sent the request to an upstream that it takes this host for. Hosts name the instance and keep
+/// the caller's key to themselves.
+fn is_misdirected(request: &CallerRequest, names: &HeaderNames) -> bool {
+    let headers = &request.headers;
+    headers.contains_key(&names.expected_instance) && !headers.contains_key(header::AUTHORIZATION)
+}
+
+/// Answers as an upstream does that isn't the expected instance, so that the other host sends no more.
+fn answer_misdirected(shared: &Shared, id: &str, request: &CallerRequest) -> HttpResponse {
+    let names = shared.protocol().headers();
+    let instance = request.header_text(&names.expected_instance);
+    let entry = shared.log().entry(EventCode::RequestRefused);
+    entry
+        .with("request", id)
+        .with("code", "misdirected")
+        .with_some("expected_instance", instance)
+        .with("message", "a host is listed as an upstream")
+        .write();
+    HttpResponse::MisdirectedRequest()
+        .insert_header((names.not_run.as_str(), "1"))
+        .finish()
+}
+
 /// Refuses a request before it is admitted, when its route or customer may be unknown.
 fn reject(shared: &Shared, id: &str, request: &CallerRequest, refusal: &Refusal) -> HttpResponse {
     let entry = shared.log().entry(EventCode::RequestRefused);
--- a/src/gateway/shared/changes.rs
+++ b/src/gateway/shared/changes.rs
@@ -64,7 +64,7 @@
         ];
         let has_host_port = own.iter().any(|own| own.port() == address.port());
         let gossip = SocketAddr::new(address.ip(), settings.gossip_address.port());
-        has_host_port && (own.contains(&address) || self.peers(|peers| peers.has_reported(&gossip)))
+        has_host_port && (own.contains(&address) || self.peers(|peers| peers.is_known(&gossip)))
     }
 
     fn log_change(&self, applied: &AppliedChange, source: &str) {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -147,6 +147,19 @@
     assert!(answer.header("retry-after").is_some());
 }
 
+/// An odd listing named a host as an upstream, and callers of the host that sent there got its 401.
+#[test]
+fn a_request_that_another_host_sent_here_as_to_an_upstream_was_not_run() {
+    let (world, upstreams) = world("once", &[&[Behaviour::Answer(200, "sound")]]);
+    let of_host = "GET /nets/7 HTTP/1.1\r\nhost: a.example\r\ninstance: up-9\r\n\r\n";
+
+    let answer = ask(world.callers(), of_host);
+
+    assert_eq!(answer.status, 421);
+    assert_eq!(answer.header("not-run"), Some("1"));
+    assert!(upstreams[0].seen().is_empty());
+}
+
 #[test]
 fn unknown_keys_and_routes_are_denied_while_the_configuration_is_fresh() {
     let (world, upstreams) = world("once", &[&[Behaviour::Answer(200, "sound")]]);
