Let a start in progress end before a signal stops the process

What callers would have seen: a host that was told to stop as it started closed the connections that it had accepted.

--- a/src/gateway/process.rs
+++ b/src/gateway/process.rs
@@ -100,22 +100,20 @@
         Err(error) => return Ending::NotStarted(error.to_string()),
     };
     let mut delay = StartDelay::new(environment.log.clone());
-    let host = tokio::select! {
-        host = start(environment, &read_settings, &mut delay) => host,
-        () = signals.stop_requested() => None,
-    };
-    match host {
+    match start(environment, &read_settings, &mut delay, &mut signals).await {
         Some(host) => Ending::Served(host.run(signals).await),
         None if delay.is_over() => Ending::NotStarted(delay.reason),
         None => Ending::Stopped(delay.reason),
     }
 }
 
-/// Starts the host, and tries again until it starts or [`START_TIME_MAX`] is over.
+/// Starts the host, and tries again until it starts, [`START_TIME_MAX`] is over or the process is told to stop. An attempt
+/// in progress is not given up, as callers may have connected: a host that has started drains.
 async fn start(
     environment: &Environment,
     read_settings: &ReadSettings,
     delay: &mut StartDelay,
+    signals: &mut Signals,
 ) -> Option<GatewayHost> {
     loop {
         match try_start(environment, read_settings).await {
@@ -125,7 +123,10 @@
         if delay.is_over() {
             return None;
         }
-        tokio::time::sleep(START_RETRY_PAUSE).await;
+        tokio::select! {
+            () = tokio::time::sleep(START_RETRY_PAUSE) => {}
+            () = signals.stop_requested() => return None,
+        }
     }
 }
 
