Draw what callers make a host hold from one budget of memory

Cause: of all that a connection makes a host hold only the bytes of bodies were counted (docs/design/caller-memory.md). The HTTP library reads up to 128 KB a connection and queues 32 bytes for each chunk that it decodes; sockets hold megabytes of unread bytes; connections to the other ports had no bound. And nothing ended a client that makes no progress: no timer ran while a body was read, headerTimeoutMs and idleTimeoutMs were not in force, and a newcomer was refused while others held their places for as long as they liked.

Change: connections and bodies draw from one budget, half of the memory limit. A connection is read through a stream that takes 4 KB before they are decoded, and no more than its state allows for. Receive buffers are 32 KB. A newcomer takes the place of the connection that has been longest in its state, unless its request was read whole. Heads, idle connections and bodies end by the configuration's limits and the request's own deadline. Each port has a bound that follows from the descriptors. E113 and two metrics tell who was ended.

Why it works: whatever a client sends, its connection holds no more than was drawn for it before it was read, and what is drawn can be taken back.

--- a/src/event.rs
+++ b/src/event.rs
@@ -66,6 +66,7 @@
     110 TaskRestarted "A task that the host needs ended and was started again: which, why and how often.",
     111 MemoryHigh "The process uses much of its machine's memory, or no longer does: the bytes in use and the limit.",
     112 MetricsUnavailable "The host serves no metrics, as their address can't be opened.",
+    113 ConnectionsEnded "Connections of clients were ended: at which address, why and how many since the last such line.",
     200 RequestReceived "A caller's request was parsed and its customer identified.",
     201 RequestRefused "A request was refused; it did not run.",
     202 RequestQueued "A request waits at its schedulers.",
--- a/src/gateway/bodymemory.rs
+++ b/src/gateway/bodymemory.rs
@@ -3,9 +3,9 @@
 //! A host reads a body whole before it sends the request, and holds it until the request ends. Upstreams that read
 //! slowly, or callers with large bodies, would otherwise fill its memory.
 
-use std::sync::Arc;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
+use crate::gateway::memorybudget::MemoryBudget;
+use crate::gateway::memorybudget::MemoryHold;
+use crate::gateway::memorybudget::Place;
 
 /// Bodies together where the settings give no memory limit.
 const BYTES_MAX_DEFAULT: usize = 32 << 20;
@@ -16,26 +16,26 @@
 /// Share of the bytes that is left to small bodies.
 const SMALL_SHARE: f64 = 0.25;
 
-/// The bytes of the bodies that a host holds. Clones share them.
+/// The memory that bodies may take. Clones share it.
 #[derive(Debug, Clone)]
 pub(crate) struct BodyMemory {
-    held: Arc<AtomicUsize>,
+    budget: MemoryBudget,
     max: usize,
 }
 
-/// The bytes of one body, until it is dropped.
+/// The memory of one body, until it is dropped.
 #[derive(Debug)]
 pub struct BodyHold {
     memory: BodyMemory,
-    bytes: usize,
+    hold: MemoryHold,
 }
 
 impl BodyMemory {
-    /// The memory of a process that may use `limit` bytes, if that is known.
-    pub(crate) fn of_process(limit: Option<u64>) -> Self {
+    /// A share of `budget`, of a process that may use `limit` bytes if that is known.
+    pub(crate) fn new(limit: Option<u64>, budget: MemoryBudget) -> Self {
         let share = limit.map(|limit| (limit as f64 * LIMIT_SHARE) as usize);
         BodyMemory {
-            held: Arc::default(),
+            budget,
             max: share.unwrap_or(BYTES_MAX_DEFAULT),
         }
     }
@@ -44,16 +44,20 @@
     pub(crate) fn begin(&self, stated: Option<usize>) -> Option<BodyHold> {
         let hold = BodyHold {
             memory: self.clone(),
-            bytes: 0,
+            hold: self.budget.hold(Place::Bodies),
         };
-        let bytes = stated.unwrap_or(0);
-        let fits = self.held().saturating_add(bytes) <= self.max_for(bytes);
-        fits.then_some(hold)
+        self.fits(0, stated.unwrap_or(0)).then_some(hold)
     }
 
-    /// Bytes of all bodies.
+    /// Memory of all bodies.
     pub(crate) fn held(&self) -> usize {
-        self.held.load(Ordering::Relaxed)
+        self.budget.held(Place::Bodies)
+    }
+
+    /// Whether a body that takes `held` bytes may take `bytes`.
+    fn fits(&self, held: usize, bytes: usize) -> bool {
+        let others = self.held().saturating_sub(held);
+        others.saturating_add(bytes) <= self.max_for(bytes)
     }
 
     /// Bytes that all bodies may take for one of `bytes` to fit.
@@ -66,18 +70,10 @@
 }
 
 impl BodyHold {
-    /// Counts `bytes` that arrived. Returns whether the body still fits.
+    /// Has the body take `bytes` in all. Returns whether they fit.
     #[must_use]
-    pub(crate) fn grow(&mut self, bytes: usize) -> bool {
-        self.bytes += bytes;
-        let held = self.memory.held.fetch_add(bytes, Ordering::Relaxed) + bytes;
-        held <= self.memory.max_for(self.bytes)
-    }
-}
-
-impl Drop for BodyHold {
-    fn drop(&mut self) {
-        self.memory.held.fetch_sub(self.bytes, Ordering::Relaxed);
+    pub(crate) fn resize(&mut self, bytes: usize) -> bool {
+        self.memory.fits(self.hold.bytes(), bytes) && self.hold.resize(bytes)
     }
 }
 
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -44,6 +44,10 @@
     pub header_bytes_max: usize,
     /// Maximum size of a request's body, in bytes.
     pub body_bytes_max: usize,
+    /// Maximum time from the first byte of a request's head to its end.
+    pub header_timeout: Duration,
+    /// Maximum time between requests on a connection.
+    pub idle_timeout: Duration,
 }
 
 /// The customer that a key belongs to.
--- a/src/gateway/countedbody.rs
+++ b/src/gateway/countedbody.rs
@@ -1,4 +1,4 @@
-//! The body of an answer that keeps its request counted as running until it has been sent.
+//! Bodies of answers: what they hold is held until they have been sent.
 
 use std::pin::Pin;
 use std::rc::Rc;
@@ -9,19 +9,39 @@
 use actix_web::body::BoxBody;
 use actix_web::body::MessageBody;
 use bytes::Bytes;
+use tokio::time::Instant;
 
 use crate::gate::Pass;
+use crate::gateway::callerconnections::CallerConnection;
 
-/// The body of an answer whose connection is kept. The server drops it when it has written nearly all of it.
+/// The body of an answer. The server drops it when it has written nearly all of it.
 pub(crate) struct CountedBody {
     body: BoxBody,
-    _pass: Rc<Pass>,
+    connection: Rc<CallerConnection>,
+    _pass: Option<Rc<Pass>>,
 }
 
 impl CountedBody {
-    /// Has the request of `pass` count as running while `body` is being sent.
-    pub(crate) fn new(body: BoxBody, pass: Rc<Pass>) -> Self {
-        CountedBody { body, _pass: pass }
+    /// Has the request of `pass`, if any, count as running while `body` is being sent on `connection`.
+    pub(crate) fn new(
+        body: BoxBody,
+        connection: Rc<CallerConnection>,
+        pass: Option<Rc<Pass>>,
+    ) -> Self {
+        if matches!(body.size(), BodySize::Sized(_)) {
+            connection.begin_answer(Instant::now());
+        }
+        CountedBody {
+            body,
+            connection,
+            _pass: pass,
+        }
+    }
+}
+
+impl Drop for CountedBody {
+    fn drop(&mut self) {
+        self.connection.end_request(Instant::now());
     }
 }
 
--- a/src/gateway/host.rs
+++ b/src/gateway/host.rs
@@ -1,45 +1,28 @@
 //! Starts the parts of a gateway host, serves its addresses and shuts it down.
 
-use std::any::Any;
-use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_web::App;
-use actix_web::HttpRequest;
-use actix_web::HttpResponse;
-use actix_web::HttpServer;
-use actix_web::dev::Extensions;
-use actix_web::dev::ServerHandle;
-use actix_web::http::KeepAlive;
-use actix_web::web;
-use socket2::SockRef;
+use actix_server::ServerHandle;
 use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
-use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::error::Error;
 use crate::error::Result;
 use crate::event::EventCode;
-use crate::gateway::callerconnections::CallerConnection;
-use crate::gateway::configfetch;
+use crate::gateway::clientwatch;
 use crate::gateway::enginepoll;
 use crate::gateway::follow;
 use crate::gateway::gossip;
 use crate::gateway::hostlisting;
+use crate::gateway::httpserver;
 use crate::gateway::joining;
 use crate::gateway::memorywatch;
-use crate::gateway::peerfetch;
 use crate::gateway::process::ReadSettings;
 use crate::gateway::process::Signals;
 use crate::gateway::protocol::Topic;
-use crate::gateway::refuse;
 use crate::gateway::rolloutstatus;
-use crate::gateway::serve;
-use crate::gateway::serve::WorkerState;
 use crate::gateway::settings::GatewaySettings;
 use crate::gateway::shared::Environment;
 use crate::gateway::shared::Shared;
@@ -51,19 +34,9 @@
 use crate::gateway::suspectlog;
 use crate::gateway::ticks::tick;
 use crate::gateway::tunnel::carrier;
-use crate::telemetry;
-use crate::telemetry::Metric;
 use crate::telemetry::Telemetry;
 use crate::telemetry::UPKEEP_INTERVAL_MS;
 
-/// Idle timeout of callers' connections. It is longer than that of any caller, since a close that crosses a
-/// request costs the caller a retry.
-const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(120);
-/// Timeout for reading a request's head. After a suspension longer than this, the server answers requests that
-/// arrived meanwhile with a bare 408.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
-/// Bytes of a response that are buffered for a caller that doesn't read, besides the last chunk.
-const CALLER_BUFFER_BYTES: usize = 4 * 1_024;
 /// Time within which the load balancer stops sending new connections to a host that isn't ready: it checks
 /// readiness once a second and tolerates one failure.
 const READINESS_NOTICE_TIME: Duration = Duration::from_millis(2_800);
@@ -76,8 +49,6 @@
 const FLUSH_TIME: Duration = Duration::from_millis(50);
 /// How often a host that shuts down checks whether all requests have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
-/// Time within which the thread that serves requests runs, also on a host with a tenth of a core.
-const THREAD_START_TIME_MAX: Duration = Duration::from_secs(5);
 /// How often state that expires is checked.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -117,7 +88,7 @@
         let listeners = [sockets.callers, sockets.ready, sockets.peers]
             .into_iter()
             .chain(metrics_listener(&shared, sockets.metrics));
-        let server = serve_all(&shared, &telemetry, listeners).await?;
+        let server = httpserver::start(&shared, &telemetry, listeners).await?;
         supervise_tasks(&shared, &gossip_socket, &carrier_listener);
         actix_rt::spawn(joining::query_seeds(shared.clone()));
         supervise(shared.log(), "keep metrics", move || {
@@ -243,6 +214,7 @@
     supervise_task(shared, "poll engines", enginepoll::run);
     supervise_task(shared, "expire state", expire_state);
     supervise_task(shared, "watch memory", memorywatch::run);
+    supervise_task(shared, "watch clients", clientwatch::run);
 }
 
 /// The listener of the metrics, if it could be opened.
@@ -258,159 +230,6 @@
         .ok()
 }
 
-/// Starts one server for all addresses, and waits until its thread runs. Requests are dispatched by the port that they
-/// arrive at.
-async fn serve_all(
-    shared: &Shared,
-    telemetry: &Telemetry,
-    listeners: impl IntoIterator<Item = std::net::TcpListener>,
-) -> Result<ServerHandle> {
-    let shared = shared.clone();
-    let admitting = shared.clone();
-    let telemetry = telemetry.clone();
-    let (running, mut has_started) = watch::channel(false);
-    let factory = move || {
-        let front = WorkerState::new(shared.clone());
-        let idle = front.clone();
-        supervise(front.shared.log(), "close idle connections", move || {
-            close_idle(idle.clone())
-        });
-        running.send_replace(true);
-        App::new()
-            .app_data(web::Data::new(front))
-            .app_data(web::Data::new(shared.clone()))
-            .app_data(web::Data::new(telemetry.clone()))
-            .default_service(web::to(dispatch_by_port))
-    };
-    let mut server = HttpServer::new(factory)
-        .workers(1)
-        .on_connect(move |stream, data| admit_connection(&admitting, stream, data))
-        .disable_signals()
-        .keep_alive(KeepAlive::Timeout(CALLER_IDLE_TIMEOUT))
-        .client_request_timeout(HEAD_TIMEOUT)
-        .tcp_nodelay(true)
-        .h1_write_buffer_size(CALLER_BUFFER_BYTES)
-        .h1_allow_half_closed(false);
-    for listener in listeners {
-        server = server.listen(listener)?;
-    }
-    let server = server.run();
-    let handle = server.handle();
-    let mut serving = actix_rt::spawn(server);
-    tokio::select! {
-        // The channel lives as long as the server.
-        _ = has_started.wait_for(|has_started| *has_started) => Ok(handle),
-        ended = &mut serving => Err(ended.map_or(no_threads(), |ended| match ended {
-            Ok(()) => no_threads(),
-            Err(error) => Error::Io(error),
-        })),
-        () = tokio::time::sleep(THREAD_START_TIME_MAX) => {
-            serving.abort();
-            Err(no_threads())
-        }
-    }
-}
-
-fn no_threads() -> Error {
-    let waited_ms = THREAD_START_TIME_MAX.as_millis();
-    Error::NoThreads {
-        waited_ms: u64::try_from(waited_ms).unwrap_or(u64::MAX),
-    }
-}
-
-/// Counts a new connection if it is a caller's. One over the bound reads no more than has arrived: a request among it is
-/// refused, so that the caller's retry meets another host, and without one the connection ends.
-fn admit_connection(shared: &Shared, stream: &dyn Any, data: &mut Extensions) {
-    let Some(stream) = stream.downcast_ref::<TcpStream>() else {
-        return;
-    };
-    let caller_port = shared.settings().caller_address.port();
-    let is_callers = stream
-        .local_addr()
-        .is_ok_and(|address| address.port() == caller_port);
-    if !is_callers {
-        return;
-    }
-    match shared.caller_connections().admit() {
-        Some(connection) => {
-            data.insert(connection);
-        }
-        None => {
-            log::debug!("closing a caller's connection over the bound");
-            // The other direction stays open for the refusal of a request that has arrived.
-            if let Err(error) = SockRef::from(stream).shutdown(Shutdown::Read) {
-                log::debug!("closing a caller's connection: {error}");
-            }
-        }
-    }
-}
-
-async fn dispatch_by_port(
-    front: web::Data<WorkerState>,
-    shared: web::Data<Shared>,
-    telemetry: web::Data<Telemetry>,
-    http: HttpRequest,
-    payload: web::Payload,
-) -> HttpResponse {
-    let port = http.app_config().local_addr().port();
-    let settings = shared.settings();
-    if port == settings.caller_address.port() {
-        // A request that arrived before its connection was shut must not run.
-        if http.conn_data::<CallerConnection>().is_none() {
-            return refuse::response(&refuse::host_crowded(), true);
-        }
-        return serve::serve(front, http, payload).await;
-    }
-    if port == settings.ready_address.port() {
-        return ready(&shared);
-    }
-    if port == settings.metrics_address.port() {
-        return HttpResponse::Ok().body(metrics_page(&shared, &telemetry));
-    }
-    match http.path() {
-        configfetch::CONFIGURATION_PATH => match web::Query::from_query(http.query_string()) {
-            Ok(query) => configfetch::serve_manifest(&shared, &query).await,
-            Err(error) => HttpResponse::BadRequest().body(error.to_string()),
-        },
-        configfetch::PIECES_PATH => configfetch::serve_pieces(&shared, payload).await,
-        peerfetch::UPSTREAMS_PATH => match web::Query::from_query(http.query_string()) {
-            Ok(query) => peerfetch::serve_upstreams(&shared, &query).await,
-            Err(error) => HttpResponse::BadRequest().body(error.to_string()),
-        },
-        _ => HttpResponse::NotFound().finish(),
-    }
-}
-
-fn ready(shared: &Shared) -> HttpResponse {
-    shared.check_suspension();
-    match shared.is_ready() {
-        true => HttpResponse::Ok().finish(),
-        false => HttpResponse::ServiceUnavailable().finish(),
-    }
-}
-
-fn metrics_page(shared: &Shared, telemetry: &Telemetry) -> String {
-    telemetry::set_total(Metric::LogLinesDroppedTotal, shared.log().dropped());
-    for topic in [Topic::Operator, Topic::Upstreams] {
-        if let Some(age) = shared.log_age(topic) {
-            telemetry::set_log_age(topic.name(), age);
-        }
-    }
-    telemetry::set_config_version(shared.config_version(), shared.newest_known_version());
-    telemetry::set_config_behind(shared.behind_for().unwrap_or_default());
-    let now = shared.now();
-    let (held_back, known) = shared.suspects(|suspects| suspects.count(now));
-    telemetry::set_suspects(held_back, known);
-    telemetry::set_implicated_parts(shared.suspects(|suspects| suspects.count_implicated()));
-    telemetry::set_upstreams_limited(shared.upstream_limits(|limits| limits.count()));
-    telemetry::set_upstreams_slow(shared.count_slow_upstreams());
-    telemetry::set_upstreams_failing(shared.count_failing());
-    telemetry::set_log_era(shared.log_era().number());
-    telemetry::set_evacuated(shared.directory(|directory| directory.evacuations().all().len()));
-    telemetry::set_last_suspension(shared.last_suspension());
-    telemetry.render()
-}
-
 /// Removes expired state at an interval. Never returns.
 async fn expire_state(shared: Shared) {
     loop {
@@ -435,14 +254,6 @@
     }
 }
 
-/// Closes idle connections to upstreams at an interval. Never returns.
-async fn close_idle(front: WorkerState) {
-    loop {
-        tick(EXPIRY_INTERVAL).await;
-        front.pool.borrow_mut().close_expired();
-    }
-}
-
 /// Runs the upkeep of metrics at an interval, which bounds their memory. Never returns.
 async fn run_upkeep(telemetry: Telemetry) {
     loop {
--- a/src/gateway/identity/tests.rs
+++ b/src/gateway/identity/tests.rs
@@ -50,6 +50,8 @@
         limits: CallerLimits {
             header_bytes_max: 1_000,
             body_bytes_max: 1_000,
+            header_timeout: Duration::from_secs(1),
+            idle_timeout: Duration::from_secs(1),
         },
         customers: with_keys.then_some(customers),
     }
--- a/src/gateway/memorywatch.rs
+++ b/src/gateway/memorywatch.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::event::EventCode;
+use crate::gateway::memorybudget::Place;
 use crate::gateway::shared::Shared;
 use crate::gateway::ticks::tick;
 use crate::telemetry;
@@ -28,7 +29,11 @@
     let mut level = Level::Usual;
     loop {
         tick(INTERVAL).await;
-        telemetry::set_gauge(Metric::RequestBodyBytes, shared.body_memory().held() as f64);
+        for place in Place::ALL {
+            telemetry::set_client_memory(place.name(), shared.memory_budget().held(place));
+        }
+        let connections = shared.caller_connections().count();
+        telemetry::set_gauge(Metric::ClientConnections, connections as f64);
         let Some(resident) = resident_bytes() else {
             continue;
         };
@@ -39,11 +44,15 @@
         let next = level.next(resident, limit);
         if next != level {
             level = next;
+            let held = |place| shared.memory_budget().held(place);
             let line = shared.log().entry(EventCode::MemoryHigh);
             line.with("is_high", level == Level::High)
                 .with("resident_bytes", resident)
                 .with("limit_bytes", limit)
-                .with("request_body_bytes", shared.body_memory().held())
+                .with("connections", shared.caller_connections().count())
+                .with("connection_bytes", held(Place::Connections))
+                .with("request_body_bytes", held(Place::Bodies))
+                .with("answer_bytes", held(Place::Answers))
                 .with("in_flight", shared.gate().in_flight())
                 .write();
         }
--- a/src/gateway/requestbody.rs
+++ b/src/gateway/requestbody.rs
@@ -1,52 +1,169 @@
 //! Reads the bodies of callers' requests.
 
+use std::future::poll_fn;
+use std::task::Poll;
+
+use actix_web::error::PayloadError;
 use actix_web::web;
 use bytes::Bytes;
-use bytes::BytesMut;
 use futures_util::StreamExt;
 use http::HeaderMap;
 use http::header;
+use tokio::time::Instant;
 
 use crate::gateway::bodymemory::BodyHold;
+use crate::gateway::callerconnections::CallerConnection;
 use crate::gateway::shared::Shared;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 
 /// Retry delay of a caller whose body didn't fit. Bodies make room as their requests end.
 const RETRY_AFTER_MS: u64 = 250;
+/// First buffer of a body whose length isn't known, or is larger.
+const FIRST_BUFFER_BYTES: usize = 16 << 10;
+/// Other connections that are ended to make room for one body's next buffer.
+const ENDED_FOR_ROOM_MAX: usize = 8;
+
+/// What is known of a body before it is read.
+#[derive(Debug)]
+pub(crate) struct ExpectedBody<'a> {
+    /// The connection that it arrives on.
+    pub(crate) connection: &'a CallerConnection,
+    /// The head of its request.
+    pub(crate) headers: &'a HeaderMap,
+    /// Its longest length.
+    pub(crate) bytes_max: usize,
+    /// When its caller or the route gives the request up.
+    pub(crate) deadline: Instant,
+}
+
+/// Why a body was not read whole.
+enum ReadError {
+    /// The connection was ended to make room for others.
+    Ended,
+    Broken(PayloadError),
+}
 
 /// Reads a body, and returns it with its hold on the host's memory. One that is known not to fit is refused before it
 /// is read.
 ///
 /// # Errors
 ///
-/// The refusal of a body that breaks off, is longer than `bytes_max` or doesn't fit.
+/// The refusal of a body that breaks off, is too long, doesn't fit or takes too long.
 pub(crate) async fn read(
     shared: &Shared,
-    mut payload: web::Payload,
-    headers: &HeaderMap,
-    bytes_max: usize,
+    payload: web::Payload,
+    expected: &ExpectedBody<'_>,
 ) -> Result<(Bytes, BodyHold), Refusal> {
-    let stated_bytes = stated_length(headers);
-    if stated_bytes.is_some_and(|bytes| bytes > bytes_max) {
-        return Err(too_long(bytes_max));
+    let stated_bytes = stated_length(expected.headers);
+    if stated_bytes.is_some_and(|bytes| bytes > expected.bytes_max) {
+        return Err(too_long(expected.bytes_max));
+    }
+    if has_body(expected.headers) && !expected.connection.begin_body(Instant::now()) {
+        return Err(no_memory());
+    }
+    let reading = read_whole(shared, payload, expected, stated_bytes);
+    match tokio::time::timeout_at(expected.deadline, reading).await {
+        Ok(read) => read,
+        Err(_) => {
+            expected.connection.end_slow_body(Instant::now());
+            Err(too_slow())
+        }
     }
-    let hold = shared.body_memory().begin(stated_bytes);
-    let mut hold = hold.ok_or_else(no_memory)?;
-    let mut body = BytesMut::with_capacity(stated_bytes.unwrap_or_default());
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|error| {
-            Refusal::not_run(Code::InvalidRequest, format!("the body broke off: {error}"))
+}
+
+async fn read_whole(
+    shared: &Shared,
+    mut payload: web::Payload,
+    expected: &ExpectedBody<'_>,
+    stated_bytes: Option<usize>,
+) -> Result<(Bytes, BodyHold), Refusal> {
+    let mut hold = begin(shared, expected.connection, stated_bytes).await?;
+    let capacity_max = stated_bytes.unwrap_or(expected.bytes_max);
+    let mut body = Vec::new();
+    while let Some(chunk) = next_chunk(&mut payload, expected.connection).await {
+        let chunk = chunk.map_err(|error| match error {
+            ReadError::Ended => no_memory(),
+            ReadError::Broken(error) => {
+                Refusal::not_run(Code::InvalidRequest, format!("the body broke off: {error}"))
+            }
         })?;
-        if body.len() + chunk.len() > bytes_max {
-            return Err(too_long(bytes_max));
+        let bytes = body.len() + chunk.len();
+        if bytes > expected.bytes_max {
+            return Err(too_long(expected.bytes_max));
         }
-        if !hold.grow(chunk.len()) {
-            return Err(no_memory());
+        if bytes > body.capacity() {
+            let capacity = (2 * body.capacity()).max(FIRST_BUFFER_BYTES);
+            let capacity = capacity.min(capacity_max).max(bytes);
+            if !grow(&mut hold, expected.connection, capacity).await {
+                return Err(no_memory());
+            }
+            body.reserve_exact(capacity - body.len());
         }
         body.extend_from_slice(&chunk);
     }
-    Ok((body.freeze(), hold))
+    Ok((Bytes::from(body), hold))
+}
+
+async fn next_chunk(
+    payload: &mut web::Payload,
+    connection: &CallerConnection,
+) -> Option<Result<Bytes, ReadError>> {
+    poll_fn(|context| match connection.is_ended() {
+        true => Poll::Ready(Some(Err(ReadError::Ended))),
+        false => payload
+            .poll_next_unpin(context)
+            .map(|chunk| chunk.map(|chunk| chunk.map_err(ReadError::Broken))),
+    })
+    .await
+}
+
+/// Begins a body, and ends others that make no progress if it wouldn't fit.
+async fn begin(
+    shared: &Shared,
+    connection: &CallerConnection,
+    stated_bytes: Option<usize>,
+) -> Result<BodyHold, Refusal> {
+    for _ in 0..ENDED_FOR_ROOM_MAX {
+        if let Some(hold) = shared.body_memory().begin(stated_bytes) {
+            return Ok(hold);
+        }
+        if !make_room(connection).await {
+            break;
+        }
+    }
+    shared
+        .body_memory()
+        .begin(stated_bytes)
+        .ok_or_else(no_memory)
+}
+
+/// Has a body take `bytes` in all, and ends others that make no progress if they wouldn't fit.
+async fn grow(hold: &mut BodyHold, connection: &CallerConnection, bytes: usize) -> bool {
+    for _ in 0..ENDED_FOR_ROOM_MAX {
+        if hold.resize(bytes) {
+            return true;
+        }
+        if !make_room(connection).await {
+            return false;
+        }
+    }
+    hold.resize(bytes)
+}
+
+/// Ends the connection that has been reading for longest, and lets its handler give its memory back.
+async fn make_room(connection: &CallerConnection) -> bool {
+    let has_ended = connection.make_room(Instant::now());
+    if has_ended {
+        tokio::task::yield_now().await;
+    }
+    has_ended
+}
+
+/// Whether a request has a body, by its head.
+pub(crate) fn has_body(headers: &HeaderMap) -> bool {
+    headers.contains_key(header::TRANSFER_ENCODING)
+        || stated_length(headers).is_some_and(|bytes| bytes > 0)
 }
 
 /// The length of a request's body, if its head states it.
@@ -60,6 +177,11 @@
     Refusal::not_run(Code::TooLarge, message)
 }
 
+fn too_slow() -> Refusal {
+    let message = "the body was not there in time";
+    Refusal::not_run(Code::SlowBody, message)
+}
+
 fn no_memory() -> Refusal {
     let message = "the host has no memory left for the body";
     Refusal::not_run(Code::Overloaded, message).retry_after_ms(RETRY_AFTER_MS)
--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -50,6 +50,7 @@
 use crate::gateway::protocol::PromptPart;
 use crate::gateway::refuse;
 use crate::gateway::requestbody;
+use crate::gateway::requestbody::ExpectedBody;
 use crate::gateway::rollouts::Track;
 use crate::gateway::route::Route;
 use crate::gateway::route::RouteKind;
@@ -290,42 +291,53 @@
 }
 
 /// Handles one request of a caller. It counts as running until its answer has been written.
-pub async fn serve(
+pub(crate) async fn serve(
     worker: web::Data<WorkerState>,
     http: HttpRequest,
+    connection: Rc<CallerConnection>,
     payload: web::Payload,
 ) -> HttpResponse {
     let worker = worker.get_ref();
     let shared = &worker.shared;
+    if connection.is_ended() {
+        return refuse::response(&refuse::host_crowded(), true);
+    }
     let Some(pass) = shared.gate().enter_if_open(RequestId::generate()) else {
         return stopping::refuse_unread(shared);
     };
     let pass = Rc::new(pass);
-    let response = answer(worker, &http, payload, pass.clone()).await;
+    let mut response = answer(worker, &http, &connection, payload, pass.clone()).await;
+    if connection.is_ended() {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
     let types = [
         http.head().connection_type(),
         response.head().connection_type(),
     ];
-    match http.conn_data::<CallerConnection>() {
-        Some(connection) if types.contains(&ConnectionType::Close) => {
+    let counted = match types.contains(&ConnectionType::Close) {
+        true => {
             connection.hold(pass);
-            response
+            None
         }
-        Some(_) | None => response.map_body(|_, body| BoxBody::new(CountedBody::new(body, pass))),
-    }
+        false => Some(pass),
+    };
+    response.map_body(|_, body| BoxBody::new(CountedBody::new(body, connection, counted)))
 }
 
 /// The answer to one request of a caller.
 async fn answer(
     worker: &WorkerState,
     http: &HttpRequest,
+    connection: &CallerConnection,
     payload: web::Payload,
     pass: Rc<Pass>,
 ) -> HttpResponse {
     let shared = &worker.shared;
     let admitted = tokio::select! {
         biased;
-        admitted = admit(worker, http, payload, pass) => admitted,
+        admitted = admit(worker, http, connection, payload, pass) => admitted,
         () = shared.wait_stop_stage(StopStage::Answering) => Err(stopping::refuse_unread(shared)),
     };
     let admitted = match admitted {
@@ -349,6 +361,7 @@
 async fn admit(
     worker: &WorkerState,
     http: &HttpRequest,
+    connection: &CallerConnection,
     payload: web::Payload,
     pass: Rc<Pass>,
 ) -> Result<Admitted, HttpResponse> {
@@ -356,6 +369,9 @@
     shared.check_suspension();
     let arrived = Instant::now();
     let headers = forward::convert_headers(http);
+    let head_bytes = http.path().len() + header_bytes(&headers);
+    let has_body = requestbody::has_body(&headers);
+    connection.begin_request(arrived, head_bytes, has_body);
     let request = CallerRequest {
         method: http::Method::from_bytes(http.method().as_str().as_bytes()).unwrap_or_default(),
         target: request_target(http),
@@ -402,11 +418,17 @@
                 return Err(reject(refusal));
             }
         };
-    let bytes_max = configuration.limits.body_bytes_max;
-    let body = requestbody::read(shared, payload, &request.headers, bytes_max);
-    let (body, body_hold) = body.await.map_err(reject)?;
-    let request = CallerRequest { body, ..request };
     let timeout = caller_timeout.min(route.timeout);
+    let expected = ExpectedBody {
+        connection,
+        headers: &request.headers,
+        bytes_max: configuration.limits.body_bytes_max,
+        deadline: arrived + timeout,
+    };
+    let body = requestbody::read(shared, payload, &expected).await;
+    let (body, body_hold) = body.map_err(reject)?;
+    connection.end_body(Instant::now(), head_bytes);
+    let request = CallerRequest { body, ..request };
     let regions = allowed_regions(&route, customer.as_deref());
     let track = shared.choose_track(&service);
     let own_priority = customer.as_ref().and_then(|customer| customer.priority);
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -7,6 +7,7 @@
 use derive_builder::Builder;
 
 use crate::gateway::callerconnections::CALLER_CONNECTIONS_MAX;
+use crate::gateway::callerconnections::INTERNAL_CONNECTIONS_MAX;
 use crate::gateway::retrybudget::RetryBudgetOptions;
 use crate::gateway::rollouts::ExposureBound;
 use crate::id::DataCentre;
@@ -62,6 +63,12 @@
     /// Connections that callers may hold open at this host.
     #[builder(default = "CALLER_CONNECTIONS_MAX")]
     pub caller_connections_max: usize,
+    /// Connections that other hosts, the load balancer and readers of metrics may hold open, at each of these addresses.
+    #[builder(default = "INTERNAL_CONNECTIONS_MAX")]
+    pub internal_connections_max: usize,
+    /// Descriptors that the process may open, if the machine limits them. Connections take a share of them at most.
+    #[builder(default)]
+    pub descriptors_max: Option<usize>,
     /// Memory in bytes that the process may use, if the machine limits it.
     #[builder(default)]
     pub memory_bytes_max: Option<u64>,
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -23,7 +23,10 @@
 use crate::gateway::answerguard::AnswerMemory;
 use crate::gateway::bodymemory::BodyMemory;
 use crate::gateway::brittle::BrittleUpstreams;
+use crate::gateway::callerconnections::CALLER_DESCRIPTOR_SHARE;
 use crate::gateway::callerconnections::CallerConnections;
+use crate::gateway::callerconnections::ClientLimits;
+use crate::gateway::callerconnections::INTERNAL_DESCRIPTOR_SHARE;
 use crate::gateway::cold::ColdBudget;
 use crate::gateway::connection::Connector;
 use crate::gateway::contact::UpstreamContact;
@@ -33,11 +36,13 @@
 use crate::gateway::document::catchup::CatchUp;
 use crate::gateway::document::transfers::Transfers;
 use crate::gateway::failurerates::FailureRates;
+use crate::gateway::httpserver::InternalPort;
 use crate::gateway::instance::InstanceId;
 use crate::gateway::joining::SeedState;
 use crate::gateway::limitclaims::LimitClaims;
 use crate::gateway::loads::SharedLoads;
 use crate::gateway::logreads::LogReads;
+use crate::gateway::memorybudget::MemoryBudget;
 use crate::gateway::movequeue::MoveQueueHandle;
 use crate::gateway::partition::PartitionDetector;
 use crate::gateway::peerfetch::ListCache;
@@ -133,8 +138,10 @@
     failed_carriers: Mutex<FailedCarriers>,
     carrier_limits: Mutex<CarrierLimits>,
     caller_connections: CallerConnections,
+    internal_connections: [CallerConnections; InternalPort::ALL.len()],
     answer_memory: AnswerMemory,
     body_memory: BodyMemory,
+    memory_budget: MemoryBudget,
     failure_rates: Mutex<FailureRates>,
     reported_loads: Mutex<ReportedLoads>,
     speeds: Mutex<Speeds>,
@@ -211,8 +218,20 @@
         } = environment;
         let data_centre = settings.data_centre.clone();
         let peers = Peers::new(settings.gossip_address, data_centre, &settings.seeds);
-        let caller_connections = CallerConnections::new(settings.caller_connections_max);
-        let body_memory = BodyMemory::of_process(settings.memory_bytes_max);
+        let budget = MemoryBudget::of_process(settings.memory_bytes_max);
+        let descriptors = settings.descriptors_max;
+        let callers_max = settings.caller_connections_max;
+        let callers_max =
+            CallerConnections::bound(callers_max, descriptors, CALLER_DESCRIPTOR_SHARE);
+        let internal_max = settings.internal_connections_max;
+        let internal_max =
+            CallerConnections::bound(internal_max, descriptors, INTERNAL_DESCRIPTOR_SHARE);
+        let connections =
+            |max| CallerConnections::new(max, ClientLimits::default(), budget.clone());
+        let caller_connections = connections(callers_max);
+        let internal_connections = InternalPort::ALL.map(|_| connections(internal_max));
+        let body_memory = BodyMemory::new(settings.memory_bytes_max, budget.clone());
+        let answer_memory = AnswerMemory::default();
         Shared(Arc::new(Inner {
             settings,
             protocol,
@@ -236,8 +255,10 @@
             unconfirmed: Mutex::default(),
             failed_carriers: Mutex::default(),
             caller_connections,
-            answer_memory: AnswerMemory::default(),
+            internal_connections,
+            answer_memory,
             body_memory,
+            memory_budget: budget,
             carrier_limits: Mutex::new(CarrierLimits::new(clock.now())),
             failure_rates: Mutex::default(),
             reported_loads: Mutex::default(),
@@ -394,6 +415,16 @@
         &self.0.caller_connections
     }
 
+    /// The open connections at an address that isn't the callers'.
+    pub(crate) fn internal_connections(&self, port: InternalPort) -> &CallerConnections {
+        &self.0.internal_connections[port as usize]
+    }
+
+    /// The memory that callers can make the host hold.
+    pub(crate) fn memory_budget(&self) -> &MemoryBudget {
+        &self.0.memory_budget
+    }
+
     /// Whether the host has a configuration and a list of upstreams, and knows which data centres are
     /// evacuated.
     pub(crate) fn is_initialized(&self) -> bool {
--- a/src/gateway/sockets.rs
+++ b/src/gateway/sockets.rs
@@ -19,6 +19,12 @@
 /// again only after a second.
 const ACCEPT_QUEUE_MAX: i32 = 1_024;
 
+/// Receive buffer of a client's connection, of which the system uses twice as much. Unread bytes count as memory of the
+/// process.
+const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+/// Receive buffer of a connection that is carried for another host, which may be in another region.
+const CARRIED_RECEIVE_BUFFER_BYTES: usize = 64 << 10;
+
 /// Descriptors that a host needs besides those of callers and upstreams: its addresses, its threads and its calls to the
 /// log and to other hosts.
 const DESCRIPTORS_MIN: u64 = 64;
@@ -48,11 +54,11 @@
         check_descriptors()?;
         Ok(Sockets {
             gossip: bind(settings.gossip_address)?,
-            carried: listen(settings.gossip_address)?,
-            callers: listen(settings.caller_address)?,
-            ready: listen(settings.ready_address)?,
-            peers: listen(settings.peer_address)?,
-            metrics: listen(settings.metrics_address),
+            carried: listen(settings.gossip_address, CARRIED_RECEIVE_BUFFER_BYTES)?,
+            callers: listen(settings.caller_address, RECEIVE_BUFFER_BYTES)?,
+            ready: listen(settings.ready_address, RECEIVE_BUFFER_BYTES)?,
+            peers: listen(settings.peer_address, RECEIVE_BUFFER_BYTES)?,
+            metrics: listen(settings.metrics_address, RECEIVE_BUFFER_BYTES),
         })
     }
 }
@@ -77,11 +83,14 @@
     open().map_err(|source| unopened(address, source))
 }
 
-fn listen(address: SocketAddr) -> Result<TcpListener> {
+fn listen(address: SocketAddr, receive_buffer_bytes: usize) -> Result<TcpListener> {
     let open = || {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
         socket.set_nonblocking(true)?;
+        if let Err(error) = socket.set_recv_buffer_size(receive_buffer_bytes) {
+            log::warn!("receive buffer of {address}: {error}");
+        }
         socket.bind(&address.into())?;
         socket.listen(ACCEPT_QUEUE_MAX)?;
         Ok(socket.into())
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -23,6 +23,8 @@
 pub enum Code {
     /// The request is malformed.
     InvalidRequest,
+    /// The body was not there in time.
+    SlowBody,
     /// The body or the headers are larger than the settings allow.
     TooLarge,
     /// The key is missing or names no customer.
@@ -64,6 +66,7 @@
     pub const fn name(self) -> &'static str {
         match self {
             Code::InvalidRequest => "invalid_request",
+            Code::SlowBody => "slow_body",
             Code::TooLarge => "too_large",
             Code::Unauthorized => "unauthorized",
             Code::ClassNotAllowed => "class_not_allowed",
@@ -91,6 +94,7 @@
             Code::Unauthorized => 401,
             Code::ClassNotAllowed => 403,
             Code::UnknownService => 404,
+            Code::SlowBody => 408,
             Code::AlreadyClaimed => 409,
             Code::KeyExpired => 410,
             Code::TooLarge => 413,
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -183,8 +183,12 @@
         "Resident memory of the process.",
     MemoryLimitBytes Gauge "cedargauge_memory_limit_bytes" ""
         "Memory that the process may use; 0 if the settings give none.",
-    RequestBodyBytes Gauge "cedargauge_request_body_bytes" ""
-        "Bytes of request bodies that the host holds.",
+    ClientMemoryBytes Gauge "cedargauge_client_memory_bytes" "place"
+        "Memory that clients make the host hold, by what it is held for.",
+    ClientConnections Gauge "cedargauge_client_connections_active" ""
+        "Connections that callers hold open.",
+    ConnectionsEndedTotal Counter "cedargauge_connections_ended_total" "reason"
+        "Connections of clients that the host ended, by reason.",
     PeerMessagesDroppedTotal Counter "cedargauge_peer_messages_dropped_total" ""
         "Messages to other entry hosts that were dropped because the host's queue was full.",
     SharedQueueWaiting Gauge "cedargauge_shared_queue_waiting_active" "service"
@@ -442,6 +446,16 @@
     metrics::gauge!(Metric::LogAgeMs.name(), "topic" => topic).set(ms);
 }
 
+/// Sets the memory that clients make the host hold at a place.
+pub fn set_client_memory(place: &'static str, bytes: usize) {
+    metrics::gauge!(Metric::ClientMemoryBytes.name(), "place" => place).set(bytes as f64);
+}
+
+/// Counts connections of clients that the host ended.
+pub fn count_ended_connections(reason: &'static str, count: u64) {
+    metrics::counter!(Metric::ConnectionsEndedTotal.name(), "reason" => reason).increment(count);
+}
+
 /// Sets the version in force, and the newest that is known of.
 pub fn set_config_version(in_force: u64, newest: u64) {
     metrics::gauge!(Metric::ConfigVersion.name()).set(in_force as f64);
--- a/tests/gatewayworld/protocol.rs
+++ b/tests/gatewayworld/protocol.rs
@@ -189,6 +189,8 @@
             limits: CallerLimits {
                 header_bytes_max: 16_384,
                 body_bytes_max: 100_000,
+                header_timeout: Duration::from_secs(60),
+                idle_timeout: Duration::from_secs(120),
             },
             customers: Some(customers.collect()),
         }))
