Hold the memory of a whole answer until its caller has taken it

An answer gave its hold on the memory back as soon as it was handed to the HTTP server, which copied it whole into its write buffer, so that answers that nobody reads were held twice and counted nowhere.

Change: answers are sent in slices of 16 KB and hold their memory until the last one; their bounds are shares of the memory limit where that is small, and draw from the same budget. Small answers have a share of their own, so the test of stated lengths now asks for one byte more than a small answer beside full memory, and a new one checks the share of the small.

--- a/src/gateway/answerguard.rs
+++ b/src/gateway/answerguard.rs
@@ -26,6 +26,10 @@
 use tokio::io::ReadBuf;
 use tokio::time::Instant;
 
+use crate::gateway::memorybudget::MemoryBudget;
+use crate::gateway::memorybudget::MemoryHold;
+use crate::gateway::memorybudget::Place;
+
 /// Most bytes without any data of a body: a head, the framing of a chunk, or trailers. It exceeds the read buffer, as
 /// data may wait there.
 const FRAMING_BYTES_MAX: usize = 256 << 10;
@@ -36,8 +40,16 @@
 
 /// Bytes of all answers together whose heads state their length. They take no more memory than that.
 const STATED_BYTES_MAX: usize = 32 << 20;
+/// Share of the memory limit that they may take, if it is less.
+const STATED_LIMIT_SHARE: f64 = 0.2;
 /// Bytes of all other answers together. Their buffers take up to twice as much.
 const OPEN_BYTES_MAX: usize = 16 << 20;
+/// Share of the memory limit that they may take, if it is less.
+const OPEN_LIMIT_SHARE: f64 = 0.1;
+/// An answer up to this size is small.
+const SMALL_BYTES_MAX: usize = 64 << 10;
+/// What small answers of stated length may take beyond the others, as a share of theirs.
+const SMALL_SHARE: f64 = 0.25;
 
 /// What has arrived on a connection since the request was sent or the last data of the body arrived.
 #[derive(Debug, Default)]
@@ -182,30 +194,66 @@
     Open,
 }
 
-/// Bytes of the whole answers that a host holds.
-#[derive(Debug, Default)]
-struct HeldBytes {
+/// Bytes of the whole answers that a host holds, and may hold.
+#[derive(Debug)]
+struct AnswerBytes {
     stated: AtomicUsize,
     open: AtomicUsize,
+    stated_max: usize,
+    open_max: usize,
+    budget: MemoryBudget,
 }
 
 /// The memory that whole answers take on a host. Clones share it.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct AnswerMemory(Arc<HeldBytes>);
+#[derive(Debug, Clone)]
+pub(crate) struct AnswerMemory(Arc<AnswerBytes>);
+
+impl Default for AnswerMemory {
+    fn default() -> Self {
+        AnswerMemory::new(None, MemoryBudget::of_process(None))
+    }
+}
 
 impl AnswerMemory {
+    /// A share of `budget`, of a process that may use `limit` bytes if that is known.
+    pub(crate) fn new(limit: Option<u64>, budget: MemoryBudget) -> Self {
+        let share = |share: f64, max: usize| {
+            limit.map_or(max, |limit| ((limit as f64 * share) as usize).min(max))
+        };
+        AnswerMemory(Arc::new(AnswerBytes {
+            stated: AtomicUsize::new(0),
+            open: AtomicUsize::new(0),
+            stated_max: share(STATED_LIMIT_SHARE, STATED_BYTES_MAX),
+            open_max: share(OPEN_LIMIT_SHARE, OPEN_BYTES_MAX),
+            budget,
+        }))
+    }
+
     /// Begins an answer. Returns nothing if its stated length exceeds what is left.
     pub(crate) fn begin(&self, extent: Extent) -> Option<AnswerHold> {
         let mut hold = AnswerHold {
             memory: self.clone(),
             extent,
             bytes: 0,
+            hold: self.0.budget.hold(Place::Answers),
         };
         match extent {
-            Extent::Stated(bytes) => (hold.take(bytes) <= STATED_BYTES_MAX).then_some(hold),
+            Extent::Stated(bytes) => {
+                let is_within = hold.take(bytes) <= self.stated_max_for(bytes);
+                (is_within && hold.hold.resize(bytes)).then_some(hold)
+            }
             Extent::Open => Some(hold),
         }
     }
+
+    /// Bytes that all answers of stated length may take for one of `bytes` to fit.
+    fn stated_max_for(&self, bytes: usize) -> usize {
+        let max = self.0.stated_max;
+        match bytes <= SMALL_BYTES_MAX {
+            true => max + (max as f64 * SMALL_SHARE) as usize,
+            false => max,
+        }
+    }
 }
 
 /// The memory of one answer, until it is dropped.
@@ -214,6 +262,7 @@
     memory: AnswerMemory,
     extent: Extent,
     bytes: usize,
+    hold: MemoryHold,
 }
 
 impl AnswerHold {
@@ -224,7 +273,8 @@
             Extent::Stated(_) => true,
             Extent::Open => {
                 let held = self.take(bytes);
-                self.bytes <= OPEN_BYTES_MAX.saturating_sub(held)
+                let is_within = self.bytes <= self.memory.0.open_max.saturating_sub(held);
+                is_within && self.hold.resize(self.bytes)
             }
         }
     }
--- a/src/gateway/answerguard/tests.rs
+++ b/src/gateway/answerguard/tests.rs
@@ -7,6 +7,7 @@
 use super::FramingWatch;
 use super::Instant;
 use super::OPEN_BYTES_MAX;
+use super::SMALL_BYTES_MAX;
 use super::STATED_BYTES_MAX;
 
 #[test]
@@ -90,9 +91,22 @@
     let memory = AnswerMemory::default();
 
     let most = memory.begin(Extent::Stated(STATED_BYTES_MAX));
-    let more = memory.begin(Extent::Stated(1));
+    let more = memory.begin(Extent::Stated(SMALL_BYTES_MAX + 1));
     drop(most);
     let after = memory.begin(Extent::Stated(STATED_BYTES_MAX));
 
     assert!(more.is_none() && after.is_some());
 }
+
+#[test]
+fn small_answers_fit_beside_large_ones_up_to_their_own_share() {
+    let memory = AnswerMemory::default();
+    let _large = memory.begin(Extent::Stated(STATED_BYTES_MAX));
+
+    let small: Vec<_> = (0..=STATED_BYTES_MAX / 4 / SMALL_BYTES_MAX)
+        .map(|_| memory.begin(Extent::Stated(SMALL_BYTES_MAX)))
+        .collect();
+
+    let (last, first) = small.split_last().unwrap();
+    assert!(first.iter().all(Option::is_some) && last.is_none());
+}
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -16,6 +16,7 @@
 use crate::gateway::attempts::Attempts;
 use crate::gateway::attempts::Delivery;
 use crate::gateway::connection::ConnectionProfile;
+use crate::gateway::countedbody::WholeBody;
 use crate::gateway::dial;
 use crate::gateway::directory::Upstream;
 use crate::gateway::exchange;
@@ -344,7 +345,7 @@
     if shared.closes_connections() {
         response.force_close();
     }
-    response.body(answer.body)
+    response.body(WholeBody::new(answer.body, answer.memory))
 }
 
 /// The head of the upstream's answer for the caller.
--- a/src/gateway/countedbody.rs
+++ b/src/gateway/countedbody.rs
@@ -12,8 +12,12 @@
 use tokio::time::Instant;
 
 use crate::gate::Pass;
+use crate::gateway::answerguard::AnswerHold;
 use crate::gateway::callerconnections::CallerConnection;
 
+/// Bytes that the server copies into its write buffer at once.
+const SLICE_BYTES_MAX: usize = 16 << 10;
+
 /// The body of an answer. The server drops it when it has written nearly all of it.
 pub(crate) struct CountedBody {
     body: BoxBody,
@@ -59,3 +63,39 @@
         Pin::new(&mut self.body).poll_next(context)
     }
 }
+
+/// A whole answer that is sent in slices, so that what its caller doesn't read is held once.
+#[derive(Debug)]
+pub(crate) struct WholeBody {
+    unsent: Bytes,
+    _memory: AnswerHold,
+}
+
+impl WholeBody {
+    /// The answer `body`, whose memory is held until it has been sent.
+    pub(crate) fn new(body: Bytes, memory: AnswerHold) -> Self {
+        WholeBody {
+            unsent: body,
+            _memory: memory,
+        }
+    }
+}
+
+impl MessageBody for WholeBody {
+    type Error = std::convert::Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.unsent.len() as u64)
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        let bytes = self.unsent.len().min(SLICE_BYTES_MAX);
+        match bytes {
+            0 => Poll::Ready(None),
+            bytes => Poll::Ready(Some(Ok(self.unsent.split_to(bytes)))),
+        }
+    }
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -9,6 +9,7 @@
 use http::response::Parts;
 use http_body_util::BodyExt;
 use hyper::body::Body;
+use tokio::time::Instant;
 
 use crate::gateway::answerguard::AnswerHold;
 use crate::gateway::answerguard::Extent;
@@ -30,6 +31,9 @@
 /// expected one.
 const MISDIRECTED_REQUEST: u16 = 421;
 
+/// Connections that are ended to make room for one answer.
+const UNREAD_ENDED_MAX: usize = 8;
+
 /// The transfer coding that tells the end of a body.
 const CHUNKED: &[u8] = b"chunked";
 
@@ -191,7 +195,7 @@
     let stated = body.size_hint().exact();
     let stated = stated.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
     let extent = stated.map_or(Extent::Open, Extent::Stated);
-    let memory = shared.answer_memory().begin(extent);
+    let memory = begin_answer(shared, extent).await;
     let mut memory = memory.ok_or(CollectError::TooLong(stated.unwrap_or_default()))?;
     let mut collected = BytesMut::with_capacity(stated.unwrap_or_default());
     while let Some(frame) = body.frame().await {
@@ -207,6 +211,18 @@
     Ok((collected.freeze(), memory))
 }
 
+/// Begins an answer, and ends connections whose callers don't read theirs if it wouldn't fit.
+async fn begin_answer(shared: &Shared, extent: Extent) -> Option<AnswerHold> {
+    for _ in 0..UNREAD_ENDED_MAX {
+        let memory = shared.answer_memory().begin(extent);
+        if memory.is_some() || !shared.caller_connections().end_unread(Instant::now()) {
+            return memory;
+        }
+        tokio::task::yield_now().await;
+    }
+    shared.answer_memory().begin(extent)
+}
+
 /// Whether a response belongs to this request. Upstreams echo the request's id.
 fn is_response_to(shared: &Shared, admitted: &Admitted, headers: &HeaderMap) -> bool {
     let echoed = headers.get(&shared.protocol().headers().request_id);
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -231,7 +231,7 @@
         let caller_connections = connections(callers_max);
         let internal_connections = InternalPort::ALL.map(|_| connections(internal_max));
         let body_memory = BodyMemory::new(settings.memory_bytes_max, budget.clone());
-        let answer_memory = AnswerMemory::default();
+        let answer_memory = AnswerMemory::new(settings.memory_bytes_max, budget.clone());
         Shared(Arc::new(Inner {
             settings,
             protocol,
