Stop a host in time among refused requests with bodies that go on

What callers saw: a host among clients whose bodies stop short did not end as drained on SIGTERM but after its whole grace with exit status 1, as if requests had been cut.

Cause: an answer that closes its connection counts as running until the connection is gone. After the refusal of a body that isn't there whole, the rest is read for a second, longer than a stopping host waits for its last answers.

Change: such an answer counts until it has been written, as one on a connection that is kept.

--- a/src/gateway/serve.rs
+++ b/src/gateway/serve.rs
@@ -316,7 +316,8 @@
         http.head().connection_type(),
         response.head().connection_type(),
     ];
-    let counted = match types.contains(&ConnectionType::Close) {
+    // The rest of a refused body is read for longer than a host that stops waits for an answer.
+    let counted = match types.contains(&ConnectionType::Close) && !connection.has_unread_body() {
         true => {
             connection.hold(pass);
             None
