Write the refusal of a body that took too long

What callers saw: a client whose body was not there by its deadline was closed without an answer, in place of a 408.

Cause: a connection that was ended took no more bytes while an answer was being sent, meant for clients that don't read theirs; the refusal of a body is an answer too.

--- a/src/gateway/callerconnections.rs
+++ b/src/gateway/callerconnections.rs
@@ -304,8 +304,10 @@
         if self.count >= self.connections_max {
             let victim = self.longest(now, Stage::is_waiting);
             let victim = victim.or_else(|| self.longest(now, Stage::is_reading));
-            let victim = victim.or_else(|| self.longest_unread(now));
-            self.end(victim?, now, EndReason::Crowded);
+            match victim {
+                Some(victim) => self.end(victim, now, EndReason::Crowded),
+                None => self.end(self.longest_unread(now)?, now, EndReason::Unread),
+            }
         }
         let mut hold = self.budget.hold(Place::Connections);
         while !hold.resize(IDLE_BYTES) {
@@ -483,10 +485,11 @@
 
     /// Whether no more is written: the client takes nothing of an answer and the connection was ended.
     pub(crate) fn is_ended_unread(&self, now: Instant) -> bool {
-        let is_unread = |entry: &mut Entry| match (entry.ended, entry.stage) {
-            (None, _) => false,
-            (Some(_), Stage::Answering { .. }) => true,
-            (Some((_, at)), _) => now.saturating_duration_since(at) > DRAIN_TIME + UNREAD_TIME,
+        let is_unread = |entry: &mut Entry| match entry.ended {
+            None => false,
+            Some((EndReason::Unread, _)) => true,
+            // The refusal of a body is still written.
+            Some((_, at)) => now.saturating_duration_since(at) > DRAIN_TIME + UNREAD_TIME,
         };
         self.with(is_unread).unwrap_or(true)
     }
--- a/src/gateway/callerconnections/tests.rs
+++ b/src/gateway/callerconnections/tests.rs
@@ -233,10 +233,13 @@
     open[0].end_slow_body(now);
 
     let before_refusal = allowance(&open[0], now);
+    open[0].begin_answer(now);
+    let may_write = !open[0].is_ended_unread(now);
     open[0].end_request(now);
     let after_refusal = allowance(&open[0], now);
     let after_drain = allowance(&open[0], now + 2 * DRAIN_TIME);
 
+    assert!(may_write);
     assert_eq!(before_refusal, ReadAllowance::Wait);
     assert_eq!(after_refusal, ReadAllowance::Bytes(usize::MAX));
     assert_eq!(after_drain, ReadAllowance::Ended);
