Use one loop to make room, and one type for clients' limits

- Three loops that try to take memory and end a holder between the tries, for the begin and the growth of bodies and for answers, are one function of memorybudget.
The timeouts of 60 s and 120 s stood in three places; they stand in configuration now.
- Whose memory is taken first was written twice in callerconnections.
- is_ended_unread told more than that an answer was unread; is_write_ended does.

Tests keep their assertions; their fixtures set the limits by set_limits.

--- a/src/gateway/callerconnections.rs
+++ b/src/gateway/callerconnections.rs
@@ -19,6 +19,9 @@
 use tokio::time::Instant;
 
 use crate::gate::Pass;
+use crate::gateway::configuration::CallerLimits;
+use crate::gateway::configuration::HEADER_TIMEOUT_DEFAULT;
+use crate::gateway::configuration::IDLE_TIMEOUT_DEFAULT;
 use crate::gateway::memorybudget::MemoryBudget;
 use crate::gateway::memorybudget::MemoryHold;
 use crate::gateway::memorybudget::Place;
@@ -53,27 +56,13 @@
 /// Bytes of the request line, which the limit on headers doesn't include.
 const REQUEST_LINE_BYTES_MAX: usize = 8 << 10;
 
-/// What clients of an address may take.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) struct ClientLimits {
-    /// Bytes of a request's headers.
-    pub(crate) header_bytes_max: usize,
-    /// Time from the first byte of a head to its end.
-    pub(crate) header_timeout: Duration,
-    /// Time between requests on a connection.
-    pub(crate) idle_timeout: Duration,
-}
-
-impl Default for ClientLimits {
-    /// Limits for addresses that no configuration applies to, and for callers until there is one.
-    fn default() -> Self {
-        ClientLimits {
-            header_bytes_max: 64 << 10,
-            header_timeout: Duration::from_secs(60),
-            idle_timeout: Duration::from_secs(120),
-        }
-    }
-}
+/// Limits for addresses that no configuration applies to, and for callers until there is one.
+const LIMITS_DEFAULT: CallerLimits = CallerLimits {
+    header_bytes_max: 64 << 10,
+    body_bytes_max: usize::MAX,
+    header_timeout: HEADER_TIMEOUT_DEFAULT,
+    idle_timeout: IDLE_TIMEOUT_DEFAULT,
+};
 
 /// How far a connection's request has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -187,7 +176,7 @@
     count: usize,
     next_id: u64,
     connections_max: usize,
-    limits: ClientLimits,
+    limits: CallerLimits,
     budget: MemoryBudget,
     /// Connections that were ended since they were last taken for the log.
     ended: BTreeMap<EndReason, u64>,
@@ -208,13 +197,13 @@
 
 impl CallerConnections {
     /// No connection is open yet; at most `connections_max` may be.
-    pub(crate) fn new(connections_max: usize, limits: ClientLimits, budget: MemoryBudget) -> Self {
+    pub(crate) fn new(connections_max: usize, budget: MemoryBudget) -> Self {
         CallerConnections(Arc::new(Mutex::new(Registry {
             open: HashMap::new(),
             count: 0,
             next_id: 0,
             connections_max,
-            limits,
+            limits: LIMITS_DEFAULT,
             budget,
             ended: BTreeMap::new(),
         })))
@@ -269,7 +258,7 @@
     }
 
     /// Puts other limits in force.
-    pub(crate) fn set_limits(&self, limits: ClientLimits) {
+    pub(crate) fn set_limits(&self, limits: CallerLimits) {
         self.lock().limits = limits;
     }
 
@@ -311,9 +300,7 @@
         }
         let mut hold = self.budget.hold(Place::Connections);
         while !hold.resize(IDLE_BYTES) {
-            let victim = self.longest(now, Stage::is_reading);
-            let victim = victim.or_else(|| self.longest(now, Stage::is_waiting));
-            self.end(victim?, now, EndReason::Memory);
+            self.end(self.longest_holding(now)?, now, EndReason::Memory);
         }
         Some(hold)
     }
@@ -329,6 +316,12 @@
         first.map(|(id, _)| *id)
     }
 
+    /// The connection that gives its memory to others first: one that is being read holds the most.
+    fn longest_holding(&self, now: Instant) -> Option<u64> {
+        let reading = self.longest(now, Stage::is_reading);
+        reading.or_else(|| self.longest(now, Stage::is_waiting))
+    }
+
     fn end(&mut self, id: u64, now: Instant, reason: EndReason) {
         if let Some(entry) = self.open.get_mut(&id)
             && entry.ended.is_none()
@@ -392,8 +385,7 @@
             if entry.hold.resize(READING_BYTES) {
                 return true;
             }
-            let victim = self.longest(now, Stage::is_reading);
-            match victim.or_else(|| self.longest(now, Stage::is_waiting)) {
+            match self.longest_holding(now) {
                 Some(victim) if victim != id => self.end(victim, now, EndReason::Memory),
                 Some(_) | None => return false,
             }
@@ -484,7 +476,7 @@
     }
 
     /// Whether no more is written: the client takes nothing of an answer and the connection was ended.
-    pub(crate) fn is_ended_unread(&self, now: Instant) -> bool {
+    pub(crate) fn is_write_ended(&self, now: Instant) -> bool {
         let is_unread = |entry: &mut Entry| match entry.ended {
             None => false,
             Some((EndReason::Unread, _)) => true,
@@ -537,8 +529,8 @@
         registry.end(self.id, now, EndReason::SlowBody);
     }
 
-    /// Makes room in the memory: ends the connection that has been reading a body for longest, if it isn't this one.
-    pub(crate) fn make_room(&self, now: Instant) -> bool {
+    /// Ends the connection whose request has been read for longest, if it isn't this one. Returns whether there was one.
+    pub(crate) fn end_other_reading(&self, now: Instant) -> bool {
         let mut registry = self.connections.lock();
         let victim = registry.longest(now, Stage::is_reading);
         if let Some(victim) = victim.filter(|victim| *victim != self.id) {
--- a/src/gateway/callerconnections/tests.rs
+++ b/src/gateway/callerconnections/tests.rs
@@ -7,7 +7,6 @@
 use super::AHEAD_BYTES_MAX;
 use super::CallerConnection;
 use super::CallerConnections;
-use super::ClientLimits;
 use super::DRAIN_TIME;
 use super::EndReason;
 use super::IDLE_BYTES;
@@ -16,24 +15,32 @@
 use super::REQUEST_LINE_BYTES_MAX;
 use super::ReadAllowance;
 use super::UNREAD_TIME;
+use crate::gateway::configuration::CallerLimits;
 use crate::gateway::memorybudget::MemoryBudget;
 
 const MAX: usize = 8;
-const LIMITS: ClientLimits = ClientLimits {
+const LIMITS: CallerLimits = CallerLimits {
     header_bytes_max: 1_000,
+    body_bytes_max: 1_000,
     header_timeout: Duration::from_secs(3),
     idle_timeout: Duration::from_secs(15),
 };
 const HEAD_BYTES: usize = 100;
 
 fn connections() -> CallerConnections {
-    CallerConnections::new(MAX, LIMITS, MemoryBudget::of_process(None))
+    with_budget(None)
+}
+
+fn with_budget(limit_bytes: Option<usize>) -> CallerConnections {
+    let limit = limit_bytes.map(|bytes| bytes as u64);
+    let connections = CallerConnections::new(MAX, MemoryBudget::of_process(limit));
+    connections.set_limits(LIMITS);
+    connections
 }
 
 /// Connections whose memory is enough for `reading` requests that are being read.
 fn with_memory_for(reading: usize) -> CallerConnections {
-    let limit = 2 * reading * READING_BYTES;
-    CallerConnections::new(MAX, LIMITS, MemoryBudget::of_process(Some(limit as u64)))
+    with_budget(Some(2 * reading * READING_BYTES))
 }
 
 fn admit(connections: &CallerConnections, count: usize, now: Instant) -> Vec<CallerConnection> {
@@ -150,9 +157,7 @@
 
 #[test]
 fn memory_bounds_idle_connections_too() {
-    let limit = 2 * 3 * IDLE_BYTES;
-    let budget = MemoryBudget::of_process(Some(limit as u64));
-    let connections = CallerConnections::new(MAX, LIMITS, budget);
+    let connections = with_budget(Some(2 * 3 * IDLE_BYTES));
     let now = Instant::now();
     let _open = admit(&connections, 3, now);
 
@@ -234,7 +239,7 @@
 
     let before_refusal = allowance(&open[0], now);
     open[0].begin_answer(now);
-    let may_write = !open[0].is_ended_unread(now);
+    let may_write = !open[0].is_write_ended(now);
     open[0].end_request(now);
     let after_refusal = allowance(&open[0], now);
     let after_drain = allowance(&open[0], now + 2 * DRAIN_TIME);
@@ -263,5 +268,5 @@
     let second = connections.end_unread(later);
 
     assert_eq!([early, first, second], [false, true, false]);
-    assert!(open[0].is_ended_unread(later) && !open[1].is_ended_unread(later));
+    assert!(open[0].is_write_ended(later) && !open[1].is_write_ended(later));
 }
--- a/src/gateway/callerstream.rs
+++ b/src/gateway/callerstream.rs
@@ -102,7 +102,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let connection = self.connection.as_ref();
-        if connection.is_some_and(|connection| connection.is_ended_unread(Instant::now())) {
+        if connection.is_some_and(|connection| connection.is_write_ended(Instant::now())) {
             return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
         }
         let polled = Pin::new(&mut self.stream).poll_write(context, bytes);
--- a/src/gateway/clientwatch.rs
+++ b/src/gateway/clientwatch.rs
@@ -6,7 +6,6 @@
 
 use crate::event::EventCode;
 use crate::gateway::callerconnections::CallerConnections;
-use crate::gateway::callerconnections::ClientLimits;
 use crate::gateway::httpserver::InternalPort;
 use crate::gateway::shared::Shared;
 use crate::gateway::ticks::tick;
@@ -23,8 +22,8 @@
         let now = Instant::now();
         let late = now.saturating_duration_since(checked_at + INTERVAL);
         checked_at = now;
-        if let Some(limits) = limits(&shared) {
-            shared.caller_connections().set_limits(limits);
+        if let Some(configuration) = shared.configuration() {
+            shared.caller_connections().set_limits(configuration.limits);
         }
         check(&shared, shared.caller_connections(), "callers", late);
         for port in InternalPort::ALL {
@@ -50,13 +49,3 @@
             .write();
     }
 }
-
-/// The limits of the configuration in force.
-fn limits(shared: &Shared) -> Option<ClientLimits> {
-    let configuration = shared.configuration()?;
-    Some(ClientLimits {
-        header_bytes_max: configuration.limits.header_bytes_max,
-        header_timeout: configuration.limits.header_timeout,
-        idle_timeout: configuration.limits.idle_timeout,
-    })
-}
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -37,8 +37,8 @@
     pub engine: Option<EngineSpec>,
 }
 
-/// Size limits for requests of clients.
-#[derive(Debug, Clone, PartialEq, Eq)]
+/// Limits for requests and connections of clients.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerLimits {
     /// Maximum total size of a request's headers, in bytes.
     pub header_bytes_max: usize,
@@ -90,5 +90,11 @@
     }
 }
 
+/// Timeout of heads where the configuration sets none.
+pub const HEADER_TIMEOUT_DEFAULT: Duration = Duration::from_secs(60);
+
+/// Timeout of idle connections where the configuration sets none.
+pub const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(120);
+
 /// Timeout of a route that sets none: long enough for any call of a plain service.
 pub const ROUTE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(30);
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,6 +20,7 @@
 use crate::gateway::directory::Upstream;
 use crate::gateway::forward;
 use crate::gateway::forward::AttemptHeaders;
+use crate::gateway::memorybudget;
 use crate::gateway::serve::Admitted;
 use crate::gateway::shared::Shared;
 use crate::gateway::stopping::Phase;
@@ -31,9 +32,6 @@
 /// expected one.
 const MISDIRECTED_REQUEST: u16 = 421;
 
-/// Connections that are ended to make room for one answer.
-const UNREAD_ENDED_MAX: usize = 8;
-
 /// The transfer coding that tells the end of a body.
 const CHUNKED: &[u8] = b"chunked";
 
@@ -195,7 +193,9 @@
     let stated = body.size_hint().exact();
     let stated = stated.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
     let extent = stated.map_or(Extent::Open, Extent::Stated);
-    let memory = begin_answer(shared, extent).await;
+    let begin = || shared.answer_memory().begin(extent);
+    let end_unread = || shared.caller_connections().end_unread(Instant::now());
+    let memory = memorybudget::take_or_make_room(begin, end_unread).await;
     let mut memory = memory.ok_or(CollectError::TooLong(stated.unwrap_or_default()))?;
     let mut collected = BytesMut::with_capacity(stated.unwrap_or_default());
     while let Some(frame) = body.frame().await {
@@ -211,18 +211,6 @@
     Ok((collected.freeze(), memory))
 }
 
-/// Begins an answer, and ends connections whose callers don't read theirs if it wouldn't fit.
-async fn begin_answer(shared: &Shared, extent: Extent) -> Option<AnswerHold> {
-    for _ in 0..UNREAD_ENDED_MAX {
-        let memory = shared.answer_memory().begin(extent);
-        if memory.is_some() || !shared.caller_connections().end_unread(Instant::now()) {
-            return memory;
-        }
-        tokio::task::yield_now().await;
-    }
-    shared.answer_memory().begin(extent)
-}
-
 /// Whether a response belongs to this request. Upstreams echo the request's id.
 fn is_response_to(shared: &Shared, admitted: &Admitted, headers: &HeaderMap) -> bool {
     let echoed = headers.get(&shared.protocol().headers().request_id);
--- a/src/gateway/httpserver.rs
+++ b/src/gateway/httpserver.rs
@@ -33,6 +33,8 @@
 use crate::gateway::callerconnections::CallerConnections;
 use crate::gateway::callerstream::CallerStream;
 use crate::gateway::configfetch;
+use crate::gateway::configuration::HEADER_TIMEOUT_DEFAULT;
+use crate::gateway::configuration::IDLE_TIMEOUT_DEFAULT;
 use crate::gateway::countedbody::CountedBody;
 use crate::gateway::peerfetch;
 use crate::gateway::protocol::Topic;
@@ -47,11 +49,6 @@
 use crate::telemetry::Metric;
 use crate::telemetry::Telemetry;
 
-/// Idle timeout of the HTTP library, for connections that no configuration's limit ends sooner.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
-/// Timeout of the HTTP library for a connection's first head. After a suspension longer than this, the server answers
-/// requests that arrived meanwhile with a bare 408.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
 /// Time for which the rest of a refused body of stated length is read, so that its client gets to read the refusal.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 /// Bytes of a response that are buffered for a caller that doesn't read, besides the last chunk.
@@ -199,8 +196,9 @@
         Port::Internal(InternalPort::Metrics) => app.default_service(web::to(answer_metrics)),
     };
     let http = HttpService::build()
-        .keep_alive(KeepAlive::Timeout(IDLE_TIMEOUT))
-        .client_request_timeout(HEAD_TIMEOUT)
+        .keep_alive(KeepAlive::Timeout(IDLE_TIMEOUT_DEFAULT))
+        // After a suspension longer than this, the server answers requests that arrived meanwhile with a bare 408.
+        .client_request_timeout(HEADER_TIMEOUT_DEFAULT)
         .client_disconnect_timeout(LINGER_TIME)
         .h1_write_buffer_size(WRITE_BUFFER_BYTES)
         .h1_allow_half_closed(false)
--- a/src/gateway/memorybudget.rs
+++ b/src/gateway/memorybudget.rs
@@ -12,6 +12,9 @@
 /// Share of the memory limit. The rest is for what a host needs without callers, and for what the allocator keeps.
 const LIMIT_SHARE: f64 = 0.5;
 
+/// Holders that are ended to make room for one more.
+const ENDED_FOR_ROOM_MAX: usize = 8;
+
 /// What memory is held for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Place {
@@ -104,6 +107,22 @@
     }
 }
 
+/// Tries to `take` memory. While that fails, has `end_holder` end another holder, which gives its memory back as soon
+/// as it runs, and tries again. Returns nothing if there is none to end, or too many would have to be.
+pub(crate) async fn take_or_make_room<T>(
+    mut take: impl FnMut() -> Option<T>,
+    end_holder: impl Fn() -> bool,
+) -> Option<T> {
+    for _ in 0..ENDED_FOR_ROOM_MAX {
+        let taken = take();
+        if taken.is_some() || !end_holder() {
+            return taken;
+        }
+        tokio::task::yield_now().await;
+    }
+    take()
+}
+
 impl Drop for MemoryHold {
     fn drop(&mut self) {
         self.budget.held[self.place as usize].fetch_sub(self.bytes, Ordering::Relaxed);
--- a/src/gateway/requestbody.rs
+++ b/src/gateway/requestbody.rs
@@ -13,6 +13,7 @@
 
 use crate::gateway::bodymemory::BodyHold;
 use crate::gateway::callerconnections::CallerConnection;
+use crate::gateway::memorybudget;
 use crate::gateway::shared::Shared;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
@@ -21,8 +22,6 @@
 const RETRY_AFTER_MS: u64 = 250;
 /// First buffer of a body whose length isn't known, or is larger.
 const FIRST_BUFFER_BYTES: usize = 16 << 10;
-/// Other connections that are ended to make room for one body's next buffer.
-const ENDED_FOR_ROOM_MAX: usize = 8;
 
 /// What is known of a body before it is read.
 #[derive(Debug)]
@@ -78,7 +77,10 @@
     expected: &ExpectedBody<'_>,
     stated_bytes: Option<usize>,
 ) -> Result<(Bytes, BodyHold), Refusal> {
-    let mut hold = begin(shared, expected.connection, stated_bytes).await?;
+    let end_other = || expected.connection.end_other_reading(Instant::now());
+    let begin = || shared.body_memory().begin(stated_bytes);
+    let hold = memorybudget::take_or_make_room(begin, end_other).await;
+    let mut hold = hold.ok_or_else(no_memory)?;
     let capacity_max = stated_bytes.unwrap_or(expected.bytes_max);
     let mut body = Vec::new();
     while let Some(chunk) = next_chunk(&mut payload, expected.connection).await {
@@ -95,9 +97,9 @@
         if bytes > body.capacity() {
             let capacity = (2 * body.capacity()).max(FIRST_BUFFER_BYTES);
             let capacity = capacity.min(capacity_max).max(bytes);
-            if !grow(&mut hold, expected.connection, capacity).await {
-                return Err(no_memory());
-            }
+            let grow = || hold.resize(capacity).then_some(());
+            let grown = memorybudget::take_or_make_room(grow, end_other).await;
+            grown.ok_or_else(no_memory)?;
             body.reserve_exact(capacity - body.len());
         }
         body.extend_from_slice(&chunk);
@@ -118,48 +120,6 @@
     .await
 }
 
-/// Begins a body, and ends others that make no progress if it wouldn't fit.
-async fn begin(
-    shared: &Shared,
-    connection: &CallerConnection,
-    stated_bytes: Option<usize>,
-) -> Result<BodyHold, Refusal> {
-    for _ in 0..ENDED_FOR_ROOM_MAX {
-        if let Some(hold) = shared.body_memory().begin(stated_bytes) {
-            return Ok(hold);
-        }
-        if !make_room(connection).await {
-            break;
-        }
-    }
-    shared
-        .body_memory()
-        .begin(stated_bytes)
-        .ok_or_else(no_memory)
-}
-
-/// Has a body take `bytes` in all, and ends others that make no progress if they wouldn't fit.
-async fn grow(hold: &mut BodyHold, connection: &CallerConnection, bytes: usize) -> bool {
-    for _ in 0..ENDED_FOR_ROOM_MAX {
-        if hold.resize(bytes) {
-            return true;
-        }
-        if !make_room(connection).await {
-            return false;
-        }
-    }
-    hold.resize(bytes)
-}
-
-/// Ends the connection that has been reading for longest, and lets its handler give its memory back.
-async fn make_room(connection: &CallerConnection) -> bool {
-    let has_ended = connection.make_room(Instant::now());
-    if has_ended {
-        tokio::task::yield_now().await;
-    }
-    has_ended
-}
-
 /// Whether a request has a body, by its head.
 pub(crate) fn has_body(headers: &HeaderMap) -> bool {
     headers.contains_key(header::TRANSFER_ENCODING)
--- a/src/gateway/shared.rs
+++ b/src/gateway/shared.rs
@@ -25,7 +25,6 @@
 use crate::gateway::brittle::BrittleUpstreams;
 use crate::gateway::callerconnections::CALLER_DESCRIPTOR_SHARE;
 use crate::gateway::callerconnections::CallerConnections;
-use crate::gateway::callerconnections::ClientLimits;
 use crate::gateway::callerconnections::INTERNAL_DESCRIPTOR_SHARE;
 use crate::gateway::cold::ColdBudget;
 use crate::gateway::connection::Connector;
@@ -219,17 +218,15 @@
         let data_centre = settings.data_centre.clone();
         let peers = Peers::new(settings.gossip_address, data_centre, &settings.seeds);
         let budget = MemoryBudget::of_process(settings.memory_bytes_max);
-        let descriptors = settings.descriptors_max;
+        let connections = |max, share| {
+            let max = CallerConnections::bound(max, settings.descriptors_max, share);
+            CallerConnections::new(max, budget.clone())
+        };
         let callers_max = settings.caller_connections_max;
-        let callers_max =
-            CallerConnections::bound(callers_max, descriptors, CALLER_DESCRIPTOR_SHARE);
+        let caller_connections = connections(callers_max, CALLER_DESCRIPTOR_SHARE);
         let internal_max = settings.internal_connections_max;
-        let internal_max =
-            CallerConnections::bound(internal_max, descriptors, INTERNAL_DESCRIPTOR_SHARE);
-        let connections =
-            |max| CallerConnections::new(max, ClientLimits::default(), budget.clone());
-        let caller_connections = connections(callers_max);
-        let internal_connections = InternalPort::ALL.map(|_| connections(internal_max));
+        let internal_connections =
+            InternalPort::ALL.map(|_| connections(internal_max, INTERNAL_DESCRIPTOR_SHARE));
         let body_memory = BodyMemory::new(settings.memory_bytes_max, budget.clone());
         let answer_memory = AnswerMemory::new(settings.memory_bytes_max, budget.clone());
         Shared(Arc::new(Inner {
